--- /dev/null
+++ b/src/cmd/client.rs
@@ -0,0 +1,107 @@
+//! Calls to an entry's administration API.
+
+use crate::clock::Millis;
+use crate::cmd::Refusal;
+use crate::platform::http::{Http, uri};
+use anyhow::{Context, Result, bail};
+use bpaf::Bpaf;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// How long a call may take.
+const LIMIT: Millis = Millis(15_000);
+
+/// Which entry to call, and as whom.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Target {
+    /// Address of an entry
+    #[bpaf(argument("IP:PORT"), fallback(SocketAddr::from(([127, 0, 0, 1], 7000))), display_fallback)]
+    addr: SocketAddr,
+    /// Bearer token; SPRUCERUDDER_TOKEN is read too
+    #[bpaf(argument("TOKEN"), env("SPRUCERUDDER_TOKEN"))]
+    token: String,
+}
+
+/// A client for one command.
+pub struct Client {
+    target: Target,
+    http: Http,
+}
+
+impl Client {
+    /// A client of `target`.
+    pub fn new(target: Target) -> Self {
+        Self { target, http: Http::default() }
+    }
+
+    /// Calls the API and returns its JSON answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        content: &str,
+        key: Option<&str>,
+        body: String,
+    ) -> Result<Value> {
+        let addr = self.target.addr.to_string();
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(uri(&addr, path)?)
+            .header(AUTHORIZATION, format!("Bearer {}", self.target.token))
+            .header(CONTENT_TYPE, content);
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder.body(Full::from(Bytes::from(body)))?;
+        let answer = self.http.send(&addr, request, LIMIT).await.context("cannot ask the entry")?;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let value: Value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+        match answer.status.is_success() {
+            true => Ok(value),
+            false => bail!(Refusal(explain(answer.status.as_u16(), &value))),
+        }
+    }
+
+    /// Gets a JSON answer.
+    pub async fn get(&self, path: &str) -> Result<Value> {
+        self.call(Method::GET, path, "application/json", None, String::new()).await
+    }
+}
+
+/// A refusal in words.
+fn explain(status: u16, problem: &Value) -> String {
+    let part = |name: &str| match problem.get(name) {
+        Some(Value::String(text)) => format!(" {name}={text}"),
+        Some(value) => format!(" {name}={value}"),
+        None => String::new(),
+    };
+    let parts: String = ["reason", "run", "rev", "by", "faults"].iter().map(|n| part(n)).collect();
+    format!("refused: status={status}{parts}")
+}
+
+/// Prints a value as JSON, or as one line of key=value pairs for each object.
+pub fn print(value: &Value, json: bool) -> Result<()> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(value)?);
+        return Ok(());
+    }
+    match value {
+        Value::Array(items) => items.iter().for_each(|item| println!("{}", line(item))),
+        other => println!("{}", line(other)),
+    }
+    Ok(())
+}
+
+/// One line of key=value pairs.
+pub fn line(value: &Value) -> String {
+    let Value::Object(fields) = value else { return value.to_string() };
+    let pair = |(key, value): (&String, &Value)| match value {
+        Value::String(text) => format!("{key}={text}"),
+        other => format!("{key}={other}"),
+    };
+    fields.iter().map(pair).collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,134 @@
+//! The subcommands, one file each.
+
+mod client;
+mod drain;
+mod entry;
+mod job;
+mod keys;
+mod settings;
+mod standin;
+mod status;
+mod table;
+mod timeline;
+
+use anyhow::Result;
+use bpaf::{Bpaf, OptionParser};
+use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
+use std::fmt;
+use std::process::ExitCode;
+
+/// Runs a subcommand.
+pub trait Run {
+    /// Does its whole work.
+    ///
+    /// # Errors
+    /// With context for people; [`Refusal`] marks an answer of no.
+    fn run(self) -> Result<()>;
+}
+
+/// A scheduler for unlike workloads on one cluster, driven by one table.
+///
+/// Exit codes: 0 done; 1 failed; 2 wrong use; 3 refused by the system, or a check found faults.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Runs an entry until SIGTERM; a second one stops it at once
+    ///
+    /// Example: sprucerudder entry --settings nasr-1.jsonc
+    #[bpaf(command)]
+    Entry(#[bpaf(external(entry::entry_args))] entry::EntryArgs),
+    /// Runs a small stand-in for a system that is not ours, for trials and tests
+    ///
+    /// Example: sprucerudder standin worker --listen 127.0.0.1:9001 --name w1 --cpu 16000 --mem 32000
+    #[bpaf(command)]
+    Standin(#[bpaf(external(standin::standin_args))] standin::StandinArgs),
+    /// Checks, shows, compares and publishes tables
+    ///
+    /// Example: sprucerudder table check desk.csv
+    #[bpaf(command)]
+    Table(#[bpaf(external(table::table_args))] table::TableArgs),
+    /// Submits, shows, withdraws and lists jobs
+    ///
+    /// Example: sprucerudder job submit --kind build --cpu 2000 --mem 1000 --run 5000
+    #[bpaf(command)]
+    Job(#[bpaf(external(job::job_args))] job::JobArgs),
+    /// Shows entries, shards and their owners, workers and tasks
+    ///
+    /// Example: sprucerudder status --addr 127.0.0.1:7001
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::status_args))] status::StatusArgs),
+    /// Begins the planned stop of an entry, so that its VM can be replaced
+    ///
+    /// Example: sprucerudder drain --addr 127.0.0.1:7001
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain::drain_args))] drain::DrainArgs),
+    /// Shows the time line of several processes, in one order, and checks it
+    ///
+    /// Example: sprucerudder timeline --check 127.0.0.1:7001 127.0.0.1:9001
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline::timeline_args))] timeline::TimelineArgs),
+    /// Makes a certificate authority and keys for entries, as parts of their settings
+    ///
+    /// Example: sprucerudder keys --cell delta nasr-1 nasr-2
+    #[bpaf(command)]
+    Keys(#[bpaf(external(keys::keys_args))] keys::KeysArgs),
+    /// Prints a settings file with every setting, its default and what it means
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings::settings_args))] settings::SettingsArgs),
+}
+
+/// The command line's parser.
+pub fn options() -> OptionParser<Command> {
+    command()
+}
+
+impl Run for Command {
+    fn run(self) -> Result<()> {
+        match self {
+            Self::Entry(args) => args.run(),
+            Self::Standin(args) => args.run(),
+            Self::Table(args) => args.run(),
+            Self::Job(args) => args.run(),
+            Self::Status(args) => args.run(),
+            Self::Drain(args) => args.run(),
+            Self::Timeline(args) => args.run(),
+            Self::Keys(args) => args.run(),
+            Self::Settings(args) => args.run(),
+        }
+    }
+}
+
+/// An answer of no: the system refused, or a check found faults.
+#[derive(Debug)]
+pub struct Refusal(pub String);
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// The exit code of a refusal.
+const REFUSED: u8 = 3;
+
+/// Says what went wrong and returns the exit code for it.
+pub fn report(err: &anyhow::Error) -> ExitCode {
+    eprintln!("sprucerudder: {err:#}");
+    match err.is::<Refusal>() {
+        true => ExitCode::from(REFUSED),
+        false => ExitCode::FAILURE,
+    }
+}
+
+/// Sends logs to standard error, one line for each event.
+fn start_log(level: LevelFilter) {
+    let config = ConfigBuilder::new().add_filter_allow_str("sprucerudder").build();
+    let _ = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
+}
+
+/// A runtime with several threads.
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?)
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,32 @@
+//! `status`: shows one entry's view of the cell.
+
+use crate::cmd::client::{Client, Target, line, print, target};
+use crate::cmd::{Run, runtime};
+use anyhow::Result;
+use bpaf::Bpaf;
+use serde_json::Value;
+
+/// What `status` takes.
+#[derive(Debug, Clone, Bpaf)]
+pub struct StatusArgs {
+    #[bpaf(external)]
+    target: Target,
+    /// Print the answer as JSON
+    json: bool,
+}
+
+impl Run for StatusArgs {
+    fn run(self) -> Result<()> {
+        let mut status =
+            runtime()?.block_on(async { Client::new(self.target).get("/v1/status").await })?;
+        if self.json {
+            return print(&status, true);
+        }
+        let shards = status.as_object_mut().and_then(|fields| fields.remove("shards"));
+        println!("{}", line(&status));
+        if let Some(Value::Array(shards)) = shards {
+            shards.iter().for_each(|shard| println!("  {}", line(shard)));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cmd/table.rs
@@ -0,0 +1,142 @@
+//! `table`: checks, shows, compares and publishes tables.
+
+use crate::cmd::client::{Client, Target, print, target};
+use crate::cmd::{Refusal, Run, runtime};
+use crate::table::Table;
+use anyhow::{Context, Result, bail};
+use bpaf::Bpaf;
+use hyper::Method;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+
+/// What to do with a table.
+#[derive(Debug, Clone, Bpaf)]
+pub enum TableArgs {
+    /// Checks a file; needs no entry
+    #[bpaf(command)]
+    Check {
+        /// Print faults as JSON
+        json: bool,
+        /// The table, CSV
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Prints the table in force as CSV
+    #[bpaf(command)]
+    Show {
+        #[bpaf(external)]
+        target: Target,
+        /// Print revision, operator and text as JSON
+        json: bool,
+    },
+    /// Shows what publishing a file would change
+    #[bpaf(command)]
+    Diff {
+        #[bpaf(external)]
+        target: Target,
+        /// The table, CSV
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Publishes a file; of racing operators one wins
+    #[bpaf(command)]
+    Publish {
+        #[bpaf(external)]
+        target: Target,
+        /// The revision that the file was edited from; without it, the one in force now
+        #[bpaf(argument("REV"))]
+        base: Option<u64>,
+        /// Names this publish, so that it can be sent again without a second effect
+        #[bpaf(argument("KEY"))]
+        key: Option<String>,
+        /// Print the answer as JSON
+        json: bool,
+        /// The table, CSV
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+impl Run for TableArgs {
+    fn run(self) -> Result<()> {
+        match self {
+            Self::Check { json, file } => check(&file, json),
+            Self::Show { target, json } => runtime()?.block_on(show(target, json)),
+            Self::Diff { target, file } => runtime()?.block_on(diff(target, &file)),
+            Self::Publish { target, base, key, json, file } => {
+                runtime()?.block_on(publish(target, base, key, json, &file))
+            }
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))
+}
+
+fn parse(text: &str) -> Result<Table> {
+    Table::parse(text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Refusal(lines.join("\n")).into()
+    })
+}
+
+fn check(file: &Path, json: bool) -> Result<()> {
+    let text = read(file)?;
+    match Table::parse(&text) {
+        Ok(table) => println!("ok rows={} leaving={}", table.rows.len(), table.leaving.len()),
+        Err(faults) if json => {
+            println!("{}", serde_json::to_string_pretty(&faults)?);
+            bail!(Refusal(format!("{} faults", faults.len())));
+        }
+        Err(_) => drop(parse(&text)?),
+    }
+    Ok(())
+}
+
+async fn show(target: Target, json: bool) -> Result<()> {
+    let table = Client::new(target).get("/v1/table").await?;
+    if json {
+        return print(&table, true);
+    }
+    print!("{}", csv(&table));
+    Ok(())
+}
+
+fn csv(table: &Value) -> &str {
+    table.get("csv").and_then(Value::as_str).unwrap_or("")
+}
+
+async fn diff(target: Target, file: &Path) -> Result<()> {
+    let new = parse(&read(file)?)?;
+    let table = Client::new(target).get("/v1/table").await?;
+    let old = match csv(&table) {
+        "" => Table::default(),
+        text => parse(text)?,
+    };
+    old.diff(&new).iter().for_each(|line| println!("{line}"));
+    Ok(())
+}
+
+async fn publish(
+    target: Target,
+    base: Option<u64>,
+    key: Option<String>,
+    json: bool,
+    file: &Path,
+) -> Result<()> {
+    let text = read(file)?;
+    parse(&text)?;
+    let client = Client::new(target);
+    let base = match base {
+        Some(base) => base,
+        None => {
+            let table = client.get("/v1/table").await?;
+            table.get("rev").and_then(Value::as_u64).context("the entry gave no revision")?
+        }
+    };
+    let path = format!("/v1/table?base={base}");
+    let content = "text/plain; charset=utf-8";
+    let answer = client.call(Method::PUT, &path, content, key.as_deref(), text).await?;
+    print(&answer, json)
+}
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,84 @@
+//! `timeline`: the events of several processes in one order.
+
+use crate::check;
+use crate::clock::Millis;
+use crate::cmd::{Refusal, Run, runtime};
+use crate::platform::http::{Http, uri};
+use crate::standin::{TRACE_PATH, TraceRequest};
+use crate::trace::{Event, Stamp};
+use anyhow::{Context, Result, bail};
+use bpaf::Bpaf;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request};
+use std::net::SocketAddr;
+
+/// How long a process may take to answer.
+const LIMIT: Millis = Millis(15_000);
+
+/// What `timeline` takes.
+#[derive(Debug, Clone, Bpaf)]
+pub struct TimelineArgs {
+    /// Bearer token; SPRUCERUDDER_TOKEN is read too
+    #[bpaf(argument("TOKEN"), env("SPRUCERUDDER_TOKEN"))]
+    token: String,
+    /// Print events as JSON
+    json: bool,
+    /// Check what must always hold, and say which event broke it
+    check: bool,
+    /// Only events whose line has this text
+    #[bpaf(argument("TEXT"))]
+    only: Option<String>,
+    /// Addresses of entries and stand-ins
+    #[bpaf(positional("IP:PORT"), some("at least one address"))]
+    addrs: Vec<SocketAddr>,
+}
+
+impl Run for TimelineArgs {
+    fn run(self) -> Result<()> {
+        runtime()?.block_on(run(self))
+    }
+}
+
+async fn run(args: TimelineArgs) -> Result<()> {
+    let mut events = Vec::new();
+    for addr in &args.addrs {
+        let found = fetch(&Http::default(), *addr, &args.token).await;
+        events.extend(found.with_context(|| format!("no time line from {addr}"))?);
+    }
+    events.sort_by(|a, b| (a.at, &a.who).cmp(&(b.at, &b.who)));
+    let wanted = |text: &str| args.only.as_ref().is_none_or(|only| text.contains(only.as_str()));
+    for event in &events {
+        let text = if args.json { serde_json::to_string(event)? } else { event.to_string() };
+        if wanted(&text) {
+            println!("{text}");
+        }
+    }
+    if args.check {
+        let broken = check::check(&events);
+        if !broken.is_empty() {
+            let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+            bail!(Refusal(lines.join("\n")));
+        }
+        println!("checked events={} broken=0", events.len());
+    }
+    Ok(())
+}
+
+/// The whole time line of one process.
+pub async fn fetch(http: &Http, addr: SocketAddr, token: &str) -> Result<Vec<Event>> {
+    let ask = TraceRequest { since: Stamp(0), max: usize::MAX };
+    let addr = addr.to_string();
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(uri(&addr, TRACE_PATH)?)
+        .header(AUTHORIZATION, format!("Bearer {token}"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::from(Bytes::from(serde_json::to_vec(&ask)?)))?;
+    let answer = http.send(&addr, request, LIMIT).await?;
+    if !answer.status.is_success() {
+        bail!("status {}", answer.status);
+    }
+    Ok(serde_json::from_slice(&answer.body)?)
+}
--- /dev/null
+++ b/src/controller/fold.rs
@@ -0,0 +1,223 @@
+//! The fold of the platform's log at one entry: tables, claims, and what the log keeps of shards.
+//!
+//! An entry that starts after retention has dropped the log's beginning, or that fell behind it,
+//! is not in sync: it holds publishes and claims back until a snapshot record tells it what came
+//! before them.
+
+use crate::clock::Millis;
+use crate::controller::claims::Claims;
+use crate::controller::replica::{Replica, State, Update};
+use crate::controller::table::{Revision, Tables};
+use crate::id::{JobId, Name};
+use crate::job::{JobSpec, Note, Outcome};
+use crate::record::{Claim, Record};
+use std::collections::BTreeMap;
+
+/// What a folded record changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A new table is in force here.
+    Table,
+    /// A claim is in force.
+    Claim(Claim),
+    /// The log holds a shard's notes up to this number.
+    Noted {
+        /// The shard.
+        shard: Name,
+        /// The epoch.
+        epoch: u64,
+        /// The last note held.
+        seq: u64,
+    },
+    /// A job is kept in the log.
+    Job(JobId),
+}
+
+/// A job as the log has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LogJob {
+    /// What was asked for.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub at: Millis,
+    /// When its record was last appended, by the offset.
+    pub offset: u64,
+    /// Tasks that ended.
+    pub ended: BTreeMap<u32, Outcome>,
+}
+
+/// The fold.
+#[derive(Debug)]
+pub struct Fold {
+    domain: Name,
+    next: u64,
+    synced: bool,
+    first: u64,
+    held: Vec<(u64, Record)>,
+    snapshot: u64,
+    /// The tables.
+    pub tables: Tables,
+    /// The claims.
+    pub claims: Claims,
+    states: BTreeMap<Name, Replica>,
+    jobs: BTreeMap<JobId, LogJob>,
+}
+
+impl Fold {
+    /// An empty fold for an entry of `domain`: shards of other failure domains are passed over.
+    pub fn new(domain: Name) -> Self {
+        Self {
+            domain,
+            next: 0,
+            synced: true,
+            first: 0,
+            held: Vec::new(),
+            snapshot: 0,
+            tables: Tables::default(),
+            claims: Claims::default(),
+            states: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+        }
+    }
+
+    /// The offset to read next.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Whether everything before [`Fold::next`] is known.
+    pub fn synced(&self) -> bool {
+        self.synced
+    }
+
+    /// The offset of the last snapshot record.
+    pub fn snapshot_at(&self) -> u64 {
+        self.snapshot
+    }
+
+    /// The log begins at `first`, later than the offset to read next: records were missed.
+    pub fn gap(&mut self, first: u64) {
+        self.next = first;
+        self.first = first;
+        self.synced = false;
+        self.held.clear();
+    }
+
+    /// Folds the records of the append at `offset`.
+    pub fn apply(&mut self, offset: u64, records: Vec<Record>) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.next = offset + 1;
+        for record in records {
+            self.record(offset, record, &mut changes);
+        }
+        changes
+    }
+
+    fn record(&mut self, offset: u64, record: Record, changes: &mut Vec<Change>) {
+        match record {
+            Record::Publish(_) | Record::Claim(_) if !self.synced => {
+                self.held.push((offset, record));
+            }
+            Record::Publish(publish) => {
+                if self.tables.publish(&publish) {
+                    changes.push(Change::Table);
+                }
+            }
+            Record::Claim(claim) => {
+                if self.claims.fold(&claim) {
+                    changes.push(Change::Claim(claim));
+                }
+            }
+            Record::Snapshot { upto, table, claims } => {
+                self.snapshot = offset;
+                if !self.synced {
+                    self.restore(upto, table, claims, changes);
+                }
+            }
+            Record::Job { job, spec, at } => {
+                let fresh = LogJob { spec, at, offset, ended: BTreeMap::new() };
+                self.jobs.entry(job.clone()).or_insert(fresh).offset = offset;
+                changes.push(Change::Job(job));
+            }
+            Record::Ended { job, index, outcome } => self.ended(&job, index, outcome),
+            Record::Closed { job } => drop(self.jobs.remove(&job)),
+            Record::Base { shard, state } => {
+                let (epoch, seq) = (state.epoch, state.seq);
+                self.noted(shard, epoch, Some(state), seq + 1, Vec::new(), changes);
+            }
+            Record::Notes { shard, epoch, first, notes } => {
+                self.noted(shard, epoch, None, first, notes, changes);
+            }
+        }
+    }
+
+    fn restore(
+        &mut self,
+        upto: u64,
+        table: Option<Revision>,
+        claims: Vec<Vec<Claim>>,
+        changes: &mut Vec<Change>,
+    ) {
+        if upto < self.first {
+            return;
+        }
+        self.synced = true;
+        if self.tables.restore(table) {
+            changes.push(Change::Table);
+        }
+        for history in claims {
+            let last = history.last().cloned();
+            if self.claims.restore(&history) {
+                changes.extend(last.map(Change::Claim));
+            }
+        }
+        for (offset, record) in std::mem::take(&mut self.held) {
+            if offset >= upto {
+                self.record(offset, record, changes);
+            }
+        }
+    }
+
+    fn ended(&mut self, job: &JobId, index: u32, outcome: Outcome) {
+        let Some(known) = self.jobs.get_mut(job) else { return };
+        known.ended.insert(index, outcome);
+        if known.ended.len() as u32 >= known.spec.tasks {
+            self.jobs.remove(job);
+        }
+    }
+
+    fn noted(
+        &mut self,
+        shard: Name,
+        epoch: u64,
+        base: Option<State>,
+        first: u64,
+        notes: Vec<Note>,
+        changes: &mut Vec<Change>,
+    ) {
+        let last = self.claims.last(&shard);
+        if !last.is_some_and(|claim| claim.epoch == epoch && claim.domain == self.domain) {
+            return;
+        }
+        let replica = self.states.entry(shard.clone()).or_default();
+        if let Ok(seq) = replica.update(Update { epoch, base, first, notes }) {
+            changes.push(Change::Noted { shard, epoch, seq });
+        }
+    }
+
+    /// What the log holds of a shard from epochs without replicas.
+    pub fn state(&self, shard: &str) -> State {
+        self.states.get(shard).map(|replica| replica.state().clone()).unwrap_or_default()
+    }
+
+    /// The jobs of a shard that the log has and that have not ended.
+    pub fn jobs<'a>(&'a self, shard: &'a str) -> impl Iterator<Item = (&'a JobId, &'a LogJob)> {
+        self.jobs.iter().filter(move |(id, _)| *id.shard == *shard)
+    }
+
+    /// A record with all that a later reader needs to know of what came before.
+    pub fn snapshot(&self) -> Record {
+        let table = self.tables.folded().cloned();
+        Record::Snapshot { upto: self.next, table, claims: self.claims.histories() }
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,17 @@
+//! The decisions, as plain state machines: no socket, no clock, no task inside.
+//!
+//! Each takes the time and an event and returns what has to be done; the entry's shell does it.
+
+pub mod book;
+pub mod claims;
+pub mod fold;
+pub mod health;
+pub mod list;
+pub mod place;
+pub mod queue;
+pub mod recover;
+pub mod replica;
+pub mod retry;
+pub mod shard;
+pub mod slots;
+pub mod table;
--- /dev/null
+++ b/src/controller/shard/mod.rs
@@ -0,0 +1,180 @@
+//! One shard at one entry: a replica, a claimant that looks for the shard's state, or its owner.
+
+pub mod journal;
+mod life;
+pub mod office;
+mod plan;
+
+use crate::clock::Millis;
+use crate::controller::recover::{Next, Recovery};
+use crate::controller::replica::{Replica, ReplicaError, State, Update};
+use crate::id::{EntryId, Name};
+use crate::record::Claim;
+use office::{MAX_FLIGHT, Office};
+use std::collections::BTreeSet;
+
+/// What this entry is to the shard.
+#[derive(Debug)]
+enum Phase {
+    Follower,
+    Claimant { claim: Claim, recovery: Box<Recovery>, since: Millis },
+    Owner(Box<Office>),
+}
+
+/// A shard at one entry.
+#[derive(Debug)]
+pub struct Shard {
+    id: Name,
+    me: EntryId,
+    replica: Replica,
+    phase: Phase,
+}
+
+/// How a claimant came to the shard's state.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Source {
+    /// From a replica or the log.
+    State(Box<State>),
+    /// From nobody: the log's jobs and the workers' lists have to do.
+    Rebuild,
+}
+
+impl Shard {
+    /// A shard that this entry only follows.
+    pub fn new(id: Name, me: EntryId) -> Self {
+        Self { id, me, replica: Replica::default(), phase: Phase::Follower }
+    }
+
+    /// The shard's name.
+    pub fn id(&self) -> &Name {
+        &self.id
+    }
+
+    /// The owner's state machine, if this entry owns the shard.
+    pub fn office(&mut self) -> Option<&mut Office> {
+        match &mut self.phase {
+            Phase::Owner(office) => Some(office),
+            _ => None,
+        }
+    }
+
+    /// The replica held here.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// The claim whose state is being looked for.
+    pub fn claiming(&self) -> Option<&Claim> {
+        match &self.phase {
+            Phase::Claimant { claim, .. } => Some(claim),
+            _ => None,
+        }
+    }
+
+    /// Takes an update from the owner.
+    ///
+    /// # Errors
+    /// As [`Replica::update`]; an owner or claimant of the same or a later epoch refuses too.
+    pub fn update(&mut self, update: Update) -> Result<u64, ReplicaError> {
+        let epoch = self.epoch();
+        if epoch >= update.epoch {
+            return Err(ReplicaError::Sealed(epoch));
+        }
+        let epoch = update.epoch;
+        let seq = self.replica.update(update)?;
+        self.step_down(epoch);
+        Ok(seq)
+    }
+
+    /// The epoch that this entry owns or claims, 0 if neither.
+    pub fn epoch(&self) -> u64 {
+        match &self.phase {
+            Phase::Follower => 0,
+            Phase::Claimant { claim, .. } => claim.epoch,
+            Phase::Owner(office) => office.epoch(),
+        }
+    }
+
+    /// Seals this entry for a claimant of `epoch` and returns all that it holds.
+    pub fn seal(&mut self, epoch: u64) -> State {
+        self.step_down(epoch);
+        self.replica.seal(epoch).clone()
+    }
+
+    /// Gives up what this entry owns or claims if `epoch` is later; `true` if it owned the shard.
+    pub fn step_down(&mut self, epoch: u64) -> bool {
+        if self.epoch() == 0 || self.epoch() >= epoch {
+            return false;
+        }
+        let old = std::mem::replace(&mut self.phase, Phase::Follower);
+        if let Phase::Owner(office) = old {
+            self.replica.restore(office.into_state());
+            return true;
+        }
+        false
+    }
+
+    /// A claim on this shard is in force; `true` if this entry was deposed by it.
+    pub fn claimed(&mut self, now: Millis, claim: &Claim, history: &[Claim], log: State) -> bool {
+        match &mut self.phase {
+            Phase::Owner(office) if claim.owner == self.me => {
+                office.renew(claim);
+                return false;
+            }
+            _ if claim.owner != self.me => {
+                self.replica.seal(claim.epoch);
+                return self.step_down(claim.epoch);
+            }
+            _ => {}
+        }
+        let mut recovery = Box::new(Recovery::new(claim, history, log));
+        let own = self.replica.seal(claim.epoch).clone();
+        recovery.answer(&self.me, own);
+        self.phase = Phase::Claimant { claim: claim.clone(), recovery, since: now };
+        false
+    }
+
+    /// Another entry sealed itself for this one's claim.
+    pub fn sealed(&mut self, from: &EntryId, epoch: u64, state: State) {
+        if let Phase::Claimant { claim, recovery, .. } = &mut self.phase
+            && claim.epoch == epoch
+        {
+            recovery.answer(from, state);
+        }
+    }
+
+    /// What the claimant needs next: entries to ask, or the source to take office from. Where the
+    /// state is lost with its holders, their last starts must have arrived before a rebuild.
+    pub fn search(&mut self, now: Millis, gone: impl Fn(&EntryId) -> bool) -> Search {
+        let Phase::Claimant { claim, recovery, since } = &mut self.phase else {
+            return Search::Idle;
+        };
+        let settled = claim.epoch == 1 || now.since(*since) >= MAX_FLIGHT;
+        match recovery.next(gone) {
+            Next::Ask(ids) => Search::Ask(ids),
+            Next::Found(state) => Search::Ready(Source::State(state)),
+            Next::Rebuild if settled => Search::Ready(Source::Rebuild),
+            Next::Rebuild => Search::Ask(BTreeSet::new()),
+        }
+    }
+
+    /// Takes office with the state that the search found, unless the claim is void by now.
+    pub fn take_office(&mut self, office: Office) -> bool {
+        let due = self.claiming().is_some_and(|claim| claim.epoch == office.epoch());
+        if due {
+            self.phase = Phase::Owner(Box::new(office));
+        }
+        due
+    }
+}
+
+/// Where a claimant's search stands.
+#[derive(Debug, PartialEq)]
+pub enum Search {
+    /// There is none.
+    Idle,
+    /// These may be asked.
+    Ask(BTreeSet<EntryId>),
+    /// The state was found, or cannot be.
+    Ready(Source),
+}
--- /dev/null
+++ b/src/controller/shard/office.rs
@@ -0,0 +1,599 @@
+//! The owner of a shard: it accepts, places, starts, stops and forgets tasks.
+
+use crate::clock::Millis;
+use crate::controller::book::{Book, Job, Task};
+use crate::controller::fold::LogJob;
+use crate::controller::health::Health;
+use crate::controller::list::Vm;
+use crate::controller::place::Ledger;
+use crate::controller::queue::{Queue, Shape};
+use crate::controller::replica::{State, Update};
+use crate::controller::shard::Source;
+use crate::controller::shard::journal::Journal;
+use crate::id::{EntryId, JobId, Name, TaskId};
+use crate::job::{JobSpec, JobStatus, MAX_TASKS, Note};
+use crate::platform::api::{Report, StartOrder, SyncOrder, TaskReply};
+use crate::record::{Claim, Record};
+use crate::size::Size;
+use crate::table::{Class, Row, Table};
+use crate::trace::What;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A task runs this long after its last renewal.
+pub const LEASE: Millis = Millis(15_000);
+/// A message sent to a worker arrives within this time or never.
+pub const MAX_FLIGHT: Millis = Millis(30_000);
+/// A worker not heard for this long gets no new tasks.
+pub(super) const WORKER_FRESH: Millis = Millis(3_000);
+/// How long a finished job can be asked for.
+const JOB_TTL: Millis = Millis(600_000);
+/// How long an idempotency key is kept.
+pub const KEY_TTL: Millis = Millis(3_600_000);
+/// How often old keys are dropped.
+const KEY_SWEEP: Millis = Millis(60_000);
+
+/// Why a job was not accepted. None of it was run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// The table has no such kind of work, or it is not for tasks.
+    UnknownKind,
+    /// The row belongs to another team.
+    WrongTeam,
+    /// Too many tasks, none, or sizes of nothing.
+    BadSize,
+    /// No worker here is large enough.
+    NeverFits,
+    /// Too many wait already.
+    QueueFull,
+    /// No worker is known yet.
+    NoWorkers,
+}
+
+/// The answer to a caller's event.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job is held by every replica; `kept` if there is at least one.
+    Submitted { job: JobId, kept: bool },
+    /// The job was not accepted.
+    Refused(Refusal),
+    /// The job was withdrawn; its state.
+    Cancelled(Box<JobStatus>),
+    /// There is no such job.
+    NotFound,
+    /// The key was free and is taken now.
+    KeyTaken,
+    /// The key was taken before, by this holder.
+    KeyKnown(Name),
+}
+
+/// What happens to the owner.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A caller submits a job.
+    Submit { token: u64, job: JobId, spec: JobSpec },
+    /// A caller withdraws a job.
+    Cancel { token: u64, job: JobId },
+    /// An entry takes an idempotency key.
+    Key { token: u64, key: Name, holder: Name },
+    /// An entry gives a key back: surely nothing was run under it.
+    FreeKey { key: Name, holder: Name },
+    /// The workers of the shard, as the list has them now.
+    Workers { rev: u64, vms: Vec<Vm> },
+    /// A worker answered a start or a stop; `None`: no answer came.
+    Told { task: TaskId, stop: bool, reply: Option<TaskReply> },
+    /// A worker reports; `asked` is when it was asked.
+    Report { worker: Name, asked: Millis, report: Report },
+    /// A replica holds the notes of `epoch` up to `seq`.
+    Acked { replica: EntryId, epoch: u64, seq: u64 },
+    /// A replica lacks notes.
+    Gap { replica: EntryId },
+    /// The log holds the notes of `epoch` up to `seq`.
+    Logged { epoch: u64, seq: u64 },
+    /// An entry is gone for good.
+    Gone(EntryId),
+    /// A former owner has no start in flight and knows that it is deposed.
+    Fenced(EntryId),
+    /// A new table is in force.
+    Table(Arc<Table>),
+    /// Append again what retention will drop.
+    Refresh,
+    /// Time passes.
+    Tick,
+}
+
+/// What the shell has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// There are notes for replicas or the log.
+    Replicate,
+    /// Send a start to a worker.
+    Start { worker: Name, order: StartOrder },
+    /// Send a stop to a worker.
+    Stop { worker: Name, task: TaskId },
+    /// Answer a caller.
+    Reply { token: u64, answer: Answer },
+    /// Append a record to the log; nothing waits for it.
+    Append(Record),
+    /// Add to the time line.
+    Trace(What),
+}
+
+/// What waits until every replica holds a note.
+#[derive(Debug, Clone)]
+pub(super) enum Effect {
+    Start(TaskId),
+    Reply { token: u64, answer: Answer },
+    Submitted { token: u64, job: JobId },
+}
+
+/// Why a running task is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopWhy {
+    Cancel,
+    Undo,
+}
+
+/// What the owner knows of a bound task besides the book.
+#[derive(Debug, Clone)]
+pub(super) struct Live {
+    pub worker: Name,
+    pub kind: Name,
+    pub team: Name,
+    pub size: Size,
+    pub stop: Option<StopWhy>,
+    /// Bound in this office: no other entry ever sent a start for it.
+    pub fresh: bool,
+    /// A start was sent at least once, or may have been by a former owner.
+    pub sent: bool,
+    /// Starts that wait for an answer.
+    pub out: u32,
+    /// When the worker last said that it runs the task.
+    pub seen: Option<Millis>,
+    /// When the last start or stop was sent.
+    pub told: Millis,
+    /// When a start went unanswered.
+    pub doubt: Option<Millis>,
+}
+
+/// An ended task that its worker may not forget yet.
+#[derive(Debug, Clone)]
+pub(super) struct Tomb {
+    /// Bound in this office: no other entry ever sent a start for it.
+    pub fresh: bool,
+    pub seq: u64,
+    pub hold: Millis,
+}
+
+/// A worker as the owner sees it.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub addr: Name,
+    pub ledger: Ledger,
+    pub tasks: BTreeSet<TaskId>,
+    /// Running tasks that the book does not have there.
+    pub strays: BTreeMap<TaskId, (Name, Size)>,
+    /// Ended tasks to be forgotten at the next contact.
+    pub acks: Vec<TaskId>,
+    pub inc: u64,
+    pub heard: Option<Millis>,
+    pub leaving: bool,
+}
+
+/// Tasks of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Waiting.
+    pub waiting: u32,
+    /// Bound to a worker.
+    pub running: u32,
+}
+
+/// The owner's state machine.
+#[derive(Debug)]
+pub struct Office {
+    pub(super) shard: Name,
+    pub(super) me: EntryId,
+    pub(super) book: Book,
+    pub(super) journal: Journal<Effect>,
+    pub(super) workers: BTreeMap<Name, Worker>,
+    pub(super) queue: Queue,
+    pub(super) health: Health,
+    pub(super) table: Arc<Table>,
+    pub(super) live: HashMap<TaskId, Live>,
+    pub(super) tombs: HashMap<TaskId, Tomb>,
+    pub(super) unfenced: BTreeSet<EntryId>,
+    pub(super) loads: BTreeMap<Name, Load>,
+    pub(super) teams: BTreeMap<Name, u64>,
+    pub(super) undoing: BTreeSet<JobId>,
+    pub(super) unlisted: Option<BTreeSet<Name>>,
+    pub(super) out: Vec<Action>,
+    pub(super) dirty: bool,
+    pub(super) open: Vec<Name>,
+    closed: BTreeMap<JobId, Millis>,
+    swept: Millis,
+}
+
+impl Office {
+    /// Takes office in the epoch of `claim`. `former` are the earlier owners that may still have a
+    /// start in flight; `jobs` is what the log has of the shard, used if nobody holds its state.
+    pub fn new(
+        claim: &Claim,
+        source: Source,
+        former: BTreeSet<EntryId>,
+        jobs: Vec<(JobId, LogJob)>,
+        table: Arc<Table>,
+        now: Millis,
+    ) -> Self {
+        let rebuild = source == Source::Rebuild;
+        let state = match source {
+            Source::State(state) => *state,
+            Source::Rebuild => State { epoch: 0, seq: 0, book: Book::from_log(jobs) },
+        };
+        let mut office = Self {
+            shard: claim.shard.clone(),
+            me: claim.owner.clone(),
+            book: state.book,
+            journal: Journal::new(claim, state.seq),
+            workers: BTreeMap::new(),
+            queue: Queue::default(),
+            health: Health::default(),
+            table,
+            live: HashMap::new(),
+            tombs: HashMap::new(),
+            unfenced: former,
+            loads: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            undoing: BTreeSet::new(),
+            unlisted: (rebuild && claim.epoch > 1).then(BTreeSet::new),
+            out: Vec::new(),
+            dirty: false,
+            open: Vec::new(),
+            closed: BTreeMap::new(),
+            swept: now,
+        };
+        office.adopt_book(now);
+        office
+    }
+
+    /// The epoch in which this entry owns the shard.
+    pub fn epoch(&self) -> u64 {
+        self.journal.epoch()
+    }
+
+    /// The state, for the replica of an entry that is no longer the owner.
+    pub fn into_state(self) -> State {
+        State { epoch: self.journal.epoch(), seq: self.journal.seq(), book: self.book }
+    }
+
+    /// The same entry's claim with other replicas is in force.
+    pub fn renew(&mut self, claim: &Claim) {
+        self.journal.begin(claim);
+        self.out.push(Action::Replicate);
+    }
+
+    /// Sets up queue and rooms from a book that another owner left.
+    fn adopt_book(&mut self, now: Millis) {
+        let jobs: Vec<JobId> = self.book.jobs.keys().cloned().collect();
+        for id in &jobs {
+            self.adopt_job(id, now);
+        }
+        self.dirty = true;
+        self.out.push(Action::Replicate);
+    }
+
+    pub(super) fn adopt_job(&mut self, id: &JobId, now: Millis) {
+        let Some(job) = self.book.jobs.get(id) else { return };
+        if job.over() {
+            self.closed.insert(id.clone(), now);
+            return;
+        }
+        let (at, shape, cancelled, gang) = (job.at, shape(&job.spec), job.cancelled, job.spec.gang);
+        let (whole, all) = (job.bound.is_empty(), job.spec.tasks);
+        let waiting: Vec<u32> = (0..all).filter(|i| job.queued_at(*i).is_some()).collect();
+        if gang && !whole && !waiting.is_empty() {
+            self.undoing.insert(id.clone());
+        }
+        if cancelled || (gang && !whole) || self.unlisted.is_some() {
+            return;
+        }
+        self.load(&shape.kind).waiting += waiting.len() as u32;
+        for index in waiting {
+            self.queue.add(shape.clone(), at, id.clone(), index);
+        }
+    }
+
+    /// Takes one event and returns what has to be done.
+    pub fn step(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        match event {
+            Event::Submit { token, job, spec } => self.submit(now, token, job, spec),
+            Event::Cancel { token, job } => self.cancel(now, token, job),
+            Event::Key { token, key, holder } => self.take_key(now, token, key, holder),
+            Event::FreeKey { key, holder } => {
+                self.note(Note::FreeKey { key, holder }, None);
+            }
+            Event::Workers { rev, vms } => self.set_workers(now, rev, vms),
+            Event::Told { task, stop, reply } => self.told(now, task, stop, reply),
+            Event::Report { worker, asked, report } => self.report(now, worker, asked, report),
+            Event::Acked { replica, epoch, seq } => self.journal.acked(&replica, epoch, seq),
+            Event::Gap { replica } => self.journal.rebase(&replica),
+            Event::Logged { epoch, seq } => self.journal.logged(epoch, seq),
+            Event::Gone(entry) => self.gone(&entry),
+            Event::Fenced(entry) => drop(self.unfenced.remove(&entry)),
+            Event::Table(table) => self.set_table(table),
+            Event::Refresh => self.refresh(),
+            Event::Tick => self.tick(now),
+        }
+        self.run_effects(now);
+        if self.dirty {
+            self.schedule(now);
+            self.run_effects(now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn submit(&mut self, now: Millis, token: u64, job: JobId, spec: JobSpec) {
+        if !self.book.jobs.contains_key(&job) {
+            if let Err(why) = self.check(&spec) {
+                let reason = refusal_name(why);
+                self.out.push(Action::Trace(What::Refused { job, reason }));
+                self.out.push(Action::Reply { token, answer: Answer::Refused(why) });
+                return;
+            }
+            self.accept(now, &job, &spec);
+        }
+        let note = Note::Submit { job: job.clone(), spec, at: now };
+        self.note(note, Some(Effect::Submitted { token, job }));
+    }
+
+    fn accept(&mut self, now: Millis, job: &JobId, spec: &JobSpec) {
+        self.load(&spec.kind).waiting += spec.tasks;
+        self.queue.add_all(shape(spec), now, job.clone(), spec.tasks);
+        self.dirty = true;
+        let (job, spec) = (job.clone(), spec.clone());
+        self.out.push(Action::Trace(What::Submitted {
+            job: job.clone(),
+            kind: spec.kind.clone(),
+            tasks: spec.tasks,
+            repeat: spec.repeat,
+        }));
+        self.out.push(Action::Append(Record::Job { job, spec, at: now }));
+    }
+
+    /// Whether a job can be accepted.
+    ///
+    /// # Errors
+    /// Why it is refused.
+    pub fn check(&self, spec: &JobSpec) -> Result<(), Refusal> {
+        let row = self.table.rows.get(&spec.kind).ok_or(Refusal::UnknownKind)?;
+        let waiting = self.loads.get(&spec.kind).map_or(0, |load| load.waiting);
+        let fits = |worker: &Worker| worker.ledger.total().times(&spec.size);
+        let room: u64 = self.workers.values().map(|worker| fits(worker) as u64).sum();
+        let need = if spec.gang { spec.tasks as u64 } else { 1 };
+        match () {
+            _ if row.class == Class::Request => Err(Refusal::UnknownKind),
+            _ if row.team != spec.team => Err(Refusal::WrongTeam),
+            _ if spec.tasks == 0 || spec.tasks > MAX_TASKS => Err(Refusal::BadSize),
+            _ if spec.size == Size::default() => Err(Refusal::BadSize),
+            _ if self.workers.is_empty() => Err(Refusal::NoWorkers),
+            _ if room < need => Err(Refusal::NeverFits),
+            _ if waiting + spec.tasks > row.queue => Err(Refusal::QueueFull),
+            _ => Ok(()),
+        }
+    }
+
+    fn cancel(&mut self, now: Millis, token: u64, id: JobId) {
+        let Some(job) = self.book.jobs.get(&id) else {
+            self.out.push(Action::Reply { token, answer: Answer::NotFound });
+            return;
+        };
+        if !job.cancelled && !job.over() {
+            let (kind, queued) = (job.spec.kind.clone(), job.queued);
+            let bound: Vec<u32> = job.bound.iter().copied().collect();
+            if !self.undoing.contains(&id) {
+                let load = self.load(&kind);
+                load.waiting = load.waiting.saturating_sub(queued);
+            }
+            self.out.push(Action::Trace(What::Cancelled { job: id.clone() }));
+            self.note(Note::Cancel { job: id.clone() }, None);
+            for index in bound {
+                self.stop_task(now, &id, index, StopWhy::Cancel);
+            }
+            self.close_if_over(now, &id);
+        }
+        let Some(job) = self.book.jobs.get(&id) else { return };
+        let answer = Answer::Cancelled(Box::new(job.status(&id)));
+        self.note(Note::Cancel { job: id }, Some(Effect::Reply { token, answer }));
+    }
+
+    fn take_key(&mut self, now: Millis, token: u64, key: Name, holder: Name) {
+        let known = self.book.keys.get(&key).map(|known| known.holder.clone());
+        let answer = match known {
+            Some(known) => Answer::KeyKnown(known),
+            None => Answer::KeyTaken,
+        };
+        let note = Note::Key { key, holder, at: now };
+        self.note(note, Some(Effect::Reply { token, answer }));
+    }
+
+    /// Applies a note here and sends it to the replicas.
+    pub(super) fn note(&mut self, note: Note, effect: Option<Effect>) -> u64 {
+        self.book.apply(&note);
+        self.out.push(Action::Replicate);
+        self.journal.push(note, effect)
+    }
+
+    pub(super) fn load(&mut self, kind: &Name) -> &mut Load {
+        self.loads.entry(kind.clone()).or_default()
+    }
+
+    fn run_effects(&mut self, now: Millis) {
+        while let Some(effect) = self.journal.ready() {
+            match effect {
+                Effect::Start(task) => self.send_start(now, &task),
+                Effect::Reply { token, answer } => self.out.push(Action::Reply { token, answer }),
+                Effect::Submitted { token, job } => {
+                    let answer = Answer::Submitted { job, kept: self.journal.is_kept() };
+                    self.out.push(Action::Reply { token, answer });
+                }
+            }
+        }
+    }
+
+    fn gone(&mut self, entry: &EntryId) {
+        self.journal.gone(entry);
+        self.unfenced.remove(entry);
+    }
+
+    fn set_table(&mut self, table: Arc<Table>) {
+        self.table = table;
+        self.queue.unblock();
+        self.dirty = true;
+    }
+
+    /// Closes a job whose last task ended.
+    pub(super) fn close_if_over(&mut self, now: Millis, id: &JobId) {
+        if self.book.jobs.get(id).is_some_and(Job::over) && !self.closed.contains_key(id) {
+            self.closed.insert(id.clone(), now);
+            self.out.push(Action::Append(Record::Closed { job: id.clone() }));
+        }
+    }
+
+    /// Drops finished jobs and old keys whose time is over.
+    pub(super) fn forget(&mut self, now: Millis) {
+        let old = self.closed.iter().filter(|(_, at)| now.since(**at) >= JOB_TTL);
+        let old: Vec<JobId> = old.map(|(id, _)| id.clone()).collect();
+        for job in old {
+            self.closed.remove(&job);
+            self.note(Note::Forget { job }, None);
+        }
+        if now.since(self.swept) >= KEY_SWEEP {
+            self.swept = now;
+            self.note(Note::ForgetKeys { before: now - KEY_TTL }, None);
+        }
+    }
+
+    fn refresh(&mut self) {
+        self.journal.renew_base();
+        self.out.push(Action::Replicate);
+        let open = self.book.jobs.iter().filter(|(_, job)| !job.over());
+        let records = open.flat_map(|(id, job)| log_records(id, job));
+        self.out.extend(records.map(Action::Append));
+    }
+
+    /// What a replica needs next.
+    pub fn update_for(&self, id: &EntryId) -> Option<Update> {
+        self.journal.update(id, &self.book)
+    }
+
+    /// What has to be appended to the log in an epoch without replicas.
+    pub fn log_record(&mut self) -> Option<Record> {
+        self.journal.record(&self.shard, &self.book)
+    }
+
+    /// The replicas of this epoch that are not gone.
+    pub fn replicas(&self) -> Vec<EntryId> {
+        self.journal.replicas()
+    }
+
+    /// What to tell a worker now: tasks to keep running and ended ones to forget.
+    pub fn sync(&mut self, worker: &str) -> Option<(Name, SyncOrder)> {
+        let worker = self.workers.get_mut(worker)?;
+        let renew = worker.tasks.iter().cloned().collect();
+        let ack = std::mem::take(&mut worker.acks);
+        Some((worker.addr.clone(), SyncOrder { renew, ack, lease: LEASE }))
+    }
+
+    /// The workers' names.
+    pub fn workers(&self) -> Vec<Name> {
+        self.workers.keys().cloned().collect()
+    }
+
+    /// A worker's address.
+    pub fn addr(&self, worker: &str) -> Option<Name> {
+        self.workers.get(worker).map(|worker| worker.addr.clone())
+    }
+
+    /// What is set aside and what there is, by worker.
+    pub fn rooms(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
+        self.workers.iter().map(|(name, worker)| (name, &worker.ledger))
+    }
+
+    /// What the shard could take: its largest worker, the most free on one, and tasks waiting.
+    pub fn room(&self) -> (Size, Size, u32) {
+        let max = |sizes: &mut dyn Iterator<Item = Size>| {
+            sizes.fold(Size::default(), |a, b| {
+                Size::new(a.cpu.max(b.cpu), a.mem.max(b.mem), a.acc.max(b.acc))
+            })
+        };
+        let largest = max(&mut self.rooms().map(|(_, ledger)| ledger.total()));
+        let free = max(&mut self.rooms().map(|(_, ledger)| ledger.free()));
+        (largest, free, self.loads.values().map(|load| load.waiting).sum())
+    }
+
+    /// Tasks by kind.
+    pub fn loads(&self) -> &BTreeMap<Name, Load> {
+        &self.loads
+    }
+
+    /// Workers set aside because they fail their tasks.
+    pub fn aside(&self) -> Vec<Name> {
+        self.health.aside()
+    }
+
+    /// The book.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// A job's state for callers, with the reason why it waits.
+    pub fn status(&self, id: &JobId, now: Millis) -> Option<JobStatus> {
+        let mut status = self.book.jobs.get(id)?.status(id);
+        if status.queued > 0 {
+            status.why = self.why_waiting(now, &status.spec);
+        }
+        Some(status)
+    }
+
+    pub(super) fn row(&self, kind: &str) -> Option<&Row> {
+        self.table.rows.get(kind)
+    }
+}
+
+/// The shape of a job's tasks.
+pub(super) fn shape(spec: &JobSpec) -> Shape {
+    Shape {
+        kind: spec.kind.clone(),
+        team: spec.team.clone(),
+        size: spec.size,
+        gang: if spec.gang { spec.tasks } else { 0 },
+    }
+}
+
+/// The name of a refusal in answers and the time line.
+pub fn refusal_name(why: Refusal) -> Name {
+    match why {
+        Refusal::UnknownKind => "unknown-kind",
+        Refusal::WrongTeam => "wrong-team",
+        Refusal::BadSize => "bad-size",
+        Refusal::NeverFits => "never-fits",
+        Refusal::QueueFull => "queue-full",
+        Refusal::NoWorkers => "no-workers",
+    }
+    .into()
+}
+
+/// The records that tell a later reader of the log all about an open job.
+fn log_records(id: &JobId, job: &Job) -> Vec<Record> {
+    let (spec, at) = (job.spec.clone(), job.at);
+    let mut records = vec![Record::Job { job: id.clone(), spec, at }];
+    for (index, task) in (0..).zip(&job.tasks) {
+        if let Task::Ended(end) = task {
+            let (job, outcome) = (id.clone(), end.outcome);
+            records.push(Record::Ended { job, index, outcome });
+        }
+    }
+    records
+}
--- /dev/null
+++ b/src/controller/shard/plan.rs
@@ -0,0 +1,184 @@
+//! Which waiting task runs next, and where.
+
+use crate::clock::Millis;
+use crate::controller::health::Standing;
+use crate::controller::place::{Ledger, Weights, pick, pick_gang};
+use crate::controller::queue::{Head, Shape};
+use crate::controller::shard::office::{Action, Effect, Live, Office, WORKER_FRESH, Worker, shape};
+use crate::id::{JobId, Name, TaskId};
+use crate::job::{JobSpec, Note};
+use crate::trace::What;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// A task that just came ranks as if it had waited this long, in milliseconds.
+const HEAD_START: u64 = 1_000;
+/// With this many notes on their way nothing more is placed.
+const MAX_WAITING: usize = 10_000;
+
+/// The order in which shapes are looked at.
+type Rank = (u64, Reverse<Millis>, Reverse<Shape>);
+
+/// What became of the head of a shape.
+enum Placed {
+    Yes,
+    No,
+}
+
+impl Office {
+    /// Places waiting tasks, most urgent first, until none fits.
+    pub(super) fn schedule(&mut self, now: Millis) {
+        self.dirty = false;
+        if self.unlisted.is_some() || self.journal.waiting() > MAX_WAITING {
+            return;
+        }
+        self.open = self.open_workers(now);
+        let heads = self.queue.heads();
+        let mut heap: BinaryHeap<Rank> = heads.iter().map(|head| self.rank(now, head)).collect();
+        while let Some((_, _, Reverse(shape))) = heap.pop() {
+            let Some(head) = self.queue.head(&shape) else { continue };
+            match self.place(now, &head) {
+                Placed::No => self.queue.block(&shape),
+                Placed::Yes => {
+                    heap.extend(self.queue.head(&shape).map(|next| self.rank(now, &next)))
+                }
+            }
+        }
+    }
+
+    fn rank(&self, now: Millis, head: &Head) -> Rank {
+        let weight = self.row(&head.shape.kind).map_or(0, |row| row.weight) as u64;
+        let points = weight * (HEAD_START + now.since(head.at).0);
+        (points, Reverse(head.at), Reverse(head.shape.clone()))
+    }
+
+    fn place(&mut self, now: Millis, head: &Head) -> Placed {
+        let job = self.book.jobs.get(&head.job);
+        if job.is_none_or(|job| job.cancelled) {
+            self.queue.drop_job(head);
+            return Placed::Yes;
+        }
+        if self.over_limit(&head.shape).is_some() {
+            return Placed::No;
+        }
+        match head.shape.gang {
+            0 => self.place_one(now, head),
+            count => self.place_gang(now, head, count),
+        }
+    }
+
+    /// The limit that keeps a shape from running now, if there is one.
+    fn over_limit(&self, shape: &Shape) -> Option<&'static str> {
+        let Some(row) = self.row(&shape.kind) else { return Some("unknown-kind") };
+        let count = shape.gang.max(1);
+        let running = self.loads.get(&shape.kind).map_or(0, |load| load.running);
+        let used = self.teams.get(&shape.team).copied().unwrap_or(0);
+        let need = shape.size.cpu as u64 * count as u64;
+        match () {
+            _ if running + count > row.limit => Some("row-limit"),
+            _ if row.quota > 0 && used + need > row.quota as u64 => Some("team-quota"),
+            _ => None,
+        }
+    }
+
+    fn weights(&self, kind: &str) -> Weights {
+        let row = self.row(kind);
+        row.map_or(Weights { pack: 1, spread: 0 }, |r| Weights { pack: r.pack, spread: r.spread })
+    }
+
+    fn open_rooms(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
+        self.open.iter().filter_map(|name| {
+            let worker = self.workers.get(name)?;
+            Some((name, &worker.ledger))
+        })
+    }
+
+    /// The workers that may get new tasks.
+    pub(super) fn open_workers(&self, now: Millis) -> Vec<Name> {
+        let open = self.workers.iter().filter(|(name, worker)| self.is_open(now, name, worker));
+        open.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn is_open(&self, now: Millis, name: &Name, worker: &Worker) -> bool {
+        let fresh = worker.heard.is_some_and(|heard| now.since(heard) < WORKER_FRESH);
+        let leaving = worker.leaving || self.table.leaving.contains(name);
+        fresh && !leaving && self.health.standing(now, name) != Standing::Aside
+    }
+
+    fn place_one(&mut self, now: Millis, head: &Head) -> Placed {
+        let weights = self.weights(&head.shape.kind);
+        let picked = pick(self.open_rooms(), &head.shape.kind, &head.shape.size, weights);
+        let Some(worker) = picked.cloned() else { return Placed::No };
+        if let Some(index) = self.queue.take(head) {
+            self.bind(now, &head.job, index, &worker);
+        }
+        Placed::Yes
+    }
+
+    fn place_gang(&mut self, now: Millis, head: &Head, count: u32) -> Placed {
+        let weights = self.weights(&head.shape.kind);
+        let (kind, size) = (&head.shape.kind, &head.shape.size);
+        let picked = pick_gang(self.open_rooms(), kind, size, count, weights);
+        let Some(workers) = picked else { return Placed::No };
+        for worker in workers {
+            if let Some(index) = self.queue.take(head) {
+                self.bind(now, &head.job, index, &worker);
+            }
+        }
+        Placed::Yes
+    }
+
+    /// Sets the room aside and notes the binding; the start goes out once every replica has it.
+    fn bind(&mut self, now: Millis, id: &JobId, index: u32, name: &Name) {
+        let Some(attempt) = self.book.queued(id, index) else { return };
+        let Some(job) = self.book.jobs.get(id) else { return };
+        let (kind, team, size) = (job.spec.kind.clone(), job.spec.team.clone(), job.spec.size);
+        let waited = now.since(job.at);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if !worker.ledger.take(&kind, &size) {
+            return;
+        }
+        let task = TaskId { job: id.clone(), index, attempt };
+        worker.tasks.insert(task.clone());
+        let inc = worker.inc;
+        if self.health.standing(now, name) == Standing::Probe {
+            self.health.probe(name);
+            self.open.retain(|open| open != name);
+        }
+        let load = self.load(&kind);
+        load.waiting = load.waiting.saturating_sub(1);
+        load.running += 1;
+        *self.teams.entry(team.clone()).or_insert(0) += size.cpu as u64;
+        let live = Live {
+            worker: name.clone(),
+            kind,
+            team,
+            size,
+            stop: None,
+            fresh: true,
+            sent: false,
+            out: 0,
+            seen: None,
+            told: now,
+            doubt: None,
+        };
+        self.live.insert(task.clone(), live);
+        let (worker, owner, epoch) = (name.clone(), self.me.clone(), self.epoch());
+        let what = What::Bound { task: task.clone(), worker: worker.clone(), epoch, waited };
+        self.out.push(Action::Trace(what));
+        let note = Note::Bind { task: task.clone(), worker, inc, owner };
+        self.note(note, Some(Effect::Start(task)));
+    }
+
+    /// Why a job's tasks wait, for people.
+    pub(super) fn why_waiting(&self, now: Millis, spec: &JobSpec) -> String {
+        let shape = shape(spec);
+        let open = self.open_workers(now);
+        match self.over_limit(&shape) {
+            Some(limit) => limit.to_string(),
+            None if self.unlisted.is_some() => "recovering".to_string(),
+            None if open.is_empty() => "no-worker-open".to_string(),
+            None => "no-room".to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/slots.rs
@@ -0,0 +1,354 @@
+//! Slots of runners: the owner of a shard lends them to the entries of its failure domain, and
+//! each entry gives them to its waiting requests.
+//!
+//! A lease counts from when the entry asked, at the owner from when it answered, so it ends at the
+//! entry first. An entry whose lease ran out keeps [`FLOOR`] slots of each runner, which the owner
+//! never lends to others while the entry may exist.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long lent slots may be used without renewal.
+pub const SLOT_LEASE: Millis = Millis(10_000);
+/// Slots of each runner that an entry may use after its lease ran out.
+const FLOOR: u32 = 1;
+/// A runner that could not be reached is left alone for this long.
+const BACKOFF: Millis = Millis(1_000);
+/// A request of weight 0 ranks as if it had come this much later, in milliseconds.
+const HANDICAP: u64 = 5_000;
+/// The weight of the past in the mean service time, in parts of 16.
+const PAST: u64 = 15;
+
+/// What an entry says of one runner when it asks for slots.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUse {
+    /// The runner.
+    pub runner: Name,
+    /// Slots held under a lease.
+    pub held: u32,
+    /// Slots in use.
+    pub used: u32,
+}
+
+/// Slots of one runner lent to one entry.
+#[derive(Debug, Clone, Copy)]
+struct Loan {
+    count: u32,
+    until: Millis,
+}
+
+/// The owner's side: who holds which slots of a shard's runners.
+#[derive(Debug)]
+pub struct Lender {
+    since: Millis,
+    runners: BTreeMap<Name, u32>,
+    loans: BTreeMap<(Name, Name), Loan>,
+    starved: BTreeSet<Name>,
+    entries: BTreeSet<Name>,
+}
+
+impl Lender {
+    /// A lender that begins at `now`: for one lease it renews what entries hold and lends no more.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            since: now,
+            runners: BTreeMap::new(),
+            loans: BTreeMap::new(),
+            starved: BTreeSet::new(),
+            entries: BTreeSet::new(),
+        }
+    }
+
+    /// A lender of a shard that never had an owner: nothing can be held.
+    pub fn first() -> Self {
+        Self::new(Millis(0))
+    }
+
+    /// The runners of the shard and their slots.
+    pub fn set_runners(&mut self, runners: BTreeMap<Name, u32>) {
+        self.loans.retain(|(runner, _), _| runners.contains_key(runner));
+        self.runners = runners;
+    }
+
+    /// An entry is gone for good: what it held is free.
+    pub fn gone(&mut self, entry: &Name) {
+        self.entries.remove(entry);
+        self.starved.remove(entry);
+        self.loans.retain(|(_, holder), _| holder != entry);
+    }
+
+    /// Lends slots to `entry` and returns the count for each runner. `waiting` requests have no
+    /// slot there.
+    pub fn lend(
+        &mut self,
+        now: Millis,
+        entry: &Name,
+        uses: &[SlotUse],
+        waiting: u32,
+    ) -> Vec<(Name, u32)> {
+        self.entries.insert(entry.clone());
+        match waiting {
+            0 => drop(self.starved.remove(entry)),
+            _ => drop(self.starved.insert(entry.clone())),
+        }
+        let runners: Vec<(Name, u32)> = self.runners.iter().map(|(n, s)| (n.clone(), *s)).collect();
+        let mut lent = Vec::with_capacity(runners.len());
+        for (runner, total) in runners {
+            let said = uses.iter().find(|said| said.runner == runner);
+            let (held, used) = said.map_or((0, 0), |said| (said.held, said.used));
+            let count = self.count(now, entry, &runner, total, held, used, waiting);
+            let loan = Loan { count, until: now + SLOT_LEASE };
+            self.loans.insert((runner.clone(), entry.clone()), loan);
+            lent.push((runner, count));
+        }
+        lent
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one loan has that many sides")]
+    fn count(
+        &self,
+        now: Millis,
+        entry: &Name,
+        runner: &Name,
+        total: u32,
+        held: u32,
+        used: u32,
+        waiting: u32,
+    ) -> u32 {
+        let others: u32 = self
+            .entries
+            .iter()
+            .filter(|e| *e != entry)
+            .map(|other| self.held(now, runner, other))
+            .sum();
+        let free = total.saturating_sub(others);
+        if now.since(self.since) < SLOT_LEASE {
+            return held.min(free);
+        }
+        let fair = total.div_ceil(self.entries.len().max(1) as u32);
+        let rivals = self.starved.iter().any(|other| other != entry);
+        let want = match waiting {
+            0 if rivals => used.max(FLOOR),
+            0 => fair.max(used + FLOOR),
+            _ if rivals => fair.max(used),
+            _ => total,
+        };
+        want.min(free).max(used.min(free))
+    }
+
+    /// Slots of a runner that an entry may be using.
+    fn held(&self, now: Millis, runner: &Name, entry: &Name) -> u32 {
+        match self.loans.get(&(runner.clone(), entry.clone())) {
+            Some(loan) if loan.until > now => loan.count.max(FLOOR),
+            _ => FLOOR,
+        }
+    }
+}
+
+/// One runner as an entry sees it.
+#[derive(Debug, Clone)]
+struct Runner {
+    shard: Name,
+    lent: u32,
+    until: Millis,
+    used: u32,
+    leaving: bool,
+    avoid: Millis,
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// Names the request within the entry.
+    pub id: u64,
+    /// The kind of work.
+    pub kind: Name,
+    /// The row's weight.
+    pub weight: u32,
+    /// The most requests of the kind that may be at runners at once.
+    pub limit: u32,
+    /// The most requests of the kind that may wait here.
+    pub queue: u32,
+    /// When it came.
+    pub came: Millis,
+    /// When its answer is due.
+    pub due: Millis,
+}
+
+/// What became of a request that asked for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Turn {
+    /// It may go to this runner.
+    Go { id: u64, runner: Name },
+    /// It waits.
+    Wait,
+    /// It is given up now; its like should come again after this long.
+    GiveUp { id: u64, after: Millis, full: bool },
+}
+
+/// The entry's side: the slots that it holds, and the requests that wait for one.
+#[derive(Debug, Default)]
+pub struct Slots {
+    runners: BTreeMap<Name, Runner>,
+    waiting: BTreeMap<(u64, u64), Waiting>,
+    running: BTreeMap<Name, u32>,
+    means: BTreeMap<Name, u64>,
+}
+
+impl Slots {
+    /// The runners that may be used: name, shard, and whether they are leaving.
+    pub fn set_runners(&mut self, runners: Vec<(Name, Name, bool)>) {
+        let names: BTreeSet<Name> = runners.iter().map(|(name, _, _)| name.clone()).collect();
+        self.runners.retain(|name, runner| runner.used > 0 || names.contains(name));
+        for runner in self.runners.values_mut() {
+            runner.leaving = true;
+        }
+        for (name, shard, leaving) in runners {
+            let fresh =
+                Runner { shard, lent: 0, until: Millis(0), used: 0, leaving, avoid: Millis(0) };
+            self.runners.entry(name).or_insert(fresh).leaving = leaving;
+        }
+    }
+
+    /// A runner said that it is leaving.
+    pub fn leave(&mut self, runner: &str) {
+        if let Some(runner) = self.runners.get_mut(runner) {
+            runner.leaving = true;
+        }
+    }
+
+    /// Takes slots that were asked for at `asked`.
+    pub fn lent(&mut self, asked: Millis, loans: &[(Name, u32)]) {
+        for (name, count) in loans {
+            if let Some(runner) = self.runners.get_mut(name) {
+                runner.lent = *count;
+                runner.until = asked + SLOT_LEASE;
+            }
+        }
+    }
+
+    /// What to tell the owner of a shard: the use of each runner, and how many wait.
+    pub fn uses(&self, now: Millis, shard: &str) -> (Vec<SlotUse>, u32) {
+        let here = self.runners.iter().filter(|(_, runner)| *runner.shard == *shard);
+        let uses = here.map(|(name, runner)| {
+            let held = if runner.until > now { runner.lent } else { 0 };
+            SlotUse { runner: name.clone(), held, used: runner.used }
+        });
+        (uses.collect(), self.waiting.len() as u32)
+    }
+
+    /// A request wants a slot.
+    pub fn ask(&mut self, now: Millis, request: Waiting) -> Turn {
+        let id = request.id;
+        let alike = self.waiting.values().filter(|other| other.kind == request.kind).count();
+        let ahead = self.wait_ahead(now, &request);
+        match () {
+            _ if self.waiting.is_empty() && self.may_go(now, &request) => self.go(now, &request),
+            _ if alike as u32 >= request.queue => Turn::GiveUp { id, after: ahead, full: true },
+            _ if now + ahead >= request.due => Turn::GiveUp { id, after: ahead, full: false },
+            _ => {
+                self.waiting.insert((rank(&request), id), request);
+                Turn::Wait
+            }
+        }
+    }
+
+    fn may_go(&self, now: Millis, request: &Waiting) -> bool {
+        let running = self.running.get(&request.kind).copied().unwrap_or(0);
+        running < request.limit && self.free(now).is_some()
+    }
+
+    fn go(&mut self, now: Millis, request: &Waiting) -> Turn {
+        let Some(name) = self.free(now) else { return Turn::Wait };
+        *self.running.entry(request.kind.clone()).or_insert(0) += 1;
+        let id = request.id;
+        if let Some(runner) = self.runners.get_mut(&name) {
+            runner.used += 1;
+        }
+        Turn::Go { id, runner: name }
+    }
+
+    /// The runner with most free slots.
+    fn free(&self, now: Millis) -> Option<Name> {
+        let open = self.runners.iter().filter(|(_, runner)| !runner.leaving && runner.avoid <= now);
+        let rated =
+            open.map(|(name, runner)| (runner.allowed(now).saturating_sub(runner.used), name));
+        let best = rated.filter(|(free, _)| *free > 0).max_by_key(|(free, _)| *free);
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// How long a request would wait behind those that go before it, from mean service times.
+    fn wait_ahead(&self, now: Millis, request: &Waiting) -> Millis {
+        let slots: u32 = self.runners.values().map(|runner| runner.allowed(now)).sum();
+        let before = self.waiting.range(..(rank(request), request.id));
+        let mean = |kind: &Name| self.means.get(kind).map_or(0, |micros| *micros);
+        let work: u64 = before.map(|(_, other)| mean(&other.kind)).sum();
+        Millis((work + mean(&request.kind)) / 1000 / slots.max(1) as u64)
+    }
+
+    /// A request is done with its slot: it took `took`; `reached` is whether the runner answered.
+    pub fn release(&mut self, now: Millis, name: &Name, kind: &Name, took: Millis, reached: bool) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.used = runner.used.saturating_sub(1);
+            runner.avoid = if reached { runner.avoid } else { now + BACKOFF };
+        }
+        if let Some(running) = self.running.get_mut(kind) {
+            *running = running.saturating_sub(1);
+        }
+        if reached {
+            let mean = self.means.entry(kind.clone()).or_insert(took.0 * 1000);
+            *mean = (*mean * PAST + took.0 * 1000) / (PAST + 1);
+        }
+    }
+
+    /// Requests that may go now, and requests whose time is over.
+    pub fn turns(&mut self, now: Millis) -> Vec<Turn> {
+        let late = self.waiting.iter().filter(|(_, request)| request.due <= now);
+        let late: Vec<(u64, u64)> = late.map(|(key, _)| *key).collect();
+        let mut turns = Vec::new();
+        for key in late {
+            self.waiting.remove(&key);
+            turns.push(Turn::GiveUp { id: key.1, after: BACKOFF, full: false });
+        }
+        let order: Vec<(u64, u64)> = self.waiting.keys().copied().collect();
+        for key in order {
+            if self.free(now).is_none() {
+                break;
+            }
+            let ready = self.waiting.get(&key).filter(|request| self.may_go(now, request)).cloned();
+            if let Some(request) = ready {
+                self.waiting.remove(&key);
+                turns.push(self.go(now, &request));
+            }
+        }
+        turns
+    }
+
+    /// The caller went away.
+    pub fn forget(&mut self, id: u64) {
+        self.waiting.retain(|key, _| key.1 != id);
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests that are at a runner.
+    pub fn used(&self) -> u32 {
+        self.runners.values().map(|runner| runner.used).sum()
+    }
+}
+
+impl Runner {
+    fn allowed(&self, now: Millis) -> u32 {
+        if self.until > now { self.lent } else { self.lent.min(FLOOR) }
+    }
+}
+
+/// Lower goes first: the arrival, later by a handicap for low weights. Everyone's turn comes.
+fn rank(request: &Waiting) -> u64 {
+    request.came.0 + HANDICAP / (request.weight as u64 + 1)
+}
--- /dev/null
+++ b/src/controller/table.rs
@@ -0,0 +1,133 @@
+//! The table in force: the fold of publishes in the order of the log.
+
+use crate::id::Name;
+use crate::record::Publish;
+use crate::table::Table;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// How many verdicts are kept for operators who ask.
+const VERDICTS: usize = 1024;
+
+/// A table with its revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The revision; each accepted publish adds one.
+    pub rev: u64,
+    /// The publish that it came from.
+    pub publish: Publish,
+}
+
+/// What became of a publish.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verdict {
+    /// It is in force as this revision.
+    Accepted(u64),
+    /// Another one was first: its revision and operator.
+    Lost {
+        /// The revision that it would have had to be edited from.
+        rev: u64,
+        /// Who published that.
+        by: Name,
+    },
+    /// It cannot be read.
+    Faulty,
+}
+
+/// The tables of the cell: what the log says, and what is in force here, which may be ahead of it
+/// when a peer passed it on.
+#[derive(Debug, Default)]
+pub struct Tables {
+    folded: Option<Revision>,
+    current: Option<Revision>,
+    table: Arc<Table>,
+    verdicts: VecDeque<(Name, Verdict)>,
+}
+
+impl Tables {
+    /// Folds one publish from the log; `true` if a new revision came into force here.
+    ///
+    /// A publish whose id has a verdict already keeps it, so a repeated append has one effect.
+    pub fn publish(&mut self, publish: &Publish) -> bool {
+        if self.verdict(&publish.id).is_some() {
+            return false;
+        }
+        let rev = self.folded.as_ref().map_or(0, |folded| folded.rev);
+        let verdict = match Table::parse(&publish.csv) {
+            Err(_) => Verdict::Faulty,
+            Ok(_) if publish.base != rev => Verdict::Lost { rev, by: self.folded_by() },
+            Ok(_) => Verdict::Accepted(rev + 1),
+        };
+        let accepted = verdict == Verdict::Accepted(rev + 1);
+        self.note(publish.id.clone(), verdict);
+        if !accepted {
+            return false;
+        }
+        let new = Revision { rev: rev + 1, publish: publish.clone() };
+        self.folded = Some(new.clone());
+        self.adopt(new)
+    }
+
+    /// Takes the log's revision from a snapshot of the log.
+    pub fn restore(&mut self, new: Option<Revision>) -> bool {
+        let Some(new) = new else { return false };
+        if new.rev <= self.folded.as_ref().map_or(0, |folded| folded.rev) {
+            return false;
+        }
+        self.note(new.publish.id.clone(), Verdict::Accepted(new.rev));
+        self.folded = Some(new.clone());
+        self.adopt(new)
+    }
+
+    /// Takes a revision from a peer; `true` if it is higher and now in force here.
+    pub fn adopt(&mut self, new: Revision) -> bool {
+        if new.rev <= self.rev() {
+            return false;
+        }
+        let Ok(table) = Table::parse(&new.publish.csv) else { return false };
+        self.table = Arc::new(table);
+        self.current = Some(new);
+        true
+    }
+
+    /// The revision that the log has, for a snapshot.
+    pub fn folded(&self) -> Option<&Revision> {
+        self.folded.as_ref()
+    }
+
+    fn folded_by(&self) -> Name {
+        self.folded.as_ref().map_or_else(|| "".into(), |folded| folded.publish.by.clone())
+    }
+
+    fn note(&mut self, id: Name, verdict: Verdict) {
+        if self.verdict(&id).is_some() {
+            return;
+        }
+        self.verdicts.push_back((id, verdict));
+        if self.verdicts.len() > VERDICTS {
+            self.verdicts.pop_front();
+        }
+    }
+
+    /// What became of a publish, if it was seen.
+    pub fn verdict(&self, id: &str) -> Option<&Verdict> {
+        self.verdicts.iter().rev().find(|(seen, _)| **seen == *id).map(|(_, verdict)| verdict)
+    }
+
+    /// The revision in force, 0 before the first.
+    pub fn rev(&self) -> u64 {
+        self.current.as_ref().map_or(0, |current| current.rev)
+    }
+
+    /// The revision in force with its text.
+    pub fn current(&self) -> Option<&Revision> {
+        self.current.as_ref()
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+}
--- /dev/null
+++ b/src/entry/beat.rs
@@ -0,0 +1,210 @@
+//! Signs of life between entries, and what they carry along: newer tables and VM lists.
+
+use crate::clock::Millis;
+use crate::controller::list::{Role, VmList};
+use crate::controller::shard::office::Event;
+use crate::entry::{Entry, lock};
+use crate::id::{EntryId, Name};
+use crate::trace::What;
+use crate::wire::msg::{Ask, Beat, Room, ShardBeat, Tell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// How long a peer may take to answer a sign of life.
+const BEAT_LIMIT: Millis = Millis(1_000);
+/// How long an exchange with the list may take.
+const LIST_LIMIT: Millis = Millis(2_000);
+
+impl Entry {
+    /// Sends signs of life, at once when there is news.
+    pub(super) async fn beat(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(self.settings.beat_every.duration());
+        loop {
+            tokio::select! {
+                _ = timer.tick() => {}
+                _ = self.news.notified() => {}
+            }
+            let beat = self.make_beat();
+            for (name, addr) in lock(&self.peers).all() {
+                tokio::spawn(self.clone().beat_to(name, addr, beat.clone()));
+            }
+        }
+    }
+
+    async fn beat_to(self: Arc<Self>, name: Name, addr: SocketAddr, beat: Beat) {
+        let answer = self.quic.ask(&name, addr, Ask::Beat(beat), BEAT_LIMIT).await;
+        if let Ok(Tell::Beat(beat)) = answer {
+            self.take_beat(beat).await;
+        }
+    }
+
+    pub(super) fn make_beat(&self) -> Beat {
+        let shards = self.cells().into_iter().map(|cell| {
+            let flying = cell.flights.load(Ordering::SeqCst) > 0;
+            let known = lock(&self.fold).claims.epoch(&cell.id);
+            let mut shard = cell.shard();
+            let epoch = known.max(shard.epoch());
+            let room = shard.office().map(|office| {
+                let (largest, free, waiting) = office.room();
+                Room { largest, free, waiting }
+            });
+            ShardBeat { shard: cell.id.clone(), epoch, owner: room.is_some(), flying, room }
+        });
+        Beat {
+            shards: shards.collect(),
+            from: self.me.clone(),
+            domain: self.settings.domain.clone(),
+            addr: self.settings.peer,
+            leaving: self.is_leaving(),
+            rev: lock(&self.fold).tables.rev(),
+            list: lock(&self.lists).newest().rev,
+        }
+    }
+
+    pub(super) async fn take_beat(self: &Arc<Self>, beat: Beat) {
+        let (from, domain, addr) = (beat.from.clone(), beat.domain.clone(), beat.addr);
+        let (rev, list) = (beat.rev, beat.list);
+        let replaced = lock(&self.peers).heard(self.now(), beat.clone());
+        if domain == self.settings.domain {
+            self.take_shard_beats(&from, &beat.shards);
+        }
+        if let Some(old) = replaced {
+            self.entry_gone(&old);
+        }
+        if rev > lock(&self.fold).tables.rev() {
+            self.fetch_table(&from.name, addr).await;
+        }
+        if list > lock(&self.lists).newest().rev {
+            self.fetch_list(&from.name, addr).await;
+        }
+    }
+
+    /// A former owner that knows of this entry's epoch and has no start in flight is fenced.
+    fn take_shard_beats(self: &Arc<Self>, from: &EntryId, beats: &[ShardBeat]) {
+        for beat in beats {
+            let Some(cell) = self.cell(&beat.shard) else { continue };
+            let epoch = cell.shard().office().map(|office| office.epoch());
+            let fenced = !beat.owner && !beat.flying;
+            if fenced && epoch.is_some_and(|epoch| beat.epoch >= epoch) {
+                self.step(&cell, Event::Fenced(from.clone()));
+            }
+        }
+    }
+
+    /// A run of an entry is over for good.
+    pub(super) fn entry_gone(self: &Arc<Self>, id: &EntryId) {
+        for cell in self.cells() {
+            cell.lender().gone(&id.name);
+            self.step(&cell, Event::Gone(id.clone()));
+        }
+    }
+
+    async fn fetch_table(self: &Arc<Self>, name: &Name, addr: SocketAddr) {
+        let answer = self.quic.ask(name, addr, Ask::Table, BEAT_LIMIT).await;
+        let Ok(Tell::Table(Some(revision))) = answer else { return };
+        if lock(&self.fold).tables.adopt(revision) {
+            self.take_table();
+        }
+    }
+
+    async fn fetch_list(self: &Arc<Self>, name: &Name, addr: SocketAddr) {
+        let answer = self.quic.ask(name, addr, Ask::List, BEAT_LIMIT).await;
+        if let Ok(Tell::List(list)) = answer {
+            self.take_list(list);
+        }
+    }
+
+    /// Reads the platform's VM list.
+    pub(super) async fn read_list(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(self.settings.list_every.duration());
+        let mut up = true;
+        loop {
+            timer.tick().await;
+            let addr = &self.settings.platform.list;
+            let ask = lock(&self.lists).newest().rev;
+            let me = &self.me.name;
+            let list = self.http.post_as(me, addr, "/list", &ask, LIST_LIMIT).await;
+            if list.is_ok() != up {
+                up = !up;
+                self.trace.add(What::Platform { part: "list".into(), up });
+            }
+            if let Ok(list) = list {
+                self.take_list(list);
+            }
+        }
+    }
+
+    /// Takes a VM list if it is newer than the one held.
+    pub(super) fn take_list(self: &Arc<Self>, list: VmList) {
+        let before: Vec<Name> = self.leaving_vms();
+        if !lock(&self.lists).take(list.clone()) {
+            return;
+        }
+        let gone = |name: &str| lock(&self.lists).is_gone(name);
+        lock(&self.peers).set_list(&list, gone);
+        for vm in self.leaving_vms().into_iter().filter(|vm| !before.contains(vm)) {
+            self.trace.add(What::Leaving { vm });
+        }
+        let here = list.vms.iter().filter(|vm| vm.domain == self.settings.domain);
+        for vm in here.filter(|vm| vm.role != Role::Entry) {
+            self.make_cell(&vm.rack);
+        }
+        for cell in self.cells() {
+            self.set_list(&cell);
+            self.drop_gone_entries(&cell);
+        }
+        self.update_runners();
+        self.news.notify_one();
+    }
+
+    fn leaving_vms(&self) -> Vec<Name> {
+        let lists = lock(&self.lists);
+        let leaving = lists.newest().vms.iter().filter(|vm| vm.leaving);
+        leaving.map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Tells the owner of a shard, if it is here, what the list says.
+    pub(super) fn set_list(self: &Arc<Self>, cell: &Arc<crate::entry::Cell>) {
+        let list = lock(&self.lists).newest().clone();
+        if list.rev == 0 {
+            return;
+        }
+        let runners: BTreeMap<Name, u32> = list
+            .vms
+            .iter()
+            .filter(|vm| vm.role == Role::Runner && vm.rack == cell.id)
+            .map(|vm| (vm.name.clone(), vm.slots))
+            .collect();
+        cell.lender().set_runners(runners);
+        self.step(cell, Event::Workers { rev: list.rev, vms: list.vms });
+    }
+
+    /// Replicas and former owners that are gone need not be waited for.
+    pub(super) fn drop_gone_entries(self: &Arc<Self>, cell: &Arc<crate::entry::Cell>) {
+        let mut ids = {
+            let fold = lock(&self.fold);
+            let owners = fold.claims.history(&cell.id).iter().map(|claim| claim.owner.clone());
+            owners.collect::<Vec<EntryId>>()
+        };
+        ids.extend(cell.shard().office().map(|office| office.replicas()).unwrap_or_default());
+        for id in ids.into_iter().filter(|id| *id != self.me && self.is_gone(id)) {
+            self.step(cell, Event::Gone(id));
+        }
+    }
+
+    /// Tells this entry's slots which runners there are and which are leaving.
+    pub(super) fn update_runners(&self) {
+        let table = self.table();
+        let list = lock(&self.lists).newest().clone();
+        let here = list.vms.into_iter().filter(|vm| vm.domain == self.settings.domain);
+        let runners = here.filter(|vm| vm.role == Role::Runner);
+        let known = runners.map(|vm| {
+            let leaving = vm.leaving || table.leaving.contains(&vm.name);
+            (vm.name, vm.rack, leaving)
+        });
+        lock(&self.slots).set_runners(known.collect());
+        self.give_turns();
+    }
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of an entry, in the format of Prometheus.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the buckets for waiting times, in seconds.
+const BUCKETS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5, 6.4, 30.0];
+
+/// The metrics.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by kind and status.
+    pub requests: IntCounterVec,
+    /// How long requests waited for a slot.
+    pub request_wait: Histogram,
+    /// How long tasks waited for a worker.
+    pub task_wait: Histogram,
+    /// Starts sent to workers.
+    pub starts: IntCounter,
+    /// Tasks that ended.
+    pub ended: IntCounter,
+    /// Requests tried again.
+    pub retries: IntCounter,
+    /// Appends to the log.
+    pub appends: IntCounter,
+    /// The revision of the table in force.
+    pub revision: IntGauge,
+    /// Shards owned here.
+    pub shards: IntGauge,
+    /// Messages with other entries.
+    pub peer_messages: IntGauge,
+    /// Bytes in messages with other entries.
+    pub peer_bytes: IntGauge,
+}
+
+impl Metrics {
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let histogram = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let opts = Opts::new("sprucerudder_requests_total", "Requests by kind and status");
+        let requests = IntCounterVec::new(opts, &["kind", "status"])?;
+        registry.register(Box::new(requests.clone()))?;
+        Ok(Self {
+            requests,
+            request_wait: histogram("sprucerudder_request_wait_seconds", "Wait for a slot")?,
+            task_wait: histogram("sprucerudder_task_wait_seconds", "Wait for a worker")?,
+            starts: counter("sprucerudder_task_starts_total", "Starts sent to workers")?,
+            ended: counter("sprucerudder_tasks_ended_total", "Tasks that ended")?,
+            retries: counter("sprucerudder_request_retries_total", "Requests tried again")?,
+            appends: counter("sprucerudder_log_appends_total", "Appends to the log")?,
+            revision: gauge("sprucerudder_table_revision", "Revision of the table in force")?,
+            shards: gauge("sprucerudder_shards_owned", "Shards owned here")?,
+            peer_messages: gauge("sprucerudder_peer_messages", "Messages with other entries")?,
+            peer_bytes: gauge("sprucerudder_peer_bytes", "Bytes with other entries")?,
+            registry,
+        })
+    }
+
+    /// A task was bound after this many milliseconds.
+    pub fn waited(&self, millis: u64) {
+        self.task_wait.observe(millis as f64 / 1000.0);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,254 @@
+//! The shell of an entry: it turns messages into events for the controllers, and their actions
+//! into messages.
+
+pub mod api;
+mod beat;
+mod log;
+mod metrics;
+mod owner;
+mod peers;
+mod request;
+mod route;
+mod serve;
+mod stop;
+
+use crate::clock::Millis;
+use crate::controller::claims::Claimant;
+use crate::controller::fold::Fold;
+use crate::controller::list::Lists;
+use crate::controller::retry::Budget;
+use crate::controller::shard::Shard;
+use crate::controller::shard::office::Answer;
+use crate::controller::slots::{Lender, Slots, Turn};
+use crate::id::{EntryId, Name};
+use crate::platform::http::Http;
+use crate::settings::Settings;
+use crate::standin::serve;
+use crate::table::Table;
+use crate::trace::{Trace, What};
+use crate::wire::quic::{Quic, WireError};
+use metrics::Metrics;
+use peers::Peers;
+pub(crate) use request::Slot;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot, watch};
+
+/// Why an entry cannot run.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// The socket for callers cannot be used.
+    #[error("http socket: {0}")]
+    Http(#[from] io::Error),
+    /// The socket for other entries cannot be used.
+    #[error("peer socket: {0}")]
+    Peer(#[from] WireError),
+    /// Metrics cannot be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// One shard at this entry, under its own lock.
+#[derive(Debug)]
+pub(crate) struct Cell {
+    pub id: Name,
+    shard: Mutex<Shard>,
+    lender: Mutex<Lender>,
+    /// There is something to replicate.
+    kick: Notify,
+    /// Starts that this entry sent and that may still arrive at a worker.
+    flights: AtomicUsize,
+}
+
+impl Cell {
+    fn new(id: Name, me: EntryId, now: Millis) -> Self {
+        Self {
+            id: id.clone(),
+            shard: Mutex::new(Shard::new(id, me)),
+            lender: Mutex::new(Lender::new(now)),
+            kick: Notify::new(),
+            flights: AtomicUsize::new(0),
+        }
+    }
+
+    pub fn shard(&self) -> MutexGuard<'_, Shard> {
+        lock(&self.shard)
+    }
+
+    pub fn lender(&self) -> MutexGuard<'_, Lender> {
+        lock(&self.lender)
+    }
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) me: EntryId,
+    pub(crate) trace: Arc<Trace>,
+    pub(crate) http: Http,
+    pub(crate) quic: Arc<Quic>,
+    pub(crate) metrics: Metrics,
+    fold: Mutex<Fold>,
+    table: RwLock<Arc<Table>>,
+    lists: Mutex<Lists>,
+    peers: Mutex<Peers>,
+    claimant: Mutex<Claimant>,
+    cells: RwLock<BTreeMap<Name, Arc<Cell>>>,
+    slots: Mutex<Slots>,
+    budget: Mutex<Budget>,
+    turns: Mutex<HashMap<u64, oneshot::Sender<Turn>>>,
+    replies: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    counter: AtomicU64,
+    writer: log::Writer,
+    /// A new table or list is here: tell the peers at once.
+    news: Notify,
+    /// The fold moved on.
+    folded: watch::Sender<u64>,
+    leaving: AtomicBool,
+    stopped: watch::Sender<bool>,
+    open: AtomicUsize,
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Entry {
+    /// Binds the entry's sockets.
+    ///
+    /// # Errors
+    /// If a socket or the keys cannot be used.
+    pub async fn bind(settings: Settings) -> Result<(Arc<Self>, TcpListener), EntryError> {
+        let now = Millis::now();
+        let trace = Arc::new(Trace::new(settings.name.clone()));
+        let me = EntryId { name: settings.name.clone(), inc: now.0 };
+        let listener = TcpListener::bind(settings.http).await?;
+        let quic = Quic::bind(settings.peer, &settings.keys, trace.clone())?;
+        let domain = settings.domain.clone();
+        let (writer, queue) = log::Writer::new();
+        let entry = Arc::new(Self {
+            peers: Mutex::new(Peers::new(&settings)),
+            settings,
+            me: me.clone(),
+            trace,
+            http: Http::default(),
+            quic,
+            metrics: Metrics::new()?,
+            fold: Mutex::new(Fold::new(domain.clone())),
+            table: RwLock::default(),
+            lists: Mutex::default(),
+            claimant: Mutex::new(Claimant::new(me, domain, now)),
+            cells: RwLock::default(),
+            slots: Mutex::default(),
+            budget: Mutex::default(),
+            turns: Mutex::default(),
+            replies: Mutex::default(),
+            counter: AtomicU64::new(1),
+            writer,
+            news: Notify::new(),
+            folded: watch::Sender::new(0),
+            leaving: AtomicBool::new(false),
+            stopped: watch::Sender::new(false),
+            open: AtomicUsize::new(0),
+        });
+        entry.trace.add(What::Up { role: "entry".into() });
+        tokio::spawn(entry.clone().write_log(queue));
+        Ok((entry, listener))
+    }
+
+    /// Serves until [`Entry::stop`] is done.
+    ///
+    /// # Errors
+    /// If the listener fails.
+    pub async fn run(
+        self: Arc<Self>,
+        listener: TcpListener,
+        stopped: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        let tasks = [
+            tokio::spawn(self.clone().read_log()),
+            tokio::spawn(self.clone().read_list()),
+            tokio::spawn(self.clone().beat()),
+            tokio::spawn(self.clone().tick()),
+            tokio::spawn(self.clone().sync_workers()),
+            tokio::spawn(self.clone().renew_slots()),
+            tokio::spawn(self.clone().serve_peers()),
+        ];
+        let app = api::app(self.clone());
+        let result = serve(listener, app, stopped).await;
+        for task in tasks {
+            task.abort();
+        }
+        self.quic.close().await;
+        result
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        Millis::now()
+    }
+
+    /// A number that this incarnation never gave before.
+    pub(crate) fn next(&self) -> u64 {
+        self.counter.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn table(&self) -> Arc<Table> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set_table(&self, table: Arc<Table>) {
+        *self.table.write().unwrap_or_else(PoisonError::into_inner) = table;
+    }
+
+    pub(crate) fn cell(&self, shard: &str) -> Option<Arc<Cell>> {
+        self.cells.read().unwrap_or_else(PoisonError::into_inner).get(shard).cloned()
+    }
+
+    pub(crate) fn cells(&self) -> Vec<Arc<Cell>> {
+        self.cells.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+    }
+
+    /// The cell of a shard of this failure domain, made if it is new.
+    fn make_cell(self: &Arc<Self>, shard: &Name) -> Arc<Cell> {
+        if let Some(cell) = self.cell(shard) {
+            return cell;
+        }
+        let mut cells = self.cells.write().unwrap_or_else(PoisonError::into_inner);
+        let known = cells.get(shard).cloned();
+        known.unwrap_or_else(|| {
+            let cell = Arc::new(Cell::new(shard.clone(), self.me.clone(), self.now()));
+            cells.insert(shard.clone(), cell.clone());
+            tokio::spawn(self.clone().replicate(cell.clone()));
+            cell
+        })
+    }
+
+    /// A request adds to the budget for retries.
+    pub(crate) fn deposit_retry(&self) {
+        lock(&self.budget).deposit();
+    }
+
+    /// Takes a retry out of the budget.
+    pub(crate) fn take_retry(&self) -> bool {
+        let granted = lock(&self.budget).withdraw();
+        self.metrics.retries.inc_by(granted as u64);
+        granted
+    }
+
+    /// Whether this entry is stopping.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether a run of an entry is over for good.
+    pub(crate) fn is_gone(&self, id: &EntryId) -> bool {
+        let newer = lock(&self.peers).incarnation(&id.name).is_some_and(|inc| inc > id.inc);
+        let own = id.name == self.me.name && id.inc < self.me.inc;
+        newer || own || lock(&self.lists).is_gone(&id.name)
+    }
+}
--- /dev/null
+++ b/src/entry/owner.rs
@@ -0,0 +1,380 @@
+//! Ownership of shards: claims, the search for a shard's state, replication, and the owner's
+//! actions towards workers.
+
+use crate::clock::Millis;
+use crate::controller::replica::{ReplicaError, State};
+use crate::controller::shard::office::{Action, Event, MAX_FLIGHT, Office};
+use crate::controller::shard::{Search, Source};
+use crate::controller::slots::Lender;
+use crate::entry::{Cell, Entry, lock};
+use crate::id::{EntryId, Name, TaskId};
+use crate::platform::api::{Report, StartOrder, StopOrder, SyncOrder, TaskReply};
+use crate::record::Claim;
+use crate::table::Table;
+use crate::trace::What;
+use crate::wire::msg::{Ask, Tell};
+use futures_util::future::join_all;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Time between looks at claims and due tasks.
+const TICK: Millis = Millis(200);
+/// How long a replica may take to answer.
+const REPLICA_LIMIT: Millis = Millis(1_000);
+/// Pause before a replica is tried again.
+const REPLICA_PAUSE: Millis = Millis(100);
+/// How long a worker may take to answer.
+const WORKER_LIMIT: Millis = Millis(1_500);
+
+/// A message to a worker.
+enum Tellable {
+    Start(StartOrder),
+    Stop(TaskId),
+}
+
+impl Entry {
+    /// Claims, searches, and lets time pass for the shards owned here.
+    pub(super) async fn tick(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(TICK.duration());
+        let mut refreshed = self.now();
+        loop {
+            timer.tick().await;
+            for cell in self.cells() {
+                self.step(&cell, Event::Tick);
+                self.claim(&cell);
+                self.search(&cell).await;
+            }
+            if self.now().since(refreshed) >= self.settings.log_refresh {
+                refreshed = self.now();
+                self.refresh_log();
+            }
+            self.give_turns();
+        }
+    }
+
+    /// Appends again what retention would drop: open jobs of the shards owned here, the table and
+    /// the claims.
+    fn refresh_log(self: &Arc<Self>) {
+        for cell in self.cells() {
+            self.step(&cell, Event::Refresh);
+        }
+        self.append_snapshot();
+    }
+
+    fn claim(self: &Arc<Self>, cell: &Arc<Cell>) {
+        if self.is_leaving() || !self.is_log_fresh() {
+            return;
+        }
+        let now = self.now();
+        let peers = lock(&self.peers).claimants();
+        let fold = lock(&self.fold);
+        if !fold.synced() {
+            return;
+        }
+        let claim = lock(&self.claimant).decide(now, &cell.id, &fold.claims, &peers);
+        drop(fold);
+        if let Some(claim) = claim {
+            self.writer.claim(claim, now);
+        }
+    }
+
+    /// The log has a new claim on a shard of this failure domain.
+    pub(super) fn take_claim(self: &Arc<Self>, claim: Claim) {
+        let cell = self.make_cell(&claim.shard);
+        let (history, log) = {
+            let fold = lock(&self.fold);
+            (fold.claims.history(&claim.shard).to_vec(), fold.state(&claim.shard))
+        };
+        let deposed = cell.shard().claimed(self.now(), &claim, &history, log);
+        let (shard, epoch) = (claim.shard.clone(), claim.epoch);
+        match () {
+            _ if deposed => self.trace.add(What::Deposed { shard, epoch }),
+            _ if claim.owner == self.me => self.trace.add(What::Elected { shard, epoch }),
+            _ => self.trace.add(What::Sealed { shard, epoch }),
+        }
+        cell.kick.notify_one();
+        self.news.notify_one();
+    }
+
+    async fn search(self: &Arc<Self>, cell: &Arc<Cell>) {
+        let found = cell.shard().search(self.now(), |id| self.is_gone(id));
+        match found {
+            Search::Idle => {}
+            Search::Ask(ids) => self.seal_others(cell, ids).await,
+            Search::Ready(source) => self.take_office(cell, source),
+        }
+    }
+
+    /// Asks replicas to seal a shard for this entry's claim; any one answer will do.
+    async fn seal_others(self: &Arc<Self>, cell: &Arc<Cell>, ids: BTreeSet<EntryId>) {
+        let Some(epoch) = cell.shard().claiming().map(|claim| claim.epoch) else { return };
+        let others = ids.into_iter().filter(|id| *id != self.me);
+        let asks = others.map(|id| async move {
+            let answer = self.ask_seal(&id, &cell.id, epoch).await;
+            if let Some(state) = answer {
+                cell.shard().sealed(&id, epoch, state);
+            }
+        });
+        join_all(asks).await;
+    }
+
+    async fn ask_seal(&self, id: &EntryId, shard: &Name, epoch: u64) -> Option<State> {
+        let (addr, present) = {
+            let peers = lock(&self.peers);
+            (peers.addr(&id.name)?, peers.incarnation(&id.name)?)
+        };
+        if present != id.inc {
+            return None;
+        }
+        let ask = Ask::Seal { shard: shard.clone(), epoch };
+        match self.quic.ask(&id.name, addr, ask, REPLICA_LIMIT).await {
+            Ok(Tell::Sealed { by, state }) if by == *id => Some(state),
+            _ => None,
+        }
+    }
+
+    fn take_office(self: &Arc<Self>, cell: &Arc<Cell>, source: Source) {
+        let now = self.now();
+        let Some(claim) = cell.shard().claiming().cloned() else { return };
+        let from = match &source {
+            Source::State(state) => format!("epoch-{}-note-{}", state.epoch, state.seq),
+            Source::Rebuild => "log".to_string(),
+        };
+        let (former, jobs) = {
+            let fold = lock(&self.fold);
+            let owners = fold.claims.history(&cell.id).iter().map(|claim| claim.owner.clone());
+            let former: BTreeSet<EntryId> = owners.filter(|id| *id != self.me).collect();
+            let jobs = fold.jobs(&cell.id).map(|(id, job)| (id.clone(), job.clone())).collect();
+            (former, jobs)
+        };
+        let former = former.into_iter().filter(|id| !self.is_gone(id)).collect();
+        *cell.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
+        let office = Office::new(&claim, source, former, jobs, self.table(), now);
+        if !cell.shard().take_office(office) {
+            return;
+        }
+        let (shard, epoch) = (cell.id.clone(), claim.epoch);
+        self.trace.add(What::TookOffice { shard, epoch, from: from.into() });
+        self.set_list(cell);
+        self.drop_gone_entries(cell);
+        self.news.notify_one();
+    }
+
+    /// A new table is in force: tell the owners here.
+    pub(super) fn set_policy(self: &Arc<Self>, table: &Arc<Table>) {
+        for cell in self.cells() {
+            self.step(&cell, Event::Table(table.clone()));
+        }
+    }
+
+    /// The log holds notes of a shard.
+    pub(super) fn take_noted(self: &Arc<Self>, shard: &Name, epoch: u64, seq: u64) {
+        if let Some(cell) = self.cell(shard) {
+            self.step(&cell, Event::Logged { epoch, seq });
+        }
+    }
+
+    /// Gives an event to the owner of a shard, if it is here, and does what it says.
+    pub(crate) fn step(self: &Arc<Self>, cell: &Arc<Cell>, event: Event) -> bool {
+        let now = self.now();
+        let (actions, starts) = {
+            let mut shard = cell.shard();
+            let Some(office) = shard.office() else { return false };
+            let actions = office.step(now, event);
+            let starts: Vec<(Name, Option<Name>)> = actions
+                .iter()
+                .filter_map(|action| match action {
+                    Action::Start { worker, .. } | Action::Stop { worker, .. } => {
+                        Some((worker.clone(), office.addr(worker)))
+                    }
+                    _ => None,
+                })
+                .collect();
+            let sent = actions.iter().filter(|action| matches!(action, Action::Start { .. }));
+            cell.flights.fetch_add(sent.count(), Ordering::SeqCst);
+            (actions, starts)
+        };
+        self.act(cell, actions, starts);
+        true
+    }
+
+    fn act(
+        self: &Arc<Self>,
+        cell: &Arc<Cell>,
+        actions: Vec<Action>,
+        addrs: Vec<(Name, Option<Name>)>,
+    ) {
+        let addr = |worker: &Name| {
+            let found = addrs.iter().find(|(name, _)| name == worker);
+            found.and_then(|(_, addr)| addr.clone()).unwrap_or_else(|| "0.0.0.0:0".into())
+        };
+        let mut records = Vec::new();
+        for action in actions {
+            match action {
+                Action::Replicate => cell.kick.notify_one(),
+                Action::Start { worker, order } => {
+                    self.tell(cell, addr(&worker), order.task.clone(), Tellable::Start(order));
+                }
+                Action::Stop { worker, task } => {
+                    self.tell(cell, addr(&worker), task.clone(), Tellable::Stop(task));
+                }
+                Action::Reply { token, answer } => {
+                    if let Some(reply) = lock(&self.replies).remove(&token) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                Action::Append(record) => records.push(record),
+                Action::Trace(what) => self.record(what),
+            }
+        }
+        self.writer.append(records);
+    }
+
+    /// Adds an owner's event to the time line and the metrics.
+    fn record(&self, what: What) {
+        match &what {
+            What::Bound { waited, .. } => self.metrics.waited(waited.0),
+            What::StartSent { .. } => self.metrics.starts.inc(),
+            What::Ended { .. } => self.metrics.ended.inc(),
+            _ => {}
+        }
+        self.trace.add(what);
+    }
+
+    /// Sends a start or stop to a worker and gives the answer to the owner.
+    fn tell(self: &Arc<Self>, cell: &Arc<Cell>, addr: Name, task: TaskId, message: Tellable) {
+        let (entry, cell) = (self.clone(), cell.clone());
+        tokio::spawn(async move {
+            let stop = matches!(message, Tellable::Stop(_));
+            let reply = entry.tell_worker(&addr, message).await;
+            if stop {
+                entry.step(&cell, Event::Told { task, stop, reply });
+                return;
+            }
+            let unanswered = reply.is_none();
+            entry.step(&cell, Event::Told { task, stop, reply });
+            if unanswered {
+                tokio::time::sleep(MAX_FLIGHT.duration()).await;
+            }
+            cell.flights.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+
+    async fn tell_worker(&self, addr: &Name, message: Tellable) -> Option<TaskReply> {
+        let me = &self.me.name;
+        let reply = match message {
+            Tellable::Start(mut order) => {
+                order.stamp = self.trace.stamp();
+                self.http.post_as(me, addr, "/start", &order, WORKER_LIMIT).await
+            }
+            Tellable::Stop(task) => {
+                let order = StopOrder { task };
+                self.http.post_as(me, addr, "/stop", &order, WORKER_LIMIT).await
+            }
+        };
+        reply.ok()
+    }
+
+    /// Renews leases at all workers of the shards owned here, and learns what they run.
+    pub(super) async fn sync_workers(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(self.settings.sync_every.duration());
+        loop {
+            timer.tick().await;
+            for cell in self.cells() {
+                let workers = cell.shard().office().map(|office| office.workers());
+                for worker in workers.unwrap_or_default() {
+                    tokio::spawn(self.clone().sync_worker(cell.clone(), worker));
+                }
+                tokio::spawn(self.clone().keep_running(cell));
+            }
+        }
+    }
+
+    async fn sync_worker(self: Arc<Self>, cell: Arc<Cell>, worker: Name) {
+        let order = cell.shard().office().and_then(|office| office.sync(&worker));
+        let Some((addr, order)) = order else { return };
+        let asked = self.now();
+        let report = self.sync(&addr, &order).await;
+        if let Some(report) = report {
+            self.step(&cell, Event::Report { worker, asked, report });
+        }
+    }
+
+    async fn sync(&self, addr: &str, order: &SyncOrder) -> Option<Report> {
+        self.http.post_as(&self.me.name, addr, "/sync", order, WORKER_LIMIT).await.ok()
+    }
+
+    /// Renews leases from a replica while the owner is not heard: a renewal starts nothing.
+    async fn keep_running(self: Arc<Self>, cell: Arc<Cell>) {
+        let owner = lock(&self.fold).claims.last(&cell.id).map(|claim| claim.owner.name.clone());
+        let Some(owner) = owner else { return };
+        let here = owner == self.me.name && cell.shard().office().is_some();
+        if here || lock(&self.peers).is_heard(self.now(), &owner) {
+            return;
+        }
+        let list = lock(&self.lists).newest().clone();
+        let orders = cell.shard().replica().renewals();
+        for (worker, order) in orders {
+            let vm = list.vms.iter().find(|vm| vm.name == worker);
+            if let Some(vm) = vm {
+                self.sync(&vm.addr, &order).await;
+            }
+        }
+    }
+
+    /// Brings the notes of an owned shard to its replicas, or to the log if there are none.
+    pub(super) async fn replicate(self: Arc<Self>, cell: Arc<Cell>) {
+        loop {
+            cell.kick.notified().await;
+            while self.replicate_once(&cell).await {}
+        }
+    }
+
+    /// Sends each replica what it lacks; `true` if something was sent.
+    async fn replicate_once(self: &Arc<Self>, cell: &Arc<Cell>) -> bool {
+        let (updates, record) = {
+            let mut shard = cell.shard();
+            let Some(office) = shard.office() else { return false };
+            let record = office.log_record();
+            let replicas = office.replicas().into_iter();
+            let updates: Vec<_> = replicas
+                .filter_map(|id| office.update_for(&id).map(|update| (id, update)))
+                .collect();
+            (updates, record)
+        };
+        if let Some(record) = record {
+            self.writer.append(vec![record]);
+        }
+        let sends = updates.into_iter().map(|(id, update)| async move {
+            let epoch = update.epoch;
+            let ask = Ask::Update { shard: cell.id.clone(), update };
+            self.send_update(cell, id, epoch, ask).await;
+        });
+        let sends: Vec<_> = sends.collect();
+        let sent = !sends.is_empty();
+        join_all(sends).await;
+        sent
+    }
+
+    async fn send_update(self: &Arc<Self>, cell: &Arc<Cell>, id: EntryId, epoch: u64, ask: Ask) {
+        let addr = lock(&self.peers).addr(&id.name);
+        let Some(addr) = addr else {
+            return tokio::time::sleep(REPLICA_PAUSE.duration()).await;
+        };
+        match self.quic.ask(&id.name, addr, ask, REPLICA_LIMIT).await {
+            Ok(Tell::Updated { by, result: Ok(seq) }) if by == id => {
+                self.step(cell, Event::Acked { replica: id, epoch, seq });
+            }
+            Ok(Tell::Updated { by, result: Err(ReplicaError::Gap(_)) }) if by == id => {
+                self.step(cell, Event::Gap { replica: id });
+            }
+            Ok(Tell::Updated { by, result: Err(ReplicaError::Sealed(later)) }) if by == id => {
+                if cell.shard().step_down(later) {
+                    self.trace.add(What::Deposed { shard: cell.id.clone(), epoch: later });
+                }
+            }
+            _ => tokio::time::sleep(REPLICA_PAUSE.duration()).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,120 @@
+//! What this entry knows of the others.
+
+use crate::clock::Millis;
+use crate::controller::claims::Peer;
+use crate::controller::list::{Role, VmList};
+use crate::id::{EntryId, Name};
+use crate::settings::Settings;
+use crate::wire::msg::{Beat, Room};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A peer not heard for this long counts as not reachable.
+const FRESH: Millis = Millis(2_000);
+
+/// One other entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Known {
+    pub domain: Name,
+    pub addr: SocketAddr,
+    pub beat: Option<(Millis, Beat)>,
+}
+
+/// All other entries, from the settings, the VM list and their own words.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    me: Name,
+    domain: Name,
+    known: BTreeMap<Name, Known>,
+}
+
+impl Peers {
+    pub fn new(settings: &Settings) -> Self {
+        let known = settings.peers.iter().map(|peer| {
+            let known = Known { domain: peer.domain.clone(), addr: peer.addr, beat: None };
+            (peer.name.clone(), known)
+        });
+        Self { me: settings.name.clone(), domain: settings.domain.clone(), known: known.collect() }
+    }
+
+    /// Takes in the entries of a new VM list; entries that it dropped are forgotten.
+    pub fn set_list(&mut self, list: &VmList, is_gone: impl Fn(&str) -> bool) {
+        self.known.retain(|name, _| !is_gone(name));
+        for vm in list.vms.iter().filter(|vm| vm.role == Role::Entry && vm.name != self.me) {
+            let Ok(addr) = vm.addr.parse() else { continue };
+            let fresh = Known { domain: vm.domain.clone(), addr, beat: None };
+            self.known.entry(vm.name.clone()).or_insert(fresh).addr = addr;
+        }
+    }
+
+    /// Takes in a sign of life; the earlier run of the same entry, if this is a new one.
+    pub fn heard(&mut self, now: Millis, beat: Beat) -> Option<EntryId> {
+        let fresh = Known { domain: beat.domain.clone(), addr: beat.addr, beat: None };
+        let known = self.known.entry(beat.from.name.clone()).or_insert(fresh);
+        let old = known.beat.as_ref().map(|(_, beat)| beat.from.clone());
+        if old.as_ref().is_some_and(|old| old.inc > beat.from.inc) {
+            return None;
+        }
+        let replaced = old.filter(|old| old.inc < beat.from.inc);
+        known.addr = beat.addr;
+        known.beat = Some((now, beat));
+        replaced
+    }
+
+    /// The present run of an entry, as last heard.
+    pub fn incarnation(&self, name: &str) -> Option<u64> {
+        let (_, beat) = self.known.get(name)?.beat.as_ref()?;
+        Some(beat.from.inc)
+    }
+
+    /// Where an entry answers other entries.
+    pub fn addr(&self, name: &str) -> Option<SocketAddr> {
+        self.known.get(name).map(|known| known.addr)
+    }
+
+    /// All peers with their addresses.
+    pub fn all(&self) -> Vec<(Name, SocketAddr)> {
+        self.known.iter().map(|(name, known)| (name.clone(), known.addr)).collect()
+    }
+
+    /// Peers heard lately and not stopping: names, failure domains and addresses.
+    pub fn fresh(&self, now: Millis) -> Vec<(Name, Name, SocketAddr)> {
+        let fresh = self.known.iter().filter(|(_, known)| known.is_fresh(now));
+        fresh.map(|(name, known)| (name.clone(), known.domain.clone(), known.addr)).collect()
+    }
+
+    /// Whether a peer was heard lately, even if it is stopping.
+    pub fn is_heard(&self, now: Millis, name: &str) -> bool {
+        let beat = self.known.get(name).and_then(|known| known.beat.as_ref());
+        beat.is_some_and(|(heard, _)| now.since(*heard) < FRESH)
+    }
+
+    /// What the shards owned by peers could take, as last heard.
+    pub fn rooms(&self, now: Millis) -> Vec<(Name, Name, Room)> {
+        let fresh = self.known.values().filter(|known| known.is_fresh(now));
+        let beats = fresh.filter_map(|known| known.beat.as_ref());
+        let rooms = beats.flat_map(|(_, beat)| {
+            beat.shards
+                .iter()
+                .filter_map(|shard| Some((shard.shard.clone(), beat.domain.clone(), shard.room?)))
+        });
+        rooms.collect()
+    }
+
+    /// The peers of this failure domain, for the claimant.
+    pub fn claimants(&self) -> BTreeMap<Name, Peer> {
+        let here = self.known.iter().filter(|(_, known)| known.domain == self.domain);
+        let heard = here.filter_map(|(name, known)| {
+            let (heard, beat) = known.beat.as_ref()?;
+            let peer = Peer { id: beat.from.clone(), heard: *heard, leaving: beat.leaving };
+            Some((name.clone(), peer))
+        });
+        heard.collect()
+    }
+}
+
+impl Known {
+    fn is_fresh(&self, now: Millis) -> bool {
+        self.beat.as_ref().is_some_and(|(at, beat)| now.since(*at) < FRESH && !beat.leaving)
+    }
+}
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,159 @@
+//! Slots for requests: renewing leases, waiting for a turn, giving slots back.
+
+use crate::clock::Millis;
+use crate::controller::slots::{Turn, Waiting};
+use crate::entry::{Entry, lock};
+use crate::id::Name;
+use crate::wire::msg::{Ask, Tell};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Time between renewals of slot leases.
+const RENEW: Millis = Millis(200);
+/// How long the owner may take to answer.
+const RENEW_LIMIT: Millis = Millis(500);
+
+/// A slot of a runner; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    entry: Arc<Entry>,
+    kind: Name,
+    since: Millis,
+    /// The runner.
+    pub runner: Name,
+    /// Whether the runner answered.
+    pub reached: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.entry.now();
+        let took = now.since(self.since);
+        lock(&self.entry.slots).release(now, &self.runner, &self.kind, took, self.reached);
+        self.entry.give_turns();
+    }
+}
+
+impl Entry {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// When to come again, if the request is given up, and whether the queue was full.
+    pub(crate) async fn take_slot(
+        self: &Arc<Self>,
+        request: Waiting,
+    ) -> Result<Slot, (Millis, bool)> {
+        let (kind, id) = (request.kind.clone(), request.id);
+        let (give, turn) = oneshot::channel();
+        lock(&self.turns).insert(id, give);
+        let first = lock(&self.slots).ask(self.now(), request);
+        let turn = match first {
+            Turn::Wait => turn.await.unwrap_or(Turn::Wait),
+            other => other,
+        };
+        lock(&self.turns).remove(&id);
+        let since = self.now();
+        match turn {
+            Turn::Go { runner, .. } => {
+                Ok(Slot { entry: self.clone(), kind, since, runner, reached: false })
+            }
+            Turn::GiveUp { after, full, .. } => Err((after, full)),
+            Turn::Wait => {
+                lock(&self.slots).forget(id);
+                Err((RENEW, false))
+            }
+        }
+    }
+
+    /// Tells waiting requests whose turn it is.
+    pub(super) fn give_turns(&self) {
+        let turns = lock(&self.slots).turns(self.now());
+        let mut waiting = lock(&self.turns);
+        for turn in turns {
+            let id = match &turn {
+                Turn::Go { id, .. } | Turn::GiveUp { id, .. } => *id,
+                Turn::Wait => continue,
+            };
+            if let Some(give) = waiting.remove(&id) {
+                let _ = give.send(turn);
+            }
+        }
+    }
+
+    /// A runner said that it is leaving.
+    pub(crate) fn runner_leaves(&self, runner: &str) {
+        lock(&self.slots).leave(runner);
+    }
+
+    /// Renews this entry's slots at the owners of the shards of its failure domain.
+    pub(super) async fn renew_slots(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(RENEW.duration());
+        loop {
+            timer.tick().await;
+            for cell in self.cells() {
+                tokio::spawn(self.clone().renew_shard(cell.id.clone()));
+            }
+        }
+    }
+
+    async fn renew_shard(self: Arc<Self>, shard: Name) {
+        let asked = self.now();
+        let (uses, waiting) = lock(&self.slots).uses(asked, &shard);
+        if uses.is_empty() {
+            return;
+        }
+        let me = self.me.name.clone();
+        let mut tell = self.lend(&shard, &me, &uses, waiting);
+        if tell == Tell::NotOwner {
+            tell = self.ask_slots(shard, uses, waiting).await;
+        }
+        if let Tell::Slots(lent) = tell {
+            lock(&self.slots).lent(asked, &lent);
+            self.give_turns();
+        }
+    }
+
+    async fn ask_slots(
+        &self,
+        shard: Name,
+        uses: Vec<crate::controller::slots::SlotUse>,
+        waiting: u32,
+    ) -> Tell {
+        let owner = lock(&self.fold).claims.last(&shard).map(|claim| claim.owner.name.clone());
+        let Some(owner) = owner.filter(|owner| *owner != self.me.name) else {
+            return Tell::NotOwner;
+        };
+        let Some(addr) = lock(&self.peers).addr(&owner) else { return Tell::NotOwner };
+        let ask = Ask::Slots { shard, entry: self.me.name.clone(), uses, waiting };
+        self.quic.ask(&owner, addr, ask, RENEW_LIMIT).await.unwrap_or(Tell::NotOwner)
+    }
+
+    /// Where a runner answers.
+    pub(crate) fn runner_addr(&self, runner: &str) -> Option<Name> {
+        let lists = lock(&self.lists);
+        let vm = lists.newest().vms.iter().find(|vm| *vm.name == *runner)?;
+        Some(vm.addr.clone())
+    }
+
+    /// Runner slots: in use and requests waiting for one, and the runners' shards.
+    pub(crate) fn slot_load(&self) -> (u32, usize) {
+        let slots = lock(&self.slots);
+        (slots.used(), slots.waiting())
+    }
+
+    /// Failure domains other than this one that can be reached.
+    pub(crate) fn other_domains(&self) -> BTreeSet<Name> {
+        let fresh = lock(&self.peers).fresh(self.now()).into_iter();
+        let domains = fresh.map(|(_, domain, _)| domain);
+        domains.filter(|domain| *domain != self.settings.domain).collect()
+    }
+
+    /// An entry of another failure domain, chosen by `seed`.
+    pub(crate) fn entry_of(&self, domain: &str, seed: u64) -> Option<(Name, std::net::SocketAddr)> {
+        let fresh = lock(&self.peers).fresh(self.now()).into_iter();
+        let there: Vec<_> = fresh.filter(|(_, other, _)| **other == *domain).collect();
+        let (name, _, addr) = there.get(seed as usize % there.len().max(1))?;
+        Some((name.clone(), *addr))
+    }
+}
--- /dev/null
+++ b/src/entry/route.rs
@@ -0,0 +1,215 @@
+//! Finding the owner of a shard, and the shard for a job or a key.
+
+use crate::clock::Millis;
+use crate::controller::shard::office::{Answer, Event};
+use crate::entry::{Cell, Entry, lock};
+use crate::id::{JobId, Name, hash, rendezvous};
+use crate::job::{JobSpec, JobStatus};
+use crate::size::Size;
+use crate::table::Row;
+use crate::wire::msg::{Ask, OwnerAsk, Reason, Refused, Room, Run, ShardStatus, Tell};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// How long one try to reach an owner may take.
+const OWNER_LIMIT: Millis = Millis(2_000);
+/// Pause before an owner is looked for again.
+const OWNER_PAUSE: Millis = Millis(100);
+/// Callers come again after this long when a shard has no owner.
+const OWNER_RETRY: Millis = Millis(2_000);
+
+/// The refusal of a caller whose shard has no owner now. Nothing was run.
+fn no_owner(run: Run) -> Refused {
+    Refused { reason: Reason::NoOwner, run, after: Some(OWNER_RETRY) }
+}
+
+impl Entry {
+    /// Asks the owner of a shard, wherever it is, and tries again while ownership changes. All
+    /// questions to owners are idempotent.
+    ///
+    /// # Errors
+    /// If no owner answers within `limit`.
+    pub(crate) async fn ask_owner(
+        self: &Arc<Self>,
+        shard: &Name,
+        ask: OwnerAsk,
+        limit: Millis,
+    ) -> Result<Tell, Refused> {
+        let until = self.now() + limit;
+        let mut run = Run::No;
+        loop {
+            match self.try_owner(shard, ask.clone()).await {
+                Ok(Tell::NotOwner) => {}
+                Ok(Tell::Pending) => run = Run::Unknown,
+                Ok(tell) => return Ok(tell),
+                Err(true) => {}
+                Err(false) => run = Run::Unknown,
+            }
+            if self.now() + OWNER_PAUSE >= until {
+                return Err(no_owner(run));
+            }
+            tokio::time::sleep(OWNER_PAUSE.duration()).await;
+        }
+    }
+
+    /// One try; the error says whether surely nothing was sent.
+    async fn try_owner(self: &Arc<Self>, shard: &Name, ask: OwnerAsk) -> Result<Tell, bool> {
+        if let Some(cell) = self.cell(shard)
+            && cell.shard().office().is_some()
+        {
+            return Ok(self.answer_owner(&cell, ask).await);
+        }
+        let owner = lock(&self.fold).claims.last(shard).map(|claim| claim.owner.name.clone());
+        let name = owner.filter(|name| *name != self.me.name).ok_or(true)?;
+        let addr = lock(&self.peers).addr(&name).ok_or(true)?;
+        let ask = Ask::Owner { shard: shard.clone(), ask };
+        let answer = self.quic.ask(&name, addr, ask, OWNER_LIMIT).await;
+        answer.map_err(|err| err.is_unsent())
+    }
+
+    /// Answers a question to the owner of a shard, if that is this entry.
+    pub(super) async fn answer_owner(self: &Arc<Self>, cell: &Arc<Cell>, ask: OwnerAsk) -> Tell {
+        let now = self.now();
+        match ask {
+            OwnerAsk::Submit { job, spec } => {
+                self.ask_office(cell, |token| Event::Submit { token, job, spec }).await
+            }
+            OwnerAsk::Cancel { job } => {
+                self.ask_office(cell, |token| Event::Cancel { token, job }).await
+            }
+            OwnerAsk::Key { key, holder } => {
+                self.ask_office(cell, |token| Event::Key { token, key, holder }).await
+            }
+            OwnerAsk::FreeKey { key, holder } => {
+                let done = self.step(cell, Event::FreeKey { key, holder });
+                if done { Tell::Done } else { Tell::NotOwner }
+            }
+            OwnerAsk::Status { job } => match cell.shard().office() {
+                Some(office) => Tell::Status(office.status(&job, now)),
+                None => Tell::NotOwner,
+            },
+            OwnerAsk::Jobs { team } => match cell.shard().office() {
+                Some(office) => {
+                    let jobs = office.book().jobs.iter();
+                    let wanted = jobs
+                        .filter(|(_, job)| team.as_ref().is_none_or(|team| job.spec.team == *team));
+                    Tell::Jobs(wanted.filter_map(|(id, _)| office.status(id, now)).collect())
+                }
+                None => Tell::NotOwner,
+            },
+            OwnerAsk::State => self.shard_status(cell).map_or(Tell::NotOwner, Tell::Shard),
+        }
+    }
+
+    async fn ask_office(
+        self: &Arc<Self>,
+        cell: &Arc<Cell>,
+        event: impl FnOnce(u64) -> Event,
+    ) -> Tell {
+        let token = self.next();
+        let (reply, waiting) = oneshot::channel();
+        lock(&self.replies).insert(token, reply);
+        if !self.step(cell, event(token)) {
+            lock(&self.replies).remove(&token);
+            return Tell::NotOwner;
+        }
+        let answer = tokio::time::timeout(OWNER_LIMIT.duration(), waiting).await;
+        lock(&self.replies).remove(&token);
+        match answer {
+            Ok(Ok(answer)) => Tell::Answer(answer),
+            _ => Tell::Pending,
+        }
+    }
+
+    fn shard_status(&self, cell: &Cell) -> Option<ShardStatus> {
+        let mut shard = cell.shard();
+        let office = shard.office()?;
+        let rooms = office.rooms();
+        let workers = rooms.map(|(name, at)| (name.clone(), at.total(), at.used())).collect();
+        Some(ShardStatus {
+            shard: cell.id.clone(),
+            epoch: office.epoch(),
+            owner: self.me.clone(),
+            replicas: office.replicas(),
+            workers,
+            aside: office.aside(),
+            loads: office.loads().iter().map(|(kind, load)| (kind.clone(), *load)).collect(),
+        })
+    }
+
+    /// The shard that keeps an idempotency key.
+    pub(crate) fn key_shard(&self, key: &str) -> Option<Name> {
+        let fold = lock(&self.fold);
+        let shards: Vec<Name> = fold.claims.all().map(|claim| claim.shard.clone()).collect();
+        rendezvous(key, shards.iter()).cloned()
+    }
+
+    /// What the shards of the cell could take, as far as this entry knows.
+    fn known_rooms(&self) -> Vec<(Name, Name, Room)> {
+        let mut rooms = lock(&self.peers).rooms(self.now());
+        for cell in self.cells() {
+            let mut shard = cell.shard();
+            let Some(office) = shard.office() else { continue };
+            let (largest, free, waiting) = office.room();
+            let room = Room { largest, free, waiting };
+            rooms.push((cell.id.clone(), self.settings.domain.clone(), room));
+        }
+        rooms
+    }
+
+    /// The shards to offer a job to, best first: its row's site first, then those with room now,
+    /// then those with the fewest tasks waiting.
+    pub(crate) fn offer_order(&self, row: &Row, size: &Size, seed: u64) -> Vec<Name> {
+        let local = &self.settings.domain;
+        let rooms = self.known_rooms();
+        let mut rated: Vec<_> = rooms
+            .into_iter()
+            .filter(|(_, domain, room)| row.site(domain) > 0 && room.largest.fits(size))
+            .map(|(shard, domain, room)| {
+                let far = domain != *local && row.site(local) > 0;
+                let lighter = u32::MAX - row.site(&domain);
+                let full = room.waiting > 0 || !room.free.fits(size);
+                let spread = hash(&[shard.as_bytes(), &seed.to_le_bytes()]);
+                ((far, full, if full { room.waiting } else { 0 }, lighter, spread), shard)
+            })
+            .collect();
+        rated.sort();
+        rated.into_iter().map(|(_, shard)| shard).collect()
+    }
+
+    /// A job's state, from the owner of its shard.
+    ///
+    /// # Errors
+    /// If there is no such job, or no owner answers.
+    pub(crate) async fn job_status(
+        self: &Arc<Self>,
+        job: &JobId,
+        limit: Millis,
+    ) -> Result<JobStatus, Refused> {
+        let ask = OwnerAsk::Status { job: job.clone() };
+        match self.ask_owner(&job.shard, ask, limit).await? {
+            Tell::Status(Some(status)) => Ok(status),
+            _ => Err(Refused { reason: Reason::NotFound, run: Run::No, after: None }),
+        }
+    }
+
+    /// Offers a job to a shard.
+    ///
+    /// # Errors
+    /// If it is refused, or no owner answers.
+    pub(crate) async fn submit_to(
+        self: &Arc<Self>,
+        job: JobId,
+        spec: JobSpec,
+        limit: Millis,
+    ) -> Result<bool, Refused> {
+        let shard = job.shard.clone();
+        match self.ask_owner(&shard, OwnerAsk::Submit { job, spec }, limit).await? {
+            Tell::Answer(Answer::Submitted { kept, .. }) => Ok(kept),
+            Tell::Answer(Answer::Refused(why)) => {
+                Err(Refused { reason: Reason::Job(why), run: Run::No, after: None })
+            }
+            _ => Err(no_owner(Run::Unknown)),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,70 @@
+//! Answers to other entries.
+
+use crate::entry::{Entry, lock};
+use crate::filter::{Exchange, run_forwarded};
+use crate::id::Name;
+use crate::wire::msg::{Ask, Tell};
+use std::sync::Arc;
+
+impl Entry {
+    /// Answers other entries until the endpoint closes.
+    pub(super) async fn serve_peers(self: Arc<Self>) {
+        let quic = self.quic.clone();
+        quic.serve(move |ask| {
+            let entry = self.clone();
+            async move { entry.answer(ask).await }
+        })
+        .await;
+    }
+
+    async fn answer(self: Arc<Self>, ask: Ask) -> Tell {
+        match ask {
+            Ask::Beat(beat) => {
+                let entry = self.clone();
+                tokio::spawn(async move { entry.take_beat(beat).await });
+                Tell::Beat(self.make_beat())
+            }
+            Ask::Update { shard, update } => {
+                let cell = self.make_cell(&shard);
+                let result = cell.shard().update(update);
+                Tell::Updated { by: self.me.clone(), result }
+            }
+            Ask::Seal { shard, epoch } => {
+                let cell = self.make_cell(&shard);
+                let state = cell.shard().seal(epoch);
+                Tell::Sealed { by: self.me.clone(), state }
+            }
+            Ask::Release { shard, epoch } => {
+                lock(&self.claimant).release(shard, epoch);
+                Tell::Done
+            }
+            Ask::Owner { shard, ask } => match self.cell(&shard) {
+                Some(cell) => self.answer_owner(&cell, ask).await,
+                None => Tell::NotOwner,
+            },
+            Ask::Slots { shard, entry, uses, waiting } => self.lend(&shard, &entry, &uses, waiting),
+            Ask::Table => Tell::Table(lock(&self.fold).tables.current().cloned()),
+            Ask::List => Tell::List(lock(&self.lists).newest().clone()),
+            Ask::Forward(forward) => {
+                let exchange = Exchange::from_forward(*forward, self.now());
+                Tell::Forwarded(run_forwarded(self, exchange).await)
+            }
+        }
+    }
+
+    /// Lends slots if this entry owns the shard.
+    pub(super) fn lend(
+        &self,
+        shard: &Name,
+        entry: &Name,
+        uses: &[crate::controller::slots::SlotUse],
+        waiting: u32,
+    ) -> Tell {
+        let Some(cell) = self.cell(shard) else { return Tell::NotOwner };
+        if cell.shard().office().is_none() {
+            return Tell::NotOwner;
+        }
+        let lent = cell.lender().lend(self.now(), entry, uses, waiting);
+        Tell::Slots(lent)
+    }
+}
--- /dev/null
+++ b/src/entry/stop.rs
@@ -0,0 +1,87 @@
+//! A planned stop: shards are handed over, requests in flight end, the listener closes last.
+
+use crate::clock::Millis;
+use crate::entry::{Cell, Entry, lock};
+use crate::trace::What;
+use crate::wire::msg::Ask;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// How long handing over may take before the entry stops anyway.
+const HANDOVER: Millis = Millis(10_000);
+/// Time between looks.
+const LOOK: Millis = Millis(50);
+/// How long a peer may take to answer.
+const PEER_LIMIT: Millis = Millis(1_000);
+/// Requests in flight may take this long to end.
+const IN_FLIGHT: Millis = Millis(60_000);
+
+impl Entry {
+    /// Hands over shards and waits until callers were sent elsewhere and requests have ended.
+    pub async fn stop(self: &Arc<Self>) {
+        if self.leaving.swap(true, Ordering::SeqCst) {
+            return self.drained().await;
+        }
+        let begun = self.now();
+        self.trace.add(What::Stopping);
+        self.news.notify_one();
+        while self.owned() > 0 && self.now().since(begun) < HANDOVER {
+            for cell in self.cells() {
+                self.release(&cell).await;
+            }
+            tokio::time::sleep((LOOK + LOOK).duration()).await;
+        }
+        let grace = self.settings.stop_grace;
+        while self.now().since(begun) < grace {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        while self.open.load(Ordering::SeqCst) > 0 && self.now().since(begun) < IN_FLIGHT {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        self.stopped.send_replace(true);
+    }
+
+    /// Ready when a stop that was ordered through the API is done.
+    pub async fn drained(&self) {
+        let mut stopped = self.stopped.subscribe();
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+
+    /// Whether the entry is stopping: its balancer should send callers elsewhere.
+    pub fn is_stopping(&self) -> bool {
+        self.is_leaving()
+    }
+
+    /// How many shards this entry owns.
+    pub(crate) fn owned(&self) -> usize {
+        let owned = self.cells().into_iter().filter(|cell| cell.shard().office().is_some());
+        owned.count()
+    }
+
+    /// Gives a shard up in favour of a peer of this failure domain, which claims it at once.
+    async fn release(self: &Arc<Self>, cell: &Arc<Cell>) {
+        let Some(epoch) = cell.shard().office().map(|office| office.epoch()) else { return };
+        let fresh = lock(&self.peers).fresh(self.now()).into_iter();
+        let mut here = fresh.filter(|(_, domain, _)| *domain == self.settings.domain);
+        let Some((name, _, addr)) = here.next() else { return };
+        let ask = Ask::Release { shard: cell.id.clone(), epoch };
+        let _ = self.quic.ask(&name, addr, ask, PEER_LIMIT).await;
+    }
+}
+
+/// Counts a request in flight for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<Entry>);
+
+impl InFlight {
+    pub fn new(entry: &Arc<Entry>) -> Self {
+        entry.open.fetch_add(1, Ordering::SeqCst);
+        Self(entry.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/filter/hold.rs
@@ -0,0 +1,31 @@
+//! The bounded queue for a slot of a runner.
+
+use crate::controller::slots::Waiting;
+use crate::entry::{Entry, Slot};
+use crate::filter::{Classified, not_run};
+use crate::wire::msg::{Reason, Refused};
+use std::sync::Arc;
+
+/// Waits for a slot.
+///
+/// # Errors
+/// At once if the queue is full or the turn would come too late; when it should come again.
+pub async fn apply(entry: &Arc<Entry>, classified: &Classified) -> Result<Slot, Refused> {
+    let now = entry.now();
+    let request = Waiting {
+        id: entry.next(),
+        kind: classified.row.kind.clone(),
+        weight: classified.row.weight,
+        limit: classified.row.limit,
+        queue: classified.row.queue,
+        came: now,
+        due: classified.due,
+    };
+    let taken = entry.take_slot(request).await;
+    let slot = taken.map_err(|(after, full)| {
+        let reason = if full { Reason::QueueFull } else { Reason::TooLate };
+        not_run(reason, Some(after))
+    })?;
+    entry.metrics.request_wait.observe(entry.now().since(now).0 as f64 / 1000.0);
+    Ok(slot)
+}
--- /dev/null
+++ b/src/filter/identify.rs
@@ -0,0 +1,40 @@
+//! Who calls: a bearer token of the settings, and what it allows.
+
+use crate::filter::not_run;
+use crate::id::Name;
+use crate::settings::Token;
+use crate::wire::msg::{Reason, Refused};
+
+/// Who calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Caller {
+    /// The token's name.
+    pub name: Name,
+    /// The team that it is bound to; `None` for an operator.
+    pub team: Option<Name>,
+}
+
+impl Caller {
+    /// Whether this caller may act for `team`.
+    pub fn may(&self, team: &str) -> bool {
+        self.team.as_ref().is_none_or(|own| **own == *team)
+    }
+}
+
+/// Finds the caller of a token.
+///
+/// # Errors
+/// If the token is missing or unknown.
+pub fn apply(tokens: &[Token], given: Option<&str>) -> Result<Caller, Refused> {
+    let given = given.ok_or_else(|| not_run(Reason::Unauthorized, None))?;
+    let known = tokens.iter().find(|token| same(&token.token, given));
+    let token = known.ok_or_else(|| not_run(Reason::Unauthorized, None))?;
+    let team = token.right.strip_prefix("team:").map(Name::from);
+    Ok(Caller { name: token.name.clone(), team })
+}
+
+/// Compares without stopping at the first difference, so that time tells nothing of the token.
+fn same(known: &str, given: &str) -> bool {
+    let pairs = known.bytes().zip(given.bytes());
+    known.len() == given.len() && pairs.fold(0, |diff, (a, b)| diff | (a ^ b)) == 0
+}
--- /dev/null
+++ b/src/filter/once.rs
@@ -0,0 +1,57 @@
+//! At most one run under an idempotency key: the key is at every replica of its shard before the
+//! first byte goes out.
+
+use crate::controller::shard::office::Answer;
+use crate::entry::Entry;
+use crate::filter::{Classified, not_run};
+use crate::id::Name;
+use crate::wire::msg::{OwnerAsk, Reason, Refused, Run, Tell};
+use std::sync::Arc;
+
+/// A key that this request holds.
+#[derive(Debug)]
+pub struct Held {
+    shard: Name,
+    key: Name,
+    holder: Name,
+}
+
+/// Takes the key of a request that must not be repeated.
+///
+/// # Errors
+/// If the key was used before, or nobody can say so.
+pub async fn apply(entry: &Arc<Entry>, classified: &Classified) -> Result<Option<Held>, Refused> {
+    let exchange = &classified.exchange;
+    let Some(given) = exchange.key.as_ref().filter(|_| !classified.repeatable()) else {
+        return Ok(None);
+    };
+    let key: Name = format!("{}/{}/{given}", classified.row.team, classified.row.kind).into();
+    let holder = exchange.id.clone();
+    let shard = entry.key_shard(&key).ok_or_else(|| not_run(Reason::NoOwner, None))?;
+    let held = Held { shard: shard.clone(), key: key.clone(), holder: holder.clone() };
+    let ask = OwnerAsk::Key { key, holder: holder.clone() };
+    let left = classified.due.since(entry.now());
+    match entry.ask_owner(&shard, ask, left).await {
+        Ok(Tell::Answer(Answer::KeyTaken)) => Ok(Some(held)),
+        Ok(Tell::Answer(Answer::KeyKnown(known))) if known == holder => Ok(Some(held)),
+        Ok(Tell::Answer(Answer::KeyKnown(_))) => {
+            Err(Refused { reason: Reason::KeyKnown, run: Run::Unknown, after: None })
+        }
+        other => {
+            held.free(entry);
+            let after = other.err().and_then(|refused| refused.after);
+            Err(not_run(Reason::NoOwner, after))
+        }
+    }
+}
+
+impl Held {
+    /// Gives the key back: surely nothing was run under it.
+    pub fn free(self, entry: &Arc<Entry>) {
+        let entry = entry.clone();
+        tokio::spawn(async move {
+            let ask = OwnerAsk::FreeKey { key: self.key, holder: self.holder };
+            let _ = entry.ask_owner(&self.shard, ask, crate::clock::Millis(5_000)).await;
+        });
+    }
+}
--- /dev/null
+++ b/src/filter/problem.rs
@@ -0,0 +1,77 @@
+//! Refusals as `application/problem+json` (RFC 9457), with `run` and a reason of a fixed list.
+
+use crate::controller::shard::office::Refusal;
+use crate::wire::msg::{Reason, Refused, Run};
+use poem::Response;
+use poem::http::StatusCode;
+use poem::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use serde::Serialize;
+
+/// A refusal for callers.
+#[derive(Debug, Serialize)]
+struct Problem {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    title: String,
+    status: u16,
+    run: Run,
+    reason: serde_json::Value,
+}
+
+/// The status of a refusal.
+pub fn status(reason: &Reason) -> StatusCode {
+    match reason {
+        Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+        Reason::Forbidden | Reason::WrongTeam => StatusCode::FORBIDDEN,
+        Reason::Malformed => StatusCode::BAD_REQUEST,
+        Reason::UnknownKind | Reason::NotFound => StatusCode::NOT_FOUND,
+        Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::QueueFull | Reason::Job(Refusal::QueueFull) => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        Reason::BrokenAnswer => StatusCode::BAD_GATEWAY,
+        Reason::KeyKnown | Reason::Conflict => StatusCode::CONFLICT,
+        Reason::Job(Refusal::NoWorkers) => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::Job(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::NoTable
+        | Reason::TooLate
+        | Reason::NoUpstream
+        | Reason::NoSite
+        | Reason::NoOwner
+        | Reason::NoLog => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// `run` as the time line has it.
+pub fn run_name(run: Run) -> &'static str {
+    match run {
+        Run::No => "no",
+        Run::Unknown => "unknown",
+    }
+}
+
+/// The answer for a refusal.
+pub fn response(refused: &Refused) -> Response {
+    let status = status(&refused.reason);
+    let reason = match refused.reason {
+        Reason::Job(why) => serde_json::to_value(why),
+        other => serde_json::to_value(other),
+    };
+    let problem = Problem {
+        kind: "about:blank",
+        title: status.canonical_reason().unwrap_or("").to_string(),
+        status: status.as_u16(),
+        run: refused.run,
+        reason: reason.unwrap_or_default(),
+    };
+    let mut builder =
+        Response::builder().status(status).header(CONTENT_TYPE, "application/problem+json");
+    if let Some(after) = refused.after {
+        builder = builder.header(RETRY_AFTER, after.0.div_ceil(1000).max(1).to_string());
+    }
+    builder.body(serde_json::to_vec(&problem).unwrap_or_default())
+}
+
+/// A refusal as an error of an API call.
+pub fn error(refused: &Refused) -> poem::Error {
+    poem::Error::from_response(response(refused))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! A cluster scheduler for unlike workloads, driven by one table.
+
+pub mod check;
+pub mod clock;
+pub mod cmd;
+pub mod controller;
+pub mod entry;
+pub mod filter;
+pub mod id;
+pub mod job;
+pub mod platform;
+pub mod record;
+pub mod settings;
+pub mod size;
+pub mod standin;
+pub mod table;
+pub mod trace;
+pub mod wire;
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,170 @@
+//! One pooled HTTP client for the platform, workers and runners: whole bodies with a bound and a
+//! time limit.
+
+use crate::clock::Millis;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
+use hyper::{Method, Request, StatusCode, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// The largest body that is read, in bytes.
+pub const MAX_BODY: usize = 16 * 1024 * 1024;
+/// The header by which an entry says who calls.
+pub const CALLER_HEADER: &str = "entry-name";
+/// Idle connections kept for each address.
+const POOL: usize = 8;
+
+/// Why an exchange failed.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// No connection: nothing of the request was sent.
+    #[error("cannot connect to {0}")]
+    Connect(String),
+    /// The exchange broke off after the request may have been sent.
+    #[error("{0} broke off: {1}")]
+    Broken(String, String),
+    /// No answer in time.
+    #[error("{0} did not answer in time")]
+    Timeout(String),
+    /// The answer is not a success.
+    #[error("{0} answered {1}")]
+    Status(String, StatusCode),
+    /// The answer or the address cannot be read.
+    #[error("{0}: {1}")]
+    Malformed(String, String),
+}
+
+impl HttpError {
+    /// Whether surely nothing of the request reached the other side.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect(_))
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, as long as its declared length.
+    pub body: Bytes,
+}
+
+/// The client.
+#[derive(Debug, Clone)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Millis(1_000).duration()));
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.pool_max_idle_per_host(POOL).retry_canceled_requests(false);
+        Self { client: builder.build(connector) }
+    }
+}
+
+impl Http {
+    /// Sends one request and reads the whole answer within `limit`.
+    ///
+    /// # Errors
+    /// [`HttpError::Connect`] only if nothing was sent.
+    pub async fn send(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+        limit: Millis,
+    ) -> Result<Answer, HttpError> {
+        let exchange = self.exchange(addr, request);
+        match tokio::time::timeout(limit.duration(), exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Timeout(addr.to_string())),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, HttpError> {
+        let broken = |err: String| HttpError::Broken(addr.to_string(), err);
+        let answer = self.client.request(request).await.map_err(|err| match err.is_connect() {
+            true => HttpError::Connect(addr.to_string()),
+            false => broken(err.to_string()),
+        })?;
+        let (parts, body) = answer.into_parts();
+        let whole = Limited::new(body, MAX_BODY).collect().await;
+        let body = whole.map_err(|err| broken(err.to_string()))?.to_bytes();
+        let declared = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        match declared.and_then(|text| text.parse::<usize>().ok()) {
+            Some(length) if length != body.len() => Err(broken(format!("{length} bytes declared"))),
+            _ => Ok(Answer { status: parts.status, headers: parts.headers, body }),
+        }
+    }
+
+    /// Posts `ask` as JSON and reads a JSON answer; `caller` says who asks.
+    ///
+    /// # Errors
+    /// As [`Http::post_bytes`].
+    pub async fn post_as<A: Serialize, T: DeserializeOwned>(
+        &self,
+        caller: &str,
+        addr: &str,
+        path: &str,
+        ask: &A,
+        limit: Millis,
+    ) -> Result<T, HttpError> {
+        let body = serde_json::to_vec(ask).map_err(|err| malformed(addr, err))?;
+        self.post_bytes(caller, addr, path, body.into(), limit).await
+    }
+
+    /// Posts a body and reads a JSON answer.
+    ///
+    /// # Errors
+    /// As [`Http::send`], and [`HttpError::Status`] or [`HttpError::Malformed`].
+    pub async fn post_bytes<T: DeserializeOwned>(
+        &self,
+        caller: &str,
+        addr: &str,
+        path: &str,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<T, HttpError> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(uri(addr, path)?)
+            .header(CONTENT_TYPE, "application/json")
+            .header(CALLER_HEADER, caller)
+            .body(Full::from(body))
+            .map_err(|err| malformed(addr, err))?;
+        let answer = self.send(addr, request, limit).await?;
+        if !answer.status.is_success() {
+            return Err(HttpError::Status(addr.to_string(), answer.status));
+        }
+        serde_json::from_slice(&answer.body).map_err(|err| malformed(addr, err))
+    }
+}
+
+fn malformed(addr: &str, err: impl std::fmt::Display) -> HttpError {
+    HttpError::Malformed(addr.to_string(), err.to_string())
+}
+
+/// The URI of a path at an address.
+///
+/// # Errors
+/// [`HttpError::Malformed`] if the address or path is not one.
+pub fn uri(addr: &str, path: &str) -> Result<Uri, HttpError> {
+    let built = Uri::builder().scheme("http").authority(addr).path_and_query(path).build();
+    built.map_err(|err| malformed(addr, err))
+}
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,222 @@
+//! A stand-in for the platform: an append-only log with retention, and a lagging VM list.
+
+use crate::clock::Millis;
+use crate::controller::list::VmList;
+use crate::id::Name;
+use crate::platform::api::{AppendReply, LogRecord, ReadReply, ReadRequest};
+use crate::platform::http::CALLER_HEADER;
+use crate::standin::{TRACE_PATH, timeline};
+use crate::trace::{Trace, What};
+use poem::http::StatusCode;
+use poem::web::{Data, Json};
+use poem::{EndpointExt, IntoEndpoint, Route, handler, post};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// Faults that can be set at any time.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The log answers nothing but errors.
+    pub log_down: bool,
+    /// The list answers nothing but errors.
+    pub list_down: bool,
+    /// Each answer of the log comes this much later.
+    pub slow: Millis,
+    /// This many appends take effect and are answered with an error.
+    pub lose_replies: u32,
+    /// A new list is shown this much later.
+    pub list_lag: Millis,
+    /// Callers, by name, for whom log and list are down.
+    pub cut: Vec<Name>,
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    records: VecDeque<(Millis, LogRecord)>,
+    next: u64,
+    appends: u64,
+    bytes: u64,
+}
+
+/// How much the log was used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Appends.
+    pub appends: u64,
+    /// Bytes appended.
+    pub bytes: u64,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    retention: Millis,
+    log: Mutex<Log>,
+    lists: Mutex<Vec<(Millis, VmList)>>,
+    faults: Mutex<Faults>,
+    appended: Notify,
+    trace: Arc<Trace>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Platform {
+    /// A platform that keeps records for `retention`.
+    pub fn new(retention: Millis) -> Arc<Self> {
+        let trace = Arc::new(Trace::new("platform".into()));
+        trace.add(What::Up { role: "platform".into() });
+        Arc::new(Self {
+            retention,
+            log: Mutex::default(),
+            lists: Mutex::default(),
+            faults: Mutex::default(),
+            appended: Notify::new(),
+            trace,
+        })
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.trace.add(What::Platform { part: "log".into(), up: !faults.log_down });
+        *lock(&self.faults) = faults;
+    }
+
+    /// Puts a new list in place.
+    pub fn set_list(&self, list: VmList) {
+        lock(&self.lists).push((Millis::now(), list));
+    }
+
+    /// How much the log was used.
+    pub fn usage(&self) -> Usage {
+        let log = lock(&self.log);
+        Usage { appends: log.appends, bytes: log.bytes }
+    }
+
+    fn append(&self, data: String) -> AppendReply {
+        let mut log = lock(&self.log);
+        let offset = log.next;
+        log.next += 1;
+        log.appends += 1;
+        log.bytes += data.len() as u64;
+        log.records.push_back((Millis::now(), LogRecord { offset, data }));
+        drop(log);
+        self.appended.notify_waiters();
+        AppendReply { offset }
+    }
+
+    fn read(&self, ask: &ReadRequest) -> ReadReply {
+        let mut log = lock(&self.log);
+        let oldest = Millis::now() - self.retention;
+        while log.records.front().is_some_and(|(at, _)| *at < oldest) {
+            log.records.pop_front();
+        }
+        let first = log.records.front().map_or(log.next, |(_, record)| record.offset);
+        let skip = ask.from.saturating_sub(first) as usize;
+        let found = log.records.iter().skip(skip).take(ask.max as usize);
+        let records = found.map(|(_, record)| record.clone()).collect();
+        ReadReply { first, next: log.next, records }
+    }
+
+    fn list(&self) -> VmList {
+        let shown = Millis::now() - lock(&self.faults).list_lag;
+        let lists = lock(&self.lists);
+        let newest = lists.iter().rev().find(|(at, _)| *at <= shown).or(lists.first());
+        newest.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+
+    /// Its HTTP interface.
+    pub fn app(self: Arc<Self>) -> impl IntoEndpoint {
+        let trace = self.trace.clone();
+        Route::new()
+            .at("/log/append", post(append))
+            .at("/log/read", post(read))
+            .at("/list", post(serve_list))
+            .at("/set/list", post(set_list))
+            .at("/set/faults", post(set_faults))
+            .at("/usage", post(usage))
+            .at(TRACE_PATH, post(timeline))
+            .data(trace)
+            .data(self)
+    }
+}
+
+fn is_cut(platform: &Platform, request: &poem::Request) -> bool {
+    let caller = request.header(CALLER_HEADER).unwrap_or("");
+    lock(&platform.faults).cut.iter().any(|cut| **cut == *caller)
+}
+
+fn down() -> poem::Error {
+    poem::Error::from_status(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+async fn pass(platform: &Platform, request: &poem::Request) -> poem::Result<()> {
+    let faults = lock(&platform.faults).clone();
+    tokio::time::sleep(faults.slow.duration()).await;
+    if faults.log_down || is_cut(platform, request) { Err(down()) } else { Ok(()) }
+}
+
+#[handler]
+async fn append(
+    platform: Data<&Arc<Platform>>,
+    request: &poem::Request,
+    data: String,
+) -> poem::Result<Json<AppendReply>> {
+    pass(&platform, request).await?;
+    let reply = platform.append(data);
+    let mut faults = lock(&platform.faults);
+    if faults.lose_replies > 0 {
+        faults.lose_replies -= 1;
+        return Err(down());
+    }
+    Ok(Json(reply))
+}
+
+#[handler]
+async fn read(
+    platform: Data<&Arc<Platform>>,
+    request: &poem::Request,
+    ask: Json<ReadRequest>,
+) -> poem::Result<Json<ReadReply>> {
+    pass(&platform, request).await?;
+    let appended = platform.appended.notified();
+    let reply = platform.read(&ask);
+    if !reply.records.is_empty() || reply.first > ask.from || ask.wait == Millis(0) {
+        return Ok(Json(reply));
+    }
+    let _ = tokio::time::timeout(ask.wait.duration(), appended).await;
+    pass(&platform, request).await?;
+    Ok(Json(platform.read(&ask)))
+}
+
+#[handler]
+async fn serve_list(
+    platform: Data<&Arc<Platform>>,
+    request: &poem::Request,
+) -> poem::Result<Json<VmList>> {
+    if lock(&platform.faults).list_down || is_cut(&platform, request) {
+        return Err(down());
+    }
+    Ok(Json(platform.list()))
+}
+
+#[handler]
+async fn set_list(platform: Data<&Arc<Platform>>, list: Json<VmList>) -> Json<()> {
+    platform.set_list(list.0);
+    Json(())
+}
+
+#[handler]
+async fn set_faults(platform: Data<&Arc<Platform>>, faults: Json<Faults>) -> Json<()> {
+    platform.set_faults(faults.0);
+    Json(())
+}
+
+#[handler]
+async fn usage(platform: Data<&Arc<Platform>>) -> Json<Usage> {
+    Json(platform.usage())
+}
--- /dev/null
+++ b/src/standin/runner.rs
@@ -0,0 +1,115 @@
+//! A stand-in for a runner: it answers requests, a few at a time.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::standin::{TRACE_PATH, timeline};
+use crate::trace::{Trace, What};
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Path};
+use poem::{Body, EndpointExt, IntoEndpoint, Response, Route, handler, post};
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Semaphore;
+
+/// The most exchanges at once; more are refused.
+const CONNECTIONS: usize = 64;
+/// How long a request runs if it does not say.
+const DEFAULT_RUN: Millis = Millis(20);
+/// The header with the request's id.
+pub const REQUEST_HEADER: &str = "request-id";
+/// The header with which a runner says that it is leaving.
+pub const STATE_HEADER: &str = "upstream-state";
+/// The header by which callers of stand-ins say how long their request runs, in milliseconds.
+pub const RUN_HEADER: &str = "work-millis";
+
+/// Faults that can be set at any time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answers break off after half of the body.
+    pub cut: bool,
+    /// Every request fails after it ran.
+    pub fail: bool,
+    /// Answers say that the runner is leaving.
+    pub leaving: bool,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Runner {
+    slots: Semaphore,
+    open: Semaphore,
+    faults: Mutex<Faults>,
+    trace: Arc<Trace>,
+}
+
+impl Runner {
+    /// A runner with this many slots.
+    pub fn new(name: Name, slots: u32) -> Arc<Self> {
+        let trace = Arc::new(Trace::new(name));
+        trace.add(What::Up { role: "runner".into() });
+        Arc::new(Self {
+            slots: Semaphore::new(slots as usize),
+            open: Semaphore::new(CONNECTIONS),
+            faults: Mutex::default(),
+            trace,
+        })
+    }
+
+    fn faults(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its HTTP interface.
+    pub fn app(self: Arc<Self>) -> impl IntoEndpoint {
+        let trace = self.trace.clone();
+        Route::new()
+            .at("/run/:kind", post(run))
+            .at("/set/faults", post(set_faults))
+            .at(TRACE_PATH, post(timeline))
+            .data(trace)
+            .data(self)
+    }
+}
+
+fn unavailable() -> poem::Error {
+    poem::Error::from_status(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+#[handler]
+async fn run(
+    runner: Data<&Arc<Runner>>,
+    kind: Path<String>,
+    request: &poem::Request,
+    body: Vec<u8>,
+) -> poem::Result<Response> {
+    let _open = runner.open.try_acquire().map_err(|_| unavailable())?;
+    let _slot = runner.slots.acquire().await.map_err(|_| unavailable())?;
+    let number = request.header(RUN_HEADER).and_then(|text| text.parse().ok());
+    tokio::time::sleep(Millis(number.unwrap_or(DEFAULT_RUN.0)).duration()).await;
+    let id: Name = request.header(REQUEST_HEADER).unwrap_or("").into();
+    runner.trace.add(What::RunnerRan { request: id });
+    let faults = runner.faults().clone();
+    let mut answer = format!("{}:", kind.0).into_bytes();
+    answer.extend_from_slice(&body);
+    let mut response = Response::builder();
+    if faults.leaving {
+        response = response.header(STATE_HEADER, "leaving");
+    }
+    if faults.fail {
+        return Ok(response.status(StatusCode::INTERNAL_SERVER_ERROR).body(answer));
+    }
+    if faults.cut {
+        let half = bytes::Bytes::from(answer[..answer.len() / 2].to_vec());
+        let broken = std::io::Error::other("cut");
+        let parts: [Result<bytes::Bytes, std::io::Error>; 2] = [Ok(half), Err(broken)];
+        return Ok(response.body(Body::from_bytes_stream(futures_util::stream::iter(parts))));
+    }
+    Ok(response.body(answer))
+}
+
+#[handler]
+async fn set_faults(runner: Data<&Arc<Runner>>, faults: Json<Faults>) -> Json<()> {
+    *runner.faults() = faults.0;
+    Json(())
+}
--- /dev/null
+++ b/src/standin/worker.rs
@@ -0,0 +1,208 @@
+//! A stand-in for a worker without guards: it obeys any start, whoever sends it and whatever it
+//! has room for.
+
+use crate::clock::Millis;
+use crate::id::{Name, TaskId};
+use crate::job::Outcome;
+use crate::platform::api::{Report, Running, StartOrder, StopOrder, SyncOrder, TaskReply};
+use crate::size::Size;
+use crate::standin::{TRACE_PATH, timeline};
+use crate::trace::{Trace, What};
+use poem::web::{Data, Json};
+use poem::{EndpointExt, IntoEndpoint, Route, handler, post};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// How often leases and run times are looked at.
+const LOOK: Millis = Millis(20);
+
+/// Faults that can be set at any time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every task fails at once.
+    pub fail: bool,
+    /// Every start is refused.
+    pub refuse: bool,
+    /// Starts take effect and are answered this much later.
+    pub slow: Millis,
+    /// Tasks run this many hundredths of their declared time; 0: as declared.
+    pub stretch: u32,
+}
+
+#[derive(Debug)]
+enum Task {
+    Running { order: StartOrder, ends: Option<Millis>, lease: Millis, throttled: bool },
+    Ended(Outcome),
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Worker {
+    inc: u64,
+    size: Size,
+    tasks: Mutex<BTreeMap<TaskId, Task>>,
+    faults: Mutex<Faults>,
+    trace: Arc<Trace>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Worker {
+    /// A worker of this name and size.
+    pub fn new(name: Name, size: Size) -> Arc<Self> {
+        let trace = Arc::new(Trace::new(name));
+        trace.add(What::Up { role: "worker".into() });
+        trace.add(What::WorkerUp { total: size });
+        Arc::new(Self {
+            inc: Millis::now().0,
+            size,
+            tasks: Mutex::default(),
+            faults: Mutex::default(),
+            trace,
+        })
+    }
+
+    /// Ends tasks whose time or lease is over, for as long as the worker lives.
+    pub async fn run(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(LOOK.duration());
+        loop {
+            timer.tick().await;
+            self.look(Millis::now());
+        }
+    }
+
+    fn look(&self, now: Millis) {
+        let fail = lock(&self.faults).fail;
+        let mut tasks = lock(&self.tasks);
+        for (id, task) in tasks.iter_mut() {
+            let Task::Running { ends, lease, .. } = task else { continue };
+            let outcome = match () {
+                _ if *lease <= now => Outcome::Stopped,
+                _ if fail => Outcome::Failed,
+                _ if ends.is_some_and(|ends| ends <= now) => Outcome::Done,
+                _ => continue,
+            };
+            self.trace.add(What::WorkerEnded { task: id.clone(), outcome });
+            *task = Task::Ended(outcome);
+        }
+    }
+
+    fn start(&self, order: StartOrder) -> TaskReply {
+        self.trace.seen(order.stamp);
+        let faults = lock(&self.faults).clone();
+        let mut tasks = lock(&self.tasks);
+        match tasks.get(&order.task) {
+            Some(Task::Running { .. }) => return TaskReply::Running,
+            Some(Task::Ended(outcome)) => return TaskReply::Ended(*outcome),
+            None if faults.refuse => return TaskReply::Refused,
+            None => {}
+        }
+        let now = Millis::now();
+        let stretch = if faults.stretch == 0 { 100 } else { faults.stretch as u64 };
+        let run = Millis(order.run.0 * stretch / 100);
+        let ends = (order.run > Millis(0)).then(|| now + run);
+        let (task, size, repeat) = (order.task.clone(), order.size, order.repeat);
+        self.trace.add(What::WorkerStarted { task: task.clone(), size, total: self.size, repeat });
+        let lease = now + order.lease;
+        tasks.insert(task, Task::Running { order, ends, lease, throttled: false });
+        TaskReply::Running
+    }
+
+    fn stop(&self, id: TaskId) -> TaskReply {
+        let mut tasks = lock(&self.tasks);
+        let outcome = match tasks.get(&id) {
+            Some(Task::Ended(outcome)) => return TaskReply::Ended(*outcome),
+            Some(Task::Running { .. }) => {
+                let outcome = Outcome::Stopped;
+                self.trace.add(What::WorkerEnded { task: id.clone(), outcome });
+                outcome
+            }
+            None => Outcome::Cancelled,
+        };
+        tasks.insert(id, Task::Ended(outcome));
+        TaskReply::Ended(outcome)
+    }
+
+    fn sync(&self, order: &SyncOrder) -> Report {
+        let mut tasks = lock(&self.tasks);
+        let until = Millis::now() + order.lease;
+        for id in &order.renew {
+            if let Some(Task::Running { lease, .. }) = tasks.get_mut(id) {
+                *lease = until;
+            }
+        }
+        for id in &order.ack {
+            if matches!(tasks.get(id), Some(Task::Ended(_))) {
+                tasks.remove(id);
+            }
+        }
+        let mut report = Report { inc: self.inc, ..Report::default() };
+        for (id, task) in tasks.iter() {
+            match task {
+                Task::Running { order, .. } => report.running.push(Running {
+                    task: id.clone(),
+                    kind: order.kind.clone(),
+                    size: order.size,
+                    usage: order.size,
+                }),
+                Task::Ended(outcome) => report.ended.push((id.clone(), *outcome)),
+            }
+        }
+        report
+    }
+
+    /// Its HTTP interface.
+    pub fn app(self: Arc<Self>) -> impl IntoEndpoint {
+        let trace = self.trace.clone();
+        Route::new()
+            .at("/start", post(start))
+            .at("/stop", post(stop))
+            .at("/checkpoint", post(stop))
+            .at("/throttle", post(throttle))
+            .at("/sync", post(sync))
+            .at("/set/faults", post(set_faults))
+            .at(TRACE_PATH, post(timeline))
+            .data(trace)
+            .data(self)
+    }
+}
+
+#[handler]
+async fn start(worker: Data<&Arc<Worker>>, order: Json<StartOrder>) -> Json<TaskReply> {
+    let slow = lock(&worker.faults).slow;
+    let reply = worker.start(order.0);
+    tokio::time::sleep(slow.duration()).await;
+    Json(reply)
+}
+
+#[handler]
+async fn stop(worker: Data<&Arc<Worker>>, order: Json<StopOrder>) -> Json<TaskReply> {
+    Json(worker.stop(order.0.task))
+}
+
+#[handler]
+async fn throttle(worker: Data<&Arc<Worker>>, order: Json<StopOrder>) -> Json<bool> {
+    let mut tasks = lock(&worker.tasks);
+    match tasks.get_mut(&order.task) {
+        Some(Task::Running { throttled, .. }) => {
+            *throttled = true;
+            Json(true)
+        }
+        _ => Json(false),
+    }
+}
+
+#[handler]
+async fn sync(worker: Data<&Arc<Worker>>, order: Json<SyncOrder>) -> Json<Report> {
+    Json(worker.sync(&order))
+}
+
+#[handler]
+async fn set_faults(worker: Data<&Arc<Worker>>, faults: Json<Faults>) -> Json<()> {
+    *lock(&worker.faults) = faults.0;
+    Json(())
+}
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,370 @@
+//! The table that operators edit: one row for each kind of work, columns with weights and limits.
+//!
+//! A table is a CSV file as a spreadsheet saves it. [`Table::parse`] reports every fault at once.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Prefix of a row that marks a VM instead of a kind of work.
+const VM_PREFIX: &str = "vm:";
+/// Prefix of a column that holds the weight of a failure domain.
+const SITE_PREFIX: &str = "site:";
+/// The largest table accepted, in bytes.
+pub const MAX_TABLE: usize = 256 * 1024;
+/// The largest weight of any column.
+const MAX_WEIGHT: u32 = 1000;
+/// The longest deadline, in milliseconds: one day.
+const MAX_DEADLINE: u64 = 86_400_000;
+/// The most attempts a row may ask for.
+const MAX_RETRIES: u32 = 10;
+
+/// How a kind of work is scheduled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Answered by a runner within one HTTP exchange.
+    Request,
+    /// Runs on a worker until it finishes.
+    Batch,
+    /// Runs on a worker until it is cancelled.
+    Service,
+}
+
+/// One row: the policy for a kind of work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The kind of work.
+    pub kind: Name,
+    /// The team that the row belongs to.
+    pub team: Name,
+    /// How the kind is scheduled.
+    pub class: Class,
+    /// Urgency: a waiting task gains this many points for each second.
+    pub weight: u32,
+    /// The most running at once: requests for each entry, tasks for each shard.
+    pub limit: u32,
+    /// The most waiting at once: requests for each entry, tasks for each shard.
+    pub queue: u32,
+    /// How long a request may take, or a task may wait, in milliseconds.
+    pub deadline: Millis,
+    /// Whether the work may be run again.
+    pub repeat: bool,
+    /// How often a failed task is tried again.
+    pub retries: u32,
+    /// Weight of filling workers up.
+    pub pack: u32,
+    /// Weight of spreading over workers.
+    pub spread: u32,
+    /// Processors that the row's team may hold in one shard, in thousandths of a core; 0: no limit.
+    pub quota: u32,
+    /// Weight of each failure domain; one not named has weight 0.
+    pub sites: BTreeMap<Name, u32>,
+}
+
+/// A table whose every cell was checked.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// The rows by kind.
+    pub rows: BTreeMap<Name, Row>,
+    /// VMs that the table takes out of use.
+    pub leaving: BTreeSet<Name>,
+}
+
+/// One fault of a table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// The line of the file, from 1; 0 for the whole file.
+    pub line: u64,
+    /// The row's kind, if it could be read.
+    pub row: String,
+    /// The column's heading.
+    pub column: String,
+    /// The value found.
+    pub value: String,
+    /// What would be right.
+    pub want: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "line {}: row {:?}, column {:?}: {:?} is wrong: want {}",
+            self.line, self.row, self.column, self.value, self.want
+        )
+    }
+}
+
+/// The columns that each table has, with what a cell of each holds.
+const COLUMNS: [(&str, &str); 12] = [
+    ("kind", "a name of letters, digits, '-' and '_', once in the table"),
+    ("team", "a name of letters, digits, '-' and '_'"),
+    ("class", "request, batch or service"),
+    ("weight", "a whole number from 0 to 1000"),
+    ("limit", "a whole number from 1 to 1000000"),
+    ("queue", "a whole number from 0 to 1000000"),
+    ("deadline", "milliseconds, from 1 to 86400000"),
+    ("repeat", "yes or no"),
+    ("retries", "a whole number from 0 to 10, and 0 where repeat is no"),
+    ("pack", "a whole number from 0 to 1000"),
+    ("spread", "a whole number from 0 to 1000"),
+    ("quota", "thousandths of a core, from 0 to 4000000000, 0 for no quota"),
+];
+
+/// What the cell of a site column holds.
+const SITE_WANT: &str = "a whole number from 0 to 1000";
+
+/// Whether `s` can name a kind, a team, a VM, a shard or a failure domain.
+pub fn is_name(s: &str) -> bool {
+    let ok = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    !s.is_empty() && s.len() <= 64 && s.chars().all(ok)
+}
+
+/// One line under its headings, with the faults found so far.
+struct Line<'a> {
+    no: u64,
+    heads: &'a [String],
+    cells: csv::StringRecord,
+    faults: Vec<Fault>,
+}
+
+impl Line<'_> {
+    fn text(&self, column: &str) -> &str {
+        let at = self.heads.iter().position(|head| head == column);
+        at.and_then(|i| self.cells.get(i)).unwrap_or("").trim()
+    }
+
+    fn fault(&mut self, column: &str, want: &str) {
+        let fault = Fault {
+            line: self.no,
+            row: self.text("kind").to_string(),
+            column: column.to_string(),
+            value: self.text(column).to_string(),
+            want: want.to_string(),
+        };
+        self.faults.push(fault);
+    }
+
+    fn read<T>(&mut self, column: &str, parse: impl Fn(&str) -> Option<T>) -> Option<T> {
+        let got = parse(self.text(column));
+        if got.is_none() {
+            self.fault(column, want(column));
+        }
+        got
+    }
+
+    fn number(&mut self, column: &str, min: u64, max: u64) -> Option<u64> {
+        self.read(column, |s| s.parse().ok().filter(|n| (min..=max).contains(n)))
+    }
+
+    fn small(&mut self, column: &str, min: u32, max: u32) -> Option<u32> {
+        self.number(column, min as u64, max as u64).map(|n| n as u32)
+    }
+
+    fn name(&mut self, column: &str) -> Option<Name> {
+        self.read(column, |s| is_name(s).then(|| s.into()))
+    }
+
+    fn sites(&mut self) -> BTreeMap<Name, u32> {
+        let mut sites = BTreeMap::new();
+        for head in self.heads.iter().filter(|head| head.starts_with(SITE_PREFIX)) {
+            let weight = match self.text(head) {
+                "" => Some(0),
+                s => s.parse().ok().filter(|n| *n <= MAX_WEIGHT),
+            };
+            match weight {
+                Some(0) => {}
+                Some(n) => drop(sites.insert(head[SITE_PREFIX.len()..].into(), n)),
+                None => self.fault(head, SITE_WANT),
+            }
+        }
+        sites
+    }
+
+    fn row(&mut self) -> Option<Row> {
+        let kind = self.name("kind");
+        let team = self.name("team");
+        let class = self.read("class", parse_class);
+        let weight = self.small("weight", 0, MAX_WEIGHT);
+        let limit = self.small("limit", 1, 1_000_000);
+        let queue = self.small("queue", 0, 1_000_000);
+        let deadline = self.number("deadline", 1, MAX_DEADLINE);
+        let repeat = self.read("repeat", parse_yes);
+        let retries = self.small("retries", 0, MAX_RETRIES);
+        let pack = self.small("pack", 0, MAX_WEIGHT);
+        let spread = self.small("spread", 0, MAX_WEIGHT);
+        let quota = self.small("quota", 0, 4_000_000_000);
+        let sites = self.sites();
+        if repeat == Some(false) && retries.is_some_and(|n| n > 0) {
+            self.fault("retries", want("retries"));
+        }
+        Some(Row {
+            kind: kind?,
+            team: team?,
+            class: class?,
+            weight: weight?,
+            limit: limit?,
+            queue: queue?,
+            deadline: Millis(deadline?),
+            repeat: repeat?,
+            retries: retries?,
+            pack: pack?,
+            spread: spread?,
+            quota: quota?,
+            sites,
+        })
+    }
+}
+
+fn want(column: &str) -> &'static str {
+    COLUMNS.iter().find(|(name, _)| *name == column).map_or("", |(_, want)| want)
+}
+
+fn parse_class(s: &str) -> Option<Class> {
+    match s {
+        "request" => Some(Class::Request),
+        "batch" => Some(Class::Batch),
+        "service" => Some(Class::Service),
+        _ => None,
+    }
+}
+
+fn parse_yes(s: &str) -> Option<bool> {
+    match s {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+fn file_fault(line: u64, column: &str, value: &str, want: &str) -> Fault {
+    let [column, value, want] = [column, value, want].map(str::to_string);
+    Fault { line, row: String::new(), column, value, want }
+}
+
+fn check_heads(heads: &[String]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (name, want) in COLUMNS {
+        if !heads.iter().any(|head| head == name) {
+            faults.push(file_fault(1, name, "", &format!("a column with this heading, of {want}")));
+        }
+    }
+    let mut seen = BTreeSet::new();
+    for head in heads {
+        let known = COLUMNS.iter().any(|(name, _)| name == head);
+        let site = head.strip_prefix(SITE_PREFIX).is_some_and(is_name);
+        match seen.insert(head) {
+            true if known || site => {}
+            true => faults.push(file_fault(1, head, head, "a known heading or site:DOMAIN")),
+            false => faults.push(file_fault(1, head, head, "each heading once")),
+        }
+    }
+    faults
+}
+
+impl Table {
+    /// Reads a table from CSV text.
+    ///
+    /// # Errors
+    /// Every fault of the file, in the order of its lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        if text.len() > MAX_TABLE {
+            let want = format!("a file of at most {MAX_TABLE} bytes");
+            return Err(vec![file_fault(0, "", &text.len().to_string(), &want)]);
+        }
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let mut reader = csv::ReaderBuilder::new().flexible(true).from_reader(text.as_bytes());
+        let heads: Vec<String> = match reader.headers() {
+            Ok(record) => record.iter().map(|s| s.trim().to_string()).collect(),
+            Err(err) => return Err(vec![file_fault(1, "", &err.to_string(), "CSV in UTF-8")]),
+        };
+        let mut faults = check_heads(&heads);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let mut table = Self::default();
+        for record in reader.records() {
+            match record {
+                Ok(cells) if cells.iter().all(|cell| cell.trim().is_empty()) => {}
+                Ok(cells) => faults.append(&mut table.add_line(&heads, cells)),
+                Err(err) => faults.push(file_fault(0, "", &err.to_string(), "CSV in UTF-8")),
+            }
+        }
+        if table.rows.is_empty() && faults.is_empty() {
+            faults.push(file_fault(2, "kind", "", "at least one row"));
+        }
+        if faults.is_empty() { Ok(table) } else { Err(faults) }
+    }
+
+    fn add_line(&mut self, heads: &[String], cells: csv::StringRecord) -> Vec<Fault> {
+        let no = cells.position().map_or(0, |at| at.line());
+        let mut line = Line { no, heads, cells, faults: Vec::new() };
+        if line.cells.len() > heads.len() {
+            let extra = line.cells.get(heads.len()).unwrap_or("").to_string();
+            let mut fault = file_fault(no, "", &extra, "no more cells than headings");
+            fault.row = line.text("kind").to_string();
+            line.faults.push(fault);
+        }
+        match line.text("kind").strip_prefix(VM_PREFIX) {
+            Some(vm) if is_name(vm) && line.text("weight") == "0" => {
+                self.leaving.insert(vm.into());
+            }
+            Some(_) => line.fault("weight", "0 in a row vm:NAME, which takes the VM out of use"),
+            None => match line.row() {
+                Some(row) if self.rows.contains_key(&row.kind) => line.fault("kind", want("kind")),
+                Some(row) => drop(self.rows.insert(row.kind.clone(), row)),
+                None => {}
+            },
+        }
+        line.faults
+    }
+
+    /// The differences from `self` to `other`, one line of text each, for people.
+    pub fn diff(&self, other: &Self) -> Vec<String> {
+        let mut lines = Vec::new();
+        for (kind, row) in &self.rows {
+            match other.rows.get(kind) {
+                Some(new) if new == row => {}
+                Some(new) => lines.push(format!("~ {kind}: {}", row.changes(new).join(", "))),
+                None => lines.push(format!("- {kind}")),
+            }
+        }
+        let added = other.rows.keys().filter(|kind| !self.rows.contains_key(*kind));
+        lines.extend(added.map(|kind| format!("+ {kind}")));
+        lines.extend(other.leaving.difference(&self.leaving).map(|vm| format!("+ vm:{vm}")));
+        lines.extend(self.leaving.difference(&other.leaving).map(|vm| format!("- vm:{vm}")));
+        lines
+    }
+}
+
+impl Row {
+    fn changes(&self, new: &Self) -> Vec<String> {
+        let cells = |row: &Self| {
+            vec![
+                ("team", row.team.to_string()),
+                ("class", format!("{:?}", row.class).to_lowercase()),
+                ("weight", row.weight.to_string()),
+                ("limit", row.limit.to_string()),
+                ("queue", row.queue.to_string()),
+                ("deadline", row.deadline.to_string()),
+                ("repeat", row.repeat.to_string()),
+                ("retries", row.retries.to_string()),
+                ("pack", row.pack.to_string()),
+                ("spread", row.spread.to_string()),
+                ("quota", row.quota.to_string()),
+                ("sites", format!("{:?}", row.sites)),
+            ]
+        };
+        let pairs = cells(self).into_iter().zip(cells(new));
+        let changed = pairs.filter(|(old, new)| old.1 != new.1);
+        changed.map(|(old, new)| format!("{} {} -> {}", old.0, old.1, new.1)).collect()
+    }
+
+    /// The weight of `domain` for this kind of work.
+    pub fn site(&self, domain: &str) -> u32 {
+        self.sites.get(domain).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,179 @@
+//! The time line: typed events of every process, ordered over all of them by a hybrid clock.
+
+use crate::clock::Millis;
+use crate::id::{EntryId, JobId, Name, TaskId};
+use crate::job::Outcome;
+use crate::size::Size;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::{Mutex, PoisonError};
+
+/// How many events a process keeps.
+const KEEP: usize = 200_000;
+/// Bits of a stamp below the milliseconds.
+const COUNT_BITS: u32 = 16;
+
+/// A time stamp of a hybrid logical clock: milliseconds above a counter. Stamps received from
+/// other processes move the clock on, so an effect is stamped later than its cause.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Stamp(pub u64);
+
+impl Stamp {
+    /// The milliseconds of the stamp.
+    pub fn millis(self) -> Millis {
+        Millis(self.0 >> COUNT_BITS)
+    }
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub enum What {
+    /// A process began to serve.
+    Up { role: Name },
+    /// A process stops by plan.
+    Stopping,
+    /// A table is in force here.
+    TableInForce { rev: u64, by: Name },
+    /// A claim on a shard was read back and won.
+    Elected { shard: Name, epoch: u64 },
+    /// An owner has the shard's whole state and begins to decide.
+    TookOffice { shard: Name, epoch: u64, from: Name },
+    /// An owner learned of a later epoch.
+    Deposed { shard: Name, epoch: u64 },
+    /// A replica refuses earlier epochs from now on.
+    Sealed { shard: Name, epoch: u64 },
+    /// A job was accepted.
+    Submitted { job: JobId, kind: Name, tasks: u32, repeat: bool },
+    /// A job was refused.
+    Refused { job: JobId, reason: Name },
+    /// A job was withdrawn.
+    Cancelled { job: JobId },
+    /// A task was bound to a worker.
+    Bound { task: TaskId, worker: Name, epoch: u64, waited: Millis },
+    /// A start was sent.
+    StartSent { task: TaskId, worker: Name, owner: EntryId },
+    /// A task ended, as its owner sees it.
+    Ended { task: TaskId, outcome: Outcome },
+    /// A task waits again under its next attempt.
+    Requeued { task: TaskId },
+    /// A worker began to run a task.
+    WorkerStarted { task: TaskId, size: Size, total: Size, repeat: bool },
+    /// A worker stopped running a task.
+    WorkerEnded { task: TaskId, outcome: Outcome },
+    /// A worker lost all it ran.
+    WorkerUp { total: Size },
+    /// A request was taken in.
+    RequestIn { request: Name, kind: Name, repeat: bool },
+    /// A request was sent to a runner.
+    RequestSent { request: Name, runner: Name },
+    /// A request got its final answer: its status and whether it may have run.
+    RequestOut { request: Name, status: u16, run: Name, waited: Millis },
+    /// A runner ran a request.
+    RunnerRan { request: Name },
+    /// A VM is leaving, as this process sees it.
+    Leaving { vm: Name },
+    /// A worker is set aside because it fails its tasks.
+    SetAside { worker: Name },
+    /// The platform's log or list cannot be reached, or can be again.
+    Platform { part: Name, up: bool },
+}
+
+/// One event of the time line.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// When.
+    pub at: Stamp,
+    /// The process.
+    pub who: Name,
+    /// What.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at={} who={}", self.at.0, self.who)?;
+        let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(&self.what) else {
+            return Err(fmt::Error);
+        };
+        if let Some(name) = fields.get("event").and_then(|name| name.as_str()) {
+            write!(f, " event={name}")?;
+        }
+        for (key, value) in fields.iter().filter(|(key, _)| *key != "event") {
+            write_pair(f, key, value)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_pair(f: &mut fmt::Formatter<'_>, key: &str, value: &serde_json::Value) -> fmt::Result {
+    match value {
+        serde_json::Value::String(text) => write!(f, " {key}={text}"),
+        serde_json::Value::Object(map) if key == "task" => {
+            let part = |name| map.get(name).map(ToString::to_string).unwrap_or_default();
+            let job = part("job");
+            write!(f, " task={}/{}#{}", job.trim_matches('"'), part("index"), part("attempt"))
+        }
+        other => write!(f, " {key}={other}"),
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    last: Stamp,
+    events: VecDeque<Event>,
+}
+
+/// The time line of one process.
+#[derive(Debug)]
+pub struct Trace {
+    who: Name,
+    inner: Mutex<Inner>,
+}
+
+impl Trace {
+    /// An empty time line of the process `who`.
+    pub fn new(who: Name) -> Self {
+        Self { who, inner: Mutex::default() }
+    }
+
+    /// Adds an event and logs it.
+    pub fn add(&self, what: What) {
+        let at = self.stamp();
+        let event = Event { at, who: self.who.clone(), what };
+        log::debug!("{event}");
+        let mut inner = self.lock();
+        inner.events.push_back(event);
+        if inner.events.len() > KEEP {
+            inner.events.pop_front();
+        }
+    }
+
+    /// A new stamp, later than all that were given or seen.
+    pub fn stamp(&self) -> Stamp {
+        let now = Stamp(Millis::now().0 << COUNT_BITS);
+        let mut inner = self.lock();
+        inner.last = now.max(Stamp(inner.last.0 + 1));
+        inner.last
+    }
+
+    /// Takes in a stamp from another process.
+    pub fn seen(&self, stamp: Stamp) {
+        let mut inner = self.lock();
+        inner.last = inner.last.max(stamp);
+    }
+
+    /// The events after `since`, at most `max`.
+    pub fn after(&self, since: Stamp, max: usize) -> Vec<Event> {
+        let inner = self.lock();
+        let start = inner.events.partition_point(|event| event.at <= since);
+        inner.events.iter().skip(start).take(max).cloned().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/wire/keys.rs
@@ -0,0 +1,135 @@
+//! Keys between entries: a certificate authority for the cell, a certificate for each entry.
+
+use crate::id::Name;
+use crate::settings::Keys;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rcgen::{
+    BasicConstraints, Certificate, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa,
+    KeyPair, KeyUsagePurpose,
+};
+use rustls::RootCertStore;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// The protocol's name in the handshake.
+const ALPN: &[u8] = b"sprucerudder/1";
+
+/// Keys that cannot be made or used.
+#[derive(Debug, Error)]
+pub enum KeyError {
+    /// Making them failed.
+    #[error("cannot make keys: {0}")]
+    Make(#[from] rcgen::Error),
+    /// The PEM text cannot be read.
+    #[error("cannot read PEM: {0}")]
+    Pem(String),
+    /// They do not fit together.
+    #[error("cannot use keys: {0}")]
+    Use(String),
+}
+
+/// A certificate authority.
+pub struct Authority {
+    cert: Certificate,
+    pair: KeyPair,
+}
+
+impl Authority {
+    /// A new authority for a cell.
+    ///
+    /// # Errors
+    /// If keys cannot be made.
+    pub fn new(cell: &str) -> Result<Self, KeyError> {
+        let pair = KeyPair::generate()?;
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.distinguished_name.push(DnType::CommonName, cell);
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+        let cert = params.self_signed(&pair)?;
+        Ok(Self { cert, pair })
+    }
+
+    /// Keys for the entry `name`.
+    ///
+    /// # Errors
+    /// If keys cannot be made.
+    pub fn issue(&self, name: &str) -> Result<Keys, KeyError> {
+        let pair = KeyPair::generate()?;
+        let mut params = CertificateParams::new(vec![name.to_string()])?;
+        params.distinguished_name.push(DnType::CommonName, name);
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        let cert = params.signed_by(&pair, &self.cert, &self.pair)?;
+        Ok(Keys {
+            authority: self.cert.pem().into(),
+            certificate: cert.pem().into(),
+            secret: pair.serialize_pem().into(),
+        })
+    }
+}
+
+fn certs(pem: &Name) -> Result<Vec<CertificateDer<'static>>, KeyError> {
+    let found: Result<Vec<_>, _> = rustls_pemfile::certs(&mut pem.as_bytes()).collect();
+    match found {
+        Ok(list) if !list.is_empty() => Ok(list),
+        Ok(_) => Err(KeyError::Pem("no certificate".into())),
+        Err(err) => Err(KeyError::Pem(err.to_string())),
+    }
+}
+
+fn secret(pem: &Name) -> Result<PrivateKeyDer<'static>, KeyError> {
+    match rustls_pemfile::private_key(&mut pem.as_bytes()) {
+        Ok(Some(key)) => Ok(key),
+        Ok(None) => Err(KeyError::Pem("no private key".into())),
+        Err(err) => Err(KeyError::Pem(err.to_string())),
+    }
+}
+
+fn roots(keys: &Keys) -> Result<Arc<RootCertStore>, KeyError> {
+    let mut store = RootCertStore::empty();
+    for cert in certs(&keys.authority)? {
+        store.add(cert).map_err(used)?;
+    }
+    Ok(Arc::new(store))
+}
+
+fn used(err: impl std::fmt::Display) -> KeyError {
+    KeyError::Use(err.to_string())
+}
+
+/// The server's side: only clients with a certificate of the cell are let in.
+///
+/// # Errors
+/// If the keys cannot be used.
+pub fn server(keys: &Keys) -> Result<QuicServerConfig, KeyError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let roots = roots(keys)?;
+    let builder = WebPkiClientVerifier::builder_with_provider(roots, provider.clone());
+    let verifier = builder.build().map_err(used)?;
+    let mut config = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(used)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(certs(&keys.certificate)?, secret(&keys.secret)?)
+        .map_err(used)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    QuicServerConfig::try_from(config).map_err(used)
+}
+
+/// The client's side: only servers with a certificate of the cell for their name are used.
+///
+/// # Errors
+/// If the keys cannot be used.
+pub fn client(keys: &Keys) -> Result<QuicClientConfig, KeyError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(used)?
+        .with_root_certificates(roots(keys)?)
+        .with_client_auth_cert(certs(&keys.certificate)?, secret(&keys.secret)?)
+        .map_err(used)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    QuicClientConfig::try_from(config).map_err(used)
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,5 @@
+//! Entry to entry: typed messages over QUIC with mutual TLS.
+
+pub mod keys;
+pub mod msg;
+pub mod quic;
