--- /dev/null
+++ b/src/wire/msg.rs
@@ -0,0 +1,303 @@
+//! The messages between entries, encoded by postcard behind one byte with their version.
+
+use crate::clock::Millis;
+use crate::controller::list::VmList;
+use crate::controller::replica::{ReplicaError, State, Update};
+use crate::controller::shard::office::{Answer, Load, Refusal};
+use crate::controller::slots::SlotUse;
+use crate::controller::table::Revision;
+use crate::id::{EntryId, JobId, Name};
+use crate::job::{JobSpec, JobStatus};
+use crate::size::Size;
+use crate::trace::Stamp;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// The version of the messages; entries of other versions are refused by name, not misread.
+pub const VERSION: u8 = 1;
+
+/// A message with its sender's clock.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope<T> {
+    /// The sender's clock.
+    pub stamp: Stamp,
+    /// The message.
+    pub body: T,
+}
+
+/// A question to another entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// I live.
+    Beat(Beat),
+    /// Hold this for a shard.
+    Update { shard: Name, update: Update },
+    /// Refuse earlier epochs of a shard and say what you hold.
+    Seal { shard: Name, epoch: u64 },
+    /// I give up a shard that I own in this epoch: claim it.
+    Release { shard: Name, epoch: u64 },
+    /// Something for the owner of a shard.
+    Owner { shard: Name, ask: OwnerAsk },
+    /// Lend me slots of a shard's runners.
+    Slots { shard: Name, entry: Name, uses: Vec<SlotUse>, waiting: u32 },
+    /// What table is in force?
+    Table,
+    /// What VM list do you have?
+    List,
+    /// Serve this request in your failure domain.
+    Forward(Box<Forward>),
+}
+
+/// A question to the owner of a shard.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum OwnerAsk {
+    /// Accept a job.
+    Submit { job: JobId, spec: JobSpec },
+    /// Withdraw a job.
+    Cancel { job: JobId },
+    /// Take an idempotency key.
+    Key { key: Name, holder: Name },
+    /// Give a key back: surely nothing was run under it.
+    FreeKey { key: Name, holder: Name },
+    /// The state of a job.
+    Status { job: JobId },
+    /// The jobs of one team, or of all.
+    Jobs { team: Option<Name> },
+    /// The state of the shard.
+    State,
+}
+
+/// An answer from another entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Tell {
+    /// I live too.
+    Beat(Beat),
+    /// The last note that this run of an entry holds.
+    Updated { by: EntryId, result: Result<u64, ReplicaError> },
+    /// What this run of an entry holds.
+    Sealed { by: EntryId, state: State },
+    /// Done.
+    Done,
+    /// I do not own that shard.
+    NotOwner,
+    /// I own that shard, but the answer is not certain yet.
+    Pending,
+    /// The owner's answer.
+    Answer(Answer),
+    /// A job's state.
+    Status(Option<JobStatus>),
+    /// Jobs.
+    Jobs(Vec<JobStatus>),
+    /// A shard's state.
+    Shard(ShardStatus),
+    /// Slots of each runner.
+    Slots(Vec<(Name, u32)>),
+    /// The table in force.
+    Table(Option<Revision>),
+    /// The VM list.
+    List(VmList),
+    /// The request's answer.
+    Forwarded(Forwarded),
+}
+
+/// A sign of life.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub from: EntryId,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Its address for other entries.
+    pub addr: SocketAddr,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// The revision of its table.
+    pub rev: u64,
+    /// The version of its VM list.
+    pub list: u64,
+    /// The shards of its failure domain.
+    pub shards: Vec<ShardBeat>,
+}
+
+/// One shard in a sign of life.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShardBeat {
+    /// The shard.
+    pub shard: Name,
+    /// The newest epoch that the sender knows.
+    pub epoch: u64,
+    /// Whether the sender owns it in that epoch.
+    pub owner: bool,
+    /// Whether a start that the sender sent may still arrive.
+    pub flying: bool,
+    /// What the owner could take, from the owner only.
+    pub room: Option<Room>,
+}
+
+/// What a shard could take.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    /// The largest worker.
+    pub largest: Size,
+    /// The most that is free on one worker.
+    pub free: Size,
+    /// Tasks that wait.
+    pub waiting: u32,
+}
+
+/// A shard's state for operators.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShardStatus {
+    /// The shard.
+    pub shard: Name,
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its owner.
+    pub owner: EntryId,
+    /// Its replicas.
+    pub replicas: Vec<EntryId>,
+    /// Workers: what they have and what is set aside.
+    pub workers: Vec<(Name, Size, Size)>,
+    /// Workers set aside because they fail their tasks.
+    pub aside: Vec<Name>,
+    /// Tasks by kind.
+    pub loads: Vec<(Name, Load)>,
+}
+
+/// A request on its way to another failure domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Forward {
+    /// Its id.
+    pub id: Name,
+    /// The kind of work.
+    pub kind: Name,
+    /// The team of its caller.
+    pub team: Name,
+    /// Its idempotency key.
+    pub key: Option<Name>,
+    /// Whether its caller allows that it is run again.
+    pub repeat: bool,
+    /// How long its answer may take from now on.
+    pub left: Millis,
+    /// Headers that go to the runner.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The answer to a forwarded request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Forwarded {
+    /// The runner's whole answer.
+    Whole {
+        /// Its status.
+        status: u16,
+        /// Its content type.
+        content: Option<String>,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// It was given up.
+    Refused(Refused),
+}
+
+/// Why a request got no answer from a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[error("{reason:?}, run: {run:?}")]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// Whether any of it may have run.
+    pub run: Run,
+    /// When to come again, if that helps.
+    pub after: Option<Millis>,
+}
+
+/// Whether a request that failed was run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Run {
+    /// Surely not.
+    No,
+    /// Perhaps.
+    Unknown,
+}
+
+/// Why something was refused: the fixed list of the API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// No token, or an unknown one.
+    Unauthorized,
+    /// The token does not allow this.
+    Forbidden,
+    /// A header or body cannot be read.
+    Malformed,
+    /// No table is in force yet.
+    NoTable,
+    /// The table has no such kind of work.
+    UnknownKind,
+    /// The row belongs to another team.
+    WrongTeam,
+    /// The body is too large.
+    TooLarge,
+    /// Too many wait already.
+    QueueFull,
+    /// Its turn would come too late.
+    TooLate,
+    /// It was not answered in time.
+    Timeout,
+    /// No upstream could be reached.
+    NoUpstream,
+    /// The upstream's answer broke off.
+    BrokenAnswer,
+    /// No failure domain with weight for this kind can be reached.
+    NoSite,
+    /// The idempotency key was used before.
+    KeyKnown,
+    /// The owner of the shard cannot be reached.
+    NoOwner,
+    /// A job was refused.
+    Job(Refusal),
+    /// There is no such thing.
+    NotFound,
+    /// The log cannot be reached.
+    NoLog,
+    /// Another table was published first.
+    Conflict,
+}
+
+/// A message that could not be read or written.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The other side speaks another version.
+    #[error("version {0}, want {VERSION}")]
+    Version(u8),
+    /// The bytes are not a message.
+    #[error("malformed message: {0}")]
+    Malformed(#[from] postcard::Error),
+    /// Nothing came.
+    #[error("empty message")]
+    Empty,
+}
+
+/// Encodes a message.
+///
+/// # Errors
+/// If a value cannot be encoded.
+pub fn encode<T: Serialize>(message: &Envelope<T>) -> Result<Vec<u8>, CodecError> {
+    Ok(postcard::to_extend(message, vec![VERSION])?)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// If it is of another version, or malformed.
+pub fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<Envelope<T>, CodecError> {
+    match bytes.split_first() {
+        Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+        Some((version, _)) => Err(CodecError::Version(*version)),
+        None => Err(CodecError::Empty),
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,430 @@
+//! A small cell of separate processes over loopback.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use sprucerudder::check;
+use sprucerudder::clock::Millis;
+use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use sprucerudder::trace::Event;
+use sprucerudder::wire::keys::Authority;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+pub const OPERATOR: &str = "operator-token-0123";
+pub const NILEWIRE: &str = "nilewire-token-0123";
+pub const VIESTISILTA: &str = "viesti-token-012345";
+
+/// Longer than anything that is waited for takes on a busy machine.
+const PATIENCE: usize = 1_200;
+const LOOK: Duration = Duration::from_millis(50);
+const LIMIT: Millis = Millis(20_000);
+
+pub const TABLE: &str = "\
+kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:nasr-hall,site:pasila
+preview,nilewire,request,100,64,100,5000,yes,0,0,0,0,100,100
+ingest-step,nilewire,request,50,64,100,10000,no,0,0,0,0,100,100
+build,nilewire,batch,50,100,1000,60000,yes,2,10,0,0,100,100
+ingest,nilewire,service,80,100,100,60000,yes,2,0,10,0,100,100
+render,viestisilta,request,20,64,100,5000,yes,0,0,0,0,100,100
+campaign,viestisilta,batch,10,100,20000,600000,no,0,100,0,0,100,100
+";
+
+/// A process that is killed when the test is over.
+pub struct Process {
+    child: Child,
+    pub addr: SocketAddr,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("signal");
+    }
+
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        self.child.wait().expect("wait")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    listener.local_addr().expect("addr")
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind").local_addr().expect("addr")
+}
+
+pub fn binary() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
+}
+
+fn spawn(addr: SocketAddr, args: &[&str]) -> Process {
+    let child = binary().args(args).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+    Process { child: child.expect("spawn"), addr }
+}
+
+/// Two failure domains with two entries, two workers and a runner each, and a platform.
+pub struct Cell {
+    pub platform: Process,
+    pub entries: BTreeMap<String, Process>,
+    pub workers: BTreeMap<String, Process>,
+    pub runners: BTreeMap<String, Process>,
+    settings: BTreeMap<String, PathBuf>,
+    folder: PathBuf,
+    pub http: Http,
+    past: Vec<Event>,
+}
+
+const DOMAINS: [&str; 2] = ["nasr-hall", "pasila"];
+
+impl Cell {
+    pub async fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("spruce-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("folder");
+        let http = Http::default();
+        let platform = platform();
+        let mut cell = Self {
+            platform,
+            entries: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            runners: BTreeMap::new(),
+            settings: BTreeMap::new(),
+            folder,
+            http,
+            past: Vec::new(),
+        };
+        for domain in DOMAINS {
+            for index in 1..=2 {
+                let name = format!("{domain}-w{index}");
+                let worker = worker(&name, if index == 1 { 2 } else { 0 });
+                cell.workers.insert(name, worker);
+            }
+            let name = format!("{domain}-r1");
+            cell.runners.insert(name.clone(), runner(&name));
+        }
+        cell.write_settings();
+        for name in cell.settings.keys().cloned().collect::<Vec<_>>() {
+            cell.start_entry(&name);
+        }
+        let platform = cell.platform.addr;
+        cell.until("platform", async || {
+            cell.post(platform, "/set/list", &cell.list(1)).await.is_ok()
+        })
+        .await;
+        cell
+    }
+
+    /// The VM list in a version.
+    pub fn list(&self, rev: u64) -> Value {
+        let mut vms = Vec::new();
+        for (name, process) in &self.workers {
+            let acc = if name.ends_with("w1") { 2 } else { 0 };
+            let domain = &name[..name.len() - 3];
+            vms.push(json!({
+                "name": name, "role": "worker", "addr": process.addr.to_string(),
+                "domain": domain, "rack": format!("{domain}-a"),
+                "size": {"cpu": 8000, "mem": 16000, "acc": acc},
+            }));
+        }
+        for (name, process) in &self.runners {
+            let domain = &name[..name.len() - 3];
+            vms.push(json!({
+                "name": name, "role": "runner", "addr": process.addr.to_string(),
+                "domain": domain, "rack": format!("{domain}-a"), "slots": 8,
+            }));
+        }
+        json!({"rev": rev, "vms": vms})
+    }
+
+    fn write_settings(&mut self) {
+        let authority = Authority::new("test").expect("authority");
+        let names = DOMAINS.iter().flat_map(|d| (1..=2).map(move |i| (format!("{d}-{i}"), *d)));
+        let peers: Vec<(String, &str, SocketAddr)> =
+            names.map(|(name, domain)| (name, domain, free_udp())).collect();
+        for (name, domain, addr) in &peers {
+            let keys = authority.issue(name).expect("keys");
+            let others: Vec<Value> = peers
+                .iter()
+                .filter(|(other, ..)| other != name)
+                .map(|(name, domain, addr)| {
+                    json!({"name": name, "domain": domain, "addr": addr.to_string()})
+                })
+                .collect();
+            let http = free_addr();
+            let platform = self.platform.addr.to_string();
+            let settings = json!({
+                "name": name, "domain": domain, "http": http.to_string(),
+                "peer": addr.to_string(),
+                "platform": {"log": platform, "list": platform},
+                "keys": {
+                    "authority": &*keys.authority, "certificate": &*keys.certificate,
+                    "secret": &*keys.secret,
+                },
+                "peers": others,
+                "tokens": [
+                    {"name": "op", "token": OPERATOR, "right": "operator"},
+                    {"name": "desk", "token": NILEWIRE, "right": "team:nilewire"},
+                    {"name": "clinic", "token": VIESTISILTA, "right": "team:viestisilta"},
+                ],
+                "stop_grace": 200, "sync_every": 200, "list_every": 200, "beat_every": 200,
+            });
+            let path = self.folder.join(format!("{name}.jsonc"));
+            std::fs::write(&path, format!("// {name}\n{settings}")).expect("settings");
+            self.settings.insert(name.clone(), path);
+        }
+    }
+
+    pub fn start_entry(&mut self, name: &str) {
+        let path = &self.settings[name];
+        let text = std::fs::read_to_string(path).expect("settings");
+        let settings = sprucerudder::settings::Settings::parse(&text).expect("settings");
+        let args = ["entry", "--settings", path.to_str().expect("path")];
+        let process = spawn(settings.http, &args);
+        self.entries.insert(name.to_string(), process);
+    }
+
+    pub fn addr(&self, entry: &str) -> SocketAddr {
+        self.entries[entry].addr
+    }
+
+    /// Looks until `ready` holds.
+    pub async fn until(&self, what: &str, mut ready: impl AsyncFnMut() -> bool) {
+        for _ in 0..PATIENCE {
+            if ready().await {
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        panic!("waited in vain: {what}");
+    }
+
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<Answer, HttpError> {
+        let addr = addr.to_string();
+        let mut builder = Request::builder().method(method).uri(uri(&addr, path)?);
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::from(Bytes::from(body))).expect("request");
+        self.http.send(&addr, request, LIMIT).await
+    }
+
+    /// Sends with a token and returns status and JSON body.
+    pub async fn call(
+        &self,
+        entry: &str,
+        token: &str,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (u16, Value) {
+        let auth = format!("Bearer {token}");
+        let headers =
+            [(AUTHORIZATION.as_str(), &*auth), (CONTENT_TYPE.as_str(), "application/json")];
+        let body = if body.is_null() { String::new() } else { body.to_string() };
+        match self.send(self.addr(entry), method, path, &headers, body).await {
+            Ok(answer) => {
+                let value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+                (answer.status.as_u16(), value)
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    pub async fn get(&self, entry: &str, path: &str) -> Value {
+        self.call(entry, OPERATOR, Method::GET, path, Value::Null).await.1
+    }
+
+    /// Sends a caller's request.
+    pub async fn request(
+        &self,
+        entry: &str,
+        kind: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> (u16, String) {
+        let token = if kind == "render" { VIESTISILTA } else { NILEWIRE };
+        let auth = format!("Bearer {token}");
+        let mut all = vec![(AUTHORIZATION.as_str(), &*auth)];
+        all.extend_from_slice(headers);
+        let path = format!("/run/{kind}");
+        match self.send(self.addr(entry), Method::POST, &path, &all, body.to_string()).await {
+            Ok(answer) => {
+                (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned())
+            }
+            Err(err) => (0, err.to_string()),
+        }
+    }
+
+    pub async fn publish(&self, entry: &str, base: u64, table: &str) -> (u16, Value) {
+        let auth = format!("Bearer {OPERATOR}");
+        let headers = [
+            (AUTHORIZATION.as_str(), &*auth),
+            (CONTENT_TYPE.as_str(), "text/plain; charset=utf-8"),
+        ];
+        let path = format!("/v1/table?base={base}");
+        match self.send(self.addr(entry), Method::PUT, &path, &headers, table.into()).await {
+            Ok(answer) => (
+                answer.status.as_u16(),
+                serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
+            ),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Publishes the table and waits until all entries have it and all shards have owners.
+    pub async fn ready(&self) {
+        let first = self.entries.keys().next().expect("entries").clone();
+        self.until("publish", async || self.publish(&first, 0, TABLE).await.0 == 200).await;
+        for name in self.entries.keys() {
+            self.until("table", async || self.get(name, "/v1/table").await["rev"] == 1).await;
+            self.until("owners", async || self.owners(name).await.len() == 2).await;
+        }
+    }
+
+    /// The owner of each shard whose owner answers with its workers listed.
+    pub async fn owners(&self, entry: &str) -> BTreeMap<String, String> {
+        let status = self.get(entry, "/v1/status").await;
+        let shards = status["shards"].as_array().cloned().unwrap_or_default();
+        let reached = shards.iter().filter(|shard| {
+            let workers = shard["workers"].as_array().map_or(0, Vec::len);
+            shard["reached"] == true && workers > 0
+        });
+        let text = |value: &Value| value.as_str().unwrap_or("").to_string();
+        reached
+            .map(|shard| {
+                let owner = text(&shard["owner"]);
+                let name = owner.split('@').next().unwrap_or("").to_string();
+                (text(&shard["shard"]), name)
+            })
+            .collect()
+    }
+
+    pub async fn submit(&self, entry: &str, token: &str, job: Value) -> String {
+        let mut id = String::new();
+        self.until("submit", async || {
+            let (status, answer) =
+                self.call(entry, token, Method::POST, "/v1/jobs", job.clone()).await;
+            id = answer["job"].as_str().unwrap_or("").to_string();
+            assert!(status == 200 || status >= 429 || status == 0, "{status} {answer}");
+            status == 200
+        })
+        .await;
+        id
+    }
+
+    pub async fn job(&self, entry: &str, id: &str) -> Value {
+        self.get(entry, &format!("/v1/jobs/{id}")).await
+    }
+
+    pub async fn until_job(&self, entry: &str, id: &str, state: &str) -> Value {
+        let mut last = Value::Null;
+        let what = format!("job {id} {state}");
+        self.until(&what, async || {
+            last = self.job(entry, id).await;
+            last["state"] == state
+        })
+        .await;
+        last
+    }
+
+    pub async fn post(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, HttpError> {
+        self.http.post_as("test", &addr.to_string(), path, body, LIMIT).await
+    }
+
+    pub async fn platform_faults(&self, faults: Value) {
+        self.post(self.platform.addr, "/set/faults", &faults).await.expect("faults");
+    }
+
+    async fn events_of(&self, addr: SocketAddr) -> Vec<Event> {
+        let auth = format!("Bearer {OPERATOR}");
+        let headers =
+            [(AUTHORIZATION.as_str(), &*auth), (CONTENT_TYPE.as_str(), "application/json")];
+        let ask = json!({"since": 0, "max": 1_000_000}).to_string();
+        let answer = self.send(addr, Method::POST, "/timeline", &headers, ask).await;
+        answer.ok().and_then(|a| serde_json::from_slice(&a.body).ok()).unwrap_or_default()
+    }
+
+    /// Keeps the events of a process that is about to be killed.
+    pub async fn keep_events(&mut self, entry: &str) {
+        let events = self.events_of(self.addr(entry)).await;
+        self.past.extend(events);
+    }
+
+    /// The time line over all processes.
+    pub async fn timeline(&self) -> Vec<Event> {
+        let mut events = self.past.clone();
+        let all = self.entries.values().chain(self.workers.values()).chain(self.runners.values());
+        for process in all {
+            events.extend(self.events_of(process.addr).await);
+        }
+        events.sort_by(|a, b| (a.at, &a.who).cmp(&(b.at, &b.who)));
+        events
+    }
+
+    /// Whether some line of the time line has all of these texts.
+    pub async fn saw(&self, texts: &[&str]) -> bool {
+        let events = self.timeline().await;
+        let lines = events.iter().map(ToString::to_string);
+        let mut found = lines.filter(|line| texts.iter().all(|text| line.contains(text)));
+        found.next().is_some()
+    }
+
+    /// No event of the time line broke a promise.
+    pub async fn check(&self) {
+        let events = self.timeline().await;
+        assert!(events.len() > 10, "time line too short: {}", events.len());
+        let broken = check::check(&events);
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn platform() -> Process {
+    let addr = free_addr();
+    spawn(addr, &["standin", "platform", "--listen", &addr.to_string()])
+}
+
+fn worker(name: &str, acc: u32) -> Process {
+    let addr = free_addr();
+    let (listen, acc) = (addr.to_string(), acc.to_string());
+    let args = ["standin", "worker", "--listen", &listen, "--name", name];
+    spawn(addr, &[&args[..], &["--cpu", "8000", "--mem", "16000", "--acc", &acc]].concat())
+}
+
+fn runner(name: &str) -> Process {
+    let addr = free_addr();
+    spawn(addr, &["standin", "runner", "--listen", &addr.to_string(), "--name", name])
+}
