Ownership, task life and capacity under random faults; four failures mended

A claimant forgot its own answer once its search went to an older epoch: the shard stayed without an owner. 2. A sealed owner that had never taken office was still waited for. 3. An owner left a replica out as soon as it was gone. That replica may have been sealed before it died, so two owners bound tasks to the same room. 4. A doubled start that arrived after its task was acknowledged ran it again.

Ruled out: waiting longer before a take-over (no wait covers a pause without limit); waiting for every replica always (no start while the log is down and any one entry of the failure domain is being replaced).

Change: the search keeps all answers and closes an epoch only when nothing more can be committed in it; the last replica is never left out; a worker is told to forget a task only after the last start of it has surely arrived.

With a mechanism taken out (no wait for replicas, no seal, no state, no memory of ended tasks) the same checks fail, as they must.

--- a/src/controller/fold.rs
+++ b/src/controller/fold.rs
@@ -8,10 +8,10 @@
 use crate::controller::claims::Claims;
 use crate::controller::replica::{Replica, State, Update};
 use crate::controller::table::{Revision, Tables};
-use crate::id::{JobId, Name};
+use crate::id::{EntryId, JobId, Name};
 use crate::job::{JobSpec, Note, Outcome};
 use crate::record::{Claim, Record};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a folded record changed.
 #[derive(Debug, Clone, PartialEq)]
@@ -210,9 +210,12 @@
         self.states.get(shard).map(|replica| replica.state().clone()).unwrap_or_default()
     }
 
-    /// The jobs of a shard that the log has and that have not ended.
-    pub fn jobs<'a>(&'a self, shard: &'a str) -> impl Iterator<Item = (&'a JobId, &'a LogJob)> {
-        self.jobs.iter().filter(move |(id, _)| *id.shard == *shard)
+    /// What a new owner needs of a shard's past: earlier owners, and the jobs that the log has.
+    pub fn before(&self, shard: &str, me: &EntryId) -> (BTreeSet<EntryId>, Vec<(JobId, LogJob)>) {
+        let owners = self.claims.history(shard).iter().map(|claim| claim.owner.clone());
+        let former = owners.filter(|owner| owner != me).collect();
+        let jobs = self.jobs.iter().filter(|(id, _)| *id.shard == *shard);
+        (former, jobs.map(|(id, job)| (id.clone(), job.clone())).collect())
     }
 
     /// A record with all that a later reader needs to know of what came before.
--- a/src/controller/recover.rs
+++ b/src/controller/recover.rs
@@ -1,13 +1,13 @@
-//! How a claimant finds a shard's state: from the newest epoch down, by sealing one replica.
+//! How a claimant finds a shard's state: from the newest epoch down, by sealing its holders.
 //!
-//! An owner starts a task only after every replica of its epoch holds the note that binds it. So
-//! one sealed replica is enough to know all that the owner can have started, and a sealed replica
-//! without a base proves that nothing was committed in that epoch. See docs/design/ownership.md.
+//! An owner starts a task only after every replica of its epoch that is not gone, and at least
+//! one, holds the note that binds it. A claimant may decide once no such commit can follow its
+//! seals, which [`Recovery`] works out; docs/design/ownership.md has the argument.
 
 use crate::controller::replica::State;
 use crate::id::EntryId;
 use crate::record::Claim;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What the search needs next.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,10 +23,11 @@
 /// The search for a shard's state by the winner of a claim.
 #[derive(Debug)]
 pub struct Recovery {
+    me: EntryId,
     earlier: Vec<Claim>,
     whole: bool,
     log: State,
-    found: Option<State>,
+    answers: BTreeMap<EntryId, State>,
 }
 
 impl Recovery {
@@ -36,42 +37,60 @@
         let below = history.iter().filter(|claim| claim.epoch < mine.epoch);
         let earlier: Vec<Claim> = below.cloned().collect();
         let whole = earlier.first().map_or(mine.epoch, |first| first.epoch) == 1;
-        Self { earlier, whole, log, found: None }
+        Self { me: mine.owner.clone(), earlier, whole, log, answers: BTreeMap::new() }
     }
 
     /// Takes the answer of an entry that sealed itself.
     pub fn answer(&mut self, from: &EntryId, state: State) {
-        while let Some(last) = self.earlier.last() {
-            let asked = last.replicas.contains(from) || last.owner == *from;
-            match state.epoch >= last.epoch {
-                true => {
-                    self.found = Some(state);
-                    return;
-                }
-                false if asked && !last.replicas.is_empty() => drop(self.earlier.pop()),
-                false => return,
-            }
-        }
+        self.answers.insert(from.clone(), state);
     }
 
     /// What to do now, given the entries that are `gone` for good.
     pub fn next(&mut self, gone: impl Fn(&EntryId) -> bool) -> Next {
-        if let Some(state) = &self.found {
-            return Next::Found(Box::new(state.clone()));
-        }
         while let Some(last) = self.earlier.last() {
-            match last.replicas.is_empty() {
-                true if self.log.epoch >= last.epoch => {
+            let holders: BTreeSet<&EntryId> = last.replicas.iter().chain([&last.owner]).collect();
+            let closed = self.is_closed(last, &gone);
+            match () {
+                _ if last.replicas.is_empty() && self.log.epoch >= last.epoch => {
                     return Next::Found(Box::new(self.log.clone()));
                 }
-                true => drop(self.earlier.pop()),
-                false => {
-                    let holders = last.replicas.iter().chain([&last.owner]);
-                    let live: BTreeSet<EntryId> = holders.filter(|id| !gone(id)).cloned().collect();
-                    return if live.is_empty() { Next::Rebuild } else { Next::Ask(live) };
+                _ if last.replicas.is_empty() => {}
+                _ if !closed && holders.iter().all(|id| gone(id)) => return Next::Rebuild,
+                _ if !closed => {
+                    let missing = holders.into_iter().filter(|id| !self.answers.contains_key(id));
+                    return Next::Ask(missing.filter(|id| !gone(id)).cloned().collect());
+                }
+                _ => {
+                    if let Some(state) = self.newest(last) {
+                        return Next::Found(Box::new(state.clone()));
+                    }
                 }
             }
+            self.earlier.pop();
         }
         if self.whole { Next::Rebuild } else { Next::Ask(BTreeSet::new()) }
     }
+
+    /// Whether nothing more can be committed in this epoch than the answers have.
+    ///
+    /// The owner's own word is enough. Otherwise every replica has to be sealed or gone, and one
+    /// sealed. If some are gone, the owner may go on without them; what then keeps it from going on
+    /// with replicas that died after they were sealed is that it is gone too, or that this entry
+    /// is one of the replicas.
+    fn is_closed(&self, claim: &Claim, gone: &impl Fn(&EntryId) -> bool) -> bool {
+        let sealed = |id: &EntryId| self.answers.contains_key(id);
+        let all = claim.replicas.iter().all(|id| sealed(id) || gone(id));
+        let some = claim.replicas.iter().any(sealed);
+        let whole = !claim.replicas.iter().any(gone);
+        let held = claim.replicas.contains(&self.me) || gone(&claim.owner);
+        sealed(&claim.owner) || (all && some && (whole || held))
+    }
+
+    /// The newest state that a holder of this epoch had when it was sealed, if it was used at all.
+    fn newest(&self, claim: &Claim) -> Option<&State> {
+        let holders = claim.replicas.iter().chain([&claim.owner]);
+        let states = holders.filter_map(|id| self.answers.get(id));
+        let used = states.filter(|state| state.epoch >= claim.epoch);
+        used.max_by_key(|state| (state.epoch, state.seq))
+    }
 }
--- a/src/controller/shard/journal.rs
+++ b/src/controller/shard/journal.rs
@@ -143,17 +143,15 @@
         }
     }
 
-    /// A replica is gone for good: nobody can ask it, so nothing waits for it.
+    /// A replica is gone for good: nothing waits for it any more, unless it is the last one. A
+    /// claimant may have sealed that one before it died.
     pub fn gone(&mut self, id: &EntryId) {
-        self.replicas.remove(id);
+        if self.replicas.len() > 1 {
+            self.replicas.remove(id);
+        }
         self.trim();
     }
 
-    /// Whether anything besides the owner holds the notes.
-    pub fn is_kept(&self) -> bool {
-        self.log.is_some() || !self.replicas.is_empty()
-    }
-
     /// The replicas that updates go to.
     pub fn replicas(&self) -> Vec<EntryId> {
         self.replicas.keys().cloned().collect()
--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -36,6 +36,7 @@
         live.sent = true;
         live.out += 1;
         live.told = now;
+        live.started = Some(now);
         let (id, owner) = (task.clone(), self.me.clone());
         self.out.push(Action::Trace(What::StartSent { task: id, worker: worker.clone(), owner }));
         self.out.push(Action::Start { worker, order });
@@ -65,7 +66,6 @@
             live.out = live.out.saturating_sub(1);
         }
         match reply {
-            None if !stop => live.doubt = Some(now),
             None => {}
             Some(TaskReply::Running) => live.seen = Some(now),
             Some(TaskReply::Ended(outcome)) => self.ended(now, &task, outcome),
@@ -88,7 +88,8 @@
             Outcome::Failed => self.judge(now, &live.worker, &live.kind, false),
             Outcome::Cancelled | Outcome::Stopped | Outcome::Unknown => {}
         }
-        let hold = if live.doubt.is_some() || live.out > 0 { now + MAX_FLIGHT } else { now };
+        let last = if live.out > 0 { Some(now) } else { live.started };
+        let hold = last.map_or(now, |at| at + MAX_FLIGHT);
         match self.again(task, outcome) {
             true => self.requeue(now, task),
             false => self.finish(now, task, outcome),
@@ -284,7 +285,7 @@
             out: 0,
             seen: None,
             told: Millis(0),
-            doubt: None,
+            started: None,
         };
         self.live.insert(task, live);
     }
@@ -411,7 +412,7 @@
         let restarted = inc != bound_inc;
         let vanished = live.seen.is_some_and(|seen| seen < asked) && live.told < asked;
         let in_flight = live.out > 0
-            || live.doubt.is_some_and(|at| now.since(at) < MAX_FLIGHT)
+            || live.started.is_some_and(|at| now.since(at) < MAX_FLIGHT)
             || (!live.fresh && !self.unfenced.is_empty());
         if live.sent && (restarted || vanished) && !in_flight {
             self.lost(now, task);
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -24,7 +24,7 @@
 /// A task runs this long after its last renewal.
 pub const LEASE: Millis = Millis(15_000);
 /// A message sent to a worker arrives within this time or never.
-pub const MAX_FLIGHT: Millis = Millis(30_000);
+pub const MAX_FLIGHT: Millis = Millis(10_000);
 /// A worker not heard for this long gets no new tasks.
 pub(super) const WORKER_FRESH: Millis = Millis(3_000);
 /// How long a finished job can be asked for.
@@ -55,8 +55,8 @@
 /// The answer to a caller's event.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
-    /// The job is held by every replica; `kept` if there is at least one.
-    Submitted { job: JobId, kept: bool },
+    /// The job is held by every replica, or by the log if there is none.
+    Submitted { job: JobId },
     /// The job was not accepted.
     Refused(Refusal),
     /// The job was withdrawn; its state.
@@ -126,7 +126,6 @@
 pub(super) enum Effect {
     Start(TaskId),
     Reply { token: u64, answer: Answer },
-    Submitted { token: u64, job: JobId },
 }
 
 /// Why a running task is being stopped.
@@ -154,8 +153,8 @@
     pub seen: Option<Millis>,
     /// When the last start or stop was sent.
     pub told: Millis,
-    /// When a start went unanswered.
-    pub doubt: Option<Millis>,
+    /// When the last start was sent: until it is surely not on its way any more, it may arrive.
+    pub started: Option<Millis>,
 }
 
 /// An ended task that its worker may not forget yet.
@@ -345,7 +344,8 @@
             self.accept(now, &job, &spec);
         }
         let note = Note::Submit { job: job.clone(), spec, at: now };
-        self.note(note, Some(Effect::Submitted { token, job }));
+        let answer = Answer::Submitted { job };
+        self.note(note, Some(Effect::Reply { token, answer }));
     }
 
     fn accept(&mut self, now: Millis, job: &JobId, spec: &JobSpec) {
@@ -434,10 +434,6 @@
             match effect {
                 Effect::Start(task) => self.send_start(now, &task),
                 Effect::Reply { token, answer } => self.out.push(Action::Reply { token, answer }),
-                Effect::Submitted { token, job } => {
-                    let answer = Answer::Submitted { job, kept: self.journal.is_kept() };
-                    self.out.push(Action::Reply { token, answer });
-                }
             }
         }
     }
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -160,7 +160,7 @@
             out: 0,
             seen: None,
             told: now,
-            doubt: None,
+            started: None,
         };
         self.live.insert(task.clone(), live);
         let (worker, owner, epoch) = (name.clone(), self.me.clone(), self.epoch());
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -270,7 +270,7 @@
         for shard in order {
             let job = self.job_id(&shard, key, &spec.team).await?;
             match entry.submit_to(job.clone(), spec.clone(), OWNER_LIMIT).await {
-                Ok(kept) => return self.accepted(job, spec, kept).await,
+                Ok(()) => return Ok(self.accepted(job, spec).await),
                 Err(refused) if refused.run == Run::Unknown || key.is_some() => {
                     return Err(fail(refused));
                 }
@@ -281,21 +281,14 @@
     }
 
     /// Says where an accepted job is kept, and not more than is so.
-    async fn accepted(&self, job: JobId, spec: JobSpec, kept: bool) -> Result<JobAccepted> {
+    async fn accepted(&self, job: JobId, spec: JobSpec) -> JobAccepted {
         let entry = &self.entry;
         let record = Record::Job { job: job.clone(), spec, at: entry.now() };
-        let fresh = entry.is_log_fresh();
-        let logged = fresh && entry.writer.commit(vec![record], entry.now(), COMMIT_LIMIT).await;
-        let kept = match (logged, kept) {
-            (true, _) => Kept::Log,
-            (false, true) => Kept::Peer,
-            (false, false) => {
-                let (reason, run) = (Reason::NoLog, Run::Unknown);
-                return Err(fail(Refused { reason, run, after: Some(COMMIT_LIMIT) }));
-            }
-        };
+        let logged = entry.is_log_fresh()
+            && entry.writer.commit(vec![record], entry.now(), COMMIT_LIMIT).await;
+        let kept = if logged { Kept::Log } else { Kept::Peer };
         let kept = format!("{kept:?}").to_lowercase();
-        Ok(JobAccepted { job: job.to_string(), kept })
+        JobAccepted { job: job.to_string(), kept }
     }
 
     async fn shard_view(&self, shard: Name, domain: Name, owner: String, epoch: u64) -> ShardView {
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// How long a peer may take to answer a sign of life.
 const BEAT_LIMIT: Millis = Millis(1_000);
@@ -42,7 +41,7 @@
 
     pub(super) fn make_beat(&self) -> Beat {
         let shards = self.cells().into_iter().map(|cell| {
-            let flying = cell.flights.load(Ordering::SeqCst) > 0;
+            let flying = cell.is_flying(self.now());
             let known = lock(&self.fold).claims.epoch(&cell.id);
             let mut shard = cell.shard();
             let epoch = known.max(shard.epoch());
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Millis;
 use crate::controller::replica::{ReplicaError, State};
-use crate::controller::shard::office::{Action, Event, MAX_FLIGHT, Office};
+use crate::controller::shard::office::{Action, Event, Office};
 use crate::controller::shard::{Search, Source};
 use crate::controller::slots::Lender;
 use crate::entry::{Cell, Entry, lock};
@@ -141,13 +141,7 @@
             Source::State(state) => format!("epoch-{}-note-{}", state.epoch, state.seq),
             Source::Rebuild => "log".to_string(),
         };
-        let (former, jobs) = {
-            let fold = lock(&self.fold);
-            let owners = fold.claims.history(&cell.id).iter().map(|claim| claim.owner.clone());
-            let former: BTreeSet<EntryId> = owners.filter(|id| *id != self.me).collect();
-            let jobs = fold.jobs(&cell.id).map(|(id, job)| (id.clone(), job.clone())).collect();
-            (former, jobs)
-        };
+        let (former, jobs) = lock(&self.fold).before(&cell.id, &self.me);
         let former = former.into_iter().filter(|id| !self.is_gone(id)).collect();
         *cell.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
         let office = Office::new(&claim, source, former, jobs, self.table(), now);
@@ -192,7 +186,11 @@
                 })
                 .collect();
             let sent = actions.iter().filter(|action| matches!(action, Action::Start { .. }));
-            cell.flights.fetch_add(sent.count(), Ordering::SeqCst);
+            let sent = sent.count();
+            cell.flights.fetch_add(sent, Ordering::SeqCst);
+            if sent > 0 {
+                cell.last_start.store(now.0, Ordering::SeqCst);
+            }
             (actions, starts)
         };
         self.act(cell, actions, starts);
@@ -252,11 +250,7 @@
                 entry.step(&cell, Event::Told { task, stop, reply });
                 return;
             }
-            let unanswered = reply.is_none();
             entry.step(&cell, Event::Told { task, stop, reply });
-            if unanswered {
-                tokio::time::sleep(MAX_FLIGHT.duration()).await;
-            }
             cell.flights.fetch_sub(1, Ordering::SeqCst);
         });
     }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -202,10 +202,10 @@
         job: JobId,
         spec: JobSpec,
         limit: Millis,
-    ) -> Result<bool, Refused> {
+    ) -> Result<(), Refused> {
         let shard = job.shard.clone();
         match self.ask_owner(&shard, OwnerAsk::Submit { job, spec }, limit).await? {
-            Tell::Answer(Answer::Submitted { kept, .. }) => Ok(kept),
+            Tell::Answer(Answer::Submitted { .. }) => Ok(()),
             Tell::Answer(Answer::Refused(why)) => {
                 Err(Refused { reason: Reason::Job(why), run: Run::No, after: None })
             }
--- /dev/null
+++ b/tests/ownership.rs
@@ -0,0 +1,244 @@
+//! Ownership, task life and capacity under random faults, and the same checks seen to fail when a
+//! mechanism is taken out.
+
+mod world;
+
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, TestError, TestRng, TestRunner};
+use sprucerudder::job::Outcome;
+use sprucerudder::size::Size;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use world::{Flaw, World};
+
+const ENTRIES: usize = 3;
+const WORKERS: usize = 2;
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+enum Op {
+    Advance(u64),
+    Round,
+    RoughRound(u64),
+    Flush(usize),
+    Read(usize),
+    Deliver(usize),
+    Double(usize),
+    Lose(usize),
+    Delay(usize, bool),
+    Release(usize),
+    Sync(usize, usize),
+    Pause(usize),
+    Resume(usize),
+    Restart(usize),
+    ReplaceWorker(usize),
+    LogDown(bool),
+    Submit { entry: usize, once: bool, tasks: u32, gang: bool, cpu: u32 },
+    Cancel(usize, usize),
+    End(usize, usize, Outcome),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let entry = 0..ENTRIES;
+    let outcome = prop_oneof![
+        4 => Just(Outcome::Done),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::Stopped)
+    ];
+    prop_oneof![
+        8 => (10..3_000_u64).prop_map(Op::Advance),
+        10 => Just(Op::Round),
+        16 => any::<u64>().prop_map(Op::RoughRound),
+        12 => entry.clone().prop_map(Op::Flush),
+        12 => entry.clone().prop_map(Op::Read),
+        30 => (0..40_usize).prop_map(Op::Deliver),
+        4 => (0..40_usize).prop_map(Op::Double),
+        4 => (0..40_usize).prop_map(Op::Lose),
+        12 => (0..40_usize, any::<bool>()).prop_map(|(at, copy)| Op::Delay(at, copy)),
+        6 => (0..8_usize).prop_map(Op::Release),
+        8 => (entry.clone(), 0..WORKERS).prop_map(|(e, w)| Op::Sync(e, w)),
+        4 => entry.clone().prop_map(Op::Pause),
+        4 => entry.clone().prop_map(Op::Resume),
+        1 => entry.clone().prop_map(Op::Restart),
+        1 => (0..WORKERS).prop_map(Op::ReplaceWorker),
+        2 => any::<bool>().prop_map(Op::LogDown),
+        8 => (entry.clone(), any::<bool>(), 1..4_u32, any::<bool>(), 1..4_u32).prop_map(
+            |(entry, once, tasks, gang, cpu)| Op::Submit { entry, once, tasks, gang, cpu }
+        ),
+        2 => (entry, 0..10_usize).prop_map(|(e, j)| Op::Cancel(e, j)),
+        6 => (0..WORKERS, 0..3_usize, outcome).prop_map(|(w, t, o)| Op::End(w, t, o)),
+    ]
+}
+
+fn apply(world: &mut World, op: &Op) {
+    match *op {
+        Op::Advance(millis) => world.advance(millis),
+        Op::Round => world.round(false),
+        Op::RoughRound(seed) => world.rough_round(seed),
+        Op::Flush(entry) => world.flush(entry),
+        Op::Read(entry) => world.read_log(entry),
+        Op::Deliver(at) => world.deliver(at),
+        Op::Double(at) => world.double(at),
+        Op::Lose(at) => world.lose(at),
+        Op::Delay(at, copy) => world.delay(at, copy),
+        Op::Release(at) => world.release(at),
+        Op::Sync(entry, worker) => world.sync(entry, worker),
+        Op::Pause(entry) => world.entries[entry].paused = true,
+        Op::Resume(entry) => world.entries[entry].paused = false,
+        Op::Restart(entry) => world.restart_entry(entry),
+        Op::ReplaceWorker(worker) => world.replace_worker(worker),
+        Op::LogDown(down) => world.log_down = down,
+        Op::Submit { entry, once, tasks, gang, cpu } => {
+            let kind = if once { "once" } else { "build" };
+            world.submit(entry, kind, tasks, gang, Size::new(cpu, 1, 0));
+        }
+        Op::Cancel(entry, job) => world.cancel(entry, job),
+        Op::End(worker, task, outcome) => world.end_task(worker, task, outcome),
+    }
+    world.check();
+}
+
+fn play(ops: &[Op], flaw: Flaw) -> World {
+    let mut world = World::new(ENTRIES, WORKERS, flaw);
+    for _ in 0..20 {
+        world.round(false);
+    }
+    assert_eq!(world.owners().len(), 1);
+    for op in ops {
+        apply(&mut world, op);
+    }
+    world
+}
+
+/// The number of cases and the seed can be set for a long search; a run of the tests is the same
+/// each time.
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let seed = number("SPRUCE_SEED", 1).to_le_bytes().repeat(4);
+    let config =
+        Config { cases, max_shrink_iters: 4_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(config.rng_algorithm, &seed);
+    TestRunner::new_with_rng(config, rng)
+}
+
+#[test]
+fn nothing_breaks_under_random_faults() {
+    let mut runner = runner(number("SPRUCE_CASES", 400) as u32);
+    let ops = prop::collection::vec(op(), 1..250);
+    let result = runner.run(&ops, |ops| {
+        play(&ops, Flaw::None).heal();
+        Ok(())
+    });
+    match result {
+        Ok(()) => {}
+        Err(TestError::Fail(why, ops)) => panic!("{why}\n{ops:?}"),
+        Err(err) => panic!("{err}"),
+    }
+}
+
+/// Failures that the random search found, each as short as it could be made.
+#[test]
+fn failures_found_before_do_not_come_back() {
+    let submit = |entry, once, tasks, cpu| Op::Submit { entry, once, tasks, gang: false, cpu };
+    let replica_died_after_it_was_sealed = vec![
+        Op::ReplaceWorker(0),
+        Op::Advance(10),
+        Op::Pause(1),
+        Op::ReplaceWorker(0),
+        Op::Advance(2490),
+        Op::Round,
+        Op::Round,
+        submit(0, false, 1, 2),
+        Op::Pause(0),
+        Op::Advance(416),
+        Op::Advance(500),
+        Op::Advance(500),
+        Op::Advance(1084),
+        Op::Round,
+        Op::Advance(10),
+        Op::Resume(0),
+        Op::Restart(1),
+        Op::Restart(2),
+        submit(0, false, 1, 1),
+        Op::Pause(0),
+        Op::Round,
+        Op::Round,
+        Op::LogDown(false),
+        Op::Round,
+        submit(1, false, 1, 3),
+        Op::Round,
+    ];
+    let doubled_start_after_the_end = vec![
+        submit(2, false, 2, 2),
+        Op::Round,
+        Op::Advance(10),
+        Op::Round,
+        Op::End(0, 0, Outcome::Done),
+        submit(2, true, 2, 1),
+        Op::Round,
+        Op::RoughRound(9_595_081_733_285_599_201),
+        Op::End(1, 0, Outcome::Done),
+        Op::Round,
+        Op::Round,
+        Op::Round,
+    ];
+    let claimant_forgot_its_own_answer = vec![
+        Op::Advance(1852),
+        Op::Advance(1148),
+        Op::Pause(0),
+        Op::Round,
+        Op::Advance(10),
+        Op::Advance(10),
+        Op::ReplaceWorker(0),
+        Op::Restart(1),
+        Op::Round,
+        Op::Restart(0),
+        Op::Advance(10),
+    ];
+    let owner_that_never_took_office =
+        vec![Op::Pause(2), Op::Restart(1), Op::Round, Op::Round, Op::Advance(1500), Op::Restart(0)];
+    for ops in [
+        replica_died_after_it_was_sealed,
+        doubled_start_after_the_end,
+        claimant_forgot_its_own_answer,
+        owner_that_never_took_office,
+    ] {
+        play(&ops, Flaw::None).heal();
+    }
+}
+
+/// Whether some run of a fixed series breaks a promise.
+fn breaks(flaw: Flaw) -> bool {
+    let mut runner = runner(1);
+    let ops = prop::collection::vec(op(), 150..250);
+    std::panic::set_hook(Box::new(|_| {}));
+    let broke = (0..2_000).any(|_| {
+        let ops = ops.new_tree(&mut runner).expect("ops").current();
+        catch_unwind(AssertUnwindSafe(|| play(&ops, flaw))).is_err()
+    });
+    let _ = std::panic::take_hook();
+    broke
+}
+
+#[test]
+fn starts_that_do_not_wait_for_replicas_break_a_promise() {
+    assert!(breaks(Flaw::NoWait));
+}
+
+#[test]
+fn a_claimant_that_seals_nobody_breaks_a_promise() {
+    assert!(breaks(Flaw::NoSeal));
+}
+
+#[test]
+fn a_claimant_without_state_breaks_a_promise() {
+    assert!(breaks(Flaw::NoState));
+}
+
+#[test]
+fn workers_that_forget_at_once_break_a_promise() {
+    assert!(breaks(Flaw::NoTombs));
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,740 @@
+//! One shard with its entries, workers and log as fakes on a virtual clock: every message can be
+//! lost, doubled, late or swapped, every entry paused or killed between any two steps.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use sprucerudder::clock::Millis;
+use sprucerudder::controller::claims::{Claimant, Peer};
+use sprucerudder::controller::fold::{Change, Fold};
+use sprucerudder::controller::list::{Role, Vm};
+use sprucerudder::controller::replica::{ReplicaError, State, Update};
+use sprucerudder::controller::shard::office::{Action, Answer, Event, MAX_FLIGHT, Office};
+use sprucerudder::controller::shard::{Search, Shard, Source};
+use sprucerudder::id::{EntryId, JobId, Name, TaskId, hash};
+use sprucerudder::job::{JobSpec, Outcome};
+use sprucerudder::platform::api::{Report, Running, StartOrder, SyncOrder, TaskReply};
+use sprucerudder::record::Record;
+use sprucerudder::size::Size;
+use sprucerudder::table::Table;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+pub const SHARD: &str = "rack";
+pub const WORKER_SIZE: Size = Size::new(4, 8, 1);
+
+const TABLE: &str = "\
+kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:d
+build,t,batch,50,100,20000,60000,yes,2,10,0,0,1
+once,t,batch,50,100,20000,60000,no,0,10,0,0,1
+";
+
+/// A mechanism that is taken out, to show that the checks see its absence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    None,
+    /// Starts go out before the replicas have the binding.
+    NoWait,
+    /// A claimant takes its own copy without sealing anybody.
+    NoSeal,
+    /// A claimant starts from an empty state.
+    NoState,
+    /// Workers forget ended tasks at once.
+    NoTombs,
+}
+
+/// A message on its way.
+#[derive(Debug, Clone)]
+pub enum Message {
+    Start { from: EntryId, worker: Name, order: StartOrder },
+    Stop { from: EntryId, worker: Name, task: TaskId },
+    Told { to: EntryId, task: TaskId, stop: bool, reply: Option<TaskReply> },
+    Sync { from: EntryId, worker: Name, order: SyncOrder, asked: Millis },
+    Report { to: EntryId, worker: Name, report: Report, asked: Millis },
+    Update { from: EntryId, to: EntryId, update: Update },
+    Updated { to: EntryId, by: EntryId, epoch: u64, result: Result<u64, ReplicaError> },
+    Seal { from: EntryId, to: EntryId, epoch: u64 },
+    Sealed { to: EntryId, by: EntryId, epoch: u64, state: State },
+    Beat { from: EntryId, to: EntryId, epoch: u64, owner: bool, flying: bool },
+}
+
+#[derive(Debug, Clone)]
+pub struct InFlight {
+    pub sent: Millis,
+    pub message: Message,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub id: EntryId,
+    pub shard: Shard,
+    pub fold: Fold,
+    pub paused: bool,
+    claimant: Claimant,
+    peers: BTreeMap<Name, Peer>,
+    outbox: Vec<Message>,
+    last_start: Option<Millis>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Task {
+    Running(StartOrder),
+    Ended(Outcome),
+}
+
+#[derive(Debug, Default)]
+pub struct Worker {
+    pub inc: u64,
+    pub tasks: BTreeMap<TaskId, Task>,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub flaw: Flaw,
+    pub entries: Vec<Entry>,
+    pub workers: BTreeMap<Name, Worker>,
+    pub log: Vec<Record>,
+    pub log_down: bool,
+    pub net: Vec<InFlight>,
+    /// Messages that are late: nothing delivers them until they are released.
+    pub late: Vec<InFlight>,
+    pub jobs: Vec<JobId>,
+    pub answers: BTreeMap<u64, Answer>,
+    pub history: Vec<String>,
+    list: u64,
+    counter: u64,
+    started: BTreeSet<(JobId, u32)>,
+    gone: BTreeSet<EntryId>,
+}
+
+fn name(kind: &str, index: usize) -> Name {
+    format!("{kind}{index}").into()
+}
+
+impl World {
+    pub fn new(entries: usize, workers: usize, flaw: Flaw) -> Self {
+        let mut world = Self {
+            now: Millis(1_000_000),
+            flaw,
+            entries: Vec::new(),
+            workers: BTreeMap::new(),
+            log: Vec::new(),
+            log_down: false,
+            net: Vec::new(),
+            late: Vec::new(),
+            jobs: Vec::new(),
+            answers: BTreeMap::new(),
+            history: Vec::new(),
+            list: 1,
+            counter: 1,
+            started: BTreeSet::new(),
+            gone: BTreeSet::new(),
+        };
+        for index in 0..entries {
+            let entry = world.new_entry(name("e", index));
+            world.entries.push(entry);
+        }
+        for index in 0..workers {
+            world.add_worker(name("w", index));
+        }
+        world
+    }
+
+    fn next(&mut self) -> u64 {
+        self.counter += 1;
+        self.counter
+    }
+
+    fn new_entry(&mut self, name: Name) -> Entry {
+        let id = EntryId { name, inc: self.next() };
+        let mut fold = Fold::new("d".into());
+        let table = Table::parse(TABLE).expect("table");
+        assert!(!table.rows.is_empty());
+        for (offset, record) in self.log.iter().enumerate() {
+            fold.apply(offset as u64, vec![record.clone()]);
+        }
+        Entry {
+            shard: Shard::new(SHARD.into(), id.clone()),
+            claimant: Claimant::new(id.clone(), "d".into(), self.now),
+            peers: BTreeMap::new(),
+            outbox: Vec::new(),
+            last_start: None,
+            paused: false,
+            fold,
+            id,
+        }
+    }
+
+    fn add_worker(&mut self, name: Name) {
+        let inc = self.next();
+        self.workers.insert(name, Worker { inc, tasks: BTreeMap::new() });
+    }
+
+    fn vms(&self) -> Vec<Vm> {
+        let vm = |name: &Name| Vm {
+            name: name.clone(),
+            role: Role::Worker,
+            addr: name.clone(),
+            domain: "d".into(),
+            rack: SHARD.into(),
+            size: WORKER_SIZE,
+            slots: 0,
+            leaving: false,
+        };
+        self.workers.keys().map(vm).collect()
+    }
+
+    pub fn index(&self, id: &EntryId) -> Option<usize> {
+        self.entries.iter().position(|entry| entry.id == *id)
+    }
+
+    /// The entries that own the shard as far as they know.
+    pub fn owners(&mut self) -> Vec<usize> {
+        let owns = |e: &mut Entry| e.shard.office().is_some();
+        (0..self.entries.len()).filter(|i| owns(&mut self.entries[*i])).collect()
+    }
+
+    /// Lets time pass: entries that are not paused tick, claim, search and replicate.
+    pub fn advance(&mut self, millis: u64) {
+        self.now = self.now + Millis(millis);
+        for index in 0..self.entries.len() {
+            if !self.entries[index].paused {
+                self.tick(index);
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.step(index, Event::Tick);
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        let claim = entry.claimant.decide(now, &SHARD.into(), &entry.fold.claims, &entry.peers);
+        if let Some(claim) = claim.filter(|_| !self.log_down) {
+            self.log.push(Record::Claim(claim));
+        }
+        self.search(index);
+        self.replicate(index);
+        self.beat(index);
+    }
+
+    fn search(&mut self, index: usize) {
+        let gone = self.gone.clone();
+        let now = self.now;
+        let flaw = self.flaw;
+        let entry = &mut self.entries[index];
+        let Some(claim) = entry.shard.claiming().cloned() else { return };
+        let mut found = entry.shard.search(now, |id| gone.contains(id));
+        if flaw == Flaw::NoSeal {
+            found = Search::Ready(Source::State(Box::new(entry.shard.replica().state().clone())));
+        }
+        if flaw == Flaw::NoState {
+            found = Search::Ready(Source::State(Box::default()));
+        }
+        match found {
+            Search::Idle => {}
+            Search::Ask(ids) => {
+                let from = entry.id.clone();
+                let epoch = claim.epoch;
+                let others = ids.into_iter().filter(|id| *id != from);
+                let asks = others.map(|to| Message::Seal { from: from.clone(), to, epoch });
+                entry.outbox.extend(asks);
+            }
+            Search::Ready(source) => {
+                let (former, jobs) = entry.fold.before(SHARD, &entry.id);
+                let former = former.into_iter().filter(|id| !gone.contains(id)).collect();
+                let table = Arc::new(Table::parse(TABLE).expect("table"));
+                let office = Office::new(&claim, source, former, jobs, table, now);
+                entry.shard.take_office(office);
+                self.history.push(format!("{} e{index} takes office {}", self.now, claim.epoch));
+                self.tell_list(index);
+                for id in gone {
+                    self.step(index, Event::Gone(id));
+                }
+            }
+        }
+    }
+
+    fn tell_list(&mut self, index: usize) {
+        let (rev, vms) = (self.list, self.vms());
+        self.step(index, Event::Workers { rev, vms });
+    }
+
+    fn replicate(&mut self, index: usize) {
+        let flaw = self.flaw;
+        let entry = &mut self.entries[index];
+        let Some(office) = entry.shard.office() else { return };
+        let from = entry.id.clone();
+        let record = office.log_record();
+        let mut done = Vec::new();
+        for to in office.replicas() {
+            let Some(update) = office.update_for(&to) else { continue };
+            if flaw == Flaw::NoWait {
+                let seq = update.base.as_ref().map_or(0, |base| base.seq);
+                let seq = seq.max(update.first - 1 + update.notes.len() as u64);
+                done.push(Event::Acked { replica: to.clone(), epoch: update.epoch, seq });
+            }
+            entry.outbox.push(Message::Update { from: from.clone(), to, update });
+        }
+        if let Some(record) = record {
+            self.log.push(record);
+        }
+        for event in done {
+            self.step(index, event);
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        let now = self.now;
+        let flying = self.entries[index].last_start.is_some_and(|at| now.since(at) < MAX_FLIGHT)
+            || self.entries[index].outbox.iter().any(|m| matches!(m, Message::Start { .. }));
+        let entry = &mut self.entries[index];
+        let epoch = entry.fold.claims.epoch(SHARD).max(entry.shard.epoch());
+        let owner = entry.shard.office().is_some();
+        let from = entry.id.clone();
+        let others: Vec<EntryId> =
+            self.entries.iter().map(|e| e.id.clone()).filter(|id| *id != from).collect();
+        for to in others {
+            let beat = Message::Beat { from: from.clone(), to, epoch, owner, flying };
+            self.entries[index].outbox.push(beat);
+        }
+    }
+
+    /// Gives an event to an owner; its actions go to its outbox.
+    pub fn step(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        let Some(office) = entry.shard.office() else { return };
+        let from = entry.id.clone();
+        for action in office.step(now, event) {
+            match action {
+                Action::Start { worker, order } => {
+                    entry.outbox.push(Message::Start { from: from.clone(), worker, order });
+                }
+                Action::Stop { worker, task } => {
+                    entry.outbox.push(Message::Stop { from: from.clone(), worker, task });
+                }
+                Action::Reply { token, answer } => drop(self.answers.insert(token, answer)),
+                Action::Append(record) if !self.log_down => self.log.push(record),
+                Action::Append(_) | Action::Replicate | Action::Trace(_) => {}
+            }
+        }
+    }
+
+    /// An entry's messages leave it.
+    pub fn flush(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        if entry.paused {
+            return;
+        }
+        let sent = self.now;
+        for message in std::mem::take(&mut entry.outbox) {
+            if matches!(message, Message::Start { .. }) {
+                entry.last_start = Some(sent);
+            }
+            self.net.push(InFlight { sent, message });
+        }
+    }
+
+    /// An entry reads one record of the log.
+    pub fn read_log(&mut self, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        if entry.paused || self.log_down {
+            return;
+        }
+        let offset = entry.fold.next();
+        let Some(record) = self.log.get(offset as usize).cloned() else { return };
+        for change in entry.fold.apply(offset, vec![record]) {
+            match change {
+                Change::Claim(claim) => {
+                    let history = self.entries[index].fold.claims.history(SHARD).to_vec();
+                    let state = self.entries[index].fold.state(SHARD);
+                    self.entries[index].shard.claimed(now, &claim, &history, state);
+                }
+                Change::Noted { epoch, seq, .. } => self.step(index, Event::Logged { epoch, seq }),
+                Change::Table | Change::Job(_) => {}
+            }
+        }
+    }
+
+    /// Takes one message out of the network and delivers it, unless its receiver is paused.
+    pub fn deliver(&mut self, at: usize) {
+        if at >= self.net.len() {
+            return;
+        }
+        let InFlight { sent, message } = self.net.remove(at);
+        let late = self.now.since(sent) >= MAX_FLIGHT;
+        let receiver = message.receiver().and_then(|id| self.index(id));
+        let unknown = message.receiver().is_some() && receiver.is_none();
+        if late || unknown {
+            return self.answer_lost(message);
+        }
+        if receiver.is_some_and(|index| self.entries[index].paused) {
+            self.net.push(InFlight { sent, message });
+            return;
+        }
+        self.take(receiver.unwrap_or(0), message);
+    }
+
+    /// A message arrives a second time.
+    pub fn double(&mut self, at: usize) {
+        if let Some(copy) = self.net.get(at).cloned() {
+            self.net.push(copy);
+        }
+    }
+
+    /// A message will be late, and perhaps a copy of it arrives in time.
+    pub fn delay(&mut self, at: usize, copy: bool) {
+        if at >= self.net.len() {
+            return;
+        }
+        match copy {
+            true => self.late.push(self.net[at].clone()),
+            false => self.late.push(self.net.remove(at)),
+        }
+    }
+
+    /// A late message arrives.
+    pub fn release(&mut self, at: usize) {
+        if at < self.late.len() {
+            let message = self.late.remove(at);
+            self.net.push(message);
+            self.deliver(self.net.len() - 1);
+        }
+    }
+
+    /// A message is lost.
+    pub fn lose(&mut self, at: usize) {
+        if at < self.net.len() {
+            let message = self.net.remove(at).message;
+            self.answer_lost(message);
+        }
+    }
+
+    /// Who waits for the answer to a lost message learns that none came.
+    fn answer_lost(&mut self, message: Message) {
+        let told = |to, task, stop| Message::Told { to, task, stop, reply: None };
+        let lost = match message {
+            Message::Start { from, order, .. } => told(from, order.task, false),
+            Message::Stop { from, task, .. } => told(from, task, true),
+            Message::Told { to, task, stop, .. } => told(to, task, stop),
+            _ => return,
+        };
+        let known = lost.receiver().is_some_and(|id| self.index(id).is_some());
+        if known {
+            self.reply(lost);
+        }
+    }
+
+    fn take(&mut self, index: usize, message: Message) {
+        match message {
+            Message::Start { from, worker, order } => {
+                let task = order.task.clone();
+                let reply = self.worker_start(&worker, order);
+                let stop = false;
+                self.reply(Message::Told { to: from, task, stop, reply });
+            }
+            Message::Stop { from, worker, task } => {
+                let reply = self.worker_stop(&worker, &task);
+                self.reply(Message::Told { to: from, task, stop: true, reply });
+            }
+            Message::Sync { from, worker, order, asked } => {
+                if let Some(report) = self.worker_sync(&worker, &order) {
+                    self.reply(Message::Report { to: from, worker, report, asked });
+                }
+            }
+            Message::Told { task, stop, reply, .. } => {
+                self.step(index, Event::Told { task, stop, reply });
+            }
+            Message::Report { worker, report, asked, .. } => {
+                self.step(index, Event::Report { worker, asked, report });
+            }
+            Message::Update { from, to, update } => {
+                let epoch = update.epoch;
+                let result = self.entries[index].shard.update(update);
+                self.reply(Message::Updated { to: from, by: to, epoch, result });
+            }
+            Message::Updated { by, epoch, result, .. } => match result {
+                Ok(seq) => self.step(index, Event::Acked { replica: by, epoch, seq }),
+                Err(ReplicaError::Gap(_)) => self.step(index, Event::Gap { replica: by }),
+                Err(ReplicaError::Sealed(later)) => {
+                    self.entries[index].shard.step_down(later);
+                }
+            },
+            Message::Seal { from, to, epoch } => {
+                let state = self.entries[index].shard.seal(epoch);
+                self.reply(Message::Sealed { to: from, by: to, epoch, state });
+            }
+            Message::Sealed { by, epoch, state, .. } => {
+                self.entries[index].shard.sealed(&by, epoch, state);
+            }
+            Message::Beat { from, epoch, owner, flying, .. } => {
+                let heard = self.now;
+                let peer = Peer { id: from.clone(), heard, leaving: false };
+                self.entries[index].peers.insert(from.name.clone(), peer);
+                let mine = self.entries[index].shard.office().map(|office| office.epoch());
+                if !owner && !flying && mine.is_some_and(|mine| epoch >= mine) {
+                    self.step(index, Event::Fenced(from));
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, message: Message) {
+        let sent = self.now;
+        self.net.push(InFlight { sent, message });
+    }
+
+    fn worker_start(&mut self, worker: &Name, order: StartOrder) -> Option<TaskReply> {
+        let place = (order.task.job.clone(), order.task.index);
+        let tasks = &mut self.workers.get_mut(worker)?.tasks;
+        match tasks.get(&order.task) {
+            Some(Task::Running(_)) => return Some(TaskReply::Running),
+            Some(Task::Ended(outcome)) => return Some(TaskReply::Ended(*outcome)),
+            None => {}
+        }
+        let repeat = order.repeat;
+        self.history.push(format!("{} {worker} starts {}", self.now, order.task));
+        tasks.insert(order.task.clone(), Task::Running(order));
+        let first = self.started.insert(place);
+        assert!(first || repeat, "at most once: {:#?}", self.history);
+        Some(TaskReply::Running)
+    }
+
+    fn worker_stop(&mut self, worker: &Name, task: &TaskId) -> Option<TaskReply> {
+        let tasks = &mut self.workers.get_mut(worker)?.tasks;
+        let outcome = match tasks.get(task) {
+            Some(Task::Ended(outcome)) => *outcome,
+            Some(Task::Running(_)) => Outcome::Stopped,
+            None => Outcome::Cancelled,
+        };
+        tasks.insert(task.clone(), Task::Ended(outcome));
+        Some(TaskReply::Ended(outcome))
+    }
+
+    fn worker_sync(&mut self, worker: &Name, order: &SyncOrder) -> Option<Report> {
+        let flaw = self.flaw;
+        let worker = self.workers.get_mut(worker)?;
+        for id in &order.ack {
+            if matches!(worker.tasks.get(id), Some(Task::Ended(_))) {
+                worker.tasks.remove(id);
+            }
+        }
+        let mut report = Report { inc: worker.inc, ..Report::default() };
+        for (id, task) in &worker.tasks {
+            match task {
+                Task::Running(order) => report.running.push(Running {
+                    task: id.clone(),
+                    kind: order.kind.clone(),
+                    size: order.size,
+                    usage: order.size,
+                }),
+                Task::Ended(outcome) => report.ended.push((id.clone(), *outcome)),
+            }
+        }
+        if flaw == Flaw::NoTombs {
+            worker.tasks.retain(|_, task| matches!(task, Task::Running(_)));
+        }
+        Some(report)
+    }
+
+    /// A running task of a worker ends.
+    pub fn end_task(&mut self, worker: usize, task: usize, outcome: Outcome) {
+        let Some(name) = self.workers.keys().nth(worker).cloned() else { return };
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let running = worker.tasks.iter_mut().filter(|(_, t)| matches!(t, Task::Running(_)));
+        if let Some((id, slot)) = running.into_iter().nth(task) {
+            self.history.push(format!("{} {name} ends {id} {outcome:?}", self.now));
+            *slot = Task::Ended(outcome);
+        }
+    }
+
+    /// A worker's VM is gone from the list, and another comes.
+    pub fn replace_worker(&mut self, worker: usize) {
+        let Some(name) = self.workers.keys().nth(worker).cloned() else { return };
+        self.workers.remove(&name);
+        let fresh = self.next();
+        self.add_worker(format!("w{fresh}").into());
+        self.list += 1;
+        for index in 0..self.entries.len() {
+            if !self.entries[index].paused {
+                self.tell_list(index);
+            }
+        }
+    }
+
+    /// An entry asks a worker what it runs.
+    pub fn sync(&mut self, index: usize, worker: usize) {
+        let Some(name) = self.workers.keys().nth(worker).cloned() else { return };
+        let entry = &mut self.entries[index];
+        if entry.paused {
+            return;
+        }
+        let asked = self.now;
+        let from = entry.id.clone();
+        let order = entry.shard.office().and_then(|office| office.sync(&name));
+        if let Some((_, order)) = order {
+            entry.outbox.push(Message::Sync { from, worker: name, order, asked });
+        }
+    }
+
+    /// An entry is killed and started again as a new run; others learn that the old one is gone.
+    pub fn restart_entry(&mut self, index: usize) {
+        let old = self.entries[index].id.clone();
+        self.entries[index] = self.new_entry(old.name.clone());
+        self.gone.insert(old.clone());
+        self.history.push(format!("{} {old} is killed", self.now));
+        for other in 0..self.entries.len() {
+            if other != index && !self.entries[other].paused {
+                self.step(other, Event::Gone(old.clone()));
+            }
+        }
+    }
+
+    pub fn submit(&mut self, index: usize, kind: &str, tasks: u32, gang: bool, size: Size) -> u64 {
+        let token = self.next();
+        let job = JobId { shard: SHARD.into(), seq: token };
+        let spec = JobSpec {
+            kind: kind.into(),
+            team: "t".into(),
+            tasks,
+            gang,
+            size,
+            run: Millis(1_000),
+            repeat: kind != "once",
+        };
+        self.jobs.push(job.clone());
+        if !self.entries[index].paused {
+            self.step(index, Event::Submit { token, job, spec });
+        }
+        token
+    }
+
+    pub fn cancel(&mut self, index: usize, job: usize) {
+        let Some(job) = self.jobs.get(job).cloned() else { return };
+        let token = self.next();
+        if !self.entries[index].paused {
+            self.step(index, Event::Cancel { token, job });
+        }
+    }
+
+    /// What must hold after every step: workers are never given more than they have, and no task
+    /// runs in two places.
+    pub fn check(&self) {
+        let mut places: BTreeMap<(JobId, u32), usize> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            let mut used = Size::default();
+            for (id, task) in &worker.tasks {
+                if let Task::Running(order) = task {
+                    used = used.plus(&order.size).expect("sum");
+                    *places.entry((id.job.clone(), id.index)).or_insert(0) += 1;
+                }
+            }
+            assert!(WORKER_SIZE.fits(&used), "{name} over: {used} {:#?}", self.history);
+        }
+        let twice = places.iter().find(|(_, places)| **places > 1);
+        assert!(twice.is_none(), "two places: {twice:?} {:#?}", self.history);
+    }
+
+    /// All faults end: entries run, messages arrive, tasks finish. Returns once every job is over.
+    pub fn heal(&mut self) {
+        self.log_down = false;
+        self.net.append(&mut self.late);
+        for index in 0..self.entries.len() {
+            self.entries[index].paused = false;
+            self.tell_list(index);
+        }
+        for _ in 0..400 {
+            self.round(true);
+            if self.all_over() {
+                return;
+            }
+        }
+        panic!("jobs do not end: {:#?}", self.history);
+    }
+
+    /// Half a second without faults.
+    pub fn round(&mut self, finish: bool) {
+        self.advance(500);
+        for index in 0..self.entries.len() {
+            for worker in 0..self.workers.len() {
+                self.sync(index, worker);
+            }
+            self.flush(index);
+        }
+        let mut bound = 100_000;
+        while bound > 0 && self.net.iter().any(|m| self.deliverable(&m.message)) {
+            bound -= 1;
+            self.deliver(0);
+            self.check();
+        }
+        for index in 0..self.entries.len() {
+            while !self.log_down
+                && !self.entries[index].paused
+                && self.entries[index].fold.next() < self.log.len() as u64
+            {
+                self.read_log(index);
+            }
+        }
+        if finish {
+            for worker in 0..self.workers.len() {
+                self.end_task(worker, 0, Outcome::Done);
+            }
+        }
+        self.check();
+    }
+
+    /// Half a second in which some messages are lost, late or doubled, as `seed` has it.
+    pub fn rough_round(&mut self, seed: u64) {
+        self.advance(500);
+        for index in 0..self.entries.len() {
+            for worker in 0..self.workers.len() {
+                self.sync(index, worker);
+            }
+            self.flush(index);
+            self.read_log(index);
+        }
+        for step in 0..60_u64 {
+            if self.net.is_empty() {
+                return;
+            }
+            let draw = hash(&[&seed.to_le_bytes(), &step.to_le_bytes()]);
+            let at = (draw >> 8) as usize % self.net.len();
+            match draw % 16 {
+                0 => self.lose(at),
+                1 => self.delay(at, false),
+                2 | 3 => self.delay(at, true),
+                _ => self.deliver(at),
+            }
+            self.check();
+        }
+    }
+
+    fn deliverable(&self, message: &Message) -> bool {
+        let index = message.receiver().and_then(|id| self.index(id));
+        index.is_none_or(|index| !self.entries[index].paused)
+    }
+
+    fn all_over(&mut self) -> bool {
+        let owners = self.owners();
+        let [owner] = owners[..] else { return false };
+        let Some(office) = self.entries[owner].shard.office() else { return false };
+        let over = office.book().jobs.values().all(|job| job.over());
+        let empty = office.rooms().all(|(_, ledger)| ledger.used() == Size::default());
+        let idle = |w: &Worker| w.tasks.values().all(|t| matches!(t, Task::Ended(_)));
+        over && empty && self.workers.values().all(idle)
+    }
+}
+
+impl Message {
+    fn receiver(&self) -> Option<&EntryId> {
+        match self {
+            Self::Start { .. } | Self::Stop { .. } | Self::Sync { .. } => None,
+            Self::Told { to, .. }
+            | Self::Report { to, .. }
+            | Self::Update { to, .. }
+            | Self::Updated { to, .. }
+            | Self::Seal { to, .. }
+            | Self::Sealed { to, .. }
+            | Self::Beat { to, .. } => Some(to),
+        }
+    }
+}
