Process tests for kills, pauses, outages of the log, races and planned stops

Cause: the promises were tried on a virtual clock only; sockets, signals and the shell around the controllers had no failure test.

Change: tests/failure.rs: an owner killed and an owner paused longer than the suspicion, both with tasks running; the log down (a job is taken as kept by a peer, an entry starts); racing and repeated publishes; a planned stop with a request in flight; a worker lost under work that must not be repeated; one key used twice.

--- /dev/null
+++ b/tests/failure.rs
@@ -0,0 +1,204 @@
+//! Real kills, pauses and outages, in separate processes. Every wait is for an event.
+
+mod common;
+
+use common::{Cell, NILEWIRE, OPERATOR, TABLE, VIESTISILTA};
+use hyper::Method;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+const SHARD: &str = "nasr-hall-a";
+
+fn build(run: u64) -> Value {
+    json!({"kind": "build", "cpu": 2000, "mem": 1000, "run": run})
+}
+
+/// The owner of the first shard, and the other entry of its failure domain.
+async fn owner_and_other(cell: &Cell) -> (String, String) {
+    let owner = cell.owners("pasila-1").await[SHARD].clone();
+    let other = if owner == "nasr-hall-1" { "nasr-hall-2" } else { "nasr-hall-1" };
+    (owner, other.to_string())
+}
+
+#[tokio::test]
+async fn killed_and_paused_owners_are_replaced_and_tasks_run_once() {
+    let mut cell = Cell::start("kill").await;
+    cell.ready().await;
+    let (owner, other) = owner_and_other(&cell).await;
+    let running = cell.submit(&other, NILEWIRE, build(8_000)).await;
+    cell.until_job(&other, &running, "running").await;
+    cell.entries[&owner].signal(Signal::SIGKILL);
+    cell.until("take-over", async || cell.owners(&other).await.get(SHARD) == Some(&other)).await;
+    let after = cell.submit(&other, NILEWIRE, build(200)).await;
+    cell.until_job(&other, &after, "ended").await;
+    let state = cell.until_job(&other, &running, "ended").await;
+    assert_eq!(state["ended"], json!({"done": 1}));
+    cell.entries.remove(&owner);
+    cell.start_entry(&owner);
+    cell.until("back", async || cell.owners(&owner).await.len() == 2).await;
+    pause_owner(&mut cell).await;
+    cell.check().await;
+}
+
+/// The same once more, with a pause longer than the suspicion.
+async fn pause_owner(cell: &mut Cell) {
+    let (owner, other) = owner_and_other(cell).await;
+    let running = cell.submit(&other, NILEWIRE, build(8_000)).await;
+    cell.until_job(&other, &running, "running").await;
+    cell.entries[&owner].signal(Signal::SIGSTOP);
+    cell.until("take-over", async || cell.owners(&other).await.get(SHARD) == Some(&other)).await;
+    let after = cell.submit(&other, NILEWIRE, build(200)).await;
+    cell.until_job(&other, &after, "ended").await;
+    cell.entries[&owner].signal(Signal::SIGCONT);
+    cell.until("deposed", async || cell.saw(&["event=deposed", &owner]).await).await;
+    let state = cell.until_job(&owner, &running, "ended").await;
+    assert_eq!(state["ended"], json!({"done": 1}));
+}
+
+#[tokio::test]
+async fn jobs_are_taken_and_run_while_the_log_is_down() {
+    let mut cell = Cell::start("log").await;
+    cell.ready().await;
+    cell.platform_faults(json!({"log_down": true})).await;
+    cell.until("log down", async || cell.get("nasr-hall-1", "/v1/status").await["log"] == false)
+        .await;
+    let body = build(200);
+    let (status, answer) = cell.call("nasr-hall-1", NILEWIRE, Method::POST, "/v1/jobs", body).await;
+    assert_eq!((status, &answer["kept"]), (200, &json!("peer")));
+    let id = answer["job"].as_str().expect("id").to_string();
+    cell.until_job("nasr-hall-2", &id, "ended").await;
+    let (status, answer) = cell.publish("nasr-hall-1", 1, TABLE).await;
+    assert_eq!((status, &answer["run"]), (503, &json!("unknown")));
+    start_without_log(&mut cell).await;
+    cell.platform_faults(json!({"log_down": false})).await;
+    let (status, answer) = submit_until_logged(&cell).await;
+    assert_eq!((status, answer["kept"].clone()), (200, json!("log")));
+    cell.check().await;
+}
+
+/// An entry that starts while the log is down gets the table from a peer and serves.
+async fn start_without_log(cell: &mut Cell) {
+    cell.keep_events("pasila-2").await;
+    cell.entries["pasila-2"].signal(Signal::SIGKILL);
+    cell.entries.remove("pasila-2");
+    cell.start_entry("pasila-2");
+    cell.until("table", async || cell.get("pasila-2", "/v1/table").await["rev"] == 1).await;
+}
+
+async fn submit_until_logged(cell: &Cell) -> (u16, Value) {
+    let mut last = (0, Value::Null);
+    cell.until("log up", async || {
+        last = cell.call("nasr-hall-1", NILEWIRE, Method::POST, "/v1/jobs", build(100)).await;
+        last.1["kept"] == "log"
+    })
+    .await;
+    last
+}
+
+#[tokio::test]
+async fn of_racing_tables_one_wins_everywhere() {
+    let cell = Cell::start("race").await;
+    cell.ready().await;
+    let one = TABLE.replace("batch,50,", "batch,51,");
+    let two = TABLE.replace("batch,50,", "batch,52,");
+    let (a, b) =
+        tokio::join!(cell.publish("nasr-hall-1", 1, &one), cell.publish("pasila-1", 1, &two));
+    let mut both = [a, b];
+    both.sort_by_key(|(status, _)| *status);
+    assert_eq!((both[0].0, both[1].0), (200, 409), "{both:?}");
+    assert_eq!(both[1].1["rev"], 2);
+    cell.platform_faults(json!({"lose_replies": 2})).await;
+    let (status, answer) = cell.publish("nasr-hall-2", 2, &one).await;
+    assert_eq!((status, &answer["rev"]), (200, &json!(3)), "a lost reply is no second publish");
+    for entry in cell.entries.keys() {
+        cell.until("rev 3", async || cell.get(entry, "/v1/table").await["rev"] == 3).await;
+    }
+    let wrong = TABLE.replace("batch,50,", "batch,many,");
+    let (status, answer) = cell.publish("nasr-hall-2", 3, &wrong).await;
+    assert_eq!((status, answer["faults"][0]["column"].as_str()), (422, Some("weight")));
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_request_and_hands_shards_over() {
+    let mut cell = Cell::start("stop").await;
+    cell.ready().await;
+    let (owner, other) = owner_and_other(&cell).await;
+    let service = json!({"kind": "ingest", "cpu": 1000, "mem": 100, "run": 0});
+    let service = cell.submit(&other, NILEWIRE, service).await;
+    cell.until_job(&other, &service, "running").await;
+    let slow = [("work-millis", "2500")];
+    let request = cell.request(&owner, "preview", &slow, "late page");
+    let stop = async {
+        cell.until("sent", async || cell.saw(&["event=request-sent", &owner]).await).await;
+        cell.entries[&owner].signal(Signal::SIGTERM);
+    };
+    let (answer, ()) = tokio::join!(request, stop);
+    assert_eq!(answer, (200, "preview:late page".to_string()));
+    let status = cell.entries.get_mut(&owner).expect("entry").wait();
+    assert!(status.success(), "{status}");
+    cell.entries.remove(&owner);
+    cell.until("take-over", async || cell.owners(&other).await.get(SHARD) == Some(&other)).await;
+    cell.until_job(&other, &service, "running").await;
+    assert_eq!(cell.job(&other, &service).await["running"], 1);
+    let path = format!("/v1/jobs/{service}");
+    let (status, _) = cell.call(&other, NILEWIRE, Method::DELETE, &path, Value::Null).await;
+    assert_eq!(status, 200);
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn lost_workers_and_keys_used_twice() {
+    let mut cell = Cell::start("worker").await;
+    cell.ready().await;
+    let once = json!({"kind": "campaign", "tasks": 2, "cpu": 8000, "mem": 100, "run": 60000});
+    let again = json!({"kind": "build", "tasks": 1, "cpu": 100, "mem": 100, "run": 4000});
+    let once = cell.submit("pasila-1", VIESTISILTA, once).await;
+    let shard = once.split('.').next().expect("shard").to_string();
+    cell.until("both run", async || cell.job("pasila-1", &once).await["running"] == 2).await;
+    let domain = shard.trim_end_matches("-a").to_string();
+    let lost = format!("{domain}-w1");
+    cell.workers.remove(&lost);
+    let list = cell.list(2);
+    cell.post(cell.platform.addr, "/set/list", &list).await.expect("list");
+    cell.until("one unknown", async || {
+        cell.job("pasila-1", &once).await["ended"] == json!({"unknown": 1})
+    })
+    .await;
+    assert_eq!(cell.job("pasila-1", &once).await["running"], 1, "the other one runs on");
+    let again = cell.submit("pasila-1", NILEWIRE, again).await;
+    let path = format!("/v1/jobs/{once}");
+    cell.call("pasila-1", OPERATOR, Method::DELETE, &path, Value::Null).await;
+    cell.until_job("pasila-1", &again, "ended").await;
+    keys(&cell).await;
+    cell.check().await;
+}
+
+/// The same idempotency key through two entries runs a request at most once, and makes one job.
+async fn keys(cell: &Cell) {
+    let headers = [("idempotency-key", "step-7")];
+    let mut first = (0, String::new());
+    cell.until("first", async || {
+        first = cell.request("nasr-hall-1", "ingest-step", &headers, "x").await;
+        first.0 == 200
+    })
+    .await;
+    let second = cell.request("pasila-2", "ingest-step", &headers, "x").await;
+    assert_eq!(second.0, 409, "{}", second.1);
+    assert!(second.1.contains("\"run\":\"unknown\""), "{}", second.1);
+    let auth = format!("Bearer {NILEWIRE}");
+    let mut jobs = Vec::new();
+    for entry in ["nasr-hall-1", "pasila-2"] {
+        let headers = [
+            ("authorization", &*auth),
+            ("content-type", "application/json"),
+            ("idempotency-key", "edition-9"),
+        ];
+        let body = build(100).to_string();
+        let answer = cell.send(cell.addr(entry), Method::POST, "/v1/jobs", &headers, body).await;
+        let answer = answer.expect("answer");
+        let value: Value = serde_json::from_slice(&answer.body).expect("json");
+        jobs.push(value["job"].clone());
+    }
+    assert!(jobs[0].is_string() && jobs[0] == jobs[1], "{jobs:?}");
+}
