The demo; tasks that waited beside an idle worker; jobs refused too early

Cause: the first runs of the demo showed builds waiting 3.7 s (median) on an idle cell. The time line: the workers reported between two submits; the second submit noted them as open without unblocking the shapes that the first one had left blocked, and the next tick saw no change. Ruled out: replication (submits were answered), worker contact (reports came). A job submitted during a take-over was refused as never-fits, because no shard's room was known. And the random search found one more: a start sent long after it was decided could come twice, after its task was forgotten.

Change: shapes are unblocked wherever the open workers change; a job is refused for good only if all owners have said what they have, otherwise with Retry-After; the time of a start counts from its answer; a new owner searches at once and asks its workers at once, not at the next tick.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 mod client;
+mod demo;
 mod drain;
 mod entry;
 mod job;
@@ -42,6 +43,11 @@
     /// Example: sprucerudder standin worker --listen 127.0.0.1:9001 --name w1 --cpu 16000 --mem 32000
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin_args))] standin::StandinArgs),
+    /// Runs a whole small cell in this process and reports waits, packing and control cost
+    ///
+    /// Example: sprucerudder demo
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::demo_args))] demo::DemoArgs),
     /// Checks, shows, compares and publishes tables
     ///
     /// Example: sprucerudder table check desk.csv
@@ -87,6 +93,7 @@
         match self {
             Self::Entry(args) => args.run(),
             Self::Standin(args) => args.run(),
+            Self::Demo(args) => args.run(),
             Self::Table(args) => args.run(),
             Self::Job(args) => args.run(),
             Self::Status(args) => args.run(),
--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -72,6 +72,7 @@
         let Some(live) = self.live.get_mut(&task) else { return };
         if !stop {
             live.out = live.out.saturating_sub(1);
+            live.started = Some(now);
         }
         match reply {
             None => {}
@@ -473,12 +474,7 @@
         }
         self.fence(now);
         self.forget(now);
-        let open = self.open_workers(now);
-        if open != self.open {
-            self.open = open;
-            self.queue.unblock();
-            self.dirty = true;
-        }
+        self.dirty |= self.open_workers(now) != self.open;
     }
 
     /// Whether a task's worker has not restarted since the task was bound: a start that is sent
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -167,7 +167,7 @@
     pub seen: Option<Millis>,
     /// When the last start or stop was sent.
     pub told: Millis,
-    /// When the last start was sent: until it is surely not on its way any more, it may arrive.
+    /// When the last start was sent at the latest: a copy of it may still be on its way.
     pub started: Option<Millis>,
 }
 
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -32,7 +32,11 @@
         if self.unlisted.is_some() || self.journal.waiting() > MAX_WAITING {
             return;
         }
-        self.open = self.open_workers(now);
+        let open = self.open_workers(now);
+        if open != self.open {
+            self.open = open;
+            self.queue.unblock();
+        }
         let heads = self.queue.heads();
         let mut heap: BinaryHeap<Rank> = heads.iter().map(|head| self.rank(now, head)).collect();
         while let Some((_, _, Reverse(shape))) = heap.pop() {
--- /dev/null
+++ b/src/demo/cell.rs
@@ -0,0 +1,245 @@
+//! The cell of the demo, on free ports of loopback.
+
+use crate::clock::Millis;
+use crate::controller::list::{Role, Vm, VmList};
+use crate::entry::Entry;
+use crate::id::Name;
+use crate::platform::http::{Answer, Http, uri};
+use crate::settings::Settings;
+use crate::size::Size;
+use crate::standin::platform::Platform;
+use crate::standin::runner::Runner;
+use crate::standin::serve;
+use crate::standin::worker::Worker;
+use crate::trace::{Event, Trace};
+use crate::wire::keys::Authority;
+use anyhow::{Context, Result, anyhow, bail};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request};
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const OPERATOR: &str = "demo-operator-token";
+const LIMIT: Millis = Millis(20_000);
+const RETENTION: Millis = Millis(600_000);
+/// How long the cell may take to come up.
+const START: Millis = Millis(30_000);
+const LOOK: Millis = Millis(50);
+/// Failure domain, and the size of its workers.
+const SITES: [(&str, Size); 2] =
+    [("nasr-hall", Size::new(16_000, 32_000, 0)), ("pasila", Size::new(32_000, 64_000, 0))];
+const WORKERS: usize = 4;
+const RUNNERS: usize = 2;
+const SLOTS: u32 = 8;
+const ACCELERATORS: u32 = 2;
+
+/// The table of the demo.
+pub const TABLE: &str = include_str!("../../docs/example/table.csv");
+
+/// The cell.
+pub struct Cell {
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// The entries with their addresses for callers.
+    pub entries: Vec<(Arc<Entry>, SocketAddr)>,
+    /// All workers' processors together, in thousandths of a core.
+    pub cpu: u64,
+    traces: Vec<Arc<Trace>>,
+    http: Http,
+    stop: watch::Sender<bool>,
+}
+
+async fn listen() -> Result<(TcpListener, Name)> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let addr = listener.local_addr()?.to_string().into();
+    Ok((listener, addr))
+}
+
+fn free_udp() -> Result<SocketAddr> {
+    Ok(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+}
+
+/// Ready when the cell is stopped.
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+impl Cell {
+    /// Starts everything and waits until each shard has an owner.
+    pub async fn start() -> Result<Self> {
+        let platform = Platform::new(RETENTION);
+        let (listener, addr) = listen().await?;
+        let mut cell = Self {
+            platform: platform.clone(),
+            entries: Vec::new(),
+            cpu: 0,
+            traces: Vec::new(),
+            http: Http::default(),
+            stop: watch::Sender::new(false),
+        };
+        tokio::spawn(serve(listener, platform.app(), stopped(cell.stop.subscribe())));
+        let mut vms = Vec::new();
+        for (domain, size) in SITES {
+            cell.start_workers(domain, size, &mut vms).await?;
+            cell.start_runners(domain, &mut vms).await?;
+        }
+        cell.platform.set_list(VmList { rev: 1, vms });
+        cell.start_entries(&addr).await?;
+        cell.publish().await?;
+        Ok(cell)
+    }
+
+    async fn start_workers(&mut self, domain: &str, size: Size, vms: &mut Vec<Vm>) -> Result<()> {
+        for index in 0..WORKERS {
+            let (listener, addr) = listen().await?;
+            let name: Name = format!("{domain}-w{index}").into();
+            let acc = if index == 0 { ACCELERATORS } else { 0 };
+            let size = Size { acc, ..size };
+            let worker = Worker::new(name.clone(), size);
+            self.cpu += size.cpu as u64;
+            self.traces.push(worker.trace());
+            tokio::spawn(worker.clone().run());
+            tokio::spawn(serve(listener, worker.app(), stopped(self.stop.subscribe())));
+            vms.push(vm(name, Role::Worker, addr, domain, size, 0));
+        }
+        Ok(())
+    }
+
+    async fn start_runners(&mut self, domain: &str, vms: &mut Vec<Vm>) -> Result<()> {
+        for index in 0..RUNNERS {
+            let (listener, addr) = listen().await?;
+            let name: Name = format!("{domain}-r{index}").into();
+            let runner = Runner::new(name.clone(), SLOTS);
+            self.traces.push(runner.trace());
+            tokio::spawn(serve(listener, runner.app(), stopped(self.stop.subscribe())));
+            vms.push(vm(name, Role::Runner, addr, domain, Size::default(), SLOTS));
+        }
+        Ok(())
+    }
+
+    async fn start_entries(&mut self, platform: &Name) -> Result<()> {
+        let authority = Authority::new("demo")?;
+        let mut peers = Vec::new();
+        for (domain, _) in SITES {
+            for index in 1..=2 {
+                peers.push((format!("{domain}-{index}"), domain, free_udp()?));
+            }
+        }
+        for (name, domain, addr) in &peers {
+            let keys = authority.issue(name)?;
+            let others: Vec<Value> = peers
+                .iter()
+                .filter(|(other, ..)| other != name)
+                .map(|(name, domain, addr)| {
+                    json!({"name": name, "domain": domain, "addr": addr.to_string()})
+                })
+                .collect();
+            let settings = json!({
+                "name": name, "domain": domain, "http": "127.0.0.1:0", "peer": addr.to_string(),
+                "platform": {"log": platform, "list": platform},
+                "keys": {
+                    "authority": &*keys.authority, "certificate": &*keys.certificate,
+                    "secret": &*keys.secret,
+                },
+                "peers": others,
+                "tokens": [{"name": "demo", "token": OPERATOR, "right": "operator"}],
+                "stop_grace": 500,
+            });
+            self.start_entry(&settings.to_string()).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_entry(&mut self, settings: &str) -> Result<()> {
+        let settings = Settings::parse(settings);
+        let settings = settings.map_err(|faults| anyhow!("settings: {faults:?}"))?;
+        let (entry, listener) = Entry::bind(settings).await?;
+        let addr = listener.local_addr()?;
+        self.traces.push(entry.trace.clone());
+        tokio::spawn(entry.clone().run(listener, stopped(self.stop.subscribe())));
+        self.entries.push((entry, addr));
+        Ok(())
+    }
+
+    async fn publish(&self) -> Result<()> {
+        let begun = Millis::now();
+        while Millis::now().since(begun) < START {
+            let (_, addr) = &self.entries[0];
+            let content = "text/plain; charset=utf-8";
+            let path = "/v1/table?base=0";
+            let headers = [("content-type", content)];
+            let answer = self.send(*addr, Method::PUT, path, &headers, TABLE).await;
+            if answer.is_ok_and(|answer| answer.status.is_success()) {
+                return self.until_ready(begun).await;
+            }
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        bail!("the table could not be published")
+    }
+
+    async fn until_ready(&self, begun: Millis) -> Result<()> {
+        while Millis::now().since(begun) < START {
+            let owned: usize = self.entries.iter().map(|(entry, _)| entry.owned()).sum();
+            let tables = self.entries.iter().all(|(entry, _)| !entry.table().rows.is_empty());
+            if owned == SITES.len() && tables {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        bail!("shards have no owners")
+    }
+
+    /// Calls an entry.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer> {
+        let addr = addr.to_string();
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(uri(&addr, path)?)
+            .header(AUTHORIZATION, format!("Bearer {OPERATOR}"));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::from(Bytes::from(body.to_string())))?;
+        Ok(self.http.send(&addr, request, LIMIT).await?)
+    }
+
+    /// Submits a job and returns its id.
+    pub async fn submit(&self, addr: SocketAddr, job: &Value) -> Result<String> {
+        let headers = [(CONTENT_TYPE.as_str(), "application/json")];
+        let answer = self.send(addr, Method::POST, "/v1/jobs", &headers, &job.to_string()).await?;
+        let value: Value = serde_json::from_slice(&answer.body)?;
+        let id = value.get("job").and_then(Value::as_str);
+        Ok(id.with_context(|| format!("refused: {value}"))?.to_string())
+    }
+
+    /// The time line of all processes.
+    pub fn events(&self) -> Vec<Event> {
+        let all = self.traces.iter().flat_map(|trace| trace.after(Default::default(), usize::MAX));
+        let mut events: Vec<Event> = all.collect();
+        events.sort_by(|a, b| (a.at, &a.who).cmp(&(b.at, &b.who)));
+        events
+    }
+
+    /// Stops everything.
+    pub async fn stop(&self) {
+        self.stop.send_replace(true);
+        tokio::time::sleep((LOOK + LOOK).duration()).await;
+    }
+}
+
+fn vm(name: Name, role: Role, addr: Name, domain: &str, size: Size, slots: u32) -> Vm {
+    let (domain, rack) = (Name::from(domain), format!("{domain}-a").into());
+    Vm { name, role, addr, domain, rack, size, slots, leaving: false }
+}
--- /dev/null
+++ b/src/demo/load.rs
@@ -0,0 +1,164 @@
+//! Callers and jobs of both users: the press desk before a deadline, the reminders of a Monday.
+
+use crate::clock::Millis;
+use crate::demo::cell::Cell;
+use anyhow::Result;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::task::JoinSet;
+
+/// Work that is left may take this long to end.
+const FINISH: Millis = Millis(30_000);
+const LOOK: Millis = Millis(100);
+/// How often a job is submitted before its caller gives up, and the pause between.
+const TRIES: u32 = 5;
+const AGAIN: Millis = Millis(500);
+
+/// Requests of one kind, again and again.
+struct Requests {
+    kind: &'static str,
+    /// Time between two.
+    every: Millis,
+    /// How long the runner takes, in milliseconds.
+    run: &'static str,
+    keyed: bool,
+}
+
+const REQUESTS: [Requests; 3] = [
+    Requests { kind: "preview", every: Millis(25), run: "60", keyed: false },
+    Requests { kind: "ingest-step", every: Millis(100), run: "20", keyed: true },
+    Requests { kind: "render", every: Millis(25), run: "40", keyed: false },
+];
+
+/// Jobs of one kind, again and again.
+fn jobs() -> Vec<(Millis, Value)> {
+    let job = |kind: &str, tasks: u32, gang: bool, cpu: u32, acc: u32, run: u64| {
+        let mem = cpu / 2;
+        json!({
+            "kind": kind, "tasks": tasks, "gang": gang, "cpu": cpu, "mem": mem, "acc": acc,
+            "run": run,
+        })
+    };
+    vec![
+        (Millis(300), job("build", 1, false, 4_000, 0, 1_200)),
+        (Millis(1_500), job("build", 1, false, 2_000, 1, 800)),
+        (Millis(2_000), job("build", 4, true, 4_000, 0, 1_000)),
+        (Millis(2_500), job("campaign", 30, false, 4_000, 0, 700)),
+    ]
+}
+
+fn services() -> [Value; 2] {
+    ["ingest", "listener"].map(|kind| json!({"kind": kind, "tasks": 2, "cpu": 1_000, "mem": 500}))
+}
+
+/// Runs both users' workloads for `length`, with a campaign withdrawn and an entry stopped by
+/// plan half way, and waits until what was begun has ended.
+pub async fn run(cell: Arc<Cell>, length: Millis) -> Result<()> {
+    let until = Millis::now() + length;
+    let (_, addr) = cell.entries[0];
+    let mut services_up = Vec::new();
+    for service in services() {
+        services_up.push(cell.submit(addr, &service).await?);
+    }
+    let next = Arc::new(AtomicUsize::new(0));
+    let mut tasks = JoinSet::new();
+    for requests in REQUESTS {
+        tasks.spawn(ask(cell.clone(), next.clone(), requests, until));
+    }
+    for (every, job) in jobs() {
+        tasks.spawn(submit(cell.clone(), next.clone(), every, job, until));
+    }
+    tasks.spawn(withdraw(cell.clone()));
+    tasks.spawn(stop_one(cell.clone(), Millis(length.0 / 2)));
+    while tasks.join_next().await.is_some() {}
+    for id in services_up {
+        cell.send(addr, Method::DELETE, &format!("/v1/jobs/{id}"), &[], "").await?;
+    }
+    finish(&cell, addr).await
+}
+
+/// The next entry that takes callers, as the platform's balancer would choose it.
+fn entry(cell: &Cell, next: &AtomicUsize) -> SocketAddr {
+    let open: Vec<SocketAddr> = cell
+        .entries
+        .iter()
+        .filter(|(entry, _)| !entry.is_stopping())
+        .map(|(_, addr)| *addr)
+        .collect();
+    open[next.fetch_add(1, Ordering::Relaxed) % open.len()]
+}
+
+async fn ask(cell: Arc<Cell>, next: Arc<AtomicUsize>, requests: Requests, until: Millis) {
+    let mut timer = tokio::time::interval(requests.every.duration());
+    let mut calls = JoinSet::new();
+    let mut count = 0;
+    while Millis::now() < until {
+        timer.tick().await;
+        count += 1;
+        let (cell, addr) = (cell.clone(), entry(&cell, &next));
+        let key = format!("{}-{count}", requests.kind);
+        let path = format!("/run/{}", requests.kind);
+        calls.spawn(async move {
+            let mut headers = vec![("work-millis", requests.run)];
+            if requests.keyed {
+                headers.push(("idempotency-key", &key));
+            }
+            let _ = cell.send(addr, Method::POST, &path, &headers, "page").await;
+        });
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+async fn submit(cell: Arc<Cell>, next: Arc<AtomicUsize>, every: Millis, job: Value, until: Millis) {
+    let mut timer = tokio::time::interval(every.duration());
+    while Millis::now() < until {
+        timer.tick().await;
+        insist(&cell, &next, &job).await;
+    }
+}
+
+/// Submits a job and comes again, as callers do, while the cell has no owner for it.
+async fn insist(cell: &Cell, next: &AtomicUsize, job: &Value) {
+    let mut refused = None;
+    for _ in 0..TRIES {
+        match cell.submit(entry(cell, next), job).await {
+            Ok(_) => return,
+            Err(err) => refused = Some(err),
+        }
+        tokio::time::sleep(AGAIN.duration()).await;
+    }
+    refused.iter().for_each(|err| println!("job refused: {err}"));
+}
+
+async fn withdraw(cell: Arc<Cell>) {
+    let (_, addr) = cell.entries[3];
+    let wave = json!({"kind": "campaign", "tasks": 1_000, "cpu": 4_000, "mem": 2_000, "run": 700});
+    let Ok(id) = cell.submit(addr, &wave).await else { return };
+    tokio::time::sleep((LOOK + LOOK).duration()).await;
+    let _ = cell.send(addr, Method::DELETE, &format!("/v1/jobs/{id}"), &[], "").await;
+}
+
+async fn stop_one(cell: Arc<Cell>, after: Millis) {
+    tokio::time::sleep(after.duration()).await;
+    let (entry, addr) = &cell.entries[1];
+    println!("planned stop of the entry at {addr}");
+    entry.stop().await;
+}
+
+/// Waits until no job has tasks waiting or running.
+async fn finish(cell: &Cell, addr: SocketAddr) -> Result<()> {
+    let begun = Millis::now();
+    while Millis::now().since(begun) < FINISH {
+        let answer = cell.send(addr, Method::GET, "/v1/jobs", &[], "").await?;
+        let jobs: Vec<Value> = serde_json::from_slice(&answer.body)?;
+        let open = |job: &&Value| job["state"] == "queued" || job["state"] == "running";
+        if !jobs.iter().any(|job| open(&job)) {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK.duration()).await;
+    }
+    anyhow::bail!("jobs did not end")
+}
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -260,13 +260,8 @@
         if row.team != spec.team {
             return Err(refuse(Reason::WrongTeam));
         }
-        let order = entry.offer_order(row, &spec.size, entry.next());
-        let never = Refused {
-            reason: Reason::Job(crate::controller::shard::office::Refusal::NeverFits),
-            run: Run::No,
-            after: None,
-        };
-        let mut last = never;
+        let order = entry.offer_order(row, &spec.size, entry.next()).map_err(fail)?;
+        let mut last = not_run(Reason::NoOwner, None);
         for shard in order {
             let job = self.job_id(&shard, key, &spec.team).await?;
             match entry.submit_to(job.clone(), spec.clone(), OWNER_LIMIT).await {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -62,7 +62,7 @@
     kick: Notify,
     /// Starts that this entry is sending or that were not answered yet.
     flights: AtomicUsize,
-    /// When the last start went out, in milliseconds.
+    /// When the last start was answered or given up, in milliseconds.
     last_start: AtomicU64,
 }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -95,6 +95,8 @@
         }
         cell.kick.notify_one();
         self.news.notify_one();
+        let entry = self.clone();
+        tokio::spawn(async move { entry.search(&cell).await });
     }
 
     async fn search(self: &Arc<Self>, cell: &Arc<Cell>) {
@@ -152,6 +154,7 @@
         self.set_list(cell);
         self.drop_gone_entries(cell);
         self.news.notify_one();
+        self.sync_shard(cell);
     }
 
     /// A new table is in force: tell the owners here.
@@ -185,11 +188,7 @@
                 })
                 .collect();
             let sent = actions.iter().filter(|action| matches!(action, Action::Start { .. }));
-            let sent = sent.count();
-            cell.flights.fetch_add(sent, Ordering::SeqCst);
-            if sent > 0 {
-                cell.last_start.store(now.0, Ordering::SeqCst);
-            }
+            cell.flights.fetch_add(sent.count(), Ordering::SeqCst);
             (actions, starts)
         };
         self.act(cell, actions, starts);
@@ -250,6 +249,7 @@
                 return;
             }
             entry.step(&cell, Event::Told { task, stop, reply });
+            cell.last_start.store(entry.now().0, Ordering::SeqCst);
             cell.flights.fetch_sub(1, Ordering::SeqCst);
         });
     }
@@ -275,15 +275,20 @@
         loop {
             timer.tick().await;
             for cell in self.cells() {
-                let workers = cell.shard().office().map(|office| office.workers());
-                for worker in workers.unwrap_or_default() {
-                    tokio::spawn(self.clone().sync_worker(cell.clone(), worker));
-                }
+                self.sync_shard(&cell);
                 tokio::spawn(self.clone().keep_running(cell));
             }
         }
     }
 
+    /// Renews leases at all workers of one shard, if it is owned here.
+    fn sync_shard(self: &Arc<Self>, cell: &Arc<Cell>) {
+        let workers = cell.shard().office().map(|office| office.workers());
+        for worker in workers.unwrap_or_default() {
+            tokio::spawn(self.clone().sync_worker(cell.clone(), worker));
+        }
+    }
+
     async fn sync_worker(self: Arc<Self>, cell: Arc<Cell>, worker: Name) {
         let order = cell.shard().office().and_then(|office| office.sync(&worker));
         let Some((addr, order)) = order else { return };
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -1,10 +1,11 @@
 //! Finding the owner of a shard, and the shard for a job or a key.
 
 use crate::clock::Millis;
-use crate::controller::shard::office::{Answer, Event};
+use crate::controller::shard::office::{Answer, Event, Refusal};
 use crate::entry::{Cell, Entry, lock};
 use crate::id::{JobId, Name, hash, rendezvous};
 use crate::job::{JobSpec, JobStatus};
+use crate::record::Claim;
 use crate::size::Size;
 use crate::table::Row;
 use crate::wire::msg::{Ask, OwnerAsk, Reason, Refused, Room, Run, ShardStatus, Tell};
@@ -159,22 +160,49 @@
 
     /// The shards to offer a job to, best first: its row's site first, then those with room now,
     /// then those with the fewest tasks waiting.
-    pub(crate) fn offer_order(&self, row: &Row, size: &Size, seed: u64) -> Vec<Name> {
+    ///
+    /// # Errors
+    /// If no worker is large enough, or if that is not known because a shard has no owner now.
+    pub(crate) fn offer_order(
+        &self,
+        row: &Row,
+        size: &Size,
+        seed: u64,
+    ) -> Result<Vec<Name>, Refused> {
         let local = &self.settings.domain;
         let rooms = self.known_rooms();
-        let mut rated: Vec<_> = rooms
-            .into_iter()
-            .filter(|(_, domain, room)| row.site(domain) > 0 && room.largest.fits(size))
+        let allowed = rooms.iter().filter(|(_, domain, _)| row.site(domain) > 0);
+        let mut rated: Vec<_> = allowed
+            .filter(|(_, _, room)| room.largest.fits(size))
             .map(|(shard, domain, room)| {
-                let far = domain != *local && row.site(local) > 0;
-                let lighter = u32::MAX - row.site(&domain);
+                let far = domain != local && row.site(local) > 0;
+                let lighter = u32::MAX - row.site(domain);
                 let full = room.waiting > 0 || !room.free.fits(size);
                 let spread = hash(&[shard.as_bytes(), &seed.to_le_bytes()]);
                 ((far, full, if full { room.waiting } else { 0 }, lighter, spread), shard)
             })
             .collect();
         rated.sort();
-        rated.into_iter().map(|(_, shard)| shard).collect()
+        let order: Vec<Name> = rated.into_iter().map(|(_, shard)| shard.clone()).collect();
+        match order.is_empty() {
+            false => Ok(order),
+            true if self.knows_all_rooms(row, &rooms) => {
+                Err(Refused { reason: Reason::Job(Refusal::NeverFits), run: Run::No, after: None })
+            }
+            true => Err(no_owner(Run::No)),
+        }
+    }
+
+    /// Whether the owners of all shards that may take a row's work have said what they have.
+    fn knows_all_rooms(&self, row: &Row, rooms: &[(Name, Name, Room)]) -> bool {
+        let fold = lock(&self.fold);
+        let mut shards = fold.claims.all().filter(|claim| row.site(&claim.domain) > 0).peekable();
+        let known = |claim: &Claim| {
+            rooms
+                .iter()
+                .any(|(shard, _, room)| *shard == claim.shard && room.largest != Size::default())
+        };
+        shards.peek().is_some() && shards.all(known)
     }
 
     /// A job's state, from the owner of its shard.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod cmd;
 pub mod controller;
+pub mod demo;
 pub mod entry;
 pub mod filter;
 pub mod id;
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -60,6 +60,11 @@
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Its time line.
+    pub fn trace(&self) -> Arc<Trace> {
+        self.trace.clone()
+    }
+
     /// Its HTTP interface.
     pub fn app(self: Arc<Self>) -> impl IntoEndpoint {
         let trace = self.trace.clone();
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -155,6 +155,11 @@
         report
     }
 
+    /// Its time line.
+    pub fn trace(&self) -> Arc<Trace> {
+        self.trace.clone()
+    }
+
     /// Its HTTP interface.
     pub fn app(self: Arc<Self>) -> impl IntoEndpoint {
         let trace = self.trace.clone();
