Slots: two owners could lend the same slot; now they cannot

Cause: a new owner lent freely one lease after it began, but its predecessor, paused or cut off, could still be renewing leases at that moment, and lent itself what the others no longer renewed.

Ruled out: a longer lease (moves the moment, keeps the overlap).

Change: an owner lends only while it has known for certain within 3 s that there is no later claim (log read to its end, or every entry of its failure domain heard and knowing of none); a new owner lends freely only one lease and those 3 s after it began; every entry of the failure domain counts as holding its floor.

Not measured yet: waiting time while a new owner may not lend freely.

--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -12,6 +12,8 @@
 
 /// How long lent slots may be used without renewal.
 pub const SLOT_LEASE: Millis = Millis(10_000);
+/// How lately an owner must have known that it still owns the shard, to lend slots.
+pub const OWNER_PROOF: Millis = Millis(3_000);
 /// Slots of each runner that an entry may use after its lease ran out.
 const FLOOR: u32 = 1;
 /// A runner that could not be reached is left alone for this long.
@@ -50,7 +52,8 @@
 }
 
 impl Lender {
-    /// A lender that begins at `now`: for one lease it renews what entries hold and lends no more.
+    /// A lender that begins at `now`. Until all that its predecessor lent has run out, it renews
+    /// what entries hold and lends no more.
     pub fn new(now: Millis) -> Self {
         Self {
             since: now,
@@ -72,6 +75,11 @@
         self.runners = runners;
     }
 
+    /// The entries of the failure domain: each may use [`FLOOR`] slots, heard or not.
+    pub fn set_entries(&mut self, entries: BTreeSet<Name>) {
+        self.entries = entries;
+    }
+
     /// An entry is gone for good: what it held is free.
     pub fn gone(&mut self, entry: &Name) {
         self.entries.remove(entry);
@@ -124,7 +132,7 @@
             .map(|other| self.held(now, runner, other))
             .sum();
         let free = total.saturating_sub(others);
-        if now.since(self.since) < SLOT_LEASE {
+        if now.since(self.since) < SLOT_LEASE + OWNER_PROOF {
             return held.min(free);
         }
         let fair = total.div_ceil(self.entries.len().max(1) as u32);
@@ -289,7 +297,7 @@
     }
 
     /// A request is done with its slot: it took `took`; `reached` is whether the runner answered.
-    pub fn release(&mut self, now: Millis, name: &Name, kind: &Name, took: Millis, reached: bool) {
+    pub fn release(&mut self, now: Millis, name: &str, kind: &Name, took: Millis, reached: bool) {
         if let Some(runner) = self.runners.get_mut(name) {
             runner.used = runner.used.saturating_sub(1);
             runner.avoid = if reached { runner.avoid } else { now + BACKOFF };
@@ -331,6 +339,11 @@
         self.waiting.retain(|key, _| key.1 != id);
     }
 
+    /// Slots of a runner that may be in use here now.
+    pub fn allowed(&self, now: Millis, runner: &str) -> u32 {
+        self.runners.get(runner).map_or(0, |runner| runner.allowed(now))
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/src/entry/log.rs
+++ b/src/entry/log.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::controller::fold::Change;
+use crate::controller::slots::OWNER_PROOF;
 use crate::entry::{Entry, lock};
 use crate::platform::api::{AppendReply, LogRecord, ReadReply, ReadRequest};
 use crate::platform::http::HttpError;
@@ -19,7 +20,7 @@
 /// How long an exchange with the log may take.
 const LOG_LIMIT: Millis = Millis(5_000);
 /// The log counts as reachable if its end was read this lately.
-const LOG_FRESH: Millis = Millis(3_000);
+const LOG_FRESH: Millis = OWNER_PROOF;
 /// Pause after a failed exchange.
 const PAUSE: Millis = Millis(200);
 /// The largest batch, in bytes of JSON, unless a single record is larger.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -3,10 +3,11 @@
 use crate::clock::Millis;
 use crate::controller::claims::Peer;
 use crate::controller::list::{Role, VmList};
+use crate::controller::slots::OWNER_PROOF;
 use crate::id::{EntryId, Name};
 use crate::settings::Settings;
 use crate::wire::msg::{Beat, Room};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// A peer not heard for this long counts as not reachable.
@@ -101,6 +102,23 @@
         rooms.collect()
     }
 
+    /// The peers of this failure domain, heard or not.
+    pub fn names_here(&self) -> BTreeSet<Name> {
+        let here = self.known.iter().filter(|(_, known)| known.domain == self.domain);
+        here.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether every peer of this failure domain was heard lately and knew of no epoch of `shard`
+    /// after `epoch`.
+    pub fn know_no_later(&self, now: Millis, shard: &str, epoch: u64) -> bool {
+        let mut here = self.known.values().filter(|known| known.domain == self.domain);
+        here.all(|known| {
+            let Some((heard, beat)) = &known.beat else { return false };
+            let later = beat.shards.iter().any(|at| *at.shard == *shard && at.epoch > epoch);
+            now.since(*heard) < OWNER_PROOF && !later
+        })
+    }
+
     /// The peers of this failure domain, for the claimant.
     pub fn claimants(&self) -> BTreeMap<Name, Peer> {
         let here = self.known.iter().filter(|(_, known)| known.domain == self.domain);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,7 +1,7 @@
 //! Slots for requests: renewing leases, waiting for a turn, giving slots back.
 
 use crate::clock::Millis;
-use crate::controller::slots::{Turn, Waiting};
+use crate::controller::slots::{SlotUse, Turn, Waiting};
 use crate::entry::{Entry, lock};
 use crate::id::Name;
 use crate::wire::msg::{Ask, Tell};
@@ -114,12 +114,7 @@
         }
     }
 
-    async fn ask_slots(
-        &self,
-        shard: Name,
-        uses: Vec<crate::controller::slots::SlotUse>,
-        waiting: u32,
-    ) -> Tell {
+    async fn ask_slots(&self, shard: Name, uses: Vec<SlotUse>, waiting: u32) -> Tell {
         let owner = lock(&self.fold).claims.last(&shard).map(|claim| claim.owner.name.clone());
         let Some(owner) = owner.filter(|owner| *owner != self.me.name) else {
             return Tell::NotOwner;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,5 +1,6 @@
 //! Answers to other entries.
 
+use crate::controller::slots::SlotUse;
 use crate::entry::{Entry, lock};
 use crate::filter::{Exchange, run_forwarded};
 use crate::id::Name;
@@ -52,19 +53,27 @@
         }
     }
 
-    /// Lends slots if this entry owns the shard.
-    pub(super) fn lend(
-        &self,
-        shard: &Name,
-        entry: &Name,
-        uses: &[crate::controller::slots::SlotUse],
-        waiting: u32,
-    ) -> Tell {
+    /// Lends slots if this entry surely owned the shard a moment ago.
+    pub(super) fn lend(&self, shard: &Name, entry: &Name, uses: &[SlotUse], waiting: u32) -> Tell {
         let Some(cell) = self.cell(shard) else { return Tell::NotOwner };
-        if cell.shard().office().is_none() {
+        let Some(epoch) = cell.shard().office().map(|office| office.epoch()) else {
+            return Tell::NotOwner;
+        };
+        if !self.is_owner_proven(shard, epoch) {
             return Tell::NotOwner;
         }
-        let lent = cell.lender().lend(self.now(), entry, uses, waiting);
-        Tell::Slots(lent)
+        let mut entries = lock(&self.peers).names_here();
+        entries.insert(self.me.name.clone());
+        let mut lender = cell.lender();
+        lender.set_entries(entries);
+        Tell::Slots(lender.lend(self.now(), entry, uses, waiting))
+    }
+
+    /// Whether, a moment ago, there was no later claim: the log was read to its end, or every
+    /// entry that could claim was heard and knew of none.
+    fn is_owner_proven(&self, shard: &Name, epoch: u64) -> bool {
+        let known = lock(&self.fold).claims.epoch(shard);
+        let agreed = lock(&self.peers).know_no_later(self.now(), shard, epoch);
+        known == epoch && (self.is_log_fresh() || agreed)
     }
 }
