An entry's own earlier office is fenced like another's

Cause: an entry that lost a shard and won it back counted only other entries as former owners. A late copy of a start from its first office arrived after its second one had let the worker forget the task.

Change: starts on their way are counted by the epoch they were sent in (controller/flights.rs, used by the shell and by the tests' world); earlier offices of the same entry stay unfenced until none of theirs is on its way.

--- a/src/controller/fold.rs
+++ b/src/controller/fold.rs
@@ -211,10 +211,11 @@
     }
 
     /// What a new owner needs of a shard's past: earlier owners, and the jobs that the log has.
-    pub fn before(&self, shard: &str, me: &EntryId) -> (BTreeSet<EntryId>, Vec<(JobId, LogJob)>) {
-        let owners = self.claims.history(shard).iter().map(|claim| claim.owner.clone());
-        let former = owners.filter(|owner| owner != me).collect();
-        let jobs = self.jobs.iter().filter(|(id, _)| *id.shard == *shard);
+    pub fn before(&self, claim: &Claim) -> (BTreeSet<EntryId>, Vec<(JobId, LogJob)>) {
+        let shard = &claim.shard;
+        let earlier = self.claims.history(shard).iter().filter(|at| at.epoch < claim.epoch);
+        let former = earlier.map(|at| at.owner.clone()).collect();
+        let jobs = self.jobs.iter().filter(|(id, _)| *id.shard == **shard);
         (former, jobs.map(|(id, job)| (id.clone(), job.clone())).collect())
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod book;
 pub mod claims;
+pub mod flights;
 pub mod fold;
 pub mod health;
 pub mod list;
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -228,6 +228,7 @@
     pub(super) open: Vec<Name>,
     closed: BTreeMap<JobId, Millis>,
     swept: Millis,
+    since: u64,
 }
 
 impl Office {
@@ -268,6 +269,7 @@
             open: Vec::new(),
             closed: BTreeMap::new(),
             swept: now,
+            since: claim.epoch,
         };
         office.adopt_book(now);
         office
@@ -278,6 +280,11 @@
         self.journal.epoch()
     }
 
+    /// The epoch in which this entry took office: it may have renewed its claim since.
+    pub fn since(&self) -> u64 {
+        self.since
+    }
+
     /// The state, for the replica of an entry that is no longer the owner.
     pub fn into_state(self) -> State {
         State { epoch: self.journal.epoch(), seq: self.journal.seq(), book: self.book }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,11 +14,12 @@
 
 use crate::clock::Millis;
 use crate::controller::claims::Claimant;
+use crate::controller::flights::Flights;
 use crate::controller::fold::Fold;
 use crate::controller::list::Lists;
 use crate::controller::retry::Budget;
 use crate::controller::shard::Shard;
-use crate::controller::shard::office::{Answer, MAX_FLIGHT};
+use crate::controller::shard::office::Answer;
 use crate::controller::slots::{Lender, Slots, Turn};
 use crate::id::{EntryId, Name};
 use crate::platform::http::Http;
@@ -60,10 +61,8 @@
     lender: Mutex<Lender>,
     /// There is something to replicate.
     kick: Notify,
-    /// Starts that this entry is sending or that were not answered yet.
-    flights: AtomicUsize,
-    /// When the last start was answered or given up, in milliseconds.
-    last_start: AtomicU64,
+    /// Starts that this entry sent and that may still arrive at a worker.
+    flights: Mutex<Flights>,
 }
 
 impl Cell {
@@ -73,8 +72,7 @@
             shard: Mutex::new(Shard::new(id, me)),
             lender: Mutex::new(Lender::new(now)),
             kick: Notify::new(),
-            flights: AtomicUsize::new(0),
-            last_start: AtomicU64::new(0),
+            flights: Mutex::default(),
         }
     }
 
@@ -82,10 +80,8 @@
         lock(&self.shard)
     }
 
-    /// Whether a start that this entry sent may still arrive at a worker.
-    pub fn is_flying(&self, now: Millis) -> bool {
-        let last = Millis(self.last_start.load(Ordering::SeqCst));
-        self.flights.load(Ordering::SeqCst) > 0 || now.since(last) < MAX_FLIGHT
+    pub fn flights(&self) -> MutexGuard<'_, Flights> {
+        lock(&self.flights)
     }
 
     pub fn lender(&self) -> MutexGuard<'_, Lender> {
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -16,7 +16,6 @@
 use futures_util::future::join_all;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Time between looks at claims and due tasks.
 const TICK: Millis = Millis(200);
@@ -42,6 +41,7 @@
             timer.tick().await;
             for cell in self.cells() {
                 self.step(&cell, Event::Tick);
+                self.fence_self(&cell);
                 self.claim(&cell);
                 self.search(&cell).await;
             }
@@ -53,6 +53,14 @@
         }
     }
 
+    /// An earlier office of this same entry is fenced like another's.
+    fn fence_self(self: &Arc<Self>, cell: &Arc<Cell>) {
+        let epoch = cell.shard().office().map(|office| office.since());
+        if epoch.is_some_and(|epoch| !cell.flights().any_before(self.now(), epoch)) {
+            self.step(cell, Event::Fenced(self.me.clone()));
+        }
+    }
+
     /// Appends again what retention would drop: open jobs of the shards owned here, the table and
     /// the claims.
     fn refresh_log(self: &Arc<Self>) {
@@ -143,7 +151,7 @@
             Source::State(state) => format!("epoch-{}-note-{}", state.epoch, state.seq),
             Source::Rebuild => "log".to_string(),
         };
-        let (former, jobs) = lock(&self.fold).before(&cell.id, &self.me);
+        let (former, jobs) = lock(&self.fold).before(&claim);
         *cell.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
         let office = Office::new(&claim, source, former, jobs, self.table(), now);
         if !cell.shard().take_office(office) {
@@ -174,9 +182,10 @@
     /// Gives an event to the owner of a shard, if it is here, and does what it says.
     pub(crate) fn step(self: &Arc<Self>, cell: &Arc<Cell>, event: Event) -> bool {
         let now = self.now();
-        let (actions, starts) = {
+        let (epoch, actions, starts) = {
             let mut shard = cell.shard();
             let Some(office) = shard.office() else { return false };
+            let epoch = office.epoch();
             let actions = office.step(now, event);
             let starts: Vec<(Name, Option<Name>)> = actions
                 .iter()
@@ -188,16 +197,17 @@
                 })
                 .collect();
             let sent = actions.iter().filter(|action| matches!(action, Action::Start { .. }));
-            cell.flights.fetch_add(sent.count(), Ordering::SeqCst);
-            (actions, starts)
+            cell.flights().begin(epoch, sent.count());
+            (epoch, actions, starts)
         };
-        self.act(cell, actions, starts);
+        self.act(cell, epoch, actions, starts);
         true
     }
 
     fn act(
         self: &Arc<Self>,
         cell: &Arc<Cell>,
+        epoch: u64,
         actions: Vec<Action>,
         addrs: Vec<(Name, Option<Name>)>,
     ) {
@@ -210,10 +220,12 @@
             match action {
                 Action::Replicate => cell.kick.notify_one(),
                 Action::Start { worker, order } => {
-                    self.tell(cell, addr(&worker), order.task.clone(), Tellable::Start(order));
+                    let (addr, task) = (addr(&worker), order.task.clone());
+                    self.tell(cell, epoch, addr, task, Tellable::Start(order));
                 }
                 Action::Stop { worker, task } => {
-                    self.tell(cell, addr(&worker), task.clone(), Tellable::Stop(task));
+                    let (addr, id) = (addr(&worker), task.clone());
+                    self.tell(cell, epoch, addr, id, Tellable::Stop(task));
                 }
                 Action::Reply { token, answer } => {
                     if let Some(reply) = lock(&self.replies).remove(&token) {
@@ -239,18 +251,22 @@
     }
 
     /// Sends a start or stop to a worker and gives the answer to the owner.
-    fn tell(self: &Arc<Self>, cell: &Arc<Cell>, addr: Name, task: TaskId, message: Tellable) {
+    fn tell(
+        self: &Arc<Self>,
+        cell: &Arc<Cell>,
+        epoch: u64,
+        addr: Name,
+        task: TaskId,
+        message: Tellable,
+    ) {
         let (entry, cell) = (self.clone(), cell.clone());
         tokio::spawn(async move {
             let stop = matches!(message, Tellable::Stop(_));
             let reply = entry.tell_worker(&addr, message).await;
-            if stop {
-                entry.step(&cell, Event::Told { task, stop, reply });
-                return;
-            }
             entry.step(&cell, Event::Told { task, stop, reply });
-            cell.last_start.store(entry.now().0, Ordering::SeqCst);
-            cell.flights.fetch_sub(1, Ordering::SeqCst);
+            if !stop {
+                cell.flights().end(entry.now(), epoch);
+            }
         });
     }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 use sprucerudder::clock::Millis;
 use sprucerudder::controller::claims::{Claimant, Peer};
+use sprucerudder::controller::flights::Flights;
 use sprucerudder::controller::fold::{Change, Fold};
 use sprucerudder::controller::list::{Role, Vm};
 use sprucerudder::controller::replica::{ReplicaError, State, Update};
@@ -71,7 +72,8 @@
     claimant: Claimant,
     peers: BTreeMap<Name, Peer>,
     outbox: Vec<Message>,
-    last_start: Option<Millis>,
+    flights: Flights,
+    sent: BTreeMap<TaskId, Vec<u64>>,
 }
 
 #[derive(Debug, Clone)]
@@ -156,7 +158,8 @@
             claimant: Claimant::new(id.clone(), "d".into(), self.now),
             peers: BTreeMap::new(),
             outbox: Vec::new(),
-            last_start: None,
+            flights: Flights::default(),
+            sent: BTreeMap::new(),
             paused: false,
             fold,
             id,
@@ -206,6 +209,12 @@
         self.step(index, Event::Tick);
         let now = self.now;
         let entry = &mut self.entries[index];
+        let since = entry.shard.office().map(|office| office.since());
+        if since.is_some_and(|since| !entry.flights.any_before(now, since)) {
+            let me = entry.id.clone();
+            self.step(index, Event::Fenced(me));
+        }
+        let entry = &mut self.entries[index];
         let claim = entry.claimant.decide(now, &SHARD.into(), &entry.fold.claims, &entry.peers);
         if let Some(claim) = claim.filter(|_| !self.log_down) {
             self.log.push(Record::Claim(claim));
@@ -238,7 +247,7 @@
                 entry.outbox.extend(asks);
             }
             Search::Ready(source) => {
-                let (former, jobs) = entry.fold.before(SHARD, &entry.id);
+                let (former, jobs) = entry.fold.before(&claim);
                 let table = Arc::new(Table::parse(TABLE).expect("table"));
                 let office = Office::new(&claim, source, former, jobs, table, now);
                 entry.shard.take_office(office);
@@ -282,9 +291,8 @@
 
     fn beat(&mut self, index: usize) {
         let now = self.now;
-        let flying = self.entries[index].last_start.is_some_and(|at| now.since(at) < MAX_FLIGHT)
-            || self.entries[index].outbox.iter().any(|m| matches!(m, Message::Start { .. }));
         let entry = &mut self.entries[index];
+        let flying = entry.flights.any_before(now, u64::MAX);
         let epoch = entry.fold.claims.epoch(SHARD).max(entry.shard.epoch());
         let owner = entry.shard.office().is_some();
         let from = entry.id.clone();
@@ -302,9 +310,12 @@
         let entry = &mut self.entries[index];
         let Some(office) = entry.shard.office() else { return };
         let from = entry.id.clone();
+        let epoch = office.epoch();
         for action in office.step(now, event) {
             match action {
                 Action::Start { worker, order } => {
+                    entry.flights.begin(epoch, 1);
+                    entry.sent.entry(order.task.clone()).or_default().push(epoch);
                     entry.outbox.push(Message::Start { from: from.clone(), worker, order });
                 }
                 Action::Stop { worker, task } => {
@@ -325,9 +336,6 @@
         }
         let sent = self.now;
         for message in std::mem::take(&mut entry.outbox) {
-            if matches!(message, Message::Start { .. }) {
-                entry.last_start = Some(sent);
-            }
             self.net.push(InFlight { sent, message });
         }
     }
@@ -441,6 +449,11 @@
                 }
             }
             Message::Told { task, stop, reply, .. } => {
+                let entry = &mut self.entries[index];
+                let epoch = entry.sent.get_mut(&task).filter(|_| !stop).and_then(Vec::pop);
+                if let Some(epoch) = epoch {
+                    entry.flights.end(self.now, epoch);
+                }
                 self.step(index, Event::Told { task, stop, reply });
             }
             Message::Report { worker, report, asked, .. } => {
