--- /dev/null
+++ b/benches/common/mod.rs
@@ -0,0 +1,191 @@
+//! Owners of shards without a network: what they note is committed at once, and workers answer at
+//! once.
+#![allow(dead_code, reason = "each bench uses a part")]
+
+use sprucerudder::clock::Millis;
+use sprucerudder::controller::list::{Role, Vm};
+use sprucerudder::controller::replica::State;
+use sprucerudder::controller::shard::Source;
+use sprucerudder::controller::shard::office::{Action, Event, Office};
+use sprucerudder::id::{EntryId, JobId, Name, TaskId};
+use sprucerudder::job::{JobSpec, Outcome};
+use sprucerudder::platform::api::{Report, Running, TaskReply};
+use sprucerudder::record::Claim;
+use sprucerudder::size::Size;
+use sprucerudder::table::Table;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+pub const RACK: usize = 8;
+pub const START: Millis = Millis(1_000_000);
+
+/// A table whose rows have these cells: kind, class, weight, pack, spread.
+pub fn table(rows: &[(&str, &str, u32, u32, u32)]) -> Arc<Table> {
+    let head =
+        "kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:d\n";
+    let lines = rows.iter().map(|(kind, class, weight, pack, spread)| {
+        format!("{kind},t,{class},{weight},1000000,1000000,60000,yes,2,{pack},{spread},0,1\n")
+    });
+    let text: String = std::iter::once(head.to_string()).chain(lines).collect();
+    Arc::new(Table::parse(&text).expect("table"))
+}
+
+pub fn vm(rack: &str, index: usize, size: Size) -> Vm {
+    Vm {
+        name: format!("{rack}-w{index}").into(),
+        role: Role::Worker,
+        addr: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        rack: rack.into(),
+        size,
+        slots: 0,
+        leaving: false,
+    }
+}
+
+/// What an owner decided.
+#[derive(Debug)]
+pub enum Did {
+    Started { task: TaskId, worker: Name },
+    Stopped { task: TaskId },
+}
+
+/// One owner.
+pub struct Desk {
+    pub now: Millis,
+    pub office: Office,
+    pub running: BTreeMap<TaskId, Name>,
+    shard: Name,
+    jobs: u64,
+}
+
+impl Desk {
+    pub fn new(rack: &str, sizes: &[Size], table: Arc<Table>) -> Self {
+        let owner = EntryId { name: "e".into(), inc: 1 };
+        let shard: Name = rack.into();
+        let claim = Claim {
+            shard: shard.clone(),
+            domain: "d".into(),
+            epoch: 1,
+            owner,
+            replicas: Vec::new(),
+        };
+        let source = Source::State(Box::<State>::default());
+        let office = Office::new(&claim, source, BTreeSet::new(), Vec::new(), table, START);
+        let mut desk = Self { now: START, office, running: BTreeMap::new(), shard, jobs: 0 };
+        let vms = (0..).zip(sizes).map(|(i, size)| vm(rack, i, *size)).collect();
+        desk.step(Event::Workers { rev: 1, vms });
+        desk.report();
+        desk
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Did> {
+        let mut did = Vec::new();
+        let mut actions = self.office.step(self.now, event);
+        loop {
+            let mut told = Vec::new();
+            for action in actions {
+                match action {
+                    Action::Start { worker, order } => {
+                        self.running.insert(order.task.clone(), worker.clone());
+                        let (task, reply) = (order.task.clone(), Some(TaskReply::Running));
+                        told.push(Event::Told { task, stop: false, reply });
+                        did.push(Did::Started { task: order.task, worker });
+                    }
+                    Action::Stop { task, .. } => {
+                        self.running.remove(&task);
+                        let reply = Some(TaskReply::Ended(Outcome::Stopped));
+                        told.push(Event::Told { task: task.clone(), stop: true, reply });
+                        did.push(Did::Stopped { task });
+                    }
+                    _ => {}
+                }
+            }
+            actions = Vec::new();
+            while self.office.log_record().is_some() {
+                let (epoch, seq) = (self.office.epoch(), u64::MAX);
+                actions.extend(self.office.step(self.now, Event::Logged { epoch, seq }));
+            }
+            for event in told {
+                actions.extend(self.office.step(self.now, event));
+            }
+            if actions.is_empty() {
+                return did;
+            }
+        }
+    }
+
+    /// Every worker says what it runs.
+    pub fn report(&mut self) -> Vec<Did> {
+        let mut did = Vec::new();
+        for worker in self.office.workers() {
+            let here = self.running.iter().filter(|(_, on)| **on == worker);
+            let running = here.map(|(task, _)| Running {
+                task: task.clone(),
+                kind: "k".into(),
+                size: Size::default(),
+                usage: Size::default(),
+            });
+            let report = Report { inc: 1, running: running.collect(), ended: Vec::new() };
+            let asked = self.now;
+            did.extend(self.step(Event::Report { worker, asked, report }));
+        }
+        did
+    }
+
+    pub fn job(&mut self) -> JobId {
+        self.jobs += 1;
+        JobId { shard: self.shard.clone(), seq: self.jobs }
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> (JobId, Vec<Did>) {
+        let job = self.job();
+        let did = self.step(Event::Submit { token: self.jobs, job: job.clone(), spec });
+        (job, did)
+    }
+
+    pub fn end(&mut self, task: &TaskId, outcome: Outcome) -> Vec<Did> {
+        self.running.remove(task);
+        let (task, reply) = (task.clone(), Some(TaskReply::Ended(outcome)));
+        self.step(Event::Told { task, stop: false, reply })
+    }
+
+    pub fn cancel(&mut self, job: JobId) -> Vec<Did> {
+        self.step(Event::Cancel { token: 0, job })
+    }
+}
+
+pub fn spec(kind: &str, tasks: u32, gang: bool, size: Size) -> JobSpec {
+    JobSpec {
+        kind: kind.into(),
+        team: "t".into(),
+        tasks,
+        gang,
+        size,
+        run: Millis(1_000),
+        repeat: true,
+    }
+}
+
+/// A small seeded source of numbers (splitmix64).
+pub struct Draw(pub u64);
+
+impl Draw {
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.next() % n.max(1)
+    }
+
+    /// A time between two events that come `rate` times a second, in milliseconds.
+    pub fn gap(&mut self, rate: f64) -> f64 {
+        let unit = (self.next() >> 11) as f64 / (1_u64 << 53) as f64;
+        -(1.0 - unit).ln() * 1000.0 / rate
+    }
+}
--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,182 @@
+//! How long the decisions take, by the size of the cell and the load.
+
+#[path = "common/mod.rs"]
+mod common;
+
+use common::{Desk, Draw, RACK, spec, table};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use sprucerudder::clock::Millis;
+use sprucerudder::controller::shard::Source;
+use sprucerudder::controller::shard::office::Office;
+use sprucerudder::controller::slots::{Lender, Slots, Turn, Waiting};
+use sprucerudder::id::{EntryId, JobId};
+use sprucerudder::job::Outcome;
+use sprucerudder::record::Claim;
+use sprucerudder::size::Size;
+use sprucerudder::table::Table;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Workers of the cells: one user today, both with room to grow, and the aimed size.
+const CELLS: [usize; 3] = [48, 200, 1_100];
+const WORKER: Size = Size::new(16_000, 32_000, 2);
+const SMALL: Size = Size::new(500, 500, 0);
+
+fn rows() -> std::sync::Arc<Table> {
+    table(&[("build", "batch", 50, 10, 0), ("urgent", "batch", 100, 5, 5)])
+}
+
+/// The owners of a cell whose workers are about half full: 6,100 tasks at the aimed size.
+fn cell(workers: usize, load: u32) -> Vec<Desk> {
+    let racks = workers.div_ceil(RACK);
+    (0..racks)
+        .map(|rack| {
+            let mut desk = Desk::new(&format!("rack{rack}"), &[WORKER; RACK], rows());
+            desk.submit(spec("build", 44, false, Size::new(1_400, 2_000, 0)));
+            for stuck in 0..(load - 1) * 200 {
+                let size = Size::new(16_000, 32_000 - stuck, 2);
+                desk.submit(spec("build", 1, false, size));
+            }
+            desk
+        })
+        .collect()
+}
+
+/// Submits one task at the next owner, until it is bound, and ends it.
+fn place_one(desks: &mut [Desk], draw: &mut Draw) {
+    let at = draw.below(desks.len() as u64) as usize;
+    let desk = &mut desks[at];
+    let (job, did) = desk.submit(spec("urgent", 1, false, SMALL));
+    assert_eq!(did.len(), 1);
+    let task = desk.running.keys().find(|task| task.job == job).cloned().expect("running");
+    desk.end(&task, Outcome::Done);
+}
+
+fn place(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place");
+    for workers in CELLS {
+        for load in [1, 2, 5] {
+            let mut desks = cell(workers, load);
+            let mut draw = Draw(7);
+            let id = BenchmarkId::new(format!("{workers}-workers"), format!("{load}x"));
+            group.bench_function(id, |b| b.iter(|| place_one(&mut desks, &mut draw)));
+        }
+    }
+    group.finish();
+}
+
+fn gang(c: &mut Criterion) {
+    c.bench_function("gang-of-8", |b| {
+        let setup = || Desk::new("rack", &[WORKER; RACK], rows());
+        let run = |mut desk: Desk| {
+            desk.submit(spec("urgent", 8, true, Size::new(8_000, 8_000, 1)));
+            assert_eq!(desk.running.len(), 8);
+            desk
+        };
+        b.iter_batched(setup, run, BatchSize::SmallInput);
+    });
+}
+
+fn cancel(c: &mut Criterion) {
+    c.bench_function("cancel-10000-jobs", |b| {
+        let setup = || {
+            let mut desk = Desk::new("rack", &[WORKER; RACK], rows());
+            desk.submit(spec("build", 8, false, WORKER));
+            let queued = (0..10_000).map(|_| desk.submit(spec("build", 1, false, WORKER)).0);
+            let jobs: Vec<JobId> = queued.collect();
+            (desk, jobs)
+        };
+        let run = |(mut desk, jobs): (Desk, Vec<JobId>)| {
+            for job in jobs {
+                desk.cancel(job);
+            }
+            desk
+        };
+        b.iter_batched(setup, run, BatchSize::LargeInput);
+    });
+}
+
+fn take_over(c: &mut Criterion) {
+    c.bench_function("take-over-a-shard", |b| {
+        let claim = Claim {
+            shard: "rack".into(),
+            domain: "d".into(),
+            epoch: 2,
+            owner: EntryId { name: "f".into(), inc: 2 },
+            replicas: Vec::new(),
+        };
+        let setup = || {
+            let mut desk = Desk::new("rack", &[WORKER; RACK], rows());
+            desk.submit(spec("build", 1_000, false, Size::new(1_400, 2_000, 0)));
+            desk.office.into_state()
+        };
+        let run = |state| {
+            let source = Source::State(Box::new(state));
+            let former = BTreeSet::new();
+            Office::new(&claim, source, former, Vec::new(), rows(), Millis(2_000_000))
+        };
+        b.iter_batched(setup, run, BatchSize::SmallInput);
+    });
+}
+
+fn control_round(c: &mut Criterion) {
+    let mut desks = cell(RACK, 1);
+    c.bench_function("control-round-of-a-shard", |b| {
+        b.iter(|| {
+            let desk = &mut desks[0];
+            desk.now = desk.now + Millis(1_000);
+            desk.report();
+            desk.step(sprucerudder::controller::shard::office::Event::Tick)
+        });
+    });
+}
+
+fn slots(c: &mut Criterion) {
+    let now = Millis(1_000_000);
+    let mut slots = Slots::default();
+    let names = (0..48).map(|i| (format!("r{i}").into(), "rack".into(), false));
+    slots.set_runners(names.collect());
+    let loans: Vec<_> = (0..48).map(|i| (format!("r{i}").into(), 8)).collect();
+    slots.lent(now, &loans);
+    c.bench_function("take-a-slot-of-48-runners", |b| {
+        b.iter(|| {
+            let request = Waiting {
+                id: 1,
+                kind: "preview".into(),
+                weight: 100,
+                limit: 1_000,
+                queue: 10,
+                came: now,
+                due: now + Millis(1_000),
+            };
+            let Turn::Go { runner, .. } = slots.ask(now, request) else { panic!("no slot") };
+            slots.release(now, &runner, &"preview".into(), Millis(10), true);
+        });
+    });
+    let mut lender = Lender::first();
+    lender.set_runners((0..8).map(|i| (format!("r{i}").into(), 8)).collect::<BTreeMap<_, _>>());
+    lender.set_entries(["e1", "e2", "e3"].map(Into::into).into());
+    c.bench_function("lend-slots-of-a-shard", |b| {
+        b.iter(|| lender.lend(now, &"e1".into(), &[], 1));
+    });
+}
+
+fn tables(c: &mut Criterion) {
+    let head =
+        "kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:d\n";
+    let rows = (0..200).map(|i| format!("kind{i},t,batch,5,10,10,60000,yes,2,1,1,0,1\n"));
+    let text: String = std::iter::once(head.to_string()).chain(rows).collect();
+    c.bench_function("parse-a-table-of-200-rows", |b| {
+        b.iter(|| Table::parse(&text).expect("table"));
+    });
+}
+
+criterion_group! {
+    name = all;
+    config = Criterion::default()
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1))
+        .sample_size(20);
+    targets = place, gang, cancel, take_over, control_round, slots, tables
+}
+criterion_main!(all);
--- a/src/controller/queue.rs
+++ b/src/controller/queue.rs
@@ -1,8 +1,8 @@
 //! Waiting tasks of one shard, grouped by shape so that one look decides for a whole group.
 //!
 //! Tasks of one shape need the same room under the same policy. A shape whose oldest task found no
-//! room is blocked until room is freed or the policy changes, so a queue full of tasks that cannot
-//! run costs nothing.
+//! room is blocked until room that may help is freed or the policy changes, so a queue full of
+//! tasks that cannot run costs little.
 
 use crate::clock::Millis;
 use crate::id::{JobId, Name};
@@ -22,18 +22,27 @@
     pub gang: u32,
 }
 
+/// Why the tasks of a shape cannot run now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Block {
+    /// No open worker has room.
+    Room,
+    /// A limit or quota is reached.
+    Limit,
+}
+
 /// The waiting tasks of one shape, oldest job first.
 #[derive(Debug, Default)]
 struct Bucket {
     jobs: BTreeMap<(Millis, JobId), BTreeSet<u32>>,
-    blocked: Option<u64>,
+    blocked: Option<Block>,
 }
 
 /// The waiting tasks of a shard.
 #[derive(Debug, Default)]
 pub struct Queue {
     buckets: BTreeMap<Shape, Bucket>,
-    freed: u64,
+    open: BTreeSet<Shape>,
 }
 
 /// The oldest waiting job of a shape.
@@ -50,21 +59,32 @@
 impl Queue {
     /// Adds one waiting task.
     pub fn add(&mut self, shape: Shape, at: Millis, job: JobId, index: u32) {
-        let bucket = self.buckets.entry(shape).or_default();
+        let bucket = self.bucket(shape);
         bucket.jobs.entry((at, job)).or_default().insert(index);
     }
 
     /// Adds the first `tasks` tasks of a job at once.
     pub fn add_all(&mut self, shape: Shape, at: Millis, job: JobId, tasks: u32) {
-        let bucket = self.buckets.entry(shape).or_default();
+        let bucket = self.bucket(shape);
         bucket.jobs.insert((at, job), (0..tasks).collect());
     }
 
+    /// The bucket of a shape; a new one is worth a look, one that is blocked stays so.
+    fn bucket(&mut self, shape: Shape) -> &mut Bucket {
+        if !self.buckets.contains_key(&shape) {
+            self.open.insert(shape.clone());
+        }
+        self.buckets.entry(shape).or_default()
+    }
+
+    fn drop_bucket(&mut self, shape: &Shape) {
+        self.buckets.remove(shape);
+        self.open.remove(shape);
+    }
+
     /// The heads of all shapes that are not blocked.
     pub fn heads(&self) -> Vec<Head> {
-        let open = self.buckets.iter().filter(|(_, bucket)| bucket.blocked != Some(self.freed));
-        let heads = open.filter_map(|(shape, bucket)| bucket.head(shape));
-        heads.collect()
+        self.open.iter().filter_map(|shape| self.head(shape)).collect()
     }
 
     /// The head of one shape.
@@ -82,7 +102,7 @@
             bucket.jobs.remove(&key);
         }
         if bucket.jobs.is_empty() {
-            self.buckets.remove(&head.shape);
+            self.drop_bucket(&head.shape);
         }
         index
     }
@@ -92,20 +112,40 @@
         let Some(bucket) = self.buckets.get_mut(&head.shape) else { return };
         bucket.jobs.remove(&(head.at, head.job.clone()));
         if bucket.jobs.is_empty() {
-            self.buckets.remove(&head.shape);
+            self.drop_bucket(&head.shape);
         }
     }
 
-    /// Marks a shape as blocked until [`Queue::unblock`].
-    pub fn block(&mut self, shape: &Shape) {
+    /// Marks a shape as blocked.
+    pub fn block(&mut self, shape: &Shape, why: Block) {
         if let Some(bucket) = self.buckets.get_mut(shape) {
-            bucket.blocked = Some(self.freed);
+            bucket.blocked = Some(why);
+            self.open.remove(shape);
         }
     }
 
-    /// Room was freed, or the policy changed: every shape is worth a look again.
+    /// Room of this size was freed on one worker: shapes that it may help are worth a look again.
+    pub fn unblock_for(&mut self, free: &Size) {
+        for (shape, bucket) in &mut self.buckets {
+            let helps = match bucket.blocked {
+                None => false,
+                Some(Block::Limit) => true,
+                Some(Block::Room) => free.fits(&shape.size),
+            };
+            if helps {
+                bucket.blocked = None;
+                self.open.insert(shape.clone());
+            }
+        }
+    }
+
+    /// Workers or the policy changed: every shape is worth a look again.
     pub fn unblock(&mut self) {
-        self.freed += 1;
+        for (shape, bucket) in &mut self.buckets {
+            if bucket.blocked.take().is_some() {
+                self.open.insert(shape.clone());
+            }
+        }
     }
 
     /// The number of shapes with waiting tasks.
--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -203,13 +203,13 @@
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.tasks.remove(task);
             worker.ledger.give(&live.kind, &live.size);
+            self.queue.unblock_for(&worker.ledger.free());
         }
         let load = self.load(&live.kind);
         load.running = load.running.saturating_sub(1);
         if let Some(cpu) = self.teams.get_mut(&live.team) {
             *cpu = cpu.saturating_sub(live.size.cpu as u64);
         }
-        self.queue.unblock();
         self.dirty = true;
     }
 
@@ -354,7 +354,7 @@
                 true => drop(worker.strays.insert(task, (kind, size))),
                 false => {
                     worker.ledger.give(&kind, &size);
-                    self.queue.unblock();
+                    self.queue.unblock_for(&worker.ledger.free());
                     self.dirty = true;
                 }
             }
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 use crate::controller::health::Standing;
 use crate::controller::place::{Ledger, Weights, pick, pick_gang};
-use crate::controller::queue::{Head, Shape};
+use crate::controller::queue::{Block, Head, Shape};
 use crate::controller::shard::office::{Action, Effect, Live, Office, WORKER_FRESH, Worker, shape};
 use crate::id::{JobId, Name, TaskId};
 use crate::job::{JobSpec, Note};
@@ -22,7 +22,7 @@
 /// What became of the head of a shape.
 enum Placed {
     Yes,
-    No,
+    No(Block),
 }
 
 impl Office {
@@ -42,7 +42,7 @@
         while let Some((_, _, Reverse(shape))) = heap.pop() {
             let Some(head) = self.queue.head(&shape) else { continue };
             match self.place(now, &head) {
-                Placed::No => self.queue.block(&shape),
+                Placed::No(why) => self.queue.block(&shape, why),
                 Placed::Yes => {
                     heap.extend(self.queue.head(&shape).map(|next| self.rank(now, &next)))
                 }
@@ -63,7 +63,7 @@
             return Placed::Yes;
         }
         if self.over_limit(&head.shape).is_some() {
-            return Placed::No;
+            return Placed::No(Block::Limit);
         }
         match head.shape.gang {
             0 => self.place_one(now, head),
@@ -112,7 +112,7 @@
     fn place_one(&mut self, now: Millis, head: &Head) -> Placed {
         let weights = self.weights(&head.shape.kind);
         let picked = pick(self.open_rooms(), &head.shape.kind, &head.shape.size, weights);
-        let Some(worker) = picked.cloned() else { return Placed::No };
+        let Some(worker) = picked.cloned() else { return Placed::No(Block::Room) };
         if let Some(index) = self.queue.take(head) {
             self.bind(now, &head.job, index, &worker);
         }
@@ -123,7 +123,7 @@
         let weights = self.weights(&head.shape.kind);
         let (kind, size) = (&head.shape.kind, &head.shape.size);
         let picked = pick_gang(self.open_rooms(), kind, size, count, weights);
-        let Some(workers) = picked else { return Placed::No };
+        let Some(workers) = picked else { return Placed::No(Block::Room) };
         for worker in workers {
             if let Some(index) = self.queue.take(head) {
                 self.bind(now, &head.job, index, &worker);
