A task taken over is started again only after a commit of one's own

Cause: an owner resumed after its successor had moved on sent starts again for tasks that it had adopted. These starts followed no note of its own epoch, so nothing showed it that it was deposed; the successor had given the room away.

Change: sending a start again waits for a note like the first time.

--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -6,6 +6,7 @@
 use crate::controller::shard::office::{
     Action, Effect, Live, MAX_FLIGHT, Office, StopWhy, Tomb, Worker, shape,
 };
+use crate::controller::shard::plan::MAX_WAITING;
 use crate::id::{JobId, Name, TaskId};
 use crate::job::{Note, Outcome};
 use crate::platform::api::{Report, Running, StartOrder, TaskReply};
@@ -456,7 +457,9 @@
 
     /// Sends again what had no effect, and forgets what is old.
     pub(super) fn tick(&mut self, now: Millis) {
+        let waiting = self.journal.waiting() > MAX_WAITING;
         let due = self.live.iter().filter(|(_, live)| now.since(live.told) >= TELL_RETRY);
+        let due = due.filter(|_| !waiting);
         let due = due.filter(|(_, live)| live.sent && live.out == 0);
         let heard = |live: &Live| self.workers.get(&live.worker).and_then(|worker| worker.heard);
         let due = due.filter(|(_, live)| heard(live).is_some());
@@ -469,7 +472,7 @@
         }
         for (task, _) in starts {
             if self.is_same_run(&task) {
-                self.send_start(now, &task);
+                self.start_again(now, task);
             }
         }
         self.fence(now);
@@ -477,6 +480,15 @@
         self.dirty |= self.open_workers(now) != self.open;
     }
 
+    /// Sends a start again once a note has proved that this entry still owns the shard: another
+    /// one may have decided about the task since it was bound.
+    fn start_again(&mut self, now: Millis, task: TaskId) {
+        if let Some(live) = self.live.get_mut(&task) {
+            live.told = now;
+            self.note(Note::Barrier, Some(Effect::Start(task)));
+        }
+    }
+
     /// Whether a task's worker has not restarted since the task was bound: a start that is sent
     /// again has no second effect there.
     fn is_same_run(&self, task: &TaskId) -> bool {
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -14,7 +14,7 @@
 /// A task that just came ranks as if it had waited this long, in milliseconds.
 const HEAD_START: u64 = 1_000;
 /// With this many notes on their way nothing more is placed.
-const MAX_WAITING: usize = 10_000;
+pub(super) const MAX_WAITING: usize = 10_000;
 
 /// The order in which shapes are looked at.
 type Rank = (u64, Reverse<Millis>, Reverse<Shape>);
