--- a/benches/common/mod.rs
+++ b/benches/common/mod.rs
@@ -24,7 +24,7 @@
     let head =
         "kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:d\n";
     let lines = rows.iter().map(|(kind, class, weight, pack, spread)| {
-        format!("{kind},t,{class},{weight},1000000,1000000,60000,yes,2,{pack},{spread},0,1\n")
+        format!("{kind},t,{class},{weight},1000000,1000000,60000,yes,10,{pack},{spread},0,1\n")
     });
     let text: String = std::iter::once(head.to_string()).chain(lines).collect();
     Arc::new(Table::parse(&text).expect("table"))
