Gangs no longer starve: room is kept for the most urgent shape without it

And jobs were offered to the shard where fewest tasks waited, whatever these need.

Change: controller/shard/reserve.rs, controller/offer.rs.

Plates wait behind the gang's reservation although they are more urgent: next.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -9,6 +9,7 @@
 
 use common::{Desk, Did, Draw, RACK, START, spec, table};
 use sprucerudder::clock::Millis;
+use sprucerudder::controller::offer::{self, Candidate, Offer};
 use sprucerudder::id::{JobId, Name, TaskId};
 use sprucerudder::job::Outcome;
 use sprucerudder::size::Size;
@@ -149,6 +150,7 @@
     jobs: BTreeMap<usize, JobId>,
     draw: Draw,
     missed: Vec<(Key, bool)>,
+    weights: BTreeMap<&'static str, u32>,
 }
 
 impl Ours {
@@ -163,6 +165,7 @@
             jobs: BTreeMap::new(),
             draw: Draw(3),
             missed: Vec::new(),
+            weights: user.kinds.iter().map(|kind| (kind.kind, kind.weight)).collect(),
         }
     }
 
@@ -183,17 +186,19 @@
         moves
     }
 
-    /// As entries do: a shard with room now, otherwise the one with the fewest waiting.
+    /// The order in which an entry offers a job.
     fn offer(&mut self, now: u64, job: &Job) -> usize {
-        let salt = self.draw.next();
-        let rated = self.desks.iter().enumerate().filter(|(at, _)| !lost(now, *at));
-        let rated = rated.map(|(at, desk)| {
-            let (_, free, waiting) = desk.office.room();
-            let full = waiting > 0 || !free.fits(&job.size);
-            let spread = salt.rotate_left(at as u32 * 7) % 1000;
-            ((full, if full { waiting } else { 0 }, spread), at)
+        let open = self.desks.iter().enumerate().filter(|(at, _)| !lost(now, *at));
+        let candidates = open.map(|(at, desk)| {
+            let room = desk.office.room();
+            Candidate { shard: format!("{at}").into(), far: false, weight: 1, room }
         });
-        rated.min().map_or(0, |(_, at)| at)
+        let candidates: Vec<Candidate> = candidates.collect();
+        let count = if job.gang { job.tasks } else { 1 };
+        let weight = self.weights[job.kind];
+        let offer = Offer { size: job.size, count, weight };
+        let order = offer::order(&candidates, &offer, self.draw.next());
+        order[0].parse().expect("rack")
     }
 }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,6 +8,7 @@
 pub mod fold;
 pub mod health;
 pub mod list;
+pub mod offer;
 pub mod place;
 pub mod queue;
 pub mod recover;
--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -155,7 +155,7 @@
             _ if cancelled => self.close_if_over(now, &task.job),
             true => self.undo_gang(now, &task.job),
             false => {
-                self.load(&shape.kind).waiting += 1;
+                self.load(&shape.kind).queue(1, shape.size.cpu);
                 self.queue.add(shape, at, task.job.clone(), task.index);
             }
         }
@@ -185,7 +185,7 @@
         match queued == all {
             _ if cancelled => self.close_if_over(now, id),
             true => {
-                self.load(&shape.kind).waiting += all;
+                self.load(&shape.kind).queue(all, shape.size.cpu);
                 self.queue.add_all(shape, at, id.clone(), all);
                 self.dirty = true;
             }
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -4,6 +4,7 @@
 mod life;
 pub mod office;
 mod plan;
+mod reserve;
 
 use crate::clock::Millis;
 use crate::controller::recover::{Next, Recovery};
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -5,11 +5,13 @@
 use crate::controller::fold::LogJob;
 use crate::controller::health::Health;
 use crate::controller::list::Vm;
+use crate::controller::offer::Room;
 use crate::controller::place::Ledger;
 use crate::controller::queue::{Queue, Shape};
 use crate::controller::replica::{State, Update};
 use crate::controller::shard::Source;
 use crate::controller::shard::journal::Journal;
+use crate::controller::shard::reserve::Reserved;
 use crate::id::{EntryId, JobId, Name, TaskId};
 use crate::job::{JobSpec, JobStatus, MAX_TASKS, Note};
 use crate::platform::api::{Report, StartOrder, SyncOrder, TaskReply};
@@ -202,6 +204,22 @@
     pub waiting: u32,
     /// Bound to a worker.
     pub running: u32,
+    /// Processors that the waiting tasks need, in thousandths of a core.
+    pub backlog: u64,
+}
+
+impl Load {
+    /// More tasks wait, each for this many processors.
+    pub(super) fn queue(&mut self, tasks: u32, cpu: u32) {
+        self.waiting += tasks;
+        self.backlog += tasks as u64 * cpu as u64;
+    }
+
+    /// Tasks wait no longer.
+    pub(super) fn dequeue(&mut self, tasks: u32, cpu: u32) {
+        self.waiting = self.waiting.saturating_sub(tasks);
+        self.backlog = self.backlog.saturating_sub(tasks as u64 * cpu as u64);
+    }
 }
 
 /// The owner's state machine.
@@ -226,6 +244,7 @@
     pub(super) out: Vec<Action>,
     pub(super) dirty: bool,
     pub(super) open: Vec<Name>,
+    pub(super) reserved: Option<Reserved>,
     closed: BTreeMap<JobId, Millis>,
     swept: Millis,
     since: u64,
@@ -267,6 +286,7 @@
             out: Vec::new(),
             dirty: false,
             open: Vec::new(),
+            reserved: None,
             closed: BTreeMap::new(),
             swept: now,
             since: claim.epoch,
@@ -321,7 +341,7 @@
         if cancelled || (gang && !whole) || self.unlisted.is_some() {
             return;
         }
-        self.load(&shape.kind).waiting += waiting.len() as u32;
+        self.load(&shape.kind).queue(waiting.len() as u32, shape.size.cpu);
         for index in waiting {
             self.queue.add(shape.clone(), at, id.clone(), index);
         }
@@ -372,7 +392,7 @@
     }
 
     fn accept(&mut self, now: Millis, job: &JobId, spec: &JobSpec) {
-        self.load(&spec.kind).waiting += spec.tasks;
+        self.load(&spec.kind).queue(spec.tasks, spec.size.cpu);
         self.queue.add_all(shape(spec), now, job.clone(), spec.tasks);
         self.dirty = true;
         let (job, spec) = (job.clone(), spec.clone());
@@ -413,11 +433,10 @@
             return;
         };
         if !job.cancelled && !job.over() {
-            let (kind, queued) = (job.spec.kind.clone(), job.queued);
+            let (kind, queued, cpu) = (job.spec.kind.clone(), job.queued, job.spec.size.cpu);
             let bound: Vec<u32> = job.bound.iter().copied().collect();
             if !self.undoing.contains(&id) {
-                let load = self.load(&kind);
-                load.waiting = load.waiting.saturating_sub(queued);
+                self.load(&kind).dequeue(queued, cpu);
             }
             self.out.push(Action::Trace(What::Cancelled { job: id.clone() }));
             self.note(Note::Cancel { job: id.clone() }, None);
@@ -556,16 +575,20 @@
         self.workers.iter().map(|(name, worker)| (name, &worker.ledger))
     }
 
-    /// What the shard could take: its largest worker, the most free on one, and tasks waiting.
-    pub fn room(&self) -> (Size, Size, u32) {
-        let max = |sizes: &mut dyn Iterator<Item = Size>| {
-            sizes.fold(Size::default(), |a, b| {
-                Size::new(a.cpu.max(b.cpu), a.mem.max(b.mem), a.acc.max(b.acc))
-            })
-        };
-        let largest = max(&mut self.rooms().map(|(_, ledger)| ledger.total()));
-        let free = max(&mut self.rooms().map(|(_, ledger)| ledger.free()));
-        (largest, free, self.loads.values().map(|load| load.waiting).sum())
+    /// What the shard could take.
+    pub fn room(&self) -> Room {
+        let mut room = Room::default();
+        for worker in self.workers.values() {
+            let free = worker.ledger.free();
+            room.largest = room.largest.most(&worker.ledger.total());
+            room.free = room.free.most(&free);
+            room.spare = room.spare.plus(&free).unwrap_or(room.spare);
+        }
+        for (kind, load) in self.loads.iter().filter(|(_, load)| load.waiting > 0) {
+            room.backlog += load.backlog;
+            room.urgent = room.urgent.max(self.row(kind).map_or(0, |row| row.weight));
+        }
+        room
     }
 
     /// Tasks by kind.
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -17,7 +17,7 @@
 pub(super) const MAX_WAITING: usize = 10_000;
 
 /// The order in which shapes are looked at.
-type Rank = (u64, Reverse<Millis>, Reverse<Shape>);
+pub(super) type Rank = (u64, Reverse<Millis>, Reverse<Shape>);
 
 /// What became of the head of a shape.
 enum Placed {
@@ -37,26 +37,37 @@
             self.open = open;
             self.queue.unblock();
         }
-        let heads = self.queue.heads();
-        let mut heap: BinaryHeap<Rank> = heads.iter().map(|head| self.rank(now, head)).collect();
-        while let Some((_, _, Reverse(shape))) = heap.pop() {
+        self.renew_reservation(now);
+        let mut heap = self.ranked(now);
+        while let Some((points, _, Reverse(shape))) = heap.pop() {
             let Some(head) = self.queue.head(&shape) else { continue };
-            match self.place(now, &head) {
-                Placed::No(why) => self.queue.block(&shape, why),
+            match self.place(now, &head, points) {
+                Placed::No(why) => {
+                    self.queue.block(&shape, why);
+                    self.reserve(now, &shape, points, why);
+                }
+                Placed::Yes if self.is_reserved(&shape) => {
+                    self.end_reservation();
+                    heap = self.ranked(now);
+                }
                 Placed::Yes => {
-                    heap.extend(self.queue.head(&shape).map(|next| self.rank(now, &next)))
+                    heap.extend(self.queue.head(&shape).map(|next| self.rank(now, &next)));
                 }
             }
         }
     }
 
-    fn rank(&self, now: Millis, head: &Head) -> Rank {
+    fn ranked(&self, now: Millis) -> BinaryHeap<Rank> {
+        self.queue.heads().iter().map(|head| self.rank(now, head)).collect()
+    }
+
+    pub(super) fn rank(&self, now: Millis, head: &Head) -> Rank {
         let weight = self.row(&head.shape.kind).map_or(0, |row| row.weight) as u64;
         let points = weight * (HEAD_START + now.since(head.at).0);
         (points, Reverse(head.at), Reverse(head.shape.clone()))
     }
 
-    fn place(&mut self, now: Millis, head: &Head) -> Placed {
+    fn place(&mut self, now: Millis, head: &Head, points: u64) -> Placed {
         let job = self.book.jobs.get(&head.job);
         if job.is_none_or(|job| job.cancelled) {
             self.queue.drop_job(head);
@@ -66,8 +77,8 @@
             return Placed::No(Block::Limit);
         }
         match head.shape.gang {
-            0 => self.place_one(now, head),
-            count => self.place_gang(now, head, count),
+            0 => self.place_one(now, head, points),
+            count => self.place_gang(now, head, points, count),
         }
     }
 
@@ -90,7 +101,7 @@
         row.map_or(Weights { pack: 1, spread: 0 }, |r| Weights { pack: r.pack, spread: r.spread })
     }
 
-    fn open_rooms(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
+    pub(super) fn open_rooms(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
         self.open.iter().filter_map(|name| {
             let worker = self.workers.get(name)?;
             Some((name, &worker.ledger))
@@ -109,9 +120,10 @@
         fresh && !leaving && self.health.standing(now, name) != Standing::Aside
     }
 
-    fn place_one(&mut self, now: Millis, head: &Head) -> Placed {
+    fn place_one(&mut self, now: Millis, head: &Head, points: u64) -> Placed {
         let weights = self.weights(&head.shape.kind);
-        let picked = pick(self.open_rooms(), &head.shape.kind, &head.shape.size, weights);
+        let picked =
+            pick(self.rooms_for(&head.shape, points), &head.shape.kind, &head.shape.size, weights);
         let Some(worker) = picked.cloned() else { return Placed::No(Block::Room) };
         if let Some(index) = self.queue.take(head) {
             self.bind(now, &head.job, index, &worker);
@@ -119,10 +131,10 @@
         Placed::Yes
     }
 
-    fn place_gang(&mut self, now: Millis, head: &Head, count: u32) -> Placed {
+    fn place_gang(&mut self, now: Millis, head: &Head, points: u64, count: u32) -> Placed {
         let weights = self.weights(&head.shape.kind);
         let (kind, size) = (&head.shape.kind, &head.shape.size);
-        let picked = pick_gang(self.open_rooms(), kind, size, count, weights);
+        let picked = pick_gang(self.rooms_for(&head.shape, points), kind, size, count, weights);
         let Some(workers) = picked else { return Placed::No(Block::Room) };
         for worker in workers {
             if let Some(index) = self.queue.take(head) {
@@ -150,7 +162,7 @@
             self.open.retain(|open| open != name);
         }
         let load = self.load(&kind);
-        load.waiting = load.waiting.saturating_sub(1);
+        load.dequeue(1, size.cpu);
         load.running += 1;
         *self.teams.entry(team.clone()).or_insert(0) += size.cpu as u64;
         let live = Live {
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -260,7 +260,7 @@
         if row.team != spec.team {
             return Err(refuse(Reason::WrongTeam));
         }
-        let order = entry.offer_order(row, &spec.size, entry.next()).map_err(fail)?;
+        let order = entry.offer_order(row, &spec, entry.next()).map_err(fail)?;
         let mut last = not_run(Reason::NoOwner, None);
         for shard in order {
             let job = self.job_id(&shard, key, &spec.team).await?;
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Entry, lock};
 use crate::id::{EntryId, Name};
 use crate::trace::What;
-use crate::wire::msg::{Ask, Beat, Room, ShardBeat, Tell};
+use crate::wire::msg::{Ask, Beat, ShardBeat, Tell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,10 +45,7 @@
             let known = lock(&self.fold).claims.epoch(&cell.id);
             let mut shard = cell.shard();
             let epoch = known.max(shard.epoch());
-            let room = shard.office().map(|office| {
-                let (largest, free, waiting) = office.room();
-                Room { largest, free, waiting }
-            });
+            let room = shard.office().map(|office| office.room());
             ShardBeat { shard: cell.id.clone(), epoch, owner: room.is_some(), flying, room }
         });
         Beat {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -3,10 +3,11 @@
 use crate::clock::Millis;
 use crate::controller::claims::Peer;
 use crate::controller::list::{Role, VmList};
+use crate::controller::offer::Room;
 use crate::controller::slots::OWNER_PROOF;
 use crate::id::{EntryId, Name};
 use crate::settings::Settings;
-use crate::wire::msg::{Beat, Room};
+use crate::wire::msg::Beat;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -1,14 +1,15 @@
 //! Finding the owner of a shard, and the shard for a job or a key.
 
 use crate::clock::Millis;
+use crate::controller::offer::{self, Candidate, Offer, Room};
 use crate::controller::shard::office::{Answer, Event, Refusal};
 use crate::entry::{Cell, Entry, lock};
-use crate::id::{JobId, Name, hash, rendezvous};
+use crate::id::{JobId, Name, rendezvous};
 use crate::job::{JobSpec, JobStatus};
 use crate::record::Claim;
 use crate::size::Size;
 use crate::table::Row;
-use crate::wire::msg::{Ask, OwnerAsk, Reason, Refused, Room, Run, ShardStatus, Tell};
+use crate::wire::msg::{Ask, OwnerAsk, Reason, Refused, Run, ShardStatus, Tell};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -151,8 +152,7 @@
         for cell in self.cells() {
             let mut shard = cell.shard();
             let Some(office) = shard.office() else { continue };
-            let (largest, free, waiting) = office.room();
-            let room = Room { largest, free, waiting };
+            let room = office.room();
             rooms.push((cell.id.clone(), self.settings.domain.clone(), room));
         }
         rooms
@@ -166,24 +166,24 @@
     pub(crate) fn offer_order(
         &self,
         row: &Row,
-        size: &Size,
+        spec: &JobSpec,
         seed: u64,
     ) -> Result<Vec<Name>, Refused> {
         let local = &self.settings.domain;
         let rooms = self.known_rooms();
-        let allowed = rooms.iter().filter(|(_, domain, _)| row.site(domain) > 0);
-        let mut rated: Vec<_> = allowed
-            .filter(|(_, _, room)| room.largest.fits(size))
-            .map(|(shard, domain, room)| {
-                let far = domain != local && row.site(local) > 0;
-                let lighter = u32::MAX - row.site(domain);
-                let full = room.waiting > 0 || !room.free.fits(size);
-                let spread = hash(&[shard.as_bytes(), &seed.to_le_bytes()]);
-                ((far, full, if full { room.waiting } else { 0 }, lighter, spread), shard)
+        let candidates: Vec<Candidate> = rooms
+            .iter()
+            .filter(|(_, domain, _)| row.site(domain) > 0)
+            .map(|(shard, domain, room)| Candidate {
+                shard: shard.clone(),
+                far: domain != local && row.site(local) > 0,
+                weight: row.site(domain),
+                room: *room,
             })
             .collect();
-        rated.sort();
-        let order: Vec<Name> = rated.into_iter().map(|(_, shard)| shard.clone()).collect();
+        let count = if spec.gang { spec.tasks } else { 1 };
+        let offer = Offer { size: spec.size, count, weight: row.weight };
+        let order = offer::order(&candidates, &offer, seed);
         match order.is_empty() {
             false => Ok(order),
             true if self.knows_all_rooms(row, &rooms) => {
--- a/src/size.rs
+++ b/src/size.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// The larger of each dimension.
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem: self.mem.max(other.mem),
+            acc: self.acc.max(other.acc),
+        }
+    }
+
     /// How many times `need` fits into `self`; a need of nothing fits without limit.
     pub fn times(&self, need: &Self) -> u32 {
         let per = |have: u32, want: u32| have.checked_div(want).unwrap_or(u32::MAX);
--- a/src/wire/msg.rs
+++ b/src/wire/msg.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::controller::list::VmList;
+use crate::controller::offer::Room;
 use crate::controller::replica::{ReplicaError, State, Update};
 use crate::controller::shard::office::{Answer, Load, Refusal};
 use crate::controller::slots::SlotUse;
@@ -135,17 +136,6 @@
     pub room: Option<Room>,
 }
 
-/// What a shard could take.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Room {
-    /// The largest worker.
-    pub largest: Size,
-    /// The most that is free on one worker.
-    pub free: Size,
-    /// Tasks that wait.
-    pub waiting: u32,
-}
-
 /// A shard's state for operators.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShardStatus {
