Work of a higher weight passes a reservation

Cause: plates (weight 100) waited behind the room kept for a gang (60) that had waited longer.

Ruled out: a larger head start for new work (moves the age at which low weights get their turn, which tests/office.rs holds).

Change: a reservation keeps only work of the same or a lower weight out.

--- a/src/controller/shard/reserve.rs
+++ b/src/controller/shard/reserve.rs
@@ -92,14 +92,19 @@
         self.queue.unblock();
     }
 
-    /// The rooms open to a shape: not those kept for a more urgent one.
+    /// The rooms open to a shape: not those kept for a more urgent one. Work of a higher weight
+    /// passes: it gets room first anyway as soon as there is any.
     pub(super) fn rooms_for(
         &self,
         shape: &Shape,
         points: u64,
     ) -> impl Iterator<Item = (&Name, &Ledger)> {
         let held = self.reserved.as_ref();
-        let held = held.filter(|held| held.shape != *shape && held.points > points);
+        let weight = |shape: &Shape| self.row(&shape.kind).map_or(0, |row| row.weight);
+        let passes = |held: &&Reserved| {
+            held.shape == *shape || held.points <= points || weight(&held.shape) < weight(shape)
+        };
+        let held = held.filter(|held| !passes(held));
         self.open_rooms()
             .filter(move |(name, _)| held.is_none_or(|held| !held.workers.contains(*name)))
     }
