A rebuild waits until no former owner can start anything

Cause: two entries died after they had claimed a shard and before they took office. The next claimant found all holders of that epoch gone and rebuilt the state from the log, while the owner of the epoch before, paused, still held starts that had been committed.

Ruled out: asking that owner for its state (later epochs may have used what it does not know).

Change: workers count as asked for a rebuild only after every former owner has said that it is deposed with nothing on its way, or is gone and its last start has arrived.

--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -341,7 +341,8 @@
         for task in tasks.difference(&said) {
             self.saw_nothing(now, asked, report.inc, task);
         }
-        if let Some(unlisted) = &mut self.unlisted {
+        let whole = self.calm.is_some_and(|calm| calm <= asked);
+        if let Some(unlisted) = self.unlisted.as_mut().filter(|_| whole) {
             unlisted.remove(&name);
         }
         self.end_rebuild(now);
@@ -426,8 +427,9 @@
         }
     }
 
-    /// After a rebuild: once every worker has reported, what was not found may run, or, if it must
-    /// not be repeated, is in doubt for good.
+    /// After a rebuild: once every worker has reported, at a time when no start of a former owner
+    /// could arrive any more, what was not found may run, or, if it must not be repeated, is in
+    /// doubt for good.
     fn end_rebuild(&mut self, now: Millis) {
         let listed = self.unlisted.as_ref().is_some_and(BTreeSet::is_empty);
         if !listed || self.workers.is_empty() {
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -237,6 +237,8 @@
     pub(super) tombs: HashMap<TaskId, Tomb>,
     /// Former owners whose starts may still arrive, with the time when they surely cannot.
     pub(super) unfenced: BTreeMap<EntryId, Option<Millis>>,
+    /// Since when no start of a former owner can arrive any more.
+    pub(super) calm: Option<Millis>,
     pub(super) loads: BTreeMap<Name, Load>,
     pub(super) teams: BTreeMap<Name, u64>,
     pub(super) undoing: BTreeSet<JobId>,
@@ -278,6 +280,7 @@
             table,
             live: HashMap::new(),
             tombs: HashMap::new(),
+            calm: former.is_empty().then_some(now),
             unfenced: former.into_iter().map(|id| (id, None)).collect(),
             loads: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -363,7 +366,7 @@
             Event::Gap { replica } => self.journal.rebase(&replica),
             Event::Logged { epoch, seq } => self.journal.logged(epoch, seq),
             Event::Gone(entry) => self.gone(now, &entry),
-            Event::Fenced(entry) => drop(self.unfenced.remove(&entry)),
+            Event::Fenced(entry) => self.fenced(now, &entry),
             Event::Table(table) => self.set_table(table),
             Event::Refresh => self.refresh(),
             Event::Tick => self.tick(now),
@@ -513,6 +516,14 @@
     /// Former owners that are gone cannot start anything once their last start has arrived.
     pub(super) fn fence(&mut self, now: Millis) {
         self.unfenced.retain(|_, until| until.is_none_or(|until| now < until));
+        if self.unfenced.is_empty() {
+            self.calm.get_or_insert(now);
+        }
+    }
+
+    fn fenced(&mut self, now: Millis, entry: &EntryId) {
+        self.unfenced.remove(entry);
+        self.fence(now);
     }
 
     /// Drops finished jobs and old keys whose time is over.
