Log: records that nobody waits for wait for company

Cause: docs/CAPACITY.md in the making. Appends came every 10 ms from each entry under load: 14 entries could make 1,400 a second, and the platform takes several hundred.

Change: records of jobs and ended tasks wait up to 250 ms for more; what somebody waits for goes at once, at least 20 ms apart. The demo's callers come again when a shard has no owner yet, for services too: one demo of two had ended on that.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,194 @@
+//! State, messages and processor time by size: the slopes of docs/CAPACITY.md.
+
+#[path = "common/mod.rs"]
+mod common;
+
+use common::{Desk, RACK, spec, table};
+use serde::Serialize;
+use sprucerudder::clock::Millis;
+use sprucerudder::controller::offer::Room;
+use sprucerudder::controller::shard::office::Event;
+use sprucerudder::controller::slots::SlotUse;
+use sprucerudder::id::{EntryId, JobId, Name, TaskId};
+use sprucerudder::job::{Note, Outcome};
+use sprucerudder::platform::api::{Report, Running, SyncOrder};
+use sprucerudder::record::{Claim, Record};
+use sprucerudder::size::Size;
+use sprucerudder::trace::Stamp;
+use sprucerudder::wire::msg::{Ask, Beat, Envelope, ShardBeat, encode};
+use std::time::Instant;
+
+const WORKER: Size = Size::new(16_000, 32_000, 2);
+const PAGE: u64 = 4096;
+
+fn wire(ask: Ask) -> usize {
+    encode(&Envelope { stamp: Stamp(u64::MAX / 2), body: ask }).expect("bytes").len()
+}
+
+fn json<T: Serialize>(value: &T) -> usize {
+    serde_json::to_vec(value).expect("json").len()
+}
+
+fn entry(name: &str) -> EntryId {
+    EntryId { name: name.into(), inc: 1_764_000_000_000 }
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId { job: job(7), index, attempt: 0 }
+}
+
+fn job(seq: u64) -> JobId {
+    JobId { shard: "nasr-hall-rack-12".into(), seq: 0xdead_beef_0000_0000 + seq }
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+fn desks(workers: usize, tasks: u32) -> Vec<Desk> {
+    let rows = table(&[("build", "batch", 50, 10, 0)]);
+    let racks = workers.div_ceil(RACK);
+    let each = tasks.div_ceil(racks as u32);
+    let make = |rack| {
+        let mut desk = Desk::new(&format!("rack{rack}"), &[WORKER; RACK], rows.clone());
+        desk.submit(spec("build", each, false, Size::new(1_000, 1_000, 0)));
+        assert_eq!(desk.running.len(), each as usize);
+        desk
+    };
+    (0..racks).map(make).collect()
+}
+
+fn state_and_time() {
+    println!("owners: workers, tasks running, bytes of memory, of all states, us a control round");
+    for (workers, tasks) in [(48, 266), (200, 1_109), (1_100, 6_100)] {
+        let before = resident();
+        let mut all = desks(workers, tasks);
+        let memory = resident().saturating_sub(before);
+        let begun = Instant::now();
+        for desk in &mut all {
+            desk.now = desk.now + Millis(1_000);
+            desk.report();
+            desk.step(Event::Tick);
+        }
+        let round = begun.elapsed().as_micros();
+        let states = all.into_iter().map(|desk| desk.office.into_state());
+        let bytes: usize =
+            states.map(|state| postcard::to_stdvec(&state).expect("bytes").len()).sum();
+        println!("  {workers:>5} {tasks:>5} {memory:>9} {bytes:>8} {round:>7}");
+    }
+}
+
+fn beats() {
+    println!("sign of life: shards of the failure domain, bytes");
+    for count in [2, 12, 28] {
+        let shard = |i| ShardBeat {
+            shard: format!("nasr-hall-rack-{i}").into(),
+            epoch: 300,
+            owner: i % 3 == 0,
+            flying: true,
+            room: (i % 3 == 0).then_some(Room {
+                largest: WORKER,
+                free: WORKER,
+                spare: WORKER,
+                backlog: 100_000,
+                urgent: 100,
+            }),
+        };
+        let beat = Beat {
+            from: entry("nasr-hall-entry-1"),
+            domain: "nasr-hall".into(),
+            addr: "10.20.30.40:7100".parse().expect("addr"),
+            leaving: false,
+            rev: 100_000,
+            list: 100_000,
+            shards: (0..count).map(shard).collect(),
+        };
+        println!("  {count:>5} {:>7}", wire(Ask::Beat(beat)));
+    }
+}
+
+fn notes() {
+    println!("update of a replica: bindings in it, bytes; of the log in an epoch without replicas");
+    for count in [1_u32, 10, 100] {
+        let bind = |index| Note::Bind {
+            task: task(index),
+            worker: "nasr-hall-rack-12-w3".into(),
+            inc: 1_764_000_000_000,
+            owner: entry("nasr-hall-entry-1"),
+        };
+        let notes: Vec<Note> = (0..count).map(bind).collect();
+        let shard: Name = "nasr-hall-rack-12".into();
+        let record =
+            Record::Notes { shard: shard.clone(), epoch: 9, first: 1, notes: notes.clone() };
+        let update = sprucerudder::controller::replica::Update {
+            epoch: 9,
+            base: None,
+            first: 1_000_000,
+            notes,
+        };
+        println!("  {count:>5} {:>7} {:>7}", wire(Ask::Update { shard, update }), json(&record));
+    }
+}
+
+fn syncs() {
+    println!("contact with a worker: tasks running, bytes of order and report");
+    for count in [1_u32, 6, 20] {
+        let order = SyncOrder { renew: (0..count).map(task).collect(), ..SyncOrder::default() };
+        let running = |index| Running {
+            task: task(index),
+            kind: "campaign".into(),
+            size: WORKER,
+            usage: WORKER,
+        };
+        let ended = vec![(task(99), Outcome::Done)];
+        let report = Report { inc: 1, running: (0..count).map(running).collect(), ended };
+        println!("  {count:>5} {:>7} {:>7}", json(&order), json(&report));
+    }
+}
+
+fn log_records() {
+    let spec = spec("campaign", 30, false, WORKER);
+    let job_record = Record::Job { job: job(1), spec, at: Millis(1_764_000_000_000) };
+    let ended = Record::Ended { job: job(1), index: 10, outcome: Outcome::Done };
+    println!("log: bytes of a job {}, of an ended task {}", json(&job_record), json(&ended));
+    println!("snapshot of the log: shards, bytes with four claims each");
+    for shards in [12_u32, 28, 140] {
+        let claim = |shard: u32, epoch| Claim {
+            shard: format!("nasr-hall-rack-{shard}").into(),
+            domain: "nasr-hall".into(),
+            epoch,
+            owner: entry("nasr-hall-entry-1"),
+            replicas: vec![entry("nasr-hall-entry-2"), entry("nasr-hall-entry-3")],
+        };
+        let claims = (0..shards).map(|at| (1..5).map(|epoch| claim(at, epoch)).collect());
+        let record = Record::Snapshot { upto: 1, table: None, claims: claims.collect() };
+        println!("  {shards:>5} {:>7}", json(&record));
+    }
+}
+
+fn slots() {
+    println!("slots: runners of the shard, bytes of the question");
+    for runners in [2, 8, 48] {
+        let usage =
+            |i| SlotUse { runner: format!("nasr-hall-runner-{i}").into(), held: 4, used: 2 };
+        let ask = Ask::Slots {
+            shard: "nasr-hall-rack-12".into(),
+            entry: "nasr-hall-entry-1".into(),
+            uses: (0..runners).map(usage).collect(),
+            waiting: 3,
+        };
+        println!("  {runners:>5} {:>7}", wire(ask));
+    }
+}
+
+fn main() {
+    state_and_time();
+    beats();
+    notes();
+    syncs();
+    log_records();
+    slots();
+}
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -60,10 +60,10 @@
     let until = Millis::now() + length;
     let (_, addr) = cell.entries[0];
     let mut services_up = Vec::new();
+    let next = Arc::new(AtomicUsize::new(0));
     for service in services() {
-        services_up.push(cell.submit(addr, &service).await?);
+        services_up.extend(insist(&cell, &next, &service).await);
     }
-    let next = Arc::new(AtomicUsize::new(0));
     let mut tasks = JoinSet::new();
     for requests in REQUESTS {
         tasks.spawn(ask(cell.clone(), next.clone(), requests, until));
@@ -121,16 +121,17 @@
 }
 
 /// Submits a job and comes again, as callers do, while the cell has no owner for it.
-async fn insist(cell: &Cell, next: &AtomicUsize, job: &Value) {
+async fn insist(cell: &Cell, next: &AtomicUsize, job: &Value) -> Option<String> {
     let mut refused = None;
     for _ in 0..TRIES {
         match cell.submit(entry(cell, next), job).await {
-            Ok(_) => return,
+            Ok(id) => return Some(id),
             Err(err) => refused = Some(err),
         }
         tokio::time::sleep(AGAIN.duration()).await;
     }
     refused.iter().for_each(|err| println!("job refused: {err}"));
+    None
 }
 
 async fn withdraw(cell: Arc<Cell>) {
--- a/src/entry/log.rs
+++ b/src/entry/log.rs
@@ -30,7 +30,9 @@
 /// Claims not appended after this long are dropped: what they were based on is old.
 pub(crate) const CLAIM_EXPIRY: Millis = Millis(2_000);
 /// Group commit: at least this long between two appends.
-const GROUP: Millis = Millis(10);
+const GROUP: Millis = Millis(20);
+/// Group commit: records that nobody waits for are held this long for more of them.
+const LINGER: Millis = Millis(250);
 
 /// Records for the log.
 #[derive(Debug)]
@@ -38,6 +40,8 @@
     records: Vec<Record>,
     expires: Option<Millis>,
     done: Option<oneshot::Sender<()>>,
+    /// Something waits for it: it is not held for more records.
+    prompt: bool,
 }
 
 /// The writer's side that the rest of the entry uses.
@@ -56,21 +60,26 @@
         (Self { items, seen, tail }, queue)
     }
 
-    /// Appends when it can be; nobody waits.
+    /// Appends in a while; nobody waits.
     pub fn append(&self, records: Vec<Record>) {
-        self.push(records, None, None);
+        self.push(records, None, None, false);
+    }
+
+    /// Appends as soon as it can be.
+    pub fn append_now(&self, record: Record) {
+        self.push(vec![record], None, None, true);
     }
 
     /// Appends a claim soon or never.
     pub fn claim(&self, claim: Claim, now: Millis) {
-        self.push(vec![Record::Claim(claim)], Some(now + CLAIM_EXPIRY), None);
+        self.push(vec![Record::Claim(claim)], Some(now + CLAIM_EXPIRY), None, true);
     }
 
     /// Appends and waits until the records were read back, at most `limit`; `false` if they were
     /// not. They may be appended later all the same.
     pub async fn commit(&self, records: Vec<Record>, now: Millis, limit: Millis) -> bool {
         let (done, waiting) = oneshot::channel();
-        self.push(records, Some(now + limit), Some(done));
+        self.push(records, Some(now + limit), Some(done), true);
         let result = tokio::time::timeout(limit.duration(), waiting).await;
         matches!(result, Ok(Ok(())))
     }
@@ -80,9 +89,10 @@
         records: Vec<Record>,
         expires: Option<Millis>,
         done: Option<oneshot::Sender<()>>,
+        prompt: bool,
     ) {
         if !records.is_empty() {
-            let _ = self.items.send(Item { records, expires, done });
+            let _ = self.items.send(Item { records, expires, done, prompt });
         }
     }
 }
@@ -113,6 +123,21 @@
     (records, waiting)
 }
 
+/// Holds records that nobody waits for until more came, or one that somebody waits for.
+async fn linger(inbox: &mut mpsc::UnboundedReceiver<Item>, queue: &mut VecDeque<Item>) {
+    let over = tokio::time::sleep(LINGER.duration());
+    tokio::pin!(over);
+    while queue.iter().all(|item| !item.prompt) {
+        tokio::select! {
+            item = inbox.recv() => match item {
+                Some(item) => queue.push_back(item),
+                None => return,
+            },
+            () = &mut over => return,
+        }
+    }
+}
+
 fn weight(record: &Record) -> usize {
     serde_json::to_vec(record).map_or(0, |text| text.len())
 }
@@ -125,6 +150,7 @@
         let mut seq = 0;
         while let Some(item) = inbox.recv().await {
             queue.push_back(item);
+            linger(&mut inbox, &mut queue).await;
             while !queue.is_empty() {
                 let (records, waiting) = gather(&mut inbox, &mut queue, self.now());
                 if records.is_empty() {
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -358,7 +358,7 @@
             (updates, record)
         };
         if let Some(record) = record {
-            self.writer.append(vec![record]);
+            self.writer.append_now(record);
         }
         let sends = updates.into_iter().map(|(id, update)| async move {
             let epoch = update.epoch;
