Tests: an entry that was paused when another died learns of it

The tests' world told only entries that ran at that moment that another was gone; the entry's shell tells an owner again whenever it takes office, reads a new list or hears a new run. Ruled out: the rebuild itself (it waited, rightly, for a former owner nobody had declared gone).

Change: the world tells at each tick. No check was eased.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -207,6 +207,9 @@
 
     fn tick(&mut self, index: usize) {
         self.step(index, Event::Tick);
+        for old in self.gone.clone() {
+            self.step(index, Event::Gone(old));
+        }
         let now = self.now;
         let entry = &mut self.entries[index];
         let since = entry.shard.office().map(|office| office.since());
