--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -2,9 +2,13 @@
 
 use crate::cmd::Run;
 use crate::wire::keys::Authority;
-use anyhow::Result;
+use anyhow::{Context, Result};
 use bpaf::Bpaf;
-use serde_json::json;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+
+/// The part of the output that holds the authority.
+const AUTHORITY: &str = "authority";
 
 /// What `keys` takes.
 #[derive(Debug, Clone, Bpaf)]
@@ -12,6 +16,9 @@
     /// The cell's name
     #[bpaf(argument("NAME"), fallback("cell".to_string()), display_fallback)]
     cell: String,
+    /// Output of an earlier call: its authority is used again
+    #[bpaf(argument("FILE"))]
+    authority: Option<PathBuf>,
     /// Names of entries
     #[bpaf(positional("ENTRY"), some("at least one entry"))]
     entries: Vec<String>,
@@ -19,8 +26,11 @@
 
 impl Run for KeysArgs {
     fn run(self) -> Result<()> {
-        let authority = Authority::new(&self.cell)?;
-        let mut all = serde_json::Map::new();
+        let authority = match &self.authority {
+            Some(path) => load(path)?,
+            None => Authority::new(&self.cell)?,
+        };
+        let mut entries = serde_json::Map::new();
         for name in &self.entries {
             let keys = authority.issue(name)?;
             let part = json!({
@@ -28,9 +38,22 @@
                 "certificate": &*keys.certificate,
                 "secret": &*keys.secret,
             });
-            all.insert(name.clone(), part);
+            entries.insert(name.clone(), part);
         }
+        let own = json!({"certificate": authority.certificate(), "secret": authority.secret()});
+        let all = json!({AUTHORITY: own, "entries": entries});
         println!("{}", serde_json::to_string_pretty(&all)?);
         Ok(())
     }
 }
+
+fn load(path: &Path) -> Result<Authority> {
+    let text = std::fs::read_to_string(path);
+    let text = text.with_context(|| format!("cannot read {}", path.display()))?;
+    let all: Value = serde_json::from_str(&text).context("not the output of keys")?;
+    let part = |name: &str| {
+        let text = all[AUTHORITY][name].as_str();
+        text.with_context(|| format!("no authority.{name} in {}", path.display()))
+    };
+    Ok(Authority::load(part("certificate")?, part("secret")?)?)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,7 +13,7 @@
 mod timeline;
 
 use anyhow::Result;
-use bpaf::{Bpaf, OptionParser};
+use bpaf::{Bpaf, OptionParser, ParseFailure};
 use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
 use std::fmt;
 use std::process::ExitCode;
@@ -29,52 +29,62 @@
 
 /// A scheduler for unlike workloads on one cluster, driven by one table.
 ///
+///
 /// Exit codes: 0 done; 1 failed; 2 wrong use; 3 refused by the system, or a check found faults.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
     /// Runs an entry until SIGTERM; a second one stops it at once
     ///
+    ///
     /// Example: sprucerudder entry --settings nasr-1.jsonc
     #[bpaf(command)]
     Entry(#[bpaf(external(entry::entry_args))] entry::EntryArgs),
     /// Runs a small stand-in for a system that is not ours, for trials and tests
     ///
+    ///
     /// Example: sprucerudder standin worker --listen 127.0.0.1:9001 --name w1 --cpu 16000 --mem 32000
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin_args))] standin::StandinArgs),
     /// Runs a whole small cell in this process and reports waits, packing and control cost
     ///
+    ///
     /// Example: sprucerudder demo
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::demo_args))] demo::DemoArgs),
     /// Checks, shows, compares and publishes tables
     ///
+    ///
     /// Example: sprucerudder table check desk.csv
     #[bpaf(command)]
     Table(#[bpaf(external(table::table_args))] table::TableArgs),
     /// Submits, shows, withdraws and lists jobs
     ///
+    ///
     /// Example: sprucerudder job submit --kind build --cpu 2000 --mem 1000 --run 5000
     #[bpaf(command)]
     Job(#[bpaf(external(job::job_args))] job::JobArgs),
     /// Shows entries, shards and their owners, workers and tasks
     ///
+    ///
     /// Example: sprucerudder status --addr 127.0.0.1:7001
     #[bpaf(command)]
     Status(#[bpaf(external(status::status_args))] status::StatusArgs),
     /// Begins the planned stop of an entry, so that its VM can be replaced
     ///
+    ///
     /// Example: sprucerudder drain --addr 127.0.0.1:7001
     #[bpaf(command)]
     Drain(#[bpaf(external(drain::drain_args))] drain::DrainArgs),
     /// Shows the time line of several processes, in one order, and checks it
     ///
+    ///
     /// Example: sprucerudder timeline --check 127.0.0.1:7001 127.0.0.1:9001
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline::timeline_args))] timeline::TimelineArgs),
     /// Makes a certificate authority and keys for entries, as parts of their settings
     ///
+    ///
     /// Example: sprucerudder keys --cell delta nasr-1 nasr-2
     #[bpaf(command)]
     Keys(#[bpaf(external(keys::keys_args))] keys::KeysArgs),
@@ -129,6 +139,19 @@
     }
 }
 
+/// The exit code of a wrong use.
+const MISUSED: u8 = 2;
+
+/// Prints the help that was asked for, or what is wrong with the command line.
+pub fn misuse(failure: ParseFailure) -> ExitCode {
+    const WIDTH: usize = 100;
+    failure.print_message(WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(MISUSED),
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+    }
+}
+
 /// Sends logs to standard error, one line for each event.
 fn start_log(level: LevelFilter) {
     let config = ConfigBuilder::new().add_filter_allow_str("sprucerudder").build();
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -7,7 +7,7 @@
 use crate::controller::shard::{Search, Source};
 use crate::controller::slots::Lender;
 use crate::entry::{Cell, Entry, lock};
-use crate::id::{EntryId, Name, TaskId};
+use crate::id::{EntryId, Name, TaskId, hash};
 use crate::platform::api::{Report, StartOrder, StopOrder, SyncOrder, TaskReply};
 use crate::record::Claim;
 use crate::table::Table;
@@ -36,7 +36,9 @@
     /// Claims, searches, and lets time pass for the shards owned here.
     pub(super) async fn tick(self: Arc<Self>) {
         let mut timer = tokio::time::interval(TICK.duration());
-        let mut refreshed = self.now();
+        let every = self.settings.log_refresh;
+        let mut refreshed = self.now() - Millis(hash(&[self.me.name.as_bytes()]) % every.0);
+        let mut snapshot = 0;
         loop {
             timer.tick().await;
             for cell in self.cells() {
@@ -45,9 +47,9 @@
                 self.claim(&cell);
                 self.search(&cell).await;
             }
-            if self.now().since(refreshed) >= self.settings.log_refresh {
+            if self.now().since(refreshed) >= every {
                 refreshed = self.now();
-                self.refresh_log();
+                snapshot = self.refresh_log(snapshot);
             }
             self.give_turns();
         }
@@ -61,13 +63,18 @@
         }
     }
 
-    /// Appends again what retention would drop: open jobs of the shards owned here, the table and
-    /// the claims.
-    fn refresh_log(self: &Arc<Self>) {
+    /// Appends again what retention would drop: open jobs of the shards owned here, and the table
+    /// and the claims unless another entry did so since the snapshot at offset `last`. Returns the
+    /// offset of the last snapshot.
+    fn refresh_log(self: &Arc<Self>, last: u64) -> u64 {
         for cell in self.cells() {
             self.step(&cell, Event::Refresh);
         }
-        self.append_snapshot();
+        let newest = lock(&self.fold).snapshot_at();
+        if newest == last {
+            self.append_snapshot();
+        }
+        newest
     }
 
     fn claim(self: &Arc<Self>, cell: &Arc<Cell>) {
--- a/src/wire/keys.rs
+++ b/src/wire/keys.rs
@@ -34,6 +34,7 @@
 pub struct Authority {
     cert: Certificate,
     pair: KeyPair,
+    pem: String,
 }
 
 impl Authority {
@@ -48,7 +49,28 @@
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
         let cert = params.self_signed(&pair)?;
-        Ok(Self { cert, pair })
+        let pem = cert.pem();
+        Ok(Self { cert, pair, pem })
+    }
+
+    /// An authority made earlier, from its certificate and private key.
+    ///
+    /// # Errors
+    /// If the texts are not a certificate and its key.
+    pub fn load(pem: &str, secret: &str) -> Result<Self, KeyError> {
+        let pair = KeyPair::from_pem(secret)?;
+        let cert = CertificateParams::from_ca_cert_pem(pem)?.self_signed(&pair)?;
+        Ok(Self { cert, pair, pem: pem.to_string() })
+    }
+
+    /// The certificate, as PEM.
+    pub fn certificate(&self) -> &str {
+        &self.pem
+    }
+
+    /// The private key, as PEM: whoever has it can make entries of the cell.
+    pub fn secret(&self) -> String {
+        self.pair.serialize_pem()
     }
 
     /// Keys for the entry `name`.
@@ -63,7 +85,7 @@
             vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
         let cert = params.signed_by(&pair, &self.cert, &self.pair)?;
         Ok(Keys {
-            authority: self.cert.pem().into(),
+            authority: self.pem.as_str().into(),
             certificate: cert.pem().into(),
             secret: pair.serialize_pem().into(),
         })
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,84 @@
+//! The command line: exit codes, checks without an entry, keys, the demo.
+
+use std::process::{Command, Output};
+
+fn sprucerudder(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sprucerudder"));
+    command.env_remove("SPRUCERUDDER_TOKEN").args(args).output().expect("run")
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("spruce-cli-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("write");
+    path.to_str().expect("path").to_string()
+}
+
+#[test]
+fn exit_codes_are_as_documented() {
+    assert_eq!(sprucerudder(&["--help"]).status.code(), Some(0));
+    assert_eq!(sprucerudder(&["no-such-command"]).status.code(), Some(2));
+    assert_eq!(sprucerudder(&["table", "check", "/no/such/file"]).status.code(), Some(1));
+    let unreachable = ["status", "--addr", "127.0.0.1:1", "--token", "x"];
+    assert_eq!(sprucerudder(&unreachable).status.code(), Some(1));
+}
+
+#[test]
+fn every_command_has_help_and_an_example() {
+    let commands =
+        ["entry", "standin", "demo", "table", "job", "status", "drain", "timeline", "keys"];
+    for command in commands {
+        let help = sprucerudder(&[command, "--help"]);
+        let text = String::from_utf8_lossy(&help.stdout).into_owned();
+        assert!(help.status.success() && text.contains("Example: sprucerudder"), "{text}");
+    }
+}
+
+#[test]
+fn a_table_is_checked_without_an_entry() {
+    let good = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/example/table.csv");
+    let checked = sprucerudder(&["table", "check", good]);
+    assert!(checked.status.success());
+    assert_eq!(checked.stdout, b"ok rows=7 leaving=0\n");
+    let text =
+        std::fs::read_to_string(good).expect("table").replace("preview,nilewire", "preview,x y");
+    let bad = file("bad.csv", &text);
+    let checked = sprucerudder(&["table", "check", &bad]);
+    assert_eq!(checked.status.code(), Some(3));
+    let said = String::from_utf8_lossy(&checked.stderr).into_owned();
+    assert!(said.contains("line 2") && said.contains("team"), "{said}");
+    std::fs::remove_file(bad).expect("remove");
+}
+
+#[test]
+fn wrong_settings_are_refused_with_every_fault() {
+    let path = file("bad.jsonc", "// nothing right\n{\n\"name\": 5,\n\"beat\": 1\n}\n");
+    let run = sprucerudder(&["entry", "--settings", &path]);
+    assert_eq!(run.status.code(), Some(3));
+    let said = String::from_utf8_lossy(&run.stderr).into_owned();
+    for part in ["line 3: name", "line 4: beat", "domain", "platform"] {
+        assert!(said.contains(part), "{part} in {said}");
+    }
+    std::fs::remove_file(path).expect("remove");
+}
+
+#[test]
+fn keys_for_new_entries_come_from_the_same_authority() {
+    let first = sprucerudder(&["keys", "--cell", "delta", "e1"]);
+    let all: serde_json::Value = serde_json::from_slice(&first.stdout).expect("json");
+    let path = file("keys.json", &all.to_string());
+    let second = sprucerudder(&["keys", "--authority", &path, "e2"]);
+    let more: serde_json::Value = serde_json::from_slice(&second.stdout).expect("json");
+    assert_eq!(all["entries"]["e1"]["authority"], more["entries"]["e2"]["authority"]);
+    assert_eq!(all["authority"], more["authority"]);
+    std::fs::remove_file(path).expect("remove");
+}
+
+#[test]
+fn the_demo_ends_well() {
+    let demo = sprucerudder(&["demo", "--seconds", "2"]);
+    let text = String::from_utf8_lossy(&demo.stdout).into_owned();
+    assert!(demo.status.success(), "{text}{}", String::from_utf8_lossy(&demo.stderr));
+    for part in ["preview", "campaign", "packing", "bytes/s a node", "broken=0"] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
