Entries that cannot hear each other no longer duel over a shard

Cause: the search, which now also cuts entries from the log and from each other, one way and both ways, ended with a shard without an owner. Two entries, each deaf to the other, claimed it in turn every 2 s without ever getting to work; after 32 claims the history that the search for the state needs was gone for good.

Ruled out: a longer history alone (the duel goes on, only longer).

Change: an owner whose state is at its replicas says so in the log once an epoch (Record::Active), and only then are earlier claims forgotten, never by count; each further claim without an owner at work waits twice as long.

--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -5,8 +5,6 @@
 use crate::record::Claim;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How many claims on a shard are kept: the search for its state looks no further back.
-const HISTORY: usize = 32;
 /// An owner not heard for this long is suspected.
 pub const SUSPECT: Millis = Millis(3_000);
 /// Each further candidate waits this much longer before it claims.
@@ -14,7 +12,15 @@
 /// A claim not read back after this long is decided again.
 const CLAIM_TIMEOUT: Millis = Millis(2_000);
 
-/// The claims on all shards, folded in the order of the log.
+/// Each claim since the last owner that got to work makes the next one wait twice as long, up to
+/// this many times: entries that cannot hear each other do not take the shard from one another
+/// without end.
+const MAX_DOUBLINGS: u32 = 8;
+/// Claims without an owner at work that make nobody wait.
+const FREE_CLAIMS: u32 = 3;
+
+/// The claims on all shards, folded in the order of the log: from the last owner that got to work
+/// on, or from the first.
 #[derive(Debug, Default)]
 pub struct Claims {
     shards: BTreeMap<Name, Vec<Claim>>,
@@ -29,12 +35,18 @@
             return false;
         }
         history.push(claim.clone());
-        if history.len() > HISTORY {
-            history.remove(0);
-        }
         true
     }
 
+    /// The owner of this epoch has its state at all replicas: earlier claims are forgotten.
+    pub fn active(&mut self, shard: &str, epoch: u64) {
+        if let Some(history) = self.shards.get_mut(shard)
+            && history.iter().any(|claim| claim.epoch == epoch)
+        {
+            history.retain(|claim| claim.epoch >= epoch);
+        }
+    }
+
     /// Takes a history from a snapshot of the log if it is newer.
     pub fn restore(&mut self, claims: &[Claim]) -> bool {
         let Some(newest) = claims.last() else { return false };
@@ -117,6 +129,12 @@
         if pending.is_some_and(|(tried, at)| *tried > epoch && now.since(*at) < CLAIM_TIMEOUT) {
             return None;
         }
+        let idle = claims.history(shard).len() as u32;
+        let doublings = idle.saturating_sub(FREE_CLAIMS).min(MAX_DOUBLINGS);
+        let patience = Millis((STAGGER.0 << doublings) - STAGGER.0);
+        if pending.is_some_and(|(_, at)| now.since(*at) < patience) {
+            return None;
+        }
         let replicas = self.replicas(now, peers);
         let wanted = match last {
             None => now.since(self.since) >= SUSPECT + self.turn(now, shard, peers),
--- a/src/controller/fold.rs
+++ b/src/controller/fold.rs
@@ -115,7 +115,7 @@
 
     fn record(&mut self, offset: u64, record: Record, changes: &mut Vec<Change>) {
         match record {
-            Record::Publish(_) | Record::Claim(_) if !self.synced => {
+            Record::Publish(_) | Record::Claim(_) | Record::Active { .. } if !self.synced => {
                 self.held.push((offset, record));
             }
             Record::Publish(publish) => {
@@ -128,6 +128,7 @@
                     changes.push(Change::Claim(claim));
                 }
             }
+            Record::Active { shard, epoch } => self.claims.active(&shard, epoch),
             Record::Snapshot { upto, table, claims } => {
                 self.snapshot = offset;
                 if !self.synced {
--- a/src/controller/recover.rs
+++ b/src/controller/recover.rs
@@ -25,7 +25,8 @@
 pub struct Recovery {
     me: EntryId,
     earlier: Vec<Claim>,
-    whole: bool,
+    /// The first epoch of the history: if it is not 1, its owner got to work.
+    floor: u64,
     log: State,
     answers: BTreeMap<EntryId, State>,
 }
@@ -36,8 +37,8 @@
     pub fn new(mine: &Claim, history: &[Claim], log: State) -> Self {
         let below = history.iter().filter(|claim| claim.epoch < mine.epoch);
         let earlier: Vec<Claim> = below.cloned().collect();
-        let whole = earlier.first().map_or(mine.epoch, |first| first.epoch) == 1;
-        Self { me: mine.owner.clone(), earlier, whole, log, answers: BTreeMap::new() }
+        let floor = earlier.first().map_or(mine.epoch, |first| first.epoch);
+        Self { me: mine.owner.clone(), earlier, floor, log, answers: BTreeMap::new() }
     }
 
     /// Takes the answer of an entry that sealed itself.
@@ -68,7 +69,10 @@
             }
             self.earlier.pop();
         }
-        if self.whole { Next::Rebuild } else { Next::Ask(BTreeSet::new()) }
+        match self.floor {
+            1 => Next::Rebuild,
+            _ => Next::Ask(BTreeSet::new()),
+        }
     }
 
     /// Whether nothing more can be committed in this epoch than the answers have.
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -248,6 +248,8 @@
     pub(super) open: Vec<Name>,
     pub(super) reserved: Option<Reserved>,
     closed: BTreeMap<JobId, Millis>,
+    /// The epoch that the log knows as one whose owner got to work.
+    active: u64,
     swept: Millis,
     since: u64,
 }
@@ -291,6 +293,7 @@
             open: Vec::new(),
             reserved: None,
             closed: BTreeMap::new(),
+            active: 0,
             swept: now,
             since: claim.epoch,
         };
@@ -376,6 +379,7 @@
             self.schedule(now);
             self.run_effects(now);
         }
+        self.announce();
         std::mem::take(&mut self.out)
     }
 
@@ -474,6 +478,16 @@
         self.loads.entry(kind.clone()).or_default()
     }
 
+    /// Tells the log once in an epoch that the replicas have the state.
+    fn announce(&mut self) {
+        let epoch = self.epoch();
+        if self.active < epoch && self.journal.committed() > 0 {
+            self.active = epoch;
+            let shard = self.shard.clone();
+            self.out.push(Action::Append(Record::Active { shard, epoch }));
+        }
+    }
+
     fn run_effects(&mut self, now: Millis) {
         while let Some(effect) = self.journal.ready() {
             match effect {
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -20,8 +20,8 @@
 const BACKOFF: Millis = Millis(1_000);
 /// A request of weight 0 ranks as if it had come this much later, in milliseconds.
 const HANDICAP: u64 = 5_000;
-/// The weight of the past in the mean service time, in parts of 16.
-const PAST: u64 = 15;
+/// The weight of the past in the mean service time, in parts of 8.
+const PAST: u64 = 7;
 
 /// What an entry says of one runner when it asks for slots.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -291,9 +291,13 @@
     fn wait_ahead(&self, now: Millis, request: &Waiting) -> Millis {
         let slots: u32 = self.runners.values().map(|runner| runner.allowed(now)).sum();
         let before = self.waiting.range(..(rank(request), request.id));
-        let mean = |kind: &Name| self.means.get(kind).map_or(0, |micros| *micros);
-        let work: u64 = before.map(|(_, other)| mean(&other.kind)).sum();
-        Millis((work + mean(&request.kind)) / 1000 / slots.max(1) as u64)
+        let work: u64 = before.map(|(_, other)| self.mean(&other.kind).0).sum();
+        Millis(work / slots.max(1) as u64) + self.mean(&request.kind)
+    }
+
+    /// How long a runner takes for a request of this kind, as far as is known.
+    fn mean(&self, kind: &Name) -> Millis {
+        Millis(self.means.get(kind).map_or(0, |micros| micros / 1000))
     }
 
     /// A request is done with its slot: it took `took`; `reached` is whether the runner answered.
@@ -313,7 +317,10 @@
 
     /// Requests that may go now, and requests whose time is over.
     pub fn turns(&mut self, now: Millis) -> Vec<Turn> {
-        let late = self.waiting.iter().filter(|(_, request)| request.due <= now);
+        let late = self
+            .waiting
+            .iter()
+            .filter(|(_, request)| request.due <= now + self.mean(&request.kind));
         let late: Vec<(u64, u64)> = late.map(|(key, _)| *key).collect();
         let mut turns = Vec::new();
         for key in late {
--- a/src/record.rs
+++ b/src/record.rs
@@ -62,6 +62,13 @@
     Publish(Publish),
     /// An entry claims a shard.
     Claim(Claim),
+    /// An owner's state is at its replicas: claims before this epoch are not needed any more.
+    Active {
+        /// The shard.
+        shard: Name,
+        /// The owner's epoch.
+        epoch: u64,
+    },
     /// The table and the claims, repeated so that retention does not drop them.
     Snapshot {
         /// The first offset that is not in it.
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -4,10 +4,13 @@
 use crate::id::Name;
 use crate::standin::{TRACE_PATH, timeline};
 use crate::trace::{Trace, What};
+use bytes::Bytes;
 use poem::http::StatusCode;
+use poem::http::header::CONTENT_LENGTH;
 use poem::web::{Data, Json, Path};
 use poem::{Body, EndpointExt, IntoEndpoint, Response, Route, handler, post};
 use serde::{Deserialize, Serialize};
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Semaphore;
 
@@ -105,10 +108,10 @@
         return Ok(response.status(StatusCode::INTERNAL_SERVER_ERROR).body(answer));
     }
     if faults.cut {
-        let half = bytes::Bytes::from(answer[..answer.len() / 2].to_vec());
-        let broken = std::io::Error::other("cut");
-        let parts: [Result<bytes::Bytes, std::io::Error>; 2] = [Ok(half), Err(broken)];
-        return Ok(response.body(Body::from_bytes_stream(futures_util::stream::iter(parts))));
+        let half = Bytes::from(answer[..answer.len() / 2].to_vec());
+        let parts: [io::Result<Bytes>; 1] = [Ok(half)];
+        let body = Body::from_bytes_stream(futures_util::stream::iter(parts));
+        return Ok(response.header(CONTENT_LENGTH, answer.len()).body(body));
     }
     Ok(response.body(answer))
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -33,6 +33,9 @@
     Restart(usize),
     ReplaceWorker(usize),
     LogDown(bool),
+    CutOff(usize, bool),
+    Cut(usize, usize),
+    Mend,
     Submit { entry: usize, once: bool, tasks: u32, gang: bool, cpu: u32 },
     Cancel(usize, usize),
     End(usize, usize, Outcome),
@@ -62,6 +65,9 @@
         1 => entry.clone().prop_map(Op::Restart),
         1 => (0..WORKERS).prop_map(Op::ReplaceWorker),
         2 => any::<bool>().prop_map(Op::LogDown),
+        4 => (entry.clone(), any::<bool>()).prop_map(|(e, cut)| Op::CutOff(e, cut)),
+        4 => (entry.clone(), entry.clone()).prop_map(|(a, b)| Op::Cut(a, b)),
+        2 => Just(Op::Mend),
         8 => (entry.clone(), any::<bool>(), 1..4_u32, any::<bool>(), 1..4_u32).prop_map(
             |(entry, once, tasks, gang, cpu)| Op::Submit { entry, once, tasks, gang, cpu }
         ),
@@ -88,6 +94,9 @@
         Op::Restart(entry) => world.restart_entry(entry),
         Op::ReplaceWorker(worker) => world.replace_worker(worker),
         Op::LogDown(down) => world.log_down = down,
+        Op::CutOff(entry, cut) => world.entries[entry].cut_off = cut,
+        Op::Cut(from, to) => drop(world.cuts.insert((from, to))),
+        Op::Mend => world.cuts.clear(),
         Op::Submit { entry, once, tasks, gang, cpu } => {
             let kind = if once { "once" } else { "build" };
             world.submit(entry, kind, tasks, gang, Size::new(cpu, 1, 0));
@@ -392,7 +401,20 @@
         Op::Round,
         Op::Round,
     ];
+    let mut duel_of_entries_that_cannot_hear_each_other = vec![
+        Op::Pause(1),
+        Op::Restart(2),
+        Op::Advance(500),
+        Op::Cut(0, 2),
+        Op::Advance(2000),
+        Op::Round,
+        Op::Round,
+        Op::Advance(2500),
+        Op::Cut(2, 0),
+    ];
+    duel_of_entries_that_cannot_hear_each_other.extend((0..300).map(|_| Op::Round));
     for ops in [
+        duel_of_entries_that_cannot_hear_each_other,
         rebuild_beside_a_paused_owner,
         adopted_task_was_started_without_a_commit,
         own_earlier_office_was_not_fenced,
--- /dev/null
+++ b/tests/request.rs
@@ -0,0 +1,146 @@
+//! Requests under failure, in separate processes: whole answers or visible breaks, `run: no` only
+//! where it is so, refusals at once.
+
+mod common;
+
+use common::{Cell, NILEWIRE};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+const ENTRY: &str = "nasr-hall-1";
+const RUNNER: &str = "nasr-hall-r1";
+
+/// A cell whose first entry serves previews.
+async fn serving(name: &str) -> Cell {
+    let cell = Cell::start(name).await;
+    cell.ready().await;
+    cell.until("preview", async || cell.request(ENTRY, "preview", &[], "x").await.0 == 200).await;
+    cell
+}
+
+async fn runner_faults(cell: &Cell, faults: Value) {
+    let addr = cell.runners[RUNNER].addr;
+    cell.post(addr, "/set/faults", &faults).await.expect("faults");
+}
+
+fn problem(answer: &(u16, String)) -> (u16, Value, Value) {
+    let value: Value = serde_json::from_str(&answer.1).unwrap_or(Value::Null);
+    (answer.0, value["reason"].clone(), value["run"].clone())
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_never_passed_off_as_whole() {
+    let cell = serving("cut").await;
+    runner_faults(&cell, json!({"cut": true})).await;
+    let cut = cell.request(ENTRY, "preview", &[], "a long page").await;
+    assert_ne!(cut.0, 200, "{}", cut.1);
+    assert_eq!(problem(&cut), (502, json!("broken-answer"), json!("unknown")));
+    let step = cell.request(ENTRY, "ingest-step", &[("idempotency-key", "k1")], "x").await;
+    assert_eq!(problem(&step), (502, json!("broken-answer"), json!("unknown")));
+    runner_faults(&cell, json!({})).await;
+    let again = cell.request(ENTRY, "ingest-step", &[("idempotency-key", "k1")], "x").await;
+    assert_eq!(problem(&again), (409, json!("key-known"), json!("unknown")));
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn a_runner_that_dies_gives_unknown_and_then_not_run() {
+    let mut cell = serving("dies").await;
+    let slow = [("work-millis", "3000"), ("prefer", "wait=4")];
+    let request = cell.request(ENTRY, "preview", &slow, "x");
+    let kill = async {
+        cell.until("sent", async || cell.saw(&["event=request-sent", ENTRY]).await).await;
+        cell.runners[RUNNER].signal(Signal::SIGKILL);
+    };
+    let (answer, ()) = tokio::join!(request, kill);
+    let (status, reason, run) = problem(&answer);
+    assert!((502..=504).contains(&status) && run == "unknown", "{status} {reason} {run}");
+    cell.runners.remove(RUNNER);
+    let after = cell.request(ENTRY, "preview", &[("prefer", "wait=1")], "x").await;
+    let (status, _, run) = problem(&after);
+    assert_eq!((status, run), (503, json!("no")));
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn a_runner_that_says_it_is_leaving_gets_nothing_new() {
+    let cell = serving("leaving").await;
+    runner_faults(&cell, json!({"leaving": true})).await;
+    assert_eq!(cell.request(ENTRY, "preview", &[], "last").await.0, 200);
+    let refused = cell.request(ENTRY, "preview", &[("prefer", "wait=0.5")], "new").await;
+    assert_eq!(problem(&refused), (503, json!("too-late"), json!("no")));
+    let events = cell.timeline().await;
+    let ran = events.iter().filter(|e| *e.who == *RUNNER && e.to_string().contains("runner-ran"));
+    let sent = events.iter().filter(|e| e.to_string().contains(&format!("runner={RUNNER}")));
+    assert_eq!(ran.count(), sent.count());
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn too_many_requests_are_refused_at_once_and_truly_not_run() {
+    let cell = serving("many").await;
+    let slow = [("work-millis", "400"), ("prefer", "wait=2")];
+    let calls = (0..150).map(|_| cell.request(ENTRY, "preview", &slow, "page"));
+    let answers = futures_util::future::join_all(calls).await;
+    let whole = answers.iter().filter(|answer| answer.0 == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.0 != 200).map(problem).collect();
+    assert!(whole > 0 && !refused.is_empty(), "{whole} whole, {} refused", refused.len());
+    for (status, reason, run) in refused {
+        let truly = match status {
+            429 | 503 => "no",
+            504 => "unknown",
+            _ => panic!("{status} {reason}"),
+        };
+        assert_eq!(run, truly, "{status} {reason}");
+    }
+    cell.check().await;
+}
+
+#[tokio::test]
+async fn a_killed_entry_breaks_its_callers_connections_visibly() {
+    let cell = serving("killed").await;
+    let slow = [("work-millis", "3000")];
+    let request = cell.request(ENTRY, "preview", &slow, "x");
+    let kill = async {
+        cell.until("sent", async || cell.saw(&["event=request-sent", ENTRY]).await).await;
+        cell.entries[ENTRY].signal(Signal::SIGKILL);
+    };
+    let (answer, ()) = tokio::join!(request, kill);
+    assert_eq!(answer.0, 0, "no status at all, but an error: {}", answer.1);
+}
+
+#[tokio::test]
+async fn broken_and_slow_callers_hold_up_nobody() {
+    let cell = serving("callers").await;
+    let addr = cell.addr(ENTRY);
+    let head = format!(
+        "POST /run/preview HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {NILEWIRE}\r\n\
+         content-length: 1000\r\n\r\n"
+    );
+    let mut open = Vec::new();
+    for _ in 0..80 {
+        let mut stream = TcpStream::connect(addr).expect("connect");
+        stream.write_all(head.as_bytes()).expect("head");
+        open.push(stream);
+    }
+    assert_eq!(cell.request(ENTRY, "preview", &[], "page").await.0, 200);
+    let mut stream = TcpStream::connect(addr).expect("connect");
+    stream.write_all(b"nonsense\r\n\r\n").expect("write");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    assert!(!String::from_utf8_lossy(&answer).contains("200 OK"));
+    let large = "x".repeat(2_000_000);
+    let refused = cell.request(ENTRY, "preview", &[], &large).await;
+    assert_eq!(problem(&refused), (413, json!("too-large"), json!("no")));
+    let mut odd = (0, Value::Null, Value::Null);
+    cell.until("a connection that the refusal did not close", async || {
+        odd = problem(&cell.request(ENTRY, "preview", &[("work-repeat", "perhaps")], "x").await);
+        odd.0 != 0
+    })
+    .await;
+    assert_eq!(odd, (400, json!("malformed"), json!("no")));
+    let unknown = cell.request(ENTRY, "no-such-kind", &[], "x").await;
+    assert_eq!(problem(&unknown), (404, json!("unknown-kind"), json!("no")));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -69,10 +69,14 @@
     pub shard: Shard,
     pub fold: Fold,
     pub paused: bool,
+    /// It cannot reach the log.
+    pub cut_off: bool,
     claimant: Claimant,
     peers: BTreeMap<Name, Peer>,
     outbox: Vec<Message>,
     flights: Flights,
+    /// Records that wait for the log.
+    unsent: Vec<Record>,
     sent: BTreeMap<TaskId, Vec<u64>>,
 }
 
@@ -96,6 +100,8 @@
     pub log: Vec<Record>,
     pub log_down: bool,
     pub net: Vec<InFlight>,
+    /// Pairs of entries, by index: messages from the first to the second are lost.
+    pub cuts: BTreeSet<(usize, usize)>,
     /// Messages that are late: nothing delivers them until they are released.
     pub late: Vec<InFlight>,
     pub jobs: Vec<JobId>,
@@ -122,6 +128,7 @@
             log_down: false,
             net: Vec::new(),
             late: Vec::new(),
+            cuts: BTreeSet::new(),
             jobs: Vec::new(),
             answers: BTreeMap::new(),
             history: Vec::new(),
@@ -159,8 +166,10 @@
             peers: BTreeMap::new(),
             outbox: Vec::new(),
             flights: Flights::default(),
+            unsent: Vec::new(),
             sent: BTreeMap::new(),
             paused: false,
+            cut_off: false,
             fold,
             id,
         }
@@ -205,7 +214,16 @@
         }
     }
 
+    /// Appends what waited while the log could not be reached.
+    fn append_unsent(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        if !self.log_down && !entry.cut_off {
+            self.log.append(&mut entry.unsent);
+        }
+    }
+
     fn tick(&mut self, index: usize) {
+        self.append_unsent(index);
         self.step(index, Event::Tick);
         for old in self.gone.clone() {
             self.step(index, Event::Gone(old));
@@ -219,7 +237,8 @@
         }
         let entry = &mut self.entries[index];
         let claim = entry.claimant.decide(now, &SHARD.into(), &entry.fold.claims, &entry.peers);
-        if let Some(claim) = claim.filter(|_| !self.log_down) {
+        let cut_off = self.log_down || entry.cut_off;
+        if let Some(claim) = claim.filter(|_| !cut_off) {
             self.log.push(Record::Claim(claim));
         }
         self.search(index);
@@ -285,7 +304,10 @@
             entry.outbox.push(Message::Update { from: from.clone(), to, update });
         }
         if let Some(record) = record {
-            self.log.push(record);
+            match self.log_down || entry.cut_off {
+                true => entry.unsent.push(record),
+                false => self.log.push(record),
+            }
         }
         for event in done {
             self.step(index, event);
@@ -325,8 +347,8 @@
                     entry.outbox.push(Message::Stop { from: from.clone(), worker, task });
                 }
                 Action::Reply { token, answer } => drop(self.answers.insert(token, answer)),
-                Action::Append(record) if !self.log_down => self.log.push(record),
-                Action::Append(_) | Action::Replicate | Action::Trace(_) => {}
+                Action::Append(record) => entry.unsent.push(record),
+                Action::Replicate | Action::Trace(_) => {}
             }
         }
     }
@@ -347,7 +369,7 @@
     pub fn read_log(&mut self, index: usize) {
         let now = self.now;
         let entry = &mut self.entries[index];
-        if entry.paused || self.log_down {
+        if entry.paused || entry.cut_off || self.log_down {
             return;
         }
         let offset = entry.fold.next();
@@ -374,7 +396,7 @@
         let late = self.now.since(sent) >= MAX_FLIGHT;
         let receiver = message.receiver().and_then(|id| self.index(id));
         let unknown = message.receiver().is_some() && receiver.is_none();
-        if late || unknown {
+        if late || unknown || self.is_cut(&message) {
             return self.answer_lost(message);
         }
         if receiver.is_some_and(|index| self.entries[index].paused) {
@@ -384,6 +406,12 @@
         self.take(receiver.unwrap_or(0), message);
     }
 
+    fn is_cut(&self, message: &Message) -> bool {
+        let between =
+            message.between().and_then(|(from, to)| Some((self.index(from)?, self.index(to)?)));
+        between.is_some_and(|pair| self.cuts.contains(&pair))
+    }
+
     /// A message arrives a second time.
     pub fn double(&mut self, at: usize) {
         if let Some(copy) = self.net.get(at).cloned() {
@@ -652,6 +680,8 @@
     /// All faults end: entries run, messages arrive, tasks finish. Returns once every job is over.
     pub fn heal(&mut self) {
         self.log_down = false;
+        self.cuts.clear();
+        self.entries.iter_mut().for_each(|entry| entry.cut_off = false);
         self.net.append(&mut self.late);
         for index in 0..self.entries.len() {
             self.entries[index].paused = false;
@@ -684,6 +714,7 @@
         for index in 0..self.entries.len() {
             while !self.log_down
                 && !self.entries[index].paused
+                && !self.entries[index].cut_off
                 && self.entries[index].fold.next() < self.log.len() as u64
             {
                 self.read_log(index);
@@ -740,6 +771,17 @@
 }
 
 impl Message {
+    /// Sender and receiver of a message between entries.
+    fn between(&self) -> Option<(&EntryId, &EntryId)> {
+        match self {
+            Self::Update { from, to, .. }
+            | Self::Seal { from, to, .. }
+            | Self::Beat { from, to, .. } => Some((from, to)),
+            Self::Updated { to, by, .. } | Self::Sealed { to, by, .. } => Some((by, to)),
+            _ => None,
+        }
+    }
+
     fn receiver(&self) -> Option<&EntryId> {
         match self {
             Self::Start { .. } | Self::Stop { .. } | Self::Sync { .. } => None,
