Measures; each start has one answer in the tests' world

Cause: the search with cuts ended with a task run twice. The world counted a doubled answer for two starts, so a former owner said that it had nothing on its way while a start was still to be sent. In the shell each exchange ends once. Ruled out: the fences themselves (with exchanges told apart the run ends well).

Change: messages to workers carry the number of their exchange.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -45,9 +45,9 @@
 /// A message on its way.
 #[derive(Debug, Clone)]
 pub enum Message {
-    Start { from: EntryId, worker: Name, order: StartOrder },
-    Stop { from: EntryId, worker: Name, task: TaskId },
-    Told { to: EntryId, task: TaskId, stop: bool, reply: Option<TaskReply> },
+    Start { from: EntryId, id: u64, worker: Name, order: StartOrder },
+    Stop { from: EntryId, id: u64, worker: Name, task: TaskId },
+    Told { to: EntryId, id: u64, task: TaskId, stop: bool, reply: Option<TaskReply> },
     Sync { from: EntryId, worker: Name, order: SyncOrder, asked: Millis },
     Report { to: EntryId, worker: Name, report: Report, asked: Millis },
     Update { from: EntryId, to: EntryId, update: Update },
@@ -77,7 +77,8 @@
     flights: Flights,
     /// Records that wait for the log.
     unsent: Vec<Record>,
-    sent: BTreeMap<TaskId, Vec<u64>>,
+    /// Starts and stops that wait for an answer, with their epoch: each gets one.
+    open: BTreeMap<u64, u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -109,6 +110,7 @@
     pub history: Vec<String>,
     list: u64,
     counter: u64,
+    exchanges: u64,
     started: BTreeSet<(JobId, u32)>,
     gone: BTreeSet<EntryId>,
 }
@@ -134,6 +136,7 @@
             history: Vec::new(),
             list: 1,
             counter: 1,
+            exchanges: 0,
             started: BTreeSet::new(),
             gone: BTreeSet::new(),
         };
@@ -167,7 +170,7 @@
             outbox: Vec::new(),
             flights: Flights::default(),
             unsent: Vec::new(),
-            sent: BTreeMap::new(),
+            open: BTreeMap::new(),
             paused: false,
             cut_off: false,
             fold,
@@ -340,11 +343,16 @@
             match action {
                 Action::Start { worker, order } => {
                     entry.flights.begin(epoch, 1);
-                    entry.sent.entry(order.task.clone()).or_default().push(epoch);
-                    entry.outbox.push(Message::Start { from: from.clone(), worker, order });
+                    self.exchanges += 1;
+                    let id = self.exchanges;
+                    entry.open.insert(id, epoch);
+                    entry.outbox.push(Message::Start { from: from.clone(), id, worker, order });
                 }
                 Action::Stop { worker, task } => {
-                    entry.outbox.push(Message::Stop { from: from.clone(), worker, task });
+                    self.exchanges += 1;
+                    let id = self.exchanges;
+                    entry.open.insert(id, epoch);
+                    entry.outbox.push(Message::Stop { from: from.clone(), id, worker, task });
                 }
                 Action::Reply { token, answer } => drop(self.answers.insert(token, answer)),
                 Action::Append(record) => entry.unsent.push(record),
@@ -449,11 +457,11 @@
 
     /// Who waits for the answer to a lost message learns that none came.
     fn answer_lost(&mut self, message: Message) {
-        let told = |to, task, stop| Message::Told { to, task, stop, reply: None };
+        let told = |to, id, task, stop| Message::Told { to, id, task, stop, reply: None };
         let lost = match message {
-            Message::Start { from, order, .. } => told(from, order.task, false),
-            Message::Stop { from, task, .. } => told(from, task, true),
-            Message::Told { to, task, stop, .. } => told(to, task, stop),
+            Message::Start { from, id, order, .. } => told(from, id, order.task, false),
+            Message::Stop { from, id, task, .. } => told(from, id, task, true),
+            Message::Told { to, id, task, stop, .. } => told(to, id, task, stop),
             _ => return,
         };
         let known = lost.receiver().is_some_and(|id| self.index(id).is_some());
@@ -464,25 +472,25 @@
 
     fn take(&mut self, index: usize, message: Message) {
         match message {
-            Message::Start { from, worker, order } => {
+            Message::Start { from, id, worker, order } => {
                 let task = order.task.clone();
                 let reply = self.worker_start(&worker, order);
                 let stop = false;
-                self.reply(Message::Told { to: from, task, stop, reply });
+                self.reply(Message::Told { to: from, id, task, stop, reply });
             }
-            Message::Stop { from, worker, task } => {
+            Message::Stop { from, id, worker, task } => {
                 let reply = self.worker_stop(&worker, &task);
-                self.reply(Message::Told { to: from, task, stop: true, reply });
+                self.reply(Message::Told { to: from, id, task, stop: true, reply });
             }
             Message::Sync { from, worker, order, asked } => {
                 if let Some(report) = self.worker_sync(&worker, &order) {
                     self.reply(Message::Report { to: from, worker, report, asked });
                 }
             }
-            Message::Told { task, stop, reply, .. } => {
+            Message::Told { id, task, stop, reply, .. } => {
                 let entry = &mut self.entries[index];
-                let epoch = entry.sent.get_mut(&task).filter(|_| !stop).and_then(Vec::pop);
-                if let Some(epoch) = epoch {
+                let Some(epoch) = entry.open.remove(&id) else { return };
+                if !stop {
                     entry.flights.end(self.now, epoch);
                 }
                 self.step(index, Event::Told { task, stop, reply });
