--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -29,12 +29,10 @@
 impl Claims {
     /// Folds one claim; `false` if it is void.
     pub fn fold(&mut self, claim: &Claim) -> bool {
-        let history = self.shards.entry(claim.shard.clone()).or_default();
-        let last = history.last().map_or(0, |last| last.epoch);
-        if claim.epoch != last + 1 {
+        if claim.epoch != self.epoch(&claim.shard) + 1 {
             return false;
         }
-        history.push(claim.clone());
+        self.shards.entry(claim.shard.clone()).or_default().push(claim.clone());
         true
     }
 
