A former owner is not forgotten with its claim; starts are counted by task

Cause: since the log says which owner got to work, earlier claims are forgotten, and with them their owners. One of those, paused, still held a start; its successor let the worker forget the task, and the start ran it again.

First try, kept because it is right by itself but not the cause: a start that is decided, and sent only after its task has ended, was not counted once the task was over; starts are now counted by task (controller/flights.rs, for epochs and tasks alike). Ruled out with it: the owner's own starts.

Change: an owner says that it got to work only when every former owner is fenced.

--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -4,7 +4,7 @@
 use crate::controller::list::{Role, Vm};
 use crate::controller::place::Ledger;
 use crate::controller::shard::office::{
-    Action, Effect, Live, MAX_FLIGHT, Office, StopWhy, Tomb, Worker, shape,
+    Action, Effect, Live, Office, StopWhy, Tomb, Worker, shape,
 };
 use crate::controller::shard::plan::MAX_WAITING;
 use crate::id::{JobId, Name, TaskId};
@@ -35,9 +35,8 @@
         };
         let Some(live) = self.live.get_mut(task).filter(|live| live.stop.is_none()) else { return };
         live.sent = true;
-        live.out += 1;
         live.told = now;
-        live.started = Some(now);
+        self.flights.begin(task.clone(), 1);
         let (id, owner) = (task.clone(), self.me.clone());
         self.out.push(Action::Trace(What::StartSent { task: id, worker: worker.clone(), owner }));
         self.out.push(Action::Start { worker, order });
@@ -70,11 +69,10 @@
 
     /// A worker answered a start or a stop, or did not.
     pub(super) fn told(&mut self, now: Millis, task: TaskId, stop: bool, reply: Option<TaskReply>) {
-        let Some(live) = self.live.get_mut(&task) else { return };
         if !stop {
-            live.out = live.out.saturating_sub(1);
-            live.started = Some(now);
+            self.flights.end(now, &task);
         }
+        let Some(live) = self.live.get_mut(&task) else { return };
         match reply {
             None => {}
             Some(TaskReply::Running) => live.seen = Some(now),
@@ -98,13 +96,11 @@
             Outcome::Failed => self.judge(now, &live.worker, &live.kind, false),
             Outcome::Cancelled | Outcome::Stopped | Outcome::Unknown => {}
         }
-        let last = if live.out > 0 { Some(now) } else { live.started };
-        let hold = last.map_or(now, |at| at + MAX_FLIGHT);
         match self.again(task, outcome) {
             true => self.requeue(now, task),
             false => self.finish(now, task, outcome),
         }
-        let tomb = Tomb { fresh: live.fresh, seq: self.journal.seq(), hold };
+        let tomb = Tomb { fresh: live.fresh, seq: self.journal.seq() };
         self.tombs.insert(task.clone(), tomb);
     }
 
@@ -292,10 +288,8 @@
             stop,
             fresh: false,
             sent: true,
-            out: 0,
             seen: None,
             told: Millis(0),
-            started: None,
         };
         self.live.insert(task, live);
     }
@@ -407,9 +401,9 @@
         let fenced = self.unfenced.is_empty();
         let committed = self.journal.committed();
         match self.tombs.get(task) {
-            _ if self.book.bound(task).is_some() => false,
+            _ if self.book.bound(task).is_some() || self.flights.may_arrive(now, task) => false,
             None => fenced,
-            Some(tomb) => (tomb.fresh || fenced) && tomb.seq <= committed && now >= tomb.hold,
+            Some(tomb) => (tomb.fresh || fenced) && tomb.seq <= committed,
         }
     }
 
@@ -419,9 +413,8 @@
         let Some(live) = self.live.get(task) else { return };
         let restarted = inc != bound_inc;
         let vanished = live.seen.is_some_and(|seen| seen < asked) && live.told < asked;
-        let in_flight = live.out > 0
-            || live.started.is_some_and(|at| now.since(at) < MAX_FLIGHT)
-            || (!live.fresh && !self.unfenced.is_empty());
+        let in_flight =
+            self.flights.may_arrive(now, task) || (!live.fresh && !self.unfenced.is_empty());
         if live.sent && (restarted || vanished) && !in_flight {
             self.lost(now, task);
         }
@@ -462,7 +455,7 @@
         let waiting = self.journal.waiting() > MAX_WAITING;
         let due = self.live.iter().filter(|(_, live)| now.since(live.told) >= TELL_RETRY);
         let due = due.filter(|_| !waiting);
-        let due = due.filter(|(_, live)| live.sent && live.out == 0);
+        let due = due.filter(|(task, live)| live.sent && !self.flights.is_open(task));
         let heard = |live: &Live| self.workers.get(&live.worker).and_then(|worker| worker.heard);
         let due = due.filter(|(_, live)| heard(live).is_some());
         let (stops, starts): (Vec<_>, Vec<_>) = due
@@ -478,6 +471,7 @@
             }
         }
         self.fence(now);
+        self.flights.sweep(now);
         self.forget(now);
         self.dirty |= self.open_workers(now) != self.open;
     }
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::controller::book::{Book, Job, Task};
+use crate::controller::flights::Flights;
 use crate::controller::fold::LogJob;
 use crate::controller::health::Health;
 use crate::controller::list::Vm;
@@ -163,14 +164,10 @@
     pub fresh: bool,
     /// A start was sent at least once, or may have been by a former owner.
     pub sent: bool,
-    /// Starts that wait for an answer.
-    pub out: u32,
     /// When the worker last said that it runs the task.
     pub seen: Option<Millis>,
     /// When the last start or stop was sent.
     pub told: Millis,
-    /// When the last start was sent at the latest: a copy of it may still be on its way.
-    pub started: Option<Millis>,
 }
 
 /// An ended task that its worker may not forget yet.
@@ -179,7 +176,6 @@
     /// Bound in this office: no other entry ever sent a start for it.
     pub fresh: bool,
     pub seq: u64,
-    pub hold: Millis,
 }
 
 /// A worker as the owner sees it.
@@ -234,6 +230,8 @@
     pub(super) health: Health,
     pub(super) table: Arc<Table>,
     pub(super) live: HashMap<TaskId, Live>,
+    /// Starts of this office on their way, by task: a task may end while one is still to be sent.
+    pub(super) flights: Flights<TaskId>,
     pub(super) tombs: HashMap<TaskId, Tomb>,
     /// Former owners whose starts may still arrive, with the time when they surely cannot.
     pub(super) unfenced: BTreeMap<EntryId, Option<Millis>>,
@@ -281,6 +279,7 @@
             health: Health::default(),
             table,
             live: HashMap::new(),
+            flights: Flights::default(),
             tombs: HashMap::new(),
             calm: former.is_empty().then_some(now),
             unfenced: former.into_iter().map(|id| (id, None)).collect(),
@@ -478,10 +477,12 @@
         self.loads.entry(kind.clone()).or_default()
     }
 
-    /// Tells the log once in an epoch that the replicas have the state.
+    /// Tells the log once in an epoch that the replicas have the state and that no start of a
+    /// former owner can arrive: nobody needs to know of earlier claims any more.
     fn announce(&mut self) {
         let epoch = self.epoch();
-        if self.active < epoch && self.journal.committed() > 0 {
+        let whole = self.journal.committed() > 0 && self.unfenced.is_empty();
+        if self.active < epoch && whole {
             self.active = epoch;
             let shard = self.shard.clone();
             self.out.push(Action::Append(Record::Active { shard, epoch }));
--- a/src/controller/shard/plan.rs
+++ b/src/controller/shard/plan.rs
@@ -173,10 +173,8 @@
             stop: None,
             fresh: true,
             sent: false,
-            out: 0,
             seen: None,
             told: now,
-            started: None,
         };
         self.live.insert(task.clone(), live);
         let (worker, owner, epoch) = (name.clone(), self.me.clone(), self.epoch());
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -41,7 +41,7 @@
 
     pub(super) fn make_beat(&self) -> Beat {
         let shards = self.cells().into_iter().map(|cell| {
-            let flying = cell.flights().any_before(self.now(), u64::MAX);
+            let flying = cell.flights().any_before(self.now(), &u64::MAX);
             let known = lock(&self.fold).claims.epoch(&cell.id);
             let mut shard = cell.shard();
             let epoch = known.max(shard.epoch());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -62,7 +62,7 @@
     /// There is something to replicate.
     kick: Notify,
     /// Starts that this entry sent and that may still arrive at a worker.
-    flights: Mutex<Flights>,
+    flights: Mutex<Flights<u64>>,
 }
 
 impl Cell {
@@ -80,7 +80,7 @@
         lock(&self.shard)
     }
 
-    pub fn flights(&self) -> MutexGuard<'_, Flights> {
+    pub fn flights(&self) -> MutexGuard<'_, Flights<u64>> {
         lock(&self.flights)
     }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -58,7 +58,7 @@
     /// An earlier office of this same entry is fenced like another's.
     fn fence_self(self: &Arc<Self>, cell: &Arc<Cell>) {
         let epoch = cell.shard().office().map(|office| office.since());
-        if epoch.is_some_and(|epoch| !cell.flights().any_before(self.now(), epoch)) {
+        if epoch.is_some_and(|epoch| !cell.flights().any_before(self.now(), &epoch)) {
             self.step(cell, Event::Fenced(self.me.clone()));
         }
     }
@@ -272,7 +272,7 @@
             let reply = entry.tell_worker(&addr, message).await;
             entry.step(&cell, Event::Told { task, stop, reply });
             if !stop {
-                cell.flights().end(entry.now(), epoch);
+                cell.flights().end(entry.now(), &epoch);
             }
         });
     }
--- a/src/record.rs
+++ b/src/record.rs
@@ -62,7 +62,8 @@
     Publish(Publish),
     /// An entry claims a shard.
     Claim(Claim),
-    /// An owner's state is at its replicas: claims before this epoch are not needed any more.
+    /// An owner's state is at its replicas, and all former owners are fenced: claims before this
+    /// epoch are not needed any more.
     Active {
         /// The shard.
         shard: Name,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -74,7 +74,7 @@
     claimant: Claimant,
     peers: BTreeMap<Name, Peer>,
     outbox: Vec<Message>,
-    flights: Flights,
+    flights: Flights<u64>,
     /// Records that wait for the log.
     unsent: Vec<Record>,
     /// Starts and stops that wait for an answer, with their epoch: each gets one.
@@ -234,7 +234,7 @@
         let now = self.now;
         let entry = &mut self.entries[index];
         let since = entry.shard.office().map(|office| office.since());
-        if since.is_some_and(|since| !entry.flights.any_before(now, since)) {
+        if since.is_some_and(|since| !entry.flights.any_before(now, &since)) {
             let me = entry.id.clone();
             self.step(index, Event::Fenced(me));
         }
@@ -320,7 +320,7 @@
     fn beat(&mut self, index: usize) {
         let now = self.now;
         let entry = &mut self.entries[index];
-        let flying = entry.flights.any_before(now, u64::MAX);
+        let flying = entry.flights.any_before(now, &u64::MAX);
         let epoch = entry.fold.claims.epoch(SHARD).max(entry.shard.epoch());
         let owner = entry.shard.office().is_some();
         let from = entry.id.clone();
@@ -491,7 +491,7 @@
                 let entry = &mut self.entries[index];
                 let Some(epoch) = entry.open.remove(&id) else { return };
                 if !stop {
-                    entry.flights.end(self.now, epoch);
+                    entry.flights.end(self.now, &epoch);
                 }
                 self.step(index, Event::Told { task, stop, reply });
             }
