Split the API and the owner's state machine into smaller files

entry/api.rs held the administration API, the requests, health and the views; controller/shard/office.rs the events, the owner's volatile state and the owner.

--- a/src/controller/shard/life.rs
+++ b/src/controller/shard/life.rs
@@ -3,10 +3,10 @@
 use crate::clock::Millis;
 use crate::controller::list::{Role, Vm};
 use crate::controller::place::Ledger;
-use crate::controller::shard::office::{
-    Action, Effect, Live, Office, StopWhy, Tomb, Worker, shape,
-};
+use crate::controller::shard::event::Action;
+use crate::controller::shard::office::{Office, shape};
 use crate::controller::shard::plan::MAX_WAITING;
+use crate::controller::shard::state::{Effect, Live, StopWhy, Tomb, Worker};
 use crate::id::{JobId, Name, TaskId};
 use crate::job::{Note, Outcome};
 use crate::platform::api::{Report, Running, StartOrder, TaskReply};
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -1,10 +1,12 @@
 //! One shard at one entry: a replica, a claimant that looks for the shard's state, or its owner.
 
+pub mod event;
 pub mod journal;
 mod life;
 pub mod office;
 mod plan;
 mod reserve;
+mod state;
 
 use crate::clock::Millis;
 use crate::controller::recover::{Next, Recovery};
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -5,22 +5,23 @@
 use crate::controller::flights::Flights;
 use crate::controller::fold::LogJob;
 use crate::controller::health::Health;
-use crate::controller::list::Vm;
 use crate::controller::offer::Room;
 use crate::controller::place::Ledger;
 use crate::controller::queue::{Queue, Shape};
 use crate::controller::replica::{State, Update};
 use crate::controller::shard::Source;
+pub use crate::controller::shard::event::{Action, Answer, Event, Refusal, refusal_name};
 use crate::controller::shard::journal::Journal;
 use crate::controller::shard::reserve::Reserved;
+pub use crate::controller::shard::state::Load;
+use crate::controller::shard::state::{Effect, Live, StopWhy, Tomb, Worker};
 use crate::id::{EntryId, JobId, Name, TaskId};
 use crate::job::{JobSpec, JobStatus, MAX_TASKS, Note};
-use crate::platform::api::{Report, StartOrder, SyncOrder, TaskReply};
+use crate::platform::api::SyncOrder;
 use crate::record::{Claim, Record};
 use crate::size::Size;
 use crate::table::{Class, Row, Table};
 use crate::trace::What;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -37,187 +38,6 @@
 /// How often old keys are dropped.
 const KEY_SWEEP: Millis = Millis(60_000);
 
-/// Why a job was not accepted. None of it was run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Refusal {
-    /// The table has no such kind of work, or it is not for tasks.
-    UnknownKind,
-    /// The row belongs to another team.
-    WrongTeam,
-    /// Too many tasks, none, or sizes of nothing.
-    BadSize,
-    /// No worker here is large enough.
-    NeverFits,
-    /// Too many wait already.
-    QueueFull,
-    /// No worker is known yet.
-    NoWorkers,
-}
-
-/// The answer to a caller's event.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Answer {
-    /// The job is held by every replica, or by the log if there is none.
-    Submitted { job: JobId },
-    /// The job was not accepted.
-    Refused(Refusal),
-    /// The job was withdrawn; its state.
-    Cancelled(Box<JobStatus>),
-    /// There is no such job.
-    NotFound,
-    /// The key was free and is taken now.
-    KeyTaken,
-    /// The key was taken before, by this holder.
-    KeyKnown(Name),
-}
-
-/// What happens to the owner.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// A caller submits a job.
-    Submit { token: u64, job: JobId, spec: JobSpec },
-    /// A caller withdraws a job.
-    Cancel { token: u64, job: JobId },
-    /// An entry takes an idempotency key.
-    Key { token: u64, key: Name, holder: Name },
-    /// An entry gives a key back: surely nothing was run under it.
-    FreeKey { key: Name, holder: Name },
-    /// The workers of the shard, as the list has them now.
-    Workers { rev: u64, vms: Vec<Vm> },
-    /// A worker answered a start or a stop; `None`: no answer came.
-    Told { task: TaskId, stop: bool, reply: Option<TaskReply> },
-    /// A worker reports; `asked` is when it was asked.
-    Report { worker: Name, asked: Millis, report: Report },
-    /// A replica holds the notes of `epoch` up to `seq`.
-    Acked { replica: EntryId, epoch: u64, seq: u64 },
-    /// A replica lacks notes.
-    Gap { replica: EntryId },
-    /// The log holds the notes of `epoch` up to `seq`.
-    Logged { epoch: u64, seq: u64 },
-    /// An entry is gone for good.
-    Gone(EntryId),
-    /// A former owner has no start in flight and knows that it is deposed.
-    Fenced(EntryId),
-    /// A new table is in force.
-    Table(Arc<Table>),
-    /// Append again what retention will drop.
-    Refresh,
-    /// Time passes.
-    Tick,
-}
-
-/// What the shell has to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// There are notes for replicas or the log.
-    Replicate,
-    /// Send a start to a worker.
-    Start { worker: Name, order: StartOrder },
-    /// Send a stop to a worker.
-    Stop { worker: Name, task: TaskId },
-    /// Answer a caller.
-    Reply { token: u64, answer: Answer },
-    /// Append a record to the log; nothing waits for it.
-    Append(Record),
-    /// Add to the time line.
-    Trace(What),
-}
-
-/// What waits until every replica holds a note.
-#[derive(Debug, Clone)]
-pub(super) enum Effect {
-    Start(TaskId),
-    Stop(TaskId),
-    /// Stop a task that is not bound to this worker.
-    StopStray {
-        worker: Name,
-        task: TaskId,
-    },
-    /// Let a worker forget ended tasks that are not in the book.
-    Ack {
-        worker: Name,
-        tasks: Vec<TaskId>,
-    },
-    Reply {
-        token: u64,
-        answer: Answer,
-    },
-}
-
-/// Why a running task is being stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum StopWhy {
-    Cancel,
-    Undo,
-}
-
-/// What the owner knows of a bound task besides the book.
-#[derive(Debug, Clone)]
-pub(super) struct Live {
-    pub worker: Name,
-    pub kind: Name,
-    pub team: Name,
-    pub size: Size,
-    pub stop: Option<StopWhy>,
-    /// Bound in this office: no other entry ever sent a start for it.
-    pub fresh: bool,
-    /// A start was sent at least once, or may have been by a former owner.
-    pub sent: bool,
-    /// When the worker last said that it runs the task.
-    pub seen: Option<Millis>,
-    /// When the last start or stop was sent.
-    pub told: Millis,
-}
-
-/// An ended task that its worker may not forget yet.
-#[derive(Debug, Clone)]
-pub(super) struct Tomb {
-    /// Bound in this office: no other entry ever sent a start for it.
-    pub fresh: bool,
-    pub seq: u64,
-}
-
-/// A worker as the owner sees it.
-#[derive(Debug)]
-pub(super) struct Worker {
-    pub addr: Name,
-    pub ledger: Ledger,
-    pub tasks: BTreeSet<TaskId>,
-    /// Running tasks that the book does not have there.
-    pub strays: BTreeMap<TaskId, (Name, Size)>,
-    /// Ended tasks to be forgotten at the next contact.
-    pub acks: Vec<TaskId>,
-    pub inc: u64,
-    pub heard: Option<Millis>,
-    pub leaving: bool,
-}
-
-/// Tasks of one kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Waiting.
-    pub waiting: u32,
-    /// Bound to a worker.
-    pub running: u32,
-    /// Processors that the waiting tasks need, in thousandths of a core.
-    pub backlog: u64,
-}
-
-impl Load {
-    /// More tasks wait, each for this many processors.
-    pub(super) fn queue(&mut self, tasks: u32, cpu: u32) {
-        self.waiting += tasks;
-        self.backlog += tasks as u64 * cpu as u64;
-    }
-
-    /// Tasks wait no longer.
-    pub(super) fn dequeue(&mut self, tasks: u32, cpu: u32) {
-        self.waiting = self.waiting.saturating_sub(tasks);
-        self.backlog = self.backlog.saturating_sub(tasks as u64 * cpu as u64);
-    }
-}
-
 /// The owner's state machine.
 #[derive(Debug)]
 pub struct Office {
@@ -656,19 +476,6 @@
     }
 }
 
-/// The name of a refusal in answers and the time line.
-pub fn refusal_name(why: Refusal) -> Name {
-    match why {
-        Refusal::UnknownKind => "unknown-kind",
-        Refusal::WrongTeam => "wrong-team",
-        Refusal::BadSize => "bad-size",
-        Refusal::NeverFits => "never-fits",
-        Refusal::QueueFull => "queue-full",
-        Refusal::NoWorkers => "no-workers",
-    }
-    .into()
-}
-
 /// The records that tell a later reader of the log all about an open job.
 fn log_records(id: &JobId, job: &Job) -> Vec<Record> {
     let (spec, at) = (job.spec.clone(), job.at);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,8 +1,9 @@
 //! The shell of an entry: it turns messages into events for the controllers, and their actions
 //! into messages.
 
-pub mod api;
+mod api;
 mod beat;
+mod http;
 mod log;
 mod metrics;
 mod owner;
@@ -11,6 +12,7 @@
 mod route;
 mod serve;
 mod stop;
+mod view;
 
 use crate::clock::Millis;
 use crate::controller::claims::Claimant;
@@ -184,7 +186,7 @@
             tokio::spawn(self.clone().renew_slots()),
             tokio::spawn(self.clone().serve_peers()),
         ];
-        let app = api::app(self.clone());
+        let app = http::app(self.clone());
         let result = serve(listener, app, stopped).await;
         for task in tasks {
             task.abort();
