Tests: an entry that starts after retention, and takes over

Cause: docs/PROOFS.md listed the log's retention as not tried.

Tried first: killing the owner as soon as it named the new entry as replica. The shard then stayed without an owner, rightly: no base had reached the new entry, and nobody had declared the dead owner gone. That is written down in docs/design/ownership.md and docs/OPERATING.md; the test now waits for a commit in between.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,10 +95,15 @@
 
 impl Cell {
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, 600_000, 120_000).await
+    }
+
+    /// A cell whose log drops records after `retention` and whose entries repeat them in time.
+    pub async fn start_with(name: &str, retention: u64, refresh: u64) -> Self {
         let folder = std::env::temp_dir().join(format!("spruce-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("folder");
         let http = Http::default();
-        let platform = platform();
+        let platform = platform(retention);
         let mut cell = Self {
             platform,
             entries: BTreeMap::new(),
@@ -118,7 +123,7 @@
             let name = format!("{domain}-r1");
             cell.runners.insert(name.clone(), runner(&name));
         }
-        cell.write_settings();
+        cell.write_settings(refresh);
         for name in cell.settings.keys().cloned().collect::<Vec<_>>() {
             cell.start_entry(&name);
         }
@@ -152,7 +157,7 @@
         json!({"rev": rev, "vms": vms})
     }
 
-    fn write_settings(&mut self) {
+    fn write_settings(&mut self, refresh: u64) {
         let authority = Authority::new("test").expect("authority");
         let names = DOMAINS.iter().flat_map(|d| (1..=2).map(move |i| (format!("{d}-{i}"), *d)));
         let peers: Vec<(String, &str, SocketAddr)> =
@@ -183,6 +188,7 @@
                     {"name": "clinic", "token": VIESTISILTA, "right": "team:viestisilta"},
                 ],
                 "stop_grace": 200, "sync_every": 200, "list_every": 200, "beat_every": 200,
+                "log_refresh": refresh,
             });
             let path = self.folder.join(format!("{name}.jsonc"));
             std::fs::write(&path, format!("// {name}\n{settings}")).expect("settings");
@@ -412,9 +418,11 @@
     }
 }
 
-fn platform() -> Process {
+fn platform(retention: u64) -> Process {
     let addr = free_addr();
-    spawn(addr, &["standin", "platform", "--listen", &addr.to_string()])
+    let (listen, retention) = (addr.to_string(), retention.to_string());
+    let args = ["standin", "platform", "--listen", &listen, "--retention", &retention];
+    spawn(addr, &args)
 }
 
 fn worker(name: &str, acc: u32) -> Process {
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -202,3 +202,41 @@
     }
     assert!(jobs[0].is_string() && jobs[0] == jobs[1], "{jobs:?}");
 }
+
+#[tokio::test]
+async fn an_entry_that_starts_after_retention_learns_what_was_dropped() {
+    let mut cell = Cell::start_with("retention", 3_000, 1_000).await;
+    cell.ready().await;
+    let (owner, other) = owner_and_other(&cell).await;
+    let service = json!({"kind": "ingest", "cpu": 1000, "mem": 100, "run": 0});
+    let service = cell.submit(&owner, NILEWIRE, service).await;
+    cell.until_job(&owner, &service, "running").await;
+    let begin = json!({"from": 0, "max": 1, "wait": 0});
+    cell.until("records dropped", async || {
+        let read = cell.post(cell.platform.addr, "/log/read", &begin).await;
+        read.is_ok_and(|read| read["first"].as_u64() > Some(20))
+    })
+    .await;
+    cell.keep_events(&other).await;
+    cell.entries[&other].signal(Signal::SIGKILL);
+    cell.entries.remove(&other);
+    cell.start_entry(&other);
+    cell.until("owners", async || cell.owners(&other).await.len() == 2).await;
+    cell.until("replica", async || is_replica(&cell, &owner, &other).await).await;
+    let committed = cell.submit(&owner, NILEWIRE, build(100)).await;
+    cell.until_job(&owner, &committed, "ended").await;
+    cell.keep_events(&owner).await;
+    cell.entries[&owner].signal(Signal::SIGKILL);
+    cell.until("take-over", async || cell.owners(&other).await.get(SHARD) == Some(&other)).await;
+    cell.until_job(&other, &service, "running").await;
+    cell.check().await;
+}
+
+/// Whether the present run of `other` is the replica of the first shard, as its owner says.
+async fn is_replica(cell: &Cell, owner: &str, other: &str) -> bool {
+    let run = cell.get(other, "/v1/status").await["entry"].clone();
+    let status = cell.get(owner, "/v1/status").await;
+    let shards = status["shards"].as_array().cloned().unwrap_or_default();
+    let shard = shards.into_iter().find(|shard| shard["shard"] == SHARD);
+    shard.is_some_and(|shard| shard["replicas"] == json!([run]))
+}
