--- a/src/trace.rs
+++ b/src/trace.rs
@@ -81,6 +81,26 @@
     Platform { part: Name, up: bool },
 }
 
+impl What {
+    /// How loudly it is logged: what happens for each task or request is for debugging.
+    fn level(&self) -> log::Level {
+        match self {
+            Self::Deposed { .. } | Self::SetAside { .. } | Self::Platform { up: false, .. } => {
+                log::Level::Warn
+            }
+            Self::Up { .. }
+            | Self::Stopping
+            | Self::TableInForce { .. }
+            | Self::Elected { .. }
+            | Self::TookOffice { .. }
+            | Self::Sealed { .. }
+            | Self::Leaving { .. }
+            | Self::Platform { .. } => log::Level::Info,
+            _ => log::Level::Debug,
+        }
+    }
+}
+
 /// One event of the time line.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Event {
@@ -144,7 +164,7 @@
     pub fn add(&self, what: What) {
         let at = self.stamp();
         let event = Event { at, who: self.who.clone(), what };
-        log::debug!("{event}");
+        log::log!(event.what.level(), "{event}");
         let mut inner = self.lock();
         inner.events.push_back(event);
         if inner.events.len() > KEEP {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -15,6 +15,7 @@
     gang(&cell).await;
     campaign(&cell).await;
     teams(&cell).await;
+    bad_bodies(&cell).await;
     for text in ["event=table-in-force", "event=request-sent", "event=worker-started"] {
         assert!(cell.saw(&[text]).await, "{text}");
     }
@@ -66,6 +67,34 @@
     assert_eq!((&state["queued"], &state["running"]), (&json!(0), &json!(0)));
 }
 
+async fn bad_bodies(cell: &Cell) {
+    let good = json!({"kind": "build", "tasks": 1, "cpu": 100, "mem": 10, "run": 10});
+    let changes = [
+        ("kind", json!("no-such-kind"), 404),
+        ("kind", json!("preview"), 404),
+        ("kind", json!(5), 404),
+        ("kind", json!([]), 400),
+        ("tasks", json!(0), 422),
+        ("tasks", json!(10_001), 422),
+        ("tasks", json!(-1), 400),
+        ("cpu", json!("many"), 400),
+        ("cpu", json!(1_000_000), 422),
+        ("mem", json!(null), 400),
+        ("acc", json!(99), 422),
+        ("run", json!(1.5), 400),
+        ("gang", json!("yes"), 400),
+        ("repeat", json!([]), 400),
+    ];
+    for (field, value, want) in changes {
+        let mut job = good.clone();
+        job[field] = value.clone();
+        let (status, answer) =
+            cell.call("nasr-hall-1", NILEWIRE, Method::POST, "/v1/jobs", job).await;
+        assert_eq!((status, &answer["run"]), (want, &json!("no")), "{field}={value}: {answer}");
+        assert!(answer["reason"].is_string(), "{answer}");
+    }
+}
+
 async fn teams(cell: &Cell) {
     let job = json!({"kind": "campaign", "cpu": 100, "mem": 10, "run": 10});
     let id = cell.submit("pasila-1", VIESTISILTA, job).await;
