--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -152,9 +152,15 @@
     }
 }
 
-/// Sends logs to standard error, one line for each event.
+/// Sends logs to standard error: for each event one line of key=value pairs and nothing else.
 fn start_log(level: LevelFilter) {
-    let config = ConfigBuilder::new().add_filter_allow_str("sprucerudder").build();
+    let config = ConfigBuilder::new()
+        .add_filter_allow_str("sprucerudder")
+        .set_time_level(LevelFilter::Off)
+        .set_max_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .build();
     let _ = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
 }
 
