A shard's place at an entry is called a handle; drained shards are spread

And a drained entry gave all its shards to the peer whose name sorts first.

Change: ShardHandle and shards(); the peer for a shard is chosen by rendezvous. Ruled out: round robin, which differs after each change of the peers.

--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -40,13 +40,13 @@
     }
 
     pub(super) fn make_beat(&self) -> Beat {
-        let shards = self.cells().into_iter().map(|cell| {
-            let flying = cell.flights().any_before(self.now(), &u64::MAX);
-            let known = lock(&self.fold).claims.epoch(&cell.id);
-            let mut shard = cell.shard();
+        let shards = self.shards().into_iter().map(|handle| {
+            let flying = handle.flights().any_before(self.now(), &u64::MAX);
+            let known = lock(&self.fold).claims.epoch(&handle.id);
+            let mut shard = handle.shard();
             let epoch = known.max(shard.epoch());
             let room = shard.office().map(|office| office.room());
-            ShardBeat { shard: cell.id.clone(), epoch, owner: room.is_some(), flying, room }
+            ShardBeat { shard: handle.id.clone(), epoch, owner: room.is_some(), flying, room }
         });
         Beat {
             shards: shards.collect(),
@@ -80,20 +80,20 @@
     /// A former owner that knows of this entry's epoch and has no start in flight is fenced.
     fn take_shard_beats(self: &Arc<Self>, from: &EntryId, beats: &[ShardBeat]) {
         for beat in beats {
-            let Some(cell) = self.cell(&beat.shard) else { continue };
-            let epoch = cell.shard().office().map(|office| office.epoch());
+            let Some(handle) = self.handle(&beat.shard) else { continue };
+            let epoch = handle.shard().office().map(|office| office.epoch());
             let fenced = !beat.owner && !beat.flying;
             if fenced && epoch.is_some_and(|epoch| beat.epoch >= epoch) {
-                self.step(&cell, Event::Fenced(from.clone()));
+                self.step(&handle, Event::Fenced(from.clone()));
             }
         }
     }
 
     /// A run of an entry is over for good.
     pub(super) fn entry_gone(self: &Arc<Self>, id: &EntryId) {
-        for cell in self.cells() {
-            cell.lender().gone(&id.name);
-            self.step(&cell, Event::Gone(id.clone()));
+        for handle in self.shards() {
+            handle.lender().gone(&id.name);
+            self.step(&handle, Event::Gone(id.clone()));
         }
     }
 
@@ -145,11 +145,11 @@
         }
         let here = list.vms.iter().filter(|vm| vm.domain == self.settings.domain);
         for vm in here.filter(|vm| vm.role != Role::Entry) {
-            self.make_cell(&vm.rack);
+            self.open_shard(&vm.rack);
         }
-        for cell in self.cells() {
-            self.set_list(&cell);
-            self.drop_gone_entries(&cell);
+        for handle in self.shards() {
+            self.set_list(&handle);
+            self.drop_gone_entries(&handle);
         }
         self.update_runners();
         self.news.notify_one();
@@ -162,7 +162,7 @@
     }
 
     /// Tells the owner of a shard, if it is here, what the list says.
-    pub(super) fn set_list(self: &Arc<Self>, cell: &Arc<crate::entry::Cell>) {
+    pub(super) fn set_list(self: &Arc<Self>, handle: &Arc<crate::entry::ShardHandle>) {
         let list = lock(&self.lists).newest().clone();
         if list.rev == 0 {
             return;
@@ -170,23 +170,23 @@
         let runners: BTreeMap<Name, u32> = list
             .vms
             .iter()
-            .filter(|vm| vm.role == Role::Runner && vm.rack == cell.id)
+            .filter(|vm| vm.role == Role::Runner && vm.rack == handle.id)
             .map(|vm| (vm.name.clone(), vm.slots))
             .collect();
-        cell.lender().set_runners(runners);
-        self.step(cell, Event::Workers { rev: list.rev, vms: list.vms });
+        handle.lender().set_runners(runners);
+        self.step(handle, Event::Workers { rev: list.rev, vms: list.vms });
     }
 
     /// Replicas and former owners that are gone need not be waited for.
-    pub(super) fn drop_gone_entries(self: &Arc<Self>, cell: &Arc<crate::entry::Cell>) {
+    pub(super) fn drop_gone_entries(self: &Arc<Self>, handle: &Arc<crate::entry::ShardHandle>) {
         let mut ids = {
             let fold = lock(&self.fold);
-            let owners = fold.claims.history(&cell.id).iter().map(|claim| claim.owner.clone());
+            let owners = fold.claims.history(&handle.id).iter().map(|claim| claim.owner.clone());
             owners.collect::<Vec<EntryId>>()
         };
-        ids.extend(cell.shard().office().map(|office| office.replicas()).unwrap_or_default());
+        ids.extend(handle.shard().office().map(|office| office.replicas()).unwrap_or_default());
         for id in ids.into_iter().filter(|id| *id != self.me && self.is_gone(id)) {
-            self.step(cell, Event::Gone(id));
+            self.step(handle, Event::Gone(id));
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -57,7 +57,7 @@
 
 /// One shard at this entry, under its own lock.
 #[derive(Debug)]
-pub(crate) struct Cell {
+pub(crate) struct ShardHandle {
     pub id: Name,
     shard: Mutex<Shard>,
     lender: Mutex<Lender>,
@@ -67,7 +67,7 @@
     flights: Mutex<Flights<u64>>,
 }
 
-impl Cell {
+impl ShardHandle {
     fn new(id: Name, me: EntryId, now: Millis) -> Self {
         Self {
             id: id.clone(),
@@ -105,7 +105,7 @@
     lists: Mutex<Lists>,
     peers: Mutex<Peers>,
     claimant: Mutex<Claimant>,
-    cells: RwLock<BTreeMap<Name, Arc<Cell>>>,
+    shards: RwLock<BTreeMap<Name, Arc<ShardHandle>>>,
     slots: Mutex<Slots>,
     budget: Mutex<Budget>,
     turns: Mutex<HashMap<u64, oneshot::Sender<Turn>>>,
@@ -150,7 +150,7 @@
             table: RwLock::default(),
             lists: Mutex::default(),
             claimant: Mutex::new(Claimant::new(me, domain, now)),
-            cells: RwLock::default(),
+            shards: RwLock::default(),
             slots: Mutex::default(),
             budget: Mutex::default(),
             turns: Mutex::default(),
@@ -212,26 +212,26 @@
         *self.table.write().unwrap_or_else(PoisonError::into_inner) = table;
     }
 
-    pub(crate) fn cell(&self, shard: &str) -> Option<Arc<Cell>> {
-        self.cells.read().unwrap_or_else(PoisonError::into_inner).get(shard).cloned()
+    pub(crate) fn handle(&self, shard: &str) -> Option<Arc<ShardHandle>> {
+        self.shards.read().unwrap_or_else(PoisonError::into_inner).get(shard).cloned()
     }
 
-    pub(crate) fn cells(&self) -> Vec<Arc<Cell>> {
-        self.cells.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+    pub(crate) fn shards(&self) -> Vec<Arc<ShardHandle>> {
+        self.shards.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
     }
 
-    /// The cell of a shard of this failure domain, made if it is new.
-    fn make_cell(self: &Arc<Self>, shard: &Name) -> Arc<Cell> {
-        if let Some(cell) = self.cell(shard) {
-            return cell;
+    /// The shard of this failure domain with this name, opened if it is new.
+    fn open_shard(self: &Arc<Self>, shard: &Name) -> Arc<ShardHandle> {
+        if let Some(handle) = self.handle(shard) {
+            return handle;
         }
-        let mut cells = self.cells.write().unwrap_or_else(PoisonError::into_inner);
-        let known = cells.get(shard).cloned();
+        let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
+        let known = shards.get(shard).cloned();
         known.unwrap_or_else(|| {
-            let cell = Arc::new(Cell::new(shard.clone(), self.me.clone(), self.now()));
-            cells.insert(shard.clone(), cell.clone());
-            tokio::spawn(self.clone().replicate(cell.clone()));
-            cell
+            let handle = Arc::new(ShardHandle::new(shard.clone(), self.me.clone(), self.now()));
+            shards.insert(shard.clone(), handle.clone());
+            tokio::spawn(self.clone().replicate(handle.clone()));
+            handle
         })
     }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -6,7 +6,7 @@
 use crate::controller::shard::office::{Action, Event, Office};
 use crate::controller::shard::{Search, Source};
 use crate::controller::slots::Lender;
-use crate::entry::{Cell, Entry, lock};
+use crate::entry::{Entry, ShardHandle, lock};
 use crate::id::{EntryId, Name, TaskId, hash};
 use crate::platform::api::{Report, StartOrder, StopOrder, SyncOrder, TaskReply};
 use crate::record::Claim;
@@ -41,11 +41,11 @@
         let mut snapshot = 0;
         loop {
             timer.tick().await;
-            for cell in self.cells() {
-                self.step(&cell, Event::Tick);
-                self.fence_self(&cell);
-                self.claim(&cell);
-                self.search(&cell).await;
+            for handle in self.shards() {
+                self.step(&handle, Event::Tick);
+                self.fence_self(&handle);
+                self.claim(&handle);
+                self.search(&handle).await;
             }
             if self.now().since(refreshed) >= every {
                 refreshed = self.now();
@@ -56,10 +56,10 @@
     }
 
     /// An earlier office of this same entry is fenced like another's.
-    fn fence_self(self: &Arc<Self>, cell: &Arc<Cell>) {
-        let epoch = cell.shard().office().map(|office| office.since());
-        if epoch.is_some_and(|epoch| !cell.flights().any_before(self.now(), &epoch)) {
-            self.step(cell, Event::Fenced(self.me.clone()));
+    fn fence_self(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let epoch = handle.shard().office().map(|office| office.since());
+        if epoch.is_some_and(|epoch| !handle.flights().any_before(self.now(), &epoch)) {
+            self.step(handle, Event::Fenced(self.me.clone()));
         }
     }
 
@@ -67,8 +67,8 @@
     /// and the claims unless another entry did so since the snapshot at offset `last`. Returns the
     /// offset of the last snapshot.
     fn refresh_log(self: &Arc<Self>, last: u64) -> u64 {
-        for cell in self.cells() {
-            self.step(&cell, Event::Refresh);
+        for handle in self.shards() {
+            self.step(&handle, Event::Refresh);
         }
         let newest = lock(&self.fold).snapshot_at();
         if newest == last {
@@ -77,7 +77,7 @@
         newest
     }
 
-    fn claim(self: &Arc<Self>, cell: &Arc<Cell>) {
+    fn claim(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
         if self.is_leaving() || !self.is_log_fresh() {
             return;
         }
@@ -87,7 +87,7 @@
         if !fold.synced() {
             return;
         }
-        let claim = lock(&self.claimant).decide(now, &cell.id, &fold.claims, &peers);
+        let claim = lock(&self.claimant).decide(now, &handle.id, &fold.claims, &peers);
         drop(fold);
         if let Some(claim) = claim {
             self.writer.claim(claim, now);
@@ -96,41 +96,41 @@
 
     /// The log has a new claim on a shard of this failure domain.
     pub(super) fn take_claim(self: &Arc<Self>, claim: Claim) {
-        let cell = self.make_cell(&claim.shard);
+        let handle = self.open_shard(&claim.shard);
         let (history, log) = {
             let fold = lock(&self.fold);
             (fold.claims.history(&claim.shard).to_vec(), fold.state(&claim.shard))
         };
-        let deposed = cell.shard().claimed(self.now(), &claim, &history, log);
+        let deposed = handle.shard().claimed(self.now(), &claim, &history, log);
         let (shard, epoch) = (claim.shard.clone(), claim.epoch);
         match () {
             _ if deposed => self.trace.add(What::Deposed { shard, epoch }),
             _ if claim.owner == self.me => self.trace.add(What::Elected { shard, epoch }),
             _ => self.trace.add(What::Sealed { shard, epoch }),
         }
-        cell.kick.notify_one();
+        handle.kick.notify_one();
         self.news.notify_one();
         let entry = self.clone();
-        tokio::spawn(async move { entry.search(&cell).await });
+        tokio::spawn(async move { entry.search(&handle).await });
     }
 
-    async fn search(self: &Arc<Self>, cell: &Arc<Cell>) {
-        let found = cell.shard().search(self.now(), |id| self.is_gone(id));
+    async fn search(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let found = handle.shard().search(self.now(), |id| self.is_gone(id));
         match found {
             Search::Idle => {}
-            Search::Ask(ids) => self.seal_others(cell, ids).await,
-            Search::Ready(source) => self.take_office(cell, source),
+            Search::Ask(ids) => self.seal_others(handle, ids).await,
+            Search::Ready(source) => self.take_office(handle, source),
         }
     }
 
     /// Asks replicas to seal a shard for this entry's claim; any one answer will do.
-    async fn seal_others(self: &Arc<Self>, cell: &Arc<Cell>, ids: BTreeSet<EntryId>) {
-        let Some(epoch) = cell.shard().claiming().map(|claim| claim.epoch) else { return };
+    async fn seal_others(self: &Arc<Self>, handle: &Arc<ShardHandle>, ids: BTreeSet<EntryId>) {
+        let Some(epoch) = handle.shard().claiming().map(|claim| claim.epoch) else { return };
         let others = ids.into_iter().filter(|id| *id != self.me);
         let asks = others.map(|id| async move {
-            let answer = self.ask_seal(&id, &cell.id, epoch).await;
+            let answer = self.ask_seal(&id, &handle.id, epoch).await;
             if let Some(state) = answer {
-                cell.shard().sealed(&id, epoch, state);
+                handle.shard().sealed(&id, epoch, state);
             }
         });
         join_all(asks).await;
@@ -151,46 +151,46 @@
         }
     }
 
-    fn take_office(self: &Arc<Self>, cell: &Arc<Cell>, source: Source) {
+    fn take_office(self: &Arc<Self>, handle: &Arc<ShardHandle>, source: Source) {
         let now = self.now();
-        let Some(claim) = cell.shard().claiming().cloned() else { return };
+        let Some(claim) = handle.shard().claiming().cloned() else { return };
         let from = match &source {
             Source::State(state) => format!("epoch-{}-note-{}", state.epoch, state.seq),
             Source::Rebuild => "log".to_string(),
         };
         let (former, jobs) = lock(&self.fold).before(&claim);
-        *cell.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
+        *handle.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
         let office = Office::new(&claim, source, former, jobs, self.table(), now);
-        if !cell.shard().take_office(office) {
+        if !handle.shard().take_office(office) {
             return;
         }
-        let (shard, epoch) = (cell.id.clone(), claim.epoch);
+        let (shard, epoch) = (handle.id.clone(), claim.epoch);
         self.trace.add(What::TookOffice { shard, epoch, from: from.into() });
-        self.set_list(cell);
-        self.drop_gone_entries(cell);
+        self.set_list(handle);
+        self.drop_gone_entries(handle);
         self.news.notify_one();
-        self.sync_shard(cell);
+        self.sync_shard(handle);
     }
 
     /// A new table is in force: tell the owners here.
     pub(super) fn set_policy(self: &Arc<Self>, table: &Arc<Table>) {
-        for cell in self.cells() {
-            self.step(&cell, Event::Table(table.clone()));
+        for handle in self.shards() {
+            self.step(&handle, Event::Table(table.clone()));
         }
     }
 
     /// The log holds notes of a shard.
     pub(super) fn take_noted(self: &Arc<Self>, shard: &Name, epoch: u64, seq: u64) {
-        if let Some(cell) = self.cell(shard) {
-            self.step(&cell, Event::Logged { epoch, seq });
+        if let Some(handle) = self.handle(shard) {
+            self.step(&handle, Event::Logged { epoch, seq });
         }
     }
 
     /// Gives an event to the owner of a shard, if it is here, and does what it says.
-    pub(crate) fn step(self: &Arc<Self>, cell: &Arc<Cell>, event: Event) -> bool {
+    pub(crate) fn step(self: &Arc<Self>, handle: &Arc<ShardHandle>, event: Event) -> bool {
         let now = self.now();
         let (epoch, actions, starts) = {
-            let mut shard = cell.shard();
+            let mut shard = handle.shard();
             let Some(office) = shard.office() else { return false };
             let epoch = office.epoch();
             let actions = office.step(now, event);
@@ -204,16 +204,16 @@
                 })
                 .collect();
             let sent = actions.iter().filter(|action| matches!(action, Action::Start { .. }));
-            cell.flights().begin(epoch, sent.count());
+            handle.flights().begin(epoch, sent.count());
             (epoch, actions, starts)
         };
-        self.act(cell, epoch, actions, starts);
+        self.act(handle, epoch, actions, starts);
         true
     }
 
     fn act(
         self: &Arc<Self>,
-        cell: &Arc<Cell>,
+        handle: &Arc<ShardHandle>,
         epoch: u64,
         actions: Vec<Action>,
         addrs: Vec<(Name, Option<Name>)>,
@@ -225,14 +225,14 @@
         let mut records = Vec::new();
         for action in actions {
             match action {
-                Action::Replicate => cell.kick.notify_one(),
+                Action::Replicate => handle.kick.notify_one(),
                 Action::Start { worker, order } => {
                     let (addr, task) = (addr(&worker), order.task.clone());
-                    self.tell(cell, epoch, addr, task, Tellable::Start(order));
+                    self.tell(handle, epoch, addr, task, Tellable::Start(order));
                 }
                 Action::Stop { worker, task } => {
                     let (addr, id) = (addr(&worker), task.clone());
-                    self.tell(cell, epoch, addr, id, Tellable::Stop(task));
+                    self.tell(handle, epoch, addr, id, Tellable::Stop(task));
                 }
                 Action::Reply { token, answer } => {
                     if let Some(reply) = lock(&self.replies).remove(&token) {
@@ -260,19 +260,19 @@
     /// Sends a start or stop to a worker and gives the answer to the owner.
     fn tell(
         self: &Arc<Self>,
-        cell: &Arc<Cell>,
+        handle: &Arc<ShardHandle>,
         epoch: u64,
         addr: Name,
         task: TaskId,
         message: Tellable,
     ) {
-        let (entry, cell) = (self.clone(), cell.clone());
+        let (entry, handle) = (self.clone(), handle.clone());
         tokio::spawn(async move {
             let stop = matches!(message, Tellable::Stop(_));
             let reply = entry.tell_worker(&addr, message).await;
-            entry.step(&cell, Event::Told { task, stop, reply });
+            entry.step(&handle, Event::Told { task, stop, reply });
             if !stop {
-                cell.flights().end(entry.now(), &epoch);
+                handle.flights().end(entry.now(), &epoch);
             }
         });
     }
@@ -297,28 +297,28 @@
         let mut timer = tokio::time::interval(self.settings.sync_every.duration());
         loop {
             timer.tick().await;
-            for cell in self.cells() {
-                self.sync_shard(&cell);
-                tokio::spawn(self.clone().keep_running(cell));
+            for handle in self.shards() {
+                self.sync_shard(&handle);
+                tokio::spawn(self.clone().keep_running(handle));
             }
         }
     }
 
     /// Renews leases at all workers of one shard, if it is owned here.
-    fn sync_shard(self: &Arc<Self>, cell: &Arc<Cell>) {
-        let workers = cell.shard().office().map(|office| office.workers());
+    fn sync_shard(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let workers = handle.shard().office().map(|office| office.workers());
         for worker in workers.unwrap_or_default() {
-            tokio::spawn(self.clone().sync_worker(cell.clone(), worker));
+            tokio::spawn(self.clone().sync_worker(handle.clone(), worker));
         }
     }
 
-    async fn sync_worker(self: Arc<Self>, cell: Arc<Cell>, worker: Name) {
-        let order = cell.shard().office().and_then(|office| office.sync(&worker));
+    async fn sync_worker(self: Arc<Self>, handle: Arc<ShardHandle>, worker: Name) {
+        let order = handle.shard().office().and_then(|office| office.sync(&worker));
         let Some((addr, order)) = order else { return };
         let asked = self.now();
         let report = self.sync(&addr, &order).await;
         if let Some(report) = report {
-            self.step(&cell, Event::Report { worker, asked, report });
+            self.step(&handle, Event::Report { worker, asked, report });
         }
     }
 
@@ -327,15 +327,15 @@
     }
 
     /// Renews leases from a replica while the owner is not heard: a renewal starts nothing.
-    async fn keep_running(self: Arc<Self>, cell: Arc<Cell>) {
-        let owner = lock(&self.fold).claims.last(&cell.id).map(|claim| claim.owner.name.clone());
+    async fn keep_running(self: Arc<Self>, handle: Arc<ShardHandle>) {
+        let owner = lock(&self.fold).claims.last(&handle.id).map(|claim| claim.owner.name.clone());
         let Some(owner) = owner else { return };
-        let here = owner == self.me.name && cell.shard().office().is_some();
+        let here = owner == self.me.name && handle.shard().office().is_some();
         if here || lock(&self.peers).is_heard(self.now(), &owner) {
             return;
         }
         let list = lock(&self.lists).newest().clone();
-        let orders = cell.shard().replica().renewals();
+        let orders = handle.shard().replica().renewals();
         for (worker, order) in orders {
             let vm = list.vms.iter().find(|vm| vm.name == worker);
             if let Some(vm) = vm {
@@ -345,17 +345,17 @@
     }
 
     /// Brings the notes of an owned shard to its replicas, or to the log if there are none.
-    pub(super) async fn replicate(self: Arc<Self>, cell: Arc<Cell>) {
+    pub(super) async fn replicate(self: Arc<Self>, handle: Arc<ShardHandle>) {
         loop {
-            cell.kick.notified().await;
-            while self.replicate_once(&cell).await {}
+            handle.kick.notified().await;
+            while self.replicate_once(&handle).await {}
         }
     }
 
     /// Sends each replica what it lacks; `true` if something was sent.
-    async fn replicate_once(self: &Arc<Self>, cell: &Arc<Cell>) -> bool {
+    async fn replicate_once(self: &Arc<Self>, handle: &Arc<ShardHandle>) -> bool {
         let (updates, record) = {
-            let mut shard = cell.shard();
+            let mut shard = handle.shard();
             let Some(office) = shard.office() else { return false };
             let record = office.log_record();
             let replicas = office.replicas().into_iter();
@@ -369,8 +369,8 @@
         }
         let sends = updates.into_iter().map(|(id, update)| async move {
             let epoch = update.epoch;
-            let ask = Ask::Update { shard: cell.id.clone(), update };
-            self.send_update(cell, id, epoch, ask).await;
+            let ask = Ask::Update { shard: handle.id.clone(), update };
+            self.send_update(handle, id, epoch, ask).await;
         });
         let sends: Vec<_> = sends.collect();
         let sent = !sends.is_empty();
@@ -378,21 +378,27 @@
         sent
     }
 
-    async fn send_update(self: &Arc<Self>, cell: &Arc<Cell>, id: EntryId, epoch: u64, ask: Ask) {
+    async fn send_update(
+        self: &Arc<Self>,
+        handle: &Arc<ShardHandle>,
+        id: EntryId,
+        epoch: u64,
+        ask: Ask,
+    ) {
         let addr = lock(&self.peers).addr(&id.name);
         let Some(addr) = addr else {
             return tokio::time::sleep(REPLICA_PAUSE.duration()).await;
         };
         match self.quic.ask(&id.name, addr, ask, REPLICA_LIMIT).await {
             Ok(Tell::Updated { by, result: Ok(seq) }) if by == id => {
-                self.step(cell, Event::Acked { replica: id, epoch, seq });
+                self.step(handle, Event::Acked { replica: id, epoch, seq });
             }
             Ok(Tell::Updated { by, result: Err(ReplicaError::Gap(_)) }) if by == id => {
-                self.step(cell, Event::Gap { replica: id });
+                self.step(handle, Event::Gap { replica: id });
             }
             Ok(Tell::Updated { by, result: Err(ReplicaError::Sealed(later)) }) if by == id => {
-                if cell.shard().step_down(later) {
-                    self.trace.add(What::Deposed { shard: cell.id.clone(), epoch: later });
+                if handle.shard().step_down(later) {
+                    self.trace.add(What::Deposed { shard: handle.id.clone(), epoch: later });
                 }
             }
             _ => tokio::time::sleep(REPLICA_PAUSE.duration()).await,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -91,8 +91,8 @@
         let mut timer = tokio::time::interval(RENEW.duration());
         loop {
             timer.tick().await;
-            for cell in self.cells() {
-                tokio::spawn(self.clone().renew_shard(cell.id.clone()));
+            for handle in self.shards() {
+                tokio::spawn(self.clone().renew_shard(handle.id.clone()));
             }
         }
     }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 use crate::controller::offer::{self, Candidate, Offer, Room};
 use crate::controller::shard::office::{Answer, Event, Refusal};
-use crate::entry::{Cell, Entry, lock};
+use crate::entry::{Entry, ShardHandle, lock};
 use crate::id::{JobId, Name, rendezvous};
 use crate::job::{JobSpec, JobStatus};
 use crate::record::Claim;
@@ -56,10 +56,10 @@
 
     /// One try; the error says whether surely nothing was sent.
     async fn try_owner(self: &Arc<Self>, shard: &Name, ask: OwnerAsk) -> Result<Tell, bool> {
-        if let Some(cell) = self.cell(shard)
-            && cell.shard().office().is_some()
+        if let Some(handle) = self.handle(shard)
+            && handle.shard().office().is_some()
         {
-            return Ok(self.answer_owner(&cell, ask).await);
+            return Ok(self.answer_owner(&handle, ask).await);
         }
         let owner = lock(&self.fold).claims.last(shard).map(|claim| claim.owner.name.clone());
         let name = owner.filter(|name| *name != self.me.name).ok_or(true)?;
@@ -70,27 +70,31 @@
     }
 
     /// Answers a question to the owner of a shard, if that is this entry.
-    pub(super) async fn answer_owner(self: &Arc<Self>, cell: &Arc<Cell>, ask: OwnerAsk) -> Tell {
+    pub(super) async fn answer_owner(
+        self: &Arc<Self>,
+        handle: &Arc<ShardHandle>,
+        ask: OwnerAsk,
+    ) -> Tell {
         let now = self.now();
         match ask {
             OwnerAsk::Submit { job, spec } => {
-                self.ask_office(cell, |token| Event::Submit { token, job, spec }).await
+                self.ask_office(handle, |token| Event::Submit { token, job, spec }).await
             }
             OwnerAsk::Cancel { job } => {
-                self.ask_office(cell, |token| Event::Cancel { token, job }).await
+                self.ask_office(handle, |token| Event::Cancel { token, job }).await
             }
             OwnerAsk::Key { key, holder } => {
-                self.ask_office(cell, |token| Event::Key { token, key, holder }).await
+                self.ask_office(handle, |token| Event::Key { token, key, holder }).await
             }
             OwnerAsk::FreeKey { key, holder } => {
-                let done = self.step(cell, Event::FreeKey { key, holder });
+                let done = self.step(handle, Event::FreeKey { key, holder });
                 if done { Tell::Done } else { Tell::NotOwner }
             }
-            OwnerAsk::Status { job } => match cell.shard().office() {
+            OwnerAsk::Status { job } => match handle.shard().office() {
                 Some(office) => Tell::Status(office.status(&job, now)),
                 None => Tell::NotOwner,
             },
-            OwnerAsk::Jobs { team } => match cell.shard().office() {
+            OwnerAsk::Jobs { team } => match handle.shard().office() {
                 Some(office) => {
                     let jobs = office.book().jobs.iter();
                     let wanted = jobs
@@ -99,19 +103,19 @@
                 }
                 None => Tell::NotOwner,
             },
-            OwnerAsk::State => self.shard_status(cell).map_or(Tell::NotOwner, Tell::Shard),
+            OwnerAsk::State => self.shard_status(handle).map_or(Tell::NotOwner, Tell::Shard),
         }
     }
 
     async fn ask_office(
         self: &Arc<Self>,
-        cell: &Arc<Cell>,
+        handle: &Arc<ShardHandle>,
         event: impl FnOnce(u64) -> Event,
     ) -> Tell {
         let token = self.next();
         let (reply, waiting) = oneshot::channel();
         lock(&self.replies).insert(token, reply);
-        if !self.step(cell, event(token)) {
+        if !self.step(handle, event(token)) {
             lock(&self.replies).remove(&token);
             return Tell::NotOwner;
         }
@@ -123,13 +127,13 @@
         }
     }
 
-    fn shard_status(&self, cell: &Cell) -> Option<ShardStatus> {
-        let mut shard = cell.shard();
+    fn shard_status(&self, handle: &ShardHandle) -> Option<ShardStatus> {
+        let mut shard = handle.shard();
         let office = shard.office()?;
         let rooms = office.rooms();
         let workers = rooms.map(|(name, at)| (name.clone(), at.total(), at.used())).collect();
         Some(ShardStatus {
-            shard: cell.id.clone(),
+            shard: handle.id.clone(),
             epoch: office.epoch(),
             owner: self.me.clone(),
             replicas: office.replicas(),
@@ -149,11 +153,11 @@
     /// What the shards of the cell could take, as far as this entry knows.
     fn known_rooms(&self) -> Vec<(Name, Name, Room)> {
         let mut rooms = lock(&self.peers).rooms(self.now());
-        for cell in self.cells() {
-            let mut shard = cell.shard();
+        for handle in self.shards() {
+            let mut shard = handle.shard();
             let Some(office) = shard.office() else { continue };
             let room = office.room();
-            rooms.push((cell.id.clone(), self.settings.domain.clone(), room));
+            rooms.push((handle.id.clone(), self.settings.domain.clone(), room));
         }
         rooms
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,21 +26,21 @@
                 Tell::Beat(self.make_beat())
             }
             Ask::Update { shard, update } => {
-                let cell = self.make_cell(&shard);
-                let result = cell.shard().update(update);
+                let handle = self.open_shard(&shard);
+                let result = handle.shard().update(update);
                 Tell::Updated { by: self.me.clone(), result }
             }
             Ask::Seal { shard, epoch } => {
-                let cell = self.make_cell(&shard);
-                let state = cell.shard().seal(epoch);
+                let handle = self.open_shard(&shard);
+                let state = handle.shard().seal(epoch);
                 Tell::Sealed { by: self.me.clone(), state }
             }
             Ask::Release { shard, epoch } => {
                 lock(&self.claimant).release(shard, epoch);
                 Tell::Done
             }
-            Ask::Owner { shard, ask } => match self.cell(&shard) {
-                Some(cell) => self.answer_owner(&cell, ask).await,
+            Ask::Owner { shard, ask } => match self.handle(&shard) {
+                Some(handle) => self.answer_owner(&handle, ask).await,
                 None => Tell::NotOwner,
             },
             Ask::Slots { shard, entry, uses, waiting } => self.lend(&shard, &entry, &uses, waiting),
@@ -55,8 +55,8 @@
 
     /// Lends slots if this entry surely owned the shard a moment ago.
     pub(super) fn lend(&self, shard: &Name, entry: &Name, uses: &[SlotUse], waiting: u32) -> Tell {
-        let Some(cell) = self.cell(shard) else { return Tell::NotOwner };
-        let Some(epoch) = cell.shard().office().map(|office| office.epoch()) else {
+        let Some(handle) = self.handle(shard) else { return Tell::NotOwner };
+        let Some(epoch) = handle.shard().office().map(|office| office.epoch()) else {
             return Tell::NotOwner;
         };
         if !self.is_owner_proven(shard, epoch) {
@@ -64,7 +64,7 @@
         }
         let mut entries = lock(&self.peers).names_here();
         entries.insert(self.me.name.clone());
-        let mut lender = cell.lender();
+        let mut lender = handle.lender();
         lender.set_entries(entries);
         Tell::Slots(lender.lend(self.now(), entry, uses, waiting))
     }
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -1,9 +1,12 @@
 //! A planned stop: shards are handed over, requests in flight end, the listener closes last.
 
 use crate::clock::Millis;
-use crate::entry::{Cell, Entry, lock};
+use crate::entry::{Entry, ShardHandle, lock};
+use crate::id::{Name, rendezvous};
 use crate::trace::What;
 use crate::wire::msg::Ask;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -26,8 +29,8 @@
         self.trace.add(What::Stopping);
         self.news.notify_one();
         while self.owned() > 0 && self.now().since(begun) < HANDOVER {
-            for cell in self.cells() {
-                self.release(&cell).await;
+            for handle in self.shards() {
+                self.release(&handle).await;
             }
             tokio::time::sleep((LOOK + LOOK).duration()).await;
         }
@@ -54,18 +57,20 @@
 
     /// How many shards this entry owns.
     pub(crate) fn owned(&self) -> usize {
-        let owned = self.cells().into_iter().filter(|cell| cell.shard().office().is_some());
+        let owned = self.shards().into_iter().filter(|handle| handle.shard().office().is_some());
         owned.count()
     }
 
     /// Gives a shard up in favour of a peer of this failure domain, which claims it at once.
-    async fn release(self: &Arc<Self>, cell: &Arc<Cell>) {
-        let Some(epoch) = cell.shard().office().map(|office| office.epoch()) else { return };
+    async fn release(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let Some(epoch) = handle.shard().office().map(|office| office.epoch()) else { return };
         let fresh = lock(&self.peers).fresh(self.now()).into_iter();
-        let mut here = fresh.filter(|(_, domain, _)| *domain == self.settings.domain);
-        let Some((name, _, addr)) = here.next() else { return };
-        let ask = Ask::Release { shard: cell.id.clone(), epoch };
-        let _ = self.quic.ask(&name, addr, ask, PEER_LIMIT).await;
+        let here = fresh.filter(|(_, domain, _)| *domain == self.settings.domain);
+        let here: BTreeMap<Name, SocketAddr> = here.map(|(name, _, addr)| (name, addr)).collect();
+        let Some(name) = rendezvous(&handle.id, here.keys()) else { return };
+        let addr = here[name];
+        let ask = Ask::Release { shard: handle.id.clone(), epoch };
+        let _ = self.quic.ask(name, addr, ask, PEER_LIMIT).await;
     }
 }
 
