Searches for the state of shards run side by side

Cause: read as a newcomer, the tick loop waits up to a second for each holder that does not answer. An entry that takes over nine shards at the aimed size would neither tick nor claim meanwhile.

Ruled out: a shorter limit (holders on a busy machine need it).

Change: one search at a time for each shard, beside the loop.

The time to take over many shards at once was not measured.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -63,6 +63,8 @@
     lender: Mutex<Lender>,
     /// There is something to replicate.
     kick: Notify,
+    /// A search for the shard's state is under way.
+    searching: AtomicBool,
     /// Starts that this entry sent and that may still arrive at a worker.
     flights: Mutex<Flights<u64>>,
 }
@@ -74,6 +76,7 @@
             shard: Mutex::new(Shard::new(id, me)),
             lender: Mutex::new(Lender::new(now)),
             kick: Notify::new(),
+            searching: AtomicBool::new(false),
             flights: Mutex::default(),
         }
     }
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -16,6 +16,7 @@
 use futures_util::future::join_all;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// Time between looks at claims and due tasks.
 const TICK: Millis = Millis(200);
@@ -45,7 +46,7 @@
                 self.step(&handle, Event::Tick);
                 self.fence_self(&handle);
                 self.claim(&handle);
-                self.search(&handle).await;
+                self.begin_search(handle);
             }
             if self.now().since(refreshed) >= every {
                 refreshed = self.now();
@@ -110,8 +111,21 @@
         }
         handle.kick.notify_one();
         self.news.notify_one();
+        self.begin_search(handle);
+    }
+
+    /// Searches for the state of a shard claimed here, beside everything else: a holder that does
+    /// not answer holds up no other shard.
+    fn begin_search(self: &Arc<Self>, handle: Arc<ShardHandle>) {
+        let wanted = handle.shard().claiming().is_some();
+        if !wanted || handle.searching.swap(true, Ordering::SeqCst) {
+            return;
+        }
         let entry = self.clone();
-        tokio::spawn(async move { entry.search(&handle).await });
+        tokio::spawn(async move {
+            entry.search(&handle).await;
+            handle.searching.store(false, Ordering::SeqCst);
+        });
     }
 
     async fn search(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
