Tests: each cell has a loopback address of its own; the demo guesses no ports

The tests took a free port, gave it up, and let a child bind it later. A parallel cell or the source port of an outgoing connection could take it in between; the child then ended with "Address already in use" (seen in kept logs of the children), or, worse, two cells read each other's time line (OneAnswer reported broken). The demo did the same for its entries' UDP ports.

Ruled out: a slow publish (the failing runs have a child that ended at its bind); a broken promise (the events were another cell's).

Change: test cells use 127.PID.PID.CELL with ports counted up, nothing is bound and given up. Quic says the address that it bound, so port 0 is a valid peer address, and the demo names its entries in the VM list instead of in settings.

--- a/src/demo/cell.rs
+++ b/src/demo/cell.rs
@@ -19,7 +19,7 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
 use hyper::{Method, Request};
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -60,10 +60,6 @@
     Ok((listener, addr))
 }
 
-fn free_udp() -> Result<SocketAddr> {
-    Ok(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
-}
-
 /// Ready when the cell is stopped.
 async fn stopped(mut stop: watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
@@ -88,8 +84,8 @@
             cell.start_workers(domain, size, &mut vms).await?;
             cell.start_runners(domain, &mut vms).await?;
         }
+        cell.start_entries(&addr, &mut vms).await?;
         cell.platform.set_list(VmList { rev: 1, vms });
-        cell.start_entries(&addr).await?;
         cell.publish().await?;
         Ok(cell)
     }
@@ -122,48 +118,40 @@
         Ok(())
     }
 
-    async fn start_entries(&mut self, platform: &Name) -> Result<()> {
+    async fn start_entries(&mut self, platform: &Name, vms: &mut Vec<Vm>) -> Result<()> {
         let authority = Authority::new("demo")?;
-        let mut peers = Vec::new();
         for (domain, _) in SITES {
             for index in 1..=2 {
-                peers.push((format!("{domain}-{index}"), domain, free_udp()?));
+                let name: Name = format!("{domain}-{index}").into();
+                let keys = authority.issue(&name)?;
+                let settings = json!({
+                    "name": name, "domain": domain, "http": "127.0.0.1:0", "peer": "127.0.0.1:0",
+                    "platform": {"log": platform, "list": platform},
+                    "keys": {
+                        "authority": &*keys.authority, "certificate": &*keys.certificate,
+                        "secret": &*keys.secret,
+                    },
+                    "tokens": [{"name": "demo", "token": OPERATOR, "right": "operator"}],
+                    "stop_grace": 500,
+                });
+                let addr = self.start_entry(&settings.to_string()).await?;
+                vms.push(vm(name, Role::Entry, addr, domain, Size::default(), 0));
             }
         }
-        for (name, domain, addr) in &peers {
-            let keys = authority.issue(name)?;
-            let others: Vec<Value> = peers
-                .iter()
-                .filter(|(other, ..)| other != name)
-                .map(|(name, domain, addr)| {
-                    json!({"name": name, "domain": domain, "addr": addr.to_string()})
-                })
-                .collect();
-            let settings = json!({
-                "name": name, "domain": domain, "http": "127.0.0.1:0", "peer": addr.to_string(),
-                "platform": {"log": platform, "list": platform},
-                "keys": {
-                    "authority": &*keys.authority, "certificate": &*keys.certificate,
-                    "secret": &*keys.secret,
-                },
-                "peers": others,
-                "tokens": [{"name": "demo", "token": OPERATOR, "right": "operator"}],
-                "stop_grace": 500,
-            });
-            self.start_entry(&settings.to_string()).await?;
-        }
         Ok(())
     }
 
-    async fn start_entry(&mut self, settings: &str) -> Result<()> {
+    /// Starts an entry and returns its address for other entries.
+    async fn start_entry(&mut self, settings: &str) -> Result<Name> {
         let settings = Settings::parse(settings);
         let settings = settings.map_err(|faults| anyhow!("settings: {faults:?}"))?;
         let (entry, listener) = Entry::bind(settings).await?;
         let addr = listener.local_addr()?;
+        let peer = entry.quic.addr()?.to_string().into();
         self.traces.push(entry.trace.clone());
         tokio::spawn(entry.clone().run(listener, stopped(self.stop.subscribe())));
         self.entries.push((entry, addr));
-        Ok(())
+        Ok(peer)
     }
 
     async fn publish(&self) -> Result<()> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -133,12 +133,13 @@
     ///
     /// # Errors
     /// If a socket or the keys cannot be used.
-    pub async fn bind(settings: Settings) -> Result<(Arc<Self>, TcpListener), EntryError> {
+    pub async fn bind(mut settings: Settings) -> Result<(Arc<Self>, TcpListener), EntryError> {
         let now = Millis::now();
         let trace = Arc::new(Trace::new(settings.name.clone()));
         let me = EntryId { name: settings.name.clone(), inc: now.0 };
         let listener = TcpListener::bind(settings.http).await?;
         let quic = Quic::bind(settings.peer, &settings.keys, trace.clone())?;
+        settings.peer = quic.addr()?;
         let domain = settings.domain.clone();
         let (writer, queue) = log::Writer::new();
         let entry = Arc::new(Self {
--- a/src/wire/quic.rs
+++ b/src/wire/quic.rs
@@ -93,6 +93,14 @@
         Ok(Arc::new(Self { endpoint, open, trace, traffic }))
     }
 
+    /// The address that it is bound to.
+    ///
+    /// # Errors
+    /// If the socket is broken.
+    pub fn addr(&self) -> Result<SocketAddr, WireError> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
     /// Asks the entry `name` at `addr` and waits for its answer, at most `limit`.
     ///
     /// # Errors
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,9 +14,10 @@
 use sprucerudder::trace::Event;
 use sprucerudder::wire::keys::Authority;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 pub const OPERATOR: &str = "operator-token-0123";
@@ -61,13 +62,25 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
-    listener.local_addr().expect("addr")
+/// Addresses for the processes of one cell: on a loopback address of its own, so that no other
+/// cell and no outgoing connection takes one before it is bound.
+#[derive(Debug)]
+pub struct Addresses {
+    host: Ipv4Addr,
+    port: u16,
 }
 
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind").local_addr().expect("addr")
+impl Addresses {
+    pub fn new() -> Self {
+        static CELLS: AtomicU8 = AtomicU8::new(2);
+        let (pid, cell) = (std::process::id(), CELLS.fetch_add(1, Ordering::Relaxed));
+        Self { host: Ipv4Addr::new(127, (pid >> 8) as u8, pid as u8, cell), port: FIRST_PORT }
+    }
+
+    pub fn next(&mut self) -> SocketAddr {
+        self.port += 1;
+        (self.host, self.port).into()
+    }
 }
 
 pub fn binary() -> Command {
@@ -86,11 +99,13 @@
     pub workers: BTreeMap<String, Process>,
     pub runners: BTreeMap<String, Process>,
     settings: BTreeMap<String, PathBuf>,
+    addresses: Addresses,
     folder: PathBuf,
     pub http: Http,
     past: Vec<Event>,
 }
 
+const FIRST_PORT: u16 = 10_000;
 const DOMAINS: [&str; 2] = ["nasr-hall", "pasila"];
 
 impl Cell {
@@ -103,13 +118,15 @@
         let folder = std::env::temp_dir().join(format!("spruce-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("folder");
         let http = Http::default();
-        let platform = platform(retention);
+        let mut addresses = Addresses::new();
+        let platform = platform(addresses.next(), retention);
         let mut cell = Self {
             platform,
             entries: BTreeMap::new(),
             workers: BTreeMap::new(),
             runners: BTreeMap::new(),
             settings: BTreeMap::new(),
+            addresses,
             folder,
             http,
             past: Vec::new(),
@@ -117,11 +134,11 @@
         for domain in DOMAINS {
             for index in 1..=2 {
                 let name = format!("{domain}-w{index}");
-                let worker = worker(&name, if index == 1 { 2 } else { 0 });
+                let worker = worker(cell.addresses.next(), &name, if index == 1 { 2 } else { 0 });
                 cell.workers.insert(name, worker);
             }
             let name = format!("{domain}-r1");
-            cell.runners.insert(name.clone(), runner(&name));
+            cell.runners.insert(name.clone(), runner(cell.addresses.next(), &name));
         }
         cell.write_settings(refresh);
         for name in cell.settings.keys().cloned().collect::<Vec<_>>() {
@@ -161,7 +178,7 @@
         let authority = Authority::new("test").expect("authority");
         let names = DOMAINS.iter().flat_map(|d| (1..=2).map(move |i| (format!("{d}-{i}"), *d)));
         let peers: Vec<(String, &str, SocketAddr)> =
-            names.map(|(name, domain)| (name, domain, free_udp())).collect();
+            names.map(|(name, domain)| (name, domain, self.addresses.next())).collect();
         for (name, domain, addr) in &peers {
             let keys = authority.issue(name).expect("keys");
             let others: Vec<Value> = peers
@@ -171,7 +188,7 @@
                     json!({"name": name, "domain": domain, "addr": addr.to_string()})
                 })
                 .collect();
-            let http = free_addr();
+            let http = self.addresses.next();
             let platform = self.platform.addr.to_string();
             let settings = json!({
                 "name": name, "domain": domain, "http": http.to_string(),
@@ -418,21 +435,18 @@
     }
 }
 
-fn platform(retention: u64) -> Process {
-    let addr = free_addr();
+fn platform(addr: SocketAddr, retention: u64) -> Process {
     let (listen, retention) = (addr.to_string(), retention.to_string());
     let args = ["standin", "platform", "--listen", &listen, "--retention", &retention];
     spawn(addr, &args)
 }
 
-fn worker(name: &str, acc: u32) -> Process {
-    let addr = free_addr();
+fn worker(addr: SocketAddr, name: &str, acc: u32) -> Process {
     let (listen, acc) = (addr.to_string(), acc.to_string());
     let args = ["standin", "worker", "--listen", &listen, "--name", name];
     spawn(addr, &[&args[..], &["--cpu", "8000", "--mem", "16000", "--acc", &acc]].concat())
 }
 
-fn runner(name: &str) -> Process {
-    let addr = free_addr();
+fn runner(addr: SocketAddr, name: &str) -> Process {
     spawn(addr, &["standin", "runner", "--listen", &addr.to_string(), "--name", name])
 }
--- a/tests/quic.rs
+++ b/tests/quic.rs
@@ -6,17 +6,14 @@
 use sprucerudder::wire::keys::Authority;
 use sprucerudder::wire::msg::{Ask, Tell};
 use sprucerudder::wire::quic::{Quic, WireError};
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 const LIMIT: Millis = Millis(10_000);
 
-fn free() -> SocketAddr {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind").local_addr().expect("addr")
-}
-
-fn end(name: &str, addr: SocketAddr, keys: &Keys) -> Arc<Quic> {
-    Quic::bind(addr, keys, Arc::new(Trace::new(name.into()))).expect("bind")
+fn end(name: &str, keys: &Keys) -> Arc<Quic> {
+    let any = (Ipv4Addr::LOCALHOST, 0).into();
+    Quic::bind(any, keys, Arc::new(Trace::new(name.into()))).expect("bind")
 }
 
 async fn ask(from: &Quic, name: &str, to: SocketAddr) -> Result<Tell, WireError> {
@@ -28,14 +25,14 @@
     let cell = Authority::new("cell").expect("authority");
     let other = Authority::new("cell").expect("authority");
     let loaded = Authority::load(cell.certificate(), &cell.secret()).expect("load");
-    let here = free();
-    let server = end("e1", here, &cell.issue("e1").expect("keys"));
+    let server = end("e1", &cell.issue("e1").expect("keys"));
+    let here = server.addr().expect("addr");
     tokio::spawn(server.serve(|_| async { Tell::Table(None) }));
-    let friend = end("e2", free(), &cell.issue("e2").expect("keys"));
+    let friend = end("e2", &cell.issue("e2").expect("keys"));
     assert_eq!(ask(&friend, "e1", here).await.expect("answer"), Tell::Table(None));
-    let later = end("e3", free(), &loaded.issue("e3").expect("keys"));
+    let later = end("e3", &loaded.issue("e3").expect("keys"));
     assert_eq!(ask(&later, "e1", here).await.expect("answer"), Tell::Table(None));
-    let stranger = end("e2", free(), &other.issue("e2").expect("keys"));
+    let stranger = end("e2", &other.issue("e2").expect("keys"));
     assert!(ask(&stranger, "e1", here).await.is_err());
     let wrong_name = ask(&friend, "e9", here).await;
     assert!(matches!(wrong_name, Err(WireError::Connect(_))), "{wrong_name:?}");
