Messages between entries: two versions side by side; heartbeats carry only what changed

And heartbeats were the largest stream between entries, 51 KB/s an entry at the aimed size (docs/CAPACITY.md), mostly the same as half a second ago.

Ruled out: a self-describing codec; a version guessed by the first message; a delta that does not name the state it builds on. docs/design/wire.md has the reasons.

Change: the handshake agrees on the newest version that both speak. Version 2 adds Delta to Ask and Tell: shards that changed since what the peer said it holds (controller/gossip.rs, a pure state machine). `wire_version` holds an entry at older messages.

Version 1's bytes are held against bytes printed by the code before this change. A cell of version 1 is replaced entry by entry by version 2 with a service running throughout.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -6,6 +6,7 @@
 use common::{Desk, RACK, spec, table};
 use serde::Serialize;
 use sprucerudder::clock::Millis;
+use sprucerudder::controller::gossip::Delta;
 use sprucerudder::controller::offer::Room;
 use sprucerudder::controller::shard::office::Event;
 use sprucerudder::controller::slots::SlotUse;
@@ -15,14 +16,14 @@
 use sprucerudder::record::{Claim, Record};
 use sprucerudder::size::Size;
 use sprucerudder::trace::Stamp;
-use sprucerudder::wire::msg::{Ask, Beat, Envelope, ShardBeat, encode};
+use sprucerudder::wire::msg::{Ask, Beat, DeltaBeat, Envelope, NEWEST, ShardBeat, encode};
 use std::time::Instant;
 
 const WORKER: Size = Size::new(16_000, 32_000, 2);
 const PAGE: u64 = 4096;
 
 fn wire(ask: Ask) -> usize {
-    encode(&Envelope { stamp: Stamp(u64::MAX / 2), body: ask }).expect("bytes").len()
+    encode(NEWEST, &Envelope { stamp: Stamp(u64::MAX / 2), body: ask }).expect("bytes").len()
 }
 
 fn json<T: Serialize>(value: &T) -> usize {
@@ -81,32 +82,42 @@
     }
 }
 
+fn shard_beat(i: u32, owned: bool) -> ShardBeat {
+    let room = Room { largest: WORKER, free: WORKER, spare: WORKER, backlog: 100_000, urgent: 100 };
+    ShardBeat {
+        shard: format!("nasr-hall-rack-{i}").into(),
+        epoch: 300,
+        owner: owned,
+        flying: true,
+        room: owned.then_some(room),
+    }
+}
+
+fn beat(shards: Vec<ShardBeat>) -> Beat {
+    Beat {
+        from: entry("nasr-hall-entry-1"),
+        domain: "nasr-hall".into(),
+        addr: "10.20.30.40:7100".parse().expect("addr"),
+        leaving: false,
+        rev: 100_000,
+        list: 100_000,
+        shards,
+    }
+}
+
 fn beats() {
-    println!("sign of life: shards of the failure domain, bytes");
+    println!("sign of life: shards of the failure domain (a third owned), bytes whole,");
+    println!("  with the owned shards changed, with nothing changed");
     for count in [2, 12, 28] {
-        let shard = |i| ShardBeat {
-            shard: format!("nasr-hall-rack-{i}").into(),
-            epoch: 300,
-            owner: i % 3 == 0,
-            flying: true,
-            room: (i % 3 == 0).then_some(Room {
-                largest: WORKER,
-                free: WORKER,
-                spare: WORKER,
-                backlog: 100_000,
-                urgent: 100,
-            }),
-        };
-        let beat = Beat {
-            from: entry("nasr-hall-entry-1"),
-            domain: "nasr-hall".into(),
-            addr: "10.20.30.40:7100".parse().expect("addr"),
-            leaving: false,
-            rev: 100_000,
-            list: 100_000,
-            shards: (0..count).map(shard).collect(),
+        let all: Vec<ShardBeat> = (0..count).map(|i| shard_beat(i, i % 3 == 0)).collect();
+        let owned: Vec<ShardBeat> = all.iter().filter(|shard| shard.owner).cloned().collect();
+        let delta = |shards| {
+            let (seq, base, held) = (1_000_000, 999_999, 1_000_000);
+            let delta = Delta { seq, base, held, shards };
+            wire(Ask::Delta(DeltaBeat { beat: beat(Vec::new()), delta }))
         };
-        println!("  {count:>5} {:>7}", wire(Ask::Beat(beat)));
+        let whole = wire(Ask::Beat(beat(all)));
+        println!("  {count:>5} {whole:>7} {:>7} {:>7}", delta(owned), delta(Vec::new()));
     }
 }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod flights;
 pub mod fold;
+pub mod gossip;
 pub mod health;
 pub mod list;
 pub mod offer;
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Entry, lock};
 use crate::id::{EntryId, Name};
 use crate::trace::What;
-use crate::wire::msg::{Ask, Beat, ShardBeat, Tell};
+use crate::wire::msg::{Ask, Beat, DELTA, DeltaBeat, ShardBeat, Tell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,22 +25,31 @@
                 _ = timer.tick() => {}
                 _ = self.news.notified() => {}
             }
-            let beat = self.make_beat();
+            lock(&self.outbox).update(self.shard_beats());
             for (name, addr) in lock(&self.peers).all() {
-                tokio::spawn(self.clone().beat_to(name, addr, beat.clone()));
+                tokio::spawn(self.clone().beat_to(name, addr));
             }
         }
     }
 
-    async fn beat_to(self: Arc<Self>, name: Name, addr: SocketAddr, beat: Beat) {
-        let answer = self.quic.ask(&name, addr, Ask::Beat(beat), BEAT_LIMIT).await;
-        if let Ok(Tell::Beat(beat)) = answer {
-            self.take_beat(beat).await;
+    async fn beat_to(self: Arc<Self>, name: Name, addr: SocketAddr) {
+        let ask = |version| match version {
+            DELTA.. => Ask::Delta(self.make_delta(&name)),
+            _ => Ask::Beat(self.make_beat(self.shard_beats())),
+        };
+        match self.quic.ask_by_version(&name, addr, ask, BEAT_LIMIT).await {
+            Ok(Tell::Beat(beat)) => self.take_beat(beat).await,
+            Ok(Tell::Delta(message)) => {
+                if let Some(beat) = self.merge_delta(message) {
+                    self.take_beat(beat).await;
+                }
+            }
+            _ => {}
         }
     }
 
-    pub(super) fn make_beat(&self) -> Beat {
-        let shards = self.shards().into_iter().map(|handle| {
+    fn shard_beats(&self) -> Vec<ShardBeat> {
+        let beats = self.shards().into_iter().map(|handle| {
             let flying = handle.flights().any_before(self.now(), &u64::MAX);
             let known = lock(&self.fold).claims.epoch(&handle.id);
             let mut shard = handle.shard();
@@ -48,8 +57,12 @@
             let room = shard.office().map(|office| office.room());
             ShardBeat { shard: handle.id.clone(), epoch, owner: room.is_some(), flying, room }
         });
+        beats.collect()
+    }
+
+    fn make_beat(&self, shards: Vec<ShardBeat>) -> Beat {
         Beat {
-            shards: shards.collect(),
+            shards,
             from: self.me.clone(),
             domain: self.settings.domain.clone(),
             addr: self.settings.peer,
@@ -59,6 +72,41 @@
         }
     }
 
+    /// A sign of life for one peer, with the shards that changed since it last said what it holds.
+    fn make_delta(&self, peer: &Name) -> DeltaBeat {
+        let held = {
+            let peers = lock(&self.peers);
+            let inc = peers.incarnation(peer).unwrap_or_default();
+            peers.held(peer, inc)
+        };
+        let delta = lock(&self.outbox).delta(peer, held);
+        DeltaBeat { beat: self.make_beat(Vec::new()), delta }
+    }
+
+    /// Answers a peer's sign of life.
+    pub(super) fn answer_beat(self: &Arc<Self>, beat: Beat) -> Tell {
+        let entry = self.clone();
+        tokio::spawn(async move { entry.take_beat(beat).await });
+        Tell::Beat(self.make_beat(self.shard_beats()))
+    }
+
+    /// Answers a peer's sign of life that leaves out what did not change.
+    pub(super) fn answer_delta(self: &Arc<Self>, message: DeltaBeat) -> Tell {
+        let peer = message.beat.from.name.clone();
+        if let Some(beat) = self.merge_delta(message) {
+            let entry = self.clone();
+            tokio::spawn(async move { entry.take_beat(beat).await });
+        }
+        lock(&self.outbox).update(self.shard_beats());
+        Tell::Delta(self.make_delta(&peer))
+    }
+
+    /// The whole sign of life, and a note of what the peer holds.
+    fn merge_delta(&self, message: DeltaBeat) -> Option<Beat> {
+        lock(&self.outbox).acked(&message.beat.from, message.delta.held);
+        lock(&self.peers).merge(message)
+    }
+
     pub(super) async fn take_beat(self: &Arc<Self>, beat: Beat) {
         let (from, domain, addr) = (beat.from.clone(), beat.domain.clone(), beat.addr);
         let (rev, list) = (beat.rev, beat.list);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use crate::controller::claims::Claimant;
 use crate::controller::flights::Flights;
 use crate::controller::fold::Fold;
+use crate::controller::gossip::Outbox;
 use crate::controller::list::Lists;
 use crate::controller::retry::Budget;
 use crate::controller::shard::Shard;
@@ -107,6 +108,7 @@
     table: RwLock<Arc<Table>>,
     lists: Mutex<Lists>,
     peers: Mutex<Peers>,
+    outbox: Mutex<Outbox>,
     claimant: Mutex<Claimant>,
     shards: RwLock<BTreeMap<Name, Arc<ShardHandle>>>,
     slots: Mutex<Slots>,
@@ -138,7 +140,7 @@
         let trace = Arc::new(Trace::new(settings.name.clone()));
         let me = EntryId { name: settings.name.clone(), inc: now.0 };
         let listener = TcpListener::bind(settings.http).await?;
-        let quic = Quic::bind(settings.peer, &settings.keys, trace.clone())?;
+        let quic = Quic::bind(settings.peer, &settings.keys, settings.wire_version, trace.clone())?;
         settings.peer = quic.addr()?;
         let domain = settings.domain.clone();
         let (writer, queue) = log::Writer::new();
@@ -153,6 +155,7 @@
             fold: Mutex::new(Fold::new(domain.clone())),
             table: RwLock::default(),
             lists: Mutex::default(),
+            outbox: Mutex::default(),
             claimant: Mutex::new(Claimant::new(me, domain, now)),
             shards: RwLock::default(),
             slots: Mutex::default(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::Millis;
 use crate::controller::claims::Peer;
+use crate::controller::gossip::{Inbox, Taken};
 use crate::controller::list::{Role, VmList};
 use crate::controller::offer::Room;
 use crate::controller::slots::OWNER_PROOF;
 use crate::id::{EntryId, Name};
 use crate::settings::Settings;
-use crate::wire::msg::Beat;
+use crate::wire::msg::{Beat, DeltaBeat};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -20,6 +21,13 @@
     pub domain: Name,
     pub addr: SocketAddr,
     pub beat: Option<(Millis, Beat)>,
+    inbox: Inbox,
+}
+
+impl Known {
+    fn new(domain: Name, addr: SocketAddr) -> Self {
+        Self { domain, addr, beat: None, inbox: Inbox::default() }
+    }
 }
 
 /// All other entries, from the settings, the VM list and their own words.
@@ -33,7 +41,7 @@
 impl Peers {
     pub fn new(settings: &Settings) -> Self {
         let known = settings.peers.iter().map(|peer| {
-            let known = Known { domain: peer.domain.clone(), addr: peer.addr, beat: None };
+            let known = Known::new(peer.domain.clone(), peer.addr);
             (peer.name.clone(), known)
         });
         Self { me: settings.name.clone(), domain: settings.domain.clone(), known: known.collect() }
@@ -44,14 +52,14 @@
         self.known.retain(|name, _| !is_gone(name));
         for vm in list.vms.iter().filter(|vm| vm.role == Role::Entry && vm.name != self.me) {
             let Ok(addr) = vm.addr.parse() else { continue };
-            let fresh = Known { domain: vm.domain.clone(), addr, beat: None };
+            let fresh = Known::new(vm.domain.clone(), addr);
             self.known.entry(vm.name.clone()).or_insert(fresh).addr = addr;
         }
     }
 
     /// Takes in a sign of life; the earlier run of the same entry, if this is a new one.
     pub fn heard(&mut self, now: Millis, beat: Beat) -> Option<EntryId> {
-        let fresh = Known { domain: beat.domain.clone(), addr: beat.addr, beat: None };
+        let fresh = Known::new(beat.domain.clone(), beat.addr);
         let known = self.known.entry(beat.from.name.clone()).or_insert(fresh);
         let old = known.beat.as_ref().map(|(_, beat)| beat.from.clone());
         if old.as_ref().is_some_and(|old| old.inc > beat.from.inc) {
@@ -63,6 +71,20 @@
         replaced
     }
 
+    /// Adds to a sign of life what it leaves out; `None` if that is not known, or newer is.
+    pub fn merge(&mut self, message: DeltaBeat) -> Option<Beat> {
+        let DeltaBeat { beat, delta } = message;
+        let fresh = Known::new(beat.domain.clone(), beat.addr);
+        let known = self.known.entry(beat.from.name.clone()).or_insert(fresh);
+        let taken = known.inbox.take(&beat.from, delta);
+        (taken == Taken::Yes).then(|| Beat { shards: known.inbox.shards(), ..beat })
+    }
+
+    /// The newest state held of a run of an entry; 0: none.
+    pub fn held(&self, name: &str, inc: u64) -> u64 {
+        self.known.get(name).map_or(0, |known| known.inbox.held(inc))
+    }
+
     /// The present run of an entry, as last heard.
     pub fn incarnation(&self, name: &str) -> Option<u64> {
         let (_, beat) = self.known.get(name)?.beat.as_ref()?;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -20,11 +20,8 @@
 
     async fn answer(self: Arc<Self>, ask: Ask) -> Tell {
         match ask {
-            Ask::Beat(beat) => {
-                let entry = self.clone();
-                tokio::spawn(async move { entry.take_beat(beat).await });
-                Tell::Beat(self.make_beat())
-            }
+            Ask::Beat(beat) => self.answer_beat(beat),
+            Ask::Delta(message) => self.answer_delta(message),
             Ask::Update { shard, update } => {
                 let handle = self.open_shard(&shard);
                 let result = handle.shard().update(update);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::table::is_name;
+use crate::wire::msg::{NEWEST, OLDEST};
 use jsonc_parser::ast::{Object, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
@@ -70,7 +71,7 @@
     field("secret", Kind::Pem, None, "This entry's private key, PEM."),
 ];
 
-const FIELDS: [Field; 15] = [
+const FIELDS: [Field; 16] = [
     field("name", Kind::Name, None, "This entry's name, once in the cell."),
     field("domain", Kind::Name, None, "This entry's failure domain."),
     field("http", Kind::Addr, None, "Address for callers and operators (TCP)."),
@@ -101,6 +102,12 @@
         Some("3000"),
         "A stopping entry still takes callers for this long, ms.",
     ),
+    field(
+        "wire_version",
+        Kind::Count(OLDEST as u64, NEWEST as u64),
+        Some("2"),
+        "Newest version of messages between entries; two entries use the newest both know.",
+    ),
 ];
 
 /// Addresses of the platform's services.
@@ -189,6 +196,8 @@
     pub log_refresh: Millis,
     /// How long a stopping entry still takes callers.
     pub stop_grace: Millis,
+    /// The newest version of messages that this entry speaks with others.
+    pub wire_version: u8,
 }
 
 /// One fault of a settings file.
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -73,6 +73,8 @@
     RequestOut { request: Name, status: u16, run: Name, waited: Millis },
     /// A runner ran a request.
     RunnerRan { request: Name },
+    /// A connection to another entry is open: the version of messages agreed on.
+    PeerConnected { peer: Name, version: u8 },
     /// A VM is leaving, as this process sees it.
     Leaving { vm: Name },
     /// A worker is set aside because it fails its tasks.
@@ -95,6 +97,7 @@
             | Self::TookOffice { .. }
             | Self::Sealed { .. }
             | Self::Leaving { .. }
+            | Self::PeerConnected { .. }
             | Self::Platform { .. } => log::Level::Info,
             _ => log::Level::Debug,
         }
--- a/src/wire/keys.rs
+++ b/src/wire/keys.rs
@@ -2,6 +2,7 @@
 
 use crate::id::Name;
 use crate::settings::Keys;
+use crate::wire::msg::OLDEST;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rcgen::{
     BasicConstraints, Certificate, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa,
@@ -13,8 +14,8 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// The protocol's name in the handshake.
-const ALPN: &[u8] = b"sprucerudder/1";
+/// The protocol's name in the handshake, before the version.
+const PROTOCOL: &str = "sprucerudder/";
 
 /// Keys that cannot be made or used.
 #[derive(Debug, Error)]
@@ -92,6 +93,17 @@
     }
 }
 
+/// The names of all versions up to `newest` for the handshake, best first.
+fn protocols(newest: u8) -> Vec<Vec<u8>> {
+    let versions = (OLDEST..=newest).rev();
+    versions.map(|version| format!("{PROTOCOL}{version}").into_bytes()).collect()
+}
+
+/// The version that a handshake agreed on.
+pub fn version(protocol: &[u8]) -> Option<u8> {
+    std::str::from_utf8(protocol).ok()?.strip_prefix(PROTOCOL)?.parse().ok()
+}
+
 fn certs(pem: &Name) -> Result<Vec<CertificateDer<'static>>, KeyError> {
     let found: Result<Vec<_>, _> = rustls_pemfile::certs(&mut pem.as_bytes()).collect();
     match found {
@@ -121,11 +133,12 @@
     KeyError::Use(err.to_string())
 }
 
-/// The server's side: only clients with a certificate of the cell are let in.
+/// The server's side: only clients with a certificate of the cell are let in. Versions of messages
+/// up to `newest` are spoken.
 ///
 /// # Errors
 /// If the keys cannot be used.
-pub fn server(keys: &Keys) -> Result<QuicServerConfig, KeyError> {
+pub fn server(keys: &Keys, newest: u8) -> Result<QuicServerConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let roots = roots(keys)?;
     let builder = WebPkiClientVerifier::builder_with_provider(roots, provider.clone());
@@ -136,15 +149,16 @@
         .with_client_cert_verifier(verifier)
         .with_single_cert(certs(&keys.certificate)?, secret(&keys.secret)?)
         .map_err(used)?;
-    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.alpn_protocols = protocols(newest);
     QuicServerConfig::try_from(config).map_err(used)
 }
 
-/// The client's side: only servers with a certificate of the cell for their name are used.
+/// The client's side: only servers with a certificate of the cell for their name are used. Versions
+/// of messages up to `newest` are spoken.
 ///
 /// # Errors
 /// If the keys cannot be used.
-pub fn client(keys: &Keys) -> Result<QuicClientConfig, KeyError> {
+pub fn client(keys: &Keys, newest: u8) -> Result<QuicClientConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let mut config = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
@@ -152,6 +166,6 @@
         .with_root_certificates(roots(keys)?)
         .with_client_auth_cert(certs(&keys.certificate)?, secret(&keys.secret)?)
         .map_err(used)?;
-    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.alpn_protocols = protocols(newest);
     QuicClientConfig::try_from(config).map_err(used)
 }
--- a/src/wire/msg.rs
+++ b/src/wire/msg.rs
@@ -1,6 +1,11 @@
 //! The messages between entries, encoded by postcard behind one byte with their version.
+//!
+//! Two entries use the highest version that both speak; the handshake agrees on it. A version only
+//! ever adds variants at the end of [`Ask`] and [`Tell`]: what earlier versions have keeps its bytes.
+//! Version 2 added heartbeats with only what changed.
 
 use crate::clock::Millis;
+use crate::controller::gossip::Delta;
 use crate::controller::list::VmList;
 use crate::controller::offer::Room;
 use crate::controller::replica::{ReplicaError, State, Update};
@@ -15,8 +20,12 @@
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The version of the messages; entries of other versions are refused by name, not misread.
-pub const VERSION: u8 = 1;
+/// The oldest version of the messages that is still spoken.
+pub const OLDEST: u8 = 1;
+/// The newest version of the messages.
+pub const NEWEST: u8 = 2;
+/// The first version with [`Ask::Delta`].
+pub const DELTA: u8 = 2;
 
 /// A message with its sender's clock.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -48,6 +57,8 @@
     List,
     /// Serve this request in your failure domain.
     Forward(Box<Forward>),
+    /// I live; of the shards only what changed. Since version 2.
+    Delta(DeltaBeat),
 }
 
 /// A question to the owner of a shard.
@@ -100,6 +111,8 @@
     List(VmList),
     /// The request's answer.
     Forwarded(Forwarded),
+    /// I live too; of the shards only what changed. Since version 2.
+    Delta(DeltaBeat),
 }
 
 /// A sign of life.
@@ -121,6 +134,15 @@
     pub shards: Vec<ShardBeat>,
 }
 
+/// A sign of life with only the shards that changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DeltaBeat {
+    /// The sign of life, without shards.
+    pub beat: Beat,
+    /// The shards that changed.
+    pub delta: Delta,
+}
+
 /// One shard in a sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShardBeat {
@@ -261,9 +283,9 @@
 /// A message that could not be read or written.
 #[derive(Debug, Error)]
 pub enum CodecError {
-    /// The other side speaks another version.
-    #[error("version {0}, want {VERSION}")]
-    Version(u8),
+    /// The message is of another version than the handshake agreed on.
+    #[error("version {0}, agreed on {1}")]
+    Version(u8, u8),
     /// The bytes are not a message.
     #[error("malformed message: {0}")]
     Malformed(#[from] postcard::Error),
@@ -272,22 +294,25 @@
     Empty,
 }
 
-/// Encodes a message.
+/// Encodes a message of a version.
 ///
 /// # Errors
 /// If a value cannot be encoded.
-pub fn encode<T: Serialize>(message: &Envelope<T>) -> Result<Vec<u8>, CodecError> {
-    Ok(postcard::to_extend(message, vec![VERSION])?)
+pub fn encode<T: Serialize>(version: u8, message: &Envelope<T>) -> Result<Vec<u8>, CodecError> {
+    Ok(postcard::to_extend(message, vec![version])?)
 }
 
-/// Decodes a message.
+/// Decodes a message of a version.
 ///
 /// # Errors
 /// If it is of another version, or malformed.
-pub fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<Envelope<T>, CodecError> {
+pub fn decode<T: for<'de> Deserialize<'de>>(
+    version: u8,
+    bytes: &[u8],
+) -> Result<Envelope<T>, CodecError> {
     match bytes.split_first() {
-        Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
-        Some((version, _)) => Err(CodecError::Version(*version)),
+        Some((first, rest)) if *first == version => Ok(postcard::from_bytes(rest)?),
+        Some((first, _)) => Err(CodecError::Version(*first, version)),
         None => Err(CodecError::Empty),
     }
 }
--- a/src/wire/quic.rs
+++ b/src/wire/quic.rs
@@ -3,9 +3,10 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::settings::Keys;
-use crate::trace::Trace;
+use crate::trace::{Trace, What};
 use crate::wire::keys::{self, KeyError};
 use crate::wire::msg::{Ask, CodecError, Envelope, Tell, decode, encode};
+use quinn::crypto::rustls::HandshakeData;
 use quinn::{
     ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
 };
@@ -74,18 +75,23 @@
 }
 
 impl Quic {
-    /// Binds `addr` with these keys.
+    /// Binds `addr` with these keys; speaks versions of messages up to `newest`.
     ///
     /// # Errors
     /// If the keys or the address cannot be used.
-    pub fn bind(addr: SocketAddr, keys: &Keys, trace: Arc<Trace>) -> Result<Arc<Self>, WireError> {
+    pub fn bind(
+        addr: SocketAddr,
+        keys: &Keys,
+        newest: u8,
+        trace: Arc<Trace>,
+    ) -> Result<Arc<Self>, WireError> {
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE))));
         transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
         let transport = Arc::new(transport);
-        let mut server = ServerConfig::with_crypto(Arc::new(keys::server(keys)?));
+        let mut server = ServerConfig::with_crypto(Arc::new(keys::server(keys, newest)?));
         server.transport_config(transport.clone());
-        let mut client = ClientConfig::new(Arc::new(keys::client(keys)?));
+        let mut client = ClientConfig::new(Arc::new(keys::client(keys, newest)?));
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(server, addr)?;
         endpoint.set_default_client_config(client);
@@ -112,19 +118,39 @@
         ask: Ask,
         limit: Millis,
     ) -> Result<Tell, WireError> {
-        let message = encode(&Envelope { stamp: self.trace.stamp(), body: ask })?;
-        let exchange = self.exchange(name, addr, &message);
-        let bytes = match tokio::time::timeout(limit.duration(), exchange).await {
-            Ok(result) => result?,
+        let exchange = self.exchange(name, addr, |_| ask);
+        self.within(name, addr, limit, exchange).await
+    }
+
+    /// As [`Quic::ask`], with a question that depends on the version that the peer speaks.
+    ///
+    /// # Errors
+    /// As [`Quic::ask`].
+    pub async fn ask_by_version(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        ask: impl FnOnce(u8) -> Ask,
+        limit: Millis,
+    ) -> Result<Tell, WireError> {
+        let exchange = self.exchange(name, addr, ask);
+        self.within(name, addr, limit, exchange).await
+    }
+
+    async fn within(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        limit: Millis,
+        exchange: impl Future<Output = Result<Tell, WireError>>,
+    ) -> Result<Tell, WireError> {
+        match tokio::time::timeout(limit.duration(), exchange).await {
+            Ok(result) => result,
             Err(_) => {
                 self.drop_connection(name, addr);
-                return Err(WireError::Timeout(name.clone()));
+                Err(WireError::Timeout(name.clone()))
             }
-        };
-        self.count(message.len() + bytes.len());
-        let envelope: Envelope<Tell> = decode(&bytes)?;
-        self.trace.seen(envelope.stamp);
-        Ok(envelope.body)
+        }
     }
 
     fn count(&self, bytes: usize) {
@@ -136,9 +162,26 @@
         &self,
         name: &Name,
         addr: SocketAddr,
+        ask: impl FnOnce(u8) -> Ask,
+    ) -> Result<Tell, WireError> {
+        let connection = self.connect(name, addr).await?;
+        let version = agreed(&connection).ok_or_else(|| WireError::Connect(name.clone()))?;
+        let message = encode(version, &Envelope { stamp: self.trace.stamp(), body: ask(version) })?;
+        let bytes = self.swap(name, addr, &connection, &message).await?;
+        self.count(message.len() + bytes.len());
+        let envelope: Envelope<Tell> = decode(version, &bytes)?;
+        self.trace.seen(envelope.stamp);
+        Ok(envelope.body)
+    }
+
+    /// Sends a message and reads the answer.
+    async fn swap(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        connection: &Connection,
         message: &[u8],
     ) -> Result<Vec<u8>, WireError> {
-        let connection = self.connect(name, addr).await?;
         let broken = || {
             self.drop_connection(name, addr);
             WireError::Broken(name.clone())
@@ -170,6 +213,9 @@
         let connecting = self.endpoint.connect(addr, name).map_err(|_| failed())?;
         let connection = connecting.await.map_err(|_| failed())?;
         self.connections().insert(key, connection.clone());
+        if let Some(version) = agreed(&connection) {
+            self.trace.add(What::PeerConnected { peer: name.clone(), version });
+        }
         Ok(connection)
     }
 
@@ -194,17 +240,18 @@
         F: Fn(Ask) -> A + Clone + Send + Sync + 'static,
         A: Future<Output = Tell> + Send + 'static,
     {
+        let Some(version) = agreed(&connection) else { return };
         while let Ok((mut send, mut recv)) = connection.accept_bi().await {
             let (quic, answer) = (self.clone(), answer.clone());
             tokio::spawn(async move {
                 let Ok(bytes) = recv.read_to_end(MAX_MESSAGE).await else { return };
-                let envelope: Envelope<Ask> = match decode(&bytes) {
+                let envelope: Envelope<Ask> = match decode(version, &bytes) {
                     Ok(envelope) => envelope,
                     Err(err) => return log::warn!("event=message-refused error={err:?}"),
                 };
                 quic.trace.seen(envelope.stamp);
                 let body = answer(envelope.body).await;
-                let reply = encode(&Envelope { stamp: quic.trace.stamp(), body });
+                let reply = encode(version, &Envelope { stamp: quic.trace.stamp(), body });
                 let Ok(reply) = reply else { return };
                 quic.count(bytes.len() + reply.len());
                 if send.write_all(&reply).await.is_ok() {
@@ -220,3 +267,9 @@
         self.endpoint.wait_idle().await;
     }
 }
+
+/// The version of messages that both sides of a connection agreed on.
+fn agreed(connection: &Connection) -> Option<u8> {
+    let data = connection.handshake_data()?.downcast::<HandshakeData>().ok()?;
+    keys::version(&data.protocol?)
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,11 +110,11 @@
 
 impl Cell {
     pub async fn start(name: &str) -> Self {
-        Self::start_with(name, 600_000, 120_000).await
+        Self::start_with(name, 600_000, json!({})).await
     }
 
-    /// A cell whose log drops records after `retention` and whose entries repeat them in time.
-    pub async fn start_with(name: &str, retention: u64, refresh: u64) -> Self {
+    /// A cell whose log drops records after `retention`, and whose entries have other settings.
+    pub async fn start_with(name: &str, retention: u64, settings: Value) -> Self {
         let folder = std::env::temp_dir().join(format!("spruce-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("folder");
         let http = Http::default();
@@ -140,7 +140,7 @@
             let name = format!("{domain}-r1");
             cell.runners.insert(name.clone(), runner(cell.addresses.next(), &name));
         }
-        cell.write_settings(refresh);
+        cell.write_settings(&settings);
         for name in cell.settings.keys().cloned().collect::<Vec<_>>() {
             cell.start_entry(&name);
         }
@@ -174,7 +174,7 @@
         json!({"rev": rev, "vms": vms})
     }
 
-    fn write_settings(&mut self, refresh: u64) {
+    fn write_settings(&mut self, other: &Value) {
         let authority = Authority::new("test").expect("authority");
         let names = DOMAINS.iter().flat_map(|d| (1..=2).map(move |i| (format!("{d}-{i}"), *d)));
         let peers: Vec<(String, &str, SocketAddr)> =
@@ -190,7 +190,7 @@
                 .collect();
             let http = self.addresses.next();
             let platform = self.platform.addr.to_string();
-            let settings = json!({
+            let mut settings = json!({
                 "name": name, "domain": domain, "http": http.to_string(),
                 "peer": addr.to_string(),
                 "platform": {"log": platform, "list": platform},
@@ -205,14 +205,33 @@
                     {"name": "clinic", "token": VIESTISILTA, "right": "team:viestisilta"},
                 ],
                 "stop_grace": 200, "sync_every": 200, "list_every": 200, "beat_every": 200,
-                "log_refresh": refresh,
             });
+            merge(&mut settings, other);
             let path = self.folder.join(format!("{name}.jsonc"));
             std::fs::write(&path, format!("// {name}\n{settings}")).expect("settings");
             self.settings.insert(name.clone(), path);
         }
     }
 
+    /// Changes settings of an entry that is not running.
+    pub fn set_settings(&self, name: &str, other: &Value) {
+        let path = &self.settings[name];
+        let text = std::fs::read_to_string(path).expect("settings");
+        let (_, body) = text.split_once('\n').expect("comment");
+        let mut settings = serde_json::from_str(body).expect("settings");
+        merge(&mut settings, other);
+        std::fs::write(path, format!("// {name}\n{settings}")).expect("settings");
+    }
+
+    /// Stops an entry by plan and waits for its end.
+    pub async fn stop_entry(&mut self, name: &str) {
+        self.keep_events(name).await;
+        let mut process = self.entries.remove(name).expect("entry");
+        process.signal(Signal::SIGTERM);
+        let status = process.wait();
+        assert!(status.success(), "{status}");
+    }
+
     pub fn start_entry(&mut self, name: &str) {
         let path = &self.settings[name];
         let text = std::fs::read_to_string(path).expect("settings");
@@ -429,6 +448,12 @@
     }
 }
 
+fn merge(settings: &mut Value, other: &Value) {
+    for (name, value) in other.as_object().expect("settings") {
+        settings[name] = value.clone();
+    }
+}
+
 impl Drop for Cell {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -205,7 +205,7 @@
 
 #[tokio::test]
 async fn an_entry_that_starts_after_retention_learns_what_was_dropped() {
-    let mut cell = Cell::start_with("retention", 3_000, 1_000).await;
+    let mut cell = Cell::start_with("retention", 3_000, json!({"log_refresh": 1_000})).await;
     cell.ready().await;
     let (owner, other) = owner_and_other(&cell).await;
     let service = json!({"kind": "ingest", "cpu": 1000, "mem": 100, "run": 0});
@@ -240,3 +240,32 @@
     let shard = shards.into_iter().find(|shard| shard["shard"] == SHARD);
     shard.is_some_and(|shard| shard["replicas"] == json!([run]))
 }
+
+/// A cell of entries that speak only version 1 of the messages is replaced entry by entry; both
+/// versions serve side by side.
+#[tokio::test]
+async fn a_cell_is_upgraded_entry_by_entry() {
+    let mut cell = Cell::start_with("upgrade", 600_000, json!({"wire_version": 1})).await;
+    cell.ready().await;
+    let service = json!({"kind": "ingest", "cpu": 1000, "mem": 100, "run": 0});
+    let service = cell.submit("pasila-1", NILEWIRE, service).await;
+    cell.until_job("pasila-1", &service, "running").await;
+    for name in cell.entries.keys().cloned().collect::<Vec<_>>() {
+        cell.stop_entry(&name).await;
+        cell.set_settings(&name, &json!({"wire_version": 2}));
+        cell.start_entry(&name);
+        cell.until("table", async || cell.get(&name, "/v1/table").await["rev"] == 1).await;
+        for entry in cell.entries.keys() {
+            cell.until("owners", async || cell.owners(entry).await.len() == 2).await;
+        }
+        let peers = async || cell.get(&name, "/v1/status").await["peers"].as_array().cloned();
+        cell.until("peers", async || peers().await.is_some_and(|peers| peers.len() == 3)).await;
+        let built = cell.submit(&name, NILEWIRE, build(100)).await;
+        cell.until_job(&name, &built, "ended").await;
+        assert_eq!(cell.job(&name, &service).await["running"], 1, "after {name}");
+    }
+    for version in ["version=1", "version=2"] {
+        assert!(cell.saw(&["event=peer-connected", version]).await, "{version}");
+    }
+    cell.check().await;
+}
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -2,11 +2,15 @@
 
 use proptest::prelude::*;
 use sprucerudder::clock::Millis;
+use sprucerudder::controller::offer::Room;
+use sprucerudder::controller::slots::SlotUse;
 use sprucerudder::id::{EntryId, JobId};
 use sprucerudder::settings::Settings;
 use sprucerudder::table::Table;
 use sprucerudder::trace::Stamp;
-use sprucerudder::wire::msg::{Ask, CodecError, Envelope, VERSION, decode, encode};
+use sprucerudder::wire::msg::{
+    Ask, Beat, CodecError, Envelope, NEWEST, OLDEST, ShardBeat, Tell, decode, encode,
+};
 
 const HEAD: &str =
     "kind,team,class,weight,limit,queue,deadline,repeat,retries,pack,spread,quota,site:d";
@@ -153,12 +157,55 @@
 #[test]
 fn messages_of_another_version_are_refused_by_name() {
     let envelope = Envelope { stamp: Stamp(1), body: Ask::Table };
-    let mut bytes = encode(&envelope).expect("bytes");
-    assert_eq!(decode::<Ask>(&bytes).expect("message"), envelope);
-    bytes[0] = VERSION + 1;
-    let newer = decode::<Ask>(&bytes);
-    assert!(matches!(newer, Err(CodecError::Version(v)) if v == VERSION + 1));
-    assert!(matches!(decode::<Ask>(&[]), Err(CodecError::Empty)));
+    let bytes = encode(NEWEST, &envelope).expect("bytes");
+    assert_eq!(decode::<Ask>(NEWEST, &bytes).expect("message"), envelope);
+    let older = decode::<Ask>(OLDEST, &bytes);
+    assert!(matches!(older, Err(CodecError::Version(NEWEST, OLDEST))), "{older:?}");
+    assert!(matches!(decode::<Ask>(NEWEST, &[]), Err(CodecError::Empty)));
+}
+
+/// The bytes of version 1 as entries of that version write them: they must never change.
+#[test]
+fn version_1_keeps_its_bytes() {
+    let from = EntryId { name: "e1".into(), inc: 300 };
+    let room = Room { urgent: 9, backlog: 5, ..Room::default() };
+    let shard =
+        ShardBeat { shard: "r".into(), epoch: 2, owner: true, flying: false, room: Some(room) };
+    let beat = Beat {
+        from,
+        domain: "d".into(),
+        addr: "10.0.0.1:80".parse().expect("addr"),
+        leaving: false,
+        rev: 7,
+        list: 1,
+        shards: vec![shard],
+    };
+    let uses = vec![SlotUse { runner: "x".into(), held: 2, used: 1 }];
+    let asks = [
+        (
+            Ask::Beat(beat),
+            "010500026531ac020164000a0000015000070101017202010001000000000000000000\
+             0509",
+        ),
+        (Ask::Seal { shard: "r".into(), epoch: 3 }, "010502017203"),
+        (
+            Ask::Slots { shard: "r".into(), entry: "e".into(), uses, waiting: 4 },
+            "01050501720165010178020104",
+        ),
+        (Ask::List, "010507"),
+    ];
+    for (ask, want) in asks {
+        let bytes = encode(1, &Envelope { stamp: Stamp(5), body: ask.clone() }).expect("bytes");
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        assert_eq!(hex, want, "{ask:?}");
+    }
+    let tells =
+        [(Tell::Done, "010503"), (Tell::NotOwner, "010504"), (Tell::Table(None), "01050b00")];
+    for (tell, want) in tells {
+        let bytes = encode(1, &Envelope { stamp: Stamp(5), body: tell.clone() }).expect("bytes");
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        assert_eq!(hex, want, "{tell:?}");
+    }
 }
 
 proptest! {
@@ -181,7 +228,7 @@
 
     #[test]
     fn no_bytes_make_the_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-        let _ = decode::<Ask>(&bytes);
+        let _ = decode::<Ask>(NEWEST, &bytes);
     }
 
     #[test]
--- a/tests/quic.rs
+++ b/tests/quic.rs
@@ -4,7 +4,7 @@
 use sprucerudder::settings::Keys;
 use sprucerudder::trace::Trace;
 use sprucerudder::wire::keys::Authority;
-use sprucerudder::wire::msg::{Ask, Tell};
+use sprucerudder::wire::msg::{Ask, NEWEST, Tell};
 use sprucerudder::wire::quic::{Quic, WireError};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -12,8 +12,12 @@
 const LIMIT: Millis = Millis(10_000);
 
 fn end(name: &str, keys: &Keys) -> Arc<Quic> {
+    end_of(name, keys, NEWEST)
+}
+
+fn end_of(name: &str, keys: &Keys, newest: u8) -> Arc<Quic> {
     let any = (Ipv4Addr::LOCALHOST, 0).into();
-    Quic::bind(any, keys, Arc::new(Trace::new(name.into()))).expect("bind")
+    Quic::bind(any, keys, newest, Arc::new(Trace::new(name.into()))).expect("bind")
 }
 
 async fn ask(from: &Quic, name: &str, to: SocketAddr) -> Result<Tell, WireError> {
@@ -37,3 +41,22 @@
     let wrong_name = ask(&friend, "e9", here).await;
     assert!(matches!(wrong_name, Err(WireError::Connect(_))), "{wrong_name:?}");
 }
+
+#[tokio::test]
+async fn two_entries_speak_the_newest_version_that_both_know() {
+    let cell = Authority::new("cell").expect("authority");
+    for (here, there) in [(1, 1), (1, 2), (2, 1), (2, 2)] {
+        let server = end_of("e1", &cell.issue("e1").expect("keys"), there);
+        let to = server.addr().expect("addr");
+        tokio::spawn(server.serve(|_| async { Tell::Done }));
+        let client = end_of("e2", &cell.issue("e2").expect("keys"), here);
+        let mut spoken = 0;
+        let question = |version| {
+            spoken = version;
+            Ask::List
+        };
+        let answer = client.ask_by_version(&"e1".into(), to, question, LIMIT).await;
+        assert_eq!(answer.expect("answer"), Tell::Done);
+        assert_eq!(spoken, here.min(there), "{here} with {there}");
+    }
+}
