A second SIGTERM ends an entry at once

Cause: it was built and not tested. The test showed that it was not so: the listener closes gracefully and waits for requests in flight; a caller got its 504 after the row's 10 s.

Ruled out: the signal itself (event=stopping was seen, the second one counted).

Change: signals are counted once; the second one ends the run, whatever is in flight.

Before: a_second_signal_stops_an_entry_at_once failed (504 in place of a broken connection). After: passes; the entry exits 0 and the caller's connection breaks visibly.

--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// What `entry` takes.
 #[derive(Debug, Clone, Bpaf)]
@@ -33,28 +34,44 @@
     }
 }
 
+/// Serves until a planned stop is done: the first SIGTERM or SIGINT, or a drain, begins one. A
+/// second signal ends the entry at once, with requests in flight.
 async fn serve(settings: Settings) -> Result<()> {
     let (entry, listener) = Entry::bind(settings).await?;
-    entry.clone().run(listener, stopped(entry)).await?;
+    let signals = count_signals()?;
+    let run = entry.clone().run(listener, stopped(entry, signals.clone()));
+    tokio::select! {
+        result = run => result?,
+        () = reached(signals, 2) => log::warn!("event=stopped-at-once"),
+    }
     Ok(())
 }
 
-/// Ready when the planned stop that the first SIGTERM, SIGINT or a drain began is done, or at the
-/// second signal.
-async fn stopped(entry: Arc<Entry>) {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-        () = entry.drained() => return,
-    }
+/// Counts SIGTERM and SIGINT.
+fn count_signals() -> Result<watch::Receiver<u32>> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let (count, signals) = watch::channel(0);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+            count.send_modify(|count| *count += 1);
+        }
+    });
+    Ok(signals)
+}
+
+async fn reached(mut signals: watch::Receiver<u32>, wanted: u32) {
+    let _ = signals.wait_for(|count| *count >= wanted).await;
+}
+
+/// Ready when the planned stop that a signal or a drain began is done.
+async fn stopped(entry: Arc<Entry>, signals: watch::Receiver<u32>) {
     tokio::select! {
-        () = entry.stop() => {}
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        () = reached(signals, 1) => entry.stop().await,
+        () = entry.drained() => {}
     }
 }
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -269,3 +269,22 @@
     }
     cell.check().await;
 }
+
+#[tokio::test]
+async fn a_second_signal_stops_an_entry_at_once() {
+    let mut cell = Cell::start("second").await;
+    cell.ready().await;
+    let (owner, _) = owner_and_other(&cell).await;
+    let slow = [("work-millis", "60000"), ("prefer", "wait=60")];
+    let request = cell.request(&owner, "ingest-step", &slow, "x");
+    let stop = async {
+        cell.until("sent", async || cell.saw(&["event=request-sent", &owner]).await).await;
+        cell.entries[&owner].signal(Signal::SIGTERM);
+        cell.until("stopping", async || cell.saw(&["event=stopping", &owner]).await).await;
+        cell.entries[&owner].signal(Signal::SIGTERM);
+    };
+    let (answer, ()) = tokio::join!(request, stop);
+    assert_eq!(answer.0, 0, "no status, but a broken connection: {}", answer.1);
+    let status = cell.entries.get_mut(&owner).expect("entry").wait();
+    assert!(status.success(), "{status}");
+}
