Time line: events of a newer version do not hide the others

Cause: a time line with one event that the reader does not know could not be read at all; found when an older test binary read a newer entry's time line ("time line too short"). Entries of two versions side by side are a planned case now.

Change: such an event is read as `other`. Before: a_newer_entrys_events_do_not_hide_the_others failed with "unknown variant"; after: passes.

--- a/src/trace.rs
+++ b/src/trace.rs
@@ -81,6 +81,9 @@
     SetAside { worker: Name },
     /// The platform's log or list cannot be reached, or can be again.
     Platform { part: Name, up: bool },
+    /// An event of a newer version.
+    #[serde(other)]
+    Other,
 }
 
 impl What {
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -7,7 +7,7 @@
 use sprucerudder::id::{EntryId, JobId};
 use sprucerudder::settings::Settings;
 use sprucerudder::table::Table;
-use sprucerudder::trace::Stamp;
+use sprucerudder::trace::{Event, Stamp, What};
 use sprucerudder::wire::msg::{
     Ask, Beat, CodecError, Envelope, NEWEST, OLDEST, ShardBeat, Tell, decode, encode,
 };
@@ -208,6 +208,15 @@
     }
 }
 
+#[test]
+fn a_newer_entrys_events_do_not_hide_the_others() {
+    let text = r#"[{"at": 1, "who": "e1", "event": "stopping"},
+        {"at": 2, "who": "e1", "event": "from-the-future", "what": {"ever": [1]}}]"#;
+    let events: Vec<Event> = serde_json::from_str(text).expect("events");
+    assert_eq!(events[0].what, What::Stopping);
+    assert_eq!(events[1].to_string(), "at=2 who=e1 event=other");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
