Ownership: after a replica is left out, only acknowledgements given since count

Cause: an owner with replicas e0 and e1 had a binding acknowledged by e1 only and was paused. e1 died. e0 sealed itself, closed the epoch without the binding, took office and died. The owner woke, learned first that e0 was gone and left it out; e1 stayed as the last replica, and its acknowledgement from before its death committed the binding: a start went out on room that had been given away.

Change: when a replica is left out, nothing more is committed until all that are left have acknowledged a note of after that; a claimant counts only a sealed replica that still exists.

--- a/src/controller/recover.rs
+++ b/src/controller/recover.rs
@@ -78,13 +78,13 @@
     /// Whether nothing more can be committed in this epoch than the answers have.
     ///
     /// The owner's own word is enough. Otherwise every replica has to be sealed or gone, and one
-    /// sealed. If some are gone, the owner may go on without them; what then keeps it from going on
-    /// with replicas that died after they were sealed is that it is gone too, or that this entry
-    /// is one of the replicas.
+    /// sealed that still exists: the owner cannot have left that one out. If it dies later and is
+    /// left out, the owner needs a new acknowledgement of one of the others, which are sealed or
+    /// gone. If some are gone, this entry has to be one of the replicas, or the owner gone too.
     fn is_closed(&self, claim: &Claim, gone: &impl Fn(&EntryId) -> bool) -> bool {
         let sealed = |id: &EntryId| self.answers.contains_key(id);
         let all = claim.replicas.iter().all(|id| sealed(id) || gone(id));
-        let some = claim.replicas.iter().any(sealed);
+        let some = claim.replicas.iter().any(|id| sealed(id) && !gone(id));
         let whole = !claim.replicas.iter().any(gone);
         let held = claim.replicas.contains(&self.me) || gone(&claim.owner);
         sealed(&claim.owner) || (all && some && (whole || held))
--- a/src/controller/shard/journal.rs
+++ b/src/controller/shard/journal.rs
@@ -26,6 +26,10 @@
     replicas: BTreeMap<EntryId, Progress>,
     log: Option<Progress>,
     sent: u64,
+    /// After a replica was left out: the first note whose acknowledgement shows that another one
+    /// was there after that, and the last one that was committed before.
+    proof: u64,
+    settled: u64,
     effects: VecDeque<(u64, E)>,
 }
 
@@ -39,6 +43,8 @@
             replicas: BTreeMap::new(),
             log: None,
             sent: seq,
+            proof: 0,
+            settled: 0,
             effects: VecDeque::new(),
         };
         journal.begin(claim);
@@ -51,6 +57,7 @@
         self.replicas = claim.replicas.iter().map(|id| (id.clone(), Progress::default())).collect();
         self.log = self.replicas.is_empty().then(Progress::default);
         self.sent = self.seq;
+        (self.proof, self.settled) = (0, 0);
     }
 
     /// The epoch.
@@ -144,12 +151,17 @@
     }
 
     /// A replica is gone for good: nothing waits for it any more, unless it is the last one. A
-    /// claimant may have sealed that one before it died.
-    pub fn gone(&mut self, id: &EntryId) {
-        if self.replicas.len() > 1 {
-            self.replicas.remove(id);
+    /// claimant may have sealed it before it died, and may count on the others being gone: what they
+    /// acknowledged before shows nothing. So nothing more is committed until all that are left have
+    /// acknowledged a note of now. `true` if there is one to send.
+    pub fn gone(&mut self, id: &EntryId) -> bool {
+        if self.replicas.len() <= 1 || !self.replicas.contains_key(id) {
+            return false;
         }
-        self.trim();
+        self.settled = self.committed();
+        self.replicas.remove(id);
+        self.proof = self.push(Note::Barrier, None);
+        true
     }
 
     /// The replicas that updates go to.
@@ -161,7 +173,8 @@
     pub fn committed(&self) -> u64 {
         let all = self.replicas.values().chain(&self.log);
         let held = |at: &Progress| if at.based { at.acked } else { 0 };
-        all.map(held).min().unwrap_or(self.seq)
+        let least = all.map(held).min().unwrap_or(self.seq);
+        if least >= self.proof { least } else { least.min(self.settled) }
     }
 
     fn trim(&mut self) {
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -333,7 +333,9 @@
     }
 
     fn gone(&mut self, now: Millis, entry: &EntryId) {
-        self.journal.gone(entry);
+        if self.journal.gone(entry) {
+            self.out.push(Action::Replicate);
+        }
         if let Some(until) = self.unfenced.get_mut(entry) {
             until.get_or_insert(now + MAX_FLIGHT);
         }
