A planned stop while the log is down hands shards over by the owner's own word

Cause: a planned stop asks a peer to claim the shards, and nobody can claim while the log is down. The shards had no owner for the rest of the outage: nothing was started, stopped or answered for, and each entry fell back to one slot of each runner.

Ruled out: keeping the entry until the log is back; letting every replica act.

Change: the owner steps down for good in its epoch, names one replica and sends it the whole state; that one goes on with the other replicas. Who handed over does not answer a seal for that state any more.

--- a/src/check.rs
+++ b/src/check.rs
@@ -103,6 +103,15 @@
                 let first = self.owners.entry((shard.clone(), *epoch)).or_insert(who.clone());
                 broke(first != who, Promise::OneOwner)
             }
+            What::HandedOver { shard, epoch, to } => {
+                let owner = self.owners.insert((shard.clone(), *epoch), to.clone());
+                broke(owner.is_some_and(|owner| owner != *who), Promise::OneOwner)
+            }
+            What::Succeeded { shard, epoch, from } => {
+                let owner = self.owners.insert((shard.clone(), *epoch), who.clone());
+                let due = owner.is_none_or(|owner| owner == *who || owner == *from);
+                broke(!due, Promise::OneOwner)
+            }
             _ => Vec::new(),
         }
     }
--- a/src/controller/fold.rs
+++ b/src/controller/fold.rs
@@ -211,11 +211,13 @@
         self.states.get(shard).map(|replica| replica.state().clone()).unwrap_or_default()
     }
 
-    /// What a new owner needs of a shard's past: earlier owners, and the jobs that the log has.
+    /// What a new owner needs of a shard's past: the entries that may have owned it, by a claim or
+    /// because it was handed over to them, and the jobs that the log has.
     pub fn before(&self, claim: &Claim) -> (BTreeSet<EntryId>, Vec<(JobId, LogJob)>) {
         let shard = &claim.shard;
         let earlier = self.claims.history(shard).iter().filter(|at| at.epoch < claim.epoch);
-        let former = earlier.map(|at| at.owner.clone()).collect();
+        let former =
+            earlier.flat_map(|at| at.replicas.iter().chain([&at.owner]).cloned()).collect();
         let jobs = self.jobs.iter().filter(|(id, _)| *id.shard == **shard);
         (former, jobs.map(|(id, job)| (id.clone(), job.clone())).collect())
     }
--- a/src/controller/replica.rs
+++ b/src/controller/replica.rs
@@ -91,6 +91,11 @@
         &self.state
     }
 
+    /// The epoch before which every one is refused.
+    pub fn sealed(&self) -> u64 {
+        self.sealed
+    }
+
     /// What is held.
     pub fn state(&self) -> &State {
         &self.state
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -32,6 +32,10 @@
     me: EntryId,
     replica: Replica,
     phase: Phase,
+    /// The last epoch in which this entry owned the shard and handed it over.
+    yielded: u64,
+    /// The last epoch in which the shard was handed over to this entry.
+    succeeded: u64,
 }
 
 /// How a claimant came to the shard's state.
@@ -46,7 +50,8 @@
 impl Shard {
     /// A shard that this entry only follows.
     pub fn new(id: Name, me: EntryId) -> Self {
-        Self { id, me, replica: Replica::default(), phase: Phase::Follower }
+        let (replica, phase) = (Replica::default(), Phase::Follower);
+        Self { id, me, replica, phase, yielded: 0, succeeded: 0 }
     }
 
     /// The shard's name.
@@ -99,10 +104,48 @@
         }
     }
 
-    /// Seals this entry for a claimant of `epoch` and returns all that it holds.
-    pub fn seal(&mut self, epoch: u64) -> State {
+    /// Seals this entry for a claimant of `epoch` and returns all that it holds; `None` if that is
+    /// not its to say, because it handed the shard over.
+    pub fn seal(&mut self, epoch: u64) -> Option<State> {
         self.step_down(epoch);
-        self.replica.seal(epoch).clone()
+        let state = self.replica.seal(epoch).clone();
+        (!self.is_silent()).then_some(state)
+    }
+
+    /// Whether the newest state here is the one that was handed over: its successor may have gone
+    /// on from it, so it must not be taken for the owner's word.
+    fn is_silent(&self) -> bool {
+        self.yielded > 0 && self.replica.state().epoch <= self.yielded
+    }
+
+    /// The owner gives the shard up for the rest of its epoch: the epoch, and the state from which
+    /// its successor goes on. Only one entry may ever get it.
+    pub fn hand_over(&mut self) -> Option<(u64, State)> {
+        let epoch = self.office()?.epoch();
+        let Phase::Owner(office) = std::mem::replace(&mut self.phase, Phase::Follower) else {
+            return None;
+        };
+        let state = office.into_state();
+        self.replica.restore(state.clone());
+        self.yielded = epoch;
+        Some((epoch, state))
+    }
+
+    /// Whether this entry may go on from a state that the owner of `claim` handed over: it is a
+    /// replica, knows of no later epoch, and was not its successor before.
+    pub fn may_succeed(&self, claim: &Claim, state: &State) -> bool {
+        let follows = matches!(self.phase, Phase::Follower);
+        let held = self.replica.state();
+        let newer = (state.epoch, state.seq) >= (held.epoch, held.seq);
+        let first = self.succeeded < claim.epoch && self.yielded < claim.epoch;
+        let named = claim.replicas.contains(&self.me) && state.epoch == claim.epoch;
+        follows && newer && first && named && self.replica.sealed() <= claim.epoch
+    }
+
+    /// Goes on as the owner for the rest of an epoch.
+    pub fn succeed(&mut self, office: Office) {
+        self.succeeded = office.epoch();
+        self.phase = Phase::Owner(Box::new(office));
     }
 
     /// Gives up what this entry owns or claims if `epoch` is later; `true` if it owned the shard.
@@ -133,7 +176,9 @@
         }
         let mut recovery = Box::new(Recovery::new(claim, history, log));
         let own = self.replica.seal(claim.epoch).clone();
-        recovery.answer(&self.me, own);
+        if !self.is_silent() {
+            recovery.answer(&self.me, own);
+        }
         self.phase = Phase::Claimant { claim: claim.clone(), recovery, since: now };
         false
     }
--- a/src/controller/shard/office.rs
+++ b/src/controller/shard/office.rs
@@ -71,6 +71,8 @@
     closed: BTreeMap<JobId, Millis>,
     /// The epoch that the log knows as one whose owner got to work.
     active: u64,
+    /// Former owners are fenced once they know of this epoch.
+    fence: u64,
     swept: Millis,
     since: u64,
 }
@@ -117,6 +119,7 @@
             parts: None,
             closed: BTreeMap::new(),
             active: 0,
+            fence: claim.epoch,
             swept: now,
             since: claim.epoch,
         };
@@ -134,6 +137,32 @@
         self.since
     }
 
+    /// Goes on for the rest of an epoch that another entry handed over. That one does not own the
+    /// shard any more, but only a later epoch shows that it knows so: what it said before it took
+    /// office looks the same.
+    pub fn from_hand_over(
+        claim: &Claim,
+        me: &EntryId,
+        state: State,
+        former: BTreeSet<EntryId>,
+        table: Arc<Table>,
+        now: Millis,
+    ) -> Self {
+        let others = claim.replicas.iter().filter(|id| *id != me).cloned();
+        let rest = Claim { owner: me.clone(), replicas: others.collect(), ..claim.clone() };
+        let predecessors = claim.replicas.iter().chain([&claim.owner]).filter(|id| *id != me);
+        let former = former.into_iter().chain(predecessors.cloned()).collect();
+        let source = Source::State(Box::new(state));
+        let mut office = Self::new(&rest, source, former, Vec::new(), table, now);
+        office.fence = claim.epoch + 1;
+        office
+    }
+
+    /// The epoch that a former owner has to know of to be fenced.
+    pub fn fence_epoch(&self) -> u64 {
+        self.fence
+    }
+
     /// The state, for the replica of an entry that is no longer the owner.
     pub fn into_state(self) -> State {
         State { epoch: self.journal.epoch(), seq: self.journal.seq(), book: self.book }
@@ -141,6 +170,7 @@
 
     /// The same entry's claim with other replicas is in force.
     pub fn renew(&mut self, claim: &Claim) {
+        self.fence = self.fence.min(claim.epoch);
         self.journal.begin(claim);
         self.out.push(Action::Replicate);
     }
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -129,7 +129,7 @@
     fn take_shard_beats(self: &Arc<Self>, from: &EntryId, beats: &[ShardBeat]) {
         for beat in beats {
             let Some(handle) = self.handle(&beat.shard) else { continue };
-            let epoch = handle.shard().office().map(|office| office.epoch());
+            let epoch = handle.shard().office().map(|office| office.fence_epoch());
             let fenced = !beat.owner && !beat.flying;
             if fenced && epoch.is_some_and(|epoch| beat.epoch >= epoch) {
                 self.step(&handle, Event::Fenced(from.clone()));
@@ -229,8 +229,10 @@
     pub(super) fn drop_gone_entries(self: &Arc<Self>, handle: &Arc<crate::entry::ShardHandle>) {
         let mut ids = {
             let fold = lock(&self.fold);
-            let owners = fold.claims.history(&handle.id).iter().map(|claim| claim.owner.clone());
-            owners.collect::<Vec<EntryId>>()
+            let history = fold.claims.history(&handle.id).iter();
+            let ids =
+                history.flat_map(|claim| claim.replicas.iter().chain([&claim.owner]).cloned());
+            ids.collect::<Vec<EntryId>>()
         };
         ids.extend(handle.shard().office().map(|office| office.replicas()).unwrap_or_default());
         for id in ids.into_iter().filter(|id| *id != self.me && self.is_gone(id)) {
--- /dev/null
+++ b/src/entry/handover.rs
@@ -0,0 +1,95 @@
+//! Handing a shard over from owner to replica by the owner's own word, while the log is down.
+
+use crate::clock::Millis;
+use crate::controller::replica::State;
+use crate::controller::shard::office::Office;
+use crate::entry::{Entry, ShardHandle, lock};
+use crate::id::{EntryId, Name};
+use crate::trace::What;
+use crate::wire::msg::{Ask, DELTA, Tell};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How long the successor may take to answer once.
+const SUCCESSOR_LIMIT: Millis = Millis(1_000);
+/// How often the successor is told.
+const TRIES: u32 = 10;
+/// Pause before it is told again.
+const PAUSE: Millis = Millis(100);
+
+impl Entry {
+    /// Hands a shard over to one of its replicas. From the moment on that this entry steps down only
+    /// that one can own the shard in this epoch, so it is told until it answers.
+    pub(super) async fn hand_over(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let Some((to, addr)) = self.successor(handle).await else { return };
+        let Some((epoch, state)) = handle.shard().hand_over() else { return };
+        let (shard, name) = (handle.id.clone(), to.name.clone());
+        self.trace.add(What::HandedOver { shard: shard.clone(), epoch, to: name.clone() });
+        self.news.notify_one();
+        let from = self.me.clone();
+        let ask = Ask::HandOver { shard, from, to, epoch, state };
+        for _ in 0..TRIES {
+            if self.quic.ask(&name, addr, ask.clone(), SUCCESSOR_LIMIT).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(PAUSE.duration()).await;
+        }
+    }
+
+    /// A replica that can be reached, is not stopping, and knows of hand-overs.
+    async fn successor(&self, handle: &ShardHandle) -> Option<(EntryId, SocketAddr)> {
+        let replicas = handle.shard().office().map(|office| office.replicas())?;
+        for id in replicas {
+            let addr = {
+                let peers = lock(&self.peers);
+                let fresh = peers.fresh(self.now()).into_iter().find(|(name, ..)| *name == id.name);
+                fresh.filter(|_| peers.incarnation(&id.name) == Some(id.inc))
+            };
+            let Some((name, _, addr)) = addr else { continue };
+            let version = self.quic.version(&name, addr, SUCCESSOR_LIMIT).await;
+            if version.is_ok_and(|version| version >= DELTA) {
+                return Some((id, addr));
+            }
+        }
+        None
+    }
+
+    /// Goes on as the owner of a shard that its owner handed over to this run of this entry.
+    pub(super) fn take_hand_over(
+        self: &Arc<Self>,
+        shard: &Name,
+        from: EntryId,
+        epoch: u64,
+        state: State,
+    ) -> Tell {
+        let claim = lock(&self.fold).claims.last(shard).cloned();
+        let claim = claim.filter(|claim| claim.epoch == epoch);
+        let (Some(claim), Some(handle)) = (claim, self.handle(shard)) else {
+            return Tell::NotOwner;
+        };
+        let (former, _) = lock(&self.fold).before(&claim);
+        let (table, known) = (self.table(), self.known_shards());
+        {
+            let mut here = handle.shard();
+            if !here.may_succeed(&claim, &state) {
+                return Tell::NotOwner;
+            }
+            let now = self.now();
+            let mut office = Office::from_hand_over(&claim, &self.me, state, former, table, now);
+            office.set_shards(known);
+            here.succeed(office);
+        }
+        lock(&self.claimant).release(shard.clone(), epoch);
+        let (shard, from) = (shard.clone(), from.name);
+        self.begin_office(&handle, epoch, What::Succeeded { shard, epoch, from });
+        Tell::Done
+    }
+
+    /// The entry that owns a shard, as far as is known: the one that says so, or the one that
+    /// claimed it last.
+    pub(crate) fn owner_of(&self, shard: &str) -> Option<Name> {
+        let claim = lock(&self.fold).claims.last(shard).cloned()?;
+        let says = lock(&self.peers).owner(self.now(), shard, claim.epoch);
+        Some(says.unwrap_or(claim.owner.name))
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod api;
 mod beat;
+mod handover;
 mod http;
 mod log;
 mod metrics;
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -174,15 +174,25 @@
             Source::Rebuild => "log".to_string(),
         };
         let (former, jobs) = lock(&self.fold).before(&claim);
-        *handle.lender() = if claim.epoch == 1 { Lender::first() } else { Lender::new(now) };
-        *handle.pool() = Pool::new(claim.epoch);
         let mut office = Office::new(&claim, source, former, jobs, self.table(), now);
         office.set_shards(self.known_shards());
         if !handle.shard().take_office(office) {
             return;
         }
         let (shard, epoch) = (handle.id.clone(), claim.epoch);
-        self.trace.add(What::TookOffice { shard, epoch, from: from.into() });
+        self.begin_office(handle, epoch, What::TookOffice { shard, epoch, from: from.into() });
+    }
+
+    /// This entry owns a shard from now on: nothing is lent yet, and the workers are asked.
+    pub(super) fn begin_office(
+        self: &Arc<Self>,
+        handle: &Arc<ShardHandle>,
+        epoch: u64,
+        what: What,
+    ) {
+        *handle.lender() = if epoch == 1 { Lender::first() } else { Lender::new(self.now()) };
+        *handle.pool() = Pool::new(epoch);
+        self.trace.add(what);
         self.set_list(handle);
         self.drop_gone_entries(handle);
         self.news.notify_one();
@@ -346,8 +356,7 @@
 
     /// Renews leases from a replica while the owner is not heard: a renewal starts nothing.
     async fn keep_running(self: Arc<Self>, handle: Arc<ShardHandle>) {
-        let owner = lock(&self.fold).claims.last(&handle.id).map(|claim| claim.owner.name.clone());
-        let Some(owner) = owner else { return };
+        let Some(owner) = self.owner_of(&handle.id) else { return };
         let here = owner == self.me.name && handle.shard().office().is_some();
         if here || lock(&self.peers).is_heard(self.now(), &owner) {
             return;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -131,14 +131,25 @@
         here.map(|(name, _)| name.clone()).collect()
     }
 
+    /// The peer that says that it owns a shard in `epoch` or a later one.
+    pub fn owner(&self, now: Millis, shard: &str, epoch: u64) -> Option<Name> {
+        let heard = self.known.iter().filter(|(name, _)| self.is_heard(now, name));
+        let mut owners = heard.filter(|(_, known)| {
+            let beat = known.beat.as_ref().map(|(_, beat)| beat);
+            let at = beat.and_then(|beat| beat.shards.iter().find(|at| *at.shard == *shard));
+            at.is_some_and(|at| at.owner && at.epoch >= epoch)
+        });
+        owners.next().map(|(name, _)| name.clone())
+    }
+
     /// Whether every peer of this failure domain was heard lately and knew of no epoch of `shard`
-    /// after `epoch`.
+    /// after `epoch`. One that was stopping when last heard claims nothing any more.
     pub fn know_no_later(&self, now: Millis, shard: &str, epoch: u64) -> bool {
         let mut here = self.known.values().filter(|known| known.domain == self.domain);
         here.all(|known| {
             let Some((heard, beat)) = &known.beat else { return false };
             let later = beat.shards.iter().any(|at| *at.shard == *shard && at.epoch > epoch);
-            now.since(*heard) < OWNER_PROOF && !later
+            (beat.leaving || now.since(*heard) < OWNER_PROOF) && !later
         })
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -115,8 +115,7 @@
     }
 
     async fn ask_slots(&self, shard: Name, uses: Vec<SlotUse>, waiting: u32) -> Tell {
-        let owner = lock(&self.fold).claims.last(&shard).map(|claim| claim.owner.name.clone());
-        let Some(owner) = owner.filter(|owner| *owner != self.me.name) else {
+        let Some(owner) = self.owner_of(&shard).filter(|owner| *owner != self.me.name) else {
             return Tell::NotOwner;
         };
         let Some(addr) = lock(&self.peers).addr(&owner) else { return Tell::NotOwner };
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -61,8 +61,7 @@
         {
             return Ok(self.answer_owner(&handle, ask).await);
         }
-        let owner = lock(&self.fold).claims.last(shard).map(|claim| claim.owner.name.clone());
-        let name = owner.filter(|name| *name != self.me.name).ok_or(true)?;
+        let name = self.owner_of(shard).filter(|name| *name != self.me.name).ok_or(true)?;
         let addr = lock(&self.peers).addr(&name).ok_or(true)?;
         let ask = Ask::Owner { shard: shard.clone(), ask };
         let answer = self.quic.ask(&name, addr, ask, OWNER_LIMIT).await;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -29,13 +29,18 @@
             }
             Ask::Seal { shard, epoch } => {
                 let handle = self.open_shard(&shard);
-                let state = handle.shard().seal(epoch);
-                Tell::Sealed { by: self.me.clone(), state }
+                let sealed = handle.shard().seal(epoch);
+                let by = self.me.clone();
+                sealed.map_or(Tell::NotOwner, |state| Tell::Sealed { by, state })
             }
             Ask::Release { shard, epoch } => {
                 lock(&self.claimant).release(shard, epoch);
                 Tell::Done
             }
+            Ask::HandOver { shard, from, to, epoch, state } if to == self.me => {
+                self.take_hand_over(&shard, from, epoch, state)
+            }
+            Ask::HandOver { .. } => Tell::NotOwner,
             Ask::Owner { shard, ask } => match self.handle(&shard) {
                 Some(handle) => self.answer_owner(&handle, ask).await,
                 None => Tell::NotOwner,
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -72,8 +72,7 @@
     }
 
     async fn ask_home(&self, home: &Name, question: Question) -> Tell {
-        let owner = lock(&self.fold).claims.last(home).map(|claim| claim.owner.name.clone());
-        match owner {
+        match self.owner_of(home) {
             Some(owner) if owner == self.me.name => self.lend_parts(home, &question),
             Some(owner) => self.ask_home_at(owner, home.clone(), question).await,
             None => Tell::NotOwner,
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -30,7 +30,10 @@
         self.news.notify_one();
         while self.owned() > 0 && self.now().since(begun) < HANDOVER {
             for handle in self.shards() {
-                self.release(&handle).await;
+                match self.is_log_fresh() {
+                    true => self.release(&handle).await,
+                    false => self.hand_over(&handle).await,
+                }
             }
             tokio::time::sleep((LOOK + LOOK).duration()).await;
         }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -41,6 +41,10 @@
     Elected { shard: Name, epoch: u64 },
     /// An owner has the shard's whole state and begins to decide.
     TookOffice { shard: Name, epoch: u64, from: Name },
+    /// An owner gave a shard up for the rest of its epoch, in favour of a replica.
+    HandedOver { shard: Name, epoch: u64, to: Name },
+    /// A replica goes on as the owner for the rest of an epoch that `from` handed over.
+    Succeeded { shard: Name, epoch: u64, from: Name },
     /// An owner learned of a later epoch.
     Deposed { shard: Name, epoch: u64 },
     /// A replica refuses earlier epochs from now on.
@@ -98,6 +102,8 @@
             | Self::TableInForce { .. }
             | Self::Elected { .. }
             | Self::TookOffice { .. }
+            | Self::HandedOver { .. }
+            | Self::Succeeded { .. }
             | Self::Sealed { .. }
             | Self::Leaving { .. }
             | Self::PeerConnected { .. }
--- a/src/wire/msg.rs
+++ b/src/wire/msg.rs
@@ -2,7 +2,7 @@
 //!
 //! Two entries use the highest version that both speak; the handshake agrees on it. A version only
 //! ever adds variants at the end of [`Ask`] and [`Tell`]: what earlier versions have keeps its bytes.
-//! Version 2 added heartbeats with only what changed, and parts of limits.
+//! Version 2 added heartbeats with only what changed, parts of limits, and hand-overs.
 
 use crate::clock::Millis;
 use crate::controller::gossip::Delta;
@@ -25,7 +25,7 @@
 pub const OLDEST: u8 = 1;
 /// The newest version of the messages.
 pub const NEWEST: u8 = 2;
-/// The first version with [`Ask::Delta`] and [`Ask::Parts`].
+/// The first version with [`Ask::Delta`], [`Ask::Parts`] and [`Ask::HandOver`].
 pub const DELTA: u8 = 2;
 
 /// A message with its sender's clock.
@@ -62,6 +62,9 @@
     Delta(DeltaBeat),
     /// Lend a shard parts of the limits that this shard is home to. Since version 2.
     Parts { home: Name, question: Question },
+    /// I gave up a shard that I owned in this epoch: you, and nobody else, go on from this state.
+    /// Since version 2.
+    HandOver { shard: Name, from: EntryId, to: EntryId, epoch: u64, state: State },
 }
 
 /// A question to the owner of a shard.
--- a/src/wire/quic.rs
+++ b/src/wire/quic.rs
@@ -141,6 +141,21 @@
         self.within(name, addr, limit, exchange).await
     }
 
+    /// The version of messages that a peer and this entry speak.
+    ///
+    /// # Errors
+    /// [`WireError::Connect`] if the peer cannot be reached within `limit`.
+    pub async fn version(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        limit: Millis,
+    ) -> Result<u8, WireError> {
+        let connecting = tokio::time::timeout(limit.duration(), self.connect(name, addr));
+        let connection = connecting.await.map_err(|_| WireError::Connect(name.clone()))??;
+        agreed(&connection).ok_or_else(|| WireError::Connect(name.clone()))
+    }
+
     async fn within(
         &self,
         name: &Name,
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -148,6 +148,31 @@
     cell.check().await;
 }
 
+#[tokio::test]
+async fn a_planned_stop_while_the_log_is_down_hands_shards_over() {
+    let mut cell = Cell::start("handover").await;
+    cell.ready().await;
+    let (owner, other) = owner_and_other(&cell).await;
+    let service = json!({"kind": "ingest", "cpu": 1000, "mem": 100, "run": 0});
+    let service = cell.submit(&owner, NILEWIRE, service).await;
+    cell.until_job(&other, &service, "running").await;
+    cell.platform_faults(json!({"log_down": true})).await;
+    for entry in [&owner, &other] {
+        cell.until("down", async || cell.get(entry, "/v1/status").await["log"] == false).await;
+    }
+    cell.stop_entry(&owner).await;
+    cell.until("owner", async || cell.owners(&other).await.get(SHARD) == Some(&other)).await;
+    assert_eq!(cell.get(&other, "/v1/status").await["log"], false, "the log is down still");
+    assert_eq!(cell.job("pasila-1", &service).await["running"], 1, "its state, at any entry");
+    assert_eq!(cell.request(&other, "preview", &[], "page").await.0, 200);
+    cell.platform_faults(json!({"log_down": false})).await;
+    let built = cell.submit(&other, NILEWIRE, build(100)).await;
+    cell.until_job("pasila-1", &built, "ended").await;
+    let from = format!("from={owner}");
+    assert!(cell.saw(&["event=succeeded", &from, &format!("who={other}")]).await);
+    cell.check().await;
+}
+
 #[tokio::test]
 async fn lost_workers_and_keys_used_twice() {
     let mut cell = Cell::start("worker").await;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -9,7 +9,7 @@
 use sprucerudder::job::Outcome;
 use sprucerudder::size::Size;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use world::{Flaw, World};
+use world::{Flaw, InFlight, Message, SHARD, World};
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 2;
@@ -33,6 +33,7 @@
     Restart(usize),
     ReplaceWorker(usize),
     LogDown(bool),
+    HandOver(usize, usize),
     CutOff(usize, bool),
     Cut(usize, usize),
     Mend,
@@ -65,6 +66,7 @@
         1 => entry.clone().prop_map(Op::Restart),
         1 => (0..WORKERS).prop_map(Op::ReplaceWorker),
         2 => any::<bool>().prop_map(Op::LogDown),
+        3 => (entry.clone(), 0..2_usize).prop_map(|(e, to)| Op::HandOver(e, to)),
         4 => (entry.clone(), any::<bool>()).prop_map(|(e, cut)| Op::CutOff(e, cut)),
         4 => (entry.clone(), entry.clone()).prop_map(|(a, b)| Op::Cut(a, b)),
         2 => Just(Op::Mend),
@@ -94,6 +96,7 @@
         Op::Restart(entry) => world.restart_entry(entry),
         Op::ReplaceWorker(worker) => world.replace_worker(worker),
         Op::LogDown(down) => world.log_down = down,
+        Op::HandOver(entry, to) => world.hand_over(entry, to),
         Op::CutOff(entry, cut) => world.entries[entry].cut_off = cut,
         Op::Cut(from, to) => drop(world.cuts.insert((from, to))),
         Op::Mend => world.cuts.clear(),
@@ -516,3 +519,81 @@
 fn workers_that_forget_at_once_break_a_promise() {
     assert!(breaks(Flaw::NoTombs));
 }
+
+fn rounds(world: &mut World, count: usize) {
+    (0..count).for_each(|_| world.round(false));
+}
+
+/// The first owner hands over while the log is down; its successor starts a task that must not be
+/// repeated, and is paused; the other replica is gone. A claimant that takes the first owner's word
+/// starts the task again.
+fn first_owner_is_asked(flaw: Flaw) {
+    let mut world = play(&[], flaw);
+    world.submit(2, "build", 2, false, Size::new(4, 1, 0));
+    rounds(&mut world, 2);
+    world.submit(2, "once", 1, false, Size::new(3, 1, 0));
+    rounds(&mut world, 1);
+    world.log_down = true;
+    world.hand_over(2, 0);
+    rounds(&mut world, 2);
+    assert_eq!(world.owners(), [0], "{:#?}", world.history);
+    world.end_task(0, 0, Outcome::Done);
+    rounds(&mut world, 3);
+    world.entries[0].paused = true;
+    world.restart_entry(1);
+    world.end_task(1, 0, Outcome::Done);
+    world.cuts.insert((2, 1));
+    world.log_down = false;
+    rounds(&mut world, 12);
+    world.cuts.clear();
+    rounds(&mut world, 12);
+    world.heal();
+}
+
+/// A start of the first owner arrives, and a copy of it is late. Its successor sees the task run and
+/// end and, if it takes an old sign of life for the first owner's word that nothing is on its way,
+/// lets the worker forget it. The late copy then runs the task again.
+fn first_owners_start_is_late(flaw: Flaw) {
+    let mut world = play(&[], flaw);
+    world.submit(2, "once", 1, false, Size::new(3, 1, 0));
+    let is_start = |message: &Message| matches!(message, Message::Start { .. });
+    while !world.net.iter().any(|flight| is_start(&flight.message)) {
+        world.advance(10);
+        world.flush(2);
+        match world.net.iter().position(|flight| !is_start(&flight.message)) {
+            Some(at) => world.deliver(at),
+            None => (0..2).for_each(|entry| world.flush(entry)),
+        }
+    }
+    let at = world.net.iter().position(|flight| is_start(&flight.message)).expect("start");
+    world.delay(at, true);
+    world.log_down = true;
+    world.hand_over(2, 0);
+    rounds(&mut world, 2);
+    let [from, to] = [2, 0].map(|entry: usize| world.entries[entry].id.clone());
+    let epoch = world.entries[0].fold.claims.epoch(SHARD);
+    let message = Message::Beat { from, to, epoch, owner: false, flying: false };
+    world.net.push(InFlight { sent: world.now, message });
+    rounds(&mut world, 4);
+    world.end_task(0, 0, Outcome::Done);
+    rounds(&mut world, 4);
+    world.release(0);
+    world.check();
+    world.heal();
+}
+
+fn panics(run: impl FnOnce()) -> bool {
+    catch_unwind(AssertUnwindSafe(run)).is_err()
+}
+
+#[test]
+fn an_owner_that_handed_over_does_not_answer_for_the_shard() {
+    first_owner_is_asked(Flaw::None);
+    assert!(panics(|| first_owner_is_asked(Flaw::NotSilent)));
+}
+
+#[test]
+fn a_predecessor_is_fenced_by_a_later_epoch_only() {
+    first_owners_start_is_late(Flaw::None);
+    assert!(panics(|| first_owners_start_is_late(Flaw::EarlyFence)));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -40,6 +40,10 @@
     NoState,
     /// Workers forget ended tasks at once.
     NoTombs,
+    /// An owner that handed its shard over is still taken at its word.
+    NotSilent,
+    /// A successor counts its predecessor as fenced before a later epoch shows it.
+    EarlyFence,
 }
 
 /// A message on its way.
@@ -55,6 +59,7 @@
     Seal { from: EntryId, to: EntryId, epoch: u64 },
     Sealed { to: EntryId, by: EntryId, epoch: u64, state: State },
     Beat { from: EntryId, to: EntryId, epoch: u64, owner: bool, flying: bool },
+    HandOver { from: EntryId, to: EntryId, epoch: u64, state: State },
 }
 
 #[derive(Debug, Clone)]
@@ -71,6 +76,8 @@
     pub paused: bool,
     /// It cannot reach the log.
     pub cut_off: bool,
+    /// It handed the shard over and will end.
+    stopping: bool,
     claimant: Claimant,
     peers: BTreeMap<Name, Peer>,
     outbox: Vec<Message>,
@@ -173,6 +180,7 @@
             open: BTreeMap::new(),
             paused: false,
             cut_off: false,
+            stopping: false,
             fold,
             id,
         }
@@ -511,9 +519,16 @@
                 }
             },
             Message::Seal { from, to, epoch } => {
-                let state = self.entries[index].shard.seal(epoch);
-                self.reply(Message::Sealed { to: from, by: to, epoch, state });
+                let shard = &mut self.entries[index].shard;
+                let mut sealed = shard.seal(epoch);
+                if self.flaw == Flaw::NotSilent {
+                    sealed = Some(shard.replica().state().clone());
+                }
+                if let Some(state) = sealed {
+                    self.reply(Message::Sealed { to: from, by: to, epoch, state });
+                }
             }
+            Message::HandOver { epoch, state, .. } => self.succeed(index, epoch, state),
             Message::Sealed { by, epoch, state, .. } => {
                 self.entries[index].shard.sealed(&by, epoch, state);
             }
@@ -521,7 +536,11 @@
                 let heard = self.now;
                 let peer = Peer { id: from.clone(), heard, leaving: false };
                 self.entries[index].peers.insert(from.name.clone(), peer);
-                let mine = self.entries[index].shard.office().map(|office| office.epoch());
+                let early = self.flaw == Flaw::EarlyFence;
+                let mine = self.entries[index].shard.office().map(|office| match early {
+                    true => office.epoch(),
+                    false => office.fence_epoch(),
+                });
                 if !owner && !flying && mine.is_some_and(|mine| epoch >= mine) {
                     self.step(index, Event::Fenced(from));
                 }
@@ -529,6 +548,39 @@
         }
     }
 
+    /// An owner hands the shard over to a replica, whichever `draw` says.
+    pub fn hand_over(&mut self, index: usize, draw: usize) {
+        let entry = &mut self.entries[index];
+        let replicas = entry.shard.office().map(|office| office.replicas()).unwrap_or_default();
+        let to = replicas.get(draw % replicas.len().max(1)).cloned();
+        let Some(to) = to.filter(|_| !entry.paused) else { return };
+        let Some((epoch, state)) = entry.shard.hand_over() else { return };
+        entry.stopping = true;
+        let from = entry.id.clone();
+        self.history.push(format!("{} {from} hands over {epoch} to {to}", self.now));
+        self.entries[index].outbox.push(Message::HandOver { from, to, epoch, state });
+    }
+
+    fn succeed(&mut self, index: usize, epoch: u64, state: State) {
+        let (now, gone) = (self.now, self.gone.clone());
+        let entry = &mut self.entries[index];
+        let claim = entry.fold.claims.last(SHARD).filter(|claim| claim.epoch == epoch).cloned();
+        let Some(claim) = claim else { return };
+        if !entry.shard.may_succeed(&claim, &state) {
+            return;
+        }
+        let (former, _) = entry.fold.before(&claim);
+        let table = Arc::new(Table::parse(TABLE).expect("table"));
+        let office = Office::from_hand_over(&claim, &entry.id, state, former, table, now);
+        entry.shard.succeed(office);
+        entry.claimant.release(SHARD.into(), epoch);
+        self.history.push(format!("{now} e{index} goes on in {epoch}"));
+        self.tell_list(index);
+        for id in gone {
+            self.step(index, Event::Gone(id));
+        }
+    }
+
     fn reply(&mut self, message: Message) {
         let sent = self.now;
         self.net.push(InFlight { sent, message });
@@ -692,6 +744,9 @@
         self.entries.iter_mut().for_each(|entry| entry.cut_off = false);
         self.net.append(&mut self.late);
         for index in 0..self.entries.len() {
+            if self.entries[index].stopping {
+                self.restart_entry(index);
+            }
             self.entries[index].paused = false;
             self.tell_list(index);
         }
@@ -784,6 +839,7 @@
         match self {
             Self::Update { from, to, .. }
             | Self::Seal { from, to, .. }
+            | Self::HandOver { from, to, .. }
             | Self::Beat { from, to, .. } => Some((from, to)),
             Self::Updated { to, by, .. } | Self::Sealed { to, by, .. } => Some((by, to)),
             _ => None,
@@ -799,6 +855,7 @@
             | Self::Updated { to, .. }
             | Self::Seal { to, .. }
             | Self::Sealed { to, .. }
+            | Self::HandOver { to, .. }
             | Self::Beat { to, .. } => Some(to),
         }
     }
