--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -3,7 +3,7 @@
 #[path = "common/mod.rs"]
 mod common;
 
-use common::{Desk, RACK, spec, table};
+use common::{Desk, Draw, RACK, spec, table};
 use serde::Serialize;
 use sprucerudder::clock::Millis;
 use sprucerudder::controller::gossip::Delta;
@@ -220,7 +220,48 @@
     }
 }
 
+/// Times of single placements: submit, bind, start and end.
+fn decision_times() {
+    println!("one placement, us: workers, stuck shapes a shard, median, 99 %, 99.9 %, most");
+    let rows = table(&[("build", "batch", 50, 10, 0), ("urgent", "batch", 100, 5, 5)]);
+    for workers in [48, 200, 1_100] {
+        for stuck in [0, 200, 800] {
+            let mut all = desks(workers, 5 * workers as u32);
+            for desk in &mut all {
+                desk.step(Event::Table(rows.clone()));
+                for less in 0..stuck {
+                    let size = Size::new(16_000, 32_000 - less, 2);
+                    desk.submit(spec("build", 1, false, size));
+                }
+            }
+            let mut draw = Draw(7);
+            let mut times: Vec<u64> = (0..20_000).map(|_| placement(&mut all, &mut draw)).collect();
+            times.sort_unstable();
+            let at = |share: usize| times[times.len() * share / 1_000] as f64 / 1_000.0;
+            let most = times[times.len() - 1] as f64 / 1_000.0;
+            println!(
+                "  {workers:>5} {stuck:>5} {:>8.1} {:>8.1} {:>8.1} {most:>8.1}",
+                at(500),
+                at(990),
+                at(999)
+            );
+        }
+    }
+}
+
+/// Nanoseconds of one placement.
+fn placement(all: &mut [Desk], draw: &mut Draw) -> u64 {
+    let at = draw.below(all.len() as u64) as usize;
+    let job = spec("urgent", 1, false, Size::new(500, 500, 0));
+    let begun = Instant::now();
+    let (job, did) = all[at].submit(job);
+    assert_eq!(did.len(), 1, "placed at once");
+    all[at].end(&TaskId { job, index: 0, attempt: 0 }, Outcome::Done);
+    begun.elapsed().as_nanos() as u64
+}
+
 fn main() {
+    decision_times();
     parts();
     state_and_time();
     beats();
