--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -534,7 +534,37 @@
     }
 }
 
+/// The user's table edited for short waits of what is due soon.
+fn waiting_first(mut user: User) -> User {
+    for kind in &mut user.kinds {
+        kind.weight = (200_000 / kind.deadline as u32).max(1);
+        (kind.pack, kind.spread) = (0, 10);
+    }
+    user
+}
+
+/// The user's table edited for full workers: no kind is urgent.
+fn packing_first(mut user: User) -> User {
+    for kind in &mut user.kinds {
+        (kind.weight, kind.pack, kind.spread) = (10, 10, 0);
+    }
+    user
+}
+
+/// What an edit of the table alone does to the same stream.
+fn edits() {
+    let [first, second] = users().map(waiting_first);
+    let [third, fourth] = users().map(packing_first);
+    let tables = [("waiting", first), ("packing", third), ("waiting", second), ("packing", fourth)];
+    for (name, user) in tables {
+        let jobs = stream(&user, 0.95, 11);
+        println!("{}, the table edited to {name} first", user.name);
+        print(&user, "ours", play(&user, &jobs, &mut Ours::new(&user)));
+    }
+}
+
 fn main() {
+    edits();
     let baselines = [
         ("first-fit", Rule::FirstFit),
         ("random-fit", Rule::RandomFit),
