--- a/benches/slots.rs
+++ b/benches/slots.rs
@@ -17,9 +17,8 @@
 const LENGTH: u64 = 120_000;
 /// Requests that came before this are not counted.
 const WARM: u64 = 20_000;
-/// Time between an entry's questions to the owner, as in the shell: usually, and while requests wait.
+/// Time between an entry's questions to the owner, as in the shell.
 const RENEW: u64 = 200;
-const RENEW_SOON: u64 = 5;
 /// A question and its answer between two entries: twice 0.5 ms.
 const HOP: u64 = 1;
 const SHARD: &str = "rack";
@@ -36,13 +35,7 @@
 trait Way {
     fn arrive(&mut self, now: u64, id: usize, entry: usize) -> Vec<usize>;
     fn end(&mut self, now: u64, id: usize, entry: usize) -> Vec<usize>;
-    /// When [`Way::tick`] is due.
-    fn due(&self) -> u64;
     fn tick(&mut self, now: u64) -> Vec<usize>;
-    /// Questions to the owner so far.
-    fn questions(&self) -> u64 {
-        0
-    }
     /// What a request waits besides its slot.
     fn extra(&self, entry: usize) -> u64;
 }
@@ -88,10 +81,6 @@
         next.into_iter().collect()
     }
 
-    fn due(&self) -> u64 {
-        u64::MAX
-    }
-
     fn tick(&mut self, _: u64) -> Vec<usize> {
         Vec::new()
     }
@@ -106,10 +95,6 @@
     lender: Lender,
     slots: Vec<Slots>,
     runners: BTreeMap<usize, Name>,
-    /// By entry: when it asked last, and when it asks next.
-    asked: [u64; ENTRIES],
-    next: [u64; ENTRIES],
-    questions: u64,
 }
 
 fn entry_name(entry: usize) -> Name {
@@ -128,9 +113,7 @@
             slots.set_runners(known());
             slots
         });
-        let (asked, next) = ([0; ENTRIES], [0, RENEW / 3, RENEW * 2 / 3]);
-        let (slots, runners) = (slots.collect(), BTreeMap::new());
-        Self { lender, slots, runners, asked, next, questions: 0 }
+        Self { lender, slots: slots.collect(), runners: BTreeMap::new() }
     }
 
     fn turns(&mut self, now: u64, entry: usize) -> Vec<usize> {
@@ -167,10 +150,6 @@
             due: clock(now + 600_000),
         };
         let turn = self.slots[entry].ask(clock(now), request);
-        if turn == Turn::Wait {
-            let soon = (now + HOP).max(self.asked[entry] + RENEW_SOON);
-            self.next[entry] = self.next[entry].min(soon);
-        }
         self.go(turn).into_iter().collect()
     }
 
@@ -181,28 +160,17 @@
         self.turns(now, entry)
     }
 
-    fn due(&self) -> u64 {
-        self.next.into_iter().min().unwrap_or(u64::MAX)
-    }
-
     fn tick(&mut self, now: u64) -> Vec<usize> {
         let mut started = Vec::new();
-        for entry in (0..ENTRIES).filter(|entry| self.next[*entry] <= now).collect::<Vec<_>>() {
+        for entry in 0..ENTRIES {
             let (uses, waiting) = self.slots[entry].uses(clock(now), SHARD);
             let lent = self.lender.lend(clock(now), &entry_name(entry), &uses, waiting);
             self.slots[entry].lent(clock(now), &lent);
             started.extend(self.turns(now, entry));
-            let again = if self.slots[entry].waiting() > 0 { RENEW_SOON } else { RENEW };
-            (self.asked[entry], self.next[entry]) = (now, now + again);
-            self.questions += 1;
         }
         started
     }
 
-    fn questions(&self) -> u64 {
-        self.questions
-    }
-
     fn extra(&self, _: usize) -> u64 {
         0
     }
@@ -226,15 +194,15 @@
 /// The waits of all requests, and the most that were at runners at once.
 fn play(requests: &[Request], way: &mut dyn Way) -> (Vec<u64>, usize) {
     let mut ends: BinaryHeap<Reverse<(u64, usize)>> = BinaryHeap::new();
-    let (mut next, mut most, mut waits) = (0, 0, Vec::new());
+    let (mut next, mut tick, mut most, mut waits) = (0, 0, 0, Vec::new());
     while next < requests.len() {
         let end = ends.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
-        let tick = way.due();
         let now = requests[next].at.min(end).min(tick);
         let started = if now == end {
             let Some(Reverse((_, id))) = ends.pop() else { break };
             way.end(now, id, requests[id].entry)
         } else if now == tick {
+            tick += RENEW;
             way.tick(now)
         } else {
             next += 1;
@@ -254,10 +222,8 @@
 }
 
 fn main() {
-    println!(
-        "part of the requests at one of three entries, load, way of sharing; waits for a slot"
-    );
-    println!("in ms: median, 99 %, 99.9 %; most at once; questions to the owner a second");
+    println!("waits for a slot, ms: load, way, median, 99 %, 99.9 %, most at once, of a third or");
+    println!("of six tenths of the requests at one of three entries");
     for skew in [1.0 / 3.0, 0.6] {
         for load in [0.5, 0.8, 0.95] {
             let requests = stream(load, skew);
@@ -270,10 +236,7 @@
                 let (waits, most) = play(&requests, &mut *way);
                 let at = |share: usize| waits[waits.len() * share / 1_000];
                 let [p50, p99, p999] = [500, 990, 999].map(at);
-                let asked = way.questions() * 1_000 / LENGTH;
-                println!(
-                    "  {skew:.2} {load:.2} {name:<12} {p50:>6} {p99:>6} {p999:>6} {most:>5} {asked:>5}"
-                );
+                println!("  {skew:.2} {load:.2} {name:<12} {p50:>6} {p99:>6} {p999:>6} {most:>5}");
                 assert!(most <= RUNNERS * SLOTS as usize, "more than there are");
             }
         }
--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -273,7 +273,7 @@
 
 /// The most that each may have so that all needs, cut to it, are no more than `whole`; `None` if
 /// there is enough for all.
-pub(crate) fn fair(mut needs: Vec<u64>, whole: u64) -> Option<u64> {
+fn fair(mut needs: Vec<u64>, whole: u64) -> Option<u64> {
     needs.sort_unstable();
     let mut left = whole;
     for (index, need) in needs.iter().enumerate() {
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -2,12 +2,10 @@
 //! each entry gives them to its waiting requests.
 //!
 //! A lease counts from when the entry asked, at the owner from when it answered, so it ends at the
-//! entry first. The owner counts it for [`OWNER_PROOF`] longer: it may not know yet that the entry
-//! has renewed it with a new owner. An entry whose lease ran out keeps [`FLOOR`] slots of each runner, which the owner
+//! entry first. An entry whose lease ran out keeps [`FLOOR`] slots of each runner, which the owner
 //! never lends to others while the entry may exist.
 
 use crate::clock::Millis;
-use crate::controller::quota::fair;
 use crate::id::Name;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -49,8 +47,7 @@
     since: Millis,
     runners: BTreeMap<Name, u32>,
     loans: BTreeMap<(Name, Name), Loan>,
-    /// Slots that each entry uses and waits for, as it said last.
-    demands: BTreeMap<Name, u64>,
+    starved: BTreeSet<Name>,
     entries: BTreeSet<Name>,
 }
 
@@ -62,7 +59,7 @@
             since: now,
             runners: BTreeMap::new(),
             loans: BTreeMap::new(),
-            demands: BTreeMap::new(),
+            starved: BTreeSet::new(),
             entries: BTreeSet::new(),
         }
     }
@@ -80,14 +77,13 @@
 
     /// The entries of the failure domain: each may use [`FLOOR`] slots, heard or not.
     pub fn set_entries(&mut self, entries: BTreeSet<Name>) {
-        self.demands.retain(|entry, _| entries.contains(entry));
         self.entries = entries;
     }
 
     /// An entry is gone for good: what it held is free.
     pub fn gone(&mut self, entry: &Name) {
         self.entries.remove(entry);
-        self.demands.remove(entry);
+        self.starved.remove(entry);
         self.loans.retain(|(_, holder), _| holder != entry);
     }
 
@@ -102,53 +98,53 @@
         waiting: u32,
     ) -> Vec<(Name, u32)> {
         self.entries.insert(entry.clone());
-        let busy = uses.iter().map(|said| said.used).sum::<u32>();
-        self.demands.insert(entry.clone(), (busy + waiting) as u64);
-        let share = self.share(busy + waiting);
-        let mut extra = share.saturating_sub(busy);
-        let settling = now.since(self.since) < SLOT_LEASE + OWNER_PROOF;
-        let until = now + SLOT_LEASE + OWNER_PROOF;
-        let mut lent = Vec::with_capacity(self.runners.len());
-        let frees = self.frees(now, entry);
-        for (index, (free, runner)) in frees.iter().enumerate() {
-            let said = uses.iter().find(|said| said.runner == *runner);
+        match waiting {
+            0 => drop(self.starved.remove(entry)),
+            _ => drop(self.starved.insert(entry.clone())),
+        }
+        let runners: Vec<(Name, u32)> = self.runners.iter().map(|(n, s)| (n.clone(), *s)).collect();
+        let mut lent = Vec::with_capacity(runners.len());
+        for (runner, total) in runners {
+            let said = uses.iter().find(|said| said.runner == runner);
             let (held, used) = said.map_or((0, 0), |said| (said.held, said.used));
-            let more = extra.div_ceil((frees.len() - index) as u32);
-            let aim = if share < busy { used * share / busy } else { used + more };
-            let count = if settling { held.min(*free) } else { aim.min(*free) };
-            extra = extra.saturating_sub(count.saturating_sub(used));
-            let loan = Loan { count: count.max(held).max(used), until };
+            let count = self.count(now, entry, &runner, total, held, used, waiting);
+            let loan = Loan { count: count.max(held), until: now + SLOT_LEASE };
             self.loans.insert((runner.clone(), entry.clone()), loan);
-            lent.push((runner.clone(), count));
+            lent.push((runner, count));
         }
         lent
     }
 
-    /// What others leave of each runner, the least first: what one runner cannot give the next ones
-    /// do.
-    fn frees(&self, now: Millis, entry: &Name) -> Vec<(u32, Name)> {
-        let free = |(runner, total): (&Name, &u32)| {
-            (total.saturating_sub(self.held_by_others(now, runner, entry)), runner.clone())
-        };
-        let mut frees: Vec<(u32, Name)> = self.runners.iter().map(free).collect();
-        frees.sort();
-        frees
-    }
-
-    /// What an entry that needs this many slots gets: all of them and some to spare, or, if there
-    /// are too few for all entries, no more than the others.
-    fn share(&self, demand: u32) -> u32 {
-        let total: u32 = self.runners.values().sum();
-        let needs = self.demands.values().copied().collect();
-        match fair(needs, total as u64) {
-            None => demand + FLOOR * self.runners.len() as u32,
-            Some(most) => demand.min(most as u32),
+    #[expect(clippy::too_many_arguments, reason = "one loan has that many sides")]
+    fn count(
+        &self,
+        now: Millis,
+        entry: &Name,
+        runner: &Name,
+        total: u32,
+        held: u32,
+        used: u32,
+        waiting: u32,
+    ) -> u32 {
+        let others: u32 = self
+            .entries
+            .iter()
+            .filter(|e| *e != entry)
+            .map(|other| self.held(now, runner, other))
+            .sum();
+        let free = total.saturating_sub(others);
+        if now.since(self.since) < SLOT_LEASE + OWNER_PROOF {
+            return held.min(free);
         }
-    }
-
-    fn held_by_others(&self, now: Millis, runner: &Name, entry: &Name) -> u32 {
-        let others = self.entries.iter().filter(|other| *other != entry);
-        others.map(|other| self.held(now, runner, other)).sum()
+        let fair = total.div_ceil(self.entries.len().max(1) as u32);
+        let rivals = self.starved.iter().any(|other| other != entry);
+        let want = match waiting {
+            0 if rivals => used.max(FLOOR),
+            0 => fair.max(used + FLOOR),
+            _ if rivals => fair.max(used),
+            _ => total,
+        };
+        want.min(free).max(used.min(free))
     }
 
     /// Slots of a runner that an entry may be using.
@@ -242,13 +238,8 @@
         }
     }
 
-    /// What to tell the owner of a shard: the use of each runner, and how many wait. What is not
-    /// needed is given back first, so that the owner can lend it on at once.
-    pub fn uses(&mut self, now: Millis, shard: &str) -> (Vec<SlotUse>, u32) {
-        let idle = self.waiting.is_empty();
-        for runner in self.runners.values_mut().filter(|runner| *runner.shard == *shard && idle) {
-            runner.lent = runner.lent.min(runner.used + FLOOR);
-        }
+    /// What to tell the owner of a shard: the use of each runner, and how many wait.
+    pub fn uses(&self, now: Millis, shard: &str) -> (Vec<SlotUse>, u32) {
         let here = self.runners.iter().filter(|(_, runner)| *runner.shard == *shard);
         let uses = here.map(|(name, runner)| {
             let held = if runner.until > now { runner.lent } else { 0 };
