Slots: an owner counts a loan for as long as it may be renewed elsewhere

Cause: an old owner lends for up to 3 s after it last knew for certain that it owns the shard. A loan that ran out in that time it counted as over, although the entry may have renewed it with the new owner.

Change: the owner counts a loan for that proof time longer, and never less than what is in use.

Before: an_old_owner_counts_loans_that_may_have_been_renewed: 9 slots allowed of 8. After: passes.

--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -2,7 +2,8 @@
 //! each entry gives them to its waiting requests.
 //!
 //! A lease counts from when the entry asked, at the owner from when it answered, so it ends at the
-//! entry first. An entry whose lease ran out keeps [`FLOOR`] slots of each runner, which the owner
+//! entry first. The owner counts it for [`OWNER_PROOF`] longer: it may not know yet that the entry
+//! has renewed it with a new owner. An entry whose lease ran out keeps [`FLOOR`] slots of each runner, which the owner
 //! never lends to others while the entry may exist.
 
 use crate::clock::Millis;
@@ -108,7 +109,8 @@
             let said = uses.iter().find(|said| said.runner == runner);
             let (held, used) = said.map_or((0, 0), |said| (said.held, said.used));
             let count = self.count(now, entry, &runner, total, held, used, waiting);
-            let loan = Loan { count: count.max(held), until: now + SLOT_LEASE };
+            let until = now + SLOT_LEASE + OWNER_PROOF;
+            let loan = Loan { count: count.max(held).max(used), until };
             self.loans.insert((runner.clone(), entry.clone()), loan);
             lent.push((runner, count));
         }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -153,6 +153,20 @@
     }
 }
 
+/// An entry renews with a new owner just before its loan runs out at the old one, which still lends.
+#[test]
+fn an_old_owner_counts_loans_that_may_have_been_renewed() {
+    let mut world = World::new();
+    world.apply(&Op::Renew(2, false));
+    world.apply(&Op::Advance(9_900));
+    world.apply(&Op::Learn(0));
+    world.apply(&Op::TakeOver(2));
+    world.apply(&Op::Renew(2, false));
+    world.apply(&Op::Advance(200));
+    (0..5).for_each(|_| world.apply(&Op::Arrive(0)));
+    world.apply(&Op::Renew(0, false));
+}
+
 #[test]
 fn never_more_slots_are_lent_than_there_are() {
     let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
