--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -113,8 +113,8 @@
     returned: bool,
 }
 
-/// What a shard gets while nobody lacks anything.
-fn comfort(need: u64, least: u64, whole: u64) -> u64 {
+/// What a shard gets while there is enough for all: its need and some to spare.
+fn with_headroom(need: u64, least: u64, whole: u64) -> u64 {
     (need + (need / HEADROOM).max(least)).min(whole.max(need))
 }
 
@@ -159,7 +159,7 @@
         let least = floor(need.whole, self.shards);
         let all = need.used + need.waiting.min(need.whole);
         let before = self.allowed(&need.limit, need.whole);
-        let held = before.min(comfort(all, least, need.whole)).max(need.used);
+        let held = before.min(with_headroom(all, least, need.whole)).max(need.used);
         self.held.insert(need.limit.clone(), Part { amount: held, returned: false });
         PartAsk { limit: need.limit.clone(), held, used: need.used, need: all, step: need.step }
     }
@@ -251,6 +251,7 @@
         self.loans.retain(|_, loans| !loans.is_empty());
     }
 
+    /// Decides on a part and keeps it as lent. `sure` is whether all that others hold is known.
     fn part(&mut self, shard: &Name, ask: &PartAsk, shards: usize, whole: u64, sure: bool) -> u64 {
         let least = floor(whole, shards);
         let loans = self.loans.entry(ask.limit.clone()).or_default();
@@ -262,7 +263,7 @@
         let spare = whole.saturating_sub(silent + needs.iter().sum::<u64>());
         let wish = match fair(needs, whole.saturating_sub(silent)) {
             _ if !sure => ask.held,
-            None => comfort(ask.need, least, whole).min(ask.need + spare / shards as u64),
+            None => with_headroom(ask.need, least, whole).min(ask.need + spare / shards as u64),
             Some(most) => ask.need.min(ask.steps_up(most)),
         };
         let part = ask.steps_down(wish.min(whole.saturating_sub(taken))).max(least);
--- /dev/null
+++ b/src/controller/shard/call.rs
@@ -0,0 +1,98 @@
+//! What callers ask of the owner: jobs are accepted and withdrawn, idempotency keys taken.
+
+use crate::clock::Millis;
+use crate::controller::shard::event::{Action, Answer, Refusal, refusal_name};
+use crate::controller::shard::office::{Office, shape};
+use crate::controller::shard::state::{Effect, StopWhy, Worker};
+use crate::id::{JobId, Name};
+use crate::job::{JobSpec, MAX_TASKS, Note};
+use crate::record::Record;
+use crate::size::Size;
+use crate::table::Class;
+use crate::trace::What;
+
+impl Office {
+    pub(super) fn submit(&mut self, now: Millis, token: u64, job: JobId, spec: JobSpec) {
+        if !self.book.jobs.contains_key(&job) {
+            if let Err(why) = self.check(&spec) {
+                let reason = refusal_name(why);
+                self.out.push(Action::Trace(What::Refused { job, reason }));
+                self.out.push(Action::Reply { token, answer: Answer::Refused(why) });
+                return;
+            }
+            self.accept(now, &job, &spec);
+        }
+        let note = Note::Submit { job: job.clone(), spec, at: now };
+        let answer = Answer::Submitted { job };
+        self.note(note, Some(Effect::Reply { token, answer }));
+    }
+
+    fn accept(&mut self, now: Millis, job: &JobId, spec: &JobSpec) {
+        self.load(&spec.kind).queue(spec.tasks, spec.size.cpu);
+        self.queue.add_all(shape(spec), now, job.clone(), spec.tasks);
+        self.dirty = true;
+        let (job, spec) = (job.clone(), spec.clone());
+        self.out.push(Action::Trace(What::Submitted {
+            job: job.clone(),
+            kind: spec.kind.clone(),
+            tasks: spec.tasks,
+            repeat: spec.repeat,
+        }));
+        self.out.push(Action::Append(Record::Job { job, spec, at: now }));
+    }
+
+    /// Whether a job can be accepted.
+    ///
+    /// # Errors
+    /// Why it is refused.
+    pub fn check(&self, spec: &JobSpec) -> Result<(), Refusal> {
+        let row = self.table.rows.get(&spec.kind).ok_or(Refusal::UnknownKind)?;
+        let waiting = self.loads.get(&spec.kind).map_or(0, |load| load.waiting);
+        let fits = |worker: &Worker| worker.ledger.total().times(&spec.size);
+        let room: u64 = self.workers.values().map(|worker| fits(worker) as u64).sum();
+        let need = if spec.gang { spec.tasks as u64 } else { 1 };
+        match () {
+            _ if row.class == Class::Request => Err(Refusal::UnknownKind),
+            _ if row.team != spec.team => Err(Refusal::WrongTeam),
+            _ if spec.tasks == 0 || spec.tasks > MAX_TASKS => Err(Refusal::BadSize),
+            _ if spec.size == Size::default() => Err(Refusal::BadSize),
+            _ if self.workers.is_empty() => Err(Refusal::NoWorkers),
+            _ if room < need => Err(Refusal::NeverFits),
+            _ if waiting + spec.tasks > row.queue => Err(Refusal::QueueFull),
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn cancel(&mut self, now: Millis, token: u64, id: JobId) {
+        let Some(job) = self.book.jobs.get(&id) else {
+            self.out.push(Action::Reply { token, answer: Answer::NotFound });
+            return;
+        };
+        if !job.cancelled && !job.over() {
+            let (kind, queued, cpu) = (job.spec.kind.clone(), job.queued, job.spec.size.cpu);
+            let bound: Vec<u32> = job.bound.iter().copied().collect();
+            if !self.undoing.contains(&id) {
+                self.load(&kind).dequeue(queued, cpu);
+            }
+            self.out.push(Action::Trace(What::Cancelled { job: id.clone() }));
+            self.note(Note::Cancel { job: id.clone() }, None);
+            for index in bound {
+                self.stop_task(now, &id, index, StopWhy::Cancel);
+            }
+            self.close_if_over(now, &id);
+        }
+        let Some(job) = self.book.jobs.get(&id) else { return };
+        let answer = Answer::Cancelled(Box::new(job.status(&id)));
+        self.note(Note::Cancel { job: id }, Some(Effect::Reply { token, answer }));
+    }
+
+    pub(super) fn take_key(&mut self, now: Millis, token: u64, key: Name, holder: Name) {
+        let known = self.book.keys.get(&key).map(|known| known.holder.clone());
+        let answer = match known {
+            Some(known) => Answer::KeyKnown(known),
+            None => Answer::KeyTaken,
+        };
+        let note = Note::Key { key, holder, at: now };
+        self.note(note, Some(Effect::Reply { token, answer }));
+    }
+}
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -1,5 +1,6 @@
 //! One shard at one entry: a replica, a claimant that looks for the shard's state, or its owner.
 
+mod call;
 pub mod event;
 pub mod journal;
 mod life;
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Entry, lock};
 use crate::id::{EntryId, Name};
 use crate::trace::What;
-use crate::wire::msg::{Ask, Beat, DELTA, DeltaBeat, ShardBeat, Tell};
+use crate::wire::msg::{Ask, Beat, DeltaBeat, ShardBeat, Tell, V2};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,7 +34,7 @@
 
     async fn beat_to(self: Arc<Self>, name: Name, addr: SocketAddr) {
         let ask = |version| match version {
-            DELTA.. => Some(Ask::Delta(self.make_delta(&name))),
+            V2.. => Some(Ask::Delta(self.make_delta(&name))),
             _ => Some(Ask::Beat(self.make_beat(self.shard_beats()))),
         };
         match self.quic.ask_by_version(&name, addr, ask, BEAT_LIMIT).await {
--- a/src/entry/handover.rs
+++ b/src/entry/handover.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Entry, ShardHandle, lock};
 use crate::id::{EntryId, Name};
 use crate::trace::What;
-use crate::wire::msg::{Ask, DELTA, Tell};
+use crate::wire::msg::{Ask, Tell, V2};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -47,7 +47,7 @@
             };
             let Some((name, _, addr)) = addr else { continue };
             let version = self.quic.version(&name, addr, SUCCESSOR_LIMIT).await;
-            if version.is_ok_and(|version| version >= DELTA) {
+            if version.is_ok_and(|version| version >= V2) {
                 return Some((id, addr));
             }
         }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -6,7 +6,7 @@
 use crate::controller::shard::office::Event;
 use crate::entry::{Entry, ShardHandle, lock};
 use crate::id::{Name, rendezvous};
-use crate::wire::msg::{Ask, DELTA, Tell};
+use crate::wire::msg::{Ask, Tell, V2};
 use futures_util::future::join_all;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -36,10 +36,11 @@
     /// Asks all homes at once and waits for them all, so that a shard never has two questions
     /// under way.
     async fn ask_homes(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
+        let known = self.known_shards();
         let (epoch, asks) = {
             let mut shard = handle.shard();
             let Some(office) = shard.office() else { return };
-            office.set_shards(self.known_shards());
+            office.set_shards(known);
             (office.epoch(), office.ask_parts())
         };
         let questions = self.questions(&handle.id, epoch, asks);
@@ -81,7 +82,7 @@
 
     async fn ask_home_at(&self, owner: Name, home: Name, question: Question) -> Tell {
         let Some(addr) = lock(&self.peers).addr(&owner) else { return Tell::NotOwner };
-        let ask = |version| (version >= DELTA).then_some(Ask::Parts { home, question });
+        let ask = |version| (version >= V2).then_some(Ask::Parts { home, question });
         let answer = self.quic.ask_by_version(&owner, addr, ask, HOME_LIMIT).await;
         answer.unwrap_or(Tell::NotOwner)
     }
--- a/src/wire/msg.rs
+++ b/src/wire/msg.rs
@@ -26,7 +26,7 @@
 /// The newest version of the messages.
 pub const NEWEST: u8 = 2;
 /// The first version with [`Ask::Delta`], [`Ask::Parts`] and [`Ask::HandOver`].
-pub const DELTA: u8 = 2;
+pub const V2: u8 = 2;
 
 /// A message with its sender's clock.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
