--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -359,6 +359,12 @@
         self.waiting.len()
     }
 
+    /// Each runner with the slots in use here, those that may be, and whether it is leaving.
+    pub fn runners(&self, now: Millis) -> Vec<(Name, u32, u32, bool)> {
+        let all = self.runners.iter();
+        all.map(|(name, at)| (name.clone(), at.used, at.allowed(now), at.leaving)).collect()
+    }
+
     /// Requests that are at a runner.
     pub fn used(&self) -> u32 {
         self.runners.values().map(|runner| runner.used).sum()
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -1,7 +1,7 @@
 //! The administration API under /v1.
 
 use crate::clock::Millis;
-use crate::controller::shard::office::Answer;
+use crate::controller::shard::office::{Answer, Load};
 use crate::controller::table::Verdict;
 use crate::entry::http::{MAX_EVENTS, MAX_KEY, bearer, fail, refuse};
 use crate::entry::view::{
@@ -23,6 +23,7 @@
 use poem_openapi::param::{Header, Path, Query};
 use poem_openapi::payload::{Json, PlainText};
 use poem_openapi::{OpenApi, OpenApiService};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// How long the API waits for owners.
@@ -104,7 +105,14 @@
         JobAccepted { job: job.to_string(), kept }
     }
 
-    async fn shard_view(&self, shard: Name, domain: Name, owner: String, epoch: u64) -> ShardView {
+    /// A shard, and its tasks by kind if its owner answers.
+    async fn shard_view(
+        &self,
+        shard: Name,
+        domain: Name,
+        owner: String,
+        epoch: u64,
+    ) -> (ShardView, Vec<(Name, Load)>) {
         let answer = self.entry.ask_owner(&shard, OwnerAsk::State, Millis(500)).await;
         let state: Option<ShardStatus> = match answer {
             Ok(Tell::Shard(state)) => Some(state),
@@ -122,10 +130,26 @@
             aside: Vec::new(),
             tasks: Vec::new(),
         };
+        let loads = state.as_ref().map(|state| state.loads.clone()).unwrap_or_default();
         if let Some(state) = state {
             view.fill(state);
         }
-        view
+        (view, loads)
+    }
+
+    /// Tasks by team, for people.
+    fn team_views(&self, loads: &[(Name, Load)]) -> Vec<String> {
+        let table = self.entry.table();
+        let mut teams: BTreeMap<&Name, (u32, u32)> = BTreeMap::new();
+        for (kind, load) in loads {
+            let Some(row) = table.rows.get(kind) else { continue };
+            let sum = teams.entry(&row.team).or_default();
+            sum.0 += load.waiting;
+            sum.1 += load.running;
+        }
+        let view =
+            |(team, (waiting, running))| format!("{team} waiting {waiting} running {running}");
+        teams.into_iter().map(view).collect()
     }
 }
 
@@ -257,10 +281,12 @@
         self.operator(request)?;
         let entry = &self.entry;
         let claims: Vec<Claim> = lock(&entry.fold).claims.all().cloned().collect();
-        let mut shards = Vec::new();
+        let (mut shards, mut loads) = (Vec::new(), Vec::new());
         for claim in claims {
             let owner = claim.owner.to_string();
-            shards.push(self.shard_view(claim.shard, claim.domain, owner, claim.epoch).await);
+            let view = self.shard_view(claim.shard, claim.domain, owner, claim.epoch).await;
+            shards.push(view.0);
+            loads.extend(view.1);
         }
         let (slots, waiting) = entry.slot_load();
         let peers = lock(&entry.peers).fresh(entry.now());
@@ -273,6 +299,8 @@
             peers: peers.into_iter().map(|(name, _, _)| name.to_string()).collect(),
             slots,
             waiting: waiting as u32,
+            runners: entry.runner_views(),
+            teams: self.team_views(&loads),
             shards,
         }))
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -136,6 +136,14 @@
         (slots.used(), slots.waiting())
     }
 
+    /// Runners with their slots, for people.
+    pub(crate) fn runner_views(&self) -> Vec<String> {
+        let view = |(name, used, allowed, leaving): (Name, u32, u32, bool)| {
+            format!("{name} used {used} of {allowed}{}", if leaving { " leaving" } else { "" })
+        };
+        lock(&self.slots).runners(self.now()).into_iter().map(view).collect()
+    }
+
     /// Failure domains other than this one that can be reached.
     pub(crate) fn other_domains(&self) -> BTreeSet<Name> {
         let fresh = lock(&self.peers).fresh(self.now()).into_iter();
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -131,6 +131,10 @@
     pub(super) slots: u32,
     /// Requests waiting for a slot here.
     pub(super) waiting: u32,
+    /// Runners of this failure domain: slots in use here, and slots that may be.
+    pub(super) runners: Vec<String>,
+    /// Teams: tasks waiting and running in all shards whose owners answered.
+    pub(super) teams: Vec<String>,
     /// The shards of the cell.
     pub(super) shards: Vec<ShardView>,
 }
