Tests: the status of teams is waited for

Cause: one look at the status may miss a shard whose owner takes longer than 500 ms to answer on a busy machine; it was not seen to fail. Change: the test waits for the state, as strict as before.

--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -351,9 +351,13 @@
     assert_ne!(campaigns[0].split('.').next(), campaigns[1].split('.').next(), "two shards");
     cell.until("all of the limit", async || running(&cell, &campaigns).await == 3).await;
     cell.until("all of the quota", async || running(&cell, &builds).await == 5).await;
-    let status = cell.get("nasr-hall-1", "/v1/status").await;
-    let teams = ["nilewire waiting 11 running 5", "viestisilta waiting 9 running 3"];
-    assert_eq!(status["teams"], json!(teams), "{status}");
+    let teams = json!(["nilewire waiting 11 running 5", "viestisilta waiting 9 running 3"]);
+    let mut status = Value::Null;
+    cell.until("teams", async || {
+        status = cell.get("nasr-hall-1", "/v1/status").await;
+        status["teams"] == teams
+    })
+    .await;
     let runner = status["runners"][0].as_str().unwrap_or("").to_string();
     assert!(runner.starts_with("nasr-hall-r1 used 0 of "), "{runner}");
     let first = cell.job("nasr-hall-1", &campaigns[0]).await;
