Comments and pages say heartbeat and leadership transfer

Cause: a newcomer's read met "sign of life" and "the owner's own word" where the field has terms. Comments, pages and one printed line of a bench only; no check was changed.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -107,7 +107,7 @@
 }
 
 fn beats() {
-    println!("sign of life: shards of the failure domain (a third owned), bytes whole,");
+    println!("heartbeat: shards of the failure domain (a third owned), bytes whole,");
     println!("  with the owned shards changed, with nothing changed");
     for count in [2, 12, 28] {
         let all: Vec<ShardBeat> = (0..count).map(|i| shard_beat(i, i % 3 == 0)).collect();
--- a/src/controller/shard/journal.rs
+++ b/src/controller/shard/journal.rs
@@ -153,7 +153,7 @@
     /// A replica is gone for good: nothing waits for it any more, unless it is the last one. A
     /// claimant may have sealed it before it died, and may count on the others being gone: what they
     /// acknowledged before shows nothing. So nothing more is committed until all that are left have
-    /// acknowledged a note of now. `true` if there is one to send.
+    /// acknowledged a note made after that. `true` if there is one to send.
     pub fn gone(&mut self, id: &EntryId) -> bool {
         if self.replicas.len() <= 1 || !self.replicas.contains_key(id) {
             return false;
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -1,4 +1,4 @@
-//! Signs of life between entries, and what they carry along: newer tables and VM lists.
+//! Heartbeats between entries, and what they carry along: newer tables and VM lists.
 
 use crate::clock::Millis;
 use crate::controller::list::{Role, VmList};
@@ -11,13 +11,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// How long a peer may take to answer a sign of life.
+/// How long a peer may take to answer a heartbeat.
 const BEAT_LIMIT: Millis = Millis(1_000);
 /// How long an exchange with the list may take.
 const LIST_LIMIT: Millis = Millis(2_000);
 
 impl Entry {
-    /// Sends signs of life, at once when there is news.
+    /// Sends heartbeats, at once when there is news.
     pub(super) async fn beat(self: Arc<Self>) {
         let mut timer = tokio::time::interval(self.settings.beat_every.duration());
         loop {
@@ -72,7 +72,7 @@
         }
     }
 
-    /// A sign of life for one peer, with the shards that changed since it last said what it holds.
+    /// A heartbeat for one peer, with the shards that changed since it last said what it holds.
     fn make_delta(&self, peer: &Name) -> DeltaBeat {
         let held = {
             let peers = lock(&self.peers);
@@ -83,14 +83,14 @@
         DeltaBeat { beat: self.make_beat(Vec::new()), delta }
     }
 
-    /// Answers a peer's sign of life.
+    /// Answers a peer's heartbeat.
     pub(super) fn answer_beat(self: &Arc<Self>, beat: Beat) -> Tell {
         let entry = self.clone();
         tokio::spawn(async move { entry.take_beat(beat).await });
         Tell::Beat(self.make_beat(self.shard_beats()))
     }
 
-    /// Answers a peer's sign of life that leaves out what did not change.
+    /// Answers a peer's heartbeat that leaves out what did not change.
     pub(super) fn answer_delta(self: &Arc<Self>, message: DeltaBeat) -> Tell {
         let peer = message.beat.from.name.clone();
         if let Some(beat) = self.merge_delta(message) {
@@ -101,7 +101,7 @@
         Tell::Delta(self.make_delta(&peer))
     }
 
-    /// The whole sign of life, and a note of what the peer holds.
+    /// The whole heartbeat, and a note of what the peer holds.
     fn merge_delta(&self, message: DeltaBeat) -> Option<Beat> {
         lock(&self.outbox).acked(&message.beat.from, message.delta.held);
         lock(&self.peers).merge(message)
--- a/src/entry/handover.rs
+++ b/src/entry/handover.rs
@@ -1,4 +1,4 @@
-//! Handing a shard over from owner to replica by the owner's own word, while the log is down.
+//! Leadership transfer of a shard from its owner to a replica, without a claim, while the log is down.
 
 use crate::clock::Millis;
 use crate::controller::replica::State;
@@ -18,7 +18,7 @@
 const PAUSE: Millis = Millis(100);
 
 impl Entry {
-    /// Hands a shard over to one of its replicas. From the moment on that this entry steps down only
+    /// Hands a shard over to one of its replicas. Once this entry has stepped down, only
     /// that one can own the shard in this epoch, so it is told until it answers.
     pub(super) async fn hand_over(self: &Arc<Self>, handle: &Arc<ShardHandle>) {
         let Some((to, addr)) = self.successor(handle).await else { return };
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Takes in a sign of life; the earlier run of the same entry, if this is a new one.
+    /// Takes in a heartbeat; the earlier run of the same entry, if this is a new one.
     pub fn heard(&mut self, now: Millis, beat: Beat) -> Option<EntryId> {
         let fresh = Known::new(beat.domain.clone(), beat.addr);
         let known = self.known.entry(beat.from.name.clone()).or_insert(fresh);
@@ -71,7 +71,7 @@
         replaced
     }
 
-    /// Adds to a sign of life what it leaves out; `None` if that is not known, or newer is.
+    /// Adds to a heartbeat what it leaves out; `None` if that is not known, or newer is.
     pub fn merge(&mut self, message: DeltaBeat) -> Option<Beat> {
         let DeltaBeat { beat, delta } = message;
         let fresh = Known::new(beat.domain.clone(), beat.addr);
--- a/src/wire/msg.rs
+++ b/src/wire/msg.rs
@@ -123,7 +123,7 @@
     Parts(Vec<(Limit, u64)>),
 }
 
-/// A sign of life.
+/// A heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
     /// The sender.
@@ -142,16 +142,16 @@
     pub shards: Vec<ShardBeat>,
 }
 
-/// A sign of life with only the shards that changed.
+/// A heartbeat with only the shards that changed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DeltaBeat {
-    /// The sign of life, without shards.
+    /// The heartbeat, without shards.
     pub beat: Beat,
     /// The shards that changed.
     pub delta: Delta,
 }
 
-/// One shard in a sign of life.
+/// One shard in a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShardBeat {
     /// The shard.
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -551,7 +551,7 @@
 }
 
 /// A start of the first owner arrives, and a copy of it is late. Its successor sees the task run and
-/// end and, if it takes an old sign of life for the first owner's word that nothing is on its way,
+/// end and, if it takes an old heartbeat for the first owner's word that nothing is on its way,
 /// lets the worker forget it. The late copy then runs the task again.
 fn first_owners_start_is_late(flaw: Flaw) {
     let mut world = play(&[], flaw);
