--- /dev/null
+++ b/src/cell/election.rs
@@ -0,0 +1,180 @@
+//! Who owns the cell: the last claim in the platform's log.
+//!
+//! A claim is appended on the condition that nothing was appended since the claimant read the log,
+//! so a heartbeat of a living owner voids it. Its offset is the epoch.
+
+use crate::clock::Millis;
+use crate::id::{EntryId, Name};
+use serde::{Deserialize, Serialize};
+
+/// Time between two heartbeats of an owner in the log. Each is read by every entry; at 600 ms
+/// that is 12 calls a second of the 2,600 that the store takes.
+pub const BEAT: Millis = Millis(600);
+/// An owner whose heartbeats are missing this long is replaced: two may be late by half.
+pub const SILENCE: Millis = Millis(1_800);
+/// If the owner's process surely is not there, this much silence is enough: a living owner has
+/// sent a heartbeat in that time.
+const SHORT_SILENCE: Millis = Millis(750);
+/// Two claims by one entry are this far apart, so that the first can be read back.
+const CLAIM_PAUSE: Millis = Millis(400);
+
+/// A record of the claims' topic.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// An entry takes the cell over.
+    Claim {
+        /// The new owner.
+        owner: EntryId,
+        /// Where other entries reach it.
+        addr: Name,
+    },
+    /// The owner lives.
+    Beat {
+        /// Its epoch.
+        epoch: u64,
+        /// The owner.
+        owner: EntryId,
+        /// Where other entries reach it.
+        addr: Name,
+    },
+    /// The owner stops by plan: anybody may claim at once.
+    Release {
+        /// Its epoch.
+        epoch: u64,
+    },
+}
+
+/// The owner by the last claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leader {
+    /// One more than the offset of its claim.
+    pub epoch: u64,
+    /// The entry.
+    pub owner: EntryId,
+    /// Where other entries reach it.
+    pub addr: Name,
+}
+
+/// What an entry knows of the owner.
+#[derive(Debug)]
+pub struct Election {
+    me: EntryId,
+    leader: Option<Leader>,
+    released: bool,
+    /// The offset after the last record that was read.
+    end: u64,
+    /// When the owner was last heard through the log, or could have been.
+    heard: Millis,
+    /// When the log could last be read; `None`: never.
+    read: Option<Millis>,
+    /// The owner's process is not there.
+    absent: bool,
+    claimed: Option<Millis>,
+}
+
+impl Election {
+    /// Nothing is known yet.
+    pub fn new(me: EntryId, now: Millis) -> Self {
+        Self {
+            me,
+            leader: None,
+            released: false,
+            end: 0,
+            heard: now,
+            read: None,
+            absent: false,
+            claimed: None,
+        }
+    }
+
+    /// The owner by the last claim that was read.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Whether this entry is the owner.
+    pub fn is_mine(&self) -> bool {
+        self.leader.as_ref().is_some_and(|leader| leader.owner == self.me) && !self.released
+    }
+
+    /// The offset after the last record that was read.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Records before `first` are gone: reading goes on from there.
+    pub fn skip(&mut self, first: u64) {
+        self.end = self.end.max(first);
+    }
+
+    /// A record was read.
+    pub fn add(&mut self, now: Millis, offset: u64, record: Record) {
+        if offset < self.end {
+            return;
+        }
+        self.end = offset + 1;
+        match record {
+            Record::Claim { owner, addr } => {
+                self.set(Leader { epoch: offset + 1, owner, addr });
+                self.heard = now;
+            }
+            Record::Beat { epoch, owner, addr } if self.epoch() <= epoch => {
+                if self.epoch() < epoch {
+                    self.set(Leader { epoch, owner, addr });
+                }
+                self.heard = now;
+                self.absent = false;
+            }
+            Record::Release { epoch } if self.epoch() == epoch => self.released = true,
+            Record::Beat { .. } | Record::Release { .. } => {}
+        }
+    }
+
+    fn set(&mut self, leader: Leader) {
+        self.leader = Some(leader);
+        self.released = false;
+        self.absent = false;
+    }
+
+    fn epoch(&self) -> u64 {
+        self.leader.as_ref().map_or(0, |leader| leader.epoch)
+    }
+
+    /// All records so far were read at this time.
+    pub fn caught_up(&mut self, now: Millis) {
+        // While the log cannot be read its silence says nothing about the owner.
+        if self.read.is_none_or(|read| now.since(read) >= SHORT_SILENCE + SHORT_SILENCE) {
+            self.heard = self.heard.max(now);
+        }
+        self.read = Some(now);
+    }
+
+    /// Whether the log could be read a moment ago.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.read.is_some_and(|read| now.since(read) < SILENCE)
+    }
+
+    /// Connections to the owner of `epoch` are refused, or its process is another one.
+    pub fn miss(&mut self, epoch: u64) {
+        self.absent = self.absent || self.epoch() == epoch;
+    }
+
+    /// Whether to claim now: the offset at which the log must end.
+    pub fn claim(&mut self, now: Millis) -> Option<u64> {
+        let paused = self.claimed.is_some_and(|at| now.since(at) < CLAIM_PAUSE);
+        if paused || !self.is_fresh(now) || self.is_mine() {
+            return None;
+        }
+        let silence = now.since(self.heard);
+        let due = match &self.leader {
+            None => true,
+            Some(_) if self.released => true,
+            Some(_) if self.absent => silence >= SHORT_SILENCE,
+            Some(_) => silence >= SILENCE,
+        };
+        due.then(|| {
+            self.claimed = Some(now);
+            self.end
+        })
+    }
+}
--- /dev/null
+++ b/src/cell/job.rs
@@ -0,0 +1,300 @@
+//! A job at its owner: its steps, its tasks, and what is known of them.
+
+use crate::cell::journal::{Fate, JobRecord, Progress, StepNote, TaskNote};
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::workload::{JobKey, Queue, Step, StepKey, Work};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Where a task stands.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Stand {
+    /// It needs a worker, now or once its step's turn has come.
+    #[default]
+    Waiting,
+    /// It was given to a worker, as this run.
+    Placed {
+        /// The worker.
+        worker: Name,
+        /// The number of the start.
+        run: u64,
+    },
+    /// It is done.
+    Done,
+}
+
+/// A task.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Task {
+    /// Where it stands.
+    pub stand: Stand,
+    /// How often it failed.
+    pub failed: u32,
+    /// The number of its last start in this epoch.
+    pub runs: u64,
+    /// The number of its last run that is known to have ended.
+    pub ended: u64,
+    /// Its saved progress; empty: none.
+    pub saved: Name,
+    /// Workers on which it failed.
+    pub avoid: Vec<Name>,
+}
+
+impl Default for Task {
+    fn default() -> Self {
+        let (stand, saved) = (Stand::Waiting, "".into());
+        Self { stand, failed: 0, runs: 0, ended: 0, saved, avoid: Vec::new() }
+    }
+}
+
+/// A worker's clearance for a step.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ticket {
+    /// What a start must carry.
+    pub text: Name,
+    /// When it stops holding.
+    pub until: Millis,
+}
+
+/// What the advice service said about a step.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Advised {
+    /// A question is under way.
+    pub asking: bool,
+    /// It is not asked again before this time.
+    pub again: Millis,
+    /// Workers that may run the step; the clearance never changes, only the ticket runs out.
+    pub cleared: BTreeMap<Name, Ticket>,
+    /// Workers that may not.
+    pub denied: BTreeSet<Name>,
+}
+
+/// One step of one repetition.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct StepState {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Tasks that need a worker.
+    pub waiting: BTreeSet<u32>,
+    /// What the advice service said.
+    pub advised: Advised,
+    /// When its turn came: its dependencies are done and its time is due.
+    pub turn: Option<Millis>,
+}
+
+/// A job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// Its queue.
+    pub queue: Arc<Queue>,
+    /// What was asked for.
+    pub work: Arc<Work>,
+    /// When this owner learned of it.
+    pub since: Millis,
+    /// The batch with its record.
+    pub batch: u64,
+    /// It was accepted by an earlier owner, so a task may run where this owner cannot see it.
+    pub inherited: bool,
+    /// A task has been started.
+    pub begun: bool,
+    /// How it ended, with the batch that says so and the time.
+    pub closed: Option<(Fate, u64, Millis)>,
+    /// Progress has been written.
+    pub noted: bool,
+    /// The steps: all of the first repetition, then all of the second.
+    pub steps: Vec<StepState>,
+}
+
+impl Job {
+    /// A job of which nothing has run.
+    pub fn new(queue: Arc<Queue>, work: Arc<Work>, now: Millis, batch: u64) -> Self {
+        let fresh = |step: &Step| StepState {
+            tasks: vec![Task::default(); step.count as usize],
+            left: step.count,
+            waiting: (0..step.count).collect(),
+            ..StepState::default()
+        };
+        let steps = (0..work.times).flat_map(|_| work.steps.iter().map(fresh)).collect();
+        Self {
+            queue,
+            work,
+            since: now,
+            batch,
+            inherited: false,
+            begun: false,
+            closed: None,
+            noted: false,
+            steps,
+        }
+    }
+
+    /// A job that ended under an earlier owner: only its fate is known.
+    pub fn ended(queue: Arc<Queue>, fate: Fate, now: Millis) -> Self {
+        let work = Work {
+            spec: "".into(),
+            steps: Vec::new(),
+            times: 0,
+            first: Millis(0),
+            every: Millis(0),
+        };
+        let job = Self::new(queue, Arc::new(work), now, 0);
+        Self { closed: Some((fate, 0, now)), begun: true, inherited: true, ..job }
+    }
+
+    fn at(&self, time: u32, step: u16) -> usize {
+        time as usize * self.work.steps.len() + usize::from(step)
+    }
+
+    /// What was asked for in a step.
+    pub fn spec(&self, step: u16) -> Option<&Step> {
+        self.work.steps.get(usize::from(step))
+    }
+
+    /// The state of a step.
+    pub fn step(&self, key: StepKey) -> Option<&StepState> {
+        self.steps.get(self.at(key.time, key.step))
+    }
+
+    /// The state of a step, to change it.
+    pub fn step_mut(&mut self, key: StepKey) -> Option<&mut StepState> {
+        let at = self.at(key.time, key.step);
+        self.steps.get_mut(at)
+    }
+
+    /// Whether nobody has ended it.
+    pub fn is_open(&self) -> bool {
+        self.closed.is_none()
+    }
+
+    /// Whether all steps that a step depends on are done.
+    pub fn is_free(&self, key: StepKey) -> bool {
+        let Some(spec) = self.spec(key.step) else { return false };
+        spec.after.iter().all(|after| {
+            self.steps.get(self.at(key.time, *after)).is_some_and(|step| step.left == 0)
+        })
+    }
+
+    /// The steps of repetition `time` that depend on `step`.
+    pub fn followers(&self, key: StepKey) -> Vec<StepKey> {
+        let steps = self.work.steps.iter().enumerate();
+        let follows = steps.filter(|(_, spec)| spec.after.contains(&key.step));
+        follows.map(|(no, _)| StepKey { step: no as u16, ..key }).collect()
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Every step of every repetition.
+    pub fn keys(&self, job: JobKey) -> Vec<StepKey> {
+        let steps = self.work.steps.len() as u16;
+        let times = 0..self.work.times;
+        times.flat_map(|time| (0..steps).map(move |step| StepKey { job, time, step })).collect()
+    }
+
+    /// The record of the job.
+    pub fn record(&self) -> JobRecord {
+        match self.closed {
+            Some((fate, ..)) => JobRecord::Closed { queue: self.queue.name.clone(), fate },
+            None => JobRecord::Open { queue: (*self.queue).clone(), work: self.work.clone() },
+        }
+    }
+
+    /// What has to be known of the job's tasks by another owner.
+    pub fn progress(&self) -> Progress {
+        let width = self.work.steps.len().max(1);
+        let notes = self.steps.iter().enumerate().filter_map(|(no, step)| {
+            let note = step.note(((no / width) as u32, (no % width) as u16));
+            (!note.done.is_empty() || !note.tasks.is_empty()).then_some(note)
+        });
+        Progress { steps: notes.collect() }
+    }
+
+    /// Takes in what an earlier owner knew.
+    pub fn restore(&mut self, progress: &Progress) {
+        for note in &progress.steps {
+            let at = self.at(note.place.0, note.place.1);
+            if let Some(step) = self.steps.get_mut(at) {
+                step.restore(note);
+            }
+        }
+        self.begun = self.begun || !progress.steps.is_empty();
+        self.noted = true;
+    }
+}
+
+impl StepState {
+    fn note(&self, place: (u32, u16)) -> StepNote {
+        const BITS: usize = 8;
+        let mut note = StepNote { place, ..StepNote::default() };
+        if self.left < self.tasks.len() as u32 {
+            note.done = vec![0; self.tasks.len().div_ceil(BITS)];
+        }
+        for (index, task) in self.tasks.iter().enumerate() {
+            match task.stand {
+                Stand::Done => {
+                    if let Some(byte) = note.done.get_mut(index / BITS) {
+                        *byte |= 1 << (index % BITS);
+                    }
+                }
+                _ if task.failed > 0 || !task.saved.is_empty() => note.tasks.push(TaskNote {
+                    index: index as u32,
+                    failed: task.failed,
+                    ended: task.ended,
+                    saved: task.saved.clone(),
+                }),
+                _ => {}
+            }
+        }
+        note
+    }
+
+    fn restore(&mut self, note: &StepNote) {
+        const BITS: usize = 8;
+        for index in 0..self.tasks.len() {
+            let byte = note.done.get(index / BITS).copied().unwrap_or(0);
+            if byte & (1 << (index % BITS)) != 0 {
+                self.finish(index as u32);
+            }
+        }
+        for known in &note.tasks {
+            if let Some(task) = self.tasks.get_mut(known.index as usize) {
+                task.failed = known.failed;
+                task.ended = known.ended;
+                task.saved = known.saved.clone();
+            }
+        }
+    }
+
+    /// A task is done; `false` if that was known.
+    pub fn finish(&mut self, index: u32) -> bool {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return false };
+        if task.stand == Stand::Done {
+            return false;
+        }
+        task.stand = Stand::Done;
+        self.waiting.remove(&index);
+        self.left -= 1;
+        true
+    }
+
+    /// A task needs a worker again.
+    pub fn requeue(&mut self, index: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.stand = Stand::Waiting;
+            self.waiting.insert(index);
+        }
+    }
+
+    /// A task is given to a worker.
+    pub fn place(&mut self, index: u32, worker: Name, run: u64) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.stand = Stand::Placed { worker, run };
+            self.waiting.remove(&index);
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/journal.rs
@@ -0,0 +1,165 @@
+//! What an owner keeps in the platform's store, and how it is written.
+
+use crate::id::Name;
+use crate::workload::{JobKey, Queue, Work};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The key of the record that names all workers in use.
+const ROSTER: &str = "roster";
+/// What follows a job's key in the key of its progress.
+const PROGRESS: &str = ".p";
+
+/// What became of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// A caller withdrew it.
+    Cancelled,
+}
+
+/// What does not change while a job is open, or how it ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum JobRecord {
+    /// It was accepted.
+    Open {
+        /// Its queue as it was then; a queue may be removed while its jobs are open.
+        queue: Queue,
+        /// What was asked for.
+        work: Arc<Work>,
+    },
+    /// It ended.
+    Closed {
+        /// Its queue's name.
+        queue: Name,
+        /// How it ended.
+        fate: Fate,
+    },
+}
+
+/// What is known of one task that waits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskNote {
+    /// Its place in its step.
+    pub index: u32,
+    /// How often it failed.
+    pub failed: u32,
+    /// The number of its last run that is known to have ended.
+    pub ended: u64,
+    /// Its saved progress; empty: none.
+    pub saved: Name,
+}
+
+/// What is known of one step of one repetition.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepNote {
+    /// The repetition and the step.
+    pub place: (u32, u16),
+    /// One bit a task, in bytes from the lowest bit: whether it is done.
+    pub done: Vec<u8>,
+    /// Tasks that failed or saved progress.
+    pub tasks: Vec<TaskNote>,
+}
+
+/// What changes while a job is open.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The steps of which something is known.
+    pub steps: Vec<StepNote>,
+}
+
+/// A worker that may run something.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its id.
+    pub id: Name,
+    /// Its service.
+    pub service: Name,
+    /// Where it is called.
+    pub addr: Name,
+}
+
+/// Records that are appended together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Batch {
+    /// Rises by one with each batch of an epoch.
+    pub no: u64,
+    /// Keys and values; an empty value drops the key.
+    pub records: Vec<(String, Vec<u8>)>,
+}
+
+/// All that the store holds of a cell.
+#[derive(Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// The jobs.
+    pub jobs: BTreeMap<JobKey, JobRecord>,
+    /// What is known of open jobs.
+    pub progress: BTreeMap<JobKey, Progress>,
+    /// The workers that may run something.
+    pub roster: Vec<Member>,
+}
+
+/// The record of a job.
+pub fn job(key: JobKey, record: &JobRecord) -> (String, Vec<u8>) {
+    (key.to_string(), encode(record))
+}
+
+/// The record of a job's progress.
+pub fn progress(key: JobKey, progress: &Progress) -> (String, Vec<u8>) {
+    (format!("{key}{PROGRESS}"), encode(progress))
+}
+
+/// Drops a job.
+pub fn drop_job(key: JobKey) -> (String, Vec<u8>) {
+    (key.to_string(), Vec::new())
+}
+
+/// Drops a job's progress.
+pub fn drop_progress(key: JobKey) -> (String, Vec<u8>) {
+    (format!("{key}{PROGRESS}"), Vec::new())
+}
+
+/// The record of the workers in use.
+pub fn roster(members: &[Member]) -> (String, Vec<u8>) {
+    (ROSTER.to_string(), encode(&members))
+}
+
+fn encode<T: Serialize + ?Sized>(value: &T) -> Vec<u8> {
+    // Encoding into memory fails only for types that these records do not have.
+    postcard::to_stdvec(value).unwrap_or_else(|err| {
+        log::error!("event=record-not-encoded error={err:?}");
+        Vec::new()
+    })
+}
+
+impl Snapshot {
+    /// Takes in one record; later ones replace earlier ones.
+    ///
+    /// # Errors
+    /// The value cannot be read.
+    pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), postcard::Error> {
+        if key == ROSTER {
+            self.roster = if value.is_empty() { Vec::new() } else { postcard::from_bytes(value)? };
+            return Ok(());
+        }
+        let (text, of_progress) = match key.strip_suffix(PROGRESS) {
+            Some(text) => (text, true),
+            None => (key, false),
+        };
+        let Ok(job) = text.parse::<JobKey>() else {
+            log::warn!("event=record-unknown key={key}");
+            return Ok(());
+        };
+        match of_progress {
+            true if value.is_empty() => drop(self.progress.remove(&job)),
+            true => drop(self.progress.insert(job, postcard::from_bytes(value)?)),
+            false if value.is_empty() => drop(self.jobs.remove(&job)),
+            false => drop(self.jobs.insert(job, postcard::from_bytes(value)?)),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cell/life.rs
@@ -0,0 +1,486 @@
+//! The life of jobs and of their runs: opened, started, stopped, lost, closed.
+
+use crate::cell::job::{Job, Stand};
+use crate::cell::journal::{Fate, JobRecord, Member, Snapshot};
+use crate::cell::worker::{Phase, Worker};
+use crate::cell::{Action, Cell};
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::{Listed, Outcome, Refusal};
+use crate::workload::{JobKey, Queue, Room, StepKey, TaskKey};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// How often time passes for a cell: stops that were not answered are sent again, leases run out.
+/// A tenth of what a caller waits at the most.
+pub const TICK: Millis = Millis(100);
+/// The closed state of a job is kept this much longer than promised.
+const KEEP_SPARE: Millis = Millis(10_000);
+
+impl Cell {
+    /// Takes in what the store holds.
+    pub(super) fn inherit(&mut self, snapshot: Snapshot, now: Millis) {
+        let lease_end = now + Millis(self.bounds.lease.0 * 1_050 / 1_000);
+        for member in snapshot.roster {
+            let mut worker = Worker::new(unlisted(member), 0, lease_end);
+            worker.present = false;
+            self.actions.push(Action::Watch(worker.listed.clone()));
+            self.workers.insert(worker.listed.id.clone(), worker);
+        }
+        for (key, record) in snapshot.jobs {
+            match record {
+                JobRecord::Closed { queue, fate } => {
+                    self.jobs.insert(key, Job::ended(self.queue_named(queue), fate, now));
+                    self.closed.push_back(key);
+                }
+                JobRecord::Open { queue, work } => {
+                    let queue = self.queues.get(&queue.name).cloned().unwrap_or(Arc::new(queue));
+                    let mut job = Job::new(queue, work, now, 0);
+                    job.inherited = true;
+                    if let Some(progress) = snapshot.progress.get(&key) {
+                        job.restore(progress);
+                    }
+                    let done = job.is_done();
+                    self.jobs.insert(key, job);
+                    match done {
+                        true => self.close(now, key, Fate::Completed),
+                        false => self.open_job(now, key),
+                    }
+                }
+            }
+        }
+    }
+
+    fn queue_named(&self, name: Name) -> Arc<Queue> {
+        let unknown = || {
+            Arc::new(Queue {
+                name: name.clone(),
+                service: "".into(),
+                priority: 0,
+                attempts: 1,
+                stretch: 1_000,
+                target: Millis(0),
+                advice: None,
+            })
+        };
+        self.queues.get(&name).cloned().unwrap_or_else(unknown)
+    }
+
+    /// A job is in the store: its first steps may begin when they are due.
+    pub(super) fn open_job(&mut self, now: Millis, key: JobKey) {
+        let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { return };
+        let scheduled = job.work.first.0 > 0;
+        let keys = job.keys(key);
+        let free: Vec<StepKey> = keys.into_iter().filter(|step| job.is_free(*step)).collect();
+        let due: Vec<Millis> = free.iter().map(|step| job.work.due(step.time)).collect();
+        for (step, due) in free.into_iter().zip(due) {
+            match scheduled {
+                true => drop(self.timers.insert((due, step))),
+                false => self.open_step(now, step),
+            }
+        }
+    }
+
+    /// A step's turn has come.
+    pub(super) fn open_step(&mut self, now: Millis, key: StepKey) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
+        let Some(step) = job.step_mut(key) else { return };
+        step.turn.get_or_insert(now);
+        self.make_ready(key);
+    }
+
+    /// Lists a step among those with tasks that need a worker, if it has any.
+    pub(super) fn make_ready(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job).filter(|job| job.is_open()) else { return };
+        let Some(step) = job.step(key) else { return };
+        if step.turn.is_none() || step.waiting.is_empty() {
+            return;
+        }
+        let (priority, due) = rank(job);
+        self.ready.insert((priority, due, key));
+        self.stir = true;
+    }
+
+    /// Ranks may have changed with the policy.
+    pub(super) fn rank_again(&mut self) {
+        let keys: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
+        self.ready.clear();
+        for key in keys {
+            self.make_ready(key);
+        }
+    }
+
+    /// A task is done.
+    pub(super) fn finish(&mut self, now: Millis, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let gang = job.spec(task.step.step).is_some_and(|spec| spec.gang);
+        let Some(step) = job.step_mut(task.step) else { return };
+        let new = match gang {
+            true => (0..step.tasks.len() as u32).filter(|index| step.finish(*index)).count() > 0,
+            false => step.finish(task.index),
+        };
+        if !new {
+            return;
+        }
+        let over = step.left == 0;
+        self.dirty.insert(task.step.job);
+        if over {
+            self.end_step(now, task.step);
+        }
+    }
+
+    fn end_step(&mut self, now: Millis, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.is_done() {
+            return self.close(now, key.job, Fate::Completed);
+        }
+        let next: Vec<StepKey> =
+            job.followers(key).into_iter().filter(|f| job.is_free(*f)).collect();
+        for step in next {
+            self.open_step(now, step);
+        }
+    }
+
+    /// A job ends: nothing of it is started any more, and what runs is stopped.
+    pub(super) fn close(&mut self, now: Millis, key: JobKey, fate: Fate) {
+        let batch = self.batch;
+        let Some(job) = self.jobs.get_mut(&key).filter(|job| job.is_open()) else { return };
+        log::info!(
+            "event=closed job={key} fate={fate:?} queue={} age_ms={} batch={batch}",
+            job.queue.name,
+            now.since(job.since)
+        );
+        job.closed = Some((fate, batch, now));
+        let (priority, due) = rank(job);
+        let steps = job.keys(key);
+        let mut placed = Vec::new();
+        for step in &steps {
+            let tasks = job.step(*step).map(|state| state.tasks.as_slice()).unwrap_or_default();
+            for (index, task) in tasks.iter().enumerate() {
+                if let Stand::Placed { worker, run } = &task.stand {
+                    placed.push((
+                        worker.clone(),
+                        TaskKey { step: *step, index: index as u32 },
+                        *run,
+                    ));
+                }
+            }
+        }
+        job.steps = Vec::new();
+        for step in steps {
+            self.ready.remove(&(priority, due, step));
+            self.advisers.cancel(step);
+        }
+        self.dirty.insert(key);
+        self.closed.push_back(key);
+        for (worker, task, run) in placed {
+            self.stop(&worker, task, run);
+        }
+    }
+
+    /// Has a run end. Its room stays taken until the worker says that it is gone.
+    pub(super) fn stop(&mut self, name: &Name, task: TaskKey, run: u64) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(known) = worker.runs.get_mut(&(task, run)) else { return };
+        if matches!(known.phase, Phase::Stopping(_)) {
+            return;
+        }
+        known.phase = Phase::Stopping(None);
+        known.told = true;
+        self.actions.push(Action::Stop { worker: name.clone(), task, run });
+    }
+
+    /// A run is over, or never was, and it is not done: its task needs a worker again.
+    pub(super) fn lose(&mut self, name: &Name, task: TaskKey, run: u64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.remove(task, run);
+            self.stir = true;
+        }
+        self.requeue(task, run);
+    }
+
+    /// The task of a run that is over needs a worker again, unless it has another run.
+    pub(super) fn requeue(&mut self, task: TaskKey, run: u64) {
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(step) = job.step_mut(task.step) else { return };
+        let stand = step.tasks.get(task.index as usize).map(|task| task.stand.clone());
+        let is_this = matches!(stand, Some(Stand::Placed { run: placed, .. }) if placed == run);
+        if is_this {
+            step.requeue(task.index);
+            self.make_ready(task.step);
+            self.settle_gang(task.step);
+        }
+    }
+
+    /// A gang that lost a member is stopped whole: its tasks work only together.
+    pub(super) fn settle_gang(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job).filter(|job| job.is_open()) else { return };
+        let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
+        if !spec.gang || step.waiting.is_empty() || step.left == 0 {
+            return;
+        }
+        let placed: Vec<(Name, TaskKey, u64)> = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter_map(|(index, task)| match &task.stand {
+                Stand::Placed { worker, run } => {
+                    Some((worker.clone(), TaskKey { step: key, index: index as u32 }, *run))
+                }
+                _ => None,
+            })
+            .collect();
+        for (worker, task, run) in placed {
+            self.stop(&worker, task, run);
+        }
+    }
+
+    /// What became of an order to start a run.
+    pub fn started(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
+        if !matches!(outcome, Outcome::Done(_)) {
+            log::info!(
+                "event=start-failed task={task} run={run} worker={name} outcome={outcome:?}"
+            );
+        }
+        match outcome {
+            Outcome::Done(_) => self.confirm_start(now, name, task, run),
+            Outcome::Unknown => self.stop(name, task, run),
+            Outcome::Unsent => {
+                self.lose(name, task, run);
+                self.silence(name);
+            }
+            Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
+            Outcome::Refused(Refusal::OtherLife) => self.bury(name),
+            Outcome::Refused(Refusal::Late) => {
+                self.lose(name, task, run);
+                self.silence(name);
+            }
+            Outcome::Refused(Refusal::Ticket) => {
+                self.drop_ticket(task.step, name);
+                self.lose(name, task, run);
+            }
+            Outcome::Refused(
+                Refusal::Unwell | Refusal::Room | Refusal::Malformed | Refusal::Old,
+            ) => {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.set_aside(now);
+                }
+                self.lose(name, task, run);
+            }
+        }
+    }
+
+    fn confirm_start(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if let Some(known) = worker.runs.get_mut(&(task, run))
+            && known.phase == Phase::Starting
+        {
+            known.phase = Phase::Running(now);
+        }
+    }
+
+    /// What became of an order to stop a run.
+    pub fn stopped(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
+        match outcome {
+            Outcome::Refused(Refusal::Fence) => return self.actions.push(Action::Deposed),
+            Outcome::Refused(Refusal::OtherLife) => return self.bury(name),
+            _ => {}
+        }
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(known) = worker.runs.get_mut(&(task, run)) else { return };
+        known.told = false;
+        match outcome {
+            Outcome::Done(_) | Outcome::Refused(Refusal::Old) => {
+                known.phase = Phase::Stopping(Some(now));
+            }
+            other => log::debug!(
+                "event=stop-failed task={task} run={run} worker={name} outcome={other:?}"
+            ),
+        }
+    }
+
+    /// A worker did not answer: nothing new goes there until it does.
+    pub fn silence(&mut self, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name)
+            && worker.heard
+        {
+            worker.heard = false;
+            log::info!("event=worker-silent worker={name} runs={}", worker.runs.len());
+        }
+    }
+
+    /// A life of a worker is over, and all that it ran with it.
+    pub fn bury(&mut self, name: &Name) {
+        let Some(worker) = self.workers.remove(name) else { return };
+        log::info!("event=worker-gone worker={name} runs={}", worker.runs.len());
+        for (task, run) in worker.runs.into_keys() {
+            self.requeue(task, run);
+        }
+        self.roster = true;
+        self.stir = true;
+        self.actions.push(Action::Unwatch(name.clone()));
+    }
+
+    /// The workers that are listed now, of every service.
+    pub fn set_workers(&mut self, listed: Vec<Listed>) {
+        let ids: BTreeSet<Name> = listed.iter().map(|one| one.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.present = ids.contains(&worker.listed.id);
+        }
+        for one in listed {
+            self.set_worker(one);
+        }
+        self.stir = true;
+    }
+
+    fn set_worker(&mut self, listed: Listed) {
+        let name = listed.id.clone();
+        match self.workers.get_mut(&name) {
+            Some(worker) => {
+                let leaves = listed.leaving.is_some() && worker.listed.leaving.is_none();
+                worker.listed = listed;
+                if leaves {
+                    self.evacuate(&name);
+                }
+            }
+            None => {
+                log::info!(
+                    "event=worker-listed worker={name} service={} addr={} cpu={}",
+                    listed.service,
+                    listed.addr,
+                    listed.room.cpu
+                );
+                self.actions.push(Action::Watch(listed.clone()));
+                self.workers.insert(name, Worker::new(listed, self.batch, Millis(0)));
+                self.roster = true;
+            }
+        }
+    }
+
+    /// A worker leaves: what would not end there in time is moved.
+    fn evacuate(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let left = worker.listed.leaving.unwrap_or_default();
+        log::info!("event=worker-leaving worker={name} left_ms={left} runs={}", worker.runs.len());
+        let stays = |task: &TaskKey| {
+            let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
+            spec.is_some_and(|spec| !spec.lasting && spec.estimate < left)
+        };
+        let moved: Vec<(TaskKey, u64)> =
+            worker.runs.keys().filter(|(task, _)| !stays(task)).copied().collect();
+        for (task, run) in moved {
+            self.stop(name, task, run);
+        }
+    }
+
+    /// Time passes; `wall` is the time of day.
+    pub fn tick(&mut self, now: Millis, wall: Millis) {
+        while let Some((due, step)) = self.timers.first().copied()
+            && due <= wall
+        {
+            self.timers.pop_first();
+            self.open_step(now, step);
+        }
+        self.stop_again();
+        self.expire_leases(now);
+        self.settle_doubt(now);
+        self.forget_jobs(now);
+        self.expire_questions();
+    }
+
+    fn stop_again(&mut self) {
+        for (name, worker) in &mut self.workers {
+            let untold = worker
+                .runs
+                .iter_mut()
+                .filter(|(_, run)| matches!(run.phase, Phase::Stopping(None)) && !run.told);
+            for ((task, no), run) in untold {
+                run.told = true;
+                self.actions.push(Action::Stop { worker: name.clone(), task: *task, run: *no });
+            }
+        }
+    }
+
+    /// Runs whose lease has surely ended at a silent worker are over.
+    fn expire_leases(&mut self, now: Millis) {
+        let silent = |worker: &&Worker| !worker.heard && now >= worker.lease_end;
+        let over: Vec<(Name, bool)> = self
+            .workers
+            .values()
+            .filter(silent)
+            .map(|worker| (worker.listed.id.clone(), worker.present))
+            .collect();
+        for (name, present) in over {
+            if !present {
+                self.bury(&name);
+                continue;
+            }
+            let worker = self.workers.get(&name);
+            let runs: Vec<_> =
+                worker.map(|worker| worker.runs.keys().copied().collect()).unwrap_or_default();
+            if !runs.is_empty() {
+                log::info!("event=leases-over worker={name} runs={}", runs.len());
+            }
+            for (task, run) in runs {
+                self.lose(&name, task, run);
+            }
+        }
+    }
+
+    /// Inherited tasks that nobody runs may be started once every worker that an earlier owner
+    /// used is known, or its leases are over.
+    fn settle_doubt(&mut self, now: Millis) {
+        if !self.doubt {
+            return;
+        }
+        self.doubt = self.workers.values().any(|worker| !worker.known && now < worker.lease_end);
+        if self.doubt {
+            return;
+        }
+        log::info!("event=all-runs-known epoch={}", self.epoch);
+        self.stir = true;
+        let gangs: Vec<StepKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_open())
+            .flat_map(|(key, job)| job.keys(*key))
+            .collect();
+        for step in gangs {
+            self.settle_gang(step);
+        }
+    }
+
+    fn forget_jobs(&mut self, now: Millis) {
+        let keep = self.bounds.keep + KEEP_SPARE;
+        while let Some(key) = self.closed.front().copied() {
+            let at = self.jobs.get(&key).and_then(|job| job.closed).map(|(_, _, at)| at);
+            if at.is_some_and(|at| now.since(at) < keep) {
+                break;
+            }
+            self.closed.pop_front();
+            self.jobs.remove(&key);
+            self.dirty.insert(key);
+        }
+    }
+}
+
+/// The place of a job among those that wait: lower ones first.
+pub(super) fn rank(job: &Job) -> (u32, Millis) {
+    (job.queue.priority, job.since + job.queue.objective(&job.work))
+}
+
+fn unlisted(member: Member) -> Listed {
+    Listed {
+        id: member.id,
+        service: member.service,
+        addr: member.addr,
+        domain: "".into(),
+        room: Room::default(),
+        labels: Vec::new(),
+        leaving: None,
+    }
+}
--- /dev/null
+++ b/src/cell/mod.rs
@@ -0,0 +1,361 @@
+//! The owner's decisions on one cell of workers, as a plain state machine: no socket, no clock.
+//!
+//! Events come in by methods that take the time; what has to be done is collected as [`Action`]s.
+//! What must outlast the owner is collected as [`Batch`]es for the platform's store.
+
+pub mod advice;
+pub mod election;
+pub mod job;
+pub mod journal;
+pub mod life;
+mod report;
+mod schedule;
+pub mod worker;
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::{Listed, Start};
+use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
+use advice::{Advisers, Question};
+use job::Job;
+use journal::{Batch, Fate, Member, Snapshot};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use worker::Worker;
+
+/// Runs of one epoch are numbered within this many bits, below the epoch's own number: so a new
+/// owner's runs are above all earlier ones without knowing them.
+const RUN_BITS: u32 = 10;
+/// A batch stops growing at this size, so that an append takes no more than some tens of
+/// milliseconds at the platform's 20 MB/s a partition.
+const BATCH_BYTES: usize = 512 * 1024;
+
+/// Figures of the platform that decisions rest on.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// How long a run goes on without a renewal.
+    pub lease: Millis,
+    /// How long the state of a closed job can be asked for.
+    pub keep: Millis,
+}
+
+/// What has to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Start a run, with a lease up to this time on the worker's clock.
+    Start { worker: Name, start: Start, until: u64 },
+    /// Stop a run.
+    Stop { worker: Name, task: TaskKey, run: u64 },
+    /// Change the share at which a run works, in hundredths.
+    Pace { worker: Name, task: TaskKey, run: u64, percent: u32 },
+    /// Keep asking this worker for reports.
+    Watch(Listed),
+    /// Do so no longer.
+    Unwatch(Name),
+    /// Have an entry ask the advice service.
+    Ask { entry: Name, question: Question },
+    /// A worker has seen a higher fence: another entry owns the cell.
+    Deposed,
+}
+
+/// What callers see of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Nothing of it has run.
+    Queued,
+    /// It runs.
+    Active,
+    /// It ended.
+    Closed(Fate),
+}
+
+/// A call for the report of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// The highest end that is confirmed.
+    pub seen: u64,
+    /// When its lease ends on the worker's clock; `None` until that clock is known.
+    pub until: Option<u64>,
+}
+
+/// A cell at its owner.
+#[derive(Debug)]
+pub struct Cell {
+    epoch: u64,
+    bounds: Bounds,
+    queues: HashMap<Name, Arc<Queue>>,
+    jobs: BTreeMap<JobKey, Job>,
+    workers: BTreeMap<Name, Worker>,
+    /// Steps with tasks that need a worker, the most urgent first.
+    ready: BTreeSet<(u32, Millis, StepKey)>,
+    /// Steps whose time has not come, by the wall clock.
+    timers: BTreeSet<(Millis, StepKey)>,
+    /// Jobs that are not in the store yet, by batch.
+    fresh: VecDeque<(u64, JobKey)>,
+    /// Closed jobs in the order of their ends.
+    closed: VecDeque<JobKey>,
+    advisers: Advisers,
+    /// Jobs with something to write.
+    dirty: BTreeSet<JobKey>,
+    /// The set of workers in use has to be written.
+    roster: bool,
+    /// The batch that is being collected.
+    batch: u64,
+    /// All batches up to this one are in the store.
+    kept: u64,
+    /// Something changed that may let a task be placed.
+    stir: bool,
+    /// Inherited tasks are held back until all earlier owners' workers are known.
+    doubt: bool,
+    actions: Vec<Action>,
+}
+
+impl Cell {
+    /// Takes over what the store holds; `epoch` is higher than that of any earlier owner.
+    pub fn new(
+        epoch: u64,
+        bounds: Bounds,
+        queues: HashMap<Name, Arc<Queue>>,
+        snapshot: Snapshot,
+        now: Millis,
+    ) -> Self {
+        let mut cell = Self {
+            epoch,
+            bounds,
+            queues,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            fresh: VecDeque::new(),
+            closed: VecDeque::new(),
+            advisers: Advisers::default(),
+            dirty: BTreeSet::new(),
+            roster: false,
+            batch: 1,
+            kept: 0,
+            stir: true,
+            doubt: true,
+            actions: Vec::new(),
+        };
+        cell.inherit(snapshot, now);
+        cell
+    }
+
+    /// The owner's epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The batch up to which all is in the store.
+    pub fn kept(&self) -> u64 {
+        self.kept
+    }
+
+    /// Where a worker is called.
+    pub fn addr(&self, worker: &Name) -> Option<Name> {
+        self.workers.get(worker).map(|worker| worker.listed.addr.clone())
+    }
+
+    /// Whether something is not in the store yet.
+    pub fn is_unkept(&self) -> bool {
+        !self.dirty.is_empty() || self.roster || self.kept + 1 < self.batch
+    }
+
+    /// What has to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Another version of the policy is in force.
+    pub fn set_queues(&mut self, queues: HashMap<Name, Arc<Queue>>) {
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = queues.get(&job.queue.name) {
+                job.queue = queue.clone();
+            }
+        }
+        self.queues = queues;
+        self.rank_again();
+        self.stir = true;
+    }
+
+    /// A caller submits a job: the batch that has to be in the store before it is accepted. The
+    /// same key again is the same job. `None`: there is no such queue here.
+    pub fn submit(
+        &mut self,
+        now: Millis,
+        key: JobKey,
+        queue: &str,
+        work: Arc<Work>,
+    ) -> Option<u64> {
+        if let Some(job) = self.jobs.get(&key) {
+            return Some(job.batch);
+        }
+        let queue = self.queues.get(queue)?.clone();
+        log::info!("event=submitted job={key} queue={} batch={}", queue.name, self.batch);
+        self.jobs.insert(key, Job::new(queue, work, now, self.batch));
+        self.fresh.push_back((self.batch, key));
+        self.dirty.insert(key);
+        Some(self.batch)
+    }
+
+    /// A caller withdraws a job: the batch that has to be in the store before it is told so.
+    /// `None`: there is no such job.
+    pub fn cancel(&mut self, now: Millis, key: JobKey) -> Option<u64> {
+        let job = self.jobs.get(&key)?;
+        if job.is_open() {
+            self.close(now, key, Fate::Cancelled);
+        }
+        let (_, batch, _) = self.jobs.get(&key)?.closed?;
+        Some(batch)
+    }
+
+    /// What callers see of a job. An end is shown once it is in the store.
+    pub fn state(&self, key: JobKey) -> Option<State> {
+        let job = self.jobs.get(&key)?;
+        Some(match job.closed {
+            Some((fate, batch, _)) if batch <= self.kept => State::Closed(fate),
+            None if !job.begun => State::Queued,
+            _ => State::Active,
+        })
+    }
+
+    /// Accepted jobs of a queue of which nothing has run.
+    pub fn pending(&self, queue: &str) -> u32 {
+        let waits = |job: &&Job| {
+            job.is_open() && !job.begun && job.batch <= self.kept && *job.queue.name == *queue
+        };
+        self.jobs.values().filter(waits).count() as u32
+    }
+
+    /// The next batch for the store, if there is something to write.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        if self.dirty.is_empty() && !self.roster {
+            return None;
+        }
+        let mut records = Vec::new();
+        if std::mem::take(&mut self.roster) {
+            records.push(journal::roster(&self.members()));
+        }
+        let is_new = |job: &Job| job.batch == self.batch && job.is_open();
+        let (new, known): (Vec<JobKey>, Vec<JobKey>) = std::mem::take(&mut self.dirty)
+            .into_iter()
+            .partition(|key| self.jobs.get(key).is_some_and(is_new));
+        // What workers reported goes first and whole: the ends in it are confirmed with the batch.
+        for key in known {
+            self.write_job(key, &mut records);
+        }
+        let mut size = 0;
+        let mut new = new.into_iter();
+        for key in new.by_ref() {
+            let from = records.len();
+            self.write_job(key, &mut records);
+            size += records.iter().skip(from).map(|(_, value)| value.len()).sum::<usize>();
+            if size >= BATCH_BYTES {
+                break;
+            }
+        }
+        let no = self.batch;
+        self.batch += 1;
+        for key in new {
+            self.postpone(key);
+        }
+        Some(Batch { no, records })
+    }
+
+    /// A new job that did not fit into the last batch goes into the next one.
+    fn postpone(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.batch = self.batch;
+            self.fresh.retain(|(_, other)| *other != key);
+            self.fresh.push_back((self.batch, key));
+            self.dirty.insert(key);
+        }
+    }
+
+    fn write_job(&mut self, key: JobKey, records: &mut Vec<(String, Vec<u8>)>) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            records.push(journal::drop_job(key));
+            return;
+        };
+        let closed = job.closed.is_some();
+        if closed || job.batch == self.batch {
+            records.push(journal::job(key, &job.record()));
+        }
+        match closed {
+            true if job.noted => {
+                job.noted = false;
+                records.push(journal::drop_progress(key));
+            }
+            false if job.begun => {
+                let progress = job.progress();
+                if !progress.steps.is_empty() {
+                    job.noted = true;
+                    records.push(journal::progress(key, &progress));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// All batches up to `batch` are in the store.
+    pub fn keep(&mut self, now: Millis, batch: u64) {
+        self.kept = self.kept.max(batch);
+        for worker in self.workers.values_mut() {
+            worker.keep(batch);
+        }
+        while let Some((of, key)) = self.fresh.front().copied()
+            && of <= batch
+        {
+            self.fresh.pop_front();
+            self.open_job(now, key);
+        }
+        self.stir = true;
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let member = |worker: &Worker| Member {
+            id: worker.listed.id.clone(),
+            service: worker.listed.service.clone(),
+            addr: worker.listed.addr.clone(),
+        };
+        self.workers.values().map(member).collect()
+    }
+
+    /// An entry can ask the advice service.
+    pub fn join(&mut self, entry: Name) {
+        self.advisers.join(entry);
+        self.ask_next();
+    }
+
+    /// An entry cannot any more.
+    pub fn leave(&mut self, entry: &Name) {
+        if let Some(step) = self.advisers.leave(entry) {
+            self.forget_question(step);
+        }
+    }
+
+    /// Counts for logs and metrics.
+    pub fn load(&self) -> Load {
+        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
+        let open = self.jobs.values().filter(|job| job.is_open()).count();
+        let heard = self.workers.values().filter(|worker| worker.heard).count();
+        Load { jobs: open, runs, ready: self.ready.len(), workers: self.workers.len(), heard }
+    }
+}
+
+/// Counts of a cell.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Load {
+    /// Open jobs.
+    pub jobs: usize,
+    /// Runs whose room is taken.
+    pub runs: usize,
+    /// Steps with tasks that need a worker.
+    pub ready: usize,
+    /// Workers in use.
+    pub workers: usize,
+    /// Workers that answered their last call.
+    pub heard: usize,
+}
--- /dev/null
+++ b/src/cell/report.rs
@@ -0,0 +1,275 @@
+//! What workers report: runs that go on, runs that ended, and how they bear each other.
+
+use crate::cell::job::Stand;
+use crate::cell::journal::Fate;
+use crate::cell::worker::{Phase, Run, Worker};
+use crate::cell::{Action, Cell, Hold};
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::{End, EndedRow, HoldError, Refusal, Report, RunningRow};
+use crate::workload::TaskKey;
+use std::collections::BTreeSet;
+
+/// Fillers are slowed when a tail comes this close to its bound, in hundredths of it.
+const PACE_DOWN: f64 = 80.0;
+/// They are let work more below this, in hundredths of the bound.
+const PACE_UP: f64 = 55.0;
+/// The share that fillers get back at once, in hundredths.
+const PACE_STEP: u32 = 20;
+/// A share below this is set to nothing.
+const PACE_LEAST: u32 = 10;
+/// The time between two changes at one worker: a gauge covers the last half second.
+const PACE_EVERY: Millis = Millis(600);
+
+impl Cell {
+    /// What to ask a worker now, and whether to renew its lease; `None` if it is not watched any
+    /// more.
+    pub fn hold(&mut self, now: Millis, name: &Name, renew: bool) -> Option<Hold> {
+        let lease = self.bounds.lease;
+        let worker = self.workers.get_mut(name)?;
+        let until = if renew { worker.lease(now, lease) } else { None };
+        Some(Hold { seen: worker.confirmed(), until })
+    }
+
+    /// The batch that must be in the store before a worker's ends can be confirmed.
+    pub fn awaited(&self, name: &Name) -> Option<u64> {
+        self.workers.get(name).and_then(Worker::awaited).filter(|batch| *batch > self.kept)
+    }
+
+    /// A worker did not report.
+    pub fn unheld(&mut self, name: &Name, why: &HoldError) {
+        match why {
+            HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
+            HoldError::Refused(Refusal::OtherLife) => self.bury(name),
+            why => {
+                log::debug!("event=hold-failed worker={name} why={why:?}");
+                self.silence(name);
+            }
+        }
+    }
+
+    /// A worker reported, when asked at `sent`.
+    pub fn held(&mut self, now: Millis, sent: Millis, name: &Name, report: &Report) {
+        let batch = self.batch;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if !worker.heard {
+            let (running, ended) = (report.running.len(), report.ended.len());
+            log::info!("event=worker-heard worker={name} running={running} ended={ended}");
+            self.stir = true;
+        }
+        worker.hear(now, report);
+        worker.known = true;
+        for row in &report.ended {
+            let Some(worker) = self.workers.get_mut(name) else { return };
+            if worker.has_seen(row.no) {
+                continue;
+            }
+            worker.see(row.no, batch);
+            worker.remove(row.task, row.run);
+            self.stir = true;
+            self.end(now, name, row);
+        }
+        for row in &report.running {
+            self.running(now, name, row);
+        }
+        self.sweep(sent, name, report);
+        self.pace(now, name, report);
+    }
+
+    fn end(&mut self, now: Millis, name: &Name, row: &EndedRow) {
+        let task = row.task;
+        log::debug!("event=ended task={task} run={} worker={name} end={:?}", row.run, row.end);
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(spec) = job.spec(task.step.step) else { return };
+        let (lasting, gang) = (spec.lasting, spec.gang);
+        job.begun = true;
+        let attempts = job.queue.attempts;
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        if state.stand == Stand::Done || row.run <= state.ended {
+            return;
+        }
+        state.ended = row.run;
+        if !row.saved.is_empty() {
+            state.saved = row.saved.clone();
+        }
+        self.dirty.insert(task.step.job);
+        match row.end {
+            End::Done if !lasting => {
+                let other = placed(&state.stand, row.run);
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.succeed();
+                }
+                if let Some((worker, run)) = other {
+                    self.stop(&worker, task, run);
+                }
+                self.finish(now, task);
+            }
+            End::Failed => {
+                state.failed += 1;
+                state.avoid.push(name.clone());
+                let failed = match gang {
+                    true => step.tasks.iter().map(|task| task.failed).sum(),
+                    false => state.failed,
+                };
+                log::info!(
+                    "event=failed task={task} run={} worker={name} failed={failed}",
+                    row.run
+                );
+                self.blame(now, name, task);
+                match !lasting && failed >= attempts {
+                    true => self.close(now, task.step.job, Fate::Failed),
+                    false => self.requeue(task, row.run),
+                }
+            }
+            End::Done | End::Stopped | End::Lapsed | End::Broken | End::Alone => {
+                log::info!(
+                    "event=cut-short task={task} run={} worker={name} end={:?}",
+                    row.run,
+                    row.end
+                );
+                self.requeue(task, row.run);
+            }
+        }
+    }
+
+    fn blame(&mut self, now: Millis, name: &Name, task: TaskKey) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.fail(now, task) {
+            log::info!("event=worker-aside worker={name} task={task}");
+        }
+    }
+
+    /// A run goes on at a worker.
+    fn running(&mut self, now: Millis, name: &Name, row: &RunningRow) {
+        let task = row.task;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if let Some(run) = worker.runs.get_mut(&(task, row.run)) {
+            run.percent = row.percent;
+            if run.phase == Phase::Starting {
+                run.phase = Phase::Running(now);
+            }
+            if !row.saved.is_empty() {
+                self.save(task, row);
+            }
+            return;
+        }
+        self.adopt(now, name, row);
+    }
+
+    fn save(&mut self, task: TaskKey, row: &RunningRow) {
+        let job = self.jobs.get_mut(&task.step.job);
+        let step = job.and_then(|job| job.step_mut(task.step));
+        if let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize))
+            && state.saved != row.saved
+        {
+            state.saved = row.saved.clone();
+        }
+    }
+
+    /// A run that an earlier owner started goes on, or is stopped if it is not wanted.
+    fn adopt(&mut self, now: Millis, name: &Name, row: &RunningRow) {
+        let task = row.task;
+        let job = self.jobs.get_mut(&task.step.job);
+        let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
+        let run = Run {
+            run: row.run,
+            charge: spec.as_ref().map(|spec| spec.charge()).unwrap_or_default(),
+            phase: Phase::Running(now),
+            told: false,
+            percent: row.percent,
+            filler: spec.as_ref().is_some_and(|spec| spec.filler),
+            tail: spec.map(|spec| spec.tail).unwrap_or_default(),
+        };
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.add(task, run);
+        }
+        let step = job.filter(|job| job.is_open()).and_then(|job| {
+            job.begun = true;
+            job.step_mut(task.step)
+        });
+        let wanted = step.filter(|step| step.waiting.contains(&task.index));
+        match wanted {
+            Some(step) => {
+                step.place(task.index, name.clone(), row.run);
+                if let Some(state) = step.tasks.get_mut(task.index as usize) {
+                    state.saved = row.saved.clone();
+                }
+                log::info!("event=adopted task={task} run={} worker={name}", row.run);
+            }
+            None => {
+                log::info!("event=unwanted task={task} run={} worker={name}", row.run);
+                self.stop(name, task, row.run);
+            }
+        }
+    }
+
+    /// Runs that the worker should have named and did not are over.
+    fn sweep(&mut self, sent: Millis, name: &Name, report: &Report) {
+        let listed: BTreeSet<(TaskKey, u64)> =
+            report.running.iter().map(|row| (row.task, row.run)).collect();
+        let Some(worker) = self.workers.get(name) else { return };
+        let gone = |(key, run): (&(TaskKey, u64), &Run)| {
+            let over = match run.phase {
+                Phase::Running(at) | Phase::Stopping(Some(at)) => at < sent,
+                Phase::Starting | Phase::Stopping(None) => false,
+            };
+            (over && !listed.contains(key)).then_some((*key, run.phase))
+        };
+        let gone: Vec<_> = worker.runs.iter().filter_map(gone).collect();
+        for ((task, run), phase) in gone {
+            if matches!(phase, Phase::Running(_)) {
+                log::warn!("event=run-vanished task={task} run={run} worker={name}");
+            }
+            self.lose(name, task, run);
+        }
+    }
+
+    /// Slows fillers where they come near to harming a task that serves, and lets them work again.
+    fn pace(&mut self, now: Millis, name: &Name, report: &Report) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let fillers: Vec<(TaskKey, u64, u32)> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.filler && matches!(run.phase, Phase::Running(_)))
+            .map(|((task, no), run)| (*task, *no, run.percent))
+            .collect();
+        if fillers.is_empty() || now.since(worker.paced) < PACE_EVERY {
+            return;
+        }
+        let used = |row: &RunningRow| {
+            let run = worker.runs.get(&(row.task, row.run)).filter(|run| run.tail.0 > 0)?;
+            row.gauge.map(|gauge| gauge * 100.0 / run.tail.0 as f64)
+        };
+        let worst = report.running.iter().filter_map(used).fold(0.0, f64::max);
+        let change = |percent: u32| match () {
+            () if worst >= PACE_DOWN && percent / 2 < PACE_LEAST => 0,
+            () if worst >= PACE_DOWN => percent / 2,
+            () if worst < PACE_UP => (percent + PACE_STEP).min(100),
+            () => percent,
+        };
+        let changed: Vec<_> =
+            fillers.into_iter().filter(|(_, _, percent)| change(*percent) != *percent).collect();
+        if changed.is_empty() {
+            return;
+        }
+        worker.paced = now;
+        for (task, run, percent) in changed {
+            let percent = change(percent);
+            log::info!(
+                "event=paced task={task} run={run} worker={name} percent={percent} worst={worst:.0}"
+            );
+            self.actions.push(Action::Pace { worker: name.clone(), task, run, percent });
+        }
+    }
+}
+
+/// Where a task runs, if it is another run than `run`.
+fn placed(stand: &Stand, run: u64) -> Option<(Name, u64)> {
+    match stand {
+        Stand::Placed { worker, run: other } if *other != run => Some((worker.clone(), *other)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/cell/worker.rs
@@ -0,0 +1,216 @@
+//! A worker at its owner: the room that is taken, what runs, and what is known of its health.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::{Listed, Report};
+use crate::workload::{Room, TaskKey};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A lease is counted as over this much later, in thousandths of its length: a worker's clock may
+/// be 2 % slow (the platform's contract), and one is spare.
+const SLOW_CLOCK: u64 = 1_030;
+/// Failures in a row, of different jobs, after which a worker is set aside. Tasks that fail by
+/// their own fault are at most one in ten, so three in a row are one in a thousand.
+const MAX_FAILS: u32 = 3;
+/// How long a worker is set aside the first time; doubled each time. The platform's workers
+/// recover within seconds or not at all.
+const ASIDE: Millis = Millis(2_000);
+/// The longest time that a worker is set aside.
+const MAX_ASIDE: Millis = Millis(16_000);
+
+/// Where a run stands at its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// A start was sent.
+    Starting,
+    /// The start was answered at this time, or a report named the run.
+    Running(Millis),
+    /// It must end: a stop was sent, and answered at this time if at all.
+    Stopping(Option<Millis>),
+}
+
+/// A run whose room is taken.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Run {
+    /// The number of the start.
+    pub run: u64,
+    /// What it takes.
+    pub charge: Room,
+    /// Where it stands.
+    pub phase: Phase,
+    /// A stop is under way to the worker.
+    pub told: bool,
+    /// The share at which it may work, in hundredths.
+    pub percent: u32,
+    /// It takes what others leave.
+    pub filler: bool,
+    /// The bound on the tail of its answers; 0: it serves nobody.
+    pub tail: Millis,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// As it lists itself.
+    pub listed: Listed,
+    /// It is listed now.
+    pub present: bool,
+    /// The batch that names it among the workers in use.
+    pub batch: u64,
+    /// It answered in this epoch, and to the last call.
+    pub heard: bool,
+    /// It answered in this epoch: what earlier owners started there is known.
+    pub known: bool,
+    /// What runs or may run there. A task can have two runs for a moment, one of them ending.
+    pub runs: BTreeMap<(TaskKey, u64), Run>,
+    /// The room taken by `runs`.
+    pub used: Room,
+    /// The worker's clock and when it was read here.
+    clock: Option<(u64, Millis)>,
+    /// When everything that it runs has surely ended unless it is renewed.
+    pub lease_end: Millis,
+    /// The highest end that was taken in.
+    seen: u64,
+    /// The highest end that may be confirmed: it is in the store.
+    confirmed: u64,
+    /// Ends taken in, with the batch that keeps them.
+    unkept: VecDeque<(u64, u64)>,
+    fails: u32,
+    last_fail: Option<TaskKey>,
+    aside: Millis,
+    aside_until: Millis,
+    /// When the shares of fillers were last changed.
+    pub paced: Millis,
+}
+
+impl Worker {
+    /// A worker that has not answered yet.
+    pub fn new(listed: Listed, batch: u64, lease_end: Millis) -> Self {
+        Self {
+            listed,
+            present: true,
+            batch,
+            heard: false,
+            known: false,
+            runs: BTreeMap::new(),
+            used: Room::default(),
+            clock: None,
+            lease_end,
+            seen: 0,
+            confirmed: 0,
+            unkept: VecDeque::new(),
+            fails: 0,
+            last_fail: None,
+            aside: Millis(0),
+            aside_until: Millis(0),
+            paced: Millis(0),
+        }
+    }
+
+    /// The room that is free.
+    pub fn free(&self) -> Room {
+        self.listed.room.less(&self.used)
+    }
+
+    /// Its rack.
+    pub fn rack(&self) -> Option<&Name> {
+        self.listed.labels.get(1)
+    }
+
+    /// Takes room for a run.
+    pub fn add(&mut self, task: TaskKey, run: Run) {
+        self.used = self.used.plus(&run.charge);
+        self.runs.insert((task, run.run), run);
+    }
+
+    /// Frees the room of a run.
+    pub fn remove(&mut self, task: TaskKey, run: u64) -> Option<Run> {
+        let run = self.runs.remove(&(task, run))?;
+        self.used = self.used.less(&run.charge);
+        Some(run)
+    }
+
+    /// When a lease that begins now ends on the worker's clock, if that is known.
+    pub fn lease(&mut self, now: Millis, length: Millis) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let over = now + Millis(length.0 * SLOW_CLOCK / 1_000);
+        self.lease_end = self.lease_end.max(over);
+        Some(clock + now.since(at).0 + length.0)
+    }
+
+    /// The worker answered and told its clock.
+    pub fn hear(&mut self, now: Millis, report: &Report) {
+        self.clock = Some((report.clock, now));
+        self.heard = true;
+    }
+
+    /// The highest end that may be confirmed.
+    pub fn confirmed(&self) -> u64 {
+        self.confirmed
+    }
+
+    /// Whether an end was taken in before.
+    pub fn has_seen(&self, no: u64) -> bool {
+        no <= self.seen
+    }
+
+    /// An end was taken in, and `batch` will keep it.
+    pub fn see(&mut self, no: u64, batch: u64) {
+        self.seen = self.seen.max(no);
+        self.unkept.push_back((batch, no));
+    }
+
+    /// All batches up to `batch` are in the store.
+    pub fn keep(&mut self, batch: u64) {
+        while let Some((of, no)) = self.unkept.front().copied()
+            && of <= batch
+        {
+            self.confirmed = self.confirmed.max(no);
+            self.unkept.pop_front();
+        }
+    }
+
+    /// The batch that keeps the last end taken in, if it is not in the store yet.
+    pub fn awaited(&self) -> Option<u64> {
+        self.unkept.back().map(|(batch, _)| *batch)
+    }
+
+    /// A run ended as it should.
+    pub fn succeed(&mut self) {
+        self.fails = 0;
+        self.aside = Millis(0);
+    }
+
+    /// A run failed; `true` if the worker is set aside for it.
+    pub fn fail(&mut self, now: Millis, task: TaskKey) -> bool {
+        if self.last_fail.is_some_and(|last| last.step.job == task.step.job) {
+            return false;
+        }
+        self.last_fail = Some(task);
+        self.fails += 1;
+        if self.fails < MAX_FAILS {
+            return false;
+        }
+        self.set_aside(now);
+        true
+    }
+
+    /// Gives the worker nothing new for a while.
+    pub fn set_aside(&mut self, now: Millis) {
+        self.aside = Millis((self.aside.0 * 2).clamp(ASIDE.0, MAX_ASIDE.0));
+        self.aside_until = now + self.aside;
+        // One more failure sets it aside again.
+        self.fails = MAX_FAILS - 1;
+    }
+
+    /// Whether its last runs were fine.
+    pub fn is_sound(&self) -> bool {
+        self.fails == 0
+    }
+
+    /// Whether it may get new tasks, with all batches up to `kept` in the store.
+    pub fn is_open(&self, now: Millis, kept: u64) -> bool {
+        let known = self.present && self.known && self.heard && self.batch <= kept;
+        known && self.listed.leaving.is_none() && now >= self.aside_until && self.clock.is_some()
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod job;
 mod keys;
+mod node;
 mod settings;
 mod standin;
 mod status;
@@ -40,6 +41,12 @@
     /// Example: sprucerudder entry --settings nasr-1.jsonc
     #[bpaf(command)]
     Entry(#[bpaf(external(entry::entry_args))] entry::EntryArgs),
+    /// Runs an entry on the platform until SIGTERM
+    ///
+    ///
+    /// Example: sprucerudder node --settings local.toml
+    #[bpaf(command)]
+    Node(#[bpaf(external(node::node_args))] node::NodeArgs),
     /// Runs a small stand-in for a system that is not ours, for trials and tests
     ///
     ///
@@ -102,6 +109,7 @@
     fn run(self) -> Result<()> {
         match self {
             Self::Entry(args) => args.run(),
+            Self::Node(args) => args.run(),
             Self::Standin(args) => args.run(),
             Self::Demo(args) => args.run(),
             Self::Table(args) => args.run(),
--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,79 @@
+//! `node`: runs an entry on the platform.
+
+use crate::cmd::{Refusal, Run};
+use crate::logs;
+use crate::node::Node;
+use crate::platform::settings::{Settings, VARIABLE};
+use anyhow::{Context, Result};
+use bpaf::Bpaf;
+use simplelog::LevelFilter;
+use std::path::PathBuf;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// What `node` takes.
+#[derive(Debug, Clone, Bpaf)]
+pub struct NodeArgs {
+    /// Settings file of the platform; by default the one that its variable names
+    #[bpaf(argument("FILE"))]
+    settings: Option<PathBuf>,
+    /// Least level of log lines: error, warn, info, debug
+    #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info), display_fallback)]
+    log: LevelFilter,
+}
+
+impl Run for NodeArgs {
+    fn run(self) -> Result<()> {
+        let path = match self.settings {
+            Some(path) => path,
+            None => std::env::var_os(VARIABLE)
+                .map(PathBuf::from)
+                .with_context(|| format!("{VARIABLE} names no settings file"))?,
+        };
+        let text = std::fs::read_to_string(&path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        let settings =
+            Settings::parse(&text).map_err(|err| Refusal(format!("{}: {err}", path.display())))?;
+        logs::start(self.log);
+        runtime(settings.cores)?.block_on(serve(settings, path))
+    }
+}
+
+/// One thread for one processor: switching between several costs what it cannot gain.
+fn runtime(cores: usize) -> Result<Runtime> {
+    let mut builder = match cores {
+        1 => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    Ok(builder.enable_all().build()?)
+}
+
+/// Serves until a planned stop is done: SIGTERM or SIGINT begins one.
+async fn serve(settings: Settings, path: PathBuf) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => drop(stop.send_replace(true)),
+                _ = int.recv() => drop(stop.send_replace(true)),
+                _ = hup.recv() => reload(&path),
+            }
+        }
+    });
+    Node::run(settings, stopped).await?;
+    Ok(())
+}
+
+/// Checks changed settings. Addresses and bounds hold for the life of a process.
+fn reload(path: &std::path::Path) {
+    let text = std::fs::read_to_string(path).map_err(|err| err.to_string());
+    let checked = text.and_then(|text| Settings::parse(&text).map_err(|err| err.to_string()));
+    match checked {
+        Ok(_) => log::info!("event=reload outcome=unchanged"),
+        Err(err) => log::warn!("event=reload outcome=refused error={err:?}"),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A cluster scheduler for unlike workloads, driven by one table.
 
+pub mod cell;
 pub mod check;
 pub mod clock;
 pub mod cmd;
@@ -9,6 +10,9 @@
 pub mod filter;
 pub mod id;
 pub mod job;
+pub mod logs;
+pub mod node;
+pub mod order;
 pub mod platform;
 pub mod record;
 pub mod settings;
@@ -17,3 +21,4 @@
 pub mod table;
 pub mod trace;
 pub mod wire;
+pub mod workload;
--- /dev/null
+++ b/src/node/front.rs
@@ -0,0 +1,225 @@
+//! What callers reach: jobs over HTTP, and what the balancer and operators ask.
+
+use crate::cell::State;
+use crate::cell::journal::Fate;
+use crate::clock::Millis;
+use crate::node::msg::{Ask, Refused, Tell};
+use crate::node::{Node, Silence};
+use crate::platform::config::{Policy, Route};
+use crate::platform::front::{Reply, deadline, host};
+use crate::platform::submit;
+use crate::workload::JobKey;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What is left of a caller's time for the answer's way back.
+const ANSWER_SPARE: Millis = Millis(40);
+/// The most time that a caller waits who does not say.
+const USUAL_WAIT: Millis = Millis(3_000);
+/// When a refused caller should come back, in seconds: a takeover takes about two.
+pub(super) const COME_BACK: u64 = 1;
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// Takes connections until `stop` closes or says so, and serves each by `answer`.
+pub(super) async fn accept<F, R>(
+    listener: TcpListener,
+    node: Arc<Node>,
+    mut stop: watch::Receiver<bool>,
+    answer: F,
+) where
+    F: Fn(Arc<Node>, Request<Incoming>) -> R + Copy + Send + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, node.clone(), stop.clone(), answer));
+            }
+            Err(err) => {
+                log::warn!("event=accept-failed at=front error={err:?}");
+                tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+/// Ready when the channel says stop, or closes.
+async fn closing(stop: &mut watch::Receiver<bool>) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        log::debug!("event=listener-closes");
+    }
+}
+
+async fn serve<F, R>(stream: TcpStream, node: Arc<Node>, mut stop: watch::Receiver<bool>, answer: F)
+where
+    F: Fn(Arc<Node>, Request<Incoming>) -> R + Copy + Send + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("event=connection-odd error={err:?}");
+    }
+    let limits = node.policy().limits;
+    let service = service_fn(move |request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(answer(node, request).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time.max(limits.idle_time).duration())
+        .max_buf_size(limits.head.max(8_192));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("event=connection-ended error={err:?}");
+    }
+}
+
+/// Answers a caller.
+pub(super) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let begun = node.now();
+    node.open.fetch_add(1, Ordering::Relaxed);
+    let (call, reply) = reply(&node, request, begun).await;
+    node.open.fetch_sub(1, Ordering::Relaxed);
+    let response = reply.response();
+    let status = response.status().as_u16();
+    node.metrics.called(call, status, node.now().since(begun));
+    response
+}
+
+async fn reply(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    begun: Millis,
+) -> (&'static str, Reply) {
+    let policy = node.policy();
+    if policy.version == 0 {
+        return ("none", Reply::Busy { after: COME_BACK });
+    }
+    let path = request.uri().path().to_string();
+    let Some(route) = policy.route(host(&request), &path) else { return ("none", Reply::NoQueue) };
+    let given = deadline(&request).unwrap_or(USUAL_WAIT);
+    let wait = if route.timeout.0 > 0 { given.min(route.timeout) } else { given };
+    let until = begun + (wait - ANSWER_SPARE);
+    let rest = path.get(route.prefix.len()..).unwrap_or_default();
+    match (request.method().clone(), rest) {
+        (Method::GET, "") => ("pending", pending(node, route, until).await),
+        (method, rest) => match (method, rest.parse::<JobKey>()) {
+            (Method::POST, Ok(job)) => {
+                ("submit", submit_job(node, &policy, route, job, request, until).await)
+            }
+            (Method::GET, Ok(job)) => ("state", state(node, job, until).await),
+            (Method::DELETE, Ok(job)) => ("cancel", cancel(node, job, until).await),
+            (Method::POST | Method::GET | Method::DELETE, Err(err)) => {
+                ("none", Reply::Malformed(err.to_string()))
+            }
+            _ => ("none", Reply::NoMethod),
+        },
+    }
+}
+
+async fn submit_job(
+    node: &Arc<Node>,
+    policy: &Policy,
+    route: &Route,
+    job: JobKey,
+    request: Request<Incoming>,
+    until: Millis,
+) -> Reply {
+    let body = Limited::new(request.into_body(), policy.limits.body).collect();
+    let left = until - node.now();
+    let body = match tokio::time::timeout(left.duration(), body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(err)) => return Reply::Malformed(err.to_string()),
+        Err(_) => return Reply::Malformed("the body did not come in time".to_string()),
+    };
+    let work = match submit::parse(&body) {
+        Ok(work) => work,
+        Err(err) => return Reply::Malformed(err.to_string()),
+    };
+    if let Err(err) = work.check() {
+        return Reply::Malformed(err.to_string());
+    }
+    let ask = Ask::Submit { job, queue: route.queue.name.clone(), work: Arc::new(work) };
+    let reply = match node.ask(ask, until).await {
+        Ok(Tell::Accepted) => Reply::Accepted,
+        Ok(Tell::Refused(Refused::NoQueue)) => Reply::Busy { after: COME_BACK },
+        Ok(Tell::Refused(_)) | Err(Silence::Unsent) => Reply::Busy { after: COME_BACK },
+        Ok(_) | Err(Silence::Unknown) => Reply::InDoubt,
+    };
+    if !matches!(reply, Reply::Accepted) {
+        log::info!("event=not-accepted job={job} queue={} reply={reply:?}", route.queue.name);
+    }
+    reply
+}
+
+async fn state(node: &Arc<Node>, job: JobKey, until: Millis) -> Reply {
+    match node.ask(Ask::State { job }, until).await {
+        Ok(Tell::State(None)) => Reply::NoJob,
+        Ok(Tell::State(Some(State::Queued))) => Reply::State("queued"),
+        Ok(Tell::State(Some(State::Active))) => Reply::State("active"),
+        Ok(Tell::State(Some(State::Closed(Fate::Completed)))) => Reply::State("completed"),
+        Ok(Tell::State(Some(State::Closed(Fate::Failed)))) => Reply::State("failed"),
+        Ok(Tell::State(Some(State::Closed(Fate::Cancelled)))) => Reply::State("cancelled"),
+        _ => Reply::Busy { after: COME_BACK },
+    }
+}
+
+async fn cancel(node: &Arc<Node>, job: JobKey, until: Millis) -> Reply {
+    let reply = match node.ask(Ask::Cancel { job }, until).await {
+        Ok(Tell::Cancelled(true)) => Reply::Accepted,
+        Ok(Tell::Cancelled(false)) => Reply::NoJob,
+        Ok(Tell::Refused(_)) | Err(Silence::Unsent) => Reply::Busy { after: COME_BACK },
+        Ok(_) | Err(Silence::Unknown) => Reply::InDoubt,
+    };
+    log::info!("event=cancel job={job} reply={reply:?}");
+    reply
+}
+
+async fn pending(node: &Arc<Node>, route: &Route, until: Millis) -> Reply {
+    match node.ask(Ask::Pending { queue: route.queue.name.clone() }, until).await {
+        Ok(Tell::Pending(count)) => Reply::Pending(count),
+        _ => Reply::Busy { after: COME_BACK },
+    }
+}
+
+/// Answers the balancer: whether new callers may come.
+pub(super) async fn ready(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
+    match node.is_ready() {
+        true => Reply::Accepted.response(),
+        false => Reply::Busy { after: COME_BACK }.response(),
+    }
+}
+
+/// Answers whoever collects metrics.
+pub(super) async fn metrics(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
+    match node.metrics.text(crate::logs::dropped()) {
+        Ok(text) => Response::new(Full::from(text)),
+        Err(err) => {
+            log::warn!("event=metrics-failed error={err:?}");
+            Reply::Busy { after: COME_BACK }.response()
+        }
+    }
+}
--- /dev/null
+++ b/src/node/link.rs
@@ -0,0 +1,347 @@
+//! The connection from an entry to the owner of the cell, and the owner's side of it.
+
+use crate::cell::election::Leader;
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::node::msg::{Ask, Frame, MAX_FRAME, Refused, Tell};
+use crate::node::owner::Owner;
+use crate::node::{Node, lock};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+/// Time between two pings. A silent connection is given up after [`SILENT`].
+const PING: Millis = Millis(500);
+/// A connection on which nothing came for this long is given up: two pings may be lost.
+const SILENT: Millis = Millis(1_200);
+/// The most time for opening a connection: a hundred times the way between failure domains.
+const CONNECT: Millis = Millis(300);
+/// Time between attempts to reach an owner.
+const RETRY: Millis = Millis(60);
+/// Frames that may wait to be written; a slower peer loses its connection.
+const QUEUE: usize = 4_096;
+
+/// Frames on their way out.
+pub(super) type Out = mpsc::Sender<Bytes>;
+
+/// A frame as bytes.
+///
+/// # Errors
+/// It cannot be encoded.
+pub(super) fn encode<T: Serialize>(no: u64, body: T) -> io::Result<Bytes> {
+    let bytes = postcard::to_stdvec(&Frame { no, body });
+    bytes.map(Bytes::from).map_err(io::Error::other)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<Frame<T>> {
+    postcard::from_bytes(bytes).map_err(io::Error::other)
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
+}
+
+/// Writes frames until the channel or the connection closes; what waits goes out together.
+pub(super) async fn write(
+    half: OwnedWriteHalf,
+    mut frames: mpsc::Receiver<Bytes>,
+) -> io::Result<()> {
+    let mut sink = FramedWrite::new(half, codec());
+    while let Some(frame) = frames.recv().await {
+        sink.feed(frame).await?;
+        while let Ok(more) = frames.try_recv() {
+            sink.feed(more).await?;
+        }
+        SinkExt::<Bytes>::flush(&mut sink).await?;
+    }
+    Ok(())
+}
+
+/// The frames of a connection.
+pub(super) struct Frames(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+
+impl Frames {
+    /// Reads from a connection.
+    pub fn new(half: OwnedReadHalf) -> Self {
+        Self(FramedRead::new(half, codec()))
+    }
+
+    /// The next frame; `None`: the peer closed, or said nothing for too long.
+    ///
+    /// # Errors
+    /// The connection broke, or the frame cannot be read.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<Frame<T>>> {
+        match tokio::time::timeout(SILENT.duration(), self.0.next()).await {
+            Err(_) | Ok(None) => Ok(None),
+            Ok(Some(bytes)) => decode(&bytes?).map(Some),
+        }
+    }
+}
+
+/// An open connection to an owner.
+#[derive(Debug)]
+pub(super) struct Link {
+    out: Out,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Tell>>>,
+    next: AtomicU64,
+}
+
+/// Why a question got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkError {
+    /// It was not sent.
+    Unsent,
+    /// It may have reached the owner.
+    Broken,
+}
+
+impl Link {
+    /// Asks and waits for the answer.
+    ///
+    /// # Errors
+    /// [`LinkError::Unsent`] only if surely nothing was sent.
+    pub async fn ask(&self, ask: Ask) -> Result<Tell, LinkError> {
+        let no = self.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let frame = encode(no, ask).map_err(|err| {
+            log::error!("event=message-not-encoded error={err:?}");
+            LinkError::Unsent
+        })?;
+        let (tx, rx) = oneshot::channel();
+        lock(&self.waiting).insert(no, tx);
+        if self.out.try_send(frame).is_err() {
+            lock(&self.waiting).remove(&no);
+            return Err(LinkError::Unsent);
+        }
+        rx.await.map_err(|_| LinkError::Broken)
+    }
+
+    fn answer(&self, frame: Frame<Tell>) {
+        if let Some(waiter) = lock(&self.waiting).remove(&frame.no) {
+            // A caller that went away does not read its answer.
+            drop(waiter.send(frame.body));
+        }
+    }
+}
+
+impl Node {
+    /// Keeps a connection to whoever owns the cell.
+    pub(super) async fn keep_link(self: Arc<Self>) {
+        let mut leaders = self.leader.subscribe();
+        loop {
+            let leader = leaders.borrow_and_update().clone();
+            let other = leader.filter(|leader| leader.owner != self.me);
+            let Some(leader) = other else {
+                if leaders.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            tokio::select! {
+                () = self.link_to(&leader) => tokio::time::sleep(RETRY.duration()).await,
+                changed = leaders.changed() => match changed {
+                    Ok(()) => {}
+                    Err(_) => return,
+                },
+            }
+            self.link.send_replace(None);
+        }
+    }
+
+    /// Connects to an owner and stays until the connection ends.
+    async fn link_to(self: &Arc<Self>, leader: &Leader) {
+        let connect = TcpStream::connect(&*leader.addr);
+        let stream = match tokio::time::timeout(CONNECT.duration(), connect).await {
+            Err(_) => return,
+            Ok(Err(err)) => {
+                log::debug!("event=owner-unreachable owner={} error={err:?}", leader.owner);
+                if err.kind() == io::ErrorKind::ConnectionRefused {
+                    lock(&self.election).miss(leader.epoch);
+                    self.nudge.notify_one();
+                }
+                return;
+            }
+            Ok(Ok(stream)) => stream,
+        };
+        if let Err(err) = self.speak(stream, leader).await {
+            log::info!(
+                "event=owner-lost owner={} epoch={} error={err:?}",
+                leader.owner,
+                leader.epoch
+            );
+        }
+    }
+
+    async fn speak(self: &Arc<Self>, stream: TcpStream, leader: &Leader) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (read, half) = stream.into_split();
+        let (out, frames) = mpsc::channel(QUEUE);
+        let link =
+            Arc::new(Link { out: out.clone(), waiting: Mutex::default(), next: AtomicU64::new(0) });
+        let hello = Ask::Hello { entry: self.me.name.clone(), epoch: leader.epoch };
+        out.try_send(encode(0, hello)?).map_err(io::Error::other)?;
+        let read = self.read_tells(Frames::new(read), link.clone(), leader);
+        let result = tokio::select! {
+            result = write(half, frames) => result,
+            result = read => result,
+            result = self.ping(out) => result,
+        };
+        lock(&link.waiting).clear();
+        result
+    }
+
+    async fn read_tells(
+        self: &Arc<Self>,
+        mut frames: Frames,
+        link: Arc<Link>,
+        leader: &Leader,
+    ) -> io::Result<()> {
+        while let Some(frame) = frames.next::<Tell>().await? {
+            match frame {
+                Frame { no: 0, body: Tell::Done } => {
+                    // The owner greets: it is at work.
+                    log::info!("event=owner-found owner={} epoch={}", leader.owner, leader.epoch);
+                    self.link.send_replace(Some(link.clone()));
+                }
+                Frame { no: 0, body: Tell::Refused(_) } => {
+                    lock(&self.election).miss(leader.epoch);
+                    self.nudge.notify_one();
+                    tokio::time::sleep(RETRY.duration()).await;
+                    return Ok(());
+                }
+                Frame { no: 0, body: Tell::Question { step, workers, cost } } => {
+                    let (node, link) = (self.clone(), link.clone());
+                    tokio::spawn(async move {
+                        let answer = node.advise(step, &workers, cost).await;
+                        let told = link.ask(Ask::Advised { step, named: workers, answer }).await;
+                        if let Err(err) = told {
+                            log::info!("event=advice-lost step={step} error={err:?}");
+                        }
+                    });
+                }
+                frame => link.answer(frame),
+            }
+        }
+        Ok(())
+    }
+
+    async fn ping(&self, out: Out) -> io::Result<()> {
+        loop {
+            tokio::time::sleep(PING.duration()).await;
+            let store = lock(&self.election).is_fresh(self.now());
+            out.try_send(encode(0, Ask::Ping { store })?).map_err(io::Error::other)?;
+        }
+    }
+
+    /// Takes connections of other entries.
+    pub(super) async fn serve_peers(self: Arc<Self>, listener: tokio::net::TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    let node = self.clone();
+                    tokio::spawn(async move {
+                        if let Err(err) = node.serve_peer(stream).await {
+                            log::debug!("event=peer-lost from={from} error={err:?}");
+                        }
+                    });
+                }
+                Err(err) => {
+                    log::warn!("event=accept-failed at=peer error={err:?}");
+                    tokio::time::sleep(RETRY.duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_peer(self: Arc<Self>, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (read, half) = stream.into_split();
+        let (out, queue) = mpsc::channel(QUEUE);
+        let writer = write(half, queue);
+        let reader = self.read_asks(Frames::new(read), out);
+        tokio::select! {
+            result = writer => result,
+            result = reader => result,
+        }
+    }
+
+    async fn read_asks(self: &Arc<Self>, mut frames: Frames, out: Out) -> io::Result<()> {
+        let Some(Frame { body: Ask::Hello { entry, epoch }, .. }) = frames.next().await? else {
+            return Ok(());
+        };
+        let Some(owner) = self.await_owner(epoch).await else {
+            let refused = Tell::Refused(Refused::NotOwner);
+            out.try_send(encode(0, refused)?).map_err(io::Error::other)?;
+            // The refusal has to leave before the connection closes.
+            tokio::time::sleep(RETRY.duration()).await;
+            return Ok(());
+        };
+        out.try_send(encode(0, Tell::Done)?).map_err(io::Error::other)?;
+        owner.join(entry.clone(), out.clone());
+        let result = self.answer_all(&owner, &entry, &mut frames, &out).await;
+        owner.leave(&entry, &out);
+        result
+    }
+
+    /// The owner of an epoch, once it has taken over; `None`: this process will not be it.
+    async fn await_owner(&self, epoch: u64) -> Option<Arc<Owner>> {
+        let mut owners = self.owner.subscribe();
+        let mut leaders = self.leader.subscribe();
+        loop {
+            owners.borrow_and_update();
+            leaders.borrow_and_update();
+            if let Some(owner) = self.owner_of(epoch) {
+                return Some(owner);
+            }
+            let later = lock(&self.election).leader().is_some_and(|leader| leader.epoch >= epoch);
+            if later && !self.is_leader(epoch) {
+                return None;
+            }
+            tokio::select! {
+                changed = owners.changed() => changed.ok()?,
+                changed = leaders.changed() => changed.ok()?,
+                () = tokio::time::sleep(SILENT.duration()) => {}
+            }
+        }
+    }
+
+    async fn answer_all(
+        self: &Arc<Self>,
+        owner: &Arc<Owner>,
+        entry: &Name,
+        frames: &mut Frames,
+        out: &Out,
+    ) -> io::Result<()> {
+        while let Some(Frame { no, body }) = frames.next::<Ask>().await? {
+            if owner.is_over() {
+                return Ok(());
+            }
+            match body {
+                Ask::Ping { store } => {
+                    owner.pinged(entry, store);
+                    // Pongs carry a number that no question has.
+                    out.try_send(encode(u64::MAX, Tell::Done)?).map_err(io::Error::other)?;
+                }
+                body => {
+                    let (owner, entry, out) = (owner.clone(), entry.clone(), out.clone());
+                    tokio::spawn(async move {
+                        let tell = owner.answer(&entry, body).await;
+                        let sent = encode(no, tell).map(|frame| out.try_send(frame));
+                        if !matches!(sent, Ok(Ok(()))) {
+                            log::info!("event=answer-lost entry={entry}");
+                        }
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/node/metrics.rs
@@ -0,0 +1,134 @@
+//! Metrics of an entry on the platform, in the format of Prometheus.
+
+use crate::cell::Load;
+use crate::clock::Millis;
+use crate::order::Outcome;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the buckets for times, in seconds.
+const BUCKETS: [f64; 11] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
+
+/// The metrics.
+#[derive(Debug)]
+pub(super) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_time: Histogram,
+    orders: IntCounterVec,
+    order_time: Histogram,
+    append_time: Histogram,
+    advice_time: Histogram,
+    dropped: IntGauge,
+    jobs: IntGauge,
+    runs: IntGauge,
+    ready: IntGauge,
+    workers: IntGauge,
+    heard: IntGauge,
+    /// Takeovers by this entry.
+    pub takeovers: IntCounter,
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    ///
+    /// # Errors
+    /// Two metrics have one name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counts =
+            |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
+                let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+                registry.register(Box::new(counter.clone()))?;
+                Ok(counter)
+            };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let times = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let takeovers = IntCounter::new("sprucerudder_takeovers_total", "Takeovers of the cell")?;
+        registry.register(Box::new(takeovers.clone()))?;
+        Ok(Self {
+            requests: counts("sprucerudder_calls_total", "Callers' calls", &["call", "status"])?,
+            request_time: times("sprucerudder_call_seconds", "Time of callers' calls")?,
+            orders: counts(
+                "sprucerudder_orders_total",
+                "Orders to workers",
+                &["order", "outcome"],
+            )?,
+            order_time: times("sprucerudder_order_seconds", "Time of orders to workers")?,
+            append_time: times("sprucerudder_append_seconds", "Time of appends to the store")?,
+            advice_time: times("sprucerudder_advice_seconds", "Time of questions for advice")?,
+            dropped: gauge("sprucerudder_log_lines_dropped", "Log lines that found no room")?,
+            jobs: gauge("sprucerudder_jobs_open", "Open jobs at the owner")?,
+            runs: gauge("sprucerudder_runs", "Runs whose room is taken")?,
+            ready: gauge("sprucerudder_steps_waiting", "Steps with tasks that need a worker")?,
+            workers: gauge("sprucerudder_workers", "Workers in use")?,
+            heard: gauge("sprucerudder_workers_heard", "Workers that answered their last call")?,
+            takeovers,
+            registry,
+        })
+    }
+
+    /// A caller got its answer.
+    pub fn called(&self, call: &str, status: u16, took: Millis) {
+        self.requests.with_label_values(&[call, &status.to_string()]).inc();
+        self.request_time.observe(seconds(took));
+    }
+
+    /// An order to a worker came to an end.
+    pub fn ordered(&self, start: bool, outcome: &Outcome, took: Millis) {
+        let outcome = match outcome {
+            Outcome::Done(_) => "done",
+            Outcome::Refused(_) => "refused",
+            Outcome::Unsent => "unsent",
+            Outcome::Unknown => "unknown",
+        };
+        let order = if start { "start" } else { "stop" };
+        self.orders.with_label_values(&[order, outcome]).inc();
+        self.order_time.observe(seconds(took));
+    }
+
+    /// A batch is in the store.
+    pub fn appended(&self, took: Millis) {
+        self.append_time.observe(seconds(took));
+    }
+
+    /// The advice service answered.
+    pub fn advised(&self, took: Millis) {
+        self.advice_time.observe(seconds(took));
+    }
+
+    /// What the owner holds.
+    pub fn loaded(&self, load: &Load) {
+        self.jobs.set(load.jobs as i64);
+        self.runs.set(load.runs as i64);
+        self.ready.set(load.ready as i64);
+        self.workers.set(load.workers as i64);
+        self.heard.set(load.heard as i64);
+    }
+
+    /// All metrics as text; `dropped`: log lines that found no room.
+    ///
+    /// # Errors
+    /// They cannot be written.
+    pub fn text(&self, dropped: u64) -> prometheus::Result<Vec<u8>> {
+        self.dropped.set(dropped as i64);
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn seconds(took: Millis) -> f64 {
+    took.0 as f64 / 1_000.0
+}
--- /dev/null
+++ b/src/node/msg.rs
@@ -0,0 +1,72 @@
+//! Messages between an entry and the owner of the cell: length-delimited frames of `postcard`.
+
+use crate::cell::State;
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::Cleared;
+use crate::workload::{JobKey, StepKey, Work};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// The largest frame, in bytes: a job's text and its steps fit many times.
+pub const MAX_FRAME: usize = 1024 * 1024;
+
+/// What an entry asks the owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The sender, and the epoch in which it takes the receiver for the owner.
+    Hello { entry: Name, epoch: u64 },
+    /// Whether the sender can read the platform's log.
+    Ping { store: bool },
+    /// A caller submits a job.
+    Submit { job: JobKey, queue: Name, work: Arc<Work> },
+    /// A caller asks for a job's state.
+    State { job: JobKey },
+    /// A caller withdraws a job.
+    Cancel { job: JobKey },
+    /// A caller asks how many jobs wait.
+    Pending { queue: Name },
+    /// The advice service answered, or did not.
+    Advised { step: StepKey, named: Vec<Name>, answer: Option<Cleared> },
+}
+
+/// What the owner answers, or says unasked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Tell {
+    /// Nothing to say.
+    Done,
+    /// The job is in the store.
+    Accepted,
+    /// Nothing was done and nothing will be: come back later.
+    Refused(Refused),
+    /// It may be done later.
+    InDoubt,
+    /// The state of a job; `None`: there is no such job.
+    State(Option<State>),
+    /// Whether there was such a job; if so, it ended, and that is in the store.
+    Cancelled(bool),
+    /// The number of jobs that wait.
+    Pending(u32),
+    /// Ask the advice service this; sent unasked.
+    Question { step: StepKey, workers: Vec<Name>, cost: Millis },
+}
+
+/// Why an owner did nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refused {
+    /// It is not the owner, or not yet.
+    NotOwner,
+    /// It does not know the queue yet.
+    NoQueue,
+    /// The store does not take records.
+    NoStore,
+}
+
+/// A message with the number that pairs a question with its answer; 0: unasked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame<T> {
+    /// The number.
+    pub no: u64,
+    /// The message.
+    pub body: T,
+}
--- /dev/null
+++ b/src/node/stop.rs
@@ -0,0 +1,49 @@
+//! A planned stop: the cell goes to another entry, callers go elsewhere, requests in flight end.
+
+use crate::clock::Millis;
+use crate::node::Node;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::sync::watch;
+
+/// How long an owner that stops waits for the store to have all that it knows.
+const SETTLE: Millis = Millis(400);
+/// The balancer sends no new callers after two questions a second apart, each of which may be
+/// half a second late.
+const UNLISTED: Millis = Millis(2_600);
+/// What is left of the grace when requests in flight are no longer waited for.
+const LAST: Millis = Millis(700);
+/// Time between looks.
+const LOOK: Millis = Millis(50);
+
+impl Node {
+    /// Returns when a planned stop has begun and is done.
+    pub(super) async fn wait_for_stop(
+        self: &Arc<Self>,
+        mut stop: watch::Receiver<bool>,
+        close: watch::Sender<bool>,
+    ) {
+        if stop.wait_for(|stop| *stop).await.is_err() {
+            log::warn!("event=signals-lost");
+        }
+        let begun = self.now();
+        self.stopping.store(true, Ordering::Relaxed);
+        let owner = self.owner.borrow().clone();
+        log::info!("event=stopping entry={} owner={}", self.me, owner.is_some());
+        if let Some(owner) = owner.filter(|owner| !owner.is_over()) {
+            owner.settle(SETTLE).await;
+            owner.end();
+            self.release(owner.epoch()).await;
+        }
+        let grace = self.settings.grace;
+        while self.now().since(begun) < UNLISTED.min(grace - LAST) {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        close.send_replace(true);
+        while self.open.load(Ordering::Relaxed) > 0 && self.now().since(begun) + LAST < grace {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        // The last answers have to leave.
+        tokio::time::sleep(LOOK.duration()).await;
+    }
+}
--- /dev/null
+++ b/src/order.rs
@@ -0,0 +1,151 @@
+//! Workers, and the orders and reports that pass between an owner and a worker.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::workload::{Room, TaskKey};
+use serde::{Deserialize, Serialize};
+
+/// A worker as it lists itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its id: a new one for each life.
+    pub id: Name,
+    /// The service it belongs to.
+    pub service: Name,
+    /// Where it is called.
+    pub addr: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Its room.
+    pub room: Room,
+    /// Its kind and its rack.
+    pub labels: Vec<Name>,
+    /// It takes nothing new: the least time until it leaves.
+    pub leaving: Option<Millis>,
+}
+
+/// How a run of a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// As it should.
+    Done,
+    /// By its own fault or the worker's.
+    Failed,
+    /// It was told to.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+/// A run that goes on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunningRow {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of its start.
+    pub run: u64,
+    /// Its saved progress; empty: none.
+    pub saved: Name,
+    /// The share at which it may work, in hundredths.
+    pub percent: u32,
+    /// For a task that serves, the tail of its answers in milliseconds; else the processors in
+    /// use, in thousandths of a core. Absent in the first half second.
+    pub gauge: Option<f64>,
+}
+
+/// A run that ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndedRow {
+    /// Rises from 1 within a worker's life.
+    pub no: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// The number of its start.
+    pub run: u64,
+    /// How.
+    pub end: End,
+    /// Its saved progress; empty: none.
+    pub saved: Name,
+}
+
+/// What a worker tells of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Report {
+    /// The worker's own clock.
+    pub clock: u64,
+    /// What runs.
+    pub running: Vec<RunningRow>,
+    /// What ended and was not yet confirmed, in order.
+    pub ended: Vec<EndedRow>,
+}
+
+/// Why an order was not followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// A higher fence was seen.
+    Fence,
+    /// A run that is not lower was stopped or ended there.
+    Old,
+    /// The lease in the order had run out.
+    Late,
+    /// No room.
+    Room,
+    /// The ticket does not hold.
+    Ticket,
+    /// The worker is unwell and did nothing.
+    Unwell,
+    /// Another life is at this address: the one that was meant is over.
+    OtherLife,
+    /// The order is malformed, or names what the worker does not know.
+    Malformed,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was followed; the worker's clock if it told.
+    Done(Option<u64>),
+    /// It was not followed, and won't be.
+    Refused(Refusal),
+    /// Nothing was sent.
+    Unsent,
+    /// It may have been followed, or may be later.
+    Unknown,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the start.
+    pub run: u64,
+    /// The job's text.
+    pub spec: Name,
+    /// Saved progress to go on from; empty: none.
+    pub saved: Name,
+    /// The advice service's ticket; empty: none.
+    pub ticket: Name,
+}
+
+/// Why a worker's report could not be had.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HoldError {
+    /// The worker refused.
+    Refused(Refusal),
+    /// No answer, or one that cannot be read.
+    Silent(String),
+}
+
+/// The workers that the advice service cleared for a step.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cleared {
+    /// Workers and their tickets.
+    pub rows: Vec<(Name, Name)>,
+    /// How long the tickets hold, if the service says.
+    pub valid: Option<Millis>,
+}
--- /dev/null
+++ b/src/platform/advice.rs
@@ -0,0 +1,74 @@
+//! The advice service: which workers may run a step.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::Cleared;
+use crate::platform::http::{Http, HttpError, uri};
+use crate::workload::StepKey;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+/// The most workers that one question may name.
+pub const MAX_NAMED: usize = 100;
+
+#[derive(Serialize)]
+struct RawQuestion<'a> {
+    step: String,
+    workers: &'a [Name],
+}
+
+#[derive(Deserialize)]
+struct RawAnswer {
+    /// Not about health: the workers that may run the step, each with its ticket.
+    #[serde(default)]
+    healthy: Vec<(Name, Name)>,
+    #[serde(default)]
+    valid_ms: Option<f64>,
+}
+
+/// The service's client.
+#[derive(Debug, Clone)]
+pub struct Adviser {
+    http: Http,
+    addr: Name,
+}
+
+impl Adviser {
+    /// A client of the service at `addr`.
+    pub fn new(http: Http, addr: Name) -> Self {
+        Self { http, addr }
+    }
+
+    /// Asks which of `workers` may run a step.
+    ///
+    /// # Errors
+    /// No answer, a refusal, or one that cannot be read.
+    pub async fn ask(
+        &self,
+        step: StepKey,
+        workers: &[Name],
+        limit: Millis,
+    ) -> Result<Cleared, HttpError> {
+        let malformed = |err: &dyn std::fmt::Display| {
+            HttpError::Malformed(self.addr.to_string(), err.to_string())
+        };
+        let ask = RawQuestion { step: step.to_string(), workers };
+        let body = serde_json::to_vec(&ask).map_err(|err| malformed(&err))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(uri(&self.addr, "/advise")?)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(Bytes::from(body)))
+            .map_err(|err| malformed(&err))?;
+        let answer = self.http.send(&self.addr, request, limit).await?;
+        if answer.status != StatusCode::OK {
+            return Err(HttpError::Status(self.addr.to_string(), answer.status));
+        }
+        let raw: RawAnswer = serde_json::from_slice(&answer.body).map_err(|err| malformed(&err))?;
+        let valid = raw.valid_ms.map(|ms| Millis(ms.max(0.0) as u64));
+        Ok(Cleared { rows: raw.healthy, valid })
+    }
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,185 @@
+//! The operators' configuration, as the platform keeps it, turned into the policy in force.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::workload::{Advice, Queue};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The key of the configuration among the operators' records.
+pub const KEY: &str = "config";
+/// The topic that holds the operators' records.
+pub const TOPIC: &str = "keyed.op";
+
+#[derive(Debug, Deserialize)]
+struct RawAdvice {
+    decide_ms: f64,
+    /// Not a period: the time added for each worker that a question names.
+    period_ms: f64,
+    valid_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawRoute {
+    name: Name,
+    #[serde(default)]
+    host: String,
+    #[serde(default)]
+    path_prefix: String,
+    #[serde(default)]
+    timeout_ms: u64,
+    /// The fixed part of a job's objective, not a bound on one answer.
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u32,
+    service: Name,
+    #[serde(default)]
+    max_attempts: u32,
+    /// A factor on the longest chain of a job.
+    #[serde(default)]
+    extension: f64,
+    #[serde(default)]
+    advice: Option<RawAdvice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawService {
+    name: Name,
+    /// The workers refuse what does not fit.
+    #[serde(default)]
+    admission_check: bool,
+}
+
+#[derive(Debug, Deserialize, Default)]
+struct RawLimits {
+    #[serde(default)]
+    max_header_bytes: usize,
+    #[serde(default)]
+    max_body_bytes: usize,
+    #[serde(default)]
+    header_timeout_ms: u64,
+    #[serde(default)]
+    idle_timeout_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RawRoute>,
+    #[serde(default)]
+    services: Vec<RawService>,
+    #[serde(default)]
+    limits: RawLimits,
+}
+
+/// Where callers reach a queue.
+#[derive(Debug)]
+pub struct Route {
+    /// The host that callers name.
+    pub host: String,
+    /// What the path begins with.
+    pub prefix: String,
+    /// The most time that one exchange may take.
+    pub timeout: Millis,
+    /// The queue.
+    pub queue: Arc<Queue>,
+}
+
+/// Bounds on callers' exchanges.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The largest head, in bytes.
+    pub head: usize,
+    /// The largest body, in bytes.
+    pub body: usize,
+    /// The longest time to send a head.
+    pub head_time: Millis,
+    /// The longest time that a connection stays open without an exchange.
+    pub idle_time: Millis,
+}
+
+impl Default for Limits {
+    /// The platform's own first configuration has these.
+    fn default() -> Self {
+        Self { head: 16_384, body: 262_144, head_time: Millis(3_000), idle_time: Millis(15_000) }
+    }
+}
+
+/// One version of the policy.
+#[derive(Debug, Default)]
+pub struct Policy {
+    /// Rises with every change.
+    pub version: u64,
+    /// The queues by name.
+    pub queues: HashMap<Name, Arc<Queue>>,
+    /// The routes by host, the longest prefix first.
+    routes: HashMap<String, Vec<Route>>,
+    /// The services whose workers refuse what does not fit.
+    pub guarded: Vec<Name>,
+    /// Bounds on callers' exchanges.
+    pub limits: Limits,
+}
+
+impl Policy {
+    /// Reads a configuration; unknown fields are passed over.
+    ///
+    /// # Errors
+    /// The text is not a configuration.
+    pub fn parse(text: &[u8]) -> Result<Self, serde_json::Error> {
+        let raw: RawConfig = serde_json::from_slice(text)?;
+        let mut policy = Self { version: raw.version, ..Self::default() };
+        for route in raw.routes {
+            policy.add(route);
+        }
+        for routes in policy.routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let guarded = raw.services.into_iter().filter(|service| service.admission_check);
+        policy.guarded = guarded.map(|service| service.name).collect();
+        policy.limits = limits(&raw.limits);
+        Ok(policy)
+    }
+
+    fn add(&mut self, raw: RawRoute) {
+        let advice = raw.advice.map(|advice| Advice {
+            base: Millis(advice.decide_ms.max(0.0) as u64),
+            each: (advice.period_ms.max(0.0) * 1_000.0) as u64,
+            valid: Millis(advice.valid_ms.max(0.0) as u64),
+        });
+        let queue = Arc::new(Queue {
+            name: raw.name.clone(),
+            service: raw.service,
+            priority: raw.priority,
+            attempts: raw.max_attempts.max(1),
+            stretch: (raw.extension.max(1.0) * 1_000.0) as u64,
+            target: Millis(raw.target_latency_ms.max(0.0) as u64),
+            advice,
+        });
+        let timeout = Millis(raw.timeout_ms);
+        let route =
+            Route { host: raw.host, prefix: raw.path_prefix, timeout, queue: queue.clone() };
+        self.queues.insert(raw.name, queue);
+        self.routes.entry(route.host.to_ascii_lowercase()).or_default().push(route);
+    }
+
+    /// The route of a caller's host and path: the longest prefix wins.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.routes.get(&host)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+}
+
+fn limits(raw: &RawLimits) -> Limits {
+    let usual = Limits::default();
+    let or = |given: u64, usual: Millis| if given == 0 { usual } else { Millis(given) };
+    Limits {
+        head: if raw.max_header_bytes == 0 { usual.head } else { raw.max_header_bytes },
+        body: if raw.max_body_bytes == 0 { usual.body } else { raw.max_body_bytes },
+        head_time: or(raw.header_timeout_ms, usual.head_time),
+        idle_time: or(raw.idle_timeout_ms, usual.idle_time),
+    }
+}
--- /dev/null
+++ b/src/platform/front.rs
@@ -0,0 +1,80 @@
+//! Callers' requests and the answers to them, as the platform has them.
+
+use crate::clock::Millis;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+
+/// How long a caller waits for its answer, in milliseconds from when it sent the request.
+const DEADLINE_HEADER: &str = "X-Sprucerudder-Deadline-Ms";
+
+/// The host that a caller names.
+pub fn host<B>(request: &Request<B>) -> &str {
+    let header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    header.or(request.uri().host()).unwrap_or_default()
+}
+
+/// How long a caller waits.
+pub fn deadline<B>(request: &Request<B>) -> Option<Millis> {
+    let text = request.headers().get(DEADLINE_HEADER)?.to_str().ok()?;
+    text.trim().parse::<f64>().ok().map(|ms| Millis(ms.max(0.0) as u64))
+}
+
+/// What a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// It is done, and kept.
+    Accepted,
+    /// The state of a job.
+    State(&'static str),
+    /// The number of jobs that wait.
+    Pending(u32),
+    /// There is no such job.
+    NoJob,
+    /// There is no such queue.
+    NoQueue,
+    /// The request has a fault and will never be taken.
+    Malformed(String),
+    /// Only GET, POST and DELETE are served.
+    NoMethod,
+    /// Nothing was done, and nothing will be: come back after so many seconds.
+    Busy {
+        /// Seconds.
+        after: u64,
+    },
+    /// It may have been done: ask again with the same key.
+    InDoubt,
+}
+
+impl Reply {
+    /// The answer over HTTP.
+    pub fn response(&self) -> Response<Full<Bytes>> {
+        let (status, body) = match self {
+            Self::Accepted => (StatusCode::OK, String::new()),
+            Self::State(state) => (StatusCode::OK, format!(r#"{{"state":"{state}"}}"#)),
+            Self::Pending(count) => (StatusCode::OK, format!(r#"{{"pending":{count}}}"#)),
+            Self::NoJob => (StatusCode::GONE, error("there is no such job")),
+            Self::NoQueue => (StatusCode::NOT_FOUND, error("there is no such queue")),
+            Self::Malformed(why) => (StatusCode::BAD_REQUEST, error(why)),
+            Self::NoMethod => (StatusCode::METHOD_NOT_ALLOWED, error("only GET, POST and DELETE")),
+            Self::Busy { .. } => (StatusCode::SERVICE_UNAVAILABLE, error("not taken: come back")),
+            Self::InDoubt => (StatusCode::GATEWAY_TIMEOUT, error("in doubt: ask again")),
+        };
+        let is_empty = body.is_empty();
+        let mut response = Response::new(Full::from(body));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        if !is_empty {
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        if let Self::Busy { after } = self {
+            headers.insert(RETRY_AFTER, HeaderValue::from(*after));
+        }
+        response
+    }
+}
+
+fn error(text: &str) -> String {
+    serde_json::json!({ "error": text }).to_string()
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,151 @@
+//! The settings that the platform gives to a process, turned into the project's own.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// The variable that names the settings file.
+pub const VARIABLE: &str = "SPRUCERUDDER_SETTINGS";
+/// The way of giving orders to workers that is served: the owner calls the worker.
+const CALLED: &str = "invoke";
+/// The form of the platform's store that is served.
+const LOG_FORM: &str = "log";
+
+#[derive(Debug, Deserialize)]
+struct RawListen {
+    front: Option<Name>,
+    ready: Option<Name>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawLimits {
+    #[serde(default = "one")]
+    cores: usize,
+}
+
+fn one() -> usize {
+    1
+}
+
+#[derive(Debug, Deserialize)]
+struct RawPlatform {
+    address: Name,
+    #[serde(default)]
+    form: Name,
+    #[serde(default)]
+    call_bytes: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawBounds {
+    hold_max_ms: u64,
+    status_s: f64,
+    grace_s: f64,
+    #[serde(default)]
+    stop_ms: u64,
+    #[serde(default)]
+    gang_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawSettings {
+    node: Name,
+    ip: Name,
+    zone: Name,
+    internal_ports: (u16, u16),
+    listen: RawListen,
+    limits: RawLimits,
+    bounds: RawBounds,
+    platform: RawPlatform,
+    #[serde(default)]
+    orders: Name,
+    advice: Option<Name>,
+}
+
+/// What one entry needs to know on the platform.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The entry's name.
+    pub name: Name,
+    /// Its IP address.
+    pub ip: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where callers come, `IP:PORT`.
+    pub front: Name,
+    /// Where the balancer asks whether callers may come.
+    pub ready: Name,
+    /// Where other entries come.
+    pub peer: Name,
+    /// Where metrics are served.
+    pub metrics: Name,
+    /// The platform's store.
+    pub store: Name,
+    /// The most bytes in one call to the store.
+    pub call_bytes: usize,
+    /// The advice service, if there is one.
+    pub advice: Option<Name>,
+    /// Processors.
+    pub cores: usize,
+    /// The longest lease that a worker takes.
+    pub lease_max: Millis,
+    /// How long a finished job's state can be asked for.
+    pub keep: Millis,
+    /// The time between a request to stop and being killed.
+    pub grace: Millis,
+    /// The longest that a stop of a task takes at a worker.
+    pub stop_time: Millis,
+    /// How long a gang's first member waits for the last.
+    pub gang_time: Millis,
+}
+
+/// Why an entry cannot start.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The text is not the settings of a process.
+    #[error("the settings cannot be read: {0}")]
+    Syntax(#[from] toml::de::Error),
+    /// An address that the role needs is missing.
+    #[error("the settings name no address for {0}")]
+    Missing(&'static str),
+    /// Workers or store are spoken to in a way that is not built.
+    #[error("{0} = {1:?} is not served: only {2:?} is")]
+    Unserved(&'static str, Name, &'static str),
+}
+
+impl Settings {
+    /// Reads settings; unknown fields are passed over.
+    ///
+    /// # Errors
+    /// See [`SettingsError`].
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let raw: RawSettings = toml::from_str(text)?;
+        if !raw.orders.is_empty() && *raw.orders != *CALLED {
+            return Err(SettingsError::Unserved("orders", raw.orders, CALLED));
+        }
+        if !raw.platform.form.is_empty() && *raw.platform.form != *LOG_FORM {
+            return Err(SettingsError::Unserved("platform.form", raw.platform.form, LOG_FORM));
+        }
+        let seconds = |s: f64| Millis((s.max(0.0) * 1_000.0) as u64);
+        let (first, second) = raw.internal_ports;
+        Ok(Self {
+            peer: format!("{}:{first}", raw.ip).into(),
+            metrics: format!("{}:{second}", raw.ip).into(),
+            front: raw.listen.front.ok_or(SettingsError::Missing("front"))?,
+            ready: raw.listen.ready.ok_or(SettingsError::Missing("ready"))?,
+            name: raw.node,
+            ip: raw.ip,
+            domain: raw.zone,
+            store: raw.platform.address,
+            call_bytes: raw.platform.call_bytes,
+            advice: raw.advice.filter(|addr| !addr.is_empty()),
+            cores: raw.limits.cores.max(1),
+            lease_max: Millis(raw.bounds.hold_max_ms),
+            keep: seconds(raw.bounds.status_s),
+            grace: seconds(raw.bounds.grace_s),
+            stop_time: Millis(raw.bounds.stop_ms),
+            gang_time: Millis(raw.bounds.gang_ms),
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,316 @@
+//! The platform's store: append-only topics, some of which keep the newest record of each key.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::platform::http::{Answer, Http, HttpError, uri};
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+use thiserror::Error;
+
+/// A read answers with at most this many kilobytes; small enough to be decoded within a few
+/// milliseconds of a quarter of a core.
+const READ_KB: u32 = 512;
+
+/// Why a call to the store failed.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[error("the store refused: {0}")]
+    Refused(StatusCode),
+    /// Whether it was done is not known.
+    #[error("no answer from the store: {0}")]
+    Unknown(HttpError),
+    /// The partition does not end where the append wants it to.
+    #[error("the partition ends at {0}")]
+    Moved(u64),
+    /// A producer with a higher epoch has written.
+    #[error("a producer of a later epoch has written")]
+    Fenced,
+    /// The sequence number is not the one after the last.
+    #[error("the sequence number does not follow the last")]
+    Sequence,
+    /// The records are gone; the oldest one kept is named.
+    #[error("records before {0} are gone")]
+    Gone(u64),
+    /// The answer cannot be read.
+    #[error("the store's answer cannot be read: {0}")]
+    Malformed(String),
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy)]
+pub struct Part<'a> {
+    /// The topic.
+    pub topic: &'a str,
+    /// The partition.
+    pub part: u32,
+}
+
+/// What an append depends on.
+#[derive(Debug, Clone, Copy)]
+pub enum Guard<'a> {
+    /// The partition must end at this offset.
+    End(u64),
+    /// Nobody with a higher epoch may have written, and a repeated call has one effect.
+    Producer {
+        /// The producer's name.
+        name: &'a str,
+        /// The producer's epoch.
+        epoch: u64,
+        /// The number of this call in the epoch.
+        seq: u64,
+    },
+}
+
+/// The answer to an append.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Appended {
+    /// The place of the first record.
+    pub offset: u64,
+    /// The place after the last one.
+    pub end: u64,
+}
+
+/// Records from some offset on.
+#[derive(Debug)]
+pub struct Records {
+    /// The place after the partition's last record.
+    pub end: u64,
+    /// The records with their places.
+    pub records: Vec<(u64, Bytes)>,
+}
+
+/// The newest record of a key.
+#[derive(Debug)]
+pub struct Newest {
+    /// The key.
+    pub key: Name,
+    /// The value; empty if the key was dropped.
+    pub value: Vec<u8>,
+}
+
+/// Some of the newest records of all keys.
+#[derive(Debug)]
+pub struct Page {
+    /// The records.
+    pub items: Vec<Newest>,
+    /// Whether there are more after the last one.
+    pub more: bool,
+    /// The place after the partition's last record.
+    pub end: u64,
+}
+
+#[derive(Deserialize)]
+struct RawItem {
+    key: Name,
+    #[serde(default)]
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct RawPage {
+    #[serde(default)]
+    items: Vec<RawItem>,
+    #[serde(default)]
+    has_more: bool,
+    end: u64,
+}
+
+#[derive(Deserialize, Default)]
+struct RawProblem {
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    end: u64,
+    #[serde(default)]
+    first: u64,
+}
+
+/// The store's client.
+#[derive(Debug, Clone)]
+pub struct Store {
+    http: Http,
+    addr: Name,
+}
+
+/// Adds a record of a plain topic to the body of an append.
+pub fn put_record(body: &mut BytesMut, data: &[u8]) {
+    body.put_u32(data.len() as u32);
+    body.put_slice(data);
+}
+
+/// Adds a record of a keyed topic to the body of an append; an empty value drops the key.
+pub fn put_keyed(body: &mut BytesMut, key: &str, value: &[u8]) {
+    body.put_u32((1 + key.len() + value.len()) as u32);
+    body.put_u8(key.len() as u8);
+    body.put_slice(key.as_bytes());
+    body.put_slice(value);
+}
+
+/// Splits a record of a keyed topic into its key and its value.
+pub fn split_keyed(record: &Bytes) -> Option<(Name, Bytes)> {
+    let len = usize::from(*record.first()?);
+    let key = std::str::from_utf8(record.get(1..1 + len)?).ok()?;
+    Some((key.into(), record.slice(1 + len..)))
+}
+
+impl Store {
+    /// A client of the store at `addr`.
+    pub fn new(http: Http, addr: Name) -> Self {
+        Self { http, addr }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<Answer, StoreError> {
+        let malformed = |err: &dyn std::fmt::Display| StoreError::Malformed(err.to_string());
+        let uri = uri(&self.addr, path).map_err(|err| malformed(&err))?;
+        let request = Request::builder().method(method).uri(uri).body(Full::from(body));
+        let request = request.map_err(|err| malformed(&err))?;
+        let answer = self.http.send(&self.addr, request, limit).await;
+        let answer = answer.map_err(StoreError::Unknown)?;
+        match answer.status {
+            status if status.is_success() => Ok(answer),
+            status => Err(problem(status, &answer.body)),
+        }
+    }
+
+    /// Appends records, all or none.
+    ///
+    /// # Errors
+    /// [`StoreError::Unknown`] if it may have been done.
+    pub async fn append(
+        &self,
+        part: Part<'_>,
+        guard: Guard<'_>,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<Appended, StoreError> {
+        let Part { topic, part } = part;
+        let path = match guard {
+            Guard::End(end) => format!("/log-append?topic={topic}&part={part}&as_of={end}"),
+            Guard::Producer { name, epoch, seq } => format!(
+                "/log-append?topic={topic}&part={part}&producer={name}&epoch={epoch}&seq={seq}"
+            ),
+        };
+        let answer = self.call(Method::POST, &path, body, limit).await?;
+        decode(&answer.body)
+    }
+
+    /// Reads records from an offset on; waits up to `wait` for the first one.
+    ///
+    /// # Errors
+    /// [`StoreError::Gone`] if they were removed.
+    pub async fn read(
+        &self,
+        part: Part<'_>,
+        from: u64,
+        wait: Millis,
+        limit: Millis,
+    ) -> Result<Records, StoreError> {
+        let Part { topic, part } = part;
+        let path = format!(
+            "/log-read?topic={topic}&part={part}&from={from}&max_kb={READ_KB}&wait_ms={wait}"
+        );
+        let answer = self.call(Method::GET, &path, Bytes::new(), limit).await?;
+        split(answer.body, from)
+    }
+
+    /// Reads the newest records of all keys after `after`.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn newest(
+        &self,
+        part: Part<'_>,
+        after: Option<&str>,
+        limit: Millis,
+    ) -> Result<Page, StoreError> {
+        let Part { topic, part } = part;
+        let mut path = format!("/log-newest?topic={topic}&part={part}");
+        if let Some(key) = after {
+            // The platform gives the key to continue after in the field of a step's dependencies.
+            path.push_str("&depends_on=");
+            path.push_str(key);
+        }
+        let answer = self.call(Method::GET, &path, Bytes::new(), limit).await?;
+        let raw: RawPage = decode(&answer.body)?;
+        let items = raw.items.into_iter().map(newest).collect::<Result<_, _>>()?;
+        Ok(Page { items, more: raw.has_more, end: raw.end })
+    }
+
+    /// Reads the newest records of all keys; they may be of slightly different times.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn newest_all(
+        &self,
+        part: Part<'_>,
+        limit: Millis,
+    ) -> Result<(Vec<Newest>, u64), StoreError> {
+        let mut page = self.newest(part, None, limit).await?;
+        let end = page.end;
+        let mut all = std::mem::take(&mut page.items);
+        while page.more {
+            let Some(last) = all.last().map(|item| item.key.clone()) else { break };
+            page = self.newest(part, Some(&last), limit).await?;
+            all.append(&mut page.items);
+        }
+        Ok((all, end))
+    }
+}
+
+fn newest(raw: RawItem) -> Result<Newest, StoreError> {
+    let value = BASE64_STANDARD.decode(&raw.value);
+    let value = value.map_err(|err| StoreError::Malformed(err.to_string()))?;
+    Ok(Newest { key: raw.key, value })
+}
+
+fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|err| StoreError::Malformed(err.to_string()))
+}
+
+fn problem(status: StatusCode, body: &[u8]) -> StoreError {
+    // A refusal without a body carries no more than its status.
+    let raw: RawProblem = serde_json::from_slice(body).unwrap_or_default();
+    match (status, raw.reason.as_str()) {
+        (StatusCode::PRECONDITION_FAILED, _) => StoreError::Moved(raw.end),
+        (StatusCode::CONFLICT, "fenced") => StoreError::Fenced,
+        (StatusCode::CONFLICT, "seq") => StoreError::Sequence,
+        (StatusCode::GONE, _) => StoreError::Gone(raw.first),
+        _ => StoreError::Refused(status),
+    }
+}
+
+/// Splits the raw answer to a read: the end, the first offset kept, then the records.
+fn split(mut body: Bytes, from: u64) -> Result<Records, StoreError> {
+    const HEAD: usize = 16;
+    let short = || StoreError::Malformed("a read's answer is too short".to_string());
+    if body.len() < HEAD {
+        return Err(short());
+    }
+    let end = body.get_u64();
+    let first = body.get_u64();
+    let mut records = Vec::new();
+    let mut offset = from.max(first);
+    while body.has_remaining() {
+        if body.remaining() < 4 {
+            return Err(short());
+        }
+        let len = body.get_u32() as usize;
+        if body.remaining() < len {
+            return Err(short());
+        }
+        records.push((offset, body.split_to(len)));
+        offset += 1;
+    }
+    Ok(Records { end, records })
+}
--- /dev/null
+++ b/src/platform/worker.rs
@@ -0,0 +1,264 @@
+//! Workers: how they list themselves and how they are told what to run.
+
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::{End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow, Start};
+use crate::platform::http::{Answer, Http, HttpError, uri};
+use crate::workload::{Room, TaskKey};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+/// The topic in which workers list themselves, each under its id.
+pub const TOPIC: &str = "keyed.servers";
+/// Names the life of a worker that a call is meant for.
+const LIFE_HEADER: &str = "X-Sprucerudder-Expected-Instance";
+
+#[derive(Debug, Deserialize)]
+struct RawCapacity {
+    cpu: u64,
+    mem_mb: u64,
+    #[serde(default)]
+    gpu: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawWorker {
+    service: Name,
+    address: Name,
+    #[serde(default)]
+    zone: Name,
+    #[serde(default)]
+    state: Name,
+    capacity: Option<RawCapacity>,
+    #[serde(default)]
+    labels: Vec<Name>,
+    /// Only while it drains: the least time until it leaves.
+    remaining_ms: Option<f64>,
+}
+
+/// Reads a worker's own entry.
+///
+/// # Errors
+/// The text is not such an entry.
+pub fn parse_listed(id: Name, text: &[u8]) -> Result<Listed, serde_json::Error> {
+    const DRAINING: &str = "draining";
+    let raw: RawWorker = serde_json::from_slice(text)?;
+    let room = raw.capacity.map(|room| Room { cpu: room.cpu, mem: room.mem_mb, gpu: room.gpu });
+    let left = Millis(raw.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
+    Ok(Listed {
+        id,
+        service: raw.service,
+        addr: raw.address,
+        domain: raw.zone,
+        room: room.unwrap_or_default(),
+        labels: raw.labels,
+        leaving: (*raw.state == *DRAINING).then_some(left),
+    })
+}
+
+#[derive(Serialize)]
+struct RawStart<'a> {
+    task: String,
+    run: u64,
+    spec: &'a str,
+    until_ms: u64,
+    fence: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    checkpoint: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    ticket: &'a str,
+}
+
+#[derive(Serialize)]
+struct RawStop {
+    task: String,
+    run: u64,
+    fence: u64,
+}
+
+#[derive(Serialize)]
+struct RawPace {
+    task: String,
+    run: u64,
+    percent: u32,
+    fence: u64,
+}
+
+#[derive(Serialize)]
+struct RawHold {
+    fence: u64,
+    last_seen: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    until_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wait_ms: Option<u64>,
+}
+
+#[derive(Deserialize, Default)]
+struct RawAnswer {
+    clock_ms: Option<f64>,
+    #[serde(default)]
+    reason: String,
+}
+
+#[derive(Deserialize)]
+struct RawReport {
+    clock_ms: f64,
+    #[serde(default)]
+    running: Vec<Vec<serde_json::Value>>,
+    #[serde(default)]
+    ended: Vec<(u64, String, u64, String, Name)>,
+}
+
+/// The client of one life of one worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    http: Http,
+    addr: Name,
+    id: Name,
+    fence: u64,
+}
+
+impl Worker {
+    /// A client that gives orders with `fence` to the life `id` at `addr`.
+    pub fn new(http: Http, addr: Name, id: Name, fence: u64) -> Self {
+        Self { http, addr, id, fence }
+    }
+
+    async fn call<A: Serialize>(
+        &self,
+        path: &str,
+        ask: &A,
+        limit: Millis,
+    ) -> Result<Answer, HttpError> {
+        let malformed = |err: &dyn std::fmt::Display| {
+            HttpError::Malformed(self.addr.to_string(), err.to_string())
+        };
+        let body = serde_json::to_vec(ask).map_err(|err| malformed(&err))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(uri(&self.addr, path)?)
+            .header(CONTENT_TYPE, "application/json")
+            .header(LIFE_HEADER, &*self.id)
+            .body(Full::from(Bytes::from(body)))
+            .map_err(|err| malformed(&err))?;
+        self.http.send(&self.addr, request, limit).await
+    }
+
+    async fn order<A: Serialize>(&self, path: &str, ask: &A, limit: Millis) -> Outcome {
+        match self.call(path, ask, limit).await {
+            Ok(answer) => outcome(&answer),
+            Err(err) if err.is_unsent() => Outcome::Unsent,
+            Err(err) => {
+                log::debug!("event=order-unanswered worker={} path={path} error={err:?}", self.id);
+                Outcome::Unknown
+            }
+        }
+    }
+
+    /// Starts a run that ends by itself at `until` on the worker's clock unless it is renewed.
+    pub async fn start(&self, start: &Start, until: u64, limit: Millis) -> Outcome {
+        let ask = RawStart {
+            task: start.task.to_string(),
+            run: start.run,
+            spec: &start.spec,
+            until_ms: until,
+            fence: self.fence,
+            checkpoint: &start.saved,
+            ticket: &start.ticket,
+        };
+        self.order("/run-start", &ask, limit).await
+    }
+
+    /// Stops a run; one that has not begun never will.
+    pub async fn stop(&self, task: TaskKey, run: u64, limit: Millis) -> Outcome {
+        let ask = RawStop { task: task.to_string(), run, fence: self.fence };
+        self.order("/run-stop", &ask, limit).await
+    }
+
+    /// Lets a run work at a share of its speed, in hundredths.
+    pub async fn pace(&self, task: TaskKey, run: u64, percent: u32, limit: Millis) -> Outcome {
+        let ask = RawPace { task: task.to_string(), run, percent, fence: self.fence };
+        self.order("/pace", &ask, limit).await
+    }
+
+    /// Renews the lease of all that runs there, confirms ends up to `seen`, and waits up to `wait`
+    /// for another one.
+    ///
+    /// # Errors
+    /// See [`HoldError`].
+    pub async fn hold(
+        &self,
+        seen: u64,
+        until: Option<u64>,
+        wait: Millis,
+        limit: Millis,
+    ) -> Result<Report, HoldError> {
+        let wait_ms = (wait.0 > 0).then_some(wait.0);
+        let ask = RawHold { fence: self.fence, last_seen: seen, until_ms: until, wait_ms };
+        let answer = self.call("/hold", &ask, limit).await;
+        let answer = answer.map_err(|err| HoldError::Silent(err.to_string()))?;
+        match outcome(&answer) {
+            Outcome::Done(_) => report(&answer.body).map_err(HoldError::Silent),
+            Outcome::Refused(why) => Err(HoldError::Refused(why)),
+            other => Err(HoldError::Silent(format!("{other:?} {}", answer.status))),
+        }
+    }
+}
+
+fn outcome(answer: &Answer) -> Outcome {
+    // Some answers have no body: then there is no clock and no reason.
+    let raw: RawAnswer = serde_json::from_slice(&answer.body).unwrap_or_default();
+    match (answer.status, raw.reason.as_str()) {
+        (status, _) if status.is_success() => Outcome::Done(raw.clock_ms.map(|ms| ms as u64)),
+        (StatusCode::CONFLICT, "fence") => Outcome::Refused(Refusal::Fence),
+        (StatusCode::CONFLICT, "old") => Outcome::Refused(Refusal::Old),
+        (StatusCode::CONFLICT, "late") => Outcome::Refused(Refusal::Late),
+        (StatusCode::CONFLICT, "room") => Outcome::Refused(Refusal::Room),
+        (StatusCode::CONFLICT, "ticket") => Outcome::Refused(Refusal::Ticket),
+        (StatusCode::MISDIRECTED_REQUEST, _) => Outcome::Refused(Refusal::OtherLife),
+        (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _) => {
+            Outcome::Refused(Refusal::Unwell)
+        }
+        (status, _) if status.is_client_error() => Outcome::Refused(Refusal::Malformed),
+        _ => Outcome::Unknown,
+    }
+}
+
+fn report(body: &[u8]) -> Result<Report, String> {
+    let raw: RawReport = serde_json::from_slice(body).map_err(|err| err.to_string())?;
+    let running = raw.running.iter().map(|row| running(row)).collect::<Option<_>>();
+    let ended = raw.ended.into_iter().map(ended).collect::<Option<_>>();
+    let bad = || "a row of a report cannot be read".to_string();
+    Ok(Report {
+        clock: raw.clock_ms as u64,
+        running: running.ok_or_else(bad)?,
+        ended: ended.ok_or_else(bad)?,
+    })
+}
+
+fn running(row: &[serde_json::Value]) -> Option<RunningRow> {
+    Some(RunningRow {
+        task: row.first()?.as_str()?.parse().ok()?,
+        run: row.get(1)?.as_u64()?,
+        saved: row.get(2).and_then(|saved| saved.as_str()).unwrap_or_default().into(),
+        percent: row.get(3).and_then(|percent| percent.as_f64()).map_or(100, |p| p as u32),
+        gauge: row.get(4).and_then(|gauge| gauge.as_f64()),
+    })
+}
+
+fn ended((no, task, run, how, saved): (u64, String, u64, String, Name)) -> Option<EndedRow> {
+    let end = match how.as_str() {
+        "done" => End::Done,
+        "failed" => End::Failed,
+        "stopped" => End::Stopped,
+        "lapsed" => End::Lapsed,
+        "broken" => End::Broken,
+        "alone" => End::Alone,
+        _ => return None,
+    };
+    Some(EndedRow { no, task: task.parse().ok()?, run, end, saved })
+}
