--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -7,14 +7,15 @@
 use crate::id::{EntryId, Name};
 use serde::{Deserialize, Serialize};
 
-/// Time between two heartbeats of an owner in the log. Each is read by every entry; at 600 ms
-/// that is 12 calls a second of the 2,600 that the store takes.
-pub const BEAT: Millis = Millis(600);
-/// An owner whose heartbeats are missing this long is replaced: two may be late by half.
-pub const SILENCE: Millis = Millis(1_800);
+/// Time between two heartbeats of an owner in the log. Each is read by every entry; with seven
+/// entries that is 20 calls a second of the 2,600 that the store takes.
+pub const BEAT: Millis = Millis(400);
+/// An owner whose heartbeats are missing this long is replaced: two may be lost. A store that is
+/// 60 times slower than its usual 4 ms delays each by half a second.
+pub const SILENCE: Millis = Millis(1_200);
 /// If the owner's process surely is not there, this much silence is enough: a living owner has
 /// sent a heartbeat in that time.
-const SHORT_SILENCE: Millis = Millis(750);
+const SHORT_SILENCE: Millis = Millis(550);
 /// Two claims by one entry are this far apart, so that the first can be read back.
 const CLAIM_PAUSE: Millis = Millis(400);
 
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -29,12 +29,10 @@
 pub struct Task {
     /// Where it stands.
     pub stand: Stand,
-    /// How often it failed.
-    pub failed: u32,
+    /// The runs of it that failed: a worker may list an end again after a takeover.
+    pub failed: Vec<u64>,
     /// The number of its last start in this epoch.
     pub runs: u64,
-    /// The number of its last run that is known to have ended.
-    pub ended: u64,
     /// Its saved progress; empty: none.
     pub saved: Name,
     /// Workers on which it failed.
@@ -44,7 +42,7 @@
 impl Default for Task {
     fn default() -> Self {
         let (stand, saved) = (Stand::Waiting, "".into());
-        Self { stand, failed: 0, runs: 0, ended: 0, saved, avoid: Vec::new() }
+        Self { stand, failed: Vec::new(), runs: 0, saved, avoid: Vec::new() }
     }
 }
 
@@ -100,6 +98,8 @@
     pub inherited: bool,
     /// A task has been started.
     pub begun: bool,
+    /// The failure domain that its tasks go to as far as there is room.
+    pub home: Option<Name>,
     /// How it ended, with the batch that says so and the time.
     pub closed: Option<(Fate, u64, Millis)>,
     /// Progress has been written.
@@ -125,6 +125,7 @@
             batch,
             inherited: false,
             begun: false,
+            home: None,
             closed: None,
             noted: false,
             steps,
@@ -241,12 +242,13 @@
                         *byte |= 1 << (index % BITS);
                     }
                 }
-                _ if task.failed > 0 || !task.saved.is_empty() => note.tasks.push(TaskNote {
-                    index: index as u32,
-                    failed: task.failed,
-                    ended: task.ended,
-                    saved: task.saved.clone(),
-                }),
+                _ if !task.failed.is_empty() || !task.saved.is_empty() => {
+                    note.tasks.push(TaskNote {
+                        index: index as u32,
+                        failed: task.failed.clone(),
+                        saved: task.saved.clone(),
+                    })
+                }
                 _ => {}
             }
         }
@@ -263,8 +265,7 @@
         }
         for known in &note.tasks {
             if let Some(task) = self.tasks.get_mut(known.index as usize) {
-                task.failed = known.failed;
-                task.ended = known.ended;
+                task.failed = known.failed.clone();
                 task.saved = known.saved.clone();
             }
         }
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -46,10 +46,8 @@
 pub struct TaskNote {
     /// Its place in its step.
     pub index: u32,
-    /// How often it failed.
-    pub failed: u32,
-    /// The number of its last run that is known to have ended.
-    pub ended: u64,
+    /// The runs of it that failed.
+    pub failed: Vec<u64>,
     /// Its saved progress; empty: none.
     pub saved: Name,
 }
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -280,6 +280,7 @@
             && known.phase == Phase::Starting
         {
             known.phase = Phase::Running(now);
+            known.seen = true;
         }
     }
 
@@ -296,6 +297,11 @@
         match outcome {
             Outcome::Done(_) | Outcome::Refused(Refusal::Old) => {
                 known.phase = Phase::Stopping(Some(now));
+                if !known.seen {
+                    // It may never have begun: then no end will be listed, and only the next
+                    // report shows that the room is free.
+                    self.actions.push(Action::Look(name.clone()));
+                }
             }
             other => log::debug!(
                 "event=stop-failed task={task} run={run} worker={name} outcome={other:?}"
@@ -310,6 +316,19 @@
         {
             worker.heard = false;
             log::info!("event=worker-silent worker={name} runs={}", worker.runs.len());
+            let runs: Vec<(TaskKey, u64)> = worker.runs.keys().copied().collect();
+            for (task, run) in runs {
+                self.copy(task, run);
+            }
+        }
+    }
+
+    /// Lets a task run elsewhere too, if its copies may run side by side. The first one that is
+    /// done counts.
+    fn copy(&mut self, task: TaskKey, run: u64) {
+        let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
+        if spec.is_some_and(|spec| spec.copies && !spec.gang) {
+            self.requeue(task, run);
         }
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -53,6 +53,8 @@
     Watch(Listed),
     /// Do so no longer.
     Unwatch(Name),
+    /// Ask this worker for a report at once.
+    Look(Name),
     /// Have an entry ask the advice service.
     Ask { entry: Name, question: Question },
     /// A worker has seen a higher fence: another entry owns the cell.
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -23,11 +23,12 @@
 
 impl Cell {
     /// What to ask a worker now, and whether to renew its lease; `None` if it is not watched any
-    /// more.
+    /// more. The lease of a silent worker is not renewed: what runs there starts elsewhere when it
+    /// is over.
     pub fn hold(&mut self, now: Millis, name: &Name, renew: bool) -> Option<Hold> {
         let lease = self.bounds.lease;
         let worker = self.workers.get_mut(name)?;
-        let until = if renew { worker.lease(now, lease) } else { None };
+        let until = if renew && worker.heard { worker.lease(now, lease) } else { None };
         Some(Hold { seen: worker.confirmed(), until })
     }
 
@@ -36,16 +37,23 @@
         self.workers.get(name).and_then(Worker::awaited).filter(|batch| *batch > self.kept)
     }
 
-    /// A worker did not report.
-    pub fn unheld(&mut self, name: &Name, why: &HoldError) {
+    /// A worker did not report; whether to pause before it is asked again. One report may be lost
+    /// on the way: the worker is taken for silent when the next one is missing too.
+    pub fn unheld(&mut self, name: &Name, why: &HoldError) -> bool {
         match why {
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
             HoldError::Refused(Refusal::OtherLife) => self.bury(name),
-            why => {
-                log::debug!("event=hold-failed worker={name} why={why:?}");
+            HoldError::Refused(_) => self.silence(name),
+            HoldError::Silent(err) => {
+                log::debug!("event=hold-failed worker={name} error={err:?}");
+                let Some(worker) = self.workers.get_mut(name) else { return false };
+                if !worker.miss() {
+                    return false;
+                }
                 self.silence(name);
             }
         }
+        true
     }
 
     /// A worker reported, when asked at `sent`.
@@ -88,10 +96,9 @@
         let attempts = job.queue.attempts;
         let Some(step) = job.step_mut(task.step) else { return };
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.stand == Stand::Done || row.run <= state.ended {
+        if state.stand == Stand::Done || state.failed.contains(&row.run) {
             return;
         }
-        state.ended = row.run;
         if !row.saved.is_empty() {
             state.saved = row.saved.clone();
         }
@@ -108,18 +115,20 @@
                 self.finish(now, task);
             }
             End::Failed => {
-                state.failed += 1;
                 state.avoid.push(name.clone());
+                if !lasting {
+                    state.failed.push(row.run);
+                }
                 let failed = match gang {
-                    true => step.tasks.iter().map(|task| task.failed).sum(),
-                    false => state.failed,
+                    true => step.tasks.iter().map(|task| task.failed.len()).sum(),
+                    false => state.failed.len(),
                 };
                 log::info!(
                     "event=failed task={task} run={} worker={name} failed={failed}",
                     row.run
                 );
                 self.blame(now, name, task);
-                match !lasting && failed >= attempts {
+                match !lasting && failed >= attempts as usize {
                     true => self.close(now, task.step.job, Fate::Failed),
                     false => self.requeue(task, row.run),
                 }
@@ -148,6 +157,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         if let Some(run) = worker.runs.get_mut(&(task, row.run)) {
             run.percent = row.percent;
+            run.seen = true;
             if run.phase == Phase::Starting {
                 run.phase = Phase::Running(now);
             }
@@ -179,6 +189,7 @@
             charge: spec.as_ref().map(|spec| spec.charge()).unwrap_or_default(),
             phase: Phase::Running(now),
             told: false,
+            seen: true,
             percent: row.percent,
             filler: spec.as_ref().is_some_and(|spec| spec.filler),
             tail: spec.map(|spec| spec.tail).unwrap_or_default(),
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -66,6 +66,7 @@
             .filter(|name| tickets.as_ref().is_none_or(|held| held.contains(*name)))
             .cloned()
             .collect();
+        self.settle(key, &fits);
         match spec.gang {
             true => self.place_gang(now, key, &spec, &fits, waiting.len()),
             false => self.place_tasks(now, key, &spec, &fits, &waiting),
@@ -84,6 +85,19 @@
         }
     }
 
+    /// Gives a job a failure domain, the one with the most idle processors: its tasks go there as
+    /// far as there is room, so that a cut between failure domains holds up few jobs.
+    fn settle(&mut self, key: StepKey, fits: &[Name]) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.home.is_none()) else {
+            return;
+        };
+        let mut idle: BTreeMap<&Name, u64> = BTreeMap::new();
+        for worker in fits.iter().filter_map(|name| self.workers.get(name)) {
+            *idle.entry(&worker.listed.domain).or_default() += worker.free().cpu;
+        }
+        job.home = idle.into_iter().max_by_key(|(_, cpu)| *cpu).map(|(domain, _)| domain.clone());
+    }
+
     fn place_tasks(
         &mut self,
         now: Millis,
@@ -97,7 +111,8 @@
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
             let avoid = step.tasks.get(*index as usize).map(|task| task.avoid.as_slice());
-            let best = pick(&self.workers, fits, key, spec, avoid.unwrap_or_default());
+            let home = job.home.as_ref().filter(|_| !spec.lasting);
+            let best = pick(&self.workers, fits, key, spec, home, avoid.unwrap_or_default());
             let Some(name) = best else { return };
             let run = self.next_run(key, [*index]);
             self.bind(now, task, &name, run, spec, "");
@@ -116,7 +131,8 @@
         if waiting < spec.count as usize {
             return;
         }
-        let Some(chosen) = pick_gang(&self.workers, fits, key, spec) else { return };
+        let home = self.jobs.get(&key.job).and_then(|job| job.home.clone());
+        let Some(chosen) = pick_gang(&self.workers, fits, key, spec, home.as_ref()) else { return };
         let run = self.next_run(key, 0..spec.count);
         let saved = self.gang_progress(key);
         for (index, name) in chosen.iter().enumerate() {
@@ -138,7 +154,7 @@
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let runs = indices.into_iter().filter_map(|index| {
             let task = step?.tasks.get(index as usize)?;
-            Some(task.runs.max(task.ended))
+            Some(task.runs)
         });
         (self.epoch << RUN_BITS).max(runs.max().unwrap_or(0)) + 1
     }
@@ -154,6 +170,7 @@
             charge: spec.charge(),
             phase: Phase::Starting,
             told: false,
+            seen: false,
             percent: 100,
             filler: spec.filler,
             tail: spec.tail,
@@ -208,7 +225,8 @@
         }
         named.sort_by_key(|fit| {
             let known = advised.cleared.contains_key(fit.name);
-            (!known, std::cmp::Reverse(fit.worker.free().cpu))
+            let away = job.home.as_ref().is_some_and(|home| fit.worker.listed.domain != *home);
+            (!known, away, std::cmp::Reverse(fit.worker.free().cpu))
         });
         let wanted = (rest * CLEARED_SHARE).max(balance(advice)).min(MAX_NAMED);
         let workers: Vec<Name> = named.iter().take(wanted).map(|fit| fit.name.clone()).collect();
@@ -320,13 +338,14 @@
     worker.runs.range((first, 0)..=(last, u64::MAX)).count() as u32
 }
 
-/// The best worker with room for one task: near the data, not one on which it failed, sound, and
-/// then the one that is left with the least; fillers go where most processors are idle.
+/// The best worker with room for one task: near the data, not one on which it failed, in the job's
+/// failure domain, sound, and then the one that is left with the least; fillers go where most processors are idle.
 fn pick(
     workers: &BTreeMap<Name, Worker>,
     fits: &[Name],
     key: StepKey,
     spec: &Step,
+    home: Option<&Name>,
     avoid: &[Name],
 ) -> Option<Name> {
     let charge = spec.charge();
@@ -336,10 +355,11 @@
     };
     let score = |name: &Name, worker: &Worker| {
         let far = !spec.near.is_empty() && worker.rack() != Some(&spec.near);
+        let away = home.is_some_and(|home| worker.listed.domain != *home);
         let free = worker.free().less(&charge).cpu;
         let room = if spec.filler { u64::MAX - free } else { free };
         let serves = spec.filler && worker.runs.values().any(|run| run.tail.0 > 0);
-        (avoid.contains(name), far, serves, !worker.is_sound(), room)
+        (avoid.contains(name), far, serves, away, !worker.is_sound(), room)
     };
     let open = fits.iter().filter_map(|name| Some((name, workers.get(name)?)));
     let best = open
@@ -354,6 +374,7 @@
     fits: &[Name],
     key: StepKey,
     spec: &Step,
+    home: Option<&Name>,
 ) -> Option<Vec<Name>> {
     if spec.rack {
         let racks: BTreeSet<&Name> =
@@ -367,7 +388,9 @@
             }
         }
     }
-    fill(workers, fits, key, spec)
+    let is_home = |name: &&Name| workers.get(*name).map(|worker| &worker.listed.domain) == home;
+    let at_home: Vec<Name> = fits.iter().filter(is_home).cloned().collect();
+    fill(workers, &at_home, key, spec).or_else(|| fill(workers, fits, key, spec))
 }
 
 /// Gives each task of a gang a worker, or none at all.
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -9,6 +9,8 @@
 /// A lease is counted as over this much later, in thousandths of its length: a worker's clock may
 /// be 2 % slow (the platform's contract), and one is spare.
 const SLOW_CLOCK: u64 = 1_030;
+/// Reports in a row that may be missing before a worker counts as silent.
+const MAX_MISSES: u32 = 1;
 /// Failures in a row, of different jobs, after which a worker is set aside. Tasks that fail by
 /// their own fault are at most one in ten, so three in a row are one in a thousand.
 const MAX_FAILS: u32 = 3;
@@ -40,6 +42,8 @@
     pub phase: Phase,
     /// A stop is under way to the worker.
     pub told: bool,
+    /// The worker surely began it.
+    pub seen: bool,
     /// The share at which it may work, in hundredths.
     pub percent: u32,
     /// It takes what others leave.
@@ -65,6 +69,8 @@
     pub runs: BTreeMap<(TaskKey, u64), Run>,
     /// The room taken by `runs`.
     pub used: Room,
+    /// Reports in a row that did not come.
+    misses: u32,
     /// The worker's clock and when it was read here.
     clock: Option<(u64, Millis)>,
     /// When everything that it runs has surely ended unless it is renewed.
@@ -94,6 +100,7 @@
             known: false,
             runs: BTreeMap::new(),
             used: Room::default(),
+            misses: 0,
             clock: None,
             lease_end,
             seen: 0,
@@ -142,6 +149,13 @@
     pub fn hear(&mut self, now: Millis, report: &Report) {
         self.clock = Some((report.clock, now));
         self.heard = true;
+        self.misses = 0;
+    }
+
+    /// A report did not come; whether that was more than one in a row.
+    pub fn miss(&mut self) -> bool {
+        self.misses += 1;
+        self.misses > MAX_MISSES
     }
 
     /// The highest end that may be confirmed.
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -20,9 +20,9 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Time between two pings. A silent connection is given up after [`SILENT`].
-const PING: Millis = Millis(500);
-/// A connection on which nothing came for this long is given up: two pings may be lost.
-const SILENT: Millis = Millis(1_200);
+const PING: Millis = Millis(300);
+/// A connection on which nothing came for this long is given up: two pings may be late.
+const SILENT: Millis = Millis(900);
 /// The most time for opening a connection: a hundred times the way between failure domains.
 const CONNECT: Millis = Millis(300);
 /// Time between attempts to reach an owner.
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -39,19 +39,21 @@
 const LIST_EVERY: Millis = Millis(400);
 /// Workers whose entries went away are looked up again this much later: the list is read whole.
 const LIST_WHOLE: Millis = Millis(5_000);
-/// How long a report waits for an end at the worker.
-const HOLD_WAIT: Millis = Millis(1_000);
-/// How much longer than that an answer may take.
-const HOLD_SPARE: Millis = Millis(600);
+/// How long a report waits for an end at the worker. If the answer is lost, ends there are not
+/// known for this long and [`HOLD_SPARE`]; a shorter wait costs more reports.
+const HOLD_WAIT: Millis = Millis(800);
+/// How much longer than that an answer may take: a hundred times the way between failure domains.
+const HOLD_SPARE: Millis = Millis(250);
 /// Time between two reports of a worker that does not answer.
 const HOLD_RETRY: Millis = Millis(250);
 /// Ends are confirmed with the next report; it waits this long at the most for the store to have
 /// them.
 const KEEP_WAIT: Millis = Millis(500);
-/// The longest wait for the answer to an order.
-const ORDER_LIMIT: Millis = Millis(500);
+/// The longest wait for the answer to an order: a hundred times the way between failure domains.
+/// The room and the task are in doubt for that long if the answer is lost.
+const ORDER_LIMIT: Millis = Millis(300);
 /// A peer's word on the store is good for this long: two of its pings.
-const PING_GOOD: Millis = Millis(1_200);
+const PING_GOOD: Millis = Millis(900);
 
 /// Another entry that asks this owner.
 #[derive(Debug)]
@@ -79,6 +81,8 @@
     confirmed: Mutex<Millis>,
     /// The store takes records.
     store: AtomicBool,
+    /// Wakes the watch of a worker for a report at once.
+    pokes: Mutex<HashMap<Name, Arc<Notify>>>,
 }
 
 impl Node {
@@ -110,6 +114,7 @@
             peers: Mutex::default(),
             confirmed: Mutex::new(self.now()),
             store: AtomicBool::new(true),
+            pokes: Mutex::default(),
             node: self.clone(),
         });
         self.owner.send_replace(Some(owner.clone()));
@@ -251,8 +256,17 @@
                 self.end();
             }
             Action::Watch(listed) => drop(tokio::spawn(self.clone().watch(listed))),
-            // The watching task ends by itself: the cell does not know the worker any more.
-            Action::Unwatch(worker) => log::debug!("event=worker-dropped worker={worker}"),
+            Action::Unwatch(worker) => {
+                // The watching task ends by itself: the cell does not know the worker any more.
+                if let Some(poke) = lock(&self.pokes).remove(&worker) {
+                    poke.notify_one();
+                }
+            }
+            Action::Look(worker) => {
+                if let Some(poke) = lock(&self.pokes).get(&worker) {
+                    poke.notify_one();
+                }
+            }
             Action::Ask { entry, question } => self.ask(entry, question),
             order => drop(tokio::spawn(self.clone().order(order))),
         }
@@ -264,7 +278,7 @@
             Action::Start { worker, .. }
             | Action::Stop { worker, .. }
             | Action::Pace { worker, .. } => worker.clone(),
-            Action::Watch(_) | Action::Unwatch(_) | Action::Ask { .. } | Action::Deposed => return,
+            _ => return,
         };
         let Some(client) = self.client(&name) else { return };
         let sent = self.node.now();
@@ -306,6 +320,7 @@
     async fn watch(self: Arc<Self>, listed: Listed) {
         let name = listed.id;
         let client = Worker::new(self.node.http.clone(), listed.addr, name.clone(), self.epoch);
+        let poke = lock(&self.pokes).entry(name.clone()).or_default().clone();
         // The first report only tells what runs, and the clock: the lease needs that.
         let mut wait = Millis(0);
         while !self.is_over() {
@@ -313,23 +328,28 @@
             let renew = self.may_order();
             let sent = self.node.now();
             let Some(hold) = lock(&self.cell).hold(sent, &name, renew) else { return };
-            let limit = wait + HOLD_SPARE;
-            match client.hold(hold.seen, hold.until, wait, limit).await {
+            let held = tokio::select! {
+                held = client.hold(hold.seen, hold.until, wait, wait + HOLD_SPARE) => held,
+                () = poke.notified() => {
+                    wait = Millis(0);
+                    continue;
+                }
+            };
+            let now = self.node.now();
+            let pause = match &held {
                 Ok(report) => {
-                    let now = self.node.now();
-                    lock(&self.cell).held(now, sent, &name, &report);
+                    lock(&self.cell).held(now, sent, &name, report);
                     wait = if hold.until.is_some() { HOLD_WAIT } else { Millis(0) };
-                    self.stir.notify_one();
-                    if hold.until.is_none() && !renew {
-                        tokio::time::sleep(HOLD_RETRY.duration()).await;
-                    }
+                    hold.until.is_none() && !renew
                 }
                 Err(err) => {
-                    lock(&self.cell).unheld(&name, &err);
-                    self.stir.notify_one();
                     wait = Millis(0);
-                    tokio::time::sleep(HOLD_RETRY.duration()).await;
+                    lock(&self.cell).unheld(&name, err)
                 }
+            };
+            self.stir.notify_one();
+            if pause {
+                tokio::time::sleep(HOLD_RETRY.duration()).await;
             }
         }
     }
--- /dev/null
+++ b/tests/cell.rs
@@ -0,0 +1,321 @@
+//! Single decisions of the cell's state machine.
+
+use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::{Action, Bounds, Cell, State};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
+use sprucerudder::order::{End, EndedRow, HoldError, Listed, Outcome, Report, RunningRow, Start};
+use sprucerudder::workload::{JobKey, Queue, Room, Step, TaskKey, Work};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+const LEASE: Millis = Millis(6_000);
+
+fn queue(name: &str, priority: u32) -> Arc<Queue> {
+    Arc::new(Queue {
+        name: name.into(),
+        service: "s".into(),
+        priority,
+        attempts: 2,
+        stretch: 1_500,
+        target: Millis(250),
+        advice: None,
+    })
+}
+
+fn listed(id: &str, domain: &str) -> Listed {
+    Listed {
+        id: id.into(),
+        service: "s".into(),
+        addr: id.into(),
+        domain: domain.into(),
+        room: Room { cpu: 4_000, mem: 4_000, gpu: 0 },
+        labels: vec!["a".into(), "r1".into()],
+        leaving: None,
+    }
+}
+
+fn step(count: u32) -> Step {
+    let room = Room { cpu: 1_000, mem: 1_000, gpu: 0 };
+    Step { count, room, estimate: Millis(1_000), ..Step::default() }
+}
+
+fn work(steps: Vec<Step>) -> Arc<Work> {
+    Arc::new(Work { spec: "t".into(), steps, times: 1, first: Millis(0), every: Millis(0) })
+}
+
+/// An owner whose workers have answered once.
+fn cell(workers: &[Listed]) -> Cell {
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let queues = HashMap::from([("q".into(), queue("q", 0)), ("low".into(), queue("low", 2))]);
+    let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), Millis(0));
+    cell.set_workers(workers.to_vec());
+    write(&mut cell, 1);
+    for worker in workers {
+        cell.hold(Millis(1), &worker.id, true);
+        cell.held(Millis(2), Millis(1), &worker.id, &Report { clock: 1_000, ..Report::default() });
+    }
+    cell.tick(Millis(3), Millis(3));
+    cell.take_actions();
+    cell
+}
+
+/// The store takes what there is to write.
+fn write(cell: &mut Cell, now: u64) {
+    while let Some(batch) = cell.take_batch() {
+        cell.keep(Millis(now), batch.no);
+    }
+}
+
+/// The starts that the cell decides on.
+fn starts(cell: &mut Cell, now: u64) -> Vec<(Name, Start)> {
+    cell.schedule(Millis(now));
+    let actions = cell.take_actions().into_iter();
+    let start = |action| match action {
+        Action::Start { worker, start, .. } => Some((worker, start)),
+        _ => None,
+    };
+    actions.filter_map(start).collect()
+}
+
+fn submit(cell: &mut Cell, now: u64, key: u64, queue: &str, steps: Vec<Step>) -> JobKey {
+    let key = JobKey(key);
+    assert!(cell.submit(Millis(now), key, queue, work(steps)).is_some());
+    write(cell, now);
+    key
+}
+
+fn confirm(cell: &mut Cell, now: u64, started: &[(Name, Start)]) {
+    for (worker, start) in started {
+        cell.started(Millis(now), worker, start.task, start.run, Outcome::Done(None));
+    }
+}
+
+fn ended(no: u64, task: TaskKey, run: u64, end: End) -> Report {
+    let row = EndedRow { no, task, run, end, saved: "".into() };
+    Report { clock: 1_000, running: Vec::new(), ended: vec![row] }
+}
+
+fn goes_on(task: TaskKey, run: u64) -> RunningRow {
+    RunningRow { task, run, saved: "".into(), percent: 100, gauge: None }
+}
+
+#[test]
+fn nothing_of_a_job_starts_before_the_store_has_it() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    let batch = cell.submit(Millis(10), JobKey(1), "q", work(vec![step(1)]));
+    assert_eq!(starts(&mut cell, 10), Vec::new());
+    write(&mut cell, 11);
+    assert!(batch.is_some_and(|batch| batch <= cell.kept()));
+    assert_eq!(starts(&mut cell, 12).len(), 1);
+}
+
+#[test]
+fn the_same_key_again_is_the_same_job() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    let key = submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    assert_eq!(starts(&mut cell, 11).len(), 1);
+    submit(&mut cell, 12, key.0, "q", vec![step(1)]);
+    assert_eq!(starts(&mut cell, 13), Vec::new());
+}
+
+#[test]
+fn a_dependent_step_starts_after_all_tasks_before_it_and_the_job_ends_in_the_store() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    let second = Step { after: vec![0], ..step(1) };
+    let key = submit(&mut cell, 10, 1, "q", vec![step(2), second]);
+    let first = starts(&mut cell, 11);
+    assert_eq!(first.len(), 2);
+    confirm(&mut cell, 12, &first);
+    let one = ended(1, first[0].1.task, first[0].1.run, End::Done);
+    let still = vec![goes_on(first[1].1.task, first[1].1.run)];
+    cell.held(Millis(20), Millis(15), &"w1".into(), &Report { running: still, ..one });
+    assert_eq!(starts(&mut cell, 21), Vec::new());
+    let other = ended(2, first[1].1.task, first[1].1.run, End::Done);
+    cell.held(Millis(30), Millis(25), &"w1".into(), &other);
+    let then = starts(&mut cell, 31);
+    assert_eq!(then.len(), 1);
+    confirm(&mut cell, 32, &then);
+    let last = ended(3, then[0].1.task, then[0].1.run, End::Done);
+    cell.held(Millis(40), Millis(35), &"w1".into(), &last);
+    assert_eq!(cell.state(key), Some(State::Active), "the end is not in the store yet");
+    write(&mut cell, 41);
+    assert!(matches!(cell.state(key), Some(State::Closed(_))));
+}
+
+#[test]
+fn ends_are_confirmed_only_when_the_store_has_them() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(2)]);
+    let first = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &first);
+    let one = ended(7, first[0].1.task, first[0].1.run, End::Done);
+    cell.held(Millis(20), Millis(15), &"w1".into(), &one);
+    assert_eq!(cell.hold(Millis(21), &"w1".into(), true).map(|hold| hold.seen), Some(0));
+    write(&mut cell, 22);
+    assert_eq!(cell.hold(Millis(23), &"w1".into(), true).map(|hold| hold.seen), Some(7));
+}
+
+#[test]
+fn a_silent_workers_lease_is_not_renewed_and_its_tasks_start_elsewhere_when_it_is_over() {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "b")]);
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    let first = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &first);
+    let name = first[0].0.clone();
+    let silent = HoldError::Silent("no answer".to_string());
+    let mut again = Vec::new();
+    for now in (100..9_000).step_by(100) {
+        let hold = cell.hold(Millis(now), &name, true);
+        let renewed = hold.is_some_and(|hold| hold.until.is_some());
+        assert!(!renewed || now < 300, "renewed at {now}");
+        cell.unheld(&name, &silent);
+        cell.tick(Millis(now), Millis(now));
+        again.extend(starts(&mut cell, now).into_iter().map(|start| (now, start)));
+    }
+    let (now, (worker, start)) = again.first().cloned().unwrap();
+    assert_ne!(worker, name);
+    assert!((LEASE.0..LEASE.0 + 700).contains(&now), "started elsewhere at {now}");
+    assert!(start.run > first[0].1.run);
+}
+
+#[test]
+fn a_task_whose_copies_may_run_starts_elsewhere_as_soon_as_its_worker_is_silent() {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "b")]);
+    let copies = Step { copies: true, ..step(1) };
+    let key = submit(&mut cell, 10, 1, "q", vec![copies]);
+    let first = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &first);
+    let name = first[0].0.clone();
+    let silent = HoldError::Silent("no answer".to_string());
+    assert!(!cell.unheld(&name, &silent));
+    assert!(cell.unheld(&name, &silent));
+    let again = starts(&mut cell, 300);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, name);
+    // The first one that is done counts, and the other is stopped.
+    confirm(&mut cell, 301, &again);
+    let done = ended(1, first[0].1.task, first[0].1.run, End::Done);
+    cell.held(Millis(400), Millis(399), &name, &done);
+    write(&mut cell, 401);
+    assert!(matches!(cell.state(key), Some(State::Closed(_))));
+    let stops = cell.take_actions();
+    assert!(
+        stops
+            .iter()
+            .any(|action| matches!(action, Action::Stop { run, .. } if *run == again[0].1.run))
+    );
+}
+
+#[test]
+fn a_start_without_an_answer_is_stopped_before_its_room_is_used_again() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(4)]);
+    let first = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &first[1..]);
+    let (worker, lost) = first[0].clone();
+    cell.started(Millis(300), &worker, lost.task, lost.run, Outcome::Unknown);
+    let stop = Action::Stop { worker: worker.clone(), task: lost.task, run: lost.run };
+    assert!(cell.take_actions().contains(&stop));
+    cell.stopped(Millis(302), &worker, lost.task, lost.run, Outcome::Done(None));
+    assert_eq!(starts(&mut cell, 303), Vec::new(), "nothing shows yet that it never began");
+    let running = first[1..].iter().map(|(_, start)| goes_on(start.task, start.run)).collect();
+    let report = Report { clock: 1_310, running, ended: Vec::new() };
+    cell.held(Millis(310), Millis(305), &worker, &report);
+    let again = starts(&mut cell, 311);
+    assert_eq!(again.len(), 1);
+    assert!(again[0].1.run > lost.run);
+}
+
+#[test]
+fn a_task_that_failed_as_often_as_it_may_ends_its_job() {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "a")]);
+    let key = submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    for no in 1..=2 {
+        let now = no * 100;
+        let started = starts(&mut cell, now);
+        assert_eq!(started.len(), 1);
+        confirm(&mut cell, now + 1, &started);
+        let (worker, start) = started[0].clone();
+        let report = ended(no, start.task, start.run, End::Failed);
+        cell.held(Millis(now + 20), Millis(now + 10), &worker, &report);
+    }
+    write(&mut cell, 300);
+    assert_eq!(starts(&mut cell, 301), Vec::new());
+    assert!(matches!(
+        cell.state(key),
+        Some(State::Closed(sprucerudder::cell::journal::Fate::Failed))
+    ));
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all() {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(3)]);
+    let other = starts(&mut cell, 11);
+    assert_eq!(other.len(), 3);
+    confirm(&mut cell, 12, &other);
+    let gang = Step { gang: true, ..step(6) };
+    submit(&mut cell, 20, 2, "q", vec![gang]);
+    assert_eq!(starts(&mut cell, 21), Vec::new());
+    let (worker, start) = other[0].clone();
+    let report = ended(1, start.task, start.run, End::Done);
+    let running = other[1..].iter().map(|(_, start)| goes_on(start.task, start.run)).collect();
+    cell.held(Millis(30), Millis(25), &worker, &Report { running, ..report });
+    let whole = starts(&mut cell, 31);
+    assert_eq!(whole.len(), 6);
+    assert!(whole.iter().all(|(_, start)| start.run == whole[0].1.run));
+}
+
+#[test]
+fn a_jobs_tasks_keep_to_one_failure_domain_as_far_as_there_is_room() {
+    let workers = [listed("w1", "a"), listed("w2", "b"), listed("w3", "a"), listed("w4", "b")];
+    let mut cell = cell(&workers);
+    submit(&mut cell, 10, 1, "q", vec![step(8)]);
+    let started = starts(&mut cell, 11);
+    let domain = |name: &Name| workers.iter().find(|one| one.id == *name).map(|one| &one.domain);
+    assert_eq!(started.len(), 8);
+    assert!(started.iter().all(|(worker, _)| domain(worker) == domain(&started[0].0)));
+}
+
+#[test]
+fn more_urgent_work_comes_first() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "low", vec![step(4)]);
+    submit(&mut cell, 11, 2, "q", vec![step(4)]);
+    let started = starts(&mut cell, 12);
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|(_, start)| start.task.step.job == JobKey(2)));
+}
+
+#[test]
+fn a_new_owner_holds_back_inherited_tasks_until_all_workers_are_known() {
+    let mut old = cell(&[listed("w1", "a"), listed("w2", "b")]);
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let mut snapshot = Snapshot::default();
+    let mut records = Vec::new();
+    old.submit(Millis(10), JobKey(1), "q", work(vec![step(1)]));
+    old.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
+    while let Some(batch) = old.take_batch() {
+        records.extend(batch.records);
+        old.keep(Millis(11), batch.no);
+    }
+    for (key, value) in &records {
+        snapshot.add(key, value).unwrap();
+    }
+    let queues = HashMap::from([("q".into(), queue("q", 0))]);
+    let mut new = Cell::new(2, bounds, queues, snapshot, Millis(100));
+    new.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
+    write(&mut new, 101);
+    for id in ["w1", "w2"] {
+        let id = id.into();
+        new.hold(Millis(102), &id, true);
+        new.held(Millis(103), Millis(102), &id, &Report { clock: 1_000, ..Report::default() });
+    }
+    new.tick(Millis(110), Millis(110));
+    assert_eq!(starts(&mut new, 111), Vec::new(), "the task may run on the third worker");
+    new.hold(Millis(120), &"w3".into(), true);
+    new.held(Millis(121), Millis(120), &"w3".into(), &Report { clock: 1_000, ..Report::default() });
+    new.tick(Millis(130), Millis(130));
+    assert_eq!(starts(&mut new, 131).len(), 1);
+}
--- /dev/null
+++ b/tests/cell_search.rs
@@ -0,0 +1,53 @@
+//! Random runs of the cell's state machine through kills, pauses, cuts and lost, late and swapped
+//! messages; and the same with one mechanism taken out, which has to break a promise.
+
+mod cellworld;
+
+use cellworld::{Without, search};
+
+/// Runs of one search; `SPRUCE_CASES` sets another number.
+fn cases() -> u64 {
+    std::env::var("SPRUCE_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(400)
+}
+
+/// The first seed; `SPRUCE_SEED` sets another one.
+fn first_seed() -> u64 {
+    std::env::var("SPRUCE_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
+#[test]
+fn nothing_breaks_under_random_faults() {
+    let first = first_seed();
+    let found = (first..first + cases()).find_map(|seed| search(seed, Without::Nothing));
+    assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+}
+
+fn breaks(without: Without) {
+    let found = (1..3_000).find_map(|seed| search(seed, without));
+    assert!(found.is_some(), "nothing breaks without {without:?}");
+}
+
+#[test]
+fn workers_that_take_any_fence_break_a_promise() {
+    breaks(Without::Fences);
+}
+
+#[test]
+fn workers_that_forget_stops_break_a_promise() {
+    breaks(Without::Stops);
+}
+
+#[test]
+fn a_store_that_takes_records_of_deposed_owners_breaks_a_promise() {
+    breaks(Without::Producers);
+}
+
+#[test]
+fn owners_that_order_without_the_log_break_a_promise() {
+    breaks(Without::Authority);
+}
+
+#[test]
+fn workers_that_run_on_without_a_lease_break_a_promise() {
+    breaks(Without::Leases);
+}
--- /dev/null
+++ b/tests/cellworld/mod.rs
@@ -0,0 +1,874 @@
+//! A small world for the cell's state machine: workers, a store and owners on a virtual clock, with
+//! lost, late and swapped messages, cuts, pauses and crashes. It checks what must always hold.
+
+#![allow(dead_code)]
+
+use fastrand::Rng;
+use sprucerudder::cell::journal::{Batch, Snapshot};
+use sprucerudder::cell::{Action, Bounds, Cell, State};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
+use sprucerudder::order::{
+    Cleared, End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow, Start,
+};
+use sprucerudder::workload::{JobKey, Queue, Room, Step, TaskKey, Work};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::sync::Arc;
+
+pub const LEASE: u64 = 3_000;
+/// After this time there are no more faults, and everything has to come to an end.
+pub const CALM: u64 = 12_000;
+pub const END: u64 = 60_000;
+const TICK: u64 = 100;
+const HOLD_WAIT: u64 = 400;
+const LOST_AFTER: u64 = 300;
+
+/// A mechanism that is taken out, to show that the checks need it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Without {
+    Nothing,
+    /// Workers take orders with any fence.
+    Fences,
+    /// Workers forget what was stopped.
+    Stops,
+    /// The store takes records of deposed owners.
+    Producers,
+    /// Owners go on giving orders and renewals whatever they hear of the log.
+    Authority,
+    /// Workers run on when their lease is over.
+    Leases,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    run: u64,
+    until: u64,
+    charge: Room,
+}
+
+#[derive(Debug)]
+struct FakeWorker {
+    listed: Listed,
+    fence: u64,
+    lease: u64,
+    running: BTreeMap<TaskKey, Running>,
+    ended: Vec<EndedRow>,
+    count: u64,
+    barred: BTreeMap<TaskKey, u64>,
+    /// Tasks whose end `done` was confirmed.
+    alive: bool,
+    cut_until: u64,
+    /// Runs slower than the world's clock by this, in thousandths.
+    slow: u64,
+}
+
+impl FakeWorker {
+    fn clock(&self, now: u64) -> u64 {
+        1_000_000 + now * (1_000 - self.slow) / 1_000
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Tick { owner: usize },
+    Beat { owner: usize },
+    Order { owner: usize, worker: Name, action: Action, answer: Answer },
+    Answered { owner: usize, worker: Name, start: bool, task: TaskKey, run: u64, outcome: Outcome },
+    Hold { owner: usize, worker: Name, seen: u64, until: Option<u64>, sent: u64, lost: bool },
+    Held { owner: usize, worker: Name, sent: u64, result: Result<Report, HoldError> },
+    Watch { owner: usize, worker: Name },
+    Append { owner: usize, batch: Batch },
+    Kept { owner: usize, batch: u64 },
+    Refused { owner: usize },
+    Finish { worker: Name, task: TaskKey, run: u64 },
+    Submit { job: JobKey },
+    Elect,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Given,
+    /// It is carried out and not answered.
+    Lost,
+    /// It is carried out this much later and not answered.
+    Late(u64),
+    /// It does not arrive.
+    Never,
+}
+
+struct Owner {
+    cell: Cell,
+    alive: bool,
+    deposed: bool,
+    paused_until: u64,
+    confirmed: u64,
+    writing: bool,
+    watched: BTreeSet<Name>,
+}
+
+pub struct World {
+    rng: Rng,
+    without: Without,
+    now: u64,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: HashMap<usize, Event>,
+    next_event: usize,
+    workers: BTreeMap<Name, FakeWorker>,
+    owners: Vec<Owner>,
+    /// The store: records by key, and the highest epoch that wrote.
+    store: BTreeMap<String, Vec<u8>>,
+    epoch: u64,
+    queue_row: Arc<Queue>,
+    works: BTreeMap<JobKey, Arc<Work>>,
+    accepted: BTreeSet<JobKey>,
+    failing: BTreeSet<JobKey>,
+    done: BTreeMap<TaskKey, bool>,
+    fails: BTreeMap<TaskKey, u32>,
+    gone_works: u32,
+    pub broken: Vec<String>,
+    pub trace: Vec<String>,
+}
+
+fn room(cpu: u64) -> Room {
+    Room { cpu, mem: cpu, gpu: 0 }
+}
+
+impl World {
+    pub fn new(seed: u64, without: Without) -> Self {
+        let queue_row = Arc::new(Queue {
+            name: "q".into(),
+            service: "s".into(),
+            priority: 0,
+            attempts: 3,
+            stretch: 2_000,
+            target: Millis(200),
+            advice: None,
+        });
+        let mut world = Self {
+            rng: Rng::with_seed(seed),
+            without,
+            now: 0,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            workers: BTreeMap::new(),
+            owners: Vec::new(),
+            store: BTreeMap::new(),
+            epoch: 0,
+            queue_row,
+            works: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            done: BTreeMap::new(),
+            fails: BTreeMap::new(),
+            gone_works: 0,
+            broken: Vec::new(),
+            trace: Vec::new(),
+        };
+        for no in 0..4 {
+            world.add_worker(format!("w{no}").into(), no % 2);
+        }
+        world.elect();
+        for no in 0..12 {
+            let at = world.pick(CALM - 1_000);
+            let job = JobKey(no + 1);
+            let work = world.work();
+            world.works.insert(job, work);
+            world.at(at, Event::Submit { job });
+        }
+        for _ in 0..world.pick(4) {
+            let at = world.pick(CALM);
+            world.at(at, Event::Elect);
+        }
+        world
+    }
+
+    fn pick(&mut self, below: u64) -> u64 {
+        self.rng.u64(0..below.max(1))
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.now < CALM && self.pick(100) < percent
+    }
+
+    fn work(&mut self) -> Arc<Work> {
+        let mut steps = Vec::new();
+        for no in 0..1 + self.pick(3) as u16 {
+            let after = if no > 0 && self.pick(2) == 0 { vec![no - 1] } else { Vec::new() };
+            steps.push(Step {
+                count: 1 + self.pick(4) as u32,
+                room: room(300 + self.pick(700)),
+                estimate: Millis(200 + self.pick(1_500)),
+                after,
+                gang: self.pick(5) == 0,
+                saves: self.pick(2) == 0,
+                apart: if self.pick(4) == 0 { 1 } else { 0 },
+                ..Step::default()
+            });
+        }
+        let steps_fit = |step: &mut Step| {
+            if step.apart == 1 {
+                step.count = step.count.min(2);
+            }
+        };
+        steps.iter_mut().for_each(steps_fit);
+        let spec = "text".into();
+        Arc::new(Work { spec, steps, times: 1, first: Millis(0), every: Millis(0) })
+    }
+
+    fn add_worker(&mut self, id: Name, domain: u64) {
+        let listed = Listed {
+            id: id.clone(),
+            service: "s".into(),
+            addr: id.clone(),
+            domain: format!("d{domain}").into(),
+            room: room(2_000),
+            labels: vec!["a".into(), format!("r{domain}").into()],
+            leaving: None,
+        };
+        let worker = FakeWorker {
+            listed,
+            fence: 0,
+            lease: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            count: 0,
+            barred: BTreeMap::new(),
+            alive: true,
+            cut_until: 0,
+            slow: self.pick(20),
+        };
+        self.workers.insert(id, worker);
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.seq += 1;
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((time.max(self.now), self.seq, self.next_event)));
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn say(&mut self, text: String) {
+        self.trace.push(format!("{:6} {text}", self.now));
+    }
+
+    fn fault(&mut self, text: String) {
+        self.say(format!("BROKEN {text}"));
+        self.broken.push(text);
+    }
+
+    /// Runs to the end and checks that all accepted jobs came to one.
+    pub fn run(&mut self) {
+        while let Some(Reverse((time, _, id))) = self.queue.pop() {
+            if time > END || !self.broken.is_empty() {
+                break;
+            }
+            self.now = time;
+            let Some(event) = self.events.remove(&id) else { continue };
+            if let Some(owner) = owner_of(&event) {
+                let until = self.owners[owner].paused_until;
+                if !self.owners[owner].alive {
+                    continue;
+                }
+                if until > self.now {
+                    self.at(until, event);
+                    continue;
+                }
+            }
+            self.expire();
+            self.handle(event);
+        }
+        if self.broken.is_empty() {
+            self.check_ends();
+        }
+    }
+
+    fn check_ends(&mut self) {
+        let states: Vec<(JobKey, Option<State>)> = {
+            let Some(owner) = self.owners.last() else { return };
+            self.accepted.iter().map(|job| (*job, owner.cell.state(*job))).collect()
+        };
+        for (job, state) in states {
+            match state {
+                Some(State::Closed(_)) => {}
+                other => self.fault(format!("job {job} did not end: {other:?}")),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick { owner } => {
+                let now = Millis(self.now);
+                self.owners[owner].cell.tick(now, now);
+                self.after(TICK, Event::Tick { owner });
+                self.drive(owner);
+                self.trouble();
+            }
+            Event::Beat { owner } => self.beat(owner),
+            Event::Order { owner, worker, action, answer } => {
+                self.deliver(owner, &worker, &action, answer);
+            }
+            Event::Answered { owner, worker, start, task, run, outcome } => {
+                let now = Millis(self.now);
+                let cell = &mut self.owners[owner].cell;
+                match start {
+                    true => cell.started(now, &worker, task, run, outcome),
+                    false => cell.stopped(now, &worker, task, run, outcome),
+                }
+                self.drive(owner);
+            }
+            Event::Watch { owner, worker } => self.watch(owner, worker),
+            Event::Hold { owner, worker, seen, until, sent, lost } => {
+                self.deliver_hold(owner, worker, seen, until, sent, lost);
+            }
+            Event::Held { owner, worker, sent, result } => {
+                let now = Millis(self.now);
+                let cell = &mut self.owners[owner].cell;
+                let pause = match &result {
+                    Ok(report) => {
+                        cell.held(now, Millis(sent), &worker, report);
+                        false
+                    }
+                    Err(err) => cell.unheld(&worker, err),
+                };
+                self.drive(owner);
+                let wait = if pause { 250 } else { 0 };
+                self.after(wait, Event::Watch { owner, worker });
+            }
+            Event::Append { owner, batch } => self.append(owner, &batch),
+            Event::Kept { owner, batch } => {
+                self.owners[owner].writing = false;
+                self.owners[owner].cell.keep(Millis(self.now), batch);
+                self.drive(owner);
+            }
+            Event::Refused { owner } => self.depose(owner),
+            Event::Finish { worker, task, run } => self.finish(&worker, task, run),
+            Event::Submit { job } => self.submit(job),
+            Event::Elect => self.elect(),
+        }
+    }
+
+    /// Random faults, until it is calm.
+    fn trouble(&mut self) {
+        if !self.chance(4) {
+            return;
+        }
+        let names: Vec<Name> = self.workers.keys().cloned().collect();
+        let name = names[self.pick(names.len() as u64) as usize].clone();
+        match self.pick(5) {
+            0 => {
+                let until = self.now + 200 + self.pick(5_000);
+                self.say(format!("{name} is cut off until {until}"));
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.cut_until = until;
+                }
+            }
+            1 if self.gone_works < 2 && self.workers[&name].alive => {
+                self.gone_works += 1;
+                self.say(format!("{name} crashes"));
+                let domain = self.pick(2);
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.alive = false;
+                    worker.running.clear();
+                }
+                let id: Name = format!("{name}.{}", self.gone_works).into();
+                self.add_worker(id, domain);
+                self.list();
+            }
+            2 => {
+                let Some(owner) = self.owners.len().checked_sub(1) else { return };
+                let until = self.now + 500 + self.pick(4_000);
+                self.say(format!("owner {owner} is paused until {until}"));
+                self.owners[owner].paused_until = until;
+                let at = self.now + 1_200 + self.pick(400);
+                self.at(at, Event::Elect);
+            }
+            3 => {
+                let Some(owner) = self.owners.len().checked_sub(1) else { return };
+                self.say(format!("owner {owner} dies"));
+                self.owners[owner].alive = false;
+                let at = self.now + 600 + self.pick(600);
+                self.at(at, Event::Elect);
+            }
+            _ => {
+                let at = self.now;
+                self.at(at, Event::Elect);
+            }
+        }
+    }
+
+    /// Another entry owns the cell from now on.
+    fn elect(&mut self) {
+        self.epoch += 1;
+        let epoch = self.epoch;
+        let mut snapshot = Snapshot::default();
+        for (key, value) in &self.store {
+            snapshot.add(key, value).unwrap();
+        }
+        let bounds = Bounds { lease: Millis(LEASE), keep: Millis(1_000_000) };
+        let queues = HashMap::from([("q".into(), self.queue_row.clone())]);
+        let mut cell = Cell::new(epoch, bounds, queues, snapshot, Millis(self.now));
+        cell.set_workers(self.listed());
+        let owner = Owner {
+            cell,
+            alive: true,
+            deposed: false,
+            paused_until: 0,
+            confirmed: self.now,
+            writing: false,
+            watched: BTreeSet::new(),
+        };
+        self.owners.push(owner);
+        let owner = self.owners.len() - 1;
+        self.say(format!("owner {owner} takes over with epoch {epoch}"));
+        self.after(0, Event::Tick { owner });
+        self.after(0, Event::Beat { owner });
+        self.drive(owner);
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        let alive = self.workers.values().filter(|worker| worker.alive);
+        alive.map(|worker| worker.listed.clone()).collect()
+    }
+
+    /// Owners learn of new workers.
+    fn list(&mut self) {
+        let listed = self.listed();
+        for owner in &mut self.owners {
+            owner.cell.set_workers(listed.clone());
+        }
+    }
+
+    fn beat(&mut self, owner: usize) {
+        let newest = owner + 1 == self.owners.len();
+        match newest {
+            true => self.owners[owner].confirmed = self.now,
+            false => return self.depose(owner),
+        }
+        self.after(400, Event::Beat { owner });
+    }
+
+    fn depose(&mut self, owner: usize) {
+        if self.without == Without::Producers || self.without == Without::Authority {
+            return;
+        }
+        self.owners[owner].deposed = true;
+    }
+
+    fn may_order(&self, owner: usize) -> bool {
+        let free = self.without == Without::Authority;
+        free || self.now - self.owners[owner].confirmed < 1_200
+    }
+
+    fn drive(&mut self, owner: usize) {
+        if self.owners[owner].deposed {
+            return;
+        }
+        if self.may_order(owner) {
+            self.owners[owner].cell.schedule(Millis(self.now));
+        }
+        for action in self.owners[owner].cell.take_actions() {
+            match action {
+                Action::Start { ref worker, .. } | Action::Stop { ref worker, .. } => {
+                    let worker = worker.clone();
+                    let answer = self.answer();
+                    let delay = 1 + self.pick(3);
+                    // An owner may be paused between deciding and sending.
+                    let at = self.now.max(self.owners[owner].paused_until) + delay;
+                    self.at(at, Event::Order { owner, worker, action, answer });
+                }
+                Action::Watch(listed) => {
+                    if self.owners[owner].watched.insert(listed.id.clone()) {
+                        self.after(0, Event::Watch { owner, worker: listed.id });
+                    }
+                }
+                Action::Deposed => self.depose(owner),
+                Action::Pace { .. } | Action::Look(_) | Action::Unwatch(_) | Action::Ask { .. } => {
+                }
+            }
+        }
+        if !self.owners[owner].writing
+            && let Some(batch) = self.owners[owner].cell.take_batch()
+        {
+            self.owners[owner].writing = true;
+            let delay = 2 + self.pick(20);
+            self.after(delay, Event::Append { owner, batch });
+        }
+    }
+
+    fn answer(&mut self) -> Answer {
+        match self.chance(8) {
+            false => Answer::Given,
+            true => match self.pick(3) {
+                0 => Answer::Lost,
+                1 => Answer::Never,
+                _ => Answer::Late(500 + self.pick(4_000)),
+            },
+        }
+    }
+
+    fn append(&mut self, owner: usize, batch: &Batch) {
+        let newest = owner + 1 == self.owners.len();
+        if !newest && self.without != Without::Producers {
+            return self.after(1, Event::Refused { owner });
+        }
+        for (key, value) in &batch.records {
+            match value.is_empty() {
+                true => drop(self.store.remove(key)),
+                false => drop(self.store.insert(key.clone(), value.clone())),
+            }
+        }
+        let batch = batch.no;
+        self.after(2, Event::Kept { owner, batch });
+    }
+
+    fn submit(&mut self, job: JobKey) {
+        let owner = self.owners.len() - 1;
+        let usable = self.owners[owner].alive && self.owners[owner].paused_until <= self.now;
+        let work = self.works[&job].clone();
+        if usable {
+            self.owners[owner].cell.submit(Millis(self.now), job, "q", work);
+            self.drive(owner);
+        }
+        // The caller asks again until the store has the job.
+        match self.store.contains_key(&job.to_string()) {
+            true => drop(self.accepted.insert(job)),
+            false => self.after(200, Event::Submit { job }),
+        }
+    }
+
+    fn watch(&mut self, owner: usize, worker: Name) {
+        if self.owners[owner].deposed {
+            return;
+        }
+        let renew = self.may_order(owner);
+        let sent = self.now;
+        let Some(hold) = self.owners[owner].cell.hold(Millis(sent), &worker, renew) else {
+            self.owners[owner].watched.remove(&worker);
+            return;
+        };
+        let lost = self.chance(5);
+        let delay = 1 + self.pick(3);
+        let event = Event::Hold { owner, worker, seen: hold.seen, until: hold.until, sent, lost };
+        self.after(delay, event);
+    }
+
+    fn reaches(&self, worker: &Name) -> bool {
+        self.workers.get(worker).is_some_and(|worker| worker.cut_until <= self.now)
+    }
+
+    fn deliver_hold(
+        &mut self,
+        owner: usize,
+        name: Name,
+        seen: u64,
+        until: Option<u64>,
+        sent: u64,
+        lost: bool,
+    ) {
+        let silent = Err(HoldError::Silent("lost".to_string()));
+        if lost || !self.reaches(&name) {
+            return self
+                .after(LOST_AFTER, Event::Held { owner, worker: name, sent, result: silent });
+        }
+        let epoch = self.owners[owner].cell.epoch();
+        let (now, without) = (self.now, self.without);
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let result = if !worker.alive {
+            Err(HoldError::Refused(Refusal::OtherLife))
+        } else if epoch < worker.fence && without != Without::Fences {
+            Err(HoldError::Refused(Refusal::Fence))
+        } else {
+            worker.fence = worker.fence.max(epoch);
+            worker.lease = worker.lease.max(until.unwrap_or(0));
+            let confirmed =
+                worker.ended.iter().filter(|row| row.no <= seen && row.end == End::Done);
+            for row in confirmed {
+                self.done.insert(row.task, true);
+            }
+            worker.ended.retain(|row| row.no > seen);
+            let running = worker.running.iter().map(|(task, running)| RunningRow {
+                task: *task,
+                run: running.run,
+                saved: "".into(),
+                percent: 100,
+                gauge: None,
+            });
+            let running = running.collect();
+            Ok(Report { clock: worker.clock(now), running, ended: worker.ended.clone() })
+        };
+        let busy = matches!(&result, Ok(report) if report.ended.is_empty());
+        let delay = if busy { 1 + self.pick(HOLD_WAIT) } else { 1 + self.pick(3) };
+        if busy {
+            // The answer waits, and then tells what is so at that time.
+            let again = Event::Hold { owner, worker: name, seen, until: None, sent, lost: false };
+            return self.answer_later(delay, again);
+        }
+        self.after(delay, Event::Held { owner, worker: name, sent, result });
+    }
+
+    fn answer_later(&mut self, delay: u64, again: Event) {
+        let Event::Hold { owner, worker: name, sent, .. } = again else { return };
+        self.now += delay;
+        self.expire();
+        let report = self.workers.get(&name).filter(|worker| worker.alive).map(|worker| Report {
+            clock: worker.clock(self.now),
+            running: worker
+                .running
+                .iter()
+                .map(|(task, running)| RunningRow {
+                    task: *task,
+                    run: running.run,
+                    saved: "".into(),
+                    percent: 100,
+                    gauge: None,
+                })
+                .collect(),
+            ended: worker.ended.clone(),
+        });
+        self.now -= delay;
+        // What begins or ends until then is told by the next report only.
+        let result = report.ok_or(HoldError::Refused(Refusal::OtherLife));
+        self.after(delay, Event::Held { owner, worker: name, sent, result });
+    }
+
+    fn deliver(&mut self, owner: usize, name: &Name, action: &Action, answer: Answer) {
+        let (start, task, run) = match action {
+            Action::Start { start, .. } => (true, start.task, start.run),
+            Action::Stop { task, run, .. } => (false, *task, *run),
+            _ => return,
+        };
+        let told =
+            |outcome| Event::Answered { owner, worker: name.clone(), start, task, run, outcome };
+        if let Answer::Late(delay) = answer {
+            let action = action.clone();
+            // A late order goes on its way whatever becomes of its sender.
+            self.after(
+                delay,
+                Event::Order { owner, worker: name.clone(), action, answer: Answer::Lost },
+            );
+            return self.after(LOST_AFTER, told(Outcome::Unknown));
+        }
+        if answer == Answer::Never || !self.reaches(name) {
+            return self.after(LOST_AFTER, told(Outcome::Unknown));
+        }
+        let epoch = self.owners[owner].cell.epoch();
+        let outcome = match action {
+            Action::Start { start, until, .. } => self.start(name, start, *until, epoch),
+            _ => self.stop(name, task, run, epoch),
+        };
+        match answer {
+            Answer::Given => self.after(1, told(outcome)),
+            _ => self.after(LOST_AFTER, told(Outcome::Unknown)),
+        }
+    }
+
+    fn start(&mut self, name: &Name, start: &Start, until: u64, epoch: u64) -> Outcome {
+        let (now, without) = (self.now, self.without);
+        let Some(worker) = self.workers.get_mut(name) else { return Outcome::Unsent };
+        let task = start.task;
+        if !worker.alive {
+            return Outcome::Refused(Refusal::OtherLife);
+        }
+        if epoch < worker.fence && without != Without::Fences {
+            return Outcome::Refused(Refusal::Fence);
+        }
+        worker.fence = worker.fence.max(epoch);
+        if until <= worker.clock(now) {
+            return Outcome::Refused(Refusal::Late);
+        }
+        if worker.running.get(&task).is_some_and(|running| running.run == start.run) {
+            return Outcome::Done(None);
+        }
+        let barred = worker.barred.get(&task).is_some_and(|barred| start.run <= *barred);
+        if barred && without != Without::Stops {
+            return Outcome::Refused(Refusal::Old);
+        }
+        worker.lease = worker.lease.max(until);
+        let job = task.step.job;
+        let spec = self.works[&job].steps[usize::from(task.step.step)].clone();
+        let length = spec.estimate.0 / 2 + self.pick(spec.estimate.0.max(1));
+        let running = Running { run: start.run, until: now + length, charge: spec.charge() };
+        self.check_start(name, task, &spec);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.running.insert(task, running);
+        }
+        self.say(format!("{name} starts {task} run {}", start.run));
+        self.after(length, Event::Finish { worker: name.clone(), task, run: start.run });
+        Outcome::Done(None)
+    }
+
+    /// What must hold at each start.
+    fn check_start(&mut self, name: &Name, task: TaskKey, spec: &Step) {
+        let job = task.step.job;
+        let worker = &self.workers[name];
+        let used = worker.running.values().fold(Room::default(), |sum, run| sum.plus(&run.charge));
+        let over = !worker.listed.room.holds(&used.plus(&spec.charge()));
+        let here = worker.running.keys().filter(|other| other.step == task.step).count() as u32;
+        let crowded = spec.apart > 0 && here >= spec.apart;
+        let elsewhere =
+            self.workers.values().any(|worker| worker.alive && worker.running.contains_key(&task));
+        let early = spec.after.iter().any(|after| {
+            let count = self.works[&job].steps[usize::from(*after)].count;
+            let step = sprucerudder::workload::StepKey { step: *after, ..task.step };
+            (0..count).any(|index| !self.done.contains_key(&TaskKey { step, index }))
+        });
+        let confirmed = self.done.get(&task).copied().unwrap_or(false);
+        let spent = self.fails.get(&task).copied().unwrap_or(0) >= self.queue_row.attempts;
+        let faults = [
+            (over, "a worker is given more than it has"),
+            (crowded, "more tasks of a step on one worker than allowed"),
+            (elsewhere, "a task runs twice at once"),
+            (early, "a task starts before what it depends on is done"),
+            (confirmed, "a task starts again after its end was confirmed"),
+            (spent, "a task starts once more than it may"),
+        ];
+        for (wrong, what) in faults {
+            if wrong {
+                self.fault(format!("{what}: {task} on {name}"));
+            }
+        }
+    }
+
+    fn stop(&mut self, name: &Name, task: TaskKey, run: u64, epoch: u64) -> Outcome {
+        let without = self.without;
+        let Some(worker) = self.workers.get_mut(name) else { return Outcome::Unsent };
+        if !worker.alive {
+            return Outcome::Refused(Refusal::OtherLife);
+        }
+        if epoch < worker.fence && without != Without::Fences {
+            return Outcome::Refused(Refusal::Fence);
+        }
+        worker.fence = worker.fence.max(epoch);
+        let barred = worker.barred.entry(task).or_default();
+        *barred = (*barred).max(run);
+        if worker.running.get(&task).is_some_and(|running| running.run == run) {
+            self.end(name, task, End::Stopped);
+        }
+        Outcome::Done(None)
+    }
+
+    fn finish(&mut self, name: &Name, task: TaskKey, run: u64) {
+        let running = self.workers.get(name).and_then(|worker| worker.running.get(&task));
+        if running.is_none_or(|running| running.run != run) {
+            return;
+        }
+        let failed = self.chance(6);
+        let spec = &self.works[&task.step.job].steps[usize::from(task.step.step)];
+        let (gang, count) = (spec.gang, spec.count as usize);
+        if gang {
+            return self.finish_gang(name, task, run, count, failed);
+        }
+        match failed {
+            true => {
+                *self.fails.entry(task).or_default() += 1;
+                self.end(name, task, End::Failed);
+            }
+            false => {
+                self.done.entry(task).or_insert(false);
+                self.end(name, task, End::Done);
+            }
+        }
+    }
+
+    /// A member of a gang gets to its end: all are done together, or fail together, and one whose
+    /// others are not there ends alone.
+    fn finish_gang(&mut self, name: &Name, task: TaskKey, run: u64, count: usize, failed: bool) {
+        let members: Vec<(Name, TaskKey)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.alive)
+            .flat_map(|(name, worker)| worker.running.iter().map(move |entry| (name, entry)))
+            .filter(|(_, (other, running))| other.step == task.step && running.run == run)
+            .map(|(name, (other, _))| (name.clone(), *other))
+            .collect();
+        if members.len() < count {
+            return self.end(name, task, End::Alone);
+        }
+        for (member, other) in members {
+            match failed {
+                true if other == task => {
+                    *self.fails.entry(other).or_default() += 1;
+                    self.end(&member, other, End::Failed);
+                }
+                true => self.end(&member, other, End::Broken),
+                false => {
+                    self.done.entry(other).or_insert(false);
+                    self.end(&member, other, End::Done);
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, name: &Name, task: TaskKey, end: End) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(running) = worker.running.remove(&task) else { return };
+        worker.count += 1;
+        let no = worker.count;
+        let barred = worker.barred.entry(task).or_default();
+        *barred = (*barred).max(running.run);
+        worker.ended.push(EndedRow { no, task, run: running.run, end, saved: "".into() });
+        self.say(format!("{name} ends {task} run {}: {end:?}", running.run));
+    }
+
+    /// Leases run out.
+    fn expire(&mut self) {
+        if self.without == Without::Leases {
+            return;
+        }
+        let now = self.now;
+        let over: Vec<(Name, TaskKey)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.alive && worker.clock(now) >= worker.lease)
+            .flat_map(|(name, worker)| {
+                worker.running.keys().map(|task| (name.clone(), *task)).collect::<Vec<_>>()
+            })
+            .collect();
+        for (name, task) in over {
+            self.end(&name, task, End::Lapsed);
+        }
+    }
+}
+
+fn owner_of(event: &Event) -> Option<usize> {
+    match event {
+        Event::Tick { owner }
+        | Event::Beat { owner }
+        | Event::Answered { owner, .. }
+        | Event::Watch { owner, .. }
+        | Event::Held { owner, .. }
+        | Event::Kept { owner, .. }
+        | Event::Refused { owner } => Some(*owner),
+        // What is on its way arrives whatever becomes of its sender.
+        Event::Order { .. }
+        | Event::Hold { .. }
+        | Event::Append { .. }
+        | Event::Finish { .. }
+        | Event::Submit { .. }
+        | Event::Elect => None,
+    }
+}
+
+/// The first broken promise of a run, with the last lines of its trace.
+pub fn search(seed: u64, without: Without) -> Option<String> {
+    let mut world = World::new(seed, without);
+    world.run();
+    let first = world.broken.first()?;
+    let from = world.trace.len().saturating_sub(60);
+    Some(format!("seed {seed}: {first}\n{}", world.trace[from..].join("\n")))
+}
+
+/// An answer of the advice service that clears some workers.
+pub fn cleared(names: &[&str]) -> Cleared {
+    let rows = names.iter().map(|name| ((*name).into(), format!("t-{name}").into())).collect();
+    Cleared { rows, valid: Some(Millis(2_500)) }
+}
