Batches are never empty: the store does not count an append without records

Ends that change nothing are confirmed without waiting for a record now. Tests: a_batch_is_never_empty, an_end_that_changes_nothing_is_confirmed_without_a_record.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -231,8 +231,9 @@
         self.jobs.values().filter(waits).count() as u32
     }
 
-    /// The next batch for the store, if there is something to write.
-    pub fn take_batch(&mut self) -> Option<Batch> {
+    /// The next batch for the store, if there is something to write. A batch is never empty: the
+    /// store does not count an append without records.
+    pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
         if self.dirty.is_empty() && !self.roster {
             return None;
         }
@@ -263,6 +264,10 @@
         for key in new {
             self.postpone(key);
         }
+        if records.is_empty() {
+            self.keep(now, no);
+            return None;
+        }
         Some(Batch { no, records })
     }
 
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -58,7 +58,6 @@
 
     /// A worker reported, when asked at `sent`.
     pub fn held(&mut self, now: Millis, sent: Millis, name: &Name, report: &Report) {
-        let batch = self.batch;
         let Some(worker) = self.workers.get_mut(name) else { return };
         if !worker.heard {
             let (running, ended) = (report.running.len(), report.ended.len());
@@ -72,10 +71,16 @@
             if worker.has_seen(row.no) {
                 continue;
             }
-            worker.see(row.no, batch);
             worker.remove(row.task, row.run);
             self.stir = true;
             self.end(now, name, row);
+            // An end that changes nothing needs no record before it is confirmed.
+            let batch = if self.dirty.is_empty() { self.batch - 1 } else { self.batch };
+            let kept = self.kept;
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.see(row.no, batch);
+                worker.keep(kept);
+            }
         }
         for row in &report.running {
             self.running(now, name, row);
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -395,8 +395,12 @@
     async fn write_batches(self: Arc<Self>) {
         let mut seq = 0;
         loop {
-            let batch = lock(&self.cell).take_batch();
+            let (batch, kept) = {
+                let mut cell = lock(&self.cell);
+                (cell.take_batch(self.node.now()), cell.kept())
+            };
             let Some(batch) = batch else {
+                self.kept.send_replace(kept);
                 self.write.notified().await;
                 continue;
             };
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -62,7 +62,7 @@
 
 /// The store takes what there is to write.
 fn write(cell: &mut Cell, now: u64) {
-    while let Some(batch) = cell.take_batch() {
+    while let Some(batch) = cell.take_batch(Millis(now)) {
         cell.keep(Millis(now), batch.no);
     }
 }
@@ -296,7 +296,7 @@
     let mut records = Vec::new();
     old.submit(Millis(10), JobKey(1), "q", work(vec![step(1)]));
     old.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
-    while let Some(batch) = old.take_batch() {
+    while let Some(batch) = old.take_batch(Millis(11)) {
         records.extend(batch.records);
         old.keep(Millis(11), batch.no);
     }
@@ -319,3 +319,30 @@
     new.tick(Millis(130), Millis(130));
     assert_eq!(starts(&mut new, 131).len(), 1);
 }
+
+#[test]
+fn an_end_that_changes_nothing_is_confirmed_without_a_record() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    let key = submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    let started = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &started);
+    cell.cancel(Millis(13), key);
+    write(&mut cell, 14);
+    let start = &started[0].1;
+    cell.held(Millis(20), Millis(15), &"w1".into(), &ended(1, start.task, start.run, End::Stopped));
+    assert_eq!(cell.take_batch(Millis(21)), None);
+    assert_eq!(cell.hold(Millis(22), &"w1".into(), true).map(|hold| hold.seen), Some(1));
+}
+
+#[test]
+fn a_batch_is_never_empty() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    let started = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &started);
+    let start = &started[0].1;
+    // It has nothing saved, so its job's record stays as it is.
+    cell.held(Millis(20), Millis(15), &"w1".into(), &ended(1, start.task, start.run, End::Stopped));
+    assert_eq!(cell.take_batch(Millis(21)), None);
+    assert!(!cell.is_unkept());
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -496,7 +496,7 @@
             }
         }
         if !self.owners[owner].writing
-            && let Some(batch) = self.owners[owner].cell.take_batch()
+            && let Some(batch) = self.owners[owner].cell.take_batch(Millis(self.now))
         {
             self.owners[owner].writing = true;
             let delay = 2 + self.pick(20);
