--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -189,9 +189,11 @@
         let task = row.task;
         let job = self.jobs.get_mut(&task.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
+        // The size of a run whose job is over is not known: it may fill the worker.
+        let whole = self.workers.get(name).map(|worker| worker.listed.room).unwrap_or_default();
         let run = Run {
             run: row.run,
-            charge: spec.as_ref().map(|spec| spec.charge()).unwrap_or_default(),
+            charge: spec.as_ref().map_or(whole, |spec| spec.charge()),
             phase: Phase::Running(now),
             told: false,
             seen: true,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -346,3 +346,18 @@
     assert_eq!(cell.take_batch(Millis(21)), None);
     assert!(!cell.is_unkept());
 }
+
+#[test]
+fn a_run_of_unknown_size_takes_the_whole_worker_until_it_is_gone() {
+    // Its job ended under an earlier owner, which told it to stop.
+    let mut cell = cell(&[listed("w1", "a")]);
+    let step_key = sprucerudder::workload::StepKey { job: JobKey(9), time: 0, step: 0 };
+    let old = goes_on(TaskKey { step: step_key, index: 0 }, 7);
+    let report = Report { clock: 1_010, running: vec![old], ended: Vec::new() };
+    cell.held(Millis(10), Millis(9), &"w1".into(), &report);
+    submit(&mut cell, 20, 1, "q", vec![step(1)]);
+    assert_eq!(starts(&mut cell, 21), Vec::new());
+    let gone = ended(1, TaskKey { step: step_key, index: 0 }, 7, End::Stopped);
+    cell.held(Millis(30), Millis(25), &"w1".into(), &gone);
+    assert_eq!(starts(&mut cell, 31).len(), 1);
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -20,6 +20,8 @@
 /// After this time there are no more faults, and everything has to come to an end.
 pub const CALM: u64 = 12_000;
 pub const END: u64 = 60_000;
+/// The longest time that a stop takes.
+const STOP: u64 = 700;
 const TICK: u64 = 100;
 const HOLD_WAIT: u64 = 400;
 const LOST_AFTER: u64 = 300;
@@ -45,6 +47,8 @@
     run: u64,
     until: u64,
     charge: Room,
+    /// It was told to stop: it stays listed, and its room is free only at its end.
+    stopping: bool,
 }
 
 #[derive(Debug)]
@@ -67,6 +71,18 @@
     fn clock(&self, now: u64) -> u64 {
         1_000_000 + now * (1_000 - self.slow) / 1_000
     }
+
+    fn report(&self, now: u64) -> Report {
+        let row = |(task, running): (&TaskKey, &Running)| RunningRow {
+            task: *task,
+            run: running.run,
+            saved: "".into(),
+            percent: 100,
+            gauge: None,
+        };
+        let running = self.running.iter().map(row).collect();
+        Report { clock: self.clock(now), running, ended: self.ended.clone() }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +98,7 @@
     Kept { owner: usize, batch: u64 },
     Refused { owner: usize },
     Finish { worker: Name, task: TaskKey, run: u64 },
+    Stopped { worker: Name, task: TaskKey, run: u64 },
     Submit { job: JobKey },
     Elect,
 }
@@ -351,6 +368,12 @@
             }
             Event::Refused { owner } => self.depose(owner),
             Event::Finish { worker, task, run } => self.finish(&worker, task, run),
+            Event::Stopped { worker, task, run } => {
+                let running = self.workers.get(&worker).and_then(|one| one.running.get(&task));
+                if running.is_some_and(|running| running.run == run) {
+                    self.end(&worker, task, End::Stopped);
+                }
+            }
             Event::Submit { job } => self.submit(job),
             Event::Elect => self.elect(),
         }
@@ -595,15 +618,7 @@
                 self.done.insert(row.task, true);
             }
             worker.ended.retain(|row| row.no > seen);
-            let running = worker.running.iter().map(|(task, running)| RunningRow {
-                task: *task,
-                run: running.run,
-                saved: "".into(),
-                percent: 100,
-                gauge: None,
-            });
-            let running = running.collect();
-            Ok(Report { clock: worker.clock(now), running, ended: worker.ended.clone() })
+            Ok(worker.report(now))
         };
         let busy = matches!(&result, Ok(report) if report.ended.is_empty());
         let delay = if busy { 1 + self.pick(HOLD_WAIT) } else { 1 + self.pick(3) };
@@ -619,21 +634,8 @@
         let Event::Hold { owner, worker: name, sent, .. } = again else { return };
         self.now += delay;
         self.expire();
-        let report = self.workers.get(&name).filter(|worker| worker.alive).map(|worker| Report {
-            clock: worker.clock(self.now),
-            running: worker
-                .running
-                .iter()
-                .map(|(task, running)| RunningRow {
-                    task: *task,
-                    run: running.run,
-                    saved: "".into(),
-                    percent: 100,
-                    gauge: None,
-                })
-                .collect(),
-            ended: worker.ended.clone(),
-        });
+        let alive = self.workers.get(&name).filter(|worker| worker.alive);
+        let report = alive.map(|worker| worker.report(self.now));
         self.now -= delay;
         // What begins or ends until then is told by the next report only.
         let result = report.ok_or(HoldError::Refused(Refusal::OtherLife));
@@ -696,7 +698,8 @@
         let job = task.step.job;
         let spec = self.works[&job].steps[usize::from(task.step.step)].clone();
         let length = spec.estimate.0 / 2 + self.pick(spec.estimate.0.max(1));
-        let running = Running { run: start.run, until: now + length, charge: spec.charge() };
+        let running =
+            Running { run: start.run, until: now + length, charge: spec.charge(), stopping: false };
         self.check_start(name, task, &spec);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.running.insert(task, running);
@@ -750,15 +753,18 @@
         worker.fence = worker.fence.max(epoch);
         let barred = worker.barred.entry(task).or_default();
         *barred = (*barred).max(run);
-        if worker.running.get(&task).is_some_and(|running| running.run == run) {
-            self.end(name, task, End::Stopped);
+        let running = worker.running.get_mut(&task).filter(|running| running.run == run);
+        if let Some(running) = running.filter(|running| !running.stopping) {
+            running.stopping = true;
+            let time = self.pick(STOP);
+            self.after(time, Event::Stopped { worker: name.clone(), task, run });
         }
         Outcome::Done(None)
     }
 
     fn finish(&mut self, name: &Name, task: TaskKey, run: u64) {
         let running = self.workers.get(name).and_then(|worker| worker.running.get(&task));
-        if running.is_none_or(|running| running.run != run) {
+        if running.is_none_or(|running| running.run != run || running.stopping) {
             return;
         }
         let failed = self.chance(6);
@@ -853,6 +859,7 @@
         | Event::Hold { .. }
         | Event::Append { .. }
         | Event::Finish { .. }
+        | Event::Stopped { .. }
         | Event::Submit { .. }
         | Event::Elect => None,
     }
