Planned stops: a release that comes second is tried again; links that are stale are not used

Callers whose request may have been sent before a cut was noticed get 504 and do not come back, so nothing new is sent on a link without a frame for 350 ms.

--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -20,9 +20,12 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Time between two pings. A silent connection is given up after [`SILENT`].
-const PING: Millis = Millis(300);
-/// A connection on which nothing came for this long is given up: two pings may be late.
-const SILENT: Millis = Millis(900);
+const PING: Millis = Millis(150);
+/// After this time without a frame nothing new is sent: a caller whose request may have been sent
+/// and is not answered cannot be told that it was not run.
+const STALE: Millis = Millis(350);
+/// A connection on which nothing came for this long is given up: three pings may be late.
+const SILENT: Millis = Millis(700);
 /// The most time for opening a connection: a hundred times the way between failure domains.
 const CONNECT: Millis = Millis(300);
 /// Time between attempts to reach an owner.
@@ -93,6 +96,8 @@
     out: Out,
     waiting: Mutex<HashMap<u64, oneshot::Sender<Tell>>>,
     next: AtomicU64,
+    /// When the last frame came, in milliseconds.
+    heard: AtomicU64,
 }
 
 /// Why a question got no answer.
@@ -105,6 +110,11 @@
 }
 
 impl Link {
+    /// Whether the owner was heard a moment ago.
+    pub fn is_live(&self, now: Millis) -> bool {
+        now.since(Millis(self.heard.load(Ordering::Relaxed))) < STALE
+    }
+
     /// Asks and waits for the answer.
     ///
     /// # Errors
@@ -184,8 +194,12 @@
         stream.set_nodelay(true)?;
         let (read, half) = stream.into_split();
         let (out, frames) = mpsc::channel(QUEUE);
-        let link =
-            Arc::new(Link { out: out.clone(), waiting: Mutex::default(), next: AtomicU64::new(0) });
+        let link = Arc::new(Link {
+            out: out.clone(),
+            waiting: Mutex::default(),
+            next: AtomicU64::new(0),
+            heard: AtomicU64::new(self.now().0),
+        });
         let hello = Ask::Hello { entry: self.me.name.clone(), epoch: leader.epoch };
         out.try_send(encode(0, hello)?).map_err(io::Error::other)?;
         let read = self.read_tells(Frames::new(read), link.clone(), leader);
@@ -205,6 +219,7 @@
         leader: &Leader,
     ) -> io::Result<()> {
         while let Some(frame) = frames.next::<Tell>().await? {
+            link.heard.store(self.now().0, Ordering::Relaxed);
             match frame {
                 Frame { no: 0, body: Tell::Done } => {
                     // The owner greets: it is at work.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,7 +23,7 @@
 use msg::{Ask, Refused, Tell};
 use owner::Owner;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -35,7 +35,10 @@
 const LEASE: Millis = Millis(6_000);
 /// How much longer than reckoned an answer of the advice service may take.
 const ADVICE_SPARE: Millis = Millis(700);
-/// How long a question waits for an owner to appear.
+/// A question that could not be sent for this long is refused, so that its caller tries another
+/// entry: a takeover mostly takes less.
+const PATIENCE: Millis = Millis(1_500);
+/// Time between attempts to ask.
 const OWNER_PAUSE: Millis = Millis(25);
 
 /// Why an entry cannot serve.
@@ -66,6 +69,8 @@
     nudge: Notify,
     link: watch::Sender<Option<Arc<Link>>>,
     owner: watch::Sender<Option<Arc<Owner>>>,
+    /// The last epoch that this entry owned and gave up or lost.
+    given_up: AtomicU64,
     stopping: AtomicBool,
     /// Callers' requests in flight.
     open: AtomicUsize,
@@ -112,6 +117,7 @@
             nudge: Notify::new(),
             link: watch::channel(None).0,
             owner: watch::channel(None).0,
+            given_up: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             started: Instant::now(),
@@ -174,9 +180,14 @@
         election.is_mine() && election.leader().is_some_and(|leader| leader.epoch == epoch)
     }
 
+    /// Whether this entry owned the cell in an epoch and does so no more.
+    fn has_given_up(&self, epoch: u64) -> bool {
+        self.given_up.load(Ordering::Relaxed) >= epoch
+    }
+
     /// Whether new callers may come: there is a policy, and an owner that can be asked.
     fn is_ready(&self) -> bool {
-        let stopping = self.stopping.load(std::sync::atomic::Ordering::Relaxed);
+        let stopping = self.stopping.load(Ordering::Relaxed);
         let owned = self.owner.borrow().as_ref().is_some_and(|owner| owner.is_sure());
         let linked = self.link.borrow().is_some();
         !stopping && self.policy.borrow().version > 0 && (owned || linked)
@@ -185,6 +196,7 @@
     /// Asks whoever owns the cell, again if the owner changes, until an answer or `until`.
     async fn ask(&self, ask: Ask, until: Millis) -> Result<Tell, Silence> {
         let mut silence = Silence::Unsent;
+        let patient = self.now() + PATIENCE;
         loop {
             let left = until - self.now();
             if left == Millis(0) {
@@ -195,7 +207,11 @@
                 Ok(Ok(Tell::Refused(Refused::NotOwner | Refused::NoQueue))) => {}
                 Ok(Ok(Tell::InDoubt) | Err(LinkError::Broken)) => silence = Silence::Unknown,
                 Ok(Ok(tell)) => return Ok(tell),
-                Ok(Err(LinkError::Unsent)) if self.gives_up(silence) => return Err(silence),
+                Ok(Err(LinkError::Unsent))
+                    if silence == Silence::Unsent && (self.now() >= patient || self.is_blind()) =>
+                {
+                    return Err(silence);
+                }
                 Ok(Err(LinkError::Unsent)) => {}
                 Err(_) => return Err(Silence::Unknown),
             }
@@ -204,8 +220,8 @@
     }
 
     /// Whether waiting for an owner is of no use: the log cannot be read, so nobody can claim.
-    fn gives_up(&self, silence: Silence) -> bool {
-        silence == Silence::Unsent && !lock(&self.election).is_fresh(self.now())
+    fn is_blind(&self) -> bool {
+        !lock(&self.election).is_fresh(self.now())
     }
 
     async fn ask_once(&self, ask: Ask) -> Result<Tell, LinkError> {
@@ -215,8 +231,8 @@
         }
         let link = self.link.borrow().clone();
         match link {
-            Some(link) => link.ask(ask).await,
-            None => Err(LinkError::Unsent),
+            Some(link) if link.is_live(self.now()) => link.ask(ask).await,
+            _ => Err(LinkError::Unsent),
         }
     }
 
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -53,7 +53,7 @@
 /// The room and the task are in doubt for that long if the answer is lost.
 const ORDER_LIMIT: Millis = Millis(300);
 /// A peer's word on the store is good for this long: two of its pings.
-const PING_GOOD: Millis = Millis(900);
+const PING_GOOD: Millis = Millis(500);
 
 /// Another entry that asks this owner.
 #[derive(Debug)]
@@ -89,7 +89,10 @@
     /// Takes the cell over and owns it until another entry does, or this one is released.
     pub(super) async fn own(self: Arc<Self>, epoch: u64) {
         let begun = self.now();
-        let Some((snapshot, listed)) = self.recover(epoch).await else { return };
+        let Some((snapshot, listed)) = self.recover(epoch).await else {
+            self.given_up.fetch_max(epoch, Ordering::Relaxed);
+            return;
+        };
         log::info!(
             "event=takeover epoch={epoch} jobs={} roster={} listed={} took_ms={}",
             snapshot.jobs.len(),
@@ -119,6 +122,7 @@
         });
         self.owner.send_replace(Some(owner.clone()));
         owner.clone().run().await;
+        self.given_up.fetch_max(epoch, Ordering::Relaxed);
         self.owner.send_if_modified(|current| {
             let is_this = current.as_ref().is_some_and(|current| current.epoch == epoch);
             if is_this {
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 /// How long an owner that stops waits for the store to have all that it knows.
-const SETTLE: Millis = Millis(400);
+const SETTLE: Millis = Millis(150);
 /// The balancer sends no new callers after two questions a second apart, each of which may be
 /// half a second late.
 const UNLISTED: Millis = Millis(2_600);
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -8,6 +8,7 @@
 use crate::platform::store::{Guard, Part, StoreError, put_record, split_keyed};
 use bytes::BytesMut;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// The operators' records.
 const OPERATORS: Part<'static> = Part { topic: TOPIC, part: 0 };
@@ -186,9 +187,7 @@
     }
 
     async fn claim(&self) {
-        if self.stopping.load(std::sync::atomic::Ordering::Relaxed)
-            || self.policy.borrow().version == 0
-        {
+        if self.stopping.load(Ordering::Relaxed) || self.policy.borrow().version == 0 {
             return;
         }
         let Some(end) = lock(&self.election).claim(self.now()) else { return };
@@ -214,7 +213,7 @@
 
     /// Shows the other entries that the owner lives, as long as it is the owner.
     async fn send_beats(self: Arc<Self>, epoch: u64) {
-        while self.is_leader(epoch) {
+        while self.is_leader(epoch) && !self.has_given_up(epoch) {
             let sent = self.now();
             let end = lock(&self.election).end();
             let (owner, addr) = (self.me.clone(), self.settings.peer.clone());
@@ -235,14 +234,25 @@
         }
     }
 
-    /// Gives the cell up by plan.
+    /// Gives the cell up by plan, so that another entry claims it at once. A heartbeat under way
+    /// may come first: then it is tried again.
     pub(super) async fn release(&self, epoch: u64) {
-        let end = lock(&self.election).end();
-        if let Err(err) = self.append_claim(end, &Record::Release { epoch }).await {
-            log::info!("event=release-failed epoch={epoch} error={err:?}");
+        let until = self.now() + RELEASE;
+        while self.is_leader(epoch) && self.now() < until {
+            let end = lock(&self.election).end();
+            match self.append_claim(end, &Record::Release { epoch }).await {
+                Ok(()) => return log::info!("event=released epoch={epoch}"),
+                Err(err) => {
+                    log::debug!("event=release-failed epoch={epoch} error={err:?}");
+                    tokio::time::sleep(OVERTAKEN.duration()).await;
+                }
+            }
         }
+        log::info!("event=not-released epoch={epoch}");
     }
 }
 
-/// A heartbeat that came second is sent again once the reader had time to catch up.
+/// A record that came second is sent again once the reader had time to catch up.
 const OVERTAKEN: Millis = Millis(20);
+/// How long an owner that stops tries to say so; without it the others wait for its silence.
+const RELEASE: Millis = Millis(1_000);
