--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -98,6 +98,7 @@
     next: AtomicU64,
     /// When the last frame came, in milliseconds.
     heard: AtomicU64,
+    is_closed: AtomicBool,
 }
 
 /// Why a question got no answer.
@@ -127,6 +128,10 @@
         })?;
         let (tx, rx) = oneshot::channel();
         lock(&self.waiting).insert(no, tx);
+        if self.is_closed.load(Ordering::Relaxed) {
+            lock(&self.waiting).remove(&no);
+            return Err(LinkError::Unsent);
+        }
         if self.out.try_send(frame).is_err() {
             lock(&self.waiting).remove(&no);
             return Err(LinkError::Unsent);
@@ -142,6 +147,17 @@
     }
 }
 
+/// Ends all questions of a connection when it is over, also when its task is dropped because
+/// another entry owns the cell: they are asked again there.
+struct Closer(Arc<Link>);
+
+impl Drop for Closer {
+    fn drop(&mut self) {
+        self.0.is_closed.store(true, Ordering::Relaxed);
+        lock(&self.0.waiting).clear();
+    }
+}
+
 impl Node {
     /// Keeps a connection to whoever owns the cell.
     pub(super) async fn keep_link(self: Arc<Self>) {
@@ -199,17 +215,17 @@
             waiting: Mutex::default(),
             next: AtomicU64::new(0),
             heard: AtomicU64::new(self.now().0),
+            is_closed: AtomicBool::new(false),
         });
         let hello = Ask::Hello { entry: self.me.name.clone(), epoch: leader.epoch };
         out.try_send(encode(0, hello)?).map_err(io::Error::other)?;
-        let read = self.read_tells(Frames::new(read), link.clone(), leader);
-        let result = tokio::select! {
+        let _closer = Closer(link.clone());
+        let read = self.read_tells(Frames::new(read), link, leader);
+        tokio::select! {
             result = write(half, frames) => result,
             result = read => result,
             result = self.ping(out) => result,
-        };
-        lock(&link.waiting).clear();
-        result
+        }
     }
 
     async fn read_tells(
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -29,7 +29,7 @@
 const APPEND_GAP: Millis = Millis(20);
 /// The longest wait for an append's answer: the slowest store of the platform's contract takes 60
 /// times its usual 4 ms.
-const APPEND_LIMIT: Millis = Millis(1_000);
+const APPEND_LIMIT: Millis = Millis(600);
 /// The longest wait for a read's answer.
 const READ_LIMIT: Millis = Millis(2_000);
 /// Time between attempts after a failure of the store.
