Stand-in of the users' platform, process tests of entries on it, new jobs given back while the store refuses

The stand-in speaks the published protocol (store with conditions, producers and newest records; workers with fences, leases and ends; advice) and carries faults: refusing, silent, slow, lost answers, dark and grey workers. Eleven tests run real entries as processes against it: kills, pauses, planned stops, an outage, all entries killed, bad requests.

A batch that the store surely refused gives its new jobs back: their callers get 503 with when to come back instead of 504 at their deadline; and without a heartbeat in the log for a second no job is accepted. Cause: callers do not come back after a 504.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -202,6 +202,11 @@
         Some(self.batch)
     }
 
+    /// The batch that has to be in the store before a job is accepted.
+    pub fn batch_of(&self, key: JobKey) -> Option<u64> {
+        self.jobs.get(&key).map(|job| job.batch)
+    }
+
     /// A caller withdraws a job: the batch that has to be in the store before it is told so.
     /// `None`: there is no such job.
     pub fn cancel(&mut self, now: Millis, key: JobKey) -> Option<u64> {
@@ -306,6 +311,21 @@
         }
     }
 
+    /// The store surely did not take a batch: its new jobs are given back to their callers. Returns
+    /// their keys.
+    pub fn withdraw(&mut self, batch: u64) -> Vec<JobKey> {
+        let of_batch = |(of, key): &&(u64, JobKey)| {
+            *of == batch && self.jobs.get(key).is_some_and(Job::is_open)
+        };
+        let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
+        self.fresh.retain(|(_, key)| !gone.contains(key));
+        for key in &gone {
+            log::info!("event=withdrawn job={key} batch={batch}");
+            self.jobs.remove(key);
+        }
+        gone
+    }
+
     /// All batches up to `batch` are in the store.
     pub fn keep(&mut self, now: Millis, batch: u64) {
         self.kept = self.kept.max(batch);
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -52,9 +52,31 @@
 /// The longest wait for the answer to an order: a hundred times the way between failure domains.
 /// The room and the task are in doubt for that long if the answer is lost.
 const ORDER_LIMIT: Millis = Millis(300);
+/// Without a heartbeat in the log for this long no job is accepted: it could not be kept in time.
+/// With a store 60 times slower than usual heartbeats take up to 900 ms.
+const STORE_FRESH: Millis = Millis(1_000);
 /// A peer's word on the store is good for this long: two of its pings.
 const PING_GOOD: Millis = Millis(500);
 
+/// What became of a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// The store has it.
+    Done,
+    /// It held nothing but new jobs, which were given back.
+    Withdrawn,
+    /// Another entry owns the cell.
+    Deposed,
+}
+
+fn body(records: &[&(String, Vec<u8>)]) -> bytes::Bytes {
+    let mut body = BytesMut::new();
+    for (key, value) in records {
+        put_keyed(&mut body, key, value);
+    }
+    body.freeze()
+}
+
 /// Another entry that asks this owner.
 #[derive(Debug)]
 struct Peer {
@@ -232,7 +254,7 @@
 
     /// Whether callers may come: this surely is the owner, and the store takes records.
     pub fn is_sure(&self) -> bool {
-        !self.is_over() && self.store.load(Ordering::Relaxed) && self.may_order()
+        !self.is_over() && self.may_accept() && self.may_order()
     }
 
     /// Does what the cell decides.
@@ -408,9 +430,10 @@
                 self.write.notified().await;
                 continue;
             };
-            seq += 1;
-            if !self.write_batch(&batch, seq).await {
-                return;
+            match self.write_batch(&batch, seq + 1).await {
+                Written::Done => seq += 1,
+                Written::Withdrawn => {}
+                Written::Deposed => return,
             }
             lock(&self.cell).keep(self.node.now(), batch.no);
             self.kept.send_replace(batch.no);
@@ -419,36 +442,44 @@
         }
     }
 
-    /// Appends one batch, however long that takes; `false`: another entry owns the cell.
-    async fn write_batch(&self, batch: &Batch, seq: u64) -> bool {
-        let mut body = BytesMut::new();
-        for (key, value) in &batch.records {
-            put_keyed(&mut body, key, value);
-        }
-        let body = body.freeze();
+    /// Appends one batch, however long that takes. While the store surely has not taken it, its new
+    /// jobs are given back, so that their callers are told at once that they were not run.
+    async fn write_batch(&self, batch: &Batch, seq: u64) -> Written {
+        let mut records: Vec<&(String, Vec<u8>)> = batch.records.iter().collect();
+        let mut may_be_there = false;
         let begun = self.node.now();
         loop {
             let guard = Guard::Producer { name: PRODUCER, epoch: self.epoch, seq };
-            let result = self.node.store.append(JOBS, guard, body.clone(), APPEND_LIMIT).await;
-            match result {
+            let body = body(&records);
+            let err = match self.node.store.append(JOBS, guard, body, APPEND_LIMIT).await {
                 Ok(_) => {
                     if !self.store.swap(true, Ordering::Relaxed) {
                         log::info!("event=store-back batch={}", batch.no);
                     }
                     self.node.metrics.appended(self.node.now().since(begun));
-                    return true;
+                    return Written::Done;
                 }
                 Err(StoreError::Fenced) => {
                     log::info!("event=deposed epoch={} by=store", self.epoch);
-                    return false;
+                    return Written::Deposed;
                 }
-                Err(err) => {
-                    if self.store.swap(false, Ordering::Relaxed) {
-                        log::info!("event=store-lost batch={} error={err:?}", batch.no);
-                    }
-                    tokio::time::sleep(STORE_RETRY.duration()).await;
+                Err(err) => err,
+            };
+            if self.store.swap(false, Ordering::Relaxed) {
+                log::info!("event=store-lost batch={} error={err:?}", batch.no);
+            }
+            may_be_there = may_be_there || !matches!(err, StoreError::Refused(_));
+            if !may_be_there {
+                let gone = lock(&self.cell).withdraw(batch.no);
+                let gone: Vec<String> = gone.iter().map(ToString::to_string).collect();
+                records.retain(|(key, _)| !gone.contains(key));
+                // Callers that wait look again.
+                self.kept.send_modify(|_| {});
+                if records.is_empty() {
+                    return Written::Withdrawn;
                 }
             }
+            tokio::time::sleep(STORE_RETRY.duration()).await;
         }
     }
 
@@ -599,20 +630,37 @@
     ) -> Tell {
         let batch = {
             let mut cell = lock(&self.cell);
-            let known = cell.state(job).is_some();
-            if !known && (!self.store.load(Ordering::Relaxed) || !self.may_order()) {
+            if cell.state(job).is_none() && !self.may_accept() {
                 return Tell::Refused(Refused::NoStore);
             }
             cell.submit(self.node.now(), job, queue, work)
         };
-        let Some(batch) = batch else { return Tell::Refused(Refused::NoQueue) };
+        if batch.is_none() {
+            return Tell::Refused(Refused::NoQueue);
+        }
         self.write.notify_one();
-        match self.is_kept(batch).await {
-            true => Tell::Accepted,
-            false => Tell::InDoubt,
+        let mut kept = self.kept.subscribe();
+        let mut over = self.over.subscribe();
+        loop {
+            let known = lock(&self.cell).batch_of(job);
+            match known {
+                None => return Tell::Refused(Refused::NoStore),
+                Some(batch) if batch <= *kept.borrow_and_update() => return Tell::Accepted,
+                Some(_) => {}
+            }
+            tokio::select! {
+                changed = kept.changed() => if changed.is_err() { return Tell::InDoubt },
+                _ = over.wait_for(|over| *over) => return Tell::InDoubt,
+            }
         }
     }
 
+    /// Whether new jobs are taken: the store took the last batch, and a heartbeat a moment ago.
+    fn may_accept(&self) -> bool {
+        let heard = self.node.now().since(*lock(&self.confirmed)) < STORE_FRESH;
+        heard && self.store.load(Ordering::Relaxed)
+    }
+
     /// Waits until a batch is in the store; `false`: this is not the owner any more.
     async fn is_kept(&self, batch: u64) -> bool {
         let mut kept = self.kept.subscribe();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod platform;
 pub mod runner;
+pub mod site;
 pub mod worker;
 
 use crate::trace::{Event, Stamp, Trace};
--- /dev/null
+++ b/src/standin/site/mod.rs
@@ -0,0 +1,220 @@
+//! A stand-in for the users' platform: store, workers and advice service over their published
+//! protocol, with faults that can be set at any time.
+
+pub mod store;
+pub mod worker;
+
+use crate::clock::Millis;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use store::Store;
+use tokio::net::TcpListener;
+use worker::Worker;
+
+/// The largest body that is read, in bytes.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// A request with its body.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub path: String,
+    pub query: HashMap<String, String>,
+    pub life: Option<String>,
+    pub body: Bytes,
+}
+
+impl Call {
+    fn number(&self, name: &str) -> Option<u64> {
+        self.query.get(name)?.parse().ok()
+    }
+
+    fn text(&self, name: &str) -> &str {
+        self.query.get(name).map_or("", String::as_str)
+    }
+
+    fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+}
+
+/// An answer; `None`: the connection stays silent.
+pub(super) type Reply = Option<(StatusCode, Bytes)>;
+
+pub(super) fn answer(status: StatusCode, body: &Value) -> Reply {
+    Some((status, Bytes::from(body.to_string())))
+}
+
+async fn read(request: Request<Incoming>) -> Call {
+    const LIFE: &str = "X-Sprucerudder-Expected-Instance";
+    let path = request.uri().path().to_string();
+    let pairs = request.uri().query().unwrap_or_default().split('&');
+    let query = pairs.filter_map(|pair| pair.split_once('='));
+    let query = query.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+    let life = request.headers().get(LIFE).and_then(|life| life.to_str().ok()).map(str::to_string);
+    let body = Limited::new(request.into_body(), MAX_BODY).collect().await;
+    Call { path, query, life, body: body.map(|body| body.to_bytes()).unwrap_or_default() }
+}
+
+/// Answers calls on a listener until its task is dropped.
+pub(super) async fn serve<S, F, R>(listener: TcpListener, state: Arc<S>, handle: F)
+where
+    S: Send + Sync + 'static,
+    F: Fn(Arc<S>, Call) -> R + Copy + Send + Sync + 'static,
+    R: Future<Output = Reply> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = state.clone();
+        let service = service_fn(move |request| {
+            let state = state.clone();
+            async move {
+                let reply = handle(state, read(request).await).await;
+                let Some((status, body)) = reply else { return std::future::pending().await };
+                let mut response = Response::new(Full::<Bytes>::from(body));
+                *response.status_mut() = status;
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let builder = hyper::server::conn::http1::Builder::new();
+        tokio::spawn(async move {
+            // A caller may close whenever it likes.
+            drop(builder.serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
+
+/// A whole platform on one host.
+#[derive(Debug)]
+pub struct Site {
+    /// The store.
+    pub store: Arc<Store>,
+    /// The workers.
+    pub workers: Vec<Arc<Worker>>,
+    host: String,
+    port: u16,
+}
+
+/// The service whose workers the site has.
+const SERVICE: &str = "desk";
+/// Room of a worker, in thousandths of a core.
+const CPU: u64 = 8_000;
+
+impl Site {
+    /// Starts store, advice service and `workers` workers, spread over the failure domains `a`, `b`
+    /// and `c`, on `host` from `port` on.
+    ///
+    /// # Errors
+    /// A port is in use.
+    pub async fn start(host: &str, port: u16, workers: usize) -> io::Result<Self> {
+        let store = Arc::new(Store::default());
+        store.put("keyed.op", "config", config().to_string().as_bytes());
+        let listener = TcpListener::bind((host, port)).await?;
+        tokio::spawn(serve(listener, store.clone(), store::handle));
+        let listener = TcpListener::bind((host, port + 1)).await?;
+        tokio::spawn(serve(listener, Arc::new(()), advise));
+        let mut site = Self { store, workers: Vec::new(), host: host.to_string(), port };
+        for _ in 0..workers {
+            site.add_worker().await?;
+        }
+        Ok(site)
+    }
+
+    /// Starts one more worker.
+    ///
+    /// # Errors
+    /// Its port is in use.
+    pub async fn add_worker(&mut self) -> io::Result<()> {
+        let no = self.workers.len() as u16;
+        let port = self.port + 2 + no;
+        let listener = TcpListener::bind((self.host.as_str(), port)).await?;
+        let addr = format!("{}:{port}", self.host);
+        let domain = ["a", "b", "c"][usize::from(no) % 3];
+        let worker = Arc::new(Worker::new(format!("i-{no}"), addr, domain, CPU));
+        tokio::spawn(serve(listener, worker.clone(), worker::handle));
+        tokio::spawn(worker.clone().list(self.store.clone(), SERVICE));
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    /// The settings of entry `no`, with its own ports above the site's.
+    pub fn settings(&self, no: u16) -> String {
+        let (host, store) = (&self.host, self.port);
+        let base = self.port + 200 + no * 10;
+        let domain = ["a", "b", "c"][usize::from(no) % 3];
+        format!(
+            r#"node = "entry-{no}"
+ip = "{host}"
+zone = "{domain}"
+internal_ports = [{},{}]
+orders = "invoke"
+advice = "{host}:{}"
+[listen]
+front = "{host}:{base}"
+ready = "{host}:{}"
+[limits]
+cores = 1
+[bounds]
+hold_max_ms = 10000
+status_s = 120
+grace_s = 6
+stop_ms = 200
+gang_ms = 3000
+[platform]
+address = "{host}:{store}"
+form = "log"
+call_bytes = 2097152
+"#,
+            base + 2,
+            base + 3,
+            store + 1,
+            base + 1,
+        )
+    }
+
+    /// Where callers reach entry `no`.
+    pub fn front(&self, no: u16) -> String {
+        format!("{}:{}", self.host, self.port + 200 + no * 10)
+    }
+
+    /// Where the balancer asks entry `no`.
+    pub fn ready(&self, no: u16) -> String {
+        format!("{}:{}", self.host, self.port + 201 + no * 10)
+    }
+}
+
+/// Two queues: one without and one with advice.
+fn config() -> Value {
+    let route = |name: &str, prefix: &str, advice: Value| {
+        json!({
+            "name": name, "host": "desk.example", "path_prefix": prefix, "kind": "non_idempotent",
+            "timeout_ms": 3000, "target_latency_ms": 250, "priority": 0, "service": SERVICE,
+            "max_attempts": 2, "extension": 1.5, "advice": advice
+        })
+    };
+    let advice = json!({"decide_ms": 5.0, "period_ms": 0.1, "valid_ms": 2500});
+    json!({
+        "version": 1,
+        "routes": [route("plain", "/plain/", Value::Null), route("advised", "/advised/", advice)],
+        "services": [{"name": SERVICE, "admission_check": false}],
+        "limits": {}
+    })
+}
+
+/// Clears every worker, with a ticket.
+async fn advise(_: Arc<()>, call: Call) -> Reply {
+    const TIME: Millis = Millis(5);
+    tokio::time::sleep(TIME.duration()).await;
+    let ask = call.json();
+    let workers = ask["workers"].as_array().cloned().unwrap_or_default();
+    let rows: Vec<Value> = workers.into_iter().map(|worker| json!([worker, "ticket"])).collect();
+    answer(StatusCode::OK, &json!({"healthy": rows, "valid_ms": 2500}))
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,358 @@
+//! Entries on the platform, as separate processes, against the stand-in of the platform.
+
+#![allow(clippy::zombie_processes, reason = "each process is waited for when it is dropped")]
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use sprucerudder::clock::Millis;
+use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use sprucerudder::standin::site::Site;
+use sprucerudder::standin::site::store::Faults;
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+/// Longer than anything that is waited for takes on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(30);
+const PORT: u16 = 20_000;
+
+struct Entry {
+    child: Child,
+}
+
+impl Entry {
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// A site with entries, on a loopback address of its own.
+struct Cell {
+    site: Site,
+    http: Http,
+    folder: PathBuf,
+    entries: HashMap<u16, Entry>,
+}
+
+impl Cell {
+    async fn start(workers: usize, entries: u16) -> Self {
+        static CELLS: AtomicU8 = AtomicU8::new(2);
+        let (pid, no) = (std::process::id(), CELLS.fetch_add(1, Ordering::Relaxed));
+        let host = format!("127.{}.{}.{no}", (pid >> 8) as u8, pid as u8);
+        let site = Site::start(&host, PORT, workers).await.unwrap();
+        let folder = std::env::temp_dir().join(format!("sprucerudder-{pid}-{no}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut cell = Self { site, http: Http::default(), folder, entries: HashMap::new() };
+        for no in 0..entries {
+            cell.start_entry(no);
+        }
+        for no in 0..entries {
+            cell.await_ready(no).await;
+        }
+        cell
+    }
+
+    fn start_entry(&mut self, no: u16) {
+        let path = self.folder.join(format!("{no}.toml"));
+        std::fs::write(&path, self.site.settings(no)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
+            .args(["node", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.entries.insert(no, Entry { child });
+    }
+
+    async fn await_ready(&self, no: u16) {
+        let addr = self.site.ready(no);
+        self.until("an entry to be ready", async || {
+            let request = Request::get(uri(&addr, "/readiness").unwrap());
+            let answer =
+                self.http.send(&addr, request.body(Full::default()).unwrap(), Millis(1_000));
+            answer.await.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    async fn until(&self, what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+        let begun = std::time::Instant::now();
+        while !is_so().await {
+            assert!(begun.elapsed() < PATIENCE, "waited in vain for {what}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        no: u16,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Result<Answer, HttpError> {
+        let addr = self.site.front(no);
+        let request = Request::builder()
+            .method(method)
+            .uri(uri(&addr, path).unwrap())
+            .header("Host", "desk.example")
+            .header("X-Sprucerudder-Deadline-Ms", "3000")
+            .body(Full::from(Bytes::from(body.to_string())))
+            .unwrap();
+        self.http.send(&addr, request, Millis(5_000)).await
+    }
+
+    async fn status(&self, no: u16, method: Method, path: &str, body: &str) -> StatusCode {
+        self.call(no, method, path, body).await.unwrap().status
+    }
+
+    async fn state(&self, no: u16, path: &str) -> String {
+        let answer = self.call(no, Method::GET, path, "").await;
+        let body = answer.map(|answer| answer.body).unwrap_or_default();
+        let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+        value["state"].as_str().unwrap_or_default().to_string()
+    }
+
+    async fn await_state(&self, no: u16, path: &str, wanted: &str) {
+        let what = format!("{path} to be {wanted}");
+        self.until(&what, async || self.state(no, path).await == wanted).await;
+    }
+
+    /// Submits as a caller does: again after anything but a final answer.
+    async fn submit(&self, no: u16, path: &str, body: &str) {
+        self.until("a job to be accepted", async || {
+            let answer = self.call(no, Method::POST, path, body).await;
+            answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// The entry whose heartbeats are in the log.
+    async fn owner(&self) -> u16 {
+        for no in self.entries.keys() {
+            let port = PORT + 203 + no * 10;
+            let addr = format!("{}:{port}", self.site.front(0).split(':').next().unwrap());
+            let request = Request::get(uri(&addr, "/metrics").unwrap()).body(Full::default());
+            let answer = self.http.send(&addr, request.unwrap(), Millis(2_000)).await;
+            let text = answer.map(|answer| answer.body).unwrap_or_default();
+            let text = String::from_utf8_lossy(&text).into_owned();
+            if text.lines().any(|line| line == "sprucerudder_takeovers_total 1") {
+                return *no;
+            }
+        }
+        panic!("nobody owns the cell");
+    }
+
+    /// Every start of a task, over all workers.
+    fn starts(&self) -> HashMap<String, usize> {
+        let mut starts = HashMap::new();
+        for (task, _) in self.site.workers.iter().flat_map(|worker| worker.starts()) {
+            *starts.entry(task).or_default() += 1;
+        }
+        starts
+    }
+}
+
+fn job(spec: &str, steps: Value) -> String {
+    json!({"spec": spec, "steps": steps}).to_string()
+}
+
+fn one_step(spec: &str, count: u32) -> String {
+    job(spec, json!([{"count": count, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}]))
+}
+
+#[tokio::test]
+async fn a_job_of_two_steps_runs_once_and_is_completed_at_every_entry() {
+    let cell = Cell::start(6, 3).await;
+    let steps = json!([
+        {"count": 4, "cpu": 500, "mem_mb": 100, "estimate_ms": 100},
+        {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 100, "depends_on": [0]}
+    ]);
+    let path = "/plain/00000000000000aa";
+    assert_eq!(cell.status(0, Method::POST, path, &job("60", steps.clone())).await, StatusCode::OK);
+    assert_eq!(cell.status(1, Method::POST, path, &job("60", steps)).await, StatusCode::OK);
+    for no in 0..3 {
+        cell.await_state(no, path, "completed").await;
+    }
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 6);
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn tasks_of_a_queue_with_advice_start_with_tickets() {
+    let cell = Cell::start(4, 2).await;
+    let path = "/advised/00000000000000ab";
+    cell.submit(1, path, &one_step("50", 5)).await;
+    cell.await_state(0, path, "completed").await;
+}
+
+#[tokio::test]
+async fn bad_requests_get_clear_errors_and_lose_nothing() {
+    let cell = Cell::start(2, 1).await;
+    let good = "/plain/00000000000000ac";
+    let cycle = job("", json!([{"count": 1, "depends_on": [0]}]));
+    let long = one_step(&"x".repeat(4_001), 1);
+    let cases = [
+        (Method::POST, good, "not JSON", StatusCode::BAD_REQUEST),
+        (Method::POST, good, r#"{"spec":"","steps":[]}"#, StatusCode::BAD_REQUEST),
+        (Method::POST, good, cycle.as_str(), StatusCode::BAD_REQUEST),
+        (Method::POST, good, long.as_str(), StatusCode::BAD_REQUEST),
+        (Method::POST, "/plain/xyz", "{}", StatusCode::BAD_REQUEST),
+        (Method::POST, "/nowhere/00000000000000ac", "{}", StatusCode::NOT_FOUND),
+        (Method::PUT, good, "{}", StatusCode::METHOD_NOT_ALLOWED),
+        (Method::GET, good, "", StatusCode::GONE),
+        (Method::DELETE, good, "", StatusCode::GONE),
+    ];
+    for (method, path, body, wanted) in cases {
+        let status = cell.status(0, method.clone(), path, body).await;
+        assert_eq!(status, wanted, "{method} {path} {}", &body[..body.len().min(40)]);
+    }
+    cell.submit(0, good, &one_step("10", 1)).await;
+    cell.await_state(0, good, "completed").await;
+}
+
+#[tokio::test]
+async fn a_cancelled_job_is_stopped_and_starts_no_more() {
+    let cell = Cell::start(2, 2).await;
+    let path = "/plain/00000000000000ad";
+    cell.submit(0, path, &one_step("60000", 3)).await;
+    cell.await_state(1, path, "active").await;
+    assert_eq!(cell.status(1, Method::DELETE, path, "").await, StatusCode::OK);
+    assert_eq!(cell.state(0, path).await, "cancelled");
+    cell.until("all tasks to be gone", async || {
+        cell.site.workers.iter().all(|worker| worker.running().is_empty())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn jobs_go_on_when_their_owner_is_killed() {
+    let mut cell = Cell::start(6, 3).await;
+    let paths: Vec<String> = (0..8).map(|no| format!("/plain/{:016x}", 0xb0 + no)).collect();
+    for path in &paths {
+        cell.submit(0, path, &one_step("900", 3)).await;
+    }
+    let owner = cell.owner().await;
+    cell.entries[&owner].signal(Signal::SIGKILL);
+    cell.entries.remove(&owner);
+    let other = (0..3).find(|no| *no != owner).unwrap();
+    let late = "/plain/00000000000000c0";
+    cell.submit(other, late, &one_step("50", 2)).await;
+    for path in paths.iter().chain([&late.to_string()]) {
+        cell.await_state(other, path, "completed").await;
+    }
+    let starts = cell.starts();
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn a_paused_owner_is_replaced_and_gives_no_orders_afterwards() {
+    let cell = Cell::start(6, 3).await;
+    let owner = cell.owner().await;
+    cell.entries[&owner].signal(Signal::SIGSTOP);
+    let other = (0..3).find(|no| *no != owner).unwrap();
+    let path = "/plain/00000000000000c1";
+    cell.submit(other, path, &one_step("300", 4)).await;
+    cell.entries[&owner].signal(Signal::SIGCONT);
+    cell.await_state(other, path, "completed").await;
+    cell.await_state(owner, path, "completed").await;
+    let starts = cell.starts();
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_the_owner_loses_no_request() {
+    let mut cell = Cell::start(4, 3).await;
+    let owner = cell.owner().await;
+    let other = (0..3).find(|no| *no != owner).unwrap();
+    cell.entries[&owner].signal(Signal::SIGTERM);
+    for no in 0..20 {
+        let path = format!("/plain/{:016x}", 0xd00 + no);
+        let from = if no % 2 == 0 { owner } else { other };
+        let status = cell.status(from, Method::POST, &path, &one_step("20", 1)).await;
+        assert_eq!(status, StatusCode::OK, "request {no}");
+    }
+    let status = cell.entries.get_mut(&owner).unwrap().child.wait().unwrap();
+    assert!(status.success());
+    for no in 0..20 {
+        cell.await_state(other, &format!("/plain/{:016x}", 0xd00 + no), "completed").await;
+    }
+}
+
+#[tokio::test]
+async fn while_the_store_is_away_jobs_are_refused_at_once_and_running_ones_go_on() {
+    let cell = Cell::start(4, 2).await;
+    let steps = json!([
+        {"count": 2, "cpu": 500, "estimate_ms": 300},
+        {"count": 2, "cpu": 500, "estimate_ms": 300, "depends_on": [0]}
+    ]);
+    let path = "/plain/00000000000000c2";
+    cell.submit(0, path, &job("1500", steps)).await;
+    cell.site.store.set(Faults { busy: true, ..Faults::default() });
+    for no in 0..10 {
+        let refused = format!("/plain/{:016x}", 0xf00 + no);
+        let answer = cell.call(0, Method::POST, &refused, &one_step("10", 1)).await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("Retry-After"));
+    }
+    cell.until("the second step to start", async || cell.starts().len() == 4).await;
+    cell.site.store.set(Faults::default());
+    cell.await_state(1, path, "completed").await;
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_is_done_once() {
+    let cell = Cell::start(4, 2).await;
+    cell.site.store.set(Faults { lose: 3, ..Faults::default() });
+    let path = "/plain/00000000000000c4";
+    cell.submit(0, path, &one_step("50", 2)).await;
+    cell.await_state(1, path, "completed").await;
+    assert!(cell.starts().values().all(|count| *count == 1));
+}
+
+#[tokio::test]
+async fn nothing_accepted_is_lost_when_all_entries_are_killed() {
+    let mut cell = Cell::start(6, 3).await;
+    let paths: Vec<String> = (0..6).map(|no| format!("/plain/{:016x}", 0xe0 + no)).collect();
+    for path in &paths {
+        cell.submit(0, path, &one_step("700", 2)).await;
+    }
+    for entry in cell.entries.values() {
+        entry.signal(Signal::SIGKILL);
+    }
+    cell.entries.clear();
+    for no in 0..3 {
+        cell.start_entry(no);
+    }
+    for path in &paths {
+        cell.await_state(1, path, "completed").await;
+    }
+}
+
+#[tokio::test]
+async fn tasks_of_a_dark_worker_start_elsewhere_when_its_lease_is_over() {
+    let cell = Cell::start(6, 2).await;
+    let path = "/plain/00000000000000c5";
+    cell.submit(0, path, &one_step("1500", 6)).await;
+    cell.until("all tasks to run", async || {
+        cell.site.workers.iter().map(|worker| worker.running().len()).sum::<usize>() == 6
+    })
+    .await;
+    let busy = cell.site.workers.iter().find(|worker| !worker.running().is_empty()).unwrap();
+    busy.faults.dark.store(true, Ordering::Relaxed);
+    cell.await_state(0, path, "completed").await;
+}
