Store outages: new jobs are given back after 600 ms of refusals; a heartbeat shows that the store is back

Refusing at the first 503 cost where the store was away for 3 s: callers that are refused come back after 1.0, 1.7, 2.3 and 2.6 s and then no more. Ruled out: the flag that the store is away, which stayed set without jobs and is cleared by heartbeats now.

--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -34,6 +34,9 @@
 const READ_LIMIT: Millis = Millis(2_000);
 /// Time between attempts after a failure of the store.
 const STORE_RETRY: Millis = Millis(100);
+/// New jobs whose batch is refused this long are given back to their callers: a store that is
+/// merely asked too often takes them before.
+const GIVE_BACK: Millis = Millis(600);
 /// Time between two looks at the list of workers. Each worker rewrites its entry every 1.5 s, so
 /// waiting for the next record would return at once.
 const LIST_EVERY: Millis = Millis(400);
@@ -237,6 +240,12 @@
     pub fn confirm(&self, sent: Millis) {
         let mut confirmed = lock(&self.confirmed);
         *confirmed = (*confirmed).max(sent);
+        drop(confirmed);
+        // Without jobs there may be no batch that shows that the store takes records again.
+        if !self.store.swap(true, Ordering::Relaxed) {
+            log::info!("event=store-back epoch={}", self.epoch);
+            self.write.notify_one();
+        }
     }
 
     /// Whether orders may go out: no other entry can have claimed the cell. That is so for a while
@@ -469,7 +478,7 @@
                 log::info!("event=store-lost batch={} error={err:?}", batch.no);
             }
             may_be_there = may_be_there || !matches!(err, StoreError::Refused(_));
-            if !may_be_there {
+            if !may_be_there && self.node.now().since(begun) >= GIVE_BACK {
                 let gone = lock(&self.cell).withdraw(batch.no);
                 let gone: Vec<String> = gone.iter().map(ToString::to_string).collect();
                 records.retain(|(key, _)| !gone.contains(key));
