Authority of an owner counts the entries that it cannot reach

Cause: an owner behind a cut counted only the entries on its side, which said that they could not read the log either, so it went on renewing leases and starting tasks there for as long as the cut lasted, while the other side had a new owner. Ruled out: the reckoning of leases; the old owner's renewals went on to the cut's end.

--- /dev/null
+++ b/src/cell/authority.rs
@@ -0,0 +1,62 @@
+//! How long an owner may give orders and renew leases without hearing from the log.
+//!
+//! Another entry claims the cell after [`SILENCE`](crate::cell::election::SILENCE) without a
+//! heartbeat in a log that it can read. So for that long after a heartbeat no other owner can be.
+//! Beyond it an owner goes on only while most entries say that they cannot read the log either. The
+//! entries that cannot be reached count as ones that can: behind a cut they may.
+
+use crate::cell::election::SILENCE;
+use crate::clock::Millis;
+use crate::id::Name;
+use std::collections::BTreeMap;
+
+/// An entry's word on the log is good for this long: three of its pings.
+const WORD: Millis = Millis(500);
+/// An entry that was not heard for this long is taken for removed.
+const REMOVED: Millis = Millis(60_000);
+
+#[derive(Debug)]
+struct Word {
+    at: Millis,
+    log: bool,
+}
+
+/// What an owner knows of its authority.
+#[derive(Debug)]
+pub struct Authority {
+    confirmed: Millis,
+    words: BTreeMap<Name, Word>,
+}
+
+impl Authority {
+    /// The owner's claim was in the log at `now`.
+    pub fn new(now: Millis) -> Self {
+        Self { confirmed: now, words: BTreeMap::new() }
+    }
+
+    /// A heartbeat that was sent at `sent` is in the log.
+    pub fn confirm(&mut self, sent: Millis) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// The time since the last heartbeat that is in the log was sent.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.confirmed)
+    }
+
+    /// Another entry says whether it can read the log.
+    pub fn hear(&mut self, now: Millis, entry: &Name, log: bool) {
+        self.words.insert(entry.clone(), Word { at: now, log });
+    }
+
+    /// Whether orders may go out.
+    pub fn holds(&self, now: Millis) -> bool {
+        if self.age(now) < SILENCE {
+            return true;
+        }
+        let known = self.words.values().filter(|word| now.since(word.at) < REMOVED).count();
+        let blind = self.words.values().filter(|word| !word.log && now.since(word.at) < WORD);
+        // This entry is known too, and cannot reach the log.
+        2 * (blind.count() + 1) > known + 1
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! What must outlast the owner is collected as [`Batch`]es for the platform's store.
 
 pub mod advice;
+pub mod authority;
 pub mod election;
 pub mod job;
 pub mod journal;
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of the cell: the shell around [`Cell`], which decides.
 
-use crate::cell::election::SILENCE;
+use crate::cell::authority::Authority;
 use crate::cell::journal::{Batch, Snapshot};
 use crate::cell::life::TICK;
 use crate::cell::{Action, Bounds, Cell};
@@ -58,8 +58,6 @@
 /// Without a heartbeat in the log for this long no job is accepted: it could not be kept in time.
 /// With a store 60 times slower than usual heartbeats take up to 900 ms.
 const STORE_FRESH: Millis = Millis(1_000);
-/// A peer's word on the store is good for this long: two of its pings.
-const PING_GOOD: Millis = Millis(500);
 
 /// What became of a batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,14 +78,6 @@
     body.freeze()
 }
 
-/// Another entry that asks this owner.
-#[derive(Debug)]
-struct Peer {
-    out: Out,
-    store: bool,
-    heard: Millis,
-}
-
 /// The owner.
 #[derive(Debug)]
 pub(super) struct Owner {
@@ -101,9 +91,9 @@
     write: Notify,
     /// It is not the owner any more.
     over: watch::Sender<bool>,
-    peers: Mutex<HashMap<Name, Peer>>,
-    /// When a heartbeat was last sent that reached the log.
-    confirmed: Mutex<Millis>,
+    /// The other entries that ask this owner.
+    peers: Mutex<HashMap<Name, Out>>,
+    authority: Mutex<Authority>,
     /// The store takes records.
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
@@ -140,7 +130,7 @@
             write: Notify::new(),
             over: watch::channel(false).0,
             peers: Mutex::default(),
-            confirmed: Mutex::new(self.now()),
+            authority: Mutex::new(Authority::new(self.now())),
             store: AtomicBool::new(true),
             pokes: Mutex::default(),
             node: self.clone(),
@@ -238,9 +228,7 @@
 
     /// A heartbeat that was sent at `sent` is in the log.
     pub fn confirm(&self, sent: Millis) {
-        let mut confirmed = lock(&self.confirmed);
-        *confirmed = (*confirmed).max(sent);
-        drop(confirmed);
+        lock(&self.authority).confirm(sent);
         // Without jobs there may be no batch that shows that the store takes records again.
         if !self.store.swap(true, Ordering::Relaxed) {
             log::info!("event=store-back epoch={}", self.epoch);
@@ -248,17 +236,9 @@
         }
     }
 
-    /// Whether orders may go out: no other entry can have claimed the cell. That is so for a while
-    /// after each heartbeat, and as long as most entries say that they cannot reach the store.
+    /// Whether orders may go out: no other entry can have claimed the cell.
     fn may_order(&self) -> bool {
-        let now = self.node.now();
-        if now.since(*lock(&self.confirmed)) < SILENCE {
-            return true;
-        }
-        let peers = lock(&self.peers);
-        let blind = peers.values().filter(|peer| !peer.store && now.since(peer.heard) < PING_GOOD);
-        // This entry is one of those that cannot reach it.
-        peers.len() < 2 * (blind.count() + 1) - 1 && !peers.is_empty()
+        lock(&self.authority).holds(self.node.now())
     }
 
     /// Whether callers may come: this surely is the owner, and the store takes records.
@@ -413,7 +393,7 @@
             });
             return;
         }
-        let out = lock(&self.peers).get(&entry).map(|peer| peer.out.clone());
+        let out = lock(&self.peers).get(&entry).cloned();
         let frame = encode(0, Tell::Question { step, workers, cost });
         let sent = match (out, frame) {
             (Some(out), Ok(frame)) => out.try_send(frame).is_ok(),
@@ -576,8 +556,8 @@
     /// Another entry asks this owner from now on.
     pub fn join(&self, entry: Name, out: Out) {
         log::info!("event=entry-joined entry={entry} epoch={}", self.epoch);
-        let peer = Peer { out, store: true, heard: self.node.now() };
-        lock(&self.peers).insert(entry.clone(), peer);
+        lock(&self.peers).insert(entry.clone(), out);
+        lock(&self.authority).hear(self.node.now(), &entry, true);
         if self.node.adviser.is_some() {
             lock(&self.cell).join(entry);
         }
@@ -587,7 +567,7 @@
     /// Its connection ended, unless it has a newer one.
     pub fn leave(&self, entry: &Name, out: &Out) {
         let mut peers = lock(&self.peers);
-        if peers.get(entry).is_some_and(|peer| peer.out.same_channel(out)) {
+        if peers.get(entry).is_some_and(|known| known.same_channel(out)) {
             log::info!("event=entry-left entry={entry} epoch={}", self.epoch);
             peers.remove(entry);
             drop(peers);
@@ -598,10 +578,7 @@
 
     /// An entry says whether it can read the log.
     pub fn pinged(&self, entry: &Name, store: bool) {
-        if let Some(peer) = lock(&self.peers).get_mut(entry) {
-            peer.store = store;
-            peer.heard = self.node.now();
-        }
+        lock(&self.authority).hear(self.node.now(), entry, store);
     }
 
     /// Answers an entry.
@@ -666,7 +643,7 @@
 
     /// Whether new jobs are taken: the store took the last batch, and a heartbeat a moment ago.
     fn may_accept(&self) -> bool {
-        let heard = self.node.now().since(*lock(&self.confirmed)) < STORE_FRESH;
+        let heard = lock(&self.authority).age(self.node.now()) < STORE_FRESH;
         heard && self.store.load(Ordering::Relaxed)
     }
 
