Bindings are in the store before a start is sent; a new owner holds back only what an unknown worker may run

Cause: at a takeover all inherited tasks that nobody was seen to run were held back until every worker was known or a lease was over, up to 6.3 s in a cut that takes the owner's failure domain away. A job's progress names the run and worker of each task now; a start waits for that record (some 10 ms). While nobody can reach the store starts go out without it, and an owner that found gaps in the log within 10 s before its claim holds everything back as before.

--- a/src/cell/authority.rs
+++ b/src/cell/authority.rs
@@ -49,6 +49,11 @@
         self.words.insert(entry.clone(), Word { at: now, log });
     }
 
+    /// Whether orders may go out only because nobody can read the log.
+    pub fn is_blind(&self, now: Millis) -> bool {
+        self.age(now) >= SILENCE && self.holds(now)
+    }
+
     /// Whether orders may go out.
     pub fn holds(&self, now: Millis) -> bool {
         if self.age(now) < SILENCE {
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -16,6 +16,9 @@
 /// If the owner's process surely is not there, this much silence is enough: a living owner has
 /// sent a heartbeat in that time.
 const SHORT_SILENCE: Millis = Millis(550);
+/// A log that could be read for this long was not away within the longest lease of the platform's
+/// workers.
+const STEADY: Millis = Millis(10_000);
 /// Two claims by one entry are this far apart, so that the first can be read back.
 const CLAIM_PAUSE: Millis = Millis(400);
 
@@ -68,6 +71,8 @@
     heard: Millis,
     /// When the log could last be read; `None`: never.
     read: Option<Millis>,
+    /// Since when it could be read without a gap.
+    steady: Millis,
     /// The owner's process is not there.
     absent: bool,
     claimed: Option<Millis>,
@@ -83,6 +88,7 @@
             end: 0,
             heard: now,
             read: None,
+            steady: now,
             absent: false,
             claimed: None,
         }
@@ -146,10 +152,17 @@
         // While the log cannot be read its silence says nothing about the owner.
         if self.read.is_none_or(|read| now.since(read) >= SHORT_SILENCE + SHORT_SILENCE) {
             self.heard = self.heard.max(now);
+            self.steady = now;
         }
         self.read = Some(now);
     }
 
+    /// Whether the log could be read all the time lately: then no owner can have gone on without it
+    /// by the word of most entries.
+    pub fn is_steady(&self, now: Millis) -> bool {
+        self.is_fresh(now) && now.since(self.steady) >= STEADY
+    }
+
     /// Whether the log could be read a moment ago.
     pub fn is_fresh(&self, now: Millis) -> bool {
         self.read.is_some_and(|read| now.since(read) < SILENCE)
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -236,20 +236,19 @@
             note.done = vec![0; self.tasks.len().div_ceil(BITS)];
         }
         for (index, task) in self.tasks.iter().enumerate() {
-            match task.stand {
+            let bound = match &task.stand {
                 Stand::Done => {
                     if let Some(byte) = note.done.get_mut(index / BITS) {
                         *byte |= 1 << (index % BITS);
                     }
+                    continue;
                 }
-                _ if !task.failed.is_empty() || !task.saved.is_empty() => {
-                    note.tasks.push(TaskNote {
-                        index: index as u32,
-                        failed: task.failed.clone(),
-                        saved: task.saved.clone(),
-                    })
-                }
-                _ => {}
+                Stand::Placed { worker, run } => Some((*run, worker.clone())),
+                Stand::Waiting => None,
+            };
+            if bound.is_some() || !task.failed.is_empty() || !task.saved.is_empty() {
+                let (failed, saved) = (task.failed.clone(), task.saved.clone());
+                note.tasks.push(TaskNote { index: index as u32, failed, saved, bound });
             }
         }
         note
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -41,7 +41,7 @@
     },
 }
 
-/// What is known of one task that waits.
+/// What is known of one task that is not done.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskNote {
     /// Its place in its step.
@@ -50,6 +50,8 @@
     pub failed: Vec<u64>,
     /// Its saved progress; empty: none.
     pub saved: Name,
+    /// The run that it was given to a worker as, and the worker.
+    pub bound: Option<(u64, Name)>,
 }
 
 /// What is known of one step of one repetition.
@@ -59,7 +61,7 @@
     pub place: (u32, u16),
     /// One bit a task, in bytes from the lowest bit: whether it is done.
     pub done: Vec<u8>,
-    /// Tasks that failed or saved progress.
+    /// Tasks that are bound to a worker, failed or saved progress.
     pub tasks: Vec<TaskNote>,
 }
 
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -1,8 +1,8 @@
 //! The life of jobs and of their runs: opened, started, stopped, lost, closed.
 
 use crate::cell::job::{Job, Stand};
-use crate::cell::journal::{Fate, JobRecord, Member, Snapshot};
-use crate::cell::worker::{Phase, Worker};
+use crate::cell::journal::{Fate, JobRecord, Member, Progress, Snapshot};
+use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -41,6 +41,9 @@
                     }
                     let done = job.is_done();
                     self.jobs.insert(key, job);
+                    if let Some(progress) = snapshot.progress.get(&key) {
+                        self.rebind(key, progress);
+                    }
                     match done {
                         true => self.close(now, key, Fate::Completed),
                         false => self.open_job(now, key),
@@ -50,6 +53,28 @@
         }
     }
 
+    /// Tasks that an earlier owner bound to a worker stay there until the worker tells of them, is
+    /// gone, or its leases are over.
+    fn rebind(&mut self, key: JobKey, progress: &Progress) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        for note in &progress.steps {
+            let step_key = StepKey { job: key, time: note.place.0, step: note.place.1 };
+            let Some(spec) = job.spec(step_key.step).cloned() else { continue };
+            let Some(step) = job.step_mut(step_key) else { continue };
+            for task in &note.tasks {
+                let Some((no, name)) = &task.bound else { continue };
+                let Some(worker) = self.workers.get_mut(name) else { continue };
+                if !step.waiting.contains(&task.index) {
+                    continue;
+                }
+                step.place(task.index, name.clone(), *no);
+                // The first report has to name it, or it is over.
+                let run = Run::bound(*no, &spec, Phase::Running(Millis(0)));
+                worker.add(TaskKey { step: step_key, index: task.index }, run);
+            }
+        }
+    }
+
     fn queue_named(&self, name: Name) -> Arc<Queue> {
         let unknown = || {
             Arc::new(Queue {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -110,18 +110,23 @@
     kept: u64,
     /// Something changed that may let a task be placed.
     stir: bool,
-    /// Inherited tasks are held back until all earlier owners' workers are known.
+    /// Earlier owners may have started tasks that no record tells of: inherited tasks are held back
+    /// until all their workers are known.
     doubt: bool,
+    /// Starts that wait for the batch with their binding, in order.
+    unsent: VecDeque<(u64, Name, Start)>,
     actions: Vec<Action>,
 }
 
 impl Cell {
-    /// Takes over what the store holds; `epoch` is higher than that of any earlier owner.
+    /// Takes over what the store holds; `epoch` is higher than that of any earlier owner. With
+    /// `doubt`, an earlier owner may have started tasks while the store was away.
     pub fn new(
         epoch: u64,
         bounds: Bounds,
         queues: HashMap<Name, Arc<Queue>>,
         snapshot: Snapshot,
+        doubt: bool,
         now: Millis,
     ) -> Self {
         let mut cell = Self {
@@ -140,7 +145,8 @@
             batch: 1,
             kept: 0,
             stir: true,
-            doubt: true,
+            doubt,
+            unsent: VecDeque::new(),
             actions: Vec::new(),
         };
         cell.inherit(snapshot, now);
@@ -340,6 +346,7 @@
             self.fresh.pop_front();
             self.open_job(now, key);
         }
+        self.send_starts(now, batch);
         self.stir = true;
     }
 
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -239,7 +239,7 @@
         let gone: Vec<_> = worker.runs.iter().filter_map(gone).collect();
         for ((task, run), phase) in gone {
             if matches!(phase, Phase::Running(_)) {
-                log::warn!("event=run-vanished task={task} run={run} worker={name}");
+                log::info!("event=run-vanished task={task} run={run} worker={name}");
             }
             self.lose(name, task, run);
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -159,22 +159,11 @@
         (self.epoch << RUN_BITS).max(runs.max().unwrap_or(0)) + 1
     }
 
-    /// Takes the room for a run and has it started.
+    /// Takes the room for a run and has it started as soon as the store knows of it.
     fn bind(&mut self, now: Millis, task: TaskKey, name: &Name, no: u64, spec: &Step, saved: &str) {
-        let lease = self.bounds.lease;
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
-        let Some(until) = worker.lease(now, lease) else { return };
-        let run = Run {
-            run: no,
-            charge: spec.charge(),
-            phase: Phase::Starting,
-            told: false,
-            seen: false,
-            percent: 100,
-            filler: spec.filler,
-            tail: spec.tail,
-        };
+        let run = Run::bound(no, spec, Phase::Starting);
         worker.add(task, run);
         let age = now.since(job.since);
         job.begun = true;
@@ -191,7 +180,30 @@
         log::info!("event=start task={task} run={no} worker={name} age_ms={age}");
         let ticket = ticket.unwrap_or_else(|| "".into());
         let start = Start { task, run: no, spec: text, saved, ticket };
-        self.actions.push(Action::Start { worker: name.clone(), start, until });
+        self.dirty.insert(task.step.job);
+        self.unsent.push_back((self.batch, name.clone(), start));
+    }
+
+    /// Sends the starts whose bindings are in the store: the next owner has to know of them.
+    pub(super) fn send_starts(&mut self, now: Millis, kept: u64) {
+        let lease = self.bounds.lease;
+        while let Some((batch, ..)) = self.unsent.front()
+            && *batch <= kept
+        {
+            let Some((_, name, start)) = self.unsent.pop_front() else { return };
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            let run = worker.runs.get(&(start.task, start.run));
+            if run.is_none_or(|run| run.phase != Phase::Starting) {
+                continue;
+            }
+            let Some(until) = worker.lease(now, lease) else { continue };
+            self.actions.push(Action::Start { worker: name, start, until });
+        }
+    }
+
+    /// Sends all starts while the store is away for everybody. The next owner will know that it was.
+    pub fn send_unkept(&mut self, now: Millis) {
+        self.send_starts(now, u64::MAX);
     }
 
     /// Has the advice service asked about a step whose tasks found no cleared worker with room.
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Listed, Report};
-use crate::workload::{Room, TaskKey};
+use crate::workload::{Room, Step, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A lease is counted as over this much later, in thousandths of its length: a worker's clock may
@@ -52,6 +52,22 @@
     pub tail: Millis,
 }
 
+impl Run {
+    /// A run of a step's task.
+    pub fn bound(run: u64, spec: &Step, phase: Phase) -> Self {
+        Self {
+            run,
+            charge: spec.charge(),
+            phase,
+            told: false,
+            seen: false,
+            percent: 100,
+            filler: spec.filler,
+            tail: spec.tail,
+        }
+    }
+}
+
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -64,7 +64,8 @@
         );
         let bounds = Bounds { lease: self.lease(), keep: self.settings.keep };
         let queues = self.policy().queues.clone();
-        let mut cell = Cell::new(epoch, bounds, queues, snapshot, self.now());
+        let doubt = !lock(&self.election).is_steady(self.now());
+        let mut cell = Cell::new(epoch, bounds, queues, snapshot, doubt, self.now());
         cell.set_workers(listed);
         if self.adviser.is_some() {
             cell.join(self.me.name.clone());
@@ -152,8 +153,12 @@
             self.stir.notified().await;
             let actions = {
                 let mut cell = lock(&self.cell);
+                let now = self.node.now();
                 if self.may_order() {
-                    cell.schedule(self.node.now());
+                    cell.schedule(now);
+                }
+                if lock(&self.authority).is_blind(now) {
+                    cell.send_unkept(now);
                 }
                 cell.take_actions()
             };
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -48,7 +48,7 @@
 fn cell(workers: &[Listed]) -> Cell {
     let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
     let queues = HashMap::from([("q".into(), queue("q", 0)), ("low".into(), queue("low", 2))]);
-    let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), Millis(0));
+    let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
     cell.set_workers(workers.to_vec());
     write(&mut cell, 1);
     for worker in workers {
@@ -70,6 +70,7 @@
 /// The starts that the cell decides on.
 fn starts(cell: &mut Cell, now: u64) -> Vec<(Name, Start)> {
     cell.schedule(Millis(now));
+    write(cell, now);
     let actions = cell.take_actions().into_iter();
     let start = |action| match action {
         Action::Start { worker, start, .. } => Some((worker, start)),
@@ -304,7 +305,7 @@
         snapshot.add(key, value).unwrap();
     }
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
-    let mut new = Cell::new(2, bounds, queues, snapshot, Millis(100));
+    let mut new = Cell::new(2, bounds, queues, snapshot, true, Millis(100));
     new.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
     write(&mut new, 101);
     for id in ["w1", "w2"] {
@@ -374,3 +375,53 @@
     assert!(cell.take_actions().contains(&Action::Unwatch("w1".into())));
     assert!(cell.is_unkept(), "the next owner must not wait for it");
 }
+
+#[test]
+fn a_start_goes_out_once_the_store_has_its_binding() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    cell.schedule(Millis(11));
+    let is_start = |action: &Action| matches!(action, Action::Start { .. });
+    assert!(!cell.take_actions().iter().any(is_start));
+    write(&mut cell, 12);
+    assert!(cell.take_actions().iter().any(is_start));
+}
+
+#[test]
+fn a_new_owner_starts_what_no_worker_can_run_and_holds_back_what_an_unknown_one_may() {
+    let mut old = cell(&[listed("w1", "a"), listed("w2", "b")]);
+    let mut snapshot = Snapshot::default();
+    let mut records = Vec::new();
+    old.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
+    old.submit(Millis(10), JobKey(1), "q", work(vec![step(1), Step { after: vec![0], ..step(1) }]));
+    old.submit(Millis(10), JobKey(2), "q", work(vec![step(12)]));
+    for _ in 0..4 {
+        while let Some(batch) = old.take_batch(Millis(11)) {
+            records.extend(batch.records);
+            old.keep(Millis(11), batch.no);
+        }
+        old.schedule(Millis(11));
+    }
+    for (key, value) in &records {
+        snapshot.add(key, value).unwrap();
+    }
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let queues = HashMap::from([("q".into(), queue("q", 0))]);
+    let mut new = Cell::new(2, bounds, queues, snapshot, false, Millis(100));
+    new.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
+    write(&mut new, 101);
+    // Of nine tasks, four run on each of two workers at the most; the first answers and runs none.
+    let w1: Name = "w1".into();
+    new.hold(Millis(102), &w1, true);
+    new.held(Millis(103), Millis(102), &w1, &Report { clock: 1_000, ..Report::default() });
+    new.tick(Millis(110), Millis(110));
+    let first = starts(&mut new, 111);
+    assert_eq!(
+        first.len(),
+        4,
+        "what was bound to the worker that answered, and what was bound to none"
+    );
+    let mut all: Vec<TaskKey> = first.iter().map(|(_, start)| start.task).collect();
+    all.dedup();
+    assert_eq!(all.len(), 4);
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -63,6 +63,8 @@
     /// Tasks whose end `done` was confirmed.
     alive: bool,
     cut_until: u64,
+    /// Owners before this one still reach it: they are on its side of the cut.
+    cut_from: usize,
     /// Runs slower than the world's clock by this, in thousandths.
     slow: u64,
 }
@@ -218,7 +220,10 @@
             steps.push(Step {
                 count: 1 + self.pick(4) as u32,
                 room: room(300 + self.pick(700)),
-                estimate: Millis(200 + self.pick(1_500)),
+                // Some run for longer than a lease and a takeover together.
+                estimate: Millis(
+                    200 + self.pick(1_500) + if self.pick(4) == 0 { 6_000 } else { 0 },
+                ),
                 after,
                 gang: self.pick(5) == 0,
                 saves: self.pick(2) == 0,
@@ -256,6 +261,7 @@
             barred: BTreeMap::new(),
             alive: true,
             cut_until: 0,
+            cut_from: 0,
             slow: self.pick(20),
         };
         self.workers.insert(id, worker);
@@ -390,8 +396,16 @@
             0 => {
                 let until = self.now + 200 + self.pick(5_000);
                 self.say(format!("{name} is cut off until {until}"));
+                // With its owner on the same side, another takes over on the other side.
+                let with_owner = self.pick(2) == 0;
+                let cut_from = if with_owner { self.owners.len() } else { 0 };
                 if let Some(worker) = self.workers.get_mut(&name) {
                     worker.cut_until = until;
+                    worker.cut_from = cut_from;
+                }
+                if with_owner {
+                    let at = self.now + 1_200 + self.pick(300);
+                    self.at(at, Event::Elect);
                 }
             }
             1 if self.gone_works < 2 && self.workers[&name].alive => {
@@ -438,7 +452,7 @@
         }
         let bounds = Bounds { lease: Millis(LEASE), keep: Millis(1_000_000) };
         let queues = HashMap::from([("q".into(), self.queue_row.clone())]);
-        let mut cell = Cell::new(epoch, bounds, queues, snapshot, Millis(self.now));
+        let mut cell = Cell::new(epoch, bounds, queues, snapshot, false, Millis(self.now));
         cell.set_workers(self.listed());
         let owner = Owner {
             cell,
@@ -584,8 +598,9 @@
         self.after(delay, event);
     }
 
-    fn reaches(&self, worker: &Name) -> bool {
-        self.workers.get(worker).is_some_and(|worker| worker.cut_until <= self.now)
+    fn reaches(&self, owner: usize, worker: &Name) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.cut_until <= self.now || owner < worker.cut_from)
     }
 
     fn deliver_hold(
@@ -598,7 +613,7 @@
         lost: bool,
     ) {
         let silent = Err(HoldError::Silent("lost".to_string()));
-        if lost || !self.reaches(&name) {
+        if lost || !self.reaches(owner, &name) {
             return self
                 .after(LOST_AFTER, Event::Held { owner, worker: name, sent, result: silent });
         }
@@ -659,7 +674,7 @@
             );
             return self.after(LOST_AFTER, told(Outcome::Unknown));
         }
-        if answer == Answer::Never || !self.reaches(name) {
+        if answer == Answer::Never || !self.reaches(owner, name) {
             return self.after(LOST_AFTER, told(Outcome::Unknown));
         }
         let epoch = self.owners[owner].cell.epoch();
