--- a/src/cell/authority.rs
+++ b/src/cell/authority.rs
@@ -10,13 +10,13 @@
 use crate::id::Name;
 use std::collections::BTreeMap;
 
-/// An entry's word on the log is good for this long: three of its pings.
-const WORD: Millis = Millis(500);
+/// What an entry said of the log is good for this long: three of its pings.
+const PEER_FRESH: Millis = Millis(500);
 /// An entry that was not heard for this long is taken for removed.
 const REMOVED: Millis = Millis(60_000);
 
 #[derive(Debug)]
-struct Word {
+struct Peer {
     at: Millis,
     log: bool,
 }
@@ -25,13 +25,13 @@
 #[derive(Debug)]
 pub struct Authority {
     confirmed: Millis,
-    words: BTreeMap<Name, Word>,
+    peers: BTreeMap<Name, Peer>,
 }
 
 impl Authority {
     /// The owner's claim was in the log at `now`.
     pub fn new(now: Millis) -> Self {
-        Self { confirmed: now, words: BTreeMap::new() }
+        Self { confirmed: now, peers: BTreeMap::new() }
     }
 
     /// A heartbeat that was sent at `sent` is in the log.
@@ -46,11 +46,11 @@
 
     /// Another entry says whether it can read the log.
     pub fn hear(&mut self, now: Millis, entry: &Name, log: bool) {
-        self.words.insert(entry.clone(), Word { at: now, log });
+        self.peers.insert(entry.clone(), Peer { at: now, log });
     }
 
     /// Whether orders may go out only because nobody can read the log.
-    pub fn is_blind(&self, now: Millis) -> bool {
+    pub fn rests_on_peers(&self, now: Millis) -> bool {
         self.age(now) >= SILENCE && self.holds(now)
     }
 
@@ -59,9 +59,10 @@
         if self.age(now) < SILENCE {
             return true;
         }
-        let known = self.words.values().filter(|word| now.since(word.at) < REMOVED).count();
-        let blind = self.words.values().filter(|word| !word.log && now.since(word.at) < WORD);
+        let known = self.peers.values().filter(|peer| now.since(peer.at) < REMOVED).count();
+        let unable =
+            self.peers.values().filter(|peer| !peer.log && now.since(peer.at) < PEER_FRESH);
         // This entry is known too, and cannot reach the log.
-        2 * (blind.count() + 1) > known + 1
+        2 * (unable.count() + 1) > known + 1
     }
 }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -9,7 +9,7 @@
 
 /// Where a task stands.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub enum Stand {
+pub enum Status {
     /// It needs a worker, now or once its step's turn has come.
     #[default]
     Waiting,
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Task {
     /// Where it stands.
-    pub stand: Stand,
+    pub status: Status,
     /// The runs of it that failed: a worker may list an end again after a takeover.
     pub failed: Vec<u64>,
     /// The number of its last start in this epoch.
@@ -41,8 +41,8 @@
 
 impl Default for Task {
     fn default() -> Self {
-        let (stand, saved) = (Stand::Waiting, "".into());
-        Self { stand, failed: Vec::new(), runs: 0, saved, avoid: Vec::new() }
+        let (status, saved) = (Status::Waiting, "".into());
+        Self { status, failed: Vec::new(), runs: 0, saved, avoid: Vec::new() }
     }
 }
 
@@ -236,15 +236,15 @@
             note.done = vec![0; self.tasks.len().div_ceil(BITS)];
         }
         for (index, task) in self.tasks.iter().enumerate() {
-            let bound = match &task.stand {
-                Stand::Done => {
+            let bound = match &task.status {
+                Status::Done => {
                     if let Some(byte) = note.done.get_mut(index / BITS) {
                         *byte |= 1 << (index % BITS);
                     }
                     continue;
                 }
-                Stand::Placed { worker, run } => Some((*run, worker.clone())),
-                Stand::Waiting => None,
+                Status::Placed { worker, run } => Some((*run, worker.clone())),
+                Status::Waiting => None,
             };
             if bound.is_some() || !task.failed.is_empty() || !task.saved.is_empty() {
                 let (failed, saved) = (task.failed.clone(), task.saved.clone());
@@ -273,10 +273,10 @@
     /// A task is done; `false` if that was known.
     pub fn finish(&mut self, index: u32) -> bool {
         let Some(task) = self.tasks.get_mut(index as usize) else { return false };
-        if task.stand == Stand::Done {
+        if task.status == Status::Done {
             return false;
         }
-        task.stand = Stand::Done;
+        task.status = Status::Done;
         self.waiting.remove(&index);
         self.left -= 1;
         true
@@ -285,7 +285,7 @@
     /// A task needs a worker again.
     pub fn requeue(&mut self, index: u32) {
         if let Some(task) = self.tasks.get_mut(index as usize) {
-            task.stand = Stand::Waiting;
+            task.status = Status::Waiting;
             self.waiting.insert(index);
         }
     }
@@ -293,7 +293,7 @@
     /// A task is given to a worker.
     pub fn place(&mut self, index: u32, worker: Name, run: u64) {
         if let Some(task) = self.tasks.get_mut(index as usize) {
-            task.stand = Stand::Placed { worker, run };
+            task.status = Status::Placed { worker, run };
             self.waiting.remove(&index);
         }
     }
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -1,6 +1,6 @@
 //! The life of jobs and of their runs: opened, started, stopped, lost, closed.
 
-use crate::cell::job::{Job, Stand};
+use crate::cell::job::{Job, Status};
 use crate::cell::journal::{Fate, JobRecord, Member, Progress, Snapshot};
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
@@ -122,7 +122,7 @@
         }
         let (priority, due) = rank(job);
         self.ready.insert((priority, due, key));
-        self.stir = true;
+        self.changed = true;
     }
 
     /// Ranks may have changed with the policy.
@@ -183,7 +183,7 @@
         for step in &steps {
             let tasks = job.step(*step).map(|state| state.tasks.as_slice()).unwrap_or_default();
             for (index, task) in tasks.iter().enumerate() {
-                if let Stand::Placed { worker, run } = &task.stand {
+                if let Status::Placed { worker, run } = &task.status {
                     placed.push((
                         worker.clone(),
                         TaskKey { step: *step, index: index as u32 },
@@ -220,7 +220,7 @@
     pub(super) fn lose(&mut self, name: &Name, task: TaskKey, run: u64) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.remove(task, run);
-            self.stir = true;
+            self.changed = true;
         }
         self.requeue(task, run);
     }
@@ -231,8 +231,8 @@
             return;
         };
         let Some(step) = job.step_mut(task.step) else { return };
-        let stand = step.tasks.get(task.index as usize).map(|task| task.stand.clone());
-        let is_this = matches!(stand, Some(Stand::Placed { run: placed, .. }) if placed == run);
+        let status = step.tasks.get(task.index as usize).map(|task| task.status.clone());
+        let is_this = matches!(status, Some(Status::Placed { run: placed, .. }) if placed == run);
         if is_this {
             step.requeue(task.index);
             self.make_ready(task.step);
@@ -251,8 +251,8 @@
             .tasks
             .iter()
             .enumerate()
-            .filter_map(|(index, task)| match &task.stand {
-                Stand::Placed { worker, run } => {
+            .filter_map(|(index, task)| match &task.status {
+                Status::Placed { worker, run } => {
                     Some((worker.clone(), TaskKey { step: key, index: index as u32 }, *run))
                 }
                 _ => None,
@@ -275,13 +275,13 @@
             Outcome::Unknown => self.stop(name, task, run),
             Outcome::Unsent => {
                 self.lose(name, task, run);
-                self.silence(name);
+                self.mark_silent(name);
             }
             Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => self.bury(name),
+            Outcome::Refused(Refusal::OtherLife) => self.remove_worker(name),
             Outcome::Refused(Refusal::Late) => {
                 self.lose(name, task, run);
-                self.silence(name);
+                self.mark_silent(name);
             }
             Outcome::Refused(Refusal::Ticket) => {
                 self.drop_ticket(task.step, name);
@@ -312,7 +312,7 @@
     pub fn stopped(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
         match outcome {
             Outcome::Refused(Refusal::Fence) => return self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => return self.bury(name),
+            Outcome::Refused(Refusal::OtherLife) => return self.remove_worker(name),
             _ => {}
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
@@ -372,7 +372,7 @@
             return;
         }
         log::info!("event=all-runs-known epoch={}", self.epoch);
-        self.stir = true;
+        self.changed = true;
         let gangs: Vec<StepKey> = self
             .jobs
             .iter()
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -109,7 +109,7 @@
     /// All batches up to this one are in the store.
     kept: u64,
     /// Something changed that may let a task be placed.
-    stir: bool,
+    changed: bool,
     /// Earlier owners may have started tasks that no record tells of: inherited tasks are held back
     /// until all their workers are known.
     doubt: bool,
@@ -144,7 +144,7 @@
             roster: false,
             batch: 1,
             kept: 0,
-            stir: true,
+            changed: true,
             doubt,
             unsent: VecDeque::new(),
             actions: Vec::new(),
@@ -187,7 +187,7 @@
         }
         self.queues = queues;
         self.rank_again();
-        self.stir = true;
+        self.changed = true;
     }
 
     /// A caller submits a job: the batch that has to be in the store before it is accepted. The
@@ -347,7 +347,7 @@
             self.open_job(now, key);
         }
         self.send_starts(now, batch);
-        self.stir = true;
+        self.changed = true;
     }
 
     fn members(&self) -> Vec<Member> {
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -1,6 +1,6 @@
 //! What workers report: runs that go on, runs that ended, and how they bear each other.
 
-use crate::cell::job::Stand;
+use crate::cell::job::Status;
 use crate::cell::journal::Fate;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, Hold};
@@ -42,15 +42,15 @@
     pub fn unheld(&mut self, name: &Name, why: &HoldError) -> bool {
         match why {
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            HoldError::Refused(Refusal::OtherLife) => self.bury(name),
-            HoldError::Refused(_) => self.silence(name),
+            HoldError::Refused(Refusal::OtherLife) => self.remove_worker(name),
+            HoldError::Refused(_) => self.mark_silent(name),
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
                 let Some(worker) = self.workers.get_mut(name) else { return false };
                 if !worker.miss() {
                     return false;
                 }
-                self.silence(name);
+                self.mark_silent(name);
             }
         }
         true
@@ -62,7 +62,7 @@
         if !worker.heard {
             let (running, ended) = (report.running.len(), report.ended.len());
             log::info!("event=worker-heard worker={name} running={running} ended={ended}");
-            self.stir = true;
+            self.changed = true;
         }
         worker.hear(now, report);
         worker.known = true;
@@ -72,7 +72,7 @@
                 continue;
             }
             worker.remove(row.task, row.run);
-            self.stir = true;
+            self.changed = true;
             self.end(now, name, row);
             // An end that changes nothing needs no record before it is confirmed.
             let batch = if self.dirty.is_empty() { self.batch - 1 } else { self.batch };
@@ -101,7 +101,7 @@
         let attempts = job.queue.attempts;
         let Some(step) = job.step_mut(task.step) else { return };
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.stand == Stand::Done || state.failed.contains(&row.run) {
+        if state.status == Status::Done || state.failed.contains(&row.run) {
             return;
         }
         if !row.saved.is_empty() {
@@ -110,7 +110,7 @@
         self.dirty.insert(task.step.job);
         match row.end {
             End::Done if !lasting => {
-                let other = placed(&state.stand, row.run);
+                let other = placed(&state.status, row.run);
                 if let Some(worker) = self.workers.get_mut(name) {
                     worker.succeed();
                 }
@@ -285,9 +285,9 @@
 }
 
 /// Where a task runs, if it is another run than `run`.
-fn placed(stand: &Stand, run: u64) -> Option<(Name, u64)> {
-    match stand {
-        Stand::Placed { worker, run: other } if *other != run => Some((worker.clone(), *other)),
+fn placed(status: &Status, run: u64) -> Option<(Name, u64)> {
+    match status {
+        Status::Placed { worker, run: other } if *other != run => Some((worker.clone(), *other)),
         _ => None,
     }
 }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -10,7 +10,7 @@
 
 impl Cell {
     /// A worker did not answer: nothing new goes there until it does.
-    pub fn silence(&mut self, name: &Name) {
+    pub fn mark_silent(&mut self, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name)
             && worker.heard
         {
@@ -33,14 +33,14 @@
     }
 
     /// A life of a worker is over, and all that it ran with it.
-    pub fn bury(&mut self, name: &Name) {
+    pub fn remove_worker(&mut self, name: &Name) {
         let Some(worker) = self.workers.remove(name) else { return };
         log::info!("event=worker-gone worker={name} runs={}", worker.runs.len());
         for (task, run) in worker.runs.into_keys() {
             self.requeue(task, run);
         }
         self.roster = true;
-        self.stir = true;
+        self.changed = true;
         self.actions.push(Action::Unwatch(name.clone()));
     }
 
@@ -53,7 +53,7 @@
         for one in listed {
             self.set_worker(one);
         }
-        self.stir = true;
+        self.changed = true;
     }
 
     fn set_worker(&mut self, listed: Listed) {
@@ -110,7 +110,7 @@
             .collect();
         for (name, present) in over {
             if !present {
-                self.bury(&name);
+                self.remove_worker(&name);
                 continue;
             }
             let worker = self.workers.get(&name);
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -31,7 +31,7 @@
 impl Cell {
     /// Places waiting tasks, the most urgent first, as far as there is room.
     pub fn schedule(&mut self, now: Millis) {
-        if !std::mem::take(&mut self.stir) {
+        if !std::mem::take(&mut self.changed) {
             return;
         }
         let open: Vec<Name> = self
@@ -66,7 +66,7 @@
             .filter(|name| tickets.as_ref().is_none_or(|held| held.contains(*name)))
             .cloned()
             .collect();
-        self.settle(key, &fits);
+        self.choose_home(key, &fits);
         match spec.gang {
             true => self.place_gang(now, key, &spec, &fits, waiting.len()),
             false => self.place_tasks(now, key, &spec, &fits, &waiting),
@@ -87,7 +87,7 @@
 
     /// Gives a job a failure domain, the one with the most idle processors: its tasks go there as
     /// far as there is room, so that a cut between failure domains holds up few jobs.
-    fn settle(&mut self, key: StepKey, fits: &[Name]) {
+    fn choose_home(&mut self, key: StepKey, fits: &[Name]) {
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.home.is_none()) else {
             return;
         };
@@ -271,7 +271,7 @@
             Some(cleared) => self.clear(now, key, named, cleared),
             None => self.forget_question(key),
         }
-        self.stir = true;
+        self.changed = true;
     }
 
     fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
@@ -303,7 +303,7 @@
         let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
         if let Some(step) = step {
             step.advised.asking = false;
-            self.stir = true;
+            self.changed = true;
         }
     }
 
@@ -317,7 +317,7 @@
 
     /// Tickets run out and pauses end: steps that wait are looked at again.
     pub(super) fn expire_questions(&mut self) {
-        self.stir = self.stir || !self.ready.is_empty();
+        self.changed = self.changed || !self.ready.is_empty();
     }
 }
 
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -18,6 +18,9 @@
     /// Settings file of the platform; by default the one that its variable names
     #[bpaf(argument("FILE"))]
     settings: Option<PathBuf>,
+    /// Port of the metrics; by default the second of the ports between entries
+    #[bpaf(argument("PORT"))]
+    metrics: Option<u16>,
     /// Least level of log lines: error, warn, info, debug
     #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info), display_fallback)]
     log: LevelFilter,
@@ -33,8 +36,11 @@
         };
         let text = std::fs::read_to_string(&path)
             .with_context(|| format!("cannot read {}", path.display()))?;
-        let settings =
+        let mut settings =
             Settings::parse(&text).map_err(|err| Refusal(format!("{}: {err}", path.display())))?;
+        if let Some(port) = self.metrics {
+            settings.metrics = format!("{}:{port}", settings.ip).into();
+        }
         logs::start(self.log);
         runtime(settings.cores)?.block_on(serve(settings, path))
     }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -4,7 +4,7 @@
 use crate::cell::journal::Fate;
 use crate::clock::Millis;
 use crate::node::msg::{Ask, Tell};
-use crate::node::{Node, Silence};
+use crate::node::{AskError, Node};
 use crate::platform::config::{Policy, Route};
 use crate::platform::front::{Reply, deadline, host};
 use crate::platform::submit;
@@ -27,7 +27,7 @@
 /// The most time that a caller waits who does not say.
 const USUAL_WAIT: Millis = Millis(3_000);
 /// When a refused caller should come back, in seconds: a takeover takes about two.
-pub(super) const COME_BACK: u64 = 1;
+pub(super) const RETRY_AFTER: u64 = 1;
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
@@ -116,7 +116,7 @@
 ) -> (&'static str, Reply) {
     let policy = node.policy();
     if policy.version == 0 {
-        return ("none", Reply::Busy { after: COME_BACK });
+        return ("none", Reply::Busy { after: RETRY_AFTER });
     }
     let path = request.uri().path().to_string();
     let Some(route) = policy.route(host(&request), &path) else { return ("none", Reply::NoQueue) };
@@ -167,8 +167,8 @@
     let answer = node.ask(ask, until).await;
     let reply = match &answer {
         Ok(Tell::Accepted) => return Reply::Accepted,
-        Ok(Tell::Refused(_)) | Err(Silence::Unsent) => Reply::Busy { after: COME_BACK },
-        Ok(_) | Err(Silence::Unknown) => Reply::InDoubt,
+        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: RETRY_AFTER },
+        Ok(_) | Err(AskError::Unknown) => Reply::InDoubt,
     };
     log::info!(
         "event=not-accepted job={job} queue={} policy={} answer={answer:?} waited_ms={} reply={reply:?}",
@@ -187,7 +187,7 @@
         Ok(Tell::State(Some(State::Closed(Fate::Completed)))) => Reply::State("completed"),
         Ok(Tell::State(Some(State::Closed(Fate::Failed)))) => Reply::State("failed"),
         Ok(Tell::State(Some(State::Closed(Fate::Cancelled)))) => Reply::State("cancelled"),
-        _ => Reply::Busy { after: COME_BACK },
+        _ => Reply::Busy { after: RETRY_AFTER },
     }
 }
 
@@ -195,8 +195,8 @@
     let reply = match node.ask(Ask::Cancel { job }, until).await {
         Ok(Tell::Cancelled(true)) => Reply::Accepted,
         Ok(Tell::Cancelled(false)) => Reply::NoJob,
-        Ok(Tell::Refused(_)) | Err(Silence::Unsent) => Reply::Busy { after: COME_BACK },
-        Ok(_) | Err(Silence::Unknown) => Reply::InDoubt,
+        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: RETRY_AFTER },
+        Ok(_) | Err(AskError::Unknown) => Reply::InDoubt,
     };
     log::info!("event=cancel job={job} reply={reply:?}");
     reply
@@ -205,7 +205,7 @@
 async fn pending(node: &Arc<Node>, route: &Route, until: Millis) -> Reply {
     match node.ask(Ask::Pending { queue: route.queue.name.clone() }, until).await {
         Ok(Tell::Pending(count)) => Reply::Pending(count),
-        _ => Reply::Busy { after: COME_BACK },
+        _ => Reply::Busy { after: RETRY_AFTER },
     }
 }
 
@@ -213,7 +213,7 @@
 pub(super) async fn ready(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
     match node.is_ready() {
         true => Reply::Accepted.response(),
-        false => Reply::Busy { after: COME_BACK }.response(),
+        false => Reply::Busy { after: RETRY_AFTER }.response(),
     }
 }
 
@@ -223,7 +223,7 @@
         Ok(text) => Response::new(Full::from(text)),
         Err(err) => {
             log::warn!("event=metrics-failed error={err:?}");
-            Reply::Busy { after: COME_BACK }.response()
+            Reply::Busy { after: RETRY_AFTER }.response()
         }
     }
 }
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -85,9 +85,9 @@
 
 /// Ends all questions of a connection when it is over, also when its task is dropped because
 /// another entry owns the cell: they are asked again there.
-struct Closer(Arc<Link>);
+struct CloseGuard(Arc<Link>);
 
-impl Drop for Closer {
+impl Drop for CloseGuard {
     fn drop(&mut self) {
         self.0.is_closed.store(true, Ordering::Relaxed);
         lock(&self.0.waiting).clear();
@@ -127,7 +127,7 @@
                 log::debug!("event=owner-unreachable owner={} error={err:?}", leader.owner);
                 if err.kind() == io::ErrorKind::ConnectionRefused {
                     lock(&self.election).miss(leader.epoch);
-                    self.nudge.notify_one();
+                    self.recheck.notify_one();
                 }
                 return;
             }
@@ -155,7 +155,7 @@
         });
         let hello = Ask::Hello { entry: self.me.name.clone(), epoch: leader.epoch };
         out.try_send(encode(0, hello)?).map_err(io::Error::other)?;
-        let _closer = Closer(link.clone());
+        let _closer = CloseGuard(link.clone());
         let read = self.read_tells(Frames::new(read), link, leader);
         tokio::select! {
             result = write(half, frames) => result,
@@ -180,7 +180,7 @@
                 }
                 Frame { no: 0, body: Tell::Refused(_) } => {
                     lock(&self.election).miss(leader.epoch);
-                    self.nudge.notify_one();
+                    self.recheck.notify_one();
                     tokio::time::sleep(RETRY.duration()).await;
                     return Ok(());
                 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -67,7 +67,7 @@
     election: Mutex<Election>,
     leader: watch::Sender<Option<Leader>>,
     /// The owner may have to be replaced.
-    nudge: Notify,
+    recheck: Notify,
     link: watch::Sender<Option<Arc<Link>>>,
     owner: watch::Sender<Option<Arc<Owner>>>,
     /// The last epoch that this entry owned and gave up or lost.
@@ -79,7 +79,7 @@
 
 /// Why a question to the owner got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Silence {
+enum AskError {
     /// Surely nothing was done.
     Unsent,
     /// It may have been done.
@@ -115,7 +115,7 @@
             policy: watch::channel(Arc::new(Policy::default())).0,
             election: Mutex::new(Election::new(me.clone(), Millis(0))),
             leader: watch::channel(None).0,
-            nudge: Notify::new(),
+            recheck: Notify::new(),
             link: watch::channel(None).0,
             owner: watch::channel(None).0,
             given_up: AtomicU64::new(0),
@@ -149,7 +149,7 @@
         tokio::spawn(self.clone().serve_peers(peer));
         tokio::spawn(self.clone().follow_policy());
         tokio::spawn(self.clone().follow_claims());
-        tokio::spawn(self.clone().stand());
+        tokio::spawn(self.clone().campaign());
         tokio::spawn(self.clone().keep_link());
         self.wait_for_stop(stop, close).await;
         drop(never);
@@ -195,8 +195,8 @@
     }
 
     /// Asks whoever owns the cell, again if the owner changes, until an answer or `until`.
-    async fn ask(&self, ask: Ask, until: Millis) -> Result<Tell, Silence> {
-        let mut silence = Silence::Unsent;
+    async fn ask(&self, ask: Ask, until: Millis) -> Result<Tell, AskError> {
+        let mut silence = AskError::Unsent;
         let patient = self.now() + PATIENCE;
         loop {
             let left = until - self.now();
@@ -206,22 +206,23 @@
             let answered = tokio::time::timeout(left.duration(), self.ask_once(ask.clone())).await;
             match answered {
                 Ok(Ok(Tell::Refused(Refused::NotOwner | Refused::NoQueue))) => {}
-                Ok(Ok(Tell::InDoubt) | Err(LinkError::Broken)) => silence = Silence::Unknown,
+                Ok(Ok(Tell::InDoubt) | Err(LinkError::Broken)) => silence = AskError::Unknown,
                 Ok(Ok(tell)) => return Ok(tell),
                 Ok(Err(LinkError::Unsent))
-                    if silence == Silence::Unsent && (self.now() >= patient || self.is_blind()) =>
+                    if silence == AskError::Unsent
+                        && (self.now() >= patient || self.is_log_lost()) =>
                 {
                     return Err(silence);
                 }
                 Ok(Err(LinkError::Unsent)) => {}
-                Err(_) => return Err(Silence::Unknown),
+                Err(_) => return Err(AskError::Unknown),
             }
             tokio::time::sleep(OWNER_PAUSE.duration()).await;
         }
     }
 
     /// Whether waiting for an owner is of no use: the log cannot be read, so nobody can claim.
-    fn is_blind(&self) -> bool {
+    fn is_log_lost(&self) -> bool {
         !lock(&self.election).is_fresh(self.now())
     }
 
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -34,7 +34,7 @@
     /// The batch up to which all is in the store.
     kept: watch::Sender<u64>,
     /// There may be something to do or to write.
-    stir: Notify,
+    wake: Notify,
     write: Notify,
     /// It is not the owner any more.
     over: watch::Sender<bool>,
@@ -44,7 +44,7 @@
     /// The store takes records.
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
-    pokes: Mutex<HashMap<Name, Arc<Notify>>>,
+    looks: Mutex<HashMap<Name, Arc<Notify>>>,
 }
 
 impl Node {
@@ -74,13 +74,13 @@
             epoch,
             cell: Mutex::new(cell),
             kept: watch::channel(0).0,
-            stir: Notify::new(),
+            wake: Notify::new(),
             write: Notify::new(),
             over: watch::channel(false).0,
             peers: Mutex::default(),
             authority: Mutex::new(Authority::new(self.now())),
             store: AtomicBool::new(true),
-            pokes: Mutex::default(),
+            looks: Mutex::default(),
             node: self.clone(),
         });
         self.owner.send_replace(Some(owner.clone()));
@@ -115,7 +115,7 @@
 
     async fn run(self: Arc<Self>) {
         let mut over = self.over.subscribe();
-        self.stir.notify_one();
+        self.wake.notify_one();
         tokio::select! {
             () = self.clone().pump() => {}
             () = self.clone().write_batches() => {}
@@ -150,14 +150,14 @@
     /// Does what the cell decides.
     async fn pump(self: Arc<Self>) {
         loop {
-            self.stir.notified().await;
+            self.wake.notified().await;
             let actions = {
                 let mut cell = lock(&self.cell);
                 let now = self.node.now();
                 if self.may_order() {
                     cell.schedule(now);
                 }
-                if lock(&self.authority).is_blind(now) {
+                if lock(&self.authority).rests_on_peers(now) {
                     cell.send_unkept(now);
                 }
                 cell.take_actions()
@@ -178,13 +178,13 @@
             Action::Watch(listed) => drop(tokio::spawn(self.clone().watch(listed))),
             Action::Unwatch(worker) => {
                 // The watching task ends by itself: the cell does not know the worker any more.
-                if let Some(poke) = lock(&self.pokes).remove(&worker) {
-                    poke.notify_one();
+                if let Some(look) = lock(&self.looks).remove(&worker) {
+                    look.notify_one();
                 }
             }
             Action::Look(worker) => {
-                if let Some(poke) = lock(&self.pokes).get(&worker) {
-                    poke.notify_one();
+                if let Some(look) = lock(&self.looks).get(&worker) {
+                    look.notify_one();
                 }
             }
             Action::Ask { entry, question } => self.ask(entry, question),
@@ -201,7 +201,7 @@
                 let answer = owner.node.advise(step, &workers, cost).await;
                 let now = owner.node.now();
                 lock(&owner.cell).advised(now, &entry, step, &workers, answer);
-                owner.stir.notify_one();
+                owner.wake.notify_one();
             });
             return;
         }
@@ -214,7 +214,7 @@
         if !sent {
             log::info!("event=question-lost entry={entry} step={step}");
             lock(&self.cell).leave(&entry);
-            self.stir.notify_one();
+            self.wake.notify_one();
         }
     }
 
@@ -230,7 +230,7 @@
                 cell.load()
             };
             self.node.metrics.loaded(&load);
-            self.stir.notify_one();
+            self.wake.notify_one();
         }
     }
 
@@ -239,7 +239,7 @@
         loop {
             let queues = policies.borrow_and_update().queues.clone();
             lock(&self.cell).set_queues(queues);
-            self.stir.notify_one();
+            self.wake.notify_one();
             if policies.changed().await.is_err() {
                 return;
             }
@@ -254,7 +254,7 @@
         if self.node.adviser.is_some() {
             lock(&self.cell).join(entry);
         }
-        self.stir.notify_one();
+        self.wake.notify_one();
     }
 
     /// Its connection ended, unless it has a newer one.
@@ -265,7 +265,7 @@
             peers.remove(entry);
             drop(peers);
             lock(&self.cell).leave(entry);
-            self.stir.notify_one();
+            self.wake.notify_one();
         }
     }
 
@@ -286,7 +286,7 @@
             Ask::Pending { queue } => Tell::Pending(lock(&self.cell).pending(&queue)),
             Ask::Cancel { job } => {
                 let batch = lock(&self.cell).cancel(self.node.now(), job);
-                self.stir.notify_one();
+                self.wake.notify_one();
                 match batch {
                     None => Tell::Cancelled(false),
                     Some(batch) if self.is_kept(batch).await => Tell::Cancelled(true),
@@ -295,7 +295,7 @@
             }
             Ask::Advised { step, named, answer } => {
                 lock(&self.cell).advised(self.node.now(), entry, step, &named, answer);
-                self.stir.notify_one();
+                self.wake.notify_one();
                 Tell::Done
             }
         }
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -101,7 +101,7 @@
             }
             lock(&self.cell).keep(self.node.now(), batch.no);
             self.kept.send_replace(batch.no);
-            self.stir.notify_one();
+            self.wake.notify_one();
             tokio::time::sleep(APPEND_GAP.duration()).await;
         }
     }
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -89,7 +89,7 @@
                 false => cell.stopped(now, &name, task, run, outcome),
             }
         }
-        self.stir.notify_one();
+        self.wake.notify_one();
     }
 
     fn client(&self, name: &Name) -> Option<Worker> {
@@ -101,7 +101,7 @@
     pub(super) async fn watch(self: Arc<Self>, listed: Listed) {
         let name = listed.id;
         let client = Worker::new(self.node.http.clone(), listed.addr, name.clone(), self.epoch);
-        let poke = lock(&self.pokes).entry(name.clone()).or_default().clone();
+        let look = lock(&self.looks).entry(name.clone()).or_default().clone();
         // The first report only tells what runs, and the clock: the lease needs that.
         let mut wait = Millis(0);
         while !self.is_over() {
@@ -111,7 +111,7 @@
             let Some(hold) = lock(&self.cell).hold(sent, &name, renew) else { return };
             let held = tokio::select! {
                 held = client.hold(hold.seen, hold.until, wait, wait + HOLD_SPARE) => held,
-                () = poke.notified() => {
+                () = look.notified() => {
                     wait = Millis(0);
                     continue;
                 }
@@ -128,7 +128,7 @@
                     lock(&self.cell).unheld(&name, err)
                 }
             };
-            self.stir.notify_one();
+            self.wake.notify_one();
             if pause {
                 tokio::time::sleep(HOLD_RETRY.duration()).await;
             }
@@ -165,7 +165,7 @@
             match result {
                 Ok(true) => {
                     lock(&self.cell).set_workers(known.values().cloned().collect());
-                    self.stir.notify_one();
+                    self.wake.notify_one();
                 }
                 Ok(false) => {}
                 Err(err) => {
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -161,13 +161,13 @@
     }
 
     /// Claims the cell when it needs an owner; takes it over and sends heartbeats as its owner.
-    pub(super) async fn stand(self: Arc<Self>) {
+    pub(super) async fn campaign(self: Arc<Self>) {
         let jitter = hash(&[self.me.name.as_bytes()]) % SPREAD;
         let mut owned = 0;
         loop {
             tokio::select! {
                 () = tokio::time::sleep((LOOK + Millis(jitter)).duration()) => {}
-                () = self.nudge.notified() => tokio::time::sleep(Millis(jitter).duration()).await,
+                () = self.recheck.notified() => tokio::time::sleep(Millis(jitter).duration()).await,
             }
             let mine = {
                 let election = lock(&self.election);
@@ -196,7 +196,7 @@
             Ok(()) => log::info!("event=claimed end={end}"),
             Err(err) => log::info!("event=claim-failed end={end} error={err:?}"),
         }
-        self.nudge.notify_one();
+        self.recheck.notify_one();
     }
 
     async fn append_claim(&self, end: u64, record: &Record) -> Result<(), StoreError> {
