Search: failed ends count as the users' rule counts them; jobs that often fail

The rule counts an end that is confirmed then or later. The new check keeps such starts and breaks when the ends are confirmed. No product code changed.

--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -51,3 +51,11 @@
 fn workers_that_run_on_without_a_lease_break_a_promise() {
     breaks(Without::Leases);
 }
+
+#[test]
+fn failures_found_before_do_not_come_back() {
+    for seed in [5, 38, 210_022, 233_665] {
+        let found = search(seed, Without::Nothing);
+        assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+    }
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -142,9 +142,11 @@
     queue_row: Arc<Queue>,
     works: BTreeMap<JobKey, Arc<Work>>,
     accepted: BTreeSet<JobKey>,
-    failing: BTreeSet<JobKey>,
     done: BTreeMap<TaskKey, bool>,
-    fails: BTreeMap<TaskKey, u32>,
+    /// Ends `failed` of each task, in order: the worker, the end's number, whether it was confirmed.
+    fails: BTreeMap<TaskKey, Vec<(Name, u64, bool)>>,
+    /// Starts after so many failed ends of a task; wrong if as many as allowed are ever confirmed.
+    excess: Vec<(TaskKey, usize)>,
     gone_works: u32,
     pub broken: Vec<String>,
     pub trace: Vec<String>,
@@ -180,9 +182,9 @@
             queue_row,
             works: BTreeMap::new(),
             accepted: BTreeSet::new(),
-            failing: BTreeSet::new(),
             done: BTreeMap::new(),
             fails: BTreeMap::new(),
+            excess: Vec::new(),
             gone_works: 0,
             broken: Vec::new(),
             trace: Vec::new(),
@@ -632,9 +634,17 @@
             for row in confirmed {
                 self.done.insert(row.task, true);
             }
+            let failed = worker.ended.iter().filter(|row| row.no <= seen && row.end == End::Failed);
+            for row in failed {
+                let ends = self.fails.get_mut(&row.task).into_iter().flatten();
+                for (_, _, confirmed) in ends.filter(|(at, no, _)| *at == name && *no == row.no) {
+                    *confirmed = true;
+                }
+            }
             worker.ended.retain(|row| row.no > seen);
             Ok(worker.report(now))
         };
+        self.check_excess();
         let busy = matches!(&result, Ok(report) if report.ended.is_empty());
         let delay = if busy { 1 + self.pick(HOLD_WAIT) } else { 1 + self.pick(3) };
         if busy {
@@ -740,20 +750,35 @@
             (0..count).any(|index| !self.done.contains_key(&TaskKey { step, index }))
         });
         let confirmed = self.done.get(&task).copied().unwrap_or(false);
-        let spent = self.fails.get(&task).copied().unwrap_or(0) >= self.queue_row.attempts;
+        let failed = self.fails.get(&task).map_or(0, Vec::len);
         let faults = [
             (over, "a worker is given more than it has"),
             (crowded, "more tasks of a step on one worker than allowed"),
             (elsewhere, "a task runs twice at once"),
             (early, "a task starts before what it depends on is done"),
             (confirmed, "a task starts again after its end was confirmed"),
-            (spent, "a task starts once more than it may"),
         ];
         for (wrong, what) in faults {
             if wrong {
                 self.fault(format!("{what}: {task} on {name}"));
             }
         }
+        if failed >= self.queue_row.attempts as usize {
+            self.excess.push((task, failed));
+            self.check_excess();
+        }
+    }
+
+    /// Ends that are lost with their worker before anybody confirmed them do not count.
+    fn check_excess(&mut self) {
+        let allowed = self.queue_row.attempts as usize;
+        let wrong = self.excess.iter().find(|(task, failed)| {
+            let ends = self.fails.get(task).map(Vec::as_slice).unwrap_or_default();
+            ends.iter().take(*failed).filter(|(.., confirmed)| *confirmed).count() >= allowed
+        });
+        if let Some((task, _)) = wrong.copied() {
+            self.fault(format!("a task started once more than it may: {task}"));
+        }
     }
 
     fn stop(&mut self, name: &Name, task: TaskKey, run: u64, epoch: u64) -> Outcome {
@@ -782,7 +807,9 @@
         if running.is_none_or(|running| running.run != run || running.stopping) {
             return;
         }
-        let failed = self.chance(6);
+        // Some jobs fail every other time, so that tasks come to the last start they may have.
+        let poor = task.step.job.0 % 6 == 0 && self.pick(2) == 0;
+        let failed = self.chance(6) || poor;
         let spec = &self.works[&task.step.job].steps[usize::from(task.step.step)];
         let (gang, count) = (spec.gang, spec.count as usize);
         if gang {
@@ -790,7 +817,6 @@
         }
         match failed {
             true => {
-                *self.fails.entry(task).or_default() += 1;
                 self.end(name, task, End::Failed);
             }
             false => {
@@ -816,10 +842,7 @@
         }
         for (member, other) in members {
             match failed {
-                true if other == task => {
-                    *self.fails.entry(other).or_default() += 1;
-                    self.end(&member, other, End::Failed);
-                }
+                true if other == task => self.end(&member, other, End::Failed),
                 true => self.end(&member, other, End::Broken),
                 false => {
                     self.done.entry(other).or_insert(false);
@@ -836,6 +859,9 @@
         let no = worker.count;
         let barred = worker.barred.entry(task).or_default();
         *barred = (*barred).max(running.run);
+        if end == End::Failed {
+            self.fails.entry(task).or_default().push((name.clone(), no, false));
+        }
         worker.ended.push(EndedRow { no, task, run: running.run, end, saved: "".into() });
         self.say(format!("{name} ends {task} run {}: {end:?}", running.run));
     }
