--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -53,7 +53,7 @@
     Pace { worker: Name, task: TaskKey, run: u64, percent: u32 },
     /// Keep asking this worker for reports.
     Watch(Listed),
-    /// Do so no longer.
+    /// Stop asking this worker.
     Unwatch(Name),
     /// Ask this worker for a report at once.
     Look(Name),
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -11,7 +11,7 @@
 /// The balancer sends no new callers after two questions a second apart, each of which may be
 /// half a second late.
 const UNLISTED: Millis = Millis(2_600);
-/// What is left of the grace when requests in flight are no longer waited for.
+/// The part at the end of the grace in which requests in flight are not waited for.
 const LAST: Millis = Millis(700);
 /// Time between looks.
 const LOOK: Millis = Millis(50);
