Claims are left to entries with more processors; a small owner hands the cell to a larger one

Cause: on the grown site entries have 0.12 to 0.5 of a core, and whichever claimed first owned the cell of 350 workers.

Change: an owner's heartbeat names the processors of the largest entry that it hears from; an entry with fewer waits up to 320 ms with a claim; an owner hands over to an entry with twice its processors that it has heard for 1.5 s and that reads the log. A release is acted on when it is read.

An owner without any large entry alive is still too slow: next.

--- a/src/cell/authority.rs
+++ b/src/cell/authority.rs
@@ -12,6 +12,8 @@
 
 /// What an entry said of the log is good for this long: three of its pings.
 const PEER_FRESH: Millis = Millis(500);
+/// An entry counts as one that could be the owner once it was heard for this long.
+const SETTLED: Millis = Millis(1_500);
 /// An entry that was not heard for this long is taken for removed.
 const REMOVED: Millis = Millis(60_000);
 
@@ -19,6 +21,9 @@
 struct Peer {
     at: Millis,
     log: bool,
+    /// What it may use of processors, in thousandths of one.
+    cpu: u32,
+    since: Millis,
 }
 
 /// What an owner knows of its authority.
@@ -44,9 +49,25 @@
         now.since(self.confirmed)
     }
 
+    /// Another entry asks this owner from now on; it may use `cpu` thousandths of a processor.
+    pub fn join(&mut self, now: Millis, entry: &Name, cpu: u32) {
+        self.peers.insert(entry.clone(), Peer { at: now, log: true, cpu, since: now });
+    }
+
     /// Another entry says whether it can read the log.
     pub fn hear(&mut self, now: Millis, entry: &Name, log: bool) {
-        self.peers.insert(entry.clone(), Peer { at: now, log });
+        let peer = Peer { at: now, log, cpu: 0, since: now };
+        let known = self.peers.entry(entry.clone()).or_insert(peer);
+        (known.at, known.log) = (now, log);
+    }
+
+    /// The processors of the largest other entry that can read the log and was heard all through
+    /// the last [`SETTLED`], in thousandths; 0: there is none.
+    pub fn largest(&self, now: Millis) -> u32 {
+        let sound = self.peers.values().filter(|peer| {
+            peer.log && now.since(peer.at) < PEER_FRESH && now.since(peer.since) >= SETTLED
+        });
+        sound.map(|peer| peer.cpu).max().unwrap_or(0)
     }
 
     /// Whether orders may go out only because nobody can read the log.
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -21,6 +21,10 @@
 const STEADY: Millis = Millis(10_000);
 /// Two claims by one entry are this far apart, so that the first can be read back.
 const CLAIM_PAUSE: Millis = Millis(400);
+/// The longest time that a small entry leaves the claim to larger ones: longer than the time
+/// between two looks of those. An owner of 350 workers needs 0.21 of a core; on 0.12 of a core it
+/// served 0.44 of a calm day's credit.
+const COURTESY: Millis = Millis(320);
 
 /// A record of the claims' topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +44,8 @@
         owner: EntryId,
         /// Where other entries reach it.
         addr: Name,
+        /// The processors of the largest entry that it hears from, itself included, in thousandths.
+        most: u32,
     },
     /// The owner stops by plan: anybody may claim at once.
     Release {
@@ -63,6 +69,10 @@
 #[derive(Debug)]
 pub struct Election {
     me: EntryId,
+    /// What this entry may use of processors, in thousandths of one.
+    cpu: u32,
+    /// The processors of the largest entry that the last owner heard from.
+    most: u32,
     leader: Option<Leader>,
     released: bool,
     /// The offset after the last record that was read.
@@ -76,13 +86,17 @@
     /// The owner's process is not there.
     absent: bool,
     claimed: Option<Millis>,
+    /// Since when a claim is due.
+    due: Option<Millis>,
 }
 
 impl Election {
-    /// Nothing is known yet.
-    pub fn new(me: EntryId, now: Millis) -> Self {
+    /// Nothing is known yet; this entry may use `cpu` thousandths of a processor.
+    pub fn new(me: EntryId, cpu: u32, now: Millis) -> Self {
         Self {
             me,
+            cpu,
+            most: 0,
             leader: None,
             released: false,
             end: 0,
@@ -91,6 +105,7 @@
             steady: now,
             absent: false,
             claimed: None,
+            due: None,
         }
     }
 
@@ -104,6 +119,11 @@
         self.leader.as_ref().is_some_and(|leader| leader.owner == self.me) && !self.released
     }
 
+    /// Whether the last owner gave the cell up and nobody has claimed it since.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
     /// The offset after the last record that was read.
     pub fn end(&self) -> u64 {
         self.end
@@ -125,10 +145,11 @@
                 self.set(Leader { epoch: offset + 1, owner, addr });
                 self.heard = now;
             }
-            Record::Beat { epoch, owner, addr } if self.epoch() <= epoch => {
+            Record::Beat { epoch, owner, addr, most } if self.epoch() <= epoch => {
                 if self.epoch() < epoch {
                     self.set(Leader { epoch, owner, addr });
                 }
+                self.most = most;
                 self.heard = now;
                 self.absent = false;
             }
@@ -141,6 +162,7 @@
         self.leader = Some(leader);
         self.released = false;
         self.absent = false;
+        self.due = None;
     }
 
     fn epoch(&self) -> u64 {
@@ -186,9 +208,25 @@
             Some(_) if self.absent => silence >= SHORT_SILENCE,
             Some(_) => silence >= SILENCE,
         };
-        due.then(|| {
-            self.claimed = Some(now);
-            self.end
-        })
+        if !due {
+            self.due = None;
+            return None;
+        }
+        let since = *self.due.get_or_insert(now);
+        if now.since(since) < self.courtesy() {
+            return None;
+        }
+        self.claimed = Some(now);
+        Some(self.end)
+    }
+
+    /// How long this entry leaves a claim to larger ones: not at all if it is the largest, as far
+    /// as that is known.
+    fn courtesy(&self) -> Millis {
+        /// Before the first owner all entries start together and know nothing of each other.
+        const UNKNOWN: u32 = 500;
+        let most = if self.most == 0 { UNKNOWN } else { self.most };
+        let short = most.saturating_sub(self.cpu);
+        Millis(COURTESY.0 * u64::from(short) / u64::from(most.max(1)))
     }
 }
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -153,7 +153,8 @@
             heard: AtomicU64::new(self.now().0),
             is_closed: AtomicBool::new(false),
         });
-        let hello = Ask::Hello { entry: self.me.name.clone(), epoch: leader.epoch };
+        let (entry, cpu) = (self.me.name.clone(), self.settings.cpu);
+        let hello = Ask::Hello { entry, epoch: leader.epoch, cpu };
         out.try_send(encode(0, hello)?).map_err(io::Error::other)?;
         let _closer = CloseGuard(link.clone());
         let read = self.read_tells(Frames::new(read), link, leader);
@@ -241,7 +242,8 @@
     }
 
     async fn read_asks(self: &Arc<Self>, mut frames: Frames, out: Out) -> io::Result<()> {
-        let Some(Frame { body: Ask::Hello { entry, epoch }, .. }) = frames.next().await? else {
+        let Some(Frame { body: Ask::Hello { entry, epoch, cpu }, .. }) = frames.next().await?
+        else {
             return Ok(());
         };
         let Some(owner) = self.await_owner(epoch).await else {
@@ -252,7 +254,7 @@
             return Ok(());
         };
         out.try_send(encode(0, Tell::Done)?).map_err(io::Error::other)?;
-        owner.join(entry.clone(), out.clone());
+        owner.join(entry.clone(), cpu, out.clone());
         let result = self.answer_all(&owner, &entry, &mut frames, &out).await;
         owner.leave(&entry, &out);
         result
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -113,7 +113,7 @@
             adviser: settings.advice.clone().map(|addr| Adviser::new(http.clone(), addr)),
             metrics: Metrics::new()?,
             policy: watch::channel(Arc::new(Policy::default())).0,
-            election: Mutex::new(Election::new(me.clone(), Millis(0))),
+            election: Mutex::new(Election::new(me.clone(), settings.cpu, Millis(0))),
             leader: watch::channel(None).0,
             recheck: Notify::new(),
             link: watch::channel(None).0,
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -24,6 +24,11 @@
 
 /// Time between two looks at whether all is written.
 const SETTLE_LOOK: Millis = Millis(20);
+/// How often an owner looks whether a larger entry should have the cell. A transfer holds up starts
+/// for some 300 ms, so it is not worth more haste.
+const SIZE_LOOK: Millis = Millis(1_000);
+/// A larger entry has at least this many times the processors.
+const LARGER: u32 = 2;
 
 /// The owner.
 #[derive(Debug)]
@@ -122,6 +127,7 @@
             () = self.clone().tick() => {}
             () = self.clone().follow_workers() => {}
             () = self.clone().follow_policy() => {}
+            () = self.clone().yield_to_larger() => {}
             _ = over.wait_for(|over| *over) => {}
         }
         self.end();
@@ -234,6 +240,26 @@
         }
     }
 
+    /// The processors of the largest other entry that could own the cell, in thousandths.
+    pub fn largest(&self) -> u32 {
+        lock(&self.authority).largest(self.node.now())
+    }
+
+    /// Hands the cell over once an entry with far more processors could own it.
+    async fn yield_to_larger(self: Arc<Self>) {
+        let cpu = self.node.settings.cpu;
+        loop {
+            tokio::time::sleep(SIZE_LOOK.duration()).await;
+            let largest = self.largest();
+            if largest >= cpu.max(1) * LARGER && self.is_sure() {
+                log::info!("event=yields epoch={} cpu={cpu} largest={largest}", self.epoch);
+                let (node, owner) = (self.node.clone(), self.clone());
+                tokio::spawn(async move { node.hand_over(&owner).await });
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     async fn follow_policy(self: Arc<Self>) {
         let mut policies = self.node.policy.subscribe();
         loop {
@@ -247,10 +273,10 @@
     }
 
     /// Another entry asks this owner from now on.
-    pub fn join(&self, entry: Name, out: Out) {
+    pub fn join(&self, entry: Name, cpu: u32, out: Out) {
         log::info!("event=entry-joined entry={entry} epoch={}", self.epoch);
         lock(&self.peers).insert(entry.clone(), out);
-        lock(&self.authority).hear(self.node.now(), &entry, true);
+        lock(&self.authority).join(self.node.now(), &entry, cpu);
         if self.node.adviser.is_some() {
             lock(&self.cell).join(entry);
         }
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::node::Node;
+use crate::node::owner::Owner;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::sync::watch;
@@ -17,6 +18,13 @@
 const LOOK: Millis = Millis(50);
 
 impl Node {
+    /// Has another entry own the cell: what is known is written first, as far as that goes at once.
+    pub(super) async fn hand_over(&self, owner: &Owner) {
+        owner.settle(SETTLE).await;
+        owner.end();
+        self.release(owner.epoch()).await;
+    }
+
     /// Returns when a planned stop has begun and is done.
     pub(super) async fn wait_for_stop(
         self: &Arc<Self>,
@@ -31,9 +39,7 @@
         let owner = self.owner.borrow().clone();
         log::info!("event=stopping entry={} owner={}", self.me, owner.is_some());
         if let Some(owner) = owner.filter(|owner| !owner.is_over()) {
-            owner.settle(SETTLE).await;
-            owner.end();
-            self.release(owner.epoch()).await;
+            self.hand_over(&owner).await;
         }
         let grace = self.settings.grace;
         while self.now().since(begun) < UNLISTED.min(grace - LAST) {
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -137,6 +137,9 @@
                     }
                 }
             }
+            if election.is_released() {
+                self.recheck.notify_one();
+            }
             election.leader().cloned()
         };
         self.set_leader(leader);
@@ -217,7 +220,9 @@
             let sent = self.now();
             let end = lock(&self.election).end();
             let (owner, addr) = (self.me.clone(), self.settings.peer.clone());
-            let result = self.append_claim(end, &Record::Beat { epoch, owner, addr }).await;
+            let largest = self.owner_of(epoch).map_or(0, |owner| owner.largest());
+            let most = largest.max(self.settings.cpu);
+            let result = self.append_claim(end, &Record::Beat { epoch, owner, addr, most }).await;
             match result {
                 Ok(()) => {
                     if let Some(owner) = self.owner_of(epoch) {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -22,12 +22,19 @@
 struct RawLimits {
     #[serde(default = "one")]
     cores: usize,
+    /// A share of one processor; with several cores each thread has it at the speed of all.
+    #[serde(default = "whole")]
+    cpu_share: f64,
 }
 
 fn one() -> usize {
     1
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
 #[derive(Debug, Deserialize)]
 struct RawPlatform {
     address: Name,
@@ -84,6 +91,8 @@
     pub advice: Option<Name>,
     /// Processors.
     pub cores: usize,
+    /// What the entry may use of them, in thousandths of one.
+    pub cpu: u32,
     /// The longest lease that a worker takes.
     pub lease_max: Millis,
     /// How long a finished job's state can be asked for.
@@ -133,6 +142,7 @@
             call_bytes: raw.platform.call_bytes,
             advice: raw.advice.filter(|addr| !addr.is_empty()),
             cores: raw.limits.cores.max(1),
+            cpu: (raw.limits.cpu_share.max(0.0) * raw.limits.cores.max(1) as f64 * 1_000.0) as u32,
             lease_max: Millis(raw.bounds.hold_max_ms),
             keep: seconds(raw.bounds.status_s),
             grace: seconds(raw.bounds.grace_s),
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,81 @@
+//! Who claims the cell, and when.
+
+use sprucerudder::cell::authority::Authority;
+use sprucerudder::cell::election::{Election, Record, SILENCE};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::EntryId;
+
+const LARGE: u32 = 500;
+const SMALL: u32 = 120;
+
+fn entry(name: &str) -> EntryId {
+    EntryId { name: name.into(), inc: 1 }
+}
+
+/// An entry that has read a claim and a heartbeat of an owner that hears from a large entry.
+fn follower(name: &str, cpu: u32) -> Election {
+    let mut election = Election::new(entry(name), cpu, Millis(0));
+    let (owner, addr) = (entry("owner"), "1.2.3.4:5".into());
+    election.add(Millis(1), 0, Record::Claim { owner: owner.clone(), addr });
+    let beat = Record::Beat { epoch: 1, owner, addr: "1.2.3.4:5".into(), most: LARGE };
+    election.add(Millis(2), 1, beat);
+    election.caught_up(Millis(2));
+    election
+}
+
+/// When an entry claims, looking every 10 ms and reading the log all the time.
+fn claims_at(election: &mut Election) -> u64 {
+    let looks = (0..1_000).map(|no| 10 + no * 10);
+    let mut claims = looks.filter(|at| {
+        election.caught_up(Millis(*at));
+        election.claim(Millis(*at)).is_some()
+    });
+    claims.next().unwrap_or(u64::MAX)
+}
+
+#[test]
+fn a_large_entry_claims_at_once_and_a_small_one_leaves_it_time() {
+    let large = claims_at(&mut follower("large", LARGE));
+    let small = claims_at(&mut follower("small", SMALL));
+    assert!(large <= 2 + SILENCE.0 + 10, "{large}");
+    assert!(small >= large + 200, "{small} after {large}");
+    assert!(small <= large + 400, "{small} after {large}");
+}
+
+#[test]
+fn entries_of_one_size_do_not_wait_for_each_other() {
+    let mut election = follower("one", SMALL);
+    let (owner, addr) = (entry("owner"), "1.2.3.4:5".into());
+    election.add(Millis(3), 2, Record::Beat { epoch: 1, owner, addr, most: SMALL });
+    assert!(claims_at(&mut election) <= 3 + SILENCE.0 + 10);
+}
+
+#[test]
+fn without_a_first_owner_the_large_ones_go_first() {
+    let mut large = Election::new(entry("large"), LARGE, Millis(0));
+    let mut small = Election::new(entry("small"), SMALL, Millis(0));
+    assert!(claims_at(&mut large) + 200 <= claims_at(&mut small));
+}
+
+#[test]
+fn a_new_owner_ends_the_wait_of_a_small_entry() {
+    let mut election = follower("small", SMALL);
+    let late = 2 + SILENCE.0 + 100;
+    election.caught_up(Millis(late));
+    assert_eq!(election.claim(Millis(late)), None);
+    let record = Record::Claim { owner: entry("large"), addr: "1.2.3.4:6".into() };
+    election.add(Millis(late + 1), 2, record);
+    assert!(claims_at(&mut election) >= late + SILENCE.0);
+}
+
+#[test]
+fn only_an_entry_that_was_heard_for_a_while_and_reads_the_log_counts_as_larger() {
+    let (mut authority, name) = (Authority::new(Millis(0)), "large".into());
+    authority.join(Millis(100), &name, LARGE);
+    assert_eq!(authority.largest(Millis(200)), 0, "it has just come");
+    authority.hear(Millis(1_900), &name, true);
+    assert_eq!(authority.largest(Millis(2_000)), LARGE);
+    assert_eq!(authority.largest(Millis(2_900)), 0, "it was not heard lately");
+    authority.hear(Millis(3_000), &name, false);
+    assert_eq!(authority.largest(Millis(3_010)), 0, "it cannot read the log");
+}
