A randomized soak over real processes; a takeover whose fence got no answer goes on

The store says Fenced if a later epoch has written, so a wrong number means that the fence is there.

Ruled out: leases and workers (nothing ran, the log has only takeover-waits), the claim (both entries agreed on the owner).

Change: the fence counts as there.

The soak: two to five entries, five to nine workers, four callers with open connections; relays delay, reset or silence (either way, or both) the ways to the store, to advice, to workers and between entries; signals stop, continue, end and kill entries, one by one, in series and all at once; the store refuses, is silent, slow, loses answers, drops its history; workers fail everything or carry out orders late. It judges starts, ends and confirmations at the workers and what callers were told; a test of its own shows that it finds each kind of break. Not covered: clocks that step.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -21,6 +21,9 @@
     /// Port of the metrics; by default the second of the ports between entries
     #[bpaf(argument("PORT"))]
     metrics: Option<u16>,
+    /// Address at which other entries reach this one, if it is not the one it listens on
+    #[bpaf(argument("ADDR"))]
+    advertise: Option<String>,
     /// Least level of log lines: error, warn, info, debug
     #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info), display_fallback)]
     log: LevelFilter,
@@ -41,6 +44,9 @@
         if let Some(port) = self.metrics {
             settings.metrics = format!("{}:{port}", settings.ip).into();
         }
+        if let Some(addr) = self.advertise {
+            settings.advertise = addr.into();
+        }
         logs::start(self.log);
         runtime(settings.cores)?.block_on(serve(settings, path))
     }
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -67,7 +67,12 @@
 
     async fn try_recover(&self, epoch: u64) -> Result<(Snapshot, Vec<Listed>), StoreError> {
         let guard = Guard::Producer { name: PRODUCER, epoch, seq: 0 };
-        self.store.append(JOBS, guard, Bytes::new(), APPEND_LIMIT).await?;
+        match self.store.append(JOBS, guard, Bytes::new(), APPEND_LIMIT).await {
+            // The fence is there already: its first answer was lost. A later epoch would be
+            // `Fenced`. Without this the takeover waited for good.
+            Ok(_) | Err(StoreError::Sequence) => {}
+            Err(err) => return Err(err),
+        }
         let (items, _) = self.store.newest_all(JOBS, READ_LIMIT).await?;
         let mut snapshot = Snapshot::default();
         for item in items {
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -194,7 +194,8 @@
             return;
         }
         let Some(end) = lock(&self.election).claim(self.now()) else { return };
-        let record = Record::Claim { owner: self.me.clone(), addr: self.settings.peer.clone() };
+        let record =
+            Record::Claim { owner: self.me.clone(), addr: self.settings.advertise.clone() };
         match self.append_claim(end, &record).await {
             Ok(()) => log::info!("event=claimed end={end}"),
             Err(err) => log::info!("event=claim-failed end={end} error={err:?}"),
@@ -219,7 +220,7 @@
         while self.is_leader(epoch) && !self.has_given_up(epoch) {
             let sent = self.now();
             let end = lock(&self.election).end();
-            let (owner, addr) = (self.me.clone(), self.settings.peer.clone());
+            let (owner, addr) = (self.me.clone(), self.settings.advertise.clone());
             let largest = self.owner_of(epoch).map_or(0, |owner| owner.largest());
             let most = largest.max(self.settings.cpu);
             let result = self.append_claim(end, &Record::Beat { epoch, owner, addr, most }).await;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -81,6 +81,8 @@
     pub ready: Name,
     /// Where other entries come.
     pub peer: Name,
+    /// Where other entries are told to come: another address if there is a relay in between.
+    pub advertise: Name,
     /// Where metrics are served.
     pub metrics: Name,
     /// The platform's store.
@@ -132,6 +134,7 @@
         let (first, second) = raw.internal_ports;
         Ok(Self {
             peer: format!("{}:{first}", raw.ip).into(),
+            advertise: format!("{}:{first}", raw.ip).into(),
             metrics: format!("{}:{second}", raw.ip).into(),
             front: raw.listen.front.ok_or(SettingsError::Missing("front"))?,
             ready: raw.listen.ready.ok_or(SettingsError::Missing("ready"))?,
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use store::Store;
 use tokio::net::TcpListener;
-use worker::Worker;
+use worker::{Ledger, Worker};
 
 /// The largest body that is read, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
@@ -99,6 +99,8 @@
     pub store: Arc<Store>,
     /// The workers.
     pub workers: Vec<Arc<Worker>>,
+    /// What they did.
+    pub ledger: Arc<Ledger>,
     host: String,
     port: u16,
 }
@@ -106,7 +108,7 @@
 /// The service whose workers the site has.
 const SERVICE: &str = "desk";
 /// Room of a worker, in thousandths of a core.
-const CPU: u64 = 8_000;
+pub const CPU: u64 = 8_000;
 
 impl Site {
     /// Starts store, advice service and `workers` workers, spread over the failure domains `a`, `b`
@@ -121,7 +123,8 @@
         tokio::spawn(serve(listener, store.clone(), store::handle));
         let listener = TcpListener::bind((host, port + 1)).await?;
         tokio::spawn(serve(listener, Arc::new(()), advise));
-        let mut site = Self { store, workers: Vec::new(), host: host.to_string(), port };
+        let host = host.to_string();
+        let mut site = Self { store, workers: Vec::new(), ledger: Arc::default(), host, port };
         for _ in 0..workers {
             site.add_worker().await?;
         }
@@ -133,12 +136,25 @@
     /// # Errors
     /// Its port is in use.
     pub async fn add_worker(&mut self) -> io::Result<()> {
+        let addr = self.next_worker();
+        self.add_worker_listed(addr).await
+    }
+
+    /// Where the next worker will listen.
+    pub fn next_worker(&self) -> String {
+        format!("{}:{}", self.host, self.port + 2 + self.workers.len() as u16)
+    }
+
+    /// Starts one more worker that lists `addr` as its address, behind which a proxy may be.
+    ///
+    /// # Errors
+    /// Its port is in use.
+    pub async fn add_worker_listed(&mut self, addr: String) -> io::Result<()> {
         let no = self.workers.len() as u16;
-        let port = self.port + 2 + no;
-        let listener = TcpListener::bind((self.host.as_str(), port)).await?;
-        let addr = format!("{}:{port}", self.host);
+        let listener = TcpListener::bind(self.next_worker()).await?;
         let domain = ["a", "b", "c"][usize::from(no) % 3];
-        let worker = Arc::new(Worker::new(format!("i-{no}"), addr, domain, CPU));
+        let worker =
+            Arc::new(Worker::new(format!("i-{no}"), addr, domain, CPU, self.ledger.clone()));
         tokio::spawn(serve(listener, worker.clone(), worker::handle));
         tokio::spawn(worker.clone().list(self.store.clone(), SERVICE));
         self.workers.push(worker);
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -23,6 +23,8 @@
     pub silent: bool,
     /// This many appends are done and not answered.
     pub lose: u32,
+    /// This many appends without records are done and not answered: they fence a partition.
+    pub lose_fences: u32,
     /// Each answer comes this much later.
     pub slow: Duration,
 }
@@ -30,6 +32,8 @@
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<Bytes>,
+    /// Reads find nothing before this place: the history was dropped.
+    first: usize,
     /// By producer: epoch, last sequence number, and the answer to it.
     producers: HashMap<String, (u64, u64, u64)>,
 }
@@ -69,6 +73,13 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Drops the history of all topics: of keyed ones the newest record of each key stays.
+    pub fn compact(&self) {
+        for topic in lock(&self.topics).values_mut() {
+            topic.first = topic.records.len();
+        }
+    }
+
     /// The newest value of each key of a topic.
     pub fn newest(&self, topic: &str) -> BTreeMap<String, Bytes> {
         let topics = lock(&self.topics);
@@ -139,19 +150,22 @@
         (StatusCode::OK, json!({"offset": end, "end": after}))
     }
 
-    fn read(&self, call: &Call) -> Option<Bytes> {
+    fn read(&self, call: &Call) -> Option<Read> {
         let from = call.number("from").unwrap_or(0) as usize;
         let mut topics = lock(&self.topics);
         let topic = topics.entry(call.text("topic").to_string()).or_default();
+        if from < topic.first {
+            return Some(Read::Gone(topic.first));
+        }
         let wanted = topic.records.get(from..).unwrap_or_default();
         let waits = call.number("wait_ms").unwrap_or(0) > 0;
         if wanted.is_empty() && waits {
             return None;
         }
-        Some(raw(topic.records.len(), wanted))
+        Some(Read::Records(raw(topic.records.len(), wanted)))
     }
 
-    async fn await_read(&self, call: &Call) -> Bytes {
+    async fn await_read(&self, call: &Call) -> Read {
         let mut changed = self.changed.subscribe();
         let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0));
         let read = async {
@@ -161,13 +175,13 @@
                     return body;
                 }
                 if changed.changed().await.is_err() {
-                    return Bytes::new();
+                    return Read::Records(Bytes::new());
                 }
             }
         };
         match tokio::time::timeout(wait, read).await {
             Ok(body) => body,
-            Err(_) => raw(self.len(call.text("topic")), &[]),
+            Err(_) => Read::Records(raw(self.len(call.text("topic")), &[])),
         }
     }
 
@@ -186,6 +200,13 @@
     }
 }
 
+/// What a read finds.
+enum Read {
+    Records(Bytes),
+    /// Records before this place are gone.
+    Gone(usize),
+}
+
 fn raw(end: usize, records: &[Bytes]) -> Bytes {
     let mut body = BytesMut::new();
     body.put_u64(end as u64);
@@ -210,6 +231,10 @@
         "/log-append" => {
             let (status, body) = store.append(&call);
             let mut faults = lock(&store.faults);
+            if faults.lose_fences > 0 && call.body.is_empty() {
+                faults.lose_fences -= 1;
+                return None;
+            }
             if faults.lose > 0 && status.is_success() {
                 faults.lose -= 1;
                 return None;
@@ -217,11 +242,14 @@
             answer(status, &body)
         }
         "/log-read" => {
-            let body = store.await_read(&call).await;
+            let read = store.await_read(&call).await;
             if lock(&store.faults).silent {
                 return None;
             }
-            Some((StatusCode::OK, body))
+            match read {
+                Read::Records(body) => Some((StatusCode::OK, body)),
+                Read::Gone(first) => answer(StatusCode::GONE, &json!({"first": first})),
+            }
         }
         "/log-newest" => answer(StatusCode::OK, &store.page(&call)),
         _ => answer(StatusCode::NOT_FOUND, &json!({})),
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -23,6 +23,8 @@
     running: BTreeMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
     count: u64,
+    /// The lease has run out since this end and all before it.
+    lapsed: u64,
     barred: HashMap<String, u64>,
     /// All starts that were carried out.
     starts: Vec<(String, u64)>,
@@ -35,6 +37,49 @@
     pub dark: AtomicBool,
     /// All that it starts fails.
     pub grey: AtomicBool,
+    /// Orders are not answered, and carried out this much later, in milliseconds; 0: at once.
+    pub late: AtomicU64,
+}
+
+/// What a worker did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Deed {
+    /// It began a run with this text.
+    Start(String),
+    /// A run ended like this.
+    End(&'static str),
+    /// The end of a run was confirmed; whether the lease had run out since that end.
+    Confirm { lapsed: bool },
+}
+
+/// One thing that a worker did, in the order over all workers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The worker's id.
+    pub worker: String,
+    /// The task.
+    pub task: String,
+    /// The number of the start.
+    pub run: u64,
+    /// What was done.
+    pub deed: Deed,
+}
+
+/// What all workers of a site did.
+#[derive(Debug, Default)]
+pub struct Ledger(Mutex<Vec<Entry>>);
+
+impl Ledger {
+    /// Notes one thing.
+    pub fn add(&self, entry: Entry) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
+    }
+
+    /// The entries from `from` on.
+    pub fn since(&self, from: usize) -> Vec<Entry> {
+        let entries = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.get(from..).map(<[Entry]>::to_vec).unwrap_or_default()
+    }
 }
 
 /// A worker.
@@ -45,6 +90,7 @@
     domain: String,
     cpu: u64,
     born: Instant,
+    ledger: Arc<Ledger>,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
     /// Its faults.
@@ -53,13 +99,14 @@
 
 impl Worker {
     /// A worker that runs nothing.
-    pub fn new(id: String, addr: String, domain: &str, cpu: u64) -> Self {
+    pub fn new(id: String, addr: String, domain: &str, cpu: u64, ledger: Arc<Ledger>) -> Self {
         Self {
             id,
             addr,
             domain: domain.to_string(),
             cpu,
             born: Instant::now(),
+            ledger,
             state: Mutex::default(),
             changed: watch::channel(0).0,
             faults: Faults::default(),
@@ -116,6 +163,9 @@
         if until <= self.clock() {
             return self.refuse("late");
         }
+        if self.clock() >= state.until {
+            state.lapsed = state.count;
+        }
         state.until = state.until.max(until);
         if state.running.get(&task) == Some(&run) {
             return self.accept();
@@ -125,6 +175,8 @@
         }
         state.running.insert(task.clone(), run);
         state.starts.push((task.clone(), run));
+        let spec = ask["spec"].as_str().unwrap_or_default();
+        self.note(&task, run, Deed::Start(spec.to_string()));
         drop(state);
         let length = ask["spec"].as_str().and_then(|spec| spec.parse().ok()).unwrap_or(USUAL_RUN);
         let worker = self.clone();
@@ -145,12 +197,19 @@
         state.count += 1;
         let row = (state.count, task.to_string(), run, how);
         state.ended.push(row);
+        self.note(task, run, Deed::End(how));
         let barred = state.barred.entry(task.to_string()).or_default();
         *barred = (*barred).max(run);
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Notes what was done; the caller holds the state's lock, so that the order is right.
+    fn note(&self, task: &str, run: u64, deed: Deed) {
+        let (worker, task) = (self.id.clone(), task.to_string());
+        self.ledger.add(Entry { worker, task, run, deed });
+    }
+
     fn stop(&self, ask: &Value) -> Reply {
         let task = ask["task"].as_str().unwrap_or_default();
         let run = ask["run"].as_u64().unwrap_or(0);
@@ -182,8 +241,17 @@
         let mut changed = self.changed.subscribe();
         let busy = {
             let mut state = self.state();
+            if self.clock() >= state.until {
+                state.lapsed = state.count;
+            }
             state.until = state.until.max(ask["until_ms"].as_u64().unwrap_or(0));
-            state.ended.retain(|(no, ..)| *no > seen);
+            let (known, rest) =
+                std::mem::take(&mut state.ended).into_iter().partition(|(no, ..)| *no <= seen);
+            state.ended = rest;
+            let known: Vec<(u64, String, u64, &str)> = known;
+            for (no, task, run, _) in known {
+                self.note(&task, run, Deed::Confirm { lapsed: no <= state.lapsed });
+            }
             state.ended.is_empty()
         };
         if busy && tokio::time::timeout(wait, changed.changed()).await.is_ok() {
@@ -212,6 +280,18 @@
         return answer(StatusCode::MISDIRECTED_REQUEST, &json!({}));
     }
     let ask = call.json();
+    let late = worker.faults.late.load(Ordering::Relaxed);
+    if late > 0 && call.path != "/hold" {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(late)).await;
+            drop(carry_out(&worker, &call.path, &ask).await);
+        });
+        return None;
+    }
+    carry_out(&worker, &call.path, &ask).await
+}
+
+async fn carry_out(worker: &Arc<Worker>, path: &str, ask: &Value) -> Reply {
     let fence = ask["fence"].as_u64().unwrap_or(0);
     {
         let mut state = worker.state();
@@ -221,10 +301,10 @@
         }
         state.fence = fence;
     }
-    match call.path.as_str() {
-        "/run-start" => worker.start(&ask),
-        "/run-stop" => worker.stop(&ask),
-        "/hold" => worker.hold(&ask).await,
+    match path {
+        "/run-start" => worker.start(ask),
+        "/run-stop" => worker.stop(ask),
+        "/hold" => worker.hold(ask).await,
         "/pace" => worker.accept(),
         _ => answer(StatusCode::NOT_FOUND, &json!({})),
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -324,6 +324,18 @@
     assert!(cell.starts().values().all(|count| *count == 1));
 }
 
+#[tokio::test]
+async fn a_takeover_goes_on_after_the_answer_to_its_fence_is_lost() {
+    let mut cell = Cell::start(4, 2).await;
+    cell.site.store.set(Faults { lose_fences: 1, ..Faults::default() });
+    let owner = cell.owner().await;
+    cell.entries[&owner].signal(Signal::SIGKILL);
+    cell.entries.remove(&owner);
+    let path = "/plain/00000000000000c6";
+    cell.submit(1 - owner, path, &one_step("50", 2)).await;
+    cell.await_state(1 - owner, path, "completed").await;
+}
+
 #[tokio::test]
 async fn nothing_accepted_is_lost_when_all_entries_are_killed() {
     let mut cell = Cell::start(6, 3).await;
--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,162 @@
+//! Callers: they submit jobs, submit them again after silence, ask for states, and cancel some.
+
+use bytes::Bytes;
+use fastrand::Rng;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use serde_json::{Value, json};
+use sprucerudder::clock::Millis;
+use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What a caller has been told about one job.
+#[derive(Debug, Clone, Default)]
+pub struct Told {
+    /// Every try to submit it was refused, and so surely did nothing.
+    pub refused: bool,
+    /// It was accepted.
+    pub accepted: bool,
+    /// Its cancelling was asked for, whatever came of that.
+    pub tried_cancel: bool,
+    /// When its cancelling was acknowledged.
+    pub cancelled: Option<Instant>,
+    /// The last state that was shown.
+    pub state: String,
+}
+
+/// A job as its caller knows it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub key: String,
+    /// What its tasks are started with: their run time in milliseconds.
+    pub spec: String,
+    /// The number of tasks and processors of each step; each depends on the one before.
+    pub steps: Vec<(u32, u64)>,
+    pub told: Told,
+}
+
+/// All jobs of a run, shared with the checks.
+pub type Jobs = Arc<Mutex<Vec<Job>>>;
+
+/// How callers reach a cell.
+#[derive(Debug, Clone)]
+pub struct Way {
+    pub fronts: Vec<String>,
+    pub http: Http,
+}
+
+impl Way {
+    pub async fn call(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Result<Answer, HttpError> {
+        let addr = &self.fronts[entry % self.fronts.len()];
+        let request = Request::builder()
+            .method(method)
+            .uri(uri(addr, path)?)
+            .header("Host", "desk.example")
+            .header("X-Sprucerudder-Deadline-Ms", "3000")
+            .body(Full::from(Bytes::from(body.to_string())))
+            .unwrap();
+        self.http.send(addr, request, Millis(3_500)).await
+    }
+
+    /// The state of a job at an entry: `None` without an answer, `gone` if it is not known there.
+    pub async fn state(&self, entry: usize, path: &str) -> Option<String> {
+        let answer = self.call(entry, Method::GET, path, "").await.ok()?;
+        match answer.status {
+            StatusCode::GONE => Some("gone".to_string()),
+            StatusCode::OK => {
+                let value: Value = serde_json::from_slice(&answer.body).ok()?;
+                Some(value["state"].as_str()?.to_string())
+            }
+            _ => None,
+        }
+    }
+}
+
+pub fn path(key: &str) -> String {
+    format!("/plain/{key}")
+}
+
+fn body(job: &Job) -> String {
+    let steps = job.steps.iter().enumerate().map(|(no, (count, cpu))| {
+        let mut step = json!({"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": 300});
+        if no > 0 {
+            step["depends_on"] = json!([no - 1]);
+        }
+        step
+    });
+    json!({"spec": job.spec, "steps": steps.collect::<Vec<_>>()}).to_string()
+}
+
+/// A job that may run for longer than a takeover, and rarely for longer than a lease.
+fn draw(rng: &mut Rng) -> Job {
+    let length = match rng.u32(0..10) {
+        0 => rng.u64(2_000..5_000),
+        _ => rng.u64(20..500),
+    };
+    let steps = (0..rng.u32(1..4)).map(|_| (rng.u32(1..5), rng.u64(300..1_800))).collect();
+    let key = format!("{:016x}", rng.u64(1..));
+    Job { key, spec: length.to_string(), steps, told: Told::default() }
+}
+
+/// Submits jobs one after the other until `until`.
+pub async fn run(way: Way, jobs: Jobs, mut rng: Rng, until: Instant) {
+    while Instant::now() < until {
+        let job = draw(&mut rng);
+        let no = {
+            let mut jobs = jobs.lock().unwrap();
+            jobs.push(job.clone());
+            jobs.len() - 1
+        };
+        submit(&way, &jobs, no, &job, &mut rng).await;
+        let cancels = rng.u32(0..8) == 0;
+        if cancels {
+            tokio::time::sleep(Duration::from_millis(rng.u64(0..400))).await;
+            cancel(&way, &jobs, no, &job, &mut rng).await;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.u64(20..200))).await;
+        if let Some(state) = way.state(rng.usize(0..100), &path(&job.key)).await {
+            jobs.lock().unwrap()[no].told.state = state;
+        }
+    }
+}
+
+/// Up to four tries; after silence or a broken connection the same key is sent to another entry.
+async fn submit(way: &Way, jobs: &Jobs, no: usize, job: &Job, rng: &mut Rng) {
+    const TRIES: u32 = 4;
+    let mut all_refused = true;
+    for _ in 0..TRIES {
+        let answer = way.call(rng.usize(0..100), Method::POST, &path(&job.key), &body(job)).await;
+        let status = answer.as_ref().map(|answer| answer.status);
+        match status {
+            Ok(StatusCode::OK) => {
+                jobs.lock().unwrap()[no].told.accepted = true;
+                return;
+            }
+            Ok(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
+            Err(err) if err.is_unsent() => {}
+            _ => all_refused = false,
+        }
+        tokio::time::sleep(Duration::from_millis(rng.u64(50..400))).await;
+    }
+    jobs.lock().unwrap()[no].told.refused = all_refused;
+}
+
+async fn cancel(way: &Way, jobs: &Jobs, no: usize, job: &Job, rng: &mut Rng) {
+    const TRIES: u32 = 3;
+    jobs.lock().unwrap()[no].told.tried_cancel = true;
+    for _ in 0..TRIES {
+        let answer = way.call(rng.usize(0..100), Method::DELETE, &path(&job.key), "").await;
+        if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            jobs.lock().unwrap()[no].told.cancelled = Some(Instant::now());
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/cell.rs
@@ -0,0 +1,142 @@
+//! Real entries as separate processes around the stand-in of the platform, each way in between
+//! through a relay of its own.
+
+use crate::proxy::Proxy;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use sprucerudder::standin::site::Site;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+
+/// The first port of a cell on its own loopback address; relays are this much above what they
+/// relay to.
+const PORT: u16 = 20_000;
+const RELAY: u16 = 5_000;
+/// Entries have ten ports each from here on, the third of them for other entries.
+const ENTRY_PORTS: u16 = 200;
+const PEER: u16 = 2;
+
+/// One entry: its process, if there is one now, and the relays on its ways.
+pub struct Entry {
+    child: Option<Child>,
+    pub store: Arc<Proxy>,
+    pub advice: Arc<Proxy>,
+    /// From other entries.
+    pub peer: Arc<Proxy>,
+}
+
+pub struct Cell {
+    pub site: Site,
+    pub entries: Vec<Entry>,
+    /// To each worker, from all entries.
+    pub workers: Vec<Arc<Proxy>>,
+    folder: PathBuf,
+}
+
+fn addr(host: &str, port: u16) -> SocketAddr {
+    format!("{host}:{port}").parse().unwrap()
+}
+
+impl Cell {
+    /// A cell on a loopback address that belongs to this seed and this run of the tests.
+    pub async fn start(no: u8, workers: u16, entries: u16) -> Self {
+        let pid = std::process::id();
+        let host = format!("127.{}.{}.{no}", (pid >> 8) as u8, pid as u8);
+        let mut site = Site::start(&host, PORT, 0).await.unwrap();
+        let mut proxies = Vec::new();
+        for _ in 0..workers {
+            let target: SocketAddr = site.next_worker().parse().unwrap();
+            let proxy = Proxy::start(addr(&host, target.port() + RELAY), target).await;
+            site.add_worker_listed(proxy.addr.to_string()).await.unwrap();
+            proxies.push(proxy);
+        }
+        let folder = std::env::temp_dir().join(format!("sprucerudder-soak-{pid}-{no}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut cell = Self { site, entries: Vec::new(), workers: proxies, folder };
+        for no in 0..entries {
+            let base = PORT + RELAY + ENTRY_PORTS + no * 10;
+            let peer = PORT + ENTRY_PORTS + no * 10 + PEER;
+            let entry = Entry {
+                child: None,
+                store: Proxy::start(addr(&host, base), addr(&host, PORT)).await,
+                advice: Proxy::start(addr(&host, base + 1), addr(&host, PORT + 1)).await,
+                peer: Proxy::start(addr(&host, base + PEER), addr(&host, peer)).await,
+            };
+            cell.entries.push(entry);
+            cell.start_entry(no);
+        }
+        cell
+    }
+
+    /// Starts the process of an entry that has none.
+    pub fn start_entry(&mut self, no: u16) {
+        let entry = &mut self.entries[usize::from(no)];
+        let host = entry.store.addr.ip();
+        let settings = self.site.settings(no);
+        let through = settings
+            .replace(&format!("\"{host}:{PORT}\""), &format!("\"{}\"", entry.store.addr))
+            .replace(&format!("\"{host}:{}\"", PORT + 1), &format!("\"{}\"", entry.advice.addr));
+        let path = self.folder.join(format!("{no}.toml"));
+        std::fs::write(&path, through).unwrap();
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{no}.log")))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
+            .args(["node", "--advertise", &entry.peer.addr.to_string(), "--settings"])
+            .arg(&path)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        entry.child = Some(child);
+    }
+
+    /// Sends a signal to an entry's process, if it has one.
+    pub fn signal(&self, no: u16, signal: Signal) {
+        if let Some(child) = &self.entries[usize::from(no)].child {
+            // It may have ended by itself a moment ago: the check of its end tells.
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Kills an entry's process and waits for its end.
+    pub fn kill_entry(&mut self, no: u16) {
+        if let Some(mut child) = self.entries[usize::from(no)].child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Whether an entry's process ended; one that did is forgotten.
+    pub fn has_ended(&mut self, no: u16) -> bool {
+        let entry = &mut self.entries[usize::from(no)];
+        let ended = entry.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some());
+        if ended {
+            entry.child = None;
+        }
+        ended
+    }
+
+    pub fn is_running(&self, no: u16) -> bool {
+        self.entries[usize::from(no)].child.is_some()
+    }
+
+    /// Where logs and settings are.
+    pub fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            if let Some(child) = &mut entry.child {
+                drop(child.kill());
+                drop(child.wait());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,178 @@
+//! What must hold, judged by what workers did and what callers were told.
+
+use crate::callers::Job;
+use sprucerudder::standin::site::CPU;
+use sprucerudder::standin::site::worker::{Deed, Entry, Ledger};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+/// How long after an acknowledged cancel a task may still start.
+const CANCEL_LIMIT: Duration = Duration::from_secs(3);
+/// How often a task may fail before its job does; from the stand-in's policy.
+const ATTEMPTS: u32 = 2;
+
+/// What is known of a task's end `done`.
+#[derive(Debug)]
+struct Done {
+    run: u64,
+    confirmed: bool,
+    /// It was started again before that end was confirmed.
+    again: bool,
+}
+
+/// The state of all workers, followed through the ledger.
+#[derive(Debug, Default)]
+pub struct Checks {
+    read: usize,
+    /// Where a task runs, and as which run.
+    running: HashMap<String, (String, u64)>,
+    used: HashMap<String, u64>,
+    done: HashMap<String, Done>,
+    failed: HashMap<String, u32>,
+    started: BTreeSet<String>,
+    pub broken: Vec<String>,
+}
+
+/// The job, the step and the place in it of a task.
+fn parts(task: &str) -> Option<(&str, usize, u32)> {
+    let mut parts = task.split('.');
+    let (key, _) = (parts.next()?, parts.next()?);
+    Some((key, parts.next()?.parse().ok()?, parts.next()?.parse().ok()?))
+}
+
+impl Checks {
+    /// Takes in what workers did since the last look.
+    pub fn look(&mut self, ledger: &Ledger, jobs: &[Job]) {
+        let entries = ledger.since(self.read);
+        self.read += entries.len();
+        for entry in &entries {
+            match &entry.deed {
+                Deed::Start(spec) => self.start(entry, spec, jobs),
+                Deed::End(how) => self.end(entry, how, jobs),
+                Deed::Confirm { lapsed } => self.confirm(entry, *lapsed),
+            }
+        }
+        for job in jobs.iter().filter(|job| job.told.state == "completed") {
+            if !self.is_done(job, job.steps.len()) {
+                self.fault(format!("job {} is shown as completed and is not", job.key));
+            }
+        }
+    }
+
+    fn fault(&mut self, what: String) {
+        if !self.broken.contains(&what) {
+            self.broken.push(what);
+        }
+    }
+
+    /// Whether all tasks of a job's first `steps` steps are done.
+    fn is_done(&self, job: &Job, steps: usize) -> bool {
+        let mut tasks = job.steps.iter().take(steps).enumerate().flat_map(|(step, (count, _))| {
+            (0..*count).map(move |index| format!("{}.0.{step}.{index}", job.key))
+        });
+        tasks.all(|task| self.done.contains_key(&task))
+    }
+
+    fn start(&mut self, entry: &Entry, spec: &str, jobs: &[Job]) {
+        let Entry { worker, task, run, .. } = entry;
+        let job = parts(task).and_then(|(key, step, index)| {
+            let job = jobs.iter().find(|job| job.key == key)?;
+            let (count, cpu) = *job.steps.get(step)?;
+            (index < count).then_some((job, step, cpu))
+        });
+        let Some((job, step, cpu)) = job.filter(|(job, ..)| job.spec == spec) else {
+            return self.fault(format!("{task} on {worker}: nobody asked for it"));
+        };
+        let used = self.used.entry(worker.clone()).or_default();
+        *used += cpu;
+        let over = *used > CPU;
+        let late = job.told.cancelled.is_some_and(|at| at.elapsed() > CANCEL_LIMIT);
+        let elsewhere = self.running.insert(task.clone(), (worker.clone(), *run));
+        let again = self.done.get_mut(task);
+        let confirmed = again.as_ref().is_some_and(|done| done.confirmed);
+        if let Some(done) = again {
+            done.again = true;
+        }
+        let early = !self.is_done(job, step);
+        self.started.insert(job.key.clone());
+        let faults = [
+            (over, "is over what the worker has"),
+            (late, "starts long after its job was cancelled"),
+            (elsewhere.is_some(), "runs twice at once"),
+            (confirmed, "starts again after its end was confirmed"),
+            (early, "starts before what it depends on is done"),
+        ];
+        for (_, what) in faults.into_iter().filter(|(wrong, _)| *wrong) {
+            self.fault(format!("{task} run {run} on {worker} {what}; also at {elsewhere:?}"));
+        }
+    }
+
+    fn end(&mut self, entry: &Entry, how: &str, jobs: &[Job]) {
+        let Entry { worker, task, run, .. } = entry;
+        let cpu = parts(task).and_then(|(key, step, _)| {
+            let job = jobs.iter().find(|job| job.key == key)?;
+            job.steps.get(step).map(|(_, cpu)| *cpu)
+        });
+        if let Some(used) = self.used.get_mut(worker) {
+            *used -= cpu.unwrap_or(0).min(*used);
+        }
+        if self.running.get(task) == Some(&(worker.clone(), *run)) {
+            self.running.remove(task);
+        }
+        match how {
+            "done" => {
+                let done = Done { run: *run, confirmed: false, again: false };
+                self.done.entry(task.clone()).or_insert(done);
+            }
+            "failed" => *self.failed.entry(task.clone()).or_default() += 1,
+            _ => {}
+        }
+    }
+
+    fn confirm(&mut self, entry: &Entry, lapsed: bool) {
+        let Some(done) = self.done.get_mut(&entry.task).filter(|done| done.run == entry.run) else {
+            return;
+        };
+        let again = done.again && !done.confirmed;
+        if lapsed {
+            return;
+        }
+        done.confirmed = true;
+        if again {
+            self.fault(format!("{} was started again, and its earlier end confirmed", entry.task));
+        }
+    }
+
+    /// Whether a job's end, as shown when all is calm, has a cause.
+    pub fn judge(&mut self, job: &Job, state: &str) {
+        let failed = self.failed.iter().any(|(task, count)| {
+            *count >= ATTEMPTS && parts(task).is_some_and(|(key, ..)| key == job.key)
+        });
+        let cancelled = job.told.tried_cancel;
+        let fault = match state {
+            "completed" if !self.is_done(job, job.steps.len()) => "is shown as completed",
+            "failed" if !failed => "is shown as failed without a cause",
+            "cancelled" if !cancelled => "is shown as cancelled, and nobody asked for that",
+            "gone" => "was accepted and is not known",
+            _ => return,
+        };
+        self.fault(format!("job {} {fault}", job.key));
+    }
+
+    /// What is wrong when everything has come to an end.
+    pub fn finish(&mut self, jobs: &[Job]) {
+        let refused: Vec<String> = jobs
+            .iter()
+            .filter(|job| job.told.refused && self.started.contains(&job.key))
+            .map(|job| format!("job {} ran though every try was refused", job.key))
+            .collect();
+        let left: Vec<String> = self
+            .running
+            .iter()
+            .map(|(task, (worker, _))| format!("{task} still runs on {worker}"))
+            .collect();
+        for what in refused.into_iter().chain(left) {
+            self.fault(what);
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/checks_test.rs
@@ -0,0 +1,93 @@
+//! The checks of the soak find each kind of broken promise in a ledger written by hand.
+
+use crate::callers::{Job, Told};
+use crate::checks::Checks;
+use sprucerudder::standin::site::worker::{Deed, Entry, Ledger};
+
+const KEY: &str = "00000000000000aa";
+
+fn job(told: Told) -> Job {
+    let steps = vec![(2, 5_000), (1, 500)];
+    Job { key: KEY.to_string(), spec: "50".to_string(), steps, told }
+}
+
+fn entry(worker: &str, place: &str, run: u64, deed: Deed) -> Entry {
+    Entry { worker: worker.to_string(), task: format!("{KEY}.0.{place}"), run, deed }
+}
+
+fn start() -> Deed {
+    Deed::Start("50".to_string())
+}
+
+/// A worker, a task's place in its job, the number of its start, and what was done.
+type Did = (&'static str, &'static str, u64, Deed);
+
+/// What the checks say after these deeds.
+fn broken(deeds: &[Did], told: Told) -> String {
+    let ledger = Ledger::default();
+    for (worker, place, run, deed) in deeds {
+        ledger.add(entry(worker, place, *run, deed.clone()));
+    }
+    let (mut checks, jobs) = (Checks::default(), [job(told)]);
+    checks.look(&ledger, &jobs);
+    checks.finish(&jobs);
+    checks.broken.join("; ")
+}
+
+fn told(state: &str) -> Told {
+    Told { accepted: true, state: state.to_string(), ..Told::default() }
+}
+
+#[test]
+fn a_job_that_runs_as_it_should_breaks_nothing() {
+    let deeds = [
+        ("w1", "0.0", 1, start()),
+        ("w2", "0.1", 1, start()),
+        ("w1", "0.0", 1, Deed::End("done")),
+        ("w2", "0.1", 1, Deed::End("failed")),
+        ("w1", "0.1", 2, start()),
+        ("w1", "0.1", 2, Deed::End("done")),
+        ("w1", "0.1", 2, Deed::Confirm { lapsed: false }),
+        ("w2", "1.0", 1, start()),
+        ("w2", "1.0", 1, Deed::End("done")),
+    ];
+    assert_eq!(broken(&deeds, told("completed")), "");
+}
+
+#[test]
+fn each_broken_promise_is_found() {
+    let done = Deed::End("done");
+    let confirm = Deed::Confirm { lapsed: false };
+    let cases: [(&[Did], Told, &str); 8] = [
+        (&[("w1", "0.0", 1, start()), ("w2", "0.0", 2, start())], told(""), "twice at once"),
+        (&[("w1", "0.0", 1, start()), ("w1", "0.1", 1, start())], told(""), "over what"),
+        (&[("w1", "1.0", 1, start())], told(""), "before what it depends on"),
+        (&[("w1", "0.7", 1, start())], told(""), "nobody asked"),
+        (&[("w1", "0.0", 1, Deed::Start("60".to_string()))], told(""), "nobody asked"),
+        (
+            &[
+                ("w1", "0.0", 1, start()),
+                ("w1", "0.0", 1, done.clone()),
+                ("w2", "0.0", 2, start()),
+                ("w2", "0.0", 2, done.clone()),
+                ("w1", "0.0", 1, confirm),
+            ],
+            told(""),
+            "its earlier end confirmed",
+        ),
+        (
+            &[("w1", "0.0", 1, start()), ("w1", "0.0", 1, done)],
+            told("completed"),
+            "shown as completed",
+        ),
+        (
+            &[("w1", "0.0", 1, start()), ("w1", "0.0", 1, Deed::End("done"))],
+            Told { refused: true, ..Told::default() },
+            "every try was refused",
+        ),
+    ];
+    for (deeds, told, wanted) in cases {
+        let found = broken(deeds, told);
+        assert!(found.contains(wanted), "{wanted}: {found}");
+    }
+}
