Runs that stand still or take far longer than others of their queue are found

What shows it: no saved progress for 1.7 s from a task that saves each half second of work, or a run time beyond what its queue's runs take against their estimates (mean and four mean deviations of the last 50 or so).

Change: a worker is set aside for a run that stands still and for late runs of two jobs; a late task whose copies may run side by side gets a copy, and the others are stopped when one is done.

The three tests failed on the code before.

--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -303,8 +303,7 @@
         if let Some(known) = worker.runs.get_mut(&(task, run))
             && known.phase == Phase::Starting
         {
-            known.phase = Phase::Running(now);
-            known.seen = true;
+            known.begin(now);
         }
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod job;
 pub mod journal;
 pub mod life;
+pub mod pace;
 mod report;
 mod roster;
 mod schedule;
@@ -21,6 +22,7 @@
 use advice::{Advisers, Question};
 use job::Job;
 use journal::{Batch, Fate, Member, Snapshot};
+use pace::Pace;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -91,6 +93,8 @@
     queues: HashMap<Name, Arc<Queue>>,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Name, Worker>,
+    /// How long runs take, by queue.
+    paces: HashMap<Name, Pace>,
     /// Steps with tasks that need a worker, the most urgent first.
     ready: BTreeSet<(u32, Millis, StepKey)>,
     /// Steps whose time has not come, by the wall clock.
@@ -135,6 +139,7 @@
             queues,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            paces: HashMap::new(),
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
             fresh: VecDeque::new(),
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{End, EndedRow, HoldError, Refusal, Report, RunningRow};
-use crate::workload::TaskKey;
+use crate::workload::{Step, TaskKey};
 use std::collections::BTreeSet;
 
 /// Fillers are slowed when a tail comes this close to its bound, in hundredths of it.
@@ -71,8 +71,11 @@
             if worker.has_seen(row.no) {
                 continue;
             }
-            worker.remove(row.task, row.run);
+            let run = worker.remove(row.task, row.run);
             self.changed = true;
+            if let Some(run) = run.filter(|run| row.end == End::Done && run.began.0 > 0) {
+                self.learn(row.task, now.since(run.began));
+            }
             self.end(now, name, row);
             // An end that changes nothing needs no record before it is confirmed.
             let batch = if self.dirty.is_empty() { self.batch - 1 } else { self.batch };
@@ -86,9 +89,26 @@
             self.running(now, name, row);
         }
         self.sweep(sent, name, report);
+        self.judge(now, name);
         self.pace(now, name, report);
     }
 
+    /// Finds late runs at a worker. Those whose copies may run side by side start elsewhere too.
+    fn judge(&mut self, now: Millis, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        for (task, run) in worker.find_late(now) {
+            log::info!("event=late task={task} run={run} worker={name}");
+            self.copy(task, run);
+        }
+    }
+
+    /// A run that began here is done: how long it took against its estimate.
+    fn learn(&mut self, task: TaskKey, took: Millis) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(spec) = job.spec(task.step.step).filter(|spec| !spec.lasting) else { return };
+        self.paces.entry(job.queue.name.clone()).or_default().add(spec.estimate, took);
+    }
+
     fn end(&mut self, now: Millis, name: &Name, row: &EndedRow) {
         let task = row.task;
         log::info!("event=ended task={task} run={} worker={name} end={:?}", row.run, row.end);
@@ -96,7 +116,7 @@
             return;
         };
         let Some(spec) = job.spec(task.step.step) else { return };
-        let (lasting, gang) = (spec.lasting, spec.gang);
+        let (lasting, gang, copies) = (spec.lasting, spec.gang, spec.copies);
         job.begun = true;
         let attempts = job.queue.attempts;
         let Some(step) = job.step_mut(task.step) else { return };
@@ -114,8 +134,10 @@
                 if let Some(worker) = self.workers.get_mut(name) {
                     worker.succeed();
                 }
-                if let Some((worker, run)) = other {
-                    self.stop(&worker, task, run);
+                match other {
+                    _ if copies => self.stop_copies(task),
+                    Some((worker, run)) => self.stop(&worker, task, run),
+                    None => {}
                 }
                 self.finish(now, task);
             }
@@ -159,29 +181,29 @@
     /// A run goes on at a worker.
     fn running(&mut self, now: Millis, name: &Name, row: &RunningRow) {
         let task = row.task;
+        let moved = !row.saved.is_empty() && self.save(task, row);
         let Some(worker) = self.workers.get_mut(name) else { return };
-        if let Some(run) = worker.runs.get_mut(&(task, row.run)) {
-            run.percent = row.percent;
-            run.seen = true;
-            if run.phase == Phase::Starting {
-                run.phase = Phase::Running(now);
-            }
-            if !row.saved.is_empty() {
-                self.save(task, row);
-            }
-            return;
+        let Some(run) = worker.runs.get_mut(&(task, row.run)) else {
+            return self.adopt(now, name, row);
+        };
+        run.percent = row.percent;
+        run.seen = true;
+        if run.phase == Phase::Starting {
+            run.begin(now);
+        }
+        if moved {
+            run.moved = now;
         }
-        self.adopt(now, name, row);
     }
 
-    fn save(&mut self, task: TaskKey, row: &RunningRow) {
+    /// Takes in a run's saved progress; whether it is new.
+    fn save(&mut self, task: TaskKey, row: &RunningRow) -> bool {
         let job = self.jobs.get_mut(&task.step.job);
         let step = job.and_then(|job| job.step_mut(task.step));
-        if let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize))
-            && state.saved != row.saved
-        {
-            state.saved = row.saved.clone();
-        }
+        let state = step.and_then(|step| step.tasks.get_mut(task.index as usize));
+        let Some(state) = state.filter(|state| state.saved != row.saved) else { return false };
+        state.saved = row.saved.clone();
+        true
     }
 
     /// A run that an earlier owner started goes on, or is stopped if it is not wanted.
@@ -191,16 +213,9 @@
         let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
         // The size of a run whose job is over is not known: it may fill the worker.
         let whole = self.workers.get(name).map(|worker| worker.listed.room).unwrap_or_default();
-        let run = Run {
-            run: row.run,
-            charge: spec.as_ref().map_or(whole, |spec| spec.charge()),
-            phase: Phase::Running(now),
-            told: false,
-            seen: true,
-            percent: row.percent,
-            filler: spec.as_ref().is_some_and(|spec| spec.filler),
-            tail: spec.map(|spec| spec.tail).unwrap_or_default(),
-        };
+        let unknown = Step { room: whole, ..Step::default() };
+        let mut run = Run::bound(row.run, &spec.unwrap_or(unknown), Phase::Running(now));
+        (run.seen, run.percent) = (true, row.percent);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.add(task, run);
         }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -25,13 +25,27 @@
 
     /// Lets a task run elsewhere too, if its copies may run side by side. The first one that is
     /// done counts.
-    fn copy(&mut self, task: TaskKey, run: u64) {
+    pub(super) fn copy(&mut self, task: TaskKey, run: u64) {
         let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
         if spec.is_some_and(|spec| spec.copies && !spec.gang) {
             self.requeue(task, run);
         }
     }
 
+    /// Has all runs of a task end: another one is done.
+    pub(super) fn stop_copies(&mut self, task: TaskKey) {
+        let copies = |worker: &Worker| -> Vec<u64> {
+            worker.runs.range((task, 0)..=(task, u64::MAX)).map(|((_, run), _)| *run).collect()
+        };
+        let found = self.workers.iter().map(|(name, worker)| (name.clone(), copies(worker)));
+        let found: Vec<(Name, Vec<u64>)> = found.filter(|(_, runs)| !runs.is_empty()).collect();
+        for (name, runs) in found {
+            for run in runs {
+                self.stop(&name, task, run);
+            }
+        }
+    }
+
     /// A life of a worker is over, and all that it ran with it.
     pub fn remove_worker(&mut self, name: &Name) {
         let Some(worker) = self.workers.remove(name) else { return };
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -176,7 +176,9 @@
     fn bind(&mut self, now: Millis, task: TaskKey, name: &Name, no: u64, spec: &Step, saved: &str) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
-        let run = Run::bound(no, spec, Phase::Starting);
+        let mut run = Run::bound(no, spec, Phase::Starting);
+        let pace = self.paces.get(&job.queue.name).filter(|_| !spec.lasting);
+        run.limit = pace.and_then(|pace| pace.limit(spec.estimate));
         worker.add(task, run);
         let age = now.since(job.since);
         job.begun = true;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -20,6 +20,12 @@
 /// The longest time that a worker is set aside.
 const MAX_ASIDE: Millis = Millis(16_000);
 
+/// A task that saves its progress does so with each half second of work on the platform's workers:
+/// two were missed and the next is late.
+const STILL: Millis = Millis(1_700);
+/// Late runs of two jobs within this time are the worker's doing.
+const LATE_TOGETHER: Millis = Millis(3_000);
+
 /// Where a run stands at its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -50,6 +56,16 @@
     pub filler: bool,
     /// The bound on the tail of its answers; 0: it serves nobody.
     pub tail: Millis,
+    /// It saves its progress.
+    pub saves: bool,
+    /// When it was first known to run.
+    pub began: Millis,
+    /// When it last saved progress, or began.
+    pub moved: Millis,
+    /// The time after which it takes far longer than others of its queue.
+    pub limit: Option<Millis>,
+    /// It was found to stand still or to be late.
+    pub is_late: bool,
 }
 
 impl Run {
@@ -64,8 +80,30 @@
             percent: 100,
             filler: spec.filler,
             tail: spec.tail,
+            saves: spec.saves,
+            began: Millis(0),
+            moved: Millis(0),
+            limit: None,
+            is_late: false,
         }
     }
+
+    /// The worker surely runs it by now.
+    pub fn begin(&mut self, now: Millis) {
+        self.phase = Phase::Running(now);
+        self.seen = true;
+        (self.began, self.moved) = (now, now);
+    }
+
+    /// Whether it stands still although it should save progress.
+    fn stands_still(&self, now: Millis) -> bool {
+        self.saves && !self.filler && now.since(self.moved) >= STILL
+    }
+
+    /// Whether it takes far longer than others of its queue.
+    fn takes_long(&self, now: Millis) -> bool {
+        self.limit.is_some_and(|limit| now.since(self.began) >= limit)
+    }
 }
 
 /// A worker.
@@ -101,6 +139,8 @@
     last_fail: Option<TaskKey>,
     aside: Millis,
     aside_until: Millis,
+    /// The last run that was late, and when it was found to be.
+    late: Option<(TaskKey, Millis)>,
     /// When the shares of fillers were last changed.
     pub paced: Millis,
 }
@@ -126,6 +166,7 @@
             last_fail: None,
             aside: Millis(0),
             aside_until: Millis(0),
+            late: None,
             paced: Millis(0),
         }
     }
@@ -233,6 +274,30 @@
         self.fails = MAX_FAILS - 1;
     }
 
+    /// Finds runs that stand still or take far longer than others of their queue, each once. The
+    /// worker is set aside for one that stands still, and for late ones of two jobs.
+    pub fn find_late(&mut self, now: Millis) -> Vec<(TaskKey, u64)> {
+        let (mut found, mut blame) = (Vec::new(), false);
+        let running = |run: &Run| matches!(run.phase, Phase::Running(_)) && !run.is_late;
+        for ((task, no), run) in self.runs.iter_mut().filter(|(_, run)| running(run)) {
+            let still = run.began.0 > 0 && run.stands_still(now);
+            if !still && (run.began.0 == 0 || !run.takes_long(now)) {
+                continue;
+            }
+            run.is_late = true;
+            found.push((*task, *no));
+            let other = self.late.replace((*task, now));
+            let together = other.is_some_and(|(other, at)| {
+                other.step.job != task.step.job && now.since(at) < LATE_TOGETHER
+            });
+            blame = blame || still || together;
+        }
+        if blame && now >= self.aside_until {
+            self.set_aside(now);
+        }
+        found
+    }
+
     /// Whether its last runs were fine.
     pub fn is_sound(&self) -> bool {
         self.fails == 0
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -425,3 +425,95 @@
     all.dedup();
     assert_eq!(all.len(), 4);
 }
+
+/// A report that names these runs, each with its saved progress.
+fn running(rows: &[(TaskKey, u64, &str)]) -> Report {
+    let row = |(task, run, saved): &(TaskKey, u64, &str)| RunningRow {
+        saved: (*saved).into(),
+        ..goes_on(*task, *run)
+    };
+    Report { clock: 1_000, running: rows.iter().map(row).collect(), ended: Vec::new() }
+}
+
+#[test]
+fn a_worker_on_which_progress_stands_still_gets_nothing_new() {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "a")]);
+    let saves = Step { saves: true, ..step(1) };
+    submit(&mut cell, 10, 1, "q", vec![saves]);
+    let first = starts(&mut cell, 11);
+    confirm(&mut cell, 12, &first);
+    let (name, start) = first[0].clone();
+    for now in [600, 1_100, 1_600] {
+        let saved = format!("at {now}");
+        let report = running(&[(start.task, start.run, &saved)]);
+        cell.held(Millis(now), Millis(now - 5), &name, &report);
+    }
+    submit(&mut cell, 1_700, 2, "q", vec![step(1)]);
+    assert_eq!(starts(&mut cell, 1_701)[0].0, name, "it is the fuller one, and moves");
+    for now in [2_600, 3_400] {
+        let report = running(&[(start.task, start.run, "at 1600")]);
+        cell.held(Millis(now), Millis(now - 5), &name, &report);
+    }
+    submit(&mut cell, 3_410, 3, "q", vec![step(1)]);
+    assert_ne!(starts(&mut cell, 3_411)[0].0, name);
+}
+
+/// A cell that has learned that runs take as long as they should, and two jobs with copies.
+fn cell_that_knows_the_pace() -> (Cell, u64) {
+    let mut cell = cell(&[listed("w1", "a"), listed("w2", "a")]);
+    let mut now = 10;
+    for key in 100..130 {
+        submit(&mut cell, now, key, "q", vec![step(1)]);
+        let started = starts(&mut cell, now);
+        confirm(&mut cell, now, &started);
+        let (name, start) = &started[0];
+        now += 950 + key % 3 * 50;
+        let done = ended(key, start.task, start.run, End::Done);
+        cell.held(Millis(now), Millis(now - 5), name, &done);
+        write(&mut cell, now);
+    }
+    cell.take_actions();
+    (cell, now)
+}
+
+#[test]
+fn late_runs_of_two_jobs_set_their_worker_aside_and_one_does_not() {
+    let (mut cell, begun) = cell_that_knows_the_pace();
+    for key in [1, 2] {
+        submit(&mut cell, begun, key, "q", vec![step(1)]);
+    }
+    let first = starts(&mut cell, begun);
+    confirm(&mut cell, begun, &first);
+    let name = first[0].0.clone();
+    assert_eq!(first[1].0, name, "the fuller one first");
+    let both: Vec<_> = first.iter().map(|(_, start)| (start.task, start.run, "")).collect();
+    let next = |cell: &mut Cell, rows: &[(TaskKey, u64, &str)], now: u64, key: u64| {
+        cell.held(Millis(now), Millis(now - 5), &name, &running(rows));
+        submit(cell, now, key, "q", vec![step(1)]);
+        starts(cell, now)[0].0.clone()
+    };
+    assert_eq!(next(&mut cell, &both, begun + 1_100, 3), name, "they are in time");
+    assert_ne!(next(&mut cell, &both, begun + 3_000, 4), name);
+}
+
+#[test]
+fn a_late_task_gets_a_copy_and_the_first_one_done_counts() {
+    let (mut cell, begun) = cell_that_knows_the_pace();
+    let key = submit(&mut cell, begun, 1, "q", vec![Step { copies: true, ..step(1) }]);
+    let first = starts(&mut cell, begun);
+    confirm(&mut cell, begun, &first);
+    let (name, start) = first[0].clone();
+    let late = begun + 3_000;
+    let report = running(&[(start.task, start.run, "")]);
+    cell.held(Millis(late), Millis(late - 5), &name, &report);
+    let copy = starts(&mut cell, late);
+    assert_eq!(copy.len(), 1);
+    confirm(&mut cell, late, &copy);
+    let (other, again) = copy[0].clone();
+    let done = ended(200, again.task, again.run, End::Done);
+    cell.held(Millis(late + 900), Millis(late + 895), &other, &done);
+    write(&mut cell, late + 900);
+    assert!(matches!(cell.state(key), Some(State::Closed(_))));
+    let stops = |action: &Action| matches!(action, Action::Stop { run, .. } if *run == start.run);
+    assert!(cell.take_actions().iter().any(stops), "the one that stands still is stopped");
+}
