An owner that only it is turned away by the store gives the cell up to the others

Change: once the store has failed an owner for 150 ms it asks the other entries to read the log. If most of all known ones can, it stops, and tells them; they claim at once. In an outage for all nobody can, and the owner goes on.

Ruled out: handing over on the owner's word alone (in an outage for all the cell would have no owner).

--- a/src/cell/authority.rs
+++ b/src/cell/authority.rs
@@ -8,10 +8,15 @@
 use crate::cell::election::SILENCE;
 use crate::clock::Millis;
 use crate::id::Name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What an entry said of the log is good for this long: three of its pings.
 const PEER_FRESH: Millis = Millis(500);
+/// The other entries are asked whether they can read the log once it has failed the owner this
+/// long: a call that the store refused for being asked too often is sent again before.
+const FAILING: Millis = Millis(150);
+/// They are asked again after this time.
+const PROBE_EVERY: Millis = Millis(400);
 /// An entry counts as one that could be the owner once it was heard for this long.
 const SETTLED: Millis = Millis(1_500);
 /// An entry that was not heard for this long is taken for removed.
@@ -31,17 +36,65 @@
 pub struct Authority {
     confirmed: Millis,
     peers: BTreeMap<Name, Peer>,
+    /// Since when the store fails this owner.
+    failing: Option<Millis>,
+    /// When the others were last asked whether it fails them too.
+    asked: Option<Millis>,
+    /// Those that could read the log when asked.
+    able: BTreeSet<Name>,
 }
 
 impl Authority {
     /// The owner's claim was in the log at `now`.
     pub fn new(now: Millis) -> Self {
-        Self { confirmed: now, peers: BTreeMap::new() }
+        let (peers, able) = (BTreeMap::new(), BTreeSet::new());
+        Self { confirmed: now, peers, failing: None, asked: None, able }
     }
 
     /// A heartbeat that was sent at `sent` is in the log.
     pub fn confirm(&mut self, sent: Millis) {
         self.confirmed = self.confirmed.max(sent);
+        self.recover();
+    }
+
+    /// The store failed this owner.
+    pub fn fail(&mut self, now: Millis) {
+        self.failing.get_or_insert(now);
+    }
+
+    /// The store serves this owner.
+    pub fn recover(&mut self) {
+        (self.failing, self.asked) = (None, None);
+        self.able.clear();
+    }
+
+    /// Whether to ask the other entries now whether they can read the log.
+    pub fn should_probe(&mut self, now: Millis) -> bool {
+        let fails = self.failing.is_some_and(|since| now.since(since) >= FAILING);
+        let due = self.asked.is_none_or(|asked| now.since(asked) >= PROBE_EVERY);
+        if fails && due {
+            self.asked = Some(now);
+            self.able.clear();
+        }
+        fails && due
+    }
+
+    /// What an entry found when it was asked.
+    pub fn probed(&mut self, entry: &Name, able: bool) {
+        if able {
+            self.able.insert(entry.clone());
+        }
+    }
+
+    /// Whether most other entries read the log after it had failed this owner: one of them should
+    /// own the cell. Without this the cell waits for the owner's silence, 1.2 s.
+    pub fn is_outvoted(&self, now: Millis) -> bool {
+        self.asked.is_some() && 2 * self.able.len() > self.known(now)
+    }
+
+    /// Other entries that are not taken for removed.
+    fn known(&self, now: Millis) -> usize {
+        self.peers.values().filter(|peer| now.since(peer.at) < REMOVED).count()
     }
 
     /// The time since the last heartbeat that is in the log was sent.
@@ -80,10 +133,9 @@
         if self.age(now) < SILENCE {
             return true;
         }
-        let known = self.peers.values().filter(|peer| now.since(peer.at) < REMOVED).count();
         let unable =
             self.peers.values().filter(|peer| !peer.log && now.since(peer.at) < PEER_FRESH);
         // This entry is known too, and cannot reach the log.
-        2 * (unable.count() + 1) > known + 1
+        2 * (unable.count() + 1) > self.known(now) + 1
     }
 }
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -198,6 +198,11 @@
         self.read.is_some_and(|read| now.since(read) < SILENCE)
     }
 
+    /// The owner of `epoch` told that it gave the cell up, though it cannot write that to the log.
+    pub fn vacate(&mut self, epoch: u64) {
+        self.released = self.released || (epoch > 0 && self.epoch() == epoch);
+    }
+
     /// Connections to the owner of `epoch` are refused, or its process is another one.
     pub fn miss(&mut self, epoch: u64) {
         self.absent = self.absent || self.epoch() == epoch;
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -185,6 +185,21 @@
                     tokio::time::sleep(RETRY.duration()).await;
                     return Ok(());
                 }
+                Frame { no: 0, body: Tell::Probe } => {
+                    let (node, out) = (self.clone(), link.out.clone());
+                    tokio::spawn(async move {
+                        let able = node.probe_log().await;
+                        let sent = encode(0, Ask::Probed { able }).map(|frame| out.try_send(frame));
+                        if !matches!(sent, Ok(Ok(()))) {
+                            log::info!("event=probe-lost able={able}");
+                        }
+                    });
+                }
+                Frame { no: 0, body: Tell::Vacant { epoch } } => {
+                    log::info!("event=owner-gave-up owner={} epoch={epoch}", leader.owner);
+                    lock(&self.election).vacate(epoch);
+                    self.recheck.notify_one();
+                }
                 Frame { no: 0, body: Tell::Question { step, workers, cost } } => {
                     let (node, link) = (self.clone(), link.clone());
                     tokio::spawn(async move {
@@ -299,6 +314,7 @@
                     // Pongs carry a number that no question has.
                     out.try_send(encode(u64::MAX, Tell::Done)?).map_err(io::Error::other)?;
                 }
+                Ask::Probed { able } => owner.probed(entry, able),
                 body => {
                     let (owner, entry, out) = (owner.clone(), entry.clone(), out.clone());
                     tokio::spawn(async move {
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -27,6 +27,8 @@
     Cancel { job: JobKey },
     /// A caller asks how many jobs wait.
     Pending { queue: Name },
+    /// Whether the sender could read the platform's log when it was asked to.
+    Probed { able: bool },
     /// The advice service answered, or did not.
     Advised { step: StepKey, named: Vec<Name>, answer: Option<Cleared> },
 }
@@ -48,6 +50,10 @@
     Cancelled(bool),
     /// The number of jobs that wait.
     Pending(u32),
+    /// Read the platform's log and say whether that works; sent unasked.
+    Probe,
+    /// The sender gave the cell up and cannot write that to the log; sent unasked.
+    Vacant { epoch: u64 },
     /// Ask the advice service this; sent unasked.
     Question { step: StepKey, workers: Vec<Name>, cost: Millis },
 }
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -143,6 +143,43 @@
         }
     }
 
+    /// The store failed this owner: the others are asked whether it fails them too.
+    pub fn store_failed(&self) {
+        let now = self.node.now();
+        let due = {
+            let mut authority = lock(&self.authority);
+            authority.fail(now);
+            authority.should_probe(now)
+        };
+        if due {
+            log::info!("event=store-probed epoch={}", self.epoch);
+            self.tell_all(&Tell::Probe);
+        }
+    }
+
+    /// An entry says whether it could read the log. If most can, one of them should own the cell.
+    pub fn probed(&self, entry: &Name, able: bool) {
+        let outvoted = {
+            let mut authority = lock(&self.authority);
+            authority.probed(entry, able);
+            authority.is_outvoted(self.node.now())
+        };
+        if outvoted && !self.is_over() {
+            log::info!("event=outvoted epoch={}", self.epoch);
+            self.end();
+            self.tell_all(&Tell::Vacant { epoch: self.epoch });
+        }
+    }
+
+    fn tell_all(&self, tell: &Tell) {
+        for (entry, out) in lock(&self.peers).iter() {
+            let sent = encode(0, tell.clone()).map(|frame| out.try_send(frame));
+            if !matches!(sent, Ok(Ok(()))) {
+                log::info!("event=not-told entry={entry} tell={tell:?}");
+            }
+        }
+    }
+
     /// Whether orders may go out: no other entry can have claimed the cell.
     fn may_order(&self) -> bool {
         lock(&self.authority).holds(self.node.now())
@@ -306,7 +343,7 @@
             return Tell::Refused(Refused::NotOwner);
         }
         match ask {
-            Ask::Hello { .. } | Ask::Ping { .. } => Tell::Done,
+            Ask::Hello { .. } | Ask::Ping { .. } | Ask::Probed { .. } => Tell::Done,
             Ask::Submit { job, queue, work } => self.submit(job, &queue, work).await,
             Ask::State { job } => Tell::State(lock(&self.cell).state(job)),
             Ask::Pending { queue } => Tell::Pending(lock(&self.cell).pending(&queue)),
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -125,6 +125,7 @@
                     if !self.store.swap(true, Ordering::Relaxed) {
                         log::info!("event=store-back batch={}", batch.no);
                     }
+                    lock(&self.authority).recover();
                     self.node.metrics.appended(self.node.now().since(begun));
                     return Written::Done;
                 }
@@ -137,6 +138,7 @@
             if self.store.swap(false, Ordering::Relaxed) {
                 log::info!("event=store-lost batch={} error={err:?}", batch.no);
             }
+            self.store_failed();
             may_be_there = may_be_there || !matches!(err, StoreError::Refused(_));
             if !may_be_there && self.node.now().since(begun) >= GIVE_BACK {
                 let gone = lock(&self.cell).withdraw(batch.no);
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Whether the log can be read now.
+    pub(super) async fn probe_log(&self) -> bool {
+        self.read_claims(Millis(0), PROBE_LIMIT).await.is_ok()
+    }
+
     /// Claims the cell when it needs an owner; takes it over and sends heartbeats as its owner.
     pub(super) async fn campaign(self: Arc<Self>) {
         let jitter = hash(&[self.me.name.as_bytes()]) % SPREAD;
@@ -248,6 +253,9 @@
                 Err(StoreError::Moved(_)) => tokio::time::sleep(OVERTAKEN.duration()).await,
                 Err(err) => {
                     log::debug!("event=beat-failed epoch={epoch} error={err:?}");
+                    if let Some(owner) = self.owner_of(epoch) {
+                        owner.store_failed();
+                    }
                     limit = PROBE_LIMIT;
                     tokio::time::sleep(RETRY.duration()).await;
                 }
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -39,3 +39,40 @@
 fn a_single_entry_goes_on_alone() {
     assert!(Authority::new(Millis(0)).holds(Millis(10_000)));
 }
+
+/// An owner that the store has failed since 1,000, heard by three entries.
+fn failing() -> Authority {
+    let mut authority = Authority::new(Millis(0));
+    for entry in ["b", "c", "d"] {
+        authority.join(Millis(0), &entry.into(), 250);
+    }
+    authority.fail(Millis(1_000));
+    authority
+}
+
+#[test]
+fn others_are_asked_once_the_store_has_failed_the_owner_for_a_moment() {
+    let mut authority = failing();
+    assert!(!authority.should_probe(Millis(1_050)), "one failure may pass");
+    assert!(authority.should_probe(Millis(1_200)));
+    assert!(!authority.should_probe(Millis(1_250)), "they were just asked");
+    authority.confirm(Millis(1_300));
+    assert!(!authority.should_probe(Millis(2_000)), "the store is back");
+}
+
+#[test]
+fn an_owner_is_outvoted_when_most_others_read_the_log_after_it_failed() {
+    let mut authority = failing();
+    authority.probed(&"b".into(), true);
+    authority.probed(&"c".into(), true);
+    assert!(!authority.is_outvoted(Millis(1_100)), "they were not asked yet");
+    assert!(authority.should_probe(Millis(1_200)));
+    assert!(!authority.is_outvoted(Millis(1_200)), "what they said before does not count");
+    authority.probed(&"b".into(), true);
+    authority.probed(&"c".into(), false);
+    assert!(!authority.is_outvoted(Millis(1_210)), "one of three");
+    authority.probed(&"d".into(), true);
+    assert!(authority.is_outvoted(Millis(1_220)));
+    authority.confirm(Millis(1_230));
+    assert!(!authority.is_outvoted(Millis(1_240)), "a heartbeat is in the log after all");
+}
