--- a/tests/election.rs
+++ b/tests/election.rs
@@ -122,7 +122,7 @@
     let mut lag = Lag::new(Millis(0));
     let early = ticks(&mut lag, 0, 400);
     assert!(!lag.is_heavy(Millis(early)), "it has just taken the cell over");
-    let steady = ticks(&mut lag, 10_000, 5);
+    let steady = ticks(&mut lag, 10_000, 1);
     assert!(!lag.is_heavy(Millis(steady)), "it keeps up");
     lag.tick(Millis(steady + 20_000), TICK);
     assert!(!lag.is_heavy(Millis(steady + 20_000)), "a single pause is over");
