--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -3,8 +3,9 @@
 use crate::clock::Millis;
 use crate::cmd::{Run, runtime, start_log};
 use crate::controller::list::VmList;
+use crate::server::serve;
 use crate::size::Size;
-use crate::standin::{platform::Platform, runner::Runner, serve, worker::Worker};
+use crate::standin::{platform::Platform, runner::Runner, worker::Worker};
 use anyhow::{Context, Result};
 use bpaf::Bpaf;
 use simplelog::LevelFilter;
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -4,7 +4,7 @@
 use crate::clock::Millis;
 use crate::cmd::{Refusal, Run, runtime};
 use crate::platform::http::{Http, uri};
-use crate::standin::{TRACE_PATH, TraceRequest};
+use crate::server::{TRACE_PATH, TraceRequest};
 use crate::trace::{Event, Stamp};
 use anyhow::{Context, Result, bail};
 use bpaf::Bpaf;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,7 +5,7 @@
 use crate::entry::{Entry, api};
 use crate::filter::{Exchange, identify, not_run, problem};
 use crate::id::Name;
-use crate::standin::{TRACE_PATH, TraceRequest};
+use crate::server::{TRACE_PATH, TraceRequest};
 use crate::trace::Event;
 use crate::wire::msg::{Forwarded, Reason, Refused, Run};
 use poem::error::ReadBodyError;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,9 +1,7 @@
 //! Metrics of an entry, in the format of Prometheus.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::registry;
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds of the buckets for waiting times, in seconds.
 const BUCKETS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5, 6.4, 30.0];
@@ -11,7 +9,7 @@
 /// The metrics.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
+    registry: registry::Metrics,
     /// Requests by kind and status.
     pub requests: IntCounterVec,
     /// How long requests waited for a slot.
@@ -38,26 +36,13 @@
 
 impl Metrics {
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let histogram = |name: &str, help: &str| -> prometheus::Result<Histogram> {
-            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(opts)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
-        let opts = Opts::new("sprucerudder_requests_total", "Requests by kind and status");
-        let requests = IntCounterVec::new(opts, &["kind", "status"])?;
-        registry.register(Box::new(requests.clone()))?;
+        let registry = registry::Metrics::default();
+        let counter = |name: &str, help: &str| registry.counter(name, help);
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
+        let histogram = |name: &str, help: &str| registry.times(name, help, &BUCKETS);
+        let help = "Requests by kind and status";
+        let requests =
+            registry.counters("sprucerudder_requests_total", help, &["kind", "status"])?;
         Ok(Self {
             requests,
             request_wait: histogram("sprucerudder_request_wait_seconds", "Wait for a slot")?,
@@ -81,8 +66,13 @@
 
     /// All metrics as text.
     pub fn text(&self) -> String {
-        let mut out = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
-        String::from_utf8(out).unwrap_or_default()
+        let text = self.registry.text().map(String::from_utf8);
+        match text {
+            Ok(Ok(text)) => text,
+            failed => {
+                log::warn!("event=metrics-failed error={failed:?}");
+                String::new()
+            }
+        }
     }
 }
--- a/src/filter/forward.rs
+++ b/src/filter/forward.rs
@@ -3,7 +3,7 @@
 use crate::entry::{Entry, Slot};
 use crate::filter::{Classified, hold, not_run};
 use crate::platform::http::{Answer, HttpError, uri};
-use crate::standin::runner::{REQUEST_HEADER, STATE_HEADER};
+use crate::platform::http::{REQUEST_HEADER, STATE_HEADER};
 use crate::trace::What;
 use crate::wire::msg::{Reason, Refused, Run};
 use http_body_util::Full;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod order;
 pub mod platform;
 pub mod record;
+pub mod registry;
+pub mod server;
 pub mod settings;
 pub mod size;
 pub mod standin;
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -3,10 +3,8 @@
 use crate::cell::Load;
 use crate::clock::Millis;
 use crate::order::Outcome;
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::registry;
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds of the buckets for times, in seconds.
 const BUCKETS: [f64; 11] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
@@ -14,7 +12,7 @@
 /// The metrics.
 #[derive(Debug)]
 pub(super) struct Metrics {
-    registry: Registry,
+    registry: registry::Metrics,
     requests: IntCounterVec,
     request_time: Histogram,
     orders: IntCounterVec,
@@ -37,26 +35,11 @@
     /// # Errors
     /// Two metrics have one name.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
+        let registry = registry::Metrics::default();
         let counts =
-            |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
-                let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-                registry.register(Box::new(counter.clone()))?;
-                Ok(counter)
-            };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let times = |name: &str, help: &str| -> prometheus::Result<Histogram> {
-            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(opts)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
-        let takeovers = IntCounter::new("sprucerudder_takeovers_total", "Takeovers of the cell")?;
-        registry.register(Box::new(takeovers.clone()))?;
+            |name: &str, help: &str, labels: &[&str]| registry.counters(name, help, labels);
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
+        let times = |name: &str, help: &str| registry.times(name, help, &BUCKETS);
         Ok(Self {
             requests: counts("sprucerudder_calls_total", "Callers' calls", &["call", "status"])?,
             request_time: times("sprucerudder_call_seconds", "Time of callers' calls")?,
@@ -74,7 +57,7 @@
             ready: gauge("sprucerudder_steps_waiting", "Steps with tasks that need a worker")?,
             workers: gauge("sprucerudder_workers", "Workers in use")?,
             heard: gauge("sprucerudder_workers_heard", "Workers that answered their last call")?,
-            takeovers,
+            takeovers: registry.counter("sprucerudder_takeovers_total", "Takeovers of the cell")?,
             registry,
         })
     }
@@ -123,9 +106,7 @@
     /// They cannot be written.
     pub fn text(&self, dropped: u64) -> prometheus::Result<Vec<u8>> {
         self.dropped.set(dropped as i64);
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.registry.text()
     }
 }
 
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -17,6 +17,10 @@
 pub const MAX_BODY: usize = 16 * 1024 * 1024;
 /// The header by which an entry says who calls.
 pub const CALLER_HEADER: &str = "entry-name";
+/// The header with the request's id.
+pub const REQUEST_HEADER: &str = "request-id";
+/// The header with which a runner says that it is leaving.
+pub const STATE_HEADER: &str = "upstream-state";
 /// Idle connections kept for each address.
 const POOL: usize = 8;
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -48,6 +48,10 @@
 pub fn parse_listed(id: Name, text: &[u8]) -> Result<Listed, serde_json::Error> {
     const DRAINING: &str = "draining";
     let raw: RawWorker = serde_json::from_slice(text)?;
+    if raw.capacity.is_none() {
+        // It gets nothing until it says what it has.
+        log::warn!("event=worker-without-capacity worker={id}");
+    }
     let room = raw.capacity.map(|room| Room { cpu: room.cpu, mem: room.mem_mb, gpu: room.gpu });
     let left = Millis(raw.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
     Ok(Listed {
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -2,7 +2,9 @@
 
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::standin::{TRACE_PATH, timeline};
+use crate::platform::http::{REQUEST_HEADER, STATE_HEADER};
+use crate::server::TRACE_PATH;
+use crate::standin::timeline;
 use crate::trace::{Trace, What};
 use bytes::Bytes;
 use poem::http::StatusCode;
@@ -18,10 +20,6 @@
 const CONNECTIONS: usize = 64;
 /// How long a request runs if it does not say.
 const DEFAULT_RUN: Millis = Millis(20);
-/// The header with the request's id.
-pub const REQUEST_HEADER: &str = "request-id";
-/// The header with which a runner says that it is leaving.
-pub const STATE_HEADER: &str = "upstream-state";
 /// The header by which callers of stand-ins say how long their request runs, in milliseconds.
 pub const RUN_HEADER: &str = "work-millis";
 
