Refused callers of an entry that is not ready have their connection closed

Change: a refusal of an entry that is not ready carries Connection: close. Test: failed before (waited 60 s for it), passes now.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -103,7 +104,11 @@
     node.open.fetch_add(1, Ordering::Relaxed);
     let (call, reply) = reply(&node, request, begun).await;
     node.open.fetch_sub(1, Ordering::Relaxed);
-    let response = reply.response();
+    let mut response = reply.response();
+    if matches!(reply, Reply::Busy { .. }) && !node.is_ready() {
+        // Behind a cut the balancer sends new connections elsewhere, but an open one stays here.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     let status = response.status().as_u16();
     node.metrics.called(call, status, node.now().since(begun));
     response
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -313,6 +313,21 @@
     cell.await_state(1, path, "completed").await;
 }
 
+#[tokio::test]
+async fn an_entry_that_is_not_ready_sends_refused_callers_to_another_one() {
+    let cell = Cell::start(4, 2).await;
+    let owner = cell.owner().await;
+    cell.site.store.set(Faults { busy: true, ..Faults::default() });
+    let job = one_step("10", 1);
+    let closes = async |no: u16| {
+        let path = "/plain/00000000000000c7";
+        let answer = cell.call(no, Method::POST, path, &job).await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        answer.headers.get("Connection").is_some_and(|value| value == "close")
+    };
+    cell.until("the owner to close connections", async || closes(owner).await).await;
+}
+
 #[tokio::test]
 async fn an_append_whose_answer_is_lost_is_done_once() {
     let cell = Cell::start(4, 2).await;
