--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -24,10 +24,10 @@
 const STEADY: Millis = Millis(10_000);
 /// Two claims by one entry are this far apart, so that the first can be read back.
 const CLAIM_PAUSE: Millis = Millis(400);
-/// The longest time that a small entry leaves the claim to larger ones: longer than the time
-/// between two looks of those. An owner of 350 workers needs 0.21 of a core; on 0.12 of a core it
+/// The longest time that a small entry delays a claim, so that larger ones come first: longer than
+/// the time between two looks of those. An owner of 350 workers needs 0.21 of a core; on 0.12 of a core it
 /// served 0.44 of a calm day's credit.
-const COURTESY: Millis = Millis(320);
+const CLAIM_DELAY: Millis = Millis(320);
 
 /// A record of the claims' topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -234,20 +234,20 @@
             return None;
         }
         let since = *self.due.get_or_insert(now);
-        if now.since(since) < self.courtesy() {
+        if now.since(since) < self.claim_delay() {
             return None;
         }
         self.claimed = Some(now);
         Some(self.end)
     }
 
-    /// How long this entry leaves a claim to larger ones: not at all if it is the largest, as far
-    /// as that is known.
-    fn courtesy(&self) -> Millis {
+    /// How long this entry delays a claim that is due: not at all if it is the largest, as far as
+    /// that is known.
+    fn claim_delay(&self) -> Millis {
         /// Before the first owner all entries start together and know nothing of each other.
         const UNKNOWN: u32 = 500;
         let most = if self.most == 0 { UNKNOWN } else { self.most };
         let short = most.saturating_sub(self.cpu);
-        Millis(COURTESY.0 * u64::from(short) / u64::from(most.max(1)))
+        Millis(CLAIM_DELAY.0 * u64::from(short) / u64::from(most.max(1)))
     }
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -10,9 +10,9 @@
 pub mod journal;
 pub mod lag;
 pub mod life;
-pub mod pace;
 mod report;
 mod roster;
+pub mod run_times;
 mod schedule;
 pub mod worker;
 
@@ -23,7 +23,7 @@
 use advice::{Advisers, Question};
 use job::Job;
 use journal::{Batch, Fate, Member, Snapshot};
-use pace::Pace;
+use run_times::RunTimes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -95,7 +95,7 @@
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Name, Worker>,
     /// How long runs take, by queue.
-    paces: HashMap<Name, Pace>,
+    run_times: HashMap<Name, RunTimes>,
     /// Steps with tasks that need a worker, the most urgent first.
     ready: BTreeSet<(u32, Millis, StepKey)>,
     /// Steps whose time has not come, by the wall clock.
@@ -140,7 +140,7 @@
             queues,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
-            paces: HashMap::new(),
+            run_times: HashMap::new(),
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
             fresh: VecDeque::new(),
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -106,7 +106,7 @@
     fn learn(&mut self, task: TaskKey, took: Millis) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(spec) = job.spec(task.step.step).filter(|spec| !spec.lasting) else { return };
-        self.paces.entry(job.queue.name.clone()).or_default().add(spec.estimate, took);
+        self.run_times.entry(job.queue.name.clone()).or_default().add(spec.estimate, took);
     }
 
     fn end(&mut self, now: Millis, name: &Name, row: &EndedRow) {
--- a/src/cell/pace.rs
+++ b/src/cell/run_times.rs
@@ -14,13 +14,13 @@
 
 /// The ratio of run times to estimates.
 #[derive(Debug, Default)]
-pub struct Pace {
+pub struct RunTimes {
     count: u32,
     mean: f64,
     deviation: f64,
 }
 
-impl Pace {
+impl RunTimes {
     /// A run took so long.
     pub fn add(&mut self, estimate: Millis, took: Millis) {
         if estimate.0 == 0 {
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -177,8 +177,8 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
         let mut run = Run::bound(no, spec, Phase::Starting);
-        let pace = self.paces.get(&job.queue.name).filter(|_| !spec.lasting);
-        run.limit = pace.and_then(|pace| pace.limit(spec.estimate));
+        let times = self.run_times.get(&job.queue.name).filter(|_| !spec.lasting);
+        run.limit = times.and_then(|times| times.limit(spec.estimate));
         worker.add(task, run);
         let age = now.since(job.since);
         job.begun = true;
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -43,7 +43,7 @@
 
 /// What a worker did.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Deed {
+pub enum RunEvent {
     /// It began a run with this text.
     Start(String),
     /// A run ended like this.
@@ -54,7 +54,7 @@
 
 /// One thing that a worker did, in the order over all workers.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
+pub struct LedgerRow {
     /// The worker's id.
     pub worker: String,
     /// The task.
@@ -62,23 +62,23 @@
     /// The number of the start.
     pub run: u64,
     /// What was done.
-    pub deed: Deed,
+    pub event: RunEvent,
 }
 
 /// What all workers of a site did.
 #[derive(Debug, Default)]
-pub struct Ledger(Mutex<Vec<Entry>>);
+pub struct Ledger(Mutex<Vec<LedgerRow>>);
 
 impl Ledger {
     /// Notes one thing.
-    pub fn add(&self, entry: Entry) {
+    pub fn add(&self, entry: LedgerRow) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
     }
 
     /// The entries from `from` on.
-    pub fn since(&self, from: usize) -> Vec<Entry> {
+    pub fn since(&self, from: usize) -> Vec<LedgerRow> {
         let entries = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.get(from..).map(<[Entry]>::to_vec).unwrap_or_default()
+        entries.get(from..).map(<[LedgerRow]>::to_vec).unwrap_or_default()
     }
 }
 
@@ -176,7 +176,7 @@
         state.running.insert(task.clone(), run);
         state.starts.push((task.clone(), run));
         let spec = ask["spec"].as_str().unwrap_or_default();
-        self.note(&task, run, Deed::Start(spec.to_string()));
+        self.note(&task, run, RunEvent::Start(spec.to_string()));
         drop(state);
         let length = ask["spec"].as_str().and_then(|spec| spec.parse().ok()).unwrap_or(USUAL_RUN);
         let worker = self.clone();
@@ -197,7 +197,7 @@
         state.count += 1;
         let row = (state.count, task.to_string(), run, how);
         state.ended.push(row);
-        self.note(task, run, Deed::End(how));
+        self.note(task, run, RunEvent::End(how));
         let barred = state.barred.entry(task.to_string()).or_default();
         *barred = (*barred).max(run);
         drop(state);
@@ -205,9 +205,9 @@
     }
 
     /// Notes what was done; the caller holds the state's lock, so that the order is right.
-    fn note(&self, task: &str, run: u64, deed: Deed) {
+    fn note(&self, task: &str, run: u64, event: RunEvent) {
         let (worker, task) = (self.id.clone(), task.to_string());
-        self.ledger.add(Entry { worker, task, run, deed });
+        self.ledger.add(LedgerRow { worker, task, run, event });
     }
 
     fn stop(&self, ask: &Value) -> Reply {
@@ -250,7 +250,7 @@
             state.ended = rest;
             let known: Vec<(u64, String, u64, &str)> = known;
             for (no, task, run, _) in known {
-                self.note(&task, run, Deed::Confirm { lapsed: no <= state.lapsed });
+                self.note(&task, run, RunEvent::Confirm { lapsed: no <= state.lapsed });
             }
             state.ended.is_empty()
         };
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -459,7 +459,7 @@
 }
 
 /// A cell that has learned that runs take as long as they should, and two jobs with copies.
-fn cell_that_knows_the_pace() -> (Cell, u64) {
+fn cell_that_knows_run_times() -> (Cell, u64) {
     let mut cell = cell(&[listed("w1", "a"), listed("w2", "a")]);
     let mut now = 10;
     for key in 100..130 {
@@ -478,7 +478,7 @@
 
 #[test]
 fn late_runs_of_two_jobs_set_their_worker_aside_and_one_does_not() {
-    let (mut cell, begun) = cell_that_knows_the_pace();
+    let (mut cell, begun) = cell_that_knows_run_times();
     for key in [1, 2] {
         submit(&mut cell, begun, key, "q", vec![step(1)]);
     }
@@ -498,7 +498,7 @@
 
 #[test]
 fn a_late_task_gets_a_copy_and_the_first_one_done_counts() {
-    let (mut cell, begun) = cell_that_knows_the_pace();
+    let (mut cell, begun) = cell_that_knows_run_times();
     let key = submit(&mut cell, begun, 1, "q", vec![Step { copies: true, ..step(1) }]);
     let first = starts(&mut cell, begun);
     confirm(&mut cell, begun, &first);
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::Job;
 use sprucerudder::standin::site::CPU;
-use sprucerudder::standin::site::worker::{Deed, Entry, Ledger};
+use sprucerudder::standin::site::worker::{Ledger, LedgerRow, RunEvent};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -46,10 +46,10 @@
         let entries = ledger.since(self.read);
         self.read += entries.len();
         for entry in &entries {
-            match &entry.deed {
-                Deed::Start(spec) => self.start(entry, spec, jobs),
-                Deed::End(how) => self.end(entry, how, jobs),
-                Deed::Confirm { lapsed } => self.confirm(entry, *lapsed),
+            match &entry.event {
+                RunEvent::Start(spec) => self.start(entry, spec, jobs),
+                RunEvent::End(how) => self.end(entry, how, jobs),
+                RunEvent::Confirm { lapsed } => self.confirm(entry, *lapsed),
             }
         }
         for job in jobs.iter().filter(|job| job.told.state == "completed") {
@@ -73,8 +73,8 @@
         tasks.all(|task| self.done.contains_key(&task))
     }
 
-    fn start(&mut self, entry: &Entry, spec: &str, jobs: &[Job]) {
-        let Entry { worker, task, run, .. } = entry;
+    fn start(&mut self, entry: &LedgerRow, spec: &str, jobs: &[Job]) {
+        let LedgerRow { worker, task, run, .. } = entry;
         let job = parts(task).and_then(|(key, step, index)| {
             let job = jobs.iter().find(|job| job.key == key)?;
             let (count, cpu) = *job.steps.get(step)?;
@@ -107,8 +107,8 @@
         }
     }
 
-    fn end(&mut self, entry: &Entry, how: &str, jobs: &[Job]) {
-        let Entry { worker, task, run, .. } = entry;
+    fn end(&mut self, entry: &LedgerRow, how: &str, jobs: &[Job]) {
+        let LedgerRow { worker, task, run, .. } = entry;
         let cpu = parts(task).and_then(|(key, step, _)| {
             let job = jobs.iter().find(|job| job.key == key)?;
             job.steps.get(step).map(|(_, cpu)| *cpu)
@@ -129,7 +129,7 @@
         }
     }
 
-    fn confirm(&mut self, entry: &Entry, lapsed: bool) {
+    fn confirm(&mut self, entry: &LedgerRow, lapsed: bool) {
         let Some(done) = self.done.get_mut(&entry.task).filter(|done| done.run == entry.run) else {
             return;
         };
--- a/tests/soak/checks_test.rs
+++ b/tests/soak/checks_test.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{Job, Told};
 use crate::checks::Checks;
-use sprucerudder::standin::site::worker::{Deed, Entry, Ledger};
+use sprucerudder::standin::site::worker::{Ledger, LedgerRow, RunEvent};
 
 const KEY: &str = "00000000000000aa";
 
@@ -11,22 +11,22 @@
     Job { key: KEY.to_string(), spec: "50".to_string(), steps, told }
 }
 
-fn entry(worker: &str, place: &str, run: u64, deed: Deed) -> Entry {
-    Entry { worker: worker.to_string(), task: format!("{KEY}.0.{place}"), run, deed }
+fn entry(worker: &str, place: &str, run: u64, event: RunEvent) -> LedgerRow {
+    LedgerRow { worker: worker.to_string(), task: format!("{KEY}.0.{place}"), run, event }
 }
 
-fn start() -> Deed {
-    Deed::Start("50".to_string())
+fn start() -> RunEvent {
+    RunEvent::Start("50".to_string())
 }
 
 /// A worker, a task's place in its job, the number of its start, and what was done.
-type Did = (&'static str, &'static str, u64, Deed);
+type Did = (&'static str, &'static str, u64, RunEvent);
 
-/// What the checks say after these deeds.
-fn broken(deeds: &[Did], told: Told) -> String {
+/// What the checks say after these events.
+fn broken(events: &[Did], told: Told) -> String {
     let ledger = Ledger::default();
-    for (worker, place, run, deed) in deeds {
-        ledger.add(entry(worker, place, *run, deed.clone()));
+    for (worker, place, run, event) in events {
+        ledger.add(entry(worker, place, *run, event.clone()));
     }
     let (mut checks, jobs) = (Checks::default(), [job(told)]);
     checks.look(&ledger, &jobs);
@@ -40,30 +40,30 @@
 
 #[test]
 fn a_job_that_runs_as_it_should_breaks_nothing() {
-    let deeds = [
+    let events = [
         ("w1", "0.0", 1, start()),
         ("w2", "0.1", 1, start()),
-        ("w1", "0.0", 1, Deed::End("done")),
-        ("w2", "0.1", 1, Deed::End("failed")),
+        ("w1", "0.0", 1, RunEvent::End("done")),
+        ("w2", "0.1", 1, RunEvent::End("failed")),
         ("w1", "0.1", 2, start()),
-        ("w1", "0.1", 2, Deed::End("done")),
-        ("w1", "0.1", 2, Deed::Confirm { lapsed: false }),
+        ("w1", "0.1", 2, RunEvent::End("done")),
+        ("w1", "0.1", 2, RunEvent::Confirm { lapsed: false }),
         ("w2", "1.0", 1, start()),
-        ("w2", "1.0", 1, Deed::End("done")),
+        ("w2", "1.0", 1, RunEvent::End("done")),
     ];
-    assert_eq!(broken(&deeds, told("completed")), "");
+    assert_eq!(broken(&events, told("completed")), "");
 }
 
 #[test]
 fn each_broken_promise_is_found() {
-    let done = Deed::End("done");
-    let confirm = Deed::Confirm { lapsed: false };
+    let done = RunEvent::End("done");
+    let confirm = RunEvent::Confirm { lapsed: false };
     let cases: [(&[Did], Told, &str); 8] = [
         (&[("w1", "0.0", 1, start()), ("w2", "0.0", 2, start())], told(""), "twice at once"),
         (&[("w1", "0.0", 1, start()), ("w1", "0.1", 1, start())], told(""), "over what"),
         (&[("w1", "1.0", 1, start())], told(""), "before what it depends on"),
         (&[("w1", "0.7", 1, start())], told(""), "nobody asked"),
-        (&[("w1", "0.0", 1, Deed::Start("60".to_string()))], told(""), "nobody asked"),
+        (&[("w1", "0.0", 1, RunEvent::Start("60".to_string()))], told(""), "nobody asked"),
         (
             &[
                 ("w1", "0.0", 1, start()),
@@ -81,13 +81,13 @@
             "shown as completed",
         ),
         (
-            &[("w1", "0.0", 1, start()), ("w1", "0.0", 1, Deed::End("done"))],
+            &[("w1", "0.0", 1, start()), ("w1", "0.0", 1, RunEvent::End("done"))],
             Told { refused: true, ..Told::default() },
             "every try was refused",
         ),
     ];
-    for (deeds, told, wanted) in cases {
-        let found = broken(deeds, told);
+    for (events, told, wanted) in cases {
+        let found = broken(events, told);
         assert!(found.contains(wanted), "{wanted}: {found}");
     }
 }
