A question is asked again when its entry connects anew

Read through for what can hold a step for good: an entry whose link went silent connects anew while the owner still holds the old connection; the owner kept its question as being asked, its answer was dropped with the old link, and when the old connection ended the newer one hid it.

Ruled out: room and tickets (most room was free), doubt after a takeover (ends with the leases), ranks.

Change: joining again gives the question back. The test failed before and passes now.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -35,9 +35,9 @@
 }
 
 impl Advisers {
-    /// An entry can ask from now on.
-    pub fn join(&mut self, entry: Name) {
-        self.callers.entry(entry).or_default();
+    /// An entry can ask from now on; the question that was lost with its earlier connection, if any.
+    pub fn join(&mut self, entry: Name) -> Option<StepKey> {
+        self.callers.insert(entry, None).flatten().map(|(step, _)| step)
     }
 
     /// An entry cannot ask any more; the question that is lost with it, if any.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -365,9 +365,13 @@
         self.workers.values().map(member).collect()
     }
 
-    /// An entry can ask the advice service.
+    /// An entry can ask the advice service from now on. It may have connected anew before its
+    /// earlier connection was noticed as broken: without asking its question again, the step would
+    /// wait for good.
     pub fn join(&mut self, entry: Name) {
-        self.advisers.join(entry);
+        if let Some(step) = self.advisers.join(entry) {
+            self.forget_question(step);
+        }
         self.ask_next();
     }
 
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,7 +5,7 @@
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{End, EndedRow, HoldError, Listed, Outcome, Report, RunningRow, Start};
-use sprucerudder::workload::{JobKey, Queue, Room, Step, TaskKey, Work};
+use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, TaskKey, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -517,3 +517,23 @@
     let stops = |action: &Action| matches!(action, Action::Stop { run, .. } if *run == start.run);
     assert!(cell.take_actions().iter().any(stops), "the one that stands still is stopped");
 }
+
+#[test]
+fn a_question_is_asked_again_when_its_entry_connects_anew() {
+    let advice = Advice { base: Millis(20), each: 300, valid: Millis(2_500) };
+    let advised = Arc::new(Queue { advice: Some(advice), ..(*queue("q", 0)).clone() });
+    let mut cell = cell(&[listed("w1", "a")]);
+    cell.set_queues(HashMap::from([("q".into(), advised)]));
+    cell.join("e".into());
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    let asks = |cell: &mut Cell, now: u64| {
+        cell.schedule(Millis(now));
+        let actions = cell.take_actions().into_iter();
+        actions.filter(|action| matches!(action, Action::Ask { .. })).count()
+    };
+    assert_eq!(asks(&mut cell, 11), 1);
+    assert_eq!(asks(&mut cell, 12), 0, "it is under way");
+    // The old connection may be noticed as broken later, or never.
+    cell.join("e".into());
+    assert_eq!(asks(&mut cell, 13), 1);
+}
