--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -9,9 +9,10 @@
 use serde_json::json;
 use sprucerudder::clock::Millis;
 use sprucerudder::platform::http::{Http, uri};
+use sprucerudder::standin::process::Process;
 use sprucerudder::standin::site::Site;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 const HOST: &str = "127.77.1.1";
@@ -25,14 +26,7 @@
 const WARM: Duration = Duration::from_secs(3);
 const LOADED: Duration = Duration::from_secs(10);
 
-struct Entry(Child);
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        drop(self.0.kill());
-        drop(self.0.wait());
-    }
-}
+struct Entry(Process);
 
 impl Entry {
     /// Processor time so far, in clock ticks of a hundredth of a second.
@@ -54,14 +48,8 @@
 
 fn start(site: &Site) -> Entry {
     let path: PathBuf = std::env::temp_dir().join(format!("owner-{}.toml", std::process::id()));
-    std::fs::write(&path, site.settings(0)).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
-        .args(["node", "--settings"])
-        .arg(&path)
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap();
-    Entry(child)
+    let program = env!("CARGO_BIN_EXE_sprucerudder");
+    Entry(Process::node(program, &path, &site.settings(0), &[], Stdio::null()).unwrap())
 }
 
 async fn submit(http: &Http, addr: &str, key: u64) -> StatusCode {
@@ -121,7 +109,9 @@
 
 #[tokio::main]
 async fn main() {
-    let sizes: Vec<usize> = std::env::args().filter_map(|arg| arg.parse().ok()).collect();
+    // Cargo adds flags of its own, such as `--bench`.
+    let sizes = std::env::args().skip(1).filter(|arg| !arg.starts_with('-'));
+    let sizes: Vec<usize> = sizes.map(|arg| arg.parse().expect("a number of workers")).collect();
     let sizes = if sizes.is_empty() { vec![48, 200, 350] } else { sizes };
     for workers in sizes {
         measure(workers).await;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -163,7 +163,11 @@
 
 /// Sends logs to standard error: for each event one line of key=value pairs and nothing else.
 fn start_log(level: LevelFilter) {
-    let _ = TermLogger::init(level, logs::config(), TerminalMode::Stderr, ColorChoice::Never);
+    let started = TermLogger::init(level, logs::config(), TerminalMode::Stderr, ColorChoice::Never);
+    if let Err(err) = started {
+        // Another log is in use already, and goes on.
+        eprintln!("event=log-started-twice error={err:?}");
+    }
 }
 
 /// A runtime with several threads.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -54,8 +54,9 @@
         for more in queue.try_iter() {
             lines.extend_from_slice(&more);
         }
-        if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-            // Nobody reads the log any more.
+        if let Err(err) = out.write_all(&lines).and_then(|()| out.flush()) {
+            // Nobody reads the log any more: later lines count as dropped.
+            eprintln!("event=log-unwritable error={err:?}");
             return;
         }
     }
@@ -82,7 +83,7 @@
     let (queue, lines) = sync_channel(QUEUE);
     std::thread::spawn(move || drain(&lines));
     let sink = Sink { line: Vec::new(), queue };
-    if WriteLogger::init(level, config(), sink).is_err() {
-        eprintln!("event=log-started-twice");
+    if let Err(err) = WriteLogger::init(level, config(), sink) {
+        eprintln!("event=log-started-twice error={err:?}");
     }
 }
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -68,17 +68,24 @@
             lock(&self.waiting).remove(&no);
             return Err(LinkError::Unsent);
         }
-        if self.out.try_send(frame).is_err() {
+        if let Err(err) = self.out.try_send(frame) {
+            // The owner reads too slowly or is gone: nothing left, so the question may be repeated.
+            log::info!("event=question-not-sent no={no} error={err}");
             lock(&self.waiting).remove(&no);
             return Err(LinkError::Unsent);
         }
-        rx.await.map_err(|_| LinkError::Broken)
+        rx.await.map_err(|_| {
+            log::debug!("event=question-unanswered no={no}");
+            LinkError::Broken
+        })
     }
 
     fn answer(&self, frame: Frame<Tell>) {
         if let Some(waiter) = lock(&self.waiting).remove(&frame.no) {
-            // A caller that went away does not read its answer.
-            drop(waiter.send(frame.body));
+            if waiter.send(frame.body).is_err() {
+                // Its caller went away, and does not read the answer.
+                log::debug!("event=answer-unread no={}", frame.no);
+            }
         }
     }
 }
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -11,14 +11,26 @@
 
 /// The host that a caller names.
 pub fn host<B>(request: &Request<B>) -> &str {
-    let header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let header = request.headers().get(HOST).and_then(|host| text(HOST.as_str(), host));
+    // Without a host no route fits, and the caller is told so.
     header.or(request.uri().host()).unwrap_or_default()
 }
 
+/// A header's text; one that is none counts as absent.
+fn text<'a>(name: &str, value: &'a HeaderValue) -> Option<&'a str> {
+    let text = value.to_str();
+    text.inspect_err(|err| log::info!("event=header-unreadable name={name} error={err:?}")).ok()
+}
+
 /// How long a caller waits.
 pub fn deadline<B>(request: &Request<B>) -> Option<Millis> {
-    let text = request.headers().get(DEADLINE_HEADER)?.to_str().ok()?;
-    text.trim().parse::<f64>().ok().map(|ms| Millis(ms.max(0.0) as u64))
+    let text = text(DEADLINE_HEADER, request.headers().get(DEADLINE_HEADER)?)?;
+    let parsed = text.trim().parse::<f64>();
+    let parsed = parsed.inspect_err(|err| {
+        // The caller is served with the usual time, as one that does not say.
+        log::info!("event=header-unreadable name={DEADLINE_HEADER} error={err:?}");
+    });
+    parsed.ok().map(|ms| Millis(ms.max(0.0) as u64))
 }
 
 /// What a caller is told.
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -62,6 +62,21 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// What a body says of its answer, or the defaults: most answers have none. A body that cannot
+    /// be read leaves the status alone to decide, which is the safe side: a refusal whose reason is
+    /// not known counts as the general one.
+    pub fn detail<T: DeserializeOwned + Default>(&self) -> T {
+        if self.body.is_empty() {
+            return T::default();
+        }
+        serde_json::from_slice(&self.body).unwrap_or_else(|err| {
+            log::warn!("event=answer-unreadable status={} error={err:?}", self.status.as_u16());
+            T::default()
+        })
+    }
+}
+
 /// The client.
 #[derive(Debug, Clone)]
 pub struct Http {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -151,11 +151,16 @@
     body.put_slice(value);
 }
 
-/// Splits a record of a keyed topic into its key and its value.
+/// Splits a record of a keyed topic into its key and its value; `None`: it is not such a record.
+/// One bad record must not hide the others, so readers go on without it.
 pub fn split_keyed(record: &Bytes) -> Option<(Name, Bytes)> {
-    let len = usize::from(*record.first()?);
-    let key = std::str::from_utf8(record.get(1..1 + len)?).ok()?;
-    Some((key.into(), record.slice(1 + len..)))
+    let split = || -> Result<(Name, Bytes), String> {
+        let len = usize::from(*record.first().ok_or("it is empty")?);
+        let key = record.get(1..1 + len).ok_or("it is shorter than its key")?;
+        let key = std::str::from_utf8(key).map_err(|err| err.to_string())?;
+        Ok((key.into(), record.slice(1 + len..)))
+    };
+    split().inspect_err(|err| log::warn!("event=record-unreadable error={err:?}")).ok()
 }
 
 impl Store {
@@ -179,7 +184,7 @@
         let answer = answer.map_err(StoreError::Unknown)?;
         match answer.status {
             status if status.is_success() => Ok(answer),
-            status => Err(problem(status, &answer.body)),
+            _ => Err(problem(&answer)),
         }
     }
 
@@ -278,15 +283,14 @@
     serde_json::from_slice(body).map_err(|err| StoreError::Malformed(err.to_string()))
 }
 
-fn problem(status: StatusCode, body: &[u8]) -> StoreError {
-    // A refusal without a body carries no more than its status.
-    let raw: RawProblem = serde_json::from_slice(body).unwrap_or_default();
-    match (status, raw.reason.as_str()) {
+fn problem(answer: &Answer) -> StoreError {
+    let raw: RawProblem = answer.detail();
+    match (answer.status, raw.reason.as_str()) {
         (StatusCode::PRECONDITION_FAILED, _) => StoreError::Moved(raw.end),
         (StatusCode::CONFLICT, "fenced") => StoreError::Fenced,
         (StatusCode::CONFLICT, "seq") => StoreError::Sequence,
         (StatusCode::GONE, _) => StoreError::Gone(raw.first),
-        _ => StoreError::Refused(status),
+        _ => StoreError::Refused(answer.status),
     }
 }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -4,7 +4,7 @@
 use crate::id::Name;
 use crate::order::{End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow, Start};
 use crate::platform::http::{Answer, Http, HttpError, uri};
-use crate::workload::{Room, TaskKey};
+use crate::workload::{KeyError, Room, TaskKey};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::CONTENT_TYPE;
@@ -53,6 +53,11 @@
         log::warn!("event=worker-without-capacity worker={id}");
     }
     let room = raw.capacity.map(|room| Room { cpu: room.cpu, mem: room.mem_mb, gpu: room.gpu });
+    let leaves = *raw.state == *DRAINING;
+    if leaves && raw.remaining_ms.is_none() {
+        // It may be gone at any moment: what runs there is moved.
+        log::warn!("event=worker-without-time-left worker={id}");
+    }
     let left = Millis(raw.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
     Ok(Listed {
         id,
@@ -61,7 +66,7 @@
         domain: raw.zone,
         room: room.unwrap_or_default(),
         labels: raw.labels,
-        leaving: (*raw.state == *DRAINING).then_some(left),
+        leaving: leaves.then_some(left),
     })
 }
 
@@ -234,8 +239,7 @@
 }
 
 fn outcome(answer: &Answer) -> Outcome {
-    // Some answers have no body: then there is no clock and no reason.
-    let raw: RawAnswer = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let raw: RawAnswer = answer.detail();
     match (answer.status, raw.reason.as_str()) {
         (status, _) if status.is_success() => Outcome::Done(raw.clock_ms.map(|ms| ms as u64)),
         (StatusCode::CONFLICT, "fence") => Outcome::Refused(Refusal::Fence),
@@ -254,20 +258,17 @@
 
 fn report(body: &[u8]) -> Result<Report, String> {
     let raw: RawReport<'_> = serde_json::from_slice(body).map_err(|err| err.to_string())?;
-    let running = raw.running.iter().map(running).collect::<Option<_>>();
-    let ended = raw.ended.iter().map(ended).collect::<Option<_>>();
-    let bad = || "a row of a report cannot be read".to_string();
     Ok(Report {
         clock: raw.clock_ms as u64,
-        running: running.ok_or_else(bad)?,
-        ended: ended.ok_or_else(bad)?,
+        running: raw.running.iter().map(running).collect::<Result<_, _>>()?,
+        ended: raw.ended.iter().map(ended).collect::<Result<_, _>>()?,
     })
 }
 
-fn running(row: &RawRunning<'_>) -> Option<RunningRow> {
+fn running(row: &RawRunning<'_>) -> Result<RunningRow, String> {
     let RawRunning(task, run, saved, percent, gauge) = row;
-    Some(RunningRow {
-        task: task.parse().ok()?,
+    Ok(RunningRow {
+        task: parse_task(task)?,
         run: *run,
         saved: name(saved),
         percent: *percent as u32,
@@ -284,7 +285,7 @@
     }
 }
 
-fn ended(row: &RawEnded<'_>) -> Option<EndedRow> {
+fn ended(row: &RawEnded<'_>) -> Result<EndedRow, String> {
     let RawEnded(no, task, run, how, saved) = row;
     let end = match how.as_ref() {
         "done" => End::Done,
@@ -293,7 +294,11 @@
         "lapsed" => End::Lapsed,
         "broken" => End::Broken,
         "alone" => End::Alone,
-        _ => return None,
+        other => return Err(format!("{other:?} is not an end of {task}")),
     };
-    Some(EndedRow { no: *no, task: task.parse().ok()?, run: *run, end, saved: name(saved) })
+    Ok(EndedRow { no: *no, task: parse_task(task)?, run: *run, end, saved: name(saved) })
+}
+
+fn parse_task(text: &str) -> Result<TaskKey, String> {
+    text.parse().map_err(|err: KeyError| err.to_string())
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 //! Each is an HTTP server with settable faults and a time line of what truly happened.
 
 pub mod platform;
+pub mod process;
 pub mod runner;
 pub mod site;
 pub mod worker;
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -35,7 +35,9 @@
 
 impl Call {
     fn number(&self, name: &str) -> Option<u64> {
-        self.query.get(name)?.parse().ok()
+        let text = self.query.get(name)?;
+        let parsed = text.parse();
+        parsed.inspect_err(|err| log::warn!("event=bad-query {name}={text} error={err:?}")).ok()
     }
 
     fn text(&self, name: &str) -> &str {
@@ -43,7 +45,33 @@
     }
 
     fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+        serde_json::from_slice(&self.body).unwrap_or_else(|err| {
+            // Its fields count as absent then.
+            log::warn!("event=bad-body path={} error={err:?}", self.path);
+            Value::Null
+        })
+    }
+}
+
+/// A number that a call may leave out: 0 then, by the platform's contract.
+pub(super) fn number(ask: &Value, name: &str) -> u64 {
+    match &ask[name] {
+        Value::Null => 0,
+        value => value.as_u64().unwrap_or_else(|| {
+            log::warn!("event=bad-field {name}={value}");
+            0
+        }),
+    }
+}
+
+/// A text that a call may leave out: empty then, by the platform's contract.
+pub(super) fn text<'a>(ask: &'a Value, name: &str) -> &'a str {
+    match &ask[name] {
+        Value::Null => "",
+        value => value.as_str().unwrap_or_else(|| {
+            log::warn!("event=bad-field {name}={value}");
+            ""
+        }),
     }
 }
 
@@ -60,9 +88,16 @@
     let pairs = request.uri().query().unwrap_or_default().split('&');
     let query = pairs.filter_map(|pair| pair.split_once('='));
     let query = query.map(|(name, value)| (name.to_string(), value.to_string())).collect();
-    let life = request.headers().get(LIFE).and_then(|life| life.to_str().ok()).map(str::to_string);
+    // One that is no text names no life of any worker, and is refused as such.
+    let life = request.headers().get(LIFE);
+    let life = life.map(|life| String::from_utf8_lossy(life.as_bytes()).into_owned());
     let body = Limited::new(request.into_body(), MAX_BODY).collect().await;
-    Call { path, query, life, body: body.map(|body| body.to_bytes()).unwrap_or_default() }
+    let body = body.map(|body| body.to_bytes()).unwrap_or_else(|err| {
+        // The caller broke off or sent too much: without a body the call does nothing.
+        log::warn!("event=body-unread path={path} error={err:?}");
+        Bytes::new()
+    });
+    Call { path, query, life, body }
 }
 
 /// Answers calls on a listener until its task is dropped.
@@ -86,8 +121,10 @@
         });
         let builder = hyper::server::conn::http1::Builder::new();
         tokio::spawn(async move {
-            // A caller may close whenever it likes.
-            drop(builder.serve_connection(TokioIo::new(stream), service).await);
+            if let Err(err) = builder.serve_connection(TokioIo::new(stream), service).await {
+                // A caller may close whenever it likes.
+                log::debug!("event=connection-ended error={err:?}");
+            }
         });
     }
 }
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -1,7 +1,7 @@
 //! A worker without guards: it obeys the highest fence, runs under leases and lists its ends.
 
 use crate::standin::site::store::Store;
-use crate::standin::site::{Call, Reply, answer};
+use crate::standin::site::{Call, Reply, answer, number, text};
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
@@ -156,9 +156,9 @@
     }
 
     fn start(self: &Arc<Self>, ask: &Value) -> Reply {
-        let task = ask["task"].as_str().unwrap_or_default().to_string();
-        let run = ask["run"].as_u64().unwrap_or(0);
-        let until = ask["until_ms"].as_u64().unwrap_or(0);
+        let task = text(ask, "task").to_string();
+        let run = number(ask, "run");
+        let until = number(ask, "until_ms");
         let mut state = self.state();
         if until <= self.clock() {
             return self.refuse("late");
@@ -175,10 +175,13 @@
         }
         state.running.insert(task.clone(), run);
         state.starts.push((task.clone(), run));
-        let spec = ask["spec"].as_str().unwrap_or_default();
+        let spec = text(ask, "spec");
         self.note(&task, run, RunEvent::Start(spec.to_string()));
         drop(state);
-        let length = ask["spec"].as_str().and_then(|spec| spec.parse().ok()).unwrap_or(USUAL_RUN);
+        let length = text(ask, "spec").parse().unwrap_or_else(|err| {
+            log::debug!("event=usual-run task={task} error={err:?}");
+            USUAL_RUN
+        });
         let worker = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(length)).await;
@@ -211,8 +214,8 @@
     }
 
     fn stop(&self, ask: &Value) -> Reply {
-        let task = ask["task"].as_str().unwrap_or_default();
-        let run = ask["run"].as_u64().unwrap_or(0);
+        let task = text(ask, "task");
+        let run = number(ask, "run");
         {
             let mut state = self.state();
             let barred = state.barred.entry(task.to_string()).or_default();
@@ -236,15 +239,15 @@
     }
 
     async fn hold(&self, ask: &Value) -> Reply {
-        let seen = ask["last_seen"].as_u64().unwrap_or(0);
-        let wait = Duration::from_millis(ask["wait_ms"].as_u64().unwrap_or(0));
+        let seen = number(ask, "last_seen");
+        let wait = Duration::from_millis(number(ask, "wait_ms"));
         let mut changed = self.changed.subscribe();
         let busy = {
             let mut state = self.state();
             if self.clock() >= state.until {
                 state.lapsed = state.count;
             }
-            state.until = state.until.max(ask["until_ms"].as_u64().unwrap_or(0));
+            state.until = state.until.max(number(ask, "until_ms"));
             let (known, rest) =
                 std::mem::take(&mut state.ended).into_iter().partition(|(no, ..)| *no <= seen);
             state.ended = rest;
@@ -292,7 +295,7 @@
 }
 
 async fn carry_out(worker: &Arc<Worker>, path: &str, ask: &Value) -> Reply {
-    let fence = ask["fence"].as_u64().unwrap_or(0);
+    let fence = number(ask, "fence");
     {
         let mut state = worker.state();
         if fence < state.fence {
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -5,14 +5,22 @@
 
 use cellworld::{Without, search};
 
+/// A number from the environment; one that cannot be read is a fault, not the usual one.
+fn number(name: &str, usual: u64) -> u64 {
+    match std::env::var(name) {
+        Ok(text) => text.parse().unwrap_or_else(|err| panic!("{name}={text:?}: {err}")),
+        Err(_) => usual,
+    }
+}
+
 /// Runs of one search; `SPRUCE_CASES` sets another number.
 fn cases() -> u64 {
-    std::env::var("SPRUCE_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(400)
+    number("SPRUCE_CASES", 400)
 }
 
 /// The first seed; `SPRUCE_SEED` sets another one.
 fn first_seed() -> u64 {
-    std::env::var("SPRUCE_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
+    number("SPRUCE_SEED", 1)
 }
 
 #[test]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,7 +1,5 @@
 //! Entries on the platform, as separate processes, against the stand-in of the platform.
 
-#![allow(clippy::zombie_processes, reason = "each process is waited for when it is dropped")]
-
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
@@ -10,11 +8,12 @@
 use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
 use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use sprucerudder::standin::process::Process;
 use sprucerudder::standin::site::Site;
 use sprucerudder::standin::site::store::Faults;
 use std::collections::HashMap;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Stdio;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
@@ -23,21 +22,8 @@
 const LOOK: Duration = Duration::from_millis(30);
 const PORT: u16 = 20_000;
 
-struct Entry {
-    child: Child,
-}
-
-impl Entry {
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-    }
+fn signal(entry: &Process, signal: Signal) {
+    kill(Pid::from_raw(entry.id() as i32), signal).unwrap();
 }
 
 /// A site with entries, on a loopback address of its own.
@@ -45,7 +31,7 @@
     site: Site,
     http: Http,
     folder: PathBuf,
-    entries: HashMap<u16, Entry>,
+    entries: HashMap<u16, Process>,
 }
 
 impl Cell {
@@ -68,14 +54,10 @@
 
     fn start_entry(&mut self, no: u16) {
         let path = self.folder.join(format!("{no}.toml"));
-        std::fs::write(&path, self.site.settings(no)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
-            .args(["node", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        self.entries.insert(no, Entry { child });
+        let program = env!("CARGO_BIN_EXE_sprucerudder");
+        let settings = self.site.settings(no);
+        let entry = Process::node(program, &path, &settings, &[], Stdio::null()).unwrap();
+        self.entries.insert(no, entry);
     }
 
     async fn await_ready(&self, no: u16) {
@@ -246,7 +228,7 @@
         cell.submit(0, path, &one_step("900", 3)).await;
     }
     let owner = cell.owner().await;
-    cell.entries[&owner].signal(Signal::SIGKILL);
+    signal(&cell.entries[&owner], Signal::SIGKILL);
     cell.entries.remove(&owner);
     let other = (0..3).find(|no| *no != owner).unwrap();
     let late = "/plain/00000000000000c0";
@@ -262,11 +244,11 @@
 async fn a_paused_owner_is_replaced_and_gives_no_orders_afterwards() {
     let cell = Cell::start(6, 3).await;
     let owner = cell.owner().await;
-    cell.entries[&owner].signal(Signal::SIGSTOP);
+    signal(&cell.entries[&owner], Signal::SIGSTOP);
     let other = (0..3).find(|no| *no != owner).unwrap();
     let path = "/plain/00000000000000c1";
     cell.submit(other, path, &one_step("300", 4)).await;
-    cell.entries[&owner].signal(Signal::SIGCONT);
+    signal(&cell.entries[&owner], Signal::SIGCONT);
     cell.await_state(other, path, "completed").await;
     cell.await_state(owner, path, "completed").await;
     let starts = cell.starts();
@@ -278,14 +260,14 @@
     let mut cell = Cell::start(4, 3).await;
     let owner = cell.owner().await;
     let other = (0..3).find(|no| *no != owner).unwrap();
-    cell.entries[&owner].signal(Signal::SIGTERM);
+    signal(&cell.entries[&owner], Signal::SIGTERM);
     for no in 0..20 {
         let path = format!("/plain/{:016x}", 0xd00 + no);
         let from = if no % 2 == 0 { owner } else { other };
         let status = cell.status(from, Method::POST, &path, &one_step("20", 1)).await;
         assert_eq!(status, StatusCode::OK, "request {no}");
     }
-    let status = cell.entries.get_mut(&owner).unwrap().child.wait().unwrap();
+    let status = cell.entries.get_mut(&owner).unwrap().wait().unwrap();
     assert!(status.success());
     for no in 0..20 {
         cell.await_state(other, &format!("/plain/{:016x}", 0xd00 + no), "completed").await;
@@ -343,7 +325,7 @@
     let mut cell = Cell::start(4, 2).await;
     cell.site.store.set(Faults { lose_fences: 1, ..Faults::default() });
     let owner = cell.owner().await;
-    cell.entries[&owner].signal(Signal::SIGKILL);
+    signal(&cell.entries[&owner], Signal::SIGKILL);
     cell.entries.remove(&owner);
     let path = "/plain/00000000000000c6";
     cell.submit(1 - owner, path, &one_step("50", 2)).await;
@@ -358,7 +340,7 @@
         cell.submit(0, path, &one_step("700", 2)).await;
     }
     for entry in cell.entries.values() {
-        entry.signal(Signal::SIGKILL);
+        signal(entry, Signal::SIGKILL);
     }
     cell.entries.clear();
     for no in 0..3 {
--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -4,10 +4,11 @@
 use crate::proxy::Proxy;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use sprucerudder::standin::process::Process;
 use sprucerudder::standin::site::{ENTRY_PORTS, Site};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Stdio;
 use std::sync::Arc;
 
 /// The first port of a cell on its own loopback address; relays are this much above what they
@@ -19,7 +20,7 @@
 
 /// One entry: its process, if there is one now, and the relays on its ways.
 pub struct Entry {
-    child: Option<Child>,
+    process: Option<Process>,
     pub store: Arc<Proxy>,
     pub advice: Arc<Proxy>,
     /// From other entries.
@@ -58,7 +59,7 @@
             let base = PORT + RELAY + ENTRY_PORTS + no * 10;
             let peer = PORT + ENTRY_PORTS + no * 10 + PEER;
             let entry = Entry {
-                child: None,
+                process: None,
                 store: Proxy::start(addr(&host, base), addr(&host, PORT)).await,
                 advice: Proxy::start(addr(&host, base + 1), addr(&host, PORT + 1)).await,
                 peer: Proxy::start(addr(&host, base + PEER), addr(&host, peer)).await,
@@ -78,49 +79,45 @@
             .replace(&format!("\"{host}:{PORT}\""), &format!("\"{}\"", entry.store.addr))
             .replace(&format!("\"{host}:{}\"", PORT + 1), &format!("\"{}\"", entry.advice.addr));
         let path = self.folder.join(format!("{no}.toml"));
-        std::fs::write(&path, through).unwrap();
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{no}.log")))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
-            .args(["node", "--advertise", &entry.peer.addr.to_string(), "--settings"])
-            .arg(&path)
-            .stdout(Stdio::from(log))
-            .spawn()
-            .unwrap();
-        entry.child = Some(child);
+        let program = env!("CARGO_BIN_EXE_sprucerudder");
+        let more = ["--advertise", &entry.peer.addr.to_string()];
+        let process = Process::node(program, &path, &through, &more, Stdio::from(log));
+        entry.process = Some(process.unwrap());
     }
 
     /// Sends a signal to an entry's process, if it has one.
     pub fn signal(&self, no: u16, signal: Signal) {
-        if let Some(child) = &self.entries[usize::from(no)].child {
+        if let Some(process) = &self.entries[usize::from(no)].process
+            && let Err(err) = kill(Pid::from_raw(process.id() as i32), signal)
+        {
             // It may have ended by itself a moment ago: the check of its end tells.
-            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+            eprintln!("event=not-signalled entry={no} signal={signal} error={err:?}");
         }
     }
 
     /// Kills an entry's process and waits for its end.
     pub fn kill_entry(&mut self, no: u16) {
-        if let Some(mut child) = self.entries[usize::from(no)].child.take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
+        drop(self.entries[usize::from(no)].process.take());
     }
 
     /// Whether an entry's process ended; one that did is forgotten.
     pub fn has_ended(&mut self, no: u16) -> bool {
         let entry = &mut self.entries[usize::from(no)];
-        let ended = entry.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some());
+        let ended =
+            entry.process.as_mut().is_some_and(|process| process.try_wait().unwrap().is_some());
         if ended {
-            entry.child = None;
+            entry.process = None;
         }
         ended
     }
 
     pub fn is_running(&self, no: u16) -> bool {
-        self.entries[usize::from(no)].child.is_some()
+        self.entries[usize::from(no)].process.is_some()
     }
 
     /// Where logs and settings are.
@@ -128,14 +125,3 @@
         &self.folder
     }
 }
-
-impl Drop for Cell {
-    fn drop(&mut self) {
-        for entry in &mut self.entries {
-            if let Some(child) = &mut entry.child {
-                drop(child.kill());
-                drop(child.wait());
-            }
-        }
-    }
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,8 +3,6 @@
 //!
 //! `SPRUCE_SOAK=50 SPRUCE_SOAK_SEED=1000 cargo test --release --test soak` runs fifty other seeds.
 
-#![allow(clippy::zombie_processes, reason = "each process is waited for when it is dropped")]
-
 mod callers;
 mod cell;
 mod checks;
@@ -48,7 +46,10 @@
 const RESTART: Duration = Duration::from_millis(300);
 
 fn number(name: &str, usual: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+    match std::env::var(name) {
+        Ok(text) => text.parse().unwrap_or_else(|err| panic!("{name}={text:?}: {err}")),
+        Err(_) => usual,
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -106,7 +107,9 @@
         let Run { cell, checks, .. } = run;
         if checks.broken.is_empty() {
             // Only a failed seed's logs are worth keeping.
-            drop(std::fs::remove_dir_all(cell.folder()));
+            if let Err(err) = std::fs::remove_dir_all(cell.folder()) {
+                eprintln!("event=logs-left seed={seed} error={err:?}");
+            }
             return None;
         }
         Some(format!(
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -58,8 +58,10 @@
     let born = modes.borrow_and_update().resets;
     let Ok(callee) = TcpStream::connect(target).await else { return };
     for stream in [&caller, &callee] {
-        // An abortive close: the other side sees a reset.
-        drop(stream.set_nodelay(true));
+        if let Err(err) = stream.set_nodelay(true) {
+            // It was closed already: the relay ends at its first read.
+            eprintln!("event=relay-odd error={err:?}");
+        }
     }
     let (up_in, down_out) = caller.into_split();
     let (down_in, up_out) = callee.into_split();
@@ -82,6 +84,7 @@
 ) {
     let mut bytes = vec![0; 16 * 1024];
     loop {
+        // Either side may close or break off: the relay passes that on by closing the other.
         let Ok(len) = from.read(&mut bytes).await else { return };
         let Ok(mode) = modes.wait_for(|mode| !muted(mode)).await.map(|mode| *mode) else { return };
         tokio::time::sleep(mode.delay).await;
