Terms of the field: straggler, step down, back off, transfer; one retry pause for the store

From reading the change since: 'outvoted', 'abstain', 'yield' and 'vacant' needed explaining, and the pause after a failure of the store stood in two files under two names. No behaviour changes.

--- a/src/cell/authority.rs
+++ b/src/cell/authority.rs
@@ -88,7 +88,7 @@
 
     /// Whether most other entries read the log after it had failed this owner: one of them should
     /// own the cell. Without this the cell waits for the owner's silence, 1.2 s.
-    pub fn is_outvoted(&self, now: Millis) -> bool {
+    pub fn is_isolated(&self, now: Millis) -> bool {
         self.asked.is_some() && 2 * self.able.len() > self.known(now)
     }
 
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -93,7 +93,7 @@
     /// Since when a claim is due.
     due: Option<Millis>,
     /// Claims are left to others until then.
-    abstains: Millis,
+    back_off_until: Millis,
 }
 
 impl Election {
@@ -112,7 +112,7 @@
             absent: false,
             claimed: None,
             due: None,
-            abstains: Millis(0),
+            back_off_until: Millis(0),
         }
     }
 
@@ -203,13 +203,13 @@
     }
 
     /// The owner of `epoch` told that it gave the cell up, though it cannot write that to the log.
-    pub fn vacate(&mut self, epoch: u64) {
+    pub fn step_down(&mut self, epoch: u64) {
         self.released = self.released || (epoch > 0 && self.epoch() == epoch);
     }
 
     /// Leaves claims to others until `until`: this entry does not keep up.
-    pub fn abstain(&mut self, until: Millis) {
-        self.abstains = self.abstains.max(until);
+    pub fn back_off(&mut self, until: Millis) {
+        self.back_off_until = self.back_off_until.max(until);
     }
 
     /// Connections to the owner of `epoch` are refused, or its process is another one.
@@ -220,7 +220,7 @@
     /// Whether to claim now: the offset at which the log must end.
     pub fn claim(&mut self, now: Millis) -> Option<u64> {
         let paused = self.claimed.is_some_and(|at| now.since(at) < CLAIM_PAUSE);
-        if paused || now < self.abstains || !self.is_fresh(now) || self.is_mine() {
+        if paused || now < self.back_off_until || !self.is_fresh(now) || self.is_mine() {
             return None;
         }
         let silence = now.since(self.heard);
--- a/src/cell/lag.rs
+++ b/src/cell/lag.rs
@@ -14,7 +14,7 @@
 /// work, and where all are too slow the cell must not go round.
 const TENURE: Millis = Millis(6_000);
 /// An entry that gave the cell up for this leaves it to others this long.
-pub const ABSTAIN: Millis = Millis(8_000);
+pub const BACK_OFF: Millis = Millis(8_000);
 
 /// How late the ticks of an owner are.
 #[derive(Debug)]
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -89,15 +89,15 @@
             self.running(now, name, row);
         }
         self.sweep(sent, name, report);
-        self.judge(now, name);
+        self.copy_stragglers(now, name);
         self.pace(now, name, report);
     }
 
     /// Finds late runs at a worker. Those whose copies may run side by side start elsewhere too.
-    fn judge(&mut self, now: Millis, name: &Name) {
+    fn copy_stragglers(&mut self, now: Millis, name: &Name) {
         let Some(worker) = self.workers.get_mut(name) else { return };
-        for (task, run) in worker.find_late(now) {
-            log::info!("event=late task={task} run={run} worker={name}");
+        for (task, run) in worker.find_stragglers(now) {
+            log::info!("event=straggler task={task} run={run} worker={name}");
             self.copy(task, run);
         }
     }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -65,7 +65,7 @@
     /// The time after which it takes far longer than others of its queue.
     pub limit: Option<Millis>,
     /// It was found to stand still or to be late.
-    pub is_late: bool,
+    pub is_straggler: bool,
 }
 
 impl Run {
@@ -84,7 +84,7 @@
             began: Millis(0),
             moved: Millis(0),
             limit: None,
-            is_late: false,
+            is_straggler: false,
         }
     }
 
@@ -276,15 +276,15 @@
 
     /// Finds runs that stand still or take far longer than others of their queue, each once. The
     /// worker is set aside for one that stands still, and for late ones of two jobs.
-    pub fn find_late(&mut self, now: Millis) -> Vec<(TaskKey, u64)> {
+    pub fn find_stragglers(&mut self, now: Millis) -> Vec<(TaskKey, u64)> {
         let (mut found, mut blame) = (Vec::new(), false);
-        let running = |run: &Run| matches!(run.phase, Phase::Running(_)) && !run.is_late;
+        let running = |run: &Run| matches!(run.phase, Phase::Running(_)) && !run.is_straggler;
         for ((task, no), run) in self.runs.iter_mut().filter(|(_, run)| running(run)) {
             let still = run.began.0 > 0 && run.stands_still(now);
             if !still && (run.began.0 == 0 || !run.takes_long(now)) {
                 continue;
             }
-            run.is_late = true;
+            run.is_straggler = true;
             found.push((*task, *no));
             let other = self.late.replace((*task, now));
             let together = other.is_some_and(|(other, at)| {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -202,9 +202,9 @@
                         }
                     });
                 }
-                Frame { no: 0, body: Tell::Vacant { epoch } } => {
-                    log::info!("event=owner-gave-up owner={} epoch={epoch}", leader.owner);
-                    lock(&self.election).vacate(epoch);
+                Frame { no: 0, body: Tell::SteppedDown { epoch } } => {
+                    log::info!("event=owner-stepped-down owner={} epoch={epoch}", leader.owner);
+                    lock(&self.election).step_down(epoch);
                     self.recheck.notify_one();
                 }
                 Frame { no: 0, body: Tell::Question { step, workers, cost } } => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,6 +39,8 @@
 /// A question that could not be sent for this long is refused, so that its caller tries another
 /// entry: a takeover mostly takes less.
 const PATIENCE: Millis = Millis(1_500);
+/// Time between attempts after a failure of the store: 25 times its usual answer.
+const STORE_RETRY: Millis = Millis(100);
 /// Time between attempts to ask.
 const OWNER_PAUSE: Millis = Millis(25);
 
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -53,7 +53,7 @@
     /// Read the platform's log and say whether that works; sent unasked.
     Probe,
     /// The sender gave the cell up and cannot write that to the log; sent unasked.
-    Vacant { epoch: u64 },
+    SteppedDown { epoch: u64 },
     /// Ask the advice service this; sent unasked.
     Question { step: StepKey, workers: Vec<Name>, cost: Millis },
 }
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -125,7 +125,7 @@
             () = self.clone().tick() => {}
             () = self.clone().follow_workers() => {}
             () = self.clone().follow_policy() => {}
-            () = self.clone().yield_when_slow() => {}
+            () = self.clone().transfer_when_slow() => {}
             _ = over.wait_for(|over| *over) => {}
         }
         self.end();
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -3,7 +3,7 @@
 use crate::cell::journal::{Batch, Snapshot};
 use crate::clock::Millis;
 use crate::node::owner::Owner;
-use crate::node::{Node, lock};
+use crate::node::{Node, STORE_RETRY, lock};
 use crate::order::Listed;
 use crate::platform::store::{Guard, Part, StoreError, put_keyed};
 use bytes::{Bytes, BytesMut};
@@ -22,8 +22,6 @@
 const APPEND_LIMIT: Millis = Millis(600);
 /// The longest wait for a read's answer.
 pub(super) const READ_LIMIT: Millis = Millis(2_000);
-/// Time between attempts after a failure of the store.
-const STORE_RETRY: Millis = Millis(100);
 /// New jobs whose batch is refused this long are given back to their callers: a store that is
 /// merely asked too often takes them before.
 const GIVE_BACK: Millis = Millis(600);
--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -1,7 +1,7 @@
 //! When an owner gives the cell to another entry: that one has more processors, this one does not
 //! keep up, or the store turns only this one away.
 
-use crate::cell::lag::ABSTAIN;
+use crate::cell::lag::BACK_OFF;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::frame::encode;
@@ -33,15 +33,15 @@
 
     /// An entry says whether it could read the log. If most can, one of them should own the cell.
     pub fn probed(&self, entry: &Name, able: bool) {
-        let outvoted = {
+        let isolated = {
             let mut authority = lock(&self.authority);
             authority.probed(entry, able);
-            authority.is_outvoted(self.node.now())
+            authority.is_isolated(self.node.now())
         };
-        if outvoted && !self.is_over() {
-            log::info!("event=outvoted epoch={}", self.epoch);
+        if isolated && !self.is_over() {
+            log::info!("event=isolated epoch={}", self.epoch);
             self.end();
-            self.tell_all(&Tell::Vacant { epoch: self.epoch });
+            self.tell_all(&Tell::SteppedDown { epoch: self.epoch });
         }
     }
 
@@ -61,7 +61,7 @@
 
     /// Hands the cell over once an entry with far more processors could own it, or once this one
     /// does not keep up and another one could.
-    pub(super) async fn yield_when_slow(self: Arc<Self>) {
+    pub(super) async fn transfer_when_slow(self: Arc<Self>) {
         let cpu = self.node.settings.cpu;
         loop {
             tokio::time::sleep(SIZE_LOOK.duration()).await;
@@ -73,14 +73,14 @@
                 continue;
             }
             log::info!(
-                "event=yields epoch={} cpu={cpu} largest={largest} late={is_late}",
+                "event=transfer epoch={} cpu={cpu} largest={largest} late={is_late}",
                 self.epoch
             );
             if is_late {
-                lock(&self.node.election).abstain(now + ABSTAIN);
+                lock(&self.node.election).back_off(now + BACK_OFF);
             }
             let (node, owner) = (self.node.clone(), self.clone());
-            tokio::spawn(async move { node.hand_over(&owner).await });
+            tokio::spawn(async move { node.transfer(&owner).await });
             std::future::pending::<()>().await;
         }
     }
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -19,7 +19,7 @@
 
 impl Node {
     /// Has another entry own the cell: what is known is written first, as far as that goes at once.
-    pub(super) async fn hand_over(&self, owner: &Owner) {
+    pub(super) async fn transfer(&self, owner: &Owner) {
         owner.settle(SETTLE).await;
         owner.end();
         self.release(owner.epoch()).await;
@@ -39,7 +39,7 @@
         let owner = self.owner.borrow().clone();
         log::info!("event=stopping entry={} owner={}", self.me, owner.is_some());
         if let Some(owner) = owner.filter(|owner| !owner.is_over()) {
-            self.hand_over(&owner).await;
+            self.transfer(&owner).await;
         }
         let grace = self.settings.grace;
         while self.now().since(begun) < UNLISTED.min(grace - LAST) {
--- a/src/node/tail.rs
+++ b/src/node/tail.rs
@@ -3,7 +3,7 @@
 use crate::cell::election::{BEAT, Leader, Record};
 use crate::clock::Millis;
 use crate::id::hash;
-use crate::node::{Node, lock};
+use crate::node::{Node, STORE_RETRY, lock};
 use crate::platform::config::{KEY, Policy, TOPIC};
 use crate::platform::store::{Guard, Part, StoreError, put_record, split_keyed};
 use bytes::BytesMut;
@@ -27,8 +27,6 @@
 /// was away hang, and a store 60 times slower than usual answers within 240 ms. With the usual
 /// limits entries noticed up to 1 s late that it was back.
 const PROBE_LIMIT: Millis = Millis(450);
-/// Time between attempts after a failure of the store.
-const RETRY: Millis = Millis(100);
 /// Time between two looks at whether to claim.
 const LOOK: Millis = Millis(150);
 /// Entries claim a free cell up to this much apart, so that mostly the first one wins.
@@ -49,7 +47,7 @@
                 Err(err) => {
                     log::debug!("event=policy-unread error={err:?}");
                     next = None;
-                    tokio::time::sleep(RETRY.duration()).await;
+                    tokio::time::sleep(STORE_RETRY.duration()).await;
                 }
             }
         }
@@ -116,7 +114,7 @@
                     if std::mem::replace(&mut reachable, false) {
                         log::info!("event=log-lost error={err:?}");
                     }
-                    tokio::time::sleep(RETRY.duration()).await;
+                    tokio::time::sleep(STORE_RETRY.duration()).await;
                 }
             }
         }
@@ -257,7 +255,7 @@
                         owner.store_failed();
                     }
                     limit = PROBE_LIMIT;
-                    tokio::time::sleep(RETRY.duration()).await;
+                    tokio::time::sleep(STORE_RETRY.duration()).await;
                 }
             }
         }
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -65,14 +65,14 @@
     let mut authority = failing();
     authority.probed(&"b".into(), true);
     authority.probed(&"c".into(), true);
-    assert!(!authority.is_outvoted(Millis(1_100)), "they were not asked yet");
+    assert!(!authority.is_isolated(Millis(1_100)), "they were not asked yet");
     assert!(authority.should_probe(Millis(1_200)));
-    assert!(!authority.is_outvoted(Millis(1_200)), "what they said before does not count");
+    assert!(!authority.is_isolated(Millis(1_200)), "what they said before does not count");
     authority.probed(&"b".into(), true);
     authority.probed(&"c".into(), false);
-    assert!(!authority.is_outvoted(Millis(1_210)), "one of three");
+    assert!(!authority.is_isolated(Millis(1_210)), "one of three");
     authority.probed(&"d".into(), true);
-    assert!(authority.is_outvoted(Millis(1_220)));
+    assert!(authority.is_isolated(Millis(1_220)));
     authority.confirm(Millis(1_230));
-    assert!(!authority.is_outvoted(Millis(1_240)), "a heartbeat is in the log after all");
+    assert!(!authority.is_isolated(Millis(1_240)), "a heartbeat is in the log after all");
 }
