--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn an_owner_is_outvoted_when_most_others_read_the_log_after_it_failed() {
+fn an_owner_is_isolated_when_most_others_read_the_log_after_it_failed() {
     let mut authority = failing();
     authority.probed(&"b".into(), true);
     authority.probed(&"c".into(), true);
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn an_entry_that_abstains_leaves_a_vacant_cell_to_others() {
+fn an_entry_that_backs_off_leaves_a_vacant_cell_to_others() {
     let mut election = follower("slow", LARGE);
     election.add(Millis(10), 2, Record::Release { epoch: 1 });
     election.back_off(Millis(3_000));
