--- /dev/null
+++ b/src/cell/clearance.rs
@@ -0,0 +1,145 @@
+//! What the advice service is asked, and what its answers mean for placing.
+
+use crate::cell::advice::Question;
+use crate::cell::job::Ticket;
+use crate::cell::life::rank;
+use crate::cell::place::Fit;
+use crate::cell::{Action, Cell};
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::order::Cleared;
+use crate::workload::{Advice, Step, StepKey};
+use std::collections::BTreeSet;
+
+/// A ticket is used only if it holds this much longer: an order takes a few milliseconds, and a
+/// busy owner some tens.
+pub(super) const TICKET_SPARE: Millis = Millis(250);
+/// The most workers that one question may name, by the platform's contract.
+const MAX_NAMED: usize = 100;
+/// The share of workers that is assumed to be cleared when deciding how many to name: one in two.
+const CLEARED_SHARE: usize = 2;
+/// The shortest wait before a step is asked about again for want of room, so that steps that wait
+/// for room do not use up the advice service.
+const ASK_AGAIN: Millis = Millis(250);
+
+impl Cell {
+    /// Has the advice service asked about a step whose tasks found no cleared worker with room.
+    pub(super) fn question(
+        &mut self,
+        now: Millis,
+        key: StepKey,
+        spec: &Step,
+        service: &str,
+        advice: Advice,
+        rest: usize,
+    ) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(key) else { return };
+        let advised = &step.advised;
+        if advised.asking || now < advised.again {
+            return;
+        }
+        let charge = spec.charge();
+        let holds = |name: &Name| advised.holds(name, now + TICKET_SPARE);
+        let mut named: Vec<Fit> = self
+            .open(now, service, spec)
+            .into_iter()
+            .filter(|fit| fit.free.holds(&charge))
+            .filter(|fit| !advised.denied.contains(&fit.name) && !holds(&fit.name))
+            .collect();
+        if named.is_empty() {
+            return;
+        }
+        named.sort_by_cached_key(|fit| {
+            let known = advised.cleared.contains_key(&fit.name);
+            let away = job.home.as_ref().is_some_and(|home| fit.domain != *home);
+            (!known, away, std::cmp::Reverse(fit.free.cpu))
+        });
+        let wanted = (rest * CLEARED_SHARE).max(balance(advice)).min(MAX_NAMED);
+        let workers: Vec<Name> = named.into_iter().take(wanted).map(|fit| fit.name).collect();
+        let cost = Millis(advice.base.0 + advice.each * workers.len() as u64 / 1_000);
+        let question = Question { step: key, workers, cost, rank: rank(job) };
+        self.advisers.push(question);
+        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+            step.advised.asking = true;
+        }
+    }
+
+    /// Hands waiting questions to entries that can ask them.
+    pub(super) fn ask_next(&mut self) {
+        while let Some((entry, question)) = self.advisers.assign() {
+            self.actions.push(Action::Ask { entry, question });
+        }
+    }
+
+    /// The advice service answered an entry, or `None`: it did not.
+    pub fn advised(
+        &mut self,
+        now: Millis,
+        entry: &Name,
+        key: StepKey,
+        named: &[Name],
+        answer: Option<Cleared>,
+    ) {
+        self.advisers.answered(entry, key);
+        match answer {
+            Some(cleared) => self.clear(now, key, named, cleared),
+            None => self.forget_question(key),
+        }
+        self.changed = true;
+    }
+
+    fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
+        let usual = job.queue.advice.map(|advice| advice.valid).unwrap_or_default();
+        let until = now + cleared.valid.unwrap_or(usual);
+        let Some(step) = job.step_mut(key) else { return };
+        log::debug!(
+            "event=advised step={key} named={} cleared={}",
+            named.len(),
+            cleared.rows.len()
+        );
+        let advised = &mut step.advised;
+        advised.asking = false;
+        advised.again = now + ASK_AGAIN;
+        let good: BTreeSet<Name> = cleared.rows.iter().map(|(name, _)| name.clone()).collect();
+        advised.denied.extend(named.iter().filter(|name| !good.contains(*name)).cloned());
+        for (name, text) in cleared.rows {
+            advised.cleared.insert(name, Ticket { text, until });
+        }
+        if good.is_empty() {
+            // All were denied: others are asked about at once.
+            advised.again = now;
+        }
+    }
+
+    /// A question got no answer: it may be asked again.
+    pub(super) fn forget_question(&mut self, key: StepKey) {
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
+        if let Some(step) = step {
+            step.advised.asking = false;
+            self.changed = true;
+        }
+    }
+
+    /// A worker did not take a ticket.
+    pub(super) fn drop_ticket(&mut self, key: StepKey, name: &Name) {
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
+        if let Some(ticket) = step.and_then(|step| step.advised.cleared.get_mut(name)) {
+            ticket.until = Millis(0);
+        }
+    }
+
+    /// Tickets run out and pauses end: steps that wait are looked at again.
+    pub(super) fn expire_questions(&mut self) {
+        self.changed = self.changed || !self.ready.is_empty();
+    }
+}
+
+/// How many workers a question names so that naming them takes half as long as asking at all.
+fn balance(advice: Advice) -> usize {
+    match advice.each {
+        0 => MAX_NAMED,
+        each => (advice.base.0 * 1_000 / each / 2) as usize,
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -5,11 +5,13 @@
 
 pub mod advice;
 pub mod authority;
+mod clearance;
 pub mod election;
 pub mod job;
 pub mod journal;
 pub mod lag;
 pub mod life;
+mod place;
 mod report;
 mod roster;
 pub mod run_times;
--- /dev/null
+++ b/src/cell/place.rs
@@ -0,0 +1,103 @@
+//! Which of several workers with room a task or a gang goes to.
+
+use crate::cell::worker::Worker;
+use crate::id::Name;
+use crate::workload::{Room, Step, StepKey, TaskKey};
+use std::collections::BTreeSet;
+
+/// Whether a worker may run a step's tasks at all.
+pub(super) fn is_suitable(worker: &Worker, service: &str, spec: &Step) -> bool {
+    let listed = &worker.listed;
+    let label = spec.label.is_empty() || listed.labels.contains(&spec.label);
+    label && *listed.service == *service && listed.room.holds(&spec.charge())
+}
+
+/// How many runs of a step a worker has.
+pub(super) fn count_at(worker: &Worker, key: StepKey) -> u32 {
+    let first = TaskKey { step: key, index: 0 };
+    let last = TaskKey { step: key, index: u32::MAX };
+    worker.runs.range((first, 0)..=(last, u64::MAX)).count() as u32
+}
+
+/// A worker that tasks of a step may go to, as it is while that step is placed.
+#[derive(Debug, Clone)]
+pub(super) struct Fit {
+    pub name: Name,
+    pub domain: Name,
+    pub rack: Option<Name>,
+    pub free: Room,
+    /// Runs of the step there, if that matters.
+    pub runs: u32,
+    pub is_sound: bool,
+    /// It runs tasks that serve users of their own.
+    pub serves: bool,
+}
+
+impl Fit {
+    pub fn new(name: &Name, worker: &Worker) -> Self {
+        Self {
+            name: name.clone(),
+            domain: worker.listed.domain.clone(),
+            rack: worker.rack().cloned(),
+            free: worker.free(),
+            runs: 0,
+            is_sound: worker.is_sound(),
+            serves: worker.runs.values().any(|run| run.tail.0 > 0),
+        }
+    }
+
+    /// Whether one more task of a step has room.
+    pub fn holds(&self, spec: &Step, charge: &Room) -> bool {
+        (spec.apart == 0 || self.runs < spec.apart) && self.free.holds(charge)
+    }
+}
+
+/// The best worker with room for one task: near the data, not one on which it failed, in the job's
+/// failure domain, sound, and then the one that is left with the least; fillers go where most
+/// processors are idle.
+pub(super) fn pick<'a>(
+    fits: &'a mut [Fit],
+    spec: &Step,
+    home: Option<&Name>,
+    avoid: &[Name],
+) -> Option<&'a mut Fit> {
+    let charge = spec.charge();
+    let score = |fit: &Fit| {
+        let far = !spec.near.is_empty() && fit.rack.as_ref() != Some(&spec.near);
+        let away = home.is_some_and(|home| fit.domain != *home);
+        let free = fit.free.less(&charge).cpu;
+        let room = if spec.filler { u64::MAX - free } else { free };
+        let serves = spec.filler && fit.serves;
+        (avoid.contains(&fit.name), far, serves, away, !fit.is_sound, room)
+    };
+    fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
+}
+
+/// Workers for all tasks of a gang, on one rack if it wants that and one has the room.
+pub(super) fn pick_gang(fits: &[Fit], spec: &Step, home: Option<&Name>) -> Option<Vec<Name>> {
+    if spec.rack {
+        let racks: BTreeSet<&Name> = fits.iter().filter_map(|fit| fit.rack.as_ref()).collect();
+        for rack in racks {
+            if let Some(chosen) = fill(fits, spec, |fit| fit.rack.as_ref() == Some(rack)) {
+                return Some(chosen);
+            }
+        }
+    }
+    fill(fits, spec, |fit| Some(&fit.domain) == home).or_else(|| fill(fits, spec, |_| true))
+}
+
+/// Gives each task of a gang one of the wanted workers, or none at all.
+fn fill(fits: &[Fit], spec: &Step, wanted: impl Fn(&Fit) -> bool) -> Option<Vec<Name>> {
+    let charge = spec.charge();
+    let mut fits: Vec<Fit> = fits.iter().filter(|fit| wanted(fit)).cloned().collect();
+    fits.sort_by_key(|fit| fit.free.cpu);
+    let mut chosen = Vec::with_capacity(spec.count as usize);
+    for mut fit in fits {
+        while chosen.len() < spec.count as usize && fit.holds(spec, &charge) {
+            fit.free = fit.free.less(&charge);
+            fit.runs += 1;
+            chosen.push(fit.name.clone());
+        }
+    }
+    (chosen.len() == spec.count as usize).then_some(chosen)
+}
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -1,26 +1,16 @@
 //! Which task starts next, and where.
 
-use crate::cell::advice::Question;
-use crate::cell::job::{StepState, Ticket};
+use crate::cell::clearance::TICKET_SPARE;
+use crate::cell::job::StepState;
 use crate::cell::life::rank;
-use crate::cell::worker::{Phase, Run, Worker};
+use crate::cell::place::{Fit, count_at, is_suitable, pick, pick_gang};
+use crate::cell::worker::{Phase, Run};
 use crate::cell::{Action, Cell, RUN_BITS};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::order::{Cleared, Start};
-use crate::workload::{Advice, Room, Step, StepKey, TaskKey};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// A ticket is used only if it holds this much longer: an order takes a few milliseconds, and a
-/// busy owner some tens.
-const TICKET_SPARE: Millis = Millis(250);
-/// The most workers that one question may name, by the platform's contract.
-const MAX_NAMED: usize = 100;
-/// The share of workers that is assumed to be cleared when deciding how many to name: one in two.
-const CLEARED_SHARE: usize = 2;
-/// The shortest wait before a step is asked about again for want of room, so that steps that wait
-/// for room do not use up the advice service.
-const ASK_AGAIN: Millis = Millis(250);
+use crate::order::Start;
+use crate::workload::{Step, StepKey, TaskKey};
+use std::collections::BTreeMap;
 
 impl Cell {
     /// Places waiting tasks, the most urgent first, as far as there is room.
@@ -73,7 +63,7 @@
     }
 
     /// The workers that may run a step.
-    fn open(&self, now: Millis, service: &str, spec: &Step) -> Vec<Fit> {
+    pub(super) fn open(&self, now: Millis, service: &str, spec: &Step) -> Vec<Fit> {
         let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now, self.kept));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, service, spec));
         suitable.map(|(name, worker)| Fit::new(name, worker)).collect()
@@ -220,221 +210,4 @@
     pub fn send_unkept(&mut self, now: Millis) {
         self.send_starts(now, u64::MAX);
     }
-
-    /// Has the advice service asked about a step whose tasks found no cleared worker with room.
-    fn question(
-        &mut self,
-        now: Millis,
-        key: StepKey,
-        spec: &Step,
-        service: &str,
-        advice: Advice,
-        rest: usize,
-    ) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        let Some(step) = job.step(key) else { return };
-        let advised = &step.advised;
-        if advised.asking || now < advised.again {
-            return;
-        }
-        let charge = spec.charge();
-        let holds = |name: &Name| advised.holds(name, now + TICKET_SPARE);
-        let mut named: Vec<Fit> = self
-            .open(now, service, spec)
-            .into_iter()
-            .filter(|fit| fit.free.holds(&charge))
-            .filter(|fit| !advised.denied.contains(&fit.name) && !holds(&fit.name))
-            .collect();
-        if named.is_empty() {
-            return;
-        }
-        named.sort_by_cached_key(|fit| {
-            let known = advised.cleared.contains_key(&fit.name);
-            let away = job.home.as_ref().is_some_and(|home| fit.domain != *home);
-            (!known, away, std::cmp::Reverse(fit.free.cpu))
-        });
-        let wanted = (rest * CLEARED_SHARE).max(balance(advice)).min(MAX_NAMED);
-        let workers: Vec<Name> = named.into_iter().take(wanted).map(|fit| fit.name).collect();
-        let cost = Millis(advice.base.0 + advice.each * workers.len() as u64 / 1_000);
-        let question = Question { step: key, workers, cost, rank: rank(job) };
-        self.advisers.push(question);
-        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
-            step.advised.asking = true;
-        }
-    }
-
-    /// Hands waiting questions to entries that can ask them.
-    pub(super) fn ask_next(&mut self) {
-        while let Some((entry, question)) = self.advisers.assign() {
-            self.actions.push(Action::Ask { entry, question });
-        }
-    }
-
-    /// The advice service answered an entry, or `None`: it did not.
-    pub fn advised(
-        &mut self,
-        now: Millis,
-        entry: &Name,
-        key: StepKey,
-        named: &[Name],
-        answer: Option<Cleared>,
-    ) {
-        self.advisers.answered(entry, key);
-        match answer {
-            Some(cleared) => self.clear(now, key, named, cleared),
-            None => self.forget_question(key),
-        }
-        self.changed = true;
-    }
-
-    fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
-        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
-        let usual = job.queue.advice.map(|advice| advice.valid).unwrap_or_default();
-        let until = now + cleared.valid.unwrap_or(usual);
-        let Some(step) = job.step_mut(key) else { return };
-        log::debug!(
-            "event=advised step={key} named={} cleared={}",
-            named.len(),
-            cleared.rows.len()
-        );
-        let advised = &mut step.advised;
-        advised.asking = false;
-        advised.again = now + ASK_AGAIN;
-        let good: BTreeSet<Name> = cleared.rows.iter().map(|(name, _)| name.clone()).collect();
-        advised.denied.extend(named.iter().filter(|name| !good.contains(*name)).cloned());
-        for (name, text) in cleared.rows {
-            advised.cleared.insert(name, Ticket { text, until });
-        }
-        if good.is_empty() {
-            // All were denied: others are asked about at once.
-            advised.again = now;
-        }
-    }
-
-    /// A question got no answer: it may be asked again.
-    pub(super) fn forget_question(&mut self, key: StepKey) {
-        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
-        if let Some(step) = step {
-            step.advised.asking = false;
-            self.changed = true;
-        }
-    }
-
-    /// A worker did not take a ticket.
-    pub(super) fn drop_ticket(&mut self, key: StepKey, name: &Name) {
-        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
-        if let Some(ticket) = step.and_then(|step| step.advised.cleared.get_mut(name)) {
-            ticket.until = Millis(0);
-        }
-    }
-
-    /// Tickets run out and pauses end: steps that wait are looked at again.
-    pub(super) fn expire_questions(&mut self) {
-        self.changed = self.changed || !self.ready.is_empty();
-    }
-}
-
-/// How many workers a question names so that naming them takes half as long as asking at all.
-fn balance(advice: Advice) -> usize {
-    match advice.each {
-        0 => MAX_NAMED,
-        each => (advice.base.0 * 1_000 / each / 2) as usize,
-    }
-}
-
-/// Whether a worker may run a step's tasks at all.
-fn is_suitable(worker: &Worker, service: &str, spec: &Step) -> bool {
-    let listed = &worker.listed;
-    let label = spec.label.is_empty() || listed.labels.contains(&spec.label);
-    label && *listed.service == *service && listed.room.holds(&spec.charge())
-}
-
-/// How many runs of a step a worker has.
-fn count_at(worker: &Worker, key: StepKey) -> u32 {
-    let first = TaskKey { step: key, index: 0 };
-    let last = TaskKey { step: key, index: u32::MAX };
-    worker.runs.range((first, 0)..=(last, u64::MAX)).count() as u32
-}
-
-/// A worker that tasks of a step may go to, as it is while that step is placed.
-#[derive(Debug, Clone)]
-struct Fit {
-    name: Name,
-    domain: Name,
-    rack: Option<Name>,
-    free: Room,
-    /// Runs of the step there, if that matters.
-    runs: u32,
-    is_sound: bool,
-    /// It runs tasks that serve users of their own.
-    serves: bool,
-}
-
-impl Fit {
-    fn new(name: &Name, worker: &Worker) -> Self {
-        Self {
-            name: name.clone(),
-            domain: worker.listed.domain.clone(),
-            rack: worker.rack().cloned(),
-            free: worker.free(),
-            runs: 0,
-            is_sound: worker.is_sound(),
-            serves: worker.runs.values().any(|run| run.tail.0 > 0),
-        }
-    }
-
-    /// Whether one more task of a step has room.
-    fn holds(&self, spec: &Step, charge: &Room) -> bool {
-        (spec.apart == 0 || self.runs < spec.apart) && self.free.holds(charge)
-    }
-}
-
-/// The best worker with room for one task: near the data, not one on which it failed, in the job's
-/// failure domain, sound, and then the one that is left with the least; fillers go where most
-/// processors are idle.
-fn pick<'a>(
-    fits: &'a mut [Fit],
-    spec: &Step,
-    home: Option<&Name>,
-    avoid: &[Name],
-) -> Option<&'a mut Fit> {
-    let charge = spec.charge();
-    let score = |fit: &Fit| {
-        let far = !spec.near.is_empty() && fit.rack.as_ref() != Some(&spec.near);
-        let away = home.is_some_and(|home| fit.domain != *home);
-        let free = fit.free.less(&charge).cpu;
-        let room = if spec.filler { u64::MAX - free } else { free };
-        let serves = spec.filler && fit.serves;
-        (avoid.contains(&fit.name), far, serves, away, !fit.is_sound, room)
-    };
-    fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
-}
-
-/// Workers for all tasks of a gang, on one rack if it wants that and one has the room.
-fn pick_gang(fits: &[Fit], spec: &Step, home: Option<&Name>) -> Option<Vec<Name>> {
-    if spec.rack {
-        let racks: BTreeSet<&Name> = fits.iter().filter_map(|fit| fit.rack.as_ref()).collect();
-        for rack in racks {
-            if let Some(chosen) = fill(fits, spec, |fit| fit.rack.as_ref() == Some(rack)) {
-                return Some(chosen);
-            }
-        }
-    }
-    fill(fits, spec, |fit| Some(&fit.domain) == home).or_else(|| fill(fits, spec, |_| true))
-}
-
-/// Gives each task of a gang one of the wanted workers, or none at all.
-fn fill(fits: &[Fit], spec: &Step, wanted: impl Fn(&Fit) -> bool) -> Option<Vec<Name>> {
-    let charge = spec.charge();
-    let mut fits: Vec<Fit> = fits.iter().filter(|fit| wanted(fit)).cloned().collect();
-    fits.sort_by_key(|fit| fit.free.cpu);
-    let mut chosen = Vec::with_capacity(spec.count as usize);
-    for mut fit in fits {
-        while chosen.len() < spec.count as usize && fit.holds(spec, &charge) {
-            fit.free = fit.free.less(&charge);
-            fit.runs += 1;
-            chosen.push(fit.name.clone());
-        }
-    }
-    (chosen.len() == spec.count as usize).then_some(chosen)
 }
