--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,6 +2,7 @@
 //! time limit.
 
 use crate::clock::Millis;
+use crate::id::Name;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
@@ -11,6 +12,8 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use thiserror::Error;
 
 /// The largest body that is read, in bytes.
@@ -23,6 +26,9 @@
 pub const STATE_HEADER: &str = "upstream-state";
 /// Idle connections kept for each address.
 const POOL: usize = 8;
+/// The longest wait for a connection to open: a hundred times the way between failure domains, and
+/// as much for a first packet that is lost.
+const CONNECT: Millis = Millis(1_000);
 
 /// Why an exchange failed.
 #[derive(Debug, Error)]
@@ -77,24 +83,47 @@
     }
 }
 
+/// The client of one address, with its idle connections.
+type Pool = Client<HttpConnector, Full<Bytes>>;
+
 /// The client.
-#[derive(Debug, Clone)]
+///
+/// Connections may go silent for good, without a reset, while new ones work. So an exchange without
+/// an answer in time ends all idle connections to its address: without this each of up to [`POOL`]
+/// silent ones costs one more exchange its whole time limit.
+#[derive(Debug, Clone, Default)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pools: Arc<Mutex<HashMap<Name, Arc<Pool>>>>,
 }
 
-impl Default for Http {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Millis(1_000).duration()));
-        let mut builder = Client::builder(TokioExecutor::new());
-        builder.pool_max_idle_per_host(POOL).retry_canceled_requests(false);
-        Self { client: builder.build(connector) }
-    }
+fn connect() -> Pool {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT.duration()));
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder.pool_max_idle_per_host(POOL).retry_canceled_requests(false);
+    builder.build(connector)
 }
 
 impl Http {
+    fn pool(&self, addr: &str) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(addr) {
+            return pool.clone();
+        }
+        let pool = Arc::new(connect());
+        pools.insert(addr.into(), pool.clone());
+        pool
+    }
+
+    /// Lets go of the idle connections to an address, unless that was done since `pool` was taken.
+    fn drop_pool(&self, addr: &str, pool: &Arc<Pool>) {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if pools.get(addr).is_some_and(|known| Arc::ptr_eq(known, pool)) {
+            pools.remove(addr);
+        }
+    }
+
     /// Sends one request and reads the whole answer within `limit`.
     ///
     /// # Errors
@@ -105,31 +134,16 @@
         request: Request<Full<Bytes>>,
         limit: Millis,
     ) -> Result<Answer, HttpError> {
-        let exchange = self.exchange(addr, request);
-        match tokio::time::timeout(limit.duration(), exchange).await {
+        let pool = self.pool(addr);
+        let exchange = exchange(&pool, addr, request);
+        let result = match tokio::time::timeout(limit.duration(), exchange).await {
             Ok(result) => result,
             Err(_) => Err(HttpError::Timeout(addr.to_string())),
+        };
+        if matches!(result, Err(HttpError::Timeout(_) | HttpError::Connect(_))) {
+            self.drop_pool(addr, &pool);
         }
-    }
-
-    async fn exchange(
-        &self,
-        addr: &str,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, HttpError> {
-        let broken = |err: String| HttpError::Broken(addr.to_string(), err);
-        let answer = self.client.request(request).await.map_err(|err| match err.is_connect() {
-            true => HttpError::Connect(addr.to_string()),
-            false => broken(err.to_string()),
-        })?;
-        let (parts, body) = answer.into_parts();
-        let whole = Limited::new(body, MAX_BODY).collect().await;
-        let body = whole.map_err(|err| broken(err.to_string()))?.to_bytes();
-        let declared = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-        match declared.and_then(|text| text.parse::<usize>().ok()) {
-            Some(length) if length != body.len() => Err(broken(format!("{length} bytes declared"))),
-            _ => Ok(Answer { status: parts.status, headers: parts.headers, body }),
-        }
+        result
     }
 
     /// Posts `ask` as JSON and reads a JSON answer; `caller` says who asks.
@@ -175,6 +189,26 @@
     }
 }
 
+async fn exchange(
+    pool: &Pool,
+    addr: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, HttpError> {
+    let broken = |err: String| HttpError::Broken(addr.to_string(), err);
+    let answer = pool.request(request).await.map_err(|err| match err.is_connect() {
+        true => HttpError::Connect(addr.to_string()),
+        false => broken(err.to_string()),
+    })?;
+    let (parts, body) = answer.into_parts();
+    let whole = Limited::new(body, MAX_BODY).collect().await;
+    let body = whole.map_err(|err| broken(err.to_string()))?.to_bytes();
+    let declared = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    match declared.and_then(|text| text.parse::<usize>().ok()) {
+        Some(length) if length != body.len() => Err(broken(format!("{length} bytes declared"))),
+        _ => Ok(Answer { status: parts.status, headers: parts.headers, body }),
+    }
+}
+
 fn malformed(addr: &str, err: impl std::fmt::Display) -> HttpError {
     HttpError::Malformed(addr.to_string(), err.to_string())
 }
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -20,6 +20,8 @@
     pub mute_down: bool,
     /// Rises when all open connections are reset.
     pub resets: u32,
+    /// Rises when all open connections go silent for good, without a reset.
+    pub silences: u32,
 }
 
 /// A relay to one address.
@@ -50,12 +52,17 @@
 
     /// Everything passes again.
     pub fn heal(&self) {
-        self.set(|mode| *mode = Mode { resets: mode.resets, ..Mode::default() });
+        self.set(|mode| {
+            *mode = Mode { resets: mode.resets, silences: mode.silences, ..Mode::default() }
+        });
     }
 }
 
 async fn relay(caller: TcpStream, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
-    let born = modes.borrow_and_update().resets;
+    let (born, heard) = {
+        let mode = modes.borrow_and_update();
+        (mode.resets, mode.silences)
+    };
     let Ok(callee) = TcpStream::connect(target).await else { return };
     for stream in [&caller, &callee] {
         if let Err(err) = stream.set_nodelay(true) {
@@ -65,8 +72,10 @@
     }
     let (up_in, down_out) = caller.into_split();
     let (down_in, up_out) = callee.into_split();
-    let up = pump(up_in, up_out, modes.clone(), |mode| mode.mute_up);
-    let down = pump(down_in, down_out, modes.clone(), |mode| mode.mute_down);
+    let up = pump(up_in, up_out, modes.clone(), move |mode| mode.mute_up || mode.silences != heard);
+    let down = pump(down_in, down_out, modes.clone(), move |mode| {
+        mode.mute_down || mode.silences != heard
+    });
     let both = async {
         tokio::join!(up, down);
     };
@@ -80,7 +89,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut modes: watch::Receiver<Mode>,
-    muted: fn(&Mode) -> bool,
+    muted: impl Fn(&Mode) -> bool,
 ) {
     let mut bytes = vec![0; 16 * 1024];
     loop {
