Jobs that wait behind an overdue append are refused at once

Cause: behind a cut or in an outage of the store, jobs that came while an append had no answer waited up to 600 ms for its limit, and then for their deadline: 504, and their callers do not come back. Ruled out: a shorter limit of the append: the slowest store of the contract answers within 240 ms. The new test in tests/silence.rs fails on the code before (504).

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -330,14 +330,25 @@
     /// The store surely did not take a batch: its new jobs are given back to their callers. Returns
     /// their keys.
     pub fn withdraw(&mut self, batch: u64) -> Vec<JobKey> {
+        self.withdraw_where(|of| of == batch)
+    }
+
+    /// New jobs of batches after `batch`, none of which was sent, are given back to their callers.
+    /// Returns their keys.
+    pub fn withdraw_after(&mut self, batch: u64) -> Vec<JobKey> {
+        self.withdraw_where(|of| of > batch)
+    }
+
+    fn withdraw_where(&mut self, is_unsent: impl Fn(u64) -> bool) -> Vec<JobKey> {
         let of_batch = |(of, key): &&(u64, JobKey)| {
-            *of == batch && self.jobs.get(key).is_some_and(Job::is_open)
+            is_unsent(*of) && self.jobs.get(key).is_some_and(Job::is_open)
         };
         let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
         self.fresh.retain(|(_, key)| !gone.contains(key));
         for key in &gone {
+            let job = self.jobs.remove(key);
+            let batch = job.map_or(0, |job| job.batch);
             log::info!("event=withdrawn job={key} batch={batch}");
-            self.jobs.remove(key);
         }
         gone
     }
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -22,6 +22,9 @@
 const APPEND_LIMIT: Millis = Millis(600);
 /// The longest wait for a read's answer.
 pub(super) const READ_LIMIT: Millis = Millis(2_000);
+/// An append without an answer for this long is overdue: the slowest store of the platform's
+/// contract answers within 240 ms.
+const OVERDUE: Millis = Millis(300);
 /// New jobs whose batch is refused this long are given back to their callers: a store that is
 /// merely asked too often takes them before.
 const GIVE_BACK: Millis = Millis(600);
@@ -109,6 +112,24 @@
         }
     }
 
+    /// Waits for the answer to an append. Once it is overdue, no more jobs are taken, and those that
+    /// wait for a later batch are given back: their callers are told at once, and truthfully, that
+    /// they were not run. Without this an owner behind a cut left the jobs of 600 ms in doubt.
+    async fn watch_append<T>(&self, batch: u64, append: impl Future<Output = T>) -> T {
+        tokio::pin!(append);
+        let overdue = tokio::time::sleep(OVERDUE.duration());
+        tokio::select! {
+            done = &mut append => return done,
+            () = overdue => {}
+        }
+        self.store.store(false, Ordering::Relaxed);
+        let gone = lock(&self.cell).withdraw_after(batch);
+        log::info!("event=append-overdue batch={batch} withdrawn={}", gone.len());
+        // Callers that wait look again.
+        self.kept.send_modify(|_| {});
+        append.await
+    }
+
     /// Appends one batch, however long that takes. While the store surely has not taken it, its new
     /// jobs are given back, so that their callers are told at once that they were not run.
     async fn write_batch(&self, batch: &Batch, seq: u64) -> Written {
@@ -118,7 +139,8 @@
         loop {
             let guard = Guard::Producer { name: PRODUCER, epoch: self.epoch, seq };
             let body = body(&records);
-            let err = match self.node.store.append(JOBS, guard, body, APPEND_LIMIT).await {
+            let append = self.node.store.append(JOBS, guard, body, APPEND_LIMIT);
+            let err = match self.watch_append(batch.no, append).await {
                 Ok(_) => {
                     if !self.store.swap(true, Ordering::Relaxed) {
                         log::info!("event=store-back batch={}", batch.no);
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -180,3 +180,22 @@
     let second = read(0, 5_000).await;
     assert!(second.is_ok(), "{second:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_behind_an_append_without_an_answer_are_refused_at_once() {
+    let callers = Callers::start(1, 1).await;
+    callers.serve(0, "/plain/00000000000000e0").await;
+    callers.cell.entries[0].store.set(|mode| (mode.mute_up, mode.mute_down) = (true, true));
+    let first = callers.call(0, Method::POST, "/plain/00000000000000e1");
+    let second = async {
+        // The first one is on its way to the store by now, which will not say what became of it.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let begun = Instant::now();
+        let answer = callers.call(0, Method::POST, "/plain/00000000000000e2").await.unwrap();
+        (answer, begun.elapsed())
+    };
+    let (first, (second, took)) = tokio::join!(first, second);
+    assert_eq!(first.unwrap().status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+}
