Retry-After by the time that a job has to spare

Cause: one constant second whatever is known; the tries of jobs that came early in an outage of 5 s are over before it ends, also of those with 25 s to spare, and all come back together. Conclusion: kept for callers that keep to it.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -3,6 +3,7 @@
 //! Events come in by methods that take the time; what has to be done is collected as [`Action`]s.
 //! What must outlast the owner is collected as [`Batch`]es for the platform's store.
 
+pub mod admission;
 pub mod advice;
 pub mod authority;
 mod clearance;
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -1,6 +1,7 @@
 //! What callers reach: jobs over HTTP, and what the balancer and operators ask.
 
 use crate::cell::State;
+use crate::cell::admission::{self, retry_after};
 use crate::cell::journal::Fate;
 use crate::clock::Millis;
 use crate::node::msg::{Ask, Tell};
@@ -27,8 +28,6 @@
 const ANSWER_SPARE: Millis = Millis(40);
 /// The most time that a caller waits who does not say.
 const USUAL_WAIT: Millis = Millis(3_000);
-/// When a refused caller should come back, in seconds: a takeover takes about two.
-pub(super) const RETRY_AFTER: u64 = 1;
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
@@ -121,7 +120,7 @@
 ) -> (&'static str, Reply) {
     let policy = node.policy();
     if policy.version == 0 {
-        return ("none", Reply::Busy { after: RETRY_AFTER });
+        return ("none", Reply::Busy { after: admission::LEAST });
     }
     let path = request.uri().path().to_string();
     let Some(route) = policy.route(host(&request), &path) else { return ("none", Reply::NoQueue) };
@@ -168,11 +167,12 @@
         return Reply::Malformed(err.to_string());
     }
     let begun = node.now();
+    let after = retry_after(&route.queue, &work, job);
     let ask = Ask::Submit { job, queue: route.queue.name.clone(), work: Arc::new(work) };
     let answer = node.ask(ask, until).await;
     let reply = match &answer {
         Ok(Tell::Accepted) => return Reply::Accepted,
-        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: RETRY_AFTER },
+        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after },
         Ok(_) | Err(AskError::Unknown) => Reply::InDoubt,
     };
     log::info!(
@@ -192,7 +192,7 @@
         Ok(Tell::State(Some(State::Closed(Fate::Completed)))) => Reply::State("completed"),
         Ok(Tell::State(Some(State::Closed(Fate::Failed)))) => Reply::State("failed"),
         Ok(Tell::State(Some(State::Closed(Fate::Cancelled)))) => Reply::State("cancelled"),
-        _ => Reply::Busy { after: RETRY_AFTER },
+        _ => Reply::Busy { after: admission::LEAST },
     }
 }
 
@@ -200,7 +200,7 @@
     let reply = match node.ask(Ask::Cancel { job }, until).await {
         Ok(Tell::Cancelled(true)) => Reply::Accepted,
         Ok(Tell::Cancelled(false)) => Reply::NoJob,
-        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: RETRY_AFTER },
+        Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: admission::LEAST },
         Ok(_) | Err(AskError::Unknown) => Reply::InDoubt,
     };
     log::info!("event=cancel job={job} reply={reply:?}");
@@ -210,7 +210,7 @@
 async fn pending(node: &Arc<Node>, route: &Route, until: Millis) -> Reply {
     match node.ask(Ask::Pending { queue: route.queue.name.clone() }, until).await {
         Ok(Tell::Pending(count)) => Reply::Pending(count),
-        _ => Reply::Busy { after: RETRY_AFTER },
+        _ => Reply::Busy { after: admission::LEAST },
     }
 }
 
@@ -218,7 +218,7 @@
 pub(super) async fn ready(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
     match node.is_ready() {
         true => Reply::Accepted.response(),
-        false => Reply::Busy { after: RETRY_AFTER }.response(),
+        false => Reply::Busy { after: admission::LEAST }.response(),
     }
 }
 
@@ -228,7 +228,7 @@
         Ok(text) => Response::new(Full::from(text)),
         Err(err) => {
             log::warn!("event=metrics-failed error={err:?}");
-            Reply::Busy { after: RETRY_AFTER }.response()
+            Reply::Busy { after: admission::LEAST }.response()
         }
     }
 }
