--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -31,7 +31,7 @@
 const KEEP_WAIT: Millis = Millis(500);
 /// The longest wait for the answer to an order: a hundred times the way between failure domains.
 /// The room and the task are in doubt for that long if the answer is lost.
-const ORDER_LIMIT: Millis = Millis(120);
+const ORDER_LIMIT: Millis = Millis(300);
 
 impl Node {
     /// Reads the whole list of workers, and where it ends.
