Less urgent tasks that save their progress are stopped for more urgent ones without room, which is kept

Cause: scoring tasks need 2 to 8 of a worker's 8 accelerators on the third of the workers that is cleared for them; ranking tasks of one accelerator each keep all workers partly taken.

--- a/src/cell/clearance.rs
+++ b/src/cell/clearance.rs
@@ -40,7 +40,7 @@
         if advised.asking || now < advised.again {
             return;
         }
-        let workers = self.to_name(now, job, step, spec, advice, rest);
+        let workers = self.to_name(now, key, job, step, spec, advice, rest);
         if workers.is_empty() {
             return;
         }
@@ -60,6 +60,7 @@
     fn to_name(
         &self,
         now: Millis,
+        key: StepKey,
         job: &Job,
         step: &StepState,
         spec: &Step,
@@ -68,7 +69,7 @@
     ) -> Vec<Name> {
         let charge = spec.charge();
         let advised = &step.advised;
-        let open = self.open(now, &job.queue.service, spec).into_iter();
+        let open = self.open(now, key, job, spec).into_iter();
         let asked = |fit: &Fit| {
             advised.denied.contains(&fit.name) || advised.holds(&fit.name, now + TICKET_SPARE)
         };
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -196,6 +196,7 @@
         for step in steps {
             self.ready.remove(&(priority, due, step));
             self.advisers.cancel(step);
+            self.reserved.release(step);
         }
         self.dirty.insert(key);
         self.closed.push_back(key);
@@ -347,6 +348,9 @@
         self.expire_leases(now);
         self.settle_doubt(now);
         self.forget_jobs(now);
+        if self.reserved.expire(now) {
+            self.changed = true;
+        }
         self.expire_questions();
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,7 +13,9 @@
 pub mod lag;
 pub mod life;
 mod place;
+mod preempt;
 mod report;
+mod reserve;
 mod roster;
 pub mod run_times;
 mod schedule;
@@ -26,6 +28,7 @@
 use advice::{Advisers, Question};
 use job::Job;
 use journal::{Batch, Fate, Member, Snapshot};
+use reserve::Reservations;
 use run_times::RunTimes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -108,6 +111,8 @@
     /// Closed jobs in the order of their ends.
     closed: VecDeque<JobKey>,
     advisers: Advisers,
+    /// Room that is kept for steps that are about to start.
+    reserved: Reservations,
     /// Jobs with something to write.
     dirty: BTreeSet<JobKey>,
     /// The set of workers in use has to be written.
@@ -149,6 +154,7 @@
             fresh: VecDeque::new(),
             closed: VecDeque::new(),
             advisers: Advisers::default(),
+            reserved: Reservations::default(),
             dirty: BTreeSet::new(),
             roster: false,
             batch: 1,
--- /dev/null
+++ b/src/cell/preempt.rs
@@ -0,0 +1,131 @@
+//! Stopping less urgent tasks for more urgent ones that find no room.
+//!
+//! The load that this answers: large tasks that need whole workers, of which the advice service clears
+//! a few, beside small tasks of a less urgent queue that keep a piece of each worker taken. The small
+//! ones have time to spare and save their progress: each loses half a second of work and a restore.
+
+use crate::cell::Cell;
+use crate::cell::life::rank;
+use crate::cell::place::Fit;
+use crate::cell::worker::Phase;
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::workload::{Room, Step, StepKey, TaskKey};
+
+/// Nothing is stopped for a step before its turn came so long ago: a stop takes up to 900 ms, and room
+/// that small tasks leave by themselves is mostly there before.
+const PATIENCE: Millis = Millis(300);
+/// How long room is kept for a step after tasks were stopped for it: the longest stop of the platform's
+/// contract is 900 ms, and a ticket holds for two seconds.
+const KEEP: Millis = Millis(1_500);
+
+/// A run that may be stopped.
+#[derive(Debug, Clone)]
+struct Victim {
+    task: TaskKey,
+    run: u64,
+    charge: Room,
+}
+
+/// What has to be stopped at one worker to start so many tasks there.
+#[derive(Debug)]
+struct Plan {
+    worker: Name,
+    tasks: u32,
+    victims: Vec<Victim>,
+}
+
+impl Cell {
+    /// Has less urgent tasks stopped so that `rest` tasks of a step can start on workers that are
+    /// cleared for it, and keeps their room. For a gang nothing is stopped unless that makes room for
+    /// all of it.
+    pub(super) fn make_room(
+        &mut self,
+        now: Millis,
+        key: StepKey,
+        spec: &Step,
+        fits: &[Fit],
+        rest: u32,
+    ) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let turn = job.step(key).and_then(|step| step.turn);
+        let is_early = turn.is_none_or(|turn| now.since(turn) < PATIENCE);
+        if is_early || fits.is_empty() || self.reserved.has(key) {
+            return;
+        }
+        let (mine, queue) = (rank(job), job.queue.name.clone());
+        let priority = job.queue.priority;
+        let mut plans: Vec<Plan> = fits
+            .iter()
+            .map(|fit| plan(fit, spec, rest, self.victims(&fit.name, priority)))
+            .filter(|plan| plan.tasks > 0)
+            .collect();
+        plans.sort_by_key(|plan| plan.victims.len() * 100 / plan.tasks as usize);
+        let mut left = rest;
+        let mut chosen = Vec::new();
+        for found in plans {
+            if left == 0 {
+                break;
+            }
+            let Some(fit) = fits.iter().find(|fit| fit.name == found.worker) else { continue };
+            let part = plan(fit, spec, left.min(found.tasks), found.victims);
+            left -= part.tasks;
+            chosen.push(part);
+        }
+        if spec.gang && left > 0 {
+            return;
+        }
+        for Plan { worker, tasks, victims } in chosen {
+            let room = (0..tasks).fold(Room::default(), |sum, _| sum.plus(&spec.charge()));
+            self.reserved.add(&worker, key, mine, room, now + KEEP);
+            for Victim { task, run, .. } in victims {
+                log::info!(
+                    "event=preempted task={task} run={run} worker={worker} for={key} queue={queue}"
+                );
+                self.stop(&worker, task, run);
+            }
+        }
+    }
+
+    /// Runs at a worker that may be stopped for a job of this priority, the least urgent first.
+    fn victims(&self, worker: &Name, priority: u32) -> Vec<Victim> {
+        let Some(worker) = self.workers.get(worker) else { return Vec::new() };
+        let mut found: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| matches!(run.phase, Phase::Running(_)) && run.saves && !run.filler)
+            .filter_map(|((task, no), run)| {
+                let job = self.jobs.get(&task.step.job)?;
+                let spec = job.spec(task.step.step)?;
+                let may_stop = job.queue.priority > priority && !spec.lasting && !spec.gang;
+                let victim = Victim { task: *task, run: *no, charge: run.charge };
+                may_stop.then_some((rank(job), victim))
+            })
+            .collect();
+        found.sort_by(|(one, _), (other, _)| other.cmp(one));
+        found.into_iter().map(|(_, victim)| victim).collect()
+    }
+}
+
+/// The fewest of `victims`, in order, that make room for up to `most` tasks at a worker.
+fn plan(fit: &Fit, spec: &Step, most: u32, victims: Vec<Victim>) -> Plan {
+    let charge = spec.charge();
+    let mut fit = fit.clone();
+    let (mut tasks, mut stopped, mut needed) = (0, 0, 0);
+    while tasks < most {
+        match victims.get(stopped) {
+            _ if fit.holds(spec, &charge) => {
+                fit.free = fit.free.less(&charge);
+                fit.runs += 1;
+                tasks += 1;
+                needed = stopped;
+            }
+            Some(victim) => {
+                fit.free = fit.free.plus(&victim.charge);
+                stopped += 1;
+            }
+            None => break,
+        }
+    }
+    Plan { worker: fit.name, tasks, victims: victims.into_iter().take(needed).collect() }
+}
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -1,10 +1,10 @@
 //! Which task starts next, and where.
 
 use crate::cell::clearance::TICKET_SPARE;
-use crate::cell::job::StepState;
+use crate::cell::job::{Job, StepState};
 use crate::cell::life::rank;
 use crate::cell::place::{Fit, count_at, is_suitable, pick, pick_gang};
-use crate::cell::worker::{Phase, Run};
+use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, RUN_BITS};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -31,7 +31,7 @@
             return;
         }
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
-        let (advice, service) = (job.queue.advice, job.queue.service.clone());
+        let advice = job.queue.advice;
         // Most steps wait for an answer most of the time: these cost nothing more.
         let pauses = advice.is_some() && (step.advised.asking || now < step.advised.again);
         if pauses && !step.advised.has_ticket(now + TICKET_SPARE) {
@@ -40,8 +40,8 @@
         let spec = spec.clone();
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         let mut fits = match advice {
-            Some(_) => self.cleared(now, step, &service, &spec),
-            None => self.open(now, &service, &spec),
+            Some(_) => self.cleared(now, key, job, step, &spec),
+            None => self.open(now, key, job, &spec),
         };
         self.choose_home(key, &fits);
         match spec.gang {
@@ -50,8 +50,12 @@
         }
         let rest = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let rest = rest.map_or(0, |step| step.waiting.len());
+        if rest > 0 {
+            self.make_room(now, key, &spec, &fits, rest as u32);
+        }
         match advice {
             _ if rest == 0 => {
+                self.reserved.release(key);
                 let ranks = self.jobs.get(&key.job).map(rank);
                 if let Some((priority, due)) = ranks {
                     self.ready.remove(&(priority, due, key));
@@ -63,19 +67,43 @@
     }
 
     /// The workers that may run a step.
-    pub(super) fn open(&self, now: Millis, service: &str, spec: &Step) -> Vec<Fit> {
-        let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now, self.kept));
-        let suitable = open.filter(|(_, worker)| is_suitable(worker, service, spec));
-        suitable.map(|(name, worker)| Fit::new(name, worker)).collect()
+    pub(super) fn open(&self, now: Millis, key: StepKey, job: &Job, spec: &Step) -> Vec<Fit> {
+        let fits = self.workers.iter().map(|(name, worker)| (name, worker));
+        self.fits(now, key, job, spec, fits)
     }
 
     /// The workers that may run a step and whose tickets for it hold.
-    fn cleared(&self, now: Millis, step: &StepState, service: &str, spec: &Step) -> Vec<Fit> {
+    fn cleared(
+        &self,
+        now: Millis,
+        key: StepKey,
+        job: &Job,
+        step: &StepState,
+        spec: &Step,
+    ) -> Vec<Fit> {
         let tickets = step.advised.tickets(now + TICKET_SPARE);
         let known = tickets.filter_map(|name| Some((name, self.workers.get(name)?)));
-        let open = known.filter(|(_, worker)| worker.is_open(now, self.kept));
-        let suitable = open.filter(|(_, worker)| is_suitable(worker, service, spec));
-        suitable.map(|(name, worker)| Fit::new(name, worker)).collect()
+        self.fits(now, key, job, spec, known)
+    }
+
+    /// Those of some workers that may run a step, with the room that others leave to it.
+    fn fits<'a>(
+        &self,
+        now: Millis,
+        key: StepKey,
+        job: &Job,
+        spec: &Step,
+        workers: impl Iterator<Item = (&'a Name, &'a Worker)>,
+    ) -> Vec<Fit> {
+        let rank = rank(job);
+        let open = workers.filter(|(_, worker)| worker.is_open(now, self.kept));
+        let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
+        let fit = |(name, worker)| {
+            let fit = Fit::new(name, worker);
+            let held = self.reserved.held(name, key, rank);
+            Fit { free: fit.free.less(&held), ..fit }
+        };
+        suitable.map(fit).collect()
     }
 
     /// Gives a job a failure domain, the one with the most idle processors: its tasks go there as
--- /dev/null
+++ b/tests/preempt.rs
@@ -0,0 +1,218 @@
+//! Large urgent tasks beside small ones of a less urgent queue that keep all workers partly taken.
+
+use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::{Action, Bounds, Cell};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
+use sprucerudder::order::{End, EndedRow, Listed, Outcome, Report, RunningRow, Start};
+use sprucerudder::workload::{JobKey, Queue, Room, Step, TaskKey, Work};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+const WORKERS: usize = 4;
+/// How long a small and a large task run, in milliseconds.
+const SMALL: u64 = 4_000;
+const LARGE: u64 = 3_000;
+/// How long a stop takes.
+const STOP: u64 = 400;
+
+fn queue(name: &str, priority: u32) -> (Name, Arc<Queue>) {
+    let (name, service): (Name, Name) = (name.into(), "s".into());
+    let target = Millis(1_000);
+    let row = Queue {
+        name: name.clone(),
+        service,
+        priority,
+        attempts: 2,
+        stretch: 2_000,
+        target,
+        advice: None,
+    };
+    (name, Arc::new(row))
+}
+
+/// A worker with eight accelerators, and when each run there ends and how.
+struct Worker {
+    listed: Listed,
+    runs: BTreeMap<(TaskKey, u64), (u64, End)>,
+    count: u64,
+}
+
+/// An owner, its workers and a virtual clock.
+struct World {
+    cell: Cell,
+    workers: Vec<Worker>,
+    now: u64,
+    /// When each job first started, and each stop.
+    first: BTreeMap<JobKey, u64>,
+    stops: Vec<(TaskKey, u64)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let bounds = Bounds { lease: Millis(6_000), keep: Millis(100_000) };
+        let queues = HashMap::from([queue("large", 1), queue("small", 2)]);
+        let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
+        let workers: Vec<Worker> = (0..WORKERS).map(worker).collect();
+        cell.set_workers(workers.iter().map(|worker| worker.listed.clone()).collect());
+        let mut world = Self { cell, workers, now: 1, first: BTreeMap::new(), stops: Vec::new() };
+        world.step();
+        world
+    }
+
+    fn submit(&mut self, key: u64, queue: &str, step: Step) {
+        let work = Work {
+            spec: "".into(),
+            steps: vec![step],
+            times: 1,
+            first: Millis(0),
+            every: Millis(0),
+        };
+        assert!(self.cell.submit(Millis(self.now), JobKey(key), queue, Arc::new(work)).is_some());
+    }
+
+    /// 20 ms go by.
+    fn step(&mut self) {
+        self.now += 20;
+        let now = Millis(self.now);
+        for worker in &mut self.workers {
+            let due = |(_, (end, _)): &(&(TaskKey, u64), &(u64, End))| *end <= self.now;
+            let over: Vec<_> = worker.runs.iter().filter(due).map(|(k, v)| (*k, v.1)).collect();
+            let mut ended = Vec::new();
+            for ((task, run), end) in over {
+                worker.runs.remove(&(task, run));
+                worker.count += 1;
+                ended.push(EndedRow { no: worker.count, task, run, end, saved: "s".into() });
+            }
+            let goes_on = |(task, run): &(TaskKey, u64)| RunningRow {
+                task: *task,
+                run: *run,
+                saved: format!("{}", self.now / 500).into(),
+                percent: 100,
+                gauge: None,
+            };
+            let running = worker.runs.keys().map(goes_on).collect();
+            let report = Report { clock: self.now, running, ended };
+            let name = worker.listed.id.clone();
+            self.cell.hold(now, &name, true);
+            self.cell.held(now, now, &name, &report);
+        }
+        self.cell.tick(now, now);
+        self.cell.schedule(now);
+        while let Some(batch) = self.cell.take_batch(now) {
+            self.cell.keep(now, batch.no);
+        }
+        for action in self.cell.take_actions() {
+            match action {
+                Action::Start { worker, start, .. } => self.start(&worker, &start),
+                Action::Stop { worker, task, run } => self.stop(&worker, task, run),
+                _ => {}
+            }
+        }
+    }
+
+    fn start(&mut self, name: &Name, start: &Start) {
+        let large = start.task.step.job.0 >= 1_000;
+        let end = self.now + if large { LARGE } else { SMALL };
+        let worker = self.workers.iter_mut().find(|worker| worker.listed.id == *name).unwrap();
+        worker.runs.insert((start.task, start.run), (end, End::Done));
+        self.first.entry(start.task.step.job).or_insert(self.now);
+        let done = Outcome::Done(None);
+        self.cell.started(Millis(self.now), name, start.task, start.run, done);
+    }
+
+    fn stop(&mut self, name: &Name, task: TaskKey, run: u64) {
+        self.stops.push((task, self.now));
+        let worker = self.workers.iter_mut().find(|worker| worker.listed.id == *name).unwrap();
+        if let Some(row) = worker.runs.get_mut(&(task, run)) {
+            *row = (self.now + STOP, End::Stopped);
+        }
+        self.cell.stopped(Millis(self.now), name, task, run, Outcome::Done(None));
+    }
+}
+
+fn worker(no: usize) -> Worker {
+    let id: Name = format!("w{no}").into();
+    let listed = Listed {
+        id: id.clone(),
+        service: "s".into(),
+        addr: id,
+        domain: "d".into(),
+        room: Room { cpu: 64_000, mem: 64_000, gpu: 8 },
+        labels: Vec::new(),
+        leaving: None,
+    };
+    Worker { listed, runs: BTreeMap::new(), count: 0 }
+}
+
+fn tasks(count: u32, gpu: u64) -> Step {
+    let room = Room { cpu: gpu * 1_000, mem: 1_000, gpu };
+    Step { count, room, saves: true, estimate: Millis(3_000), ..Step::default() }
+}
+
+/// The longest wait of large jobs of one whole worker each, one every 1.5 s, while small jobs of one
+/// accelerator come faster than they can be served.
+fn longest_wait(small: Step) -> (u64, World) {
+    let mut world = World::new();
+    let mut sent = BTreeMap::new();
+    for no in 0..900 {
+        if no % 5 == 0 {
+            world.submit(no + 1, "small", small.clone());
+        }
+        if no > 100 && no % 75 == 0 {
+            world.submit(1_000 + no, "large", tasks(1, 8));
+            sent.insert(JobKey(1_000 + no), world.now);
+        }
+        world.step();
+    }
+    let waits = sent.iter().filter(|(_, at)| **at < world.now - 4_000);
+    let wait = |(job, at): (&JobKey, &u64)| world.first.get(job).map_or(u64::MAX, |time| time - at);
+    (waits.map(wait).max().unwrap(), world)
+}
+
+#[test]
+fn large_urgent_tasks_start_soon_among_small_ones_that_come_all_the_time() {
+    let (wait, world) = longest_wait(tasks(1, 1));
+    assert!(wait < 2_500, "{wait} ms");
+    assert!(!world.stops.is_empty());
+}
+
+#[test]
+fn tasks_that_do_not_save_their_progress_are_not_stopped() {
+    let (_, world) = longest_wait(Step { saves: false, ..tasks(1, 1) });
+    assert_eq!(world.stops, Vec::new());
+}
+
+#[test]
+fn nothing_is_stopped_for_less_urgent_tasks() {
+    let mut world = World::new();
+    for no in 0..WORKERS as u64 {
+        world.submit(1_000 + no, "large", tasks(1, 8));
+    }
+    for _ in 0..20 {
+        world.step();
+    }
+    world.submit(1, "small", tasks(1, 1));
+    for _ in 0..60 {
+        world.step();
+    }
+    assert_eq!(world.stops, Vec::new());
+}
+
+#[test]
+fn room_that_was_made_is_kept_for_the_step_that_it_was_made_for() {
+    let mut world = World::new();
+    world.submit(1, "small", tasks(32, 1));
+    for _ in 0..10 {
+        world.step();
+    }
+    world.submit(1_000, "large", tasks(1, 8));
+    for no in 0..80 {
+        world.submit(100 + no, "small", tasks(1, 1));
+        world.step();
+    }
+    let large = world.first.get(&JobKey(1_000)).copied();
+    let first = world.stops.first().map(|(_, at)| *at).unwrap();
+    assert!(large.is_some_and(|at| at <= first + STOP + 100), "{large:?} after {first}");
+    assert_eq!(world.stops.len(), 8, "each small task of one worker, once");
+}
