An entry is ready only while its owner takes jobs

Cause: when a cut keeps the owner from the store, its neighbours in the failure domain reach it, called themselves ready, and refused their callers until the cut healed; the balancer moved nobody.

--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -27,6 +27,8 @@
 const CONNECT: Millis = Millis(300);
 /// Time between attempts to reach an owner.
 const RETRY: Millis = Millis(60);
+/// The number of answers to pings, which no question has.
+const PONG: u64 = u64::MAX;
 /// Frames that may wait to be written; a slower peer loses its connection.
 const QUEUE: usize = 4_096;
 
@@ -38,6 +40,8 @@
     next: AtomicU64,
     /// When the last frame came, in milliseconds.
     heard: AtomicU64,
+    /// The owner takes new jobs, by its last answer to a ping.
+    accepts: AtomicBool,
     is_closed: AtomicBool,
 }
 
@@ -56,6 +60,13 @@
         now.since(Millis(self.heard.load(Ordering::Relaxed))) < STALE
     }
 
+    /// Whether the owner was heard a moment ago and takes new jobs. An entry beside an owner that a
+    /// cut keeps from the store was ready without this, and refused its callers until the cut healed
+    /// (11 jobs given up in 2 s) instead of having them sent to other failure domains.
+    pub fn accepts(&self, now: Millis) -> bool {
+        self.is_live(now) && self.accepts.load(Ordering::Relaxed)
+    }
+
     /// Asks and waits for the answer.
     ///
     /// # Errors
@@ -179,6 +190,7 @@
             waiting: Mutex::default(),
             next: AtomicU64::new(0),
             heard: AtomicU64::new(self.now().0),
+            accepts: AtomicBool::new(true),
             is_closed: AtomicBool::new(false),
         });
         let (entry, cpu) = (self.me.name.clone(), self.settings.cpu);
@@ -238,6 +250,9 @@
                         }
                     });
                 }
+                Frame { no: PONG, body } => {
+                    link.accepts.store(body == Tell::Done, Ordering::Relaxed);
+                }
                 frame => link.answer(frame),
             }
         }
@@ -339,8 +354,11 @@
             match body {
                 Ask::Ping { store } => {
                     owner.pinged(entry, store);
-                    // Pongs carry a number that no question has.
-                    out.try_send(encode(u64::MAX, Tell::Done)?).map_err(io::Error::other)?;
+                    let pong = match owner.is_sure() {
+                        true => Tell::Done,
+                        false => Tell::Refused(Refused::NoStore),
+                    };
+                    out.try_send(encode(PONG, pong)?).map_err(io::Error::other)?;
                 }
                 Ask::Probed { able } => owner.probed(entry, able),
                 body => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -192,7 +192,7 @@
     fn is_ready(&self) -> bool {
         let stopping = self.stopping.load(Ordering::Relaxed);
         let owned = self.owner.borrow().as_ref().is_some_and(|owner| owner.is_sure());
-        let linked = self.link.borrow().as_ref().is_some_and(|link| link.is_live(self.now()));
+        let linked = self.link.borrow().as_ref().is_some_and(|link| link.accepts(self.now()));
         !stopping && self.policy.borrow().version > 0 && (owned || linked)
     }
 
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -199,3 +199,20 @@
     assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(took < Duration::from_millis(1_500), "{took:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_is_not_ready_while_its_owner_takes_no_jobs() {
+    let callers = Callers::start(1, 2).await;
+    let other = 1 - callers.owner().await;
+    // As behind a cut: the owner and its neighbour see each other, and not the store.
+    for entry in &callers.cell.entries {
+        entry.store.set(|mode| (mode.mute_up, mode.mute_down) = (true, true));
+    }
+    let addr = callers.cell.site.ready(other);
+    let begun = Instant::now();
+    until("an entry not to be ready", async || {
+        callers.get(&addr, "/readiness").await.is_ok_and(|answer| answer.status != StatusCode::OK)
+    })
+    .await;
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+}
