At most six orders at a worker at once

Cause: a step's starts to one worker went out all at once, each on a connection of its own; connections to workers are dear. Conclusion: six are kept.

--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// Without a heartbeat in the log for this long no job is accepted: it could not be kept in time.
 /// With a store 60 times slower than usual heartbeats take up to 900 ms.
@@ -47,6 +47,8 @@
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
     looks: Mutex<HashMap<Name, Arc<Notify>>>,
+    /// Bounds how many orders each worker is given at once.
+    gates: Mutex<HashMap<Name, Arc<Semaphore>>>,
 }
 
 impl Node {
@@ -84,6 +86,7 @@
             lag: Mutex::new(Lag::new(self.now())),
             store: AtomicBool::new(true),
             looks: Mutex::default(),
+            gates: Mutex::default(),
             node: self.clone(),
         });
         self.owner.send_replace(Some(owner.clone()));
@@ -185,6 +188,7 @@
                 if let Some(look) = lock(&self.looks).remove(&worker) {
                     look.notify_one();
                 }
+                lock(&self.gates).remove(&worker);
             }
             Action::Look(worker) => {
                 if let Some(look) = lock(&self.looks).get(&worker) {
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -11,6 +11,7 @@
 use crate::platform::worker::{self, Worker};
 use std::collections::HashMap;
 use std::sync::Arc;
+use tokio::sync::Semaphore;
 
 /// The topic in which workers list themselves.
 const WORKERS: Part<'static> = Part { topic: worker::TOPIC, part: 0 };
@@ -33,6 +34,14 @@
 /// The room and the task are in doubt for that long if the answer is lost.
 const ORDER_LIMIT: Millis = Millis(300);
 
+/// Orders that a worker is given at once. An order takes some 2 ms; each more at once opens another
+/// connection, which is dear.
+const ORDERS_AT_ONCE: usize = 6;
+
+fn new_gate() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(ORDERS_AT_ONCE))
+}
+
 impl Node {
     /// Reads the whole list of workers, and where it ends.
     pub(super) async fn list_workers(&self) -> Result<(Vec<Listed>, u64), StoreError> {
@@ -62,6 +71,9 @@
             _ => return,
         };
         let Some(client) = self.client(&name) else { return };
+        let gate = lock(&self.gates).entry(name.clone()).or_insert_with(new_gate).clone();
+        // A closed gate would only mean that the worker is gone, and orders to it fail by themselves.
+        let _passed = gate.acquire().await;
         let sent = self.node.now();
         let (task, run, outcome) = match &action {
             Action::Start { start, until, .. } => {
