Tasks that find no room keep some at the workers next to having it, and are asked about where others could be stopped

Cause: a task for a whole worker was passed by all that need a part of one, also of its own queue; and a step whose tickets had run out was never asked about again while less urgent tasks filled its workers, though they could be stopped for it. The new test in tests/preempt.rs fails without it: the task never starts.

--- a/src/cell/clearance.rs
+++ b/src/cell/clearance.rs
@@ -75,7 +75,8 @@
         };
         let (known, unknown): (Vec<Fit>, Vec<Fit>) =
             open.filter(|fit| !asked(fit)).partition(|fit| advised.cleared.contains_key(&fit.name));
-        let known: Vec<Fit> = known.into_iter().filter(|fit| fit.free.holds(&charge)).collect();
+        let has_room = |fit: &Fit| self.could_hold(fit, job.queue.priority, &charge);
+        let known: Vec<Fit> = known.into_iter().filter(has_room).collect();
         let (mut named, most) = match known.is_empty() {
             false => (known, rest.max(LEAST_AGAIN)),
             true if unknown.iter().any(|fit| fit.free.holds(&charge)) || advised.is_new() => {
--- a/src/cell/preempt.rs
+++ b/src/cell/preempt.rs
@@ -87,17 +87,42 @@
         }
     }
 
+    /// Keeps room for tasks of a step that found none, at the workers cleared for it that are next to
+    /// having it: tasks that cannot be stopped for the step would take each piece that becomes free.
+    pub(super) fn share_room(&mut self, now: Millis, key: StepKey, spec: &Step, rest: u32) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let mine = rank(job);
+        if self.reserved.has(key) || self.reserved.shares(key) {
+            return;
+        }
+        let charge = spec.charge();
+        let mut fits = self.known_good(now, key, spec);
+        fits.retain(|fit| !fit.free.holds(&charge));
+        fits.sort_by_key(|fit| std::cmp::Reverse((fit.free.gpu, fit.free.cpu)));
+        for fit in fits.into_iter().take(rest as usize) {
+            self.reserved.share(&fit.name, key, mine, charge, now + KEEP);
+        }
+    }
+
+    /// Whether a worker has room for a task of a job of this priority, or would have if less urgent
+    /// tasks were stopped.
+    pub(super) fn could_hold(&self, fit: &Fit, priority: u32, charge: &Room) -> bool {
+        let victims = self.victims(&fit.name, priority);
+        let room = victims.iter().fold(fit.free, |room, victim| room.plus(&victim.charge));
+        room.holds(charge)
+    }
+
     /// Runs at a worker that may be stopped for a job of this priority, the least urgent first.
     fn victims(&self, worker: &Name, priority: u32) -> Vec<Victim> {
         let Some(worker) = self.workers.get(worker) else { return Vec::new() };
         let mut found: Vec<_> = worker
             .runs
             .iter()
-            .filter(|(_, run)| matches!(run.phase, Phase::Running(_)) && run.saves && !run.filler)
+            .filter(|(_, run)| matches!(run.phase, Phase::Running(_)))
             .filter_map(|((task, no), run)| {
                 let job = self.jobs.get(&task.step.job)?;
                 let spec = job.spec(task.step.step)?;
-                let may_stop = job.queue.priority > priority && !spec.lasting && !spec.gang;
+                let may_stop = job.queue.priority > priority && spec.can_stop();
                 let victim = Victim { task: *task, run: *no, charge: run.charge };
                 may_stop.then_some((rank(job), victim))
             })
--- a/src/cell/reserve.rs
+++ b/src/cell/reserve.rs
@@ -18,6 +18,8 @@
     rank: Rank,
     room: Room,
     until: Millis,
+    /// Tasks that can be stopped for the step may use the room meanwhile.
+    is_shared: bool,
 }
 
 /// All room that is kept, by worker.
@@ -25,40 +27,60 @@
 pub struct Reservations {
     rows: HashMap<Name, Vec<Row>>,
     steps: HashMap<StepKey, Millis>,
+    shared: HashMap<StepKey, Millis>,
 }
 
 impl Reservations {
-    /// Keeps room at a worker for a step until a time.
+    /// Keeps room at a worker for a step until a time, from all that are less urgent.
     pub fn add(&mut self, worker: &Name, step: StepKey, rank: Rank, room: Room, until: Millis) {
-        let row = Row { step, rank, room, until };
-        self.rows.entry(worker.clone()).or_default().push(row);
+        self.insert(worker, Row { step, rank, room, until, is_shared: false });
         self.steps.insert(step, until);
     }
 
-    /// Whether room is kept for a step.
+    /// As [`Self::add`], but tasks that can be stopped for the step may use the room meanwhile.
+    pub fn share(&mut self, worker: &Name, step: StepKey, rank: Rank, room: Room, until: Millis) {
+        self.insert(worker, Row { step, rank, room, until, is_shared: true });
+        self.shared.insert(step, until);
+    }
+
+    fn insert(&mut self, worker: &Name, row: Row) {
+        self.rows.entry(worker.clone()).or_default().push(row);
+    }
+
+    /// Whether room is kept for a step alone.
     pub fn has(&self, step: StepKey) -> bool {
         self.steps.contains_key(&step)
     }
 
-    /// The room at a worker that a step must leave to others that are as urgent or more.
-    pub fn held(&self, worker: &Name, step: StepKey, rank: Rank) -> Room {
+    /// Whether room that others may use is kept for a step.
+    pub fn shares(&self, step: StepKey) -> bool {
+        self.shared.contains_key(&step)
+    }
+
+    /// The room at a worker that a step must leave to others that are as urgent or more;
+    /// `can_stop`: its tasks can be stopped for steps of a more urgent queue.
+    pub fn held(&self, worker: &Name, step: StepKey, rank: Rank, can_stop: bool) -> Room {
         let rows = self.rows.get(worker).map(Vec::as_slice).unwrap_or_default();
+        let yields = |row: &&Row| row.is_shared && can_stop && row.rank.0 < rank.0;
         let others = rows.iter().filter(|row| row.step != step && row.rank <= rank);
+        let others = others.filter(|row| !yields(row));
         others.fold(Room::default(), |sum, row| sum.plus(&row.room))
     }
 
     /// A step needs no room any more.
     pub fn release(&mut self, step: StepKey) {
-        if self.steps.remove(&step).is_some() {
+        let shared = self.shared.remove(&step);
+        if self.steps.remove(&step).or(shared).is_some() {
             self.keep(|row| row.step != step);
         }
     }
 
     /// Room whose time is over is free for all; whether there was any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.steps.len();
+        let before = self.steps.len() + self.shared.len();
         self.steps.retain(|_, until| now < *until);
-        let is_over = self.steps.len() < before;
+        self.shared.retain(|_, until| now < *until);
+        let is_over = self.steps.len() + self.shared.len() < before;
         if is_over {
             self.keep(|row| now < row.until);
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -52,6 +52,7 @@
         let rest = rest.map_or(0, |step| step.waiting.len());
         if rest > 0 {
             self.make_room(now, key, &spec, &fits, rest as u32);
+            self.share_room(now, key, &spec, rest as u32);
         }
         match advice {
             _ if rest == 0 => {
@@ -86,6 +87,18 @@
         self.fits(now, key, job, spec, known)
     }
 
+    /// The workers that may run a step as far as is known, whether their tickets hold or not.
+    pub(super) fn known_good(&self, now: Millis, key: StepKey, spec: &Step) -> Vec<Fit> {
+        let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
+        let Some(step) = job.step(key) else { return Vec::new() };
+        if job.queue.advice.is_none() {
+            return self.open(now, key, job, spec);
+        }
+        let names = step.advised.cleared.keys();
+        let known = names.filter_map(|name| Some((name, self.workers.get(name)?)));
+        self.fits(now, key, job, spec, known)
+    }
+
     /// Those of some workers that may run a step, with the room that others leave to it.
     fn fits<'a>(
         &self,
@@ -100,7 +113,7 @@
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
             let fit = Fit::new(name, worker);
-            let held = self.reserved.held(name, key, rank);
+            let held = self.reserved.held(name, key, rank, spec.can_stop());
             Fit { free: fit.free.less(&held), ..fit }
         };
         suitable.map(fit).collect()
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -164,6 +164,11 @@
 }
 
 impl Step {
+    /// Whether its tasks can be stopped for more urgent ones with little work lost.
+    pub fn can_stop(&self) -> bool {
+        self.saves && !self.lasting && !self.gang && !self.filler
+    }
+
     /// The room that a task is charged at its worker.
     pub fn charge(&self) -> Room {
         match self.filler {
--- a/tests/preempt.rs
+++ b/tests/preempt.rs
@@ -177,6 +177,25 @@
     assert!(!world.stops.is_empty());
 }
 
+#[test]
+fn a_task_that_needs_a_whole_worker_is_not_passed_by_all_that_need_half_of_one() {
+    let mut world = World::new();
+    // Two of the same queue fit each worker; one comes every 240 ms, and four workers serve eight in 3 s.
+    let mut large = None;
+    for no in 0..800 {
+        if no % 12 == 0 {
+            world.submit(2_000 + no, "large", tasks(1, 4));
+        }
+        if no == 200 {
+            large = Some(world.now);
+            world.submit(1_000, "large", tasks(1, 8));
+        }
+        world.step();
+    }
+    let wait = world.first.get(&JobKey(1_000)).map(|at| at - large.unwrap());
+    assert!(wait.is_some_and(|wait| wait < 2 * LARGE), "{wait:?}");
+}
+
 #[test]
 fn tasks_that_do_not_save_their_progress_are_not_stopped() {
     let (_, world) = longest_wait(Step { saves: false, ..tasks(1, 1) });
