--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -47,9 +47,7 @@
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
                 let Some(worker) = self.workers.get_mut(name) else { return false };
-                // With an order unanswered too it is silent at once: copies start 0.8 s sooner.
-                let was_doubted = worker.is_doubted();
-                if !worker.miss() && !was_doubted {
+                if !worker.miss() {
                     self.doubt(now, name);
                     return false;
                 }
