--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -5,7 +5,6 @@
 
 pub mod admission;
 pub mod advice;
-pub mod answer_times;
 pub mod authority;
 mod clearance;
 pub mod election;
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -5,7 +5,6 @@
 mod workers;
 
 use crate::cell::advice::Question;
-use crate::cell::answer_times::AnswerTimes;
 use crate::cell::authority::Authority;
 use crate::cell::lag::Lag;
 use crate::cell::life::TICK;
@@ -48,8 +47,6 @@
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
     looks: Mutex<HashMap<Name, Arc<Notify>>>,
-    /// How long workers take to answer orders.
-    answers: Mutex<AnswerTimes>,
     /// Bounds how many orders each worker is given at once.
     gates: Mutex<HashMap<Name, Arc<Semaphore>>>,
 }
@@ -89,7 +86,6 @@
             lag: Mutex::new(Lag::new(self.now())),
             store: AtomicBool::new(true),
             looks: Mutex::default(),
-            answers: Mutex::default(),
             gates: Mutex::default(),
             node: self.clone(),
         });
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -30,6 +30,9 @@
 /// Ends are confirmed with the next report; it waits this long at the most for the store to have
 /// them.
 const KEEP_WAIT: Millis = Millis(500);
+/// The longest wait for the answer to an order: a hundred times the way between failure domains.
+/// The room and the task are in doubt for that long if the answer is lost.
+const ORDER_LIMIT: Millis = Millis(300);
 
 /// Orders that a worker is given at once. An order takes some 2 ms; each more at once opens another
 /// connection, which is dear.
@@ -72,14 +75,15 @@
         // A closed gate would only mean that the worker is gone, and orders to it fail by themselves.
         let _passed = gate.acquire().await;
         let sent = self.node.now();
-        let limit = lock(&self.answers).limit();
         let (task, run, outcome) = match &action {
             Action::Start { start, until, .. } => {
-                (start.task, start.run, client.start(start, *until, limit).await)
+                (start.task, start.run, client.start(start, *until, ORDER_LIMIT).await)
+            }
+            Action::Stop { task, run, .. } => {
+                (*task, *run, client.stop(*task, *run, ORDER_LIMIT).await)
             }
-            Action::Stop { task, run, .. } => (*task, *run, client.stop(*task, *run, limit).await),
             Action::Pace { task, run, percent, .. } => {
-                let outcome = client.pace(*task, *run, *percent, limit).await;
+                let outcome = client.pace(*task, *run, *percent, ORDER_LIMIT).await;
                 if !matches!(outcome, Outcome::Done(_)) {
                     log::info!("event=pace-failed task={task} worker={name} outcome={outcome:?}");
                 }
@@ -89,9 +93,6 @@
         };
         let now = self.node.now();
         let start = matches!(action, Action::Start { .. });
-        if matches!(outcome, Outcome::Done(_)) {
-            lock(&self.answers).add(now.since(sent));
-        }
         self.node.metrics.ordered(start, &outcome, now.since(sent));
         {
             let mut cell = lock(&self.cell);
