--- a/src/cell/clearance.rs
+++ b/src/cell/clearance.rs
@@ -1,8 +1,9 @@
 //! What the advice service is asked, and what its answers mean for placing.
 
 use crate::cell::advice::Question;
-use crate::cell::job::{Job, StepState, Ticket};
+use crate::cell::job::{Job, Ticket};
 use crate::cell::life::rank;
+use crate::cell::mechanism::Mechanism;
 use crate::cell::place::Fit;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
@@ -40,7 +41,7 @@
         if advised.asking || now < advised.again {
             return;
         }
-        let workers = self.to_name(now, key, job, step, spec, advice, rest);
+        let workers = self.to_name(now, key, job, spec, rest);
         if workers.is_empty() {
             return;
         }
@@ -57,24 +58,20 @@
     /// first. Asking about busy workers at once too, and again only about known good ones, took the
     /// service's time from 315 s to 221 s a day of 65 s (mean of 15 days), and scoring gangs, whose
     /// questions take half a second, from 0.81 to 0.84 of their credit.
-    fn to_name(
-        &self,
-        now: Millis,
-        key: StepKey,
-        job: &Job,
-        step: &StepState,
-        spec: &Step,
-        advice: Advice,
-        rest: usize,
-    ) -> Vec<Name> {
+    fn to_name(&self, now: Millis, key: StepKey, job: &Job, spec: &Step, rest: usize) -> Vec<Name> {
+        let (Some(step), Some(advice)) = (job.step(key), job.queue.advice) else {
+            return Vec::new();
+        };
         let charge = spec.charge();
         let advised = &step.advised;
+        let names_busy = !self.bounds.off.has(Mechanism::AskBusy);
         let open = self.open(now, key, job, spec).into_iter();
         let asked = |fit: &Fit| {
             advised.denied.contains(&fit.name) || advised.holds(&fit.name, now + TICKET_SPARE)
         };
-        let (known, unknown): (Vec<Fit>, Vec<Fit>) =
-            open.filter(|fit| !asked(fit)).partition(|fit| advised.cleared.contains_key(&fit.name));
+        let (known, unknown): (Vec<Fit>, Vec<Fit>) = open
+            .filter(|fit| !asked(fit) && (names_busy || fit.free.holds(&charge)))
+            .partition(|fit| advised.cleared.contains_key(&fit.name));
         let has_room = |fit: &Fit| self.could_hold(fit, job.queue.priority, &charge);
         let known: Vec<Fit> = known.into_iter().filter(has_room).collect();
         let (mut named, most) = match known.is_empty() {
--- /dev/null
+++ b/src/cell/mechanism.rs
@@ -0,0 +1,76 @@
+//! Mechanisms that can be switched off, to measure what each of them is worth.
+
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// A mechanism of the owner's decisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Workers on which runs fail or stand still get nothing new for a while.
+    Aside,
+    /// The first question about a step names busy workers too.
+    AskBusy,
+    /// Copies of tasks start where the caller allows it.
+    Copies,
+    /// Workers and failure domains that leave something unanswered get nothing new.
+    Doubt,
+    /// A job's tasks keep to one failure domain.
+    Home,
+    /// Less urgent tasks are stopped for more urgent ones.
+    Preempt,
+    /// Tasks that find no room keep some.
+    Reserve,
+    /// An owner hands the cell to a larger entry, or once it does not keep up.
+    Transfer,
+}
+
+const ALL: [(Mechanism, &str); 8] = [
+    (Mechanism::Aside, "aside"),
+    (Mechanism::AskBusy, "ask-busy"),
+    (Mechanism::Copies, "copies"),
+    (Mechanism::Doubt, "doubt"),
+    (Mechanism::Home, "home"),
+    (Mechanism::Preempt, "preempt"),
+    (Mechanism::Reserve, "reserve"),
+    (Mechanism::Transfer, "transfer"),
+];
+
+/// A text names no mechanism.
+#[derive(Debug, Error, PartialEq)]
+#[error("{0:?} is none of: aside, ask-busy, copies, doubt, home, preempt, reserve, transfer")]
+pub struct MechanismError(String);
+
+/// The mechanisms that are switched off; none by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Off(u16);
+
+impl Off {
+    /// Whether a mechanism is switched off.
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.0 & (1 << mechanism as u16) != 0
+    }
+}
+
+impl FromStr for Off {
+    type Err = MechanismError;
+
+    /// Reads names with commas between them.
+    fn from_str(text: &str) -> Result<Self, MechanismError> {
+        let mut off = Self::default();
+        for name in text.split(',') {
+            let found = ALL.iter().find(|(_, known)| *known == name);
+            let (mechanism, _) = found.ok_or_else(|| MechanismError(name.to_string()))?;
+            off.0 |= 1 << *mechanism as u16;
+        }
+        Ok(off)
+    }
+}
+
+impl fmt::Display for Off {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let off = ALL.iter().filter(|(mechanism, _)| self.has(*mechanism));
+        let names: Vec<&str> = off.map(|(_, name)| *name).collect();
+        f.write_str(&names.join(","))
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod lag;
 pub mod life;
+pub mod mechanism;
 mod place;
 mod preempt;
 mod report;
@@ -28,6 +29,7 @@
 use advice::{Advisers, Question};
 use job::Job;
 use journal::{Batch, Fate, Member, Snapshot};
+use mechanism::Off;
 use reserve::Reservations;
 use run_times::RunTimes;
 use serde::{Deserialize, Serialize};
@@ -49,6 +51,8 @@
     pub lease: Millis,
     /// How long the state of a closed job can be asked for.
     pub keep: Millis,
+    /// Mechanisms that are switched off.
+    pub off: Off,
 }
 
 /// What has to be done.
--- a/src/cell/preempt.rs
+++ b/src/cell/preempt.rs
@@ -6,6 +6,7 @@
 
 use crate::cell::Cell;
 use crate::cell::life::rank;
+use crate::cell::mechanism::Mechanism;
 use crate::cell::place::Fit;
 use crate::cell::worker::Phase;
 use crate::clock::Millis;
@@ -92,7 +93,8 @@
     pub(super) fn share_room(&mut self, now: Millis, key: StepKey, spec: &Step, rest: u32) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let mine = rank(job);
-        if self.reserved.has(key) || self.reserved.shares(key) {
+        let is_off = self.bounds.off.has(Mechanism::Reserve);
+        if is_off || self.reserved.has(key) || self.reserved.shares(key) {
             return;
         }
         let charge = spec.charge();
@@ -114,6 +116,9 @@
 
     /// Runs at a worker that may be stopped for a job of this priority, the least urgent first.
     fn victims(&self, worker: &Name, priority: u32) -> Vec<Victim> {
+        if self.bounds.off.has(Mechanism::Preempt) {
+            return Vec::new();
+        }
         let Some(worker) = self.workers.get(worker) else { return Vec::new() };
         let mut found: Vec<_> = worker
             .runs
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -1,5 +1,6 @@
 //! The workers of a cell: listed, silent, leaving, gone.
 
+use crate::cell::mechanism::Mechanism;
 use crate::cell::worker::Worker;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
@@ -32,6 +33,9 @@
     /// same cut. Without this, starts went behind a cut for 1.3 to 2.5 s, and their tasks were held up
     /// until it healed.
     pub(super) fn doubt(&mut self, now: Millis, name: &Name) {
+        if self.bounds.off.has(Mechanism::Doubt) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.doubt(now);
         self.actions.push(Action::Look(name.clone()));
@@ -54,6 +58,9 @@
     /// Lets a task run elsewhere too, if its copies may run side by side. The first one that is
     /// done counts.
     pub(super) fn copy(&mut self, task: TaskKey, run: u64) {
+        if self.bounds.off.has(Mechanism::Copies) {
+            return;
+        }
         let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
         if spec.is_some_and(|spec| spec.copies && !spec.gang) {
             self.requeue(task, run);
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -3,6 +3,7 @@
 use crate::cell::clearance::TICKET_SPARE;
 use crate::cell::job::{Job, StepState};
 use crate::cell::life::rank;
+use crate::cell::mechanism::Mechanism;
 use crate::cell::place::{Fit, count_at, is_suitable, pick, pick_gang};
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, RUN_BITS};
@@ -69,8 +70,7 @@
 
     /// The workers that may run a step.
     pub(super) fn open(&self, now: Millis, key: StepKey, job: &Job, spec: &Step) -> Vec<Fit> {
-        let fits = self.workers.iter().map(|(name, worker)| (name, worker));
-        self.fits(now, key, job, spec, fits)
+        self.fits(now, key, job, spec, self.workers.iter())
     }
 
     /// The workers that may run a step and whose tickets for it hold.
@@ -109,7 +109,9 @@
         workers: impl Iterator<Item = (&'a Name, &'a Worker)>,
     ) -> Vec<Fit> {
         let rank = rank(job);
-        let open = workers.filter(|(_, worker)| worker.is_open(now, self.kept));
+        let minds = !self.bounds.off.has(Mechanism::Aside);
+        let aside = |worker: &Worker| minds && worker.is_aside(now);
+        let open = workers.filter(|(_, worker)| worker.is_open(self.kept) && !aside(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
             let fit = Fit::new(name, worker);
@@ -122,6 +124,9 @@
     /// Gives a job a failure domain, the one with the most idle processors: its tasks go there as
     /// far as there is room, so that a cut between failure domains holds up few jobs.
     fn choose_home(&mut self, key: StepKey, fits: &[Fit]) {
+        if self.bounds.off.has(Mechanism::Home) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.home.is_none()) else {
             return;
         };
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -319,10 +319,15 @@
         self.fails == 0
     }
 
-    /// Whether it may get new tasks, with all batches up to `kept` in the store.
-    pub fn is_open(&self, now: Millis, kept: u64) -> bool {
+    /// Whether it is set aside.
+    pub fn is_aside(&self, now: Millis) -> bool {
+        now < self.aside_until
+    }
+
+    /// Whether it may get new tasks unless it is set aside, with all batches up to `kept` in the store.
+    pub fn is_open(&self, kept: u64) -> bool {
         let answers = self.known && self.heard && self.doubted.is_none();
         let known = self.present && answers && self.batch <= kept;
-        known && self.listed.leaving.is_none() && now >= self.aside_until && self.clock.is_some()
+        known && self.listed.leaving.is_none() && self.clock.is_some()
     }
 }
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,5 +1,6 @@
 //! `node`: runs an entry on the platform.
 
+use crate::cell::mechanism::Off;
 use crate::cmd::{Refusal, Run};
 use crate::logs;
 use crate::node::Node;
@@ -24,6 +25,9 @@
     /// Address at which other entries reach this one, if it is not the one it listens on
     #[bpaf(argument("ADDR"))]
     advertise: Option<String>,
+    /// Mechanisms to switch off, to measure what they are worth
+    #[bpaf(argument("NAME,..."), fallback(Off::default()), hide)]
+    without: Off,
     /// Least level of log lines: error, warn, info, debug
     #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info), display_fallback)]
     log: LevelFilter,
@@ -47,6 +51,7 @@
         if let Some(addr) = self.advertise {
             settings.advertise = addr.into();
         }
+        settings.off = self.without;
         logs::start(self.log);
         runtime(settings.cores)?.block_on(serve(settings, path))
     }
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -66,7 +66,8 @@
             listed.len(),
             self.now().since(begun)
         );
-        let bounds = Bounds { lease: self.lease(), keep: self.settings.keep };
+        let (lease, keep, off) = (self.lease(), self.settings.keep, self.settings.off);
+        let bounds = Bounds { lease, keep, off };
         let queues = self.policy().queues.clone();
         let doubt = !lock(&self.election).is_steady(self.now());
         let mut cell = Cell::new(epoch, bounds, queues, snapshot, doubt, self.now());
--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -2,6 +2,7 @@
 //! keep up, or the store turns only this one away.
 
 use crate::cell::lag::BACK_OFF;
+use crate::cell::mechanism::Mechanism;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::frame::encode;
@@ -62,6 +63,9 @@
     /// Hands the cell over once an entry with far more processors could own it, or once this one
     /// does not keep up and another one could.
     pub(super) async fn transfer_when_slow(self: Arc<Self>) {
+        if self.node.settings.off.has(Mechanism::Transfer) {
+            return std::future::pending().await;
+        }
         let cpu = self.node.settings.cpu;
         loop {
             tokio::time::sleep(SIZE_LOOK.duration()).await;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! The settings that the platform gives to a process, turned into the project's own.
 
+use crate::cell::mechanism::Off;
 use crate::clock::Millis;
 use crate::id::Name;
 use serde::Deserialize;
@@ -101,6 +102,8 @@
     pub keep: Millis,
     /// The time between a request to stop and being killed.
     pub grace: Millis,
+    /// Mechanisms that are switched off; not from the file.
+    pub off: Off,
 }
 
 /// Why an entry cannot start.
@@ -133,6 +136,7 @@
         let seconds = |s: f64| Millis((s.max(0.0) * 1_000.0) as u64);
         let (first, second) = raw.internal_ports;
         Ok(Self {
+            off: Off::default(),
             peer: format!("{}:{first}", raw.ip).into(),
             advertise: format!("{}:{first}", raw.ip).into(),
             metrics: format!("{}:{second}", raw.ip).into(),
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -1,6 +1,7 @@
 //! Single decisions of the cell's state machine.
 
 use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::{Action, Bounds, Cell, State};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
@@ -46,7 +47,7 @@
 
 /// An owner whose workers have answered once.
 fn cell(workers: &[Listed]) -> Cell {
-    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000), off: Off::default() };
     let queues = HashMap::from([("q".into(), queue("q", 0)), ("low".into(), queue("low", 2))]);
     let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
     cell.set_workers(workers.to_vec());
@@ -292,7 +293,7 @@
 #[test]
 fn a_new_owner_holds_back_inherited_tasks_until_all_workers_are_known() {
     let mut old = cell(&[listed("w1", "a"), listed("w2", "b")]);
-    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000), off: Off::default() };
     let mut snapshot = Snapshot::default();
     let mut records = Vec::new();
     old.submit(Millis(10), JobKey(1), "q", work(vec![step(1)]));
@@ -405,7 +406,7 @@
     for (key, value) in &records {
         snapshot.add(key, value).unwrap();
     }
-    let bounds = Bounds { lease: LEASE, keep: Millis(100_000) };
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000), off: Off::default() };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     let mut new = Cell::new(2, bounds, queues, snapshot, false, Millis(100));
     new.set_workers(vec![listed("w1", "a"), listed("w2", "b"), listed("w3", "b")]);
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -5,6 +5,7 @@
 
 use fastrand::Rng;
 use sprucerudder::cell::journal::{Batch, Snapshot};
+use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::{Action, Bounds, Cell, State};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
@@ -453,7 +454,7 @@
         for (key, value) in &self.store {
             snapshot.add(key, value).unwrap();
         }
-        let bounds = Bounds { lease: Millis(LEASE), keep: Millis(1_000_000) };
+        let bounds = Bounds { lease: Millis(LEASE), keep: Millis(1_000_000), off: Off::default() };
         let queues = HashMap::from([("q".into(), self.queue_row.clone())]);
         let mut cell = Cell::new(epoch, bounds, queues, snapshot, false, Millis(self.now));
         cell.set_workers(self.listed());
--- a/tests/preempt.rs
+++ b/tests/preempt.rs
@@ -1,6 +1,7 @@
 //! Large urgent tasks beside small ones of a less urgent queue that keep all workers partly taken.
 
 use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::{Action, Bounds, Cell};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
@@ -50,7 +51,7 @@
 
 impl World {
     fn new() -> Self {
-        let bounds = Bounds { lease: Millis(6_000), keep: Millis(100_000) };
+        let bounds = Bounds { lease: Millis(6_000), keep: Millis(100_000), off: Off::default() };
         let queues = HashMap::from([queue("large", 1), queue("small", 2)]);
         let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
         let workers: Vec<Worker> = (0..WORKERS).map(worker).collect();
