A step's waits are logged by reason, and explain sums them up

Cause: the logs did not say why a step waits: advice, room, no worker, a takeover. event=waited tells on each change what it waited for and how long; sprucerudder explain makes a table of it.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -1,6 +1,7 @@
 //! A job at its owner: its steps, its tasks, and what is known of them.
 
 use crate::cell::journal::{Fate, JobRecord, Progress, StepNote, TaskNote};
+use crate::cell::wait::Why;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobKey, Queue, Step, StepKey, Work};
@@ -104,6 +105,8 @@
     pub advised: Advised,
     /// When its turn came: its dependencies are done and its time is due.
     pub turn: Option<Millis>,
+    /// Why it waits, and since when.
+    pub wait: Option<(Why, Millis)>,
 }
 
 /// A job.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -20,6 +20,7 @@
 mod roster;
 pub mod run_times;
 mod schedule;
+pub mod wait;
 pub mod worker;
 
 use crate::clock::Millis;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -5,6 +5,7 @@
 use crate::cell::life::rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::place::{Fit, count_at, is_suitable, pick, pick_gang};
+use crate::cell::wait::Why;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, RUN_BITS};
 use crate::clock::Millis;
@@ -29,14 +30,15 @@
     fn place_step(&mut self, now: Millis, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         if job.inherited && self.doubt {
-            return;
+            return self.note_wait(now, key, Some(Why::Takeover));
         }
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
         let advice = job.queue.advice;
         // Most steps wait for an answer most of the time: these cost nothing more.
         let pauses = advice.is_some() && (step.advised.asking || now < step.advised.again);
         if pauses && !step.advised.has_ticket(now + TICKET_SPARE) {
-            return;
+            let why = self.why(now, key, &[]);
+            return self.note_wait(now, key, why);
         }
         let spec = spec.clone();
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
@@ -66,6 +68,8 @@
             Some(advice) => self.question(now, key, &spec, advice, rest),
             None => {}
         }
+        let why = self.why(now, key, &fits);
+        self.note_wait(now, key, why);
     }
 
     /// The workers that may run a step.
--- /dev/null
+++ b/src/cell/wait.rs
@@ -0,0 +1,74 @@
+//! Why a step waits: one line in the log whenever the reason changes.
+
+use crate::cell::Cell;
+use crate::cell::place::Fit;
+use crate::clock::Millis;
+use crate::workload::StepKey;
+use serde::{Deserialize, Serialize};
+
+/// Why tasks of a step have no worker yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Why {
+    /// An earlier owner may have started them where this one cannot see it yet.
+    Takeover,
+    /// The advice service has not answered.
+    Advice,
+    /// The service cleared none of the workers that it was asked about.
+    NoneCleared,
+    /// No worker that is cleared takes tasks now.
+    NoWorker,
+    /// Cleared workers have no room, or none that is not kept for others.
+    Room,
+}
+
+impl Why {
+    /// The name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Takeover => "takeover",
+            Self::Advice => "advice",
+            Self::NoneCleared => "none-cleared",
+            Self::NoWorker => "no-worker",
+            Self::Room => "room",
+        }
+    }
+}
+
+impl Cell {
+    /// Why a step waits whose tasks found no worker among `fits`.
+    pub(super) fn why(&self, now: Millis, key: StepKey, fits: &[Fit]) -> Option<Why> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.step(key)?;
+        let advised = &step.advised;
+        Some(match () {
+            () if step.waiting.is_empty() => return None,
+            () if !fits.is_empty() => Why::Room,
+            () if advised.asking => Why::Advice,
+            () if job.queue.advice.is_none() => Why::NoWorker,
+            () if advised.cleared.is_empty() => Why::NoneCleared,
+            () if advised.has_ticket(now) => Why::NoWorker,
+            () => Why::Room,
+        })
+    }
+
+    /// Notes why a step waits, and logs how long it waited for what it waited for before.
+    pub(super) fn note_wait(&mut self, now: Millis, key: StepKey, why: Option<Why>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let queue = job.queue.name.clone();
+        let Some(step) = job.step_mut(key) else { return };
+        let before = step.wait;
+        if before.map(|(why, _)| why) == why {
+            return;
+        }
+        step.wait = why.map(|why| (why, now));
+        let Some((was, since)) = before else { return };
+        let next = why.map_or("none", Why::name);
+        log::info!(
+            "event=waited step={key} queue={queue} for={} ms={} next={next} tasks={}",
+            was.name(),
+            now.since(since),
+            step.waiting.len()
+        );
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod drain;
 mod entry;
+mod explain;
 mod job;
 mod keys;
 mod node;
@@ -90,6 +91,12 @@
     /// Example: sprucerudder timeline --check 127.0.0.1:7001 127.0.0.1:9001
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline::timeline_args))] timeline::TimelineArgs),
+    /// Tells from log lines on standard input what steps waited for, by queue
+    ///
+    ///
+    /// Example: cat entry-*.log | sprucerudder explain
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::explain_args))] explain::ExplainArgs),
     /// Makes a certificate authority and keys for entries, as parts of their settings
     ///
     ///
@@ -118,6 +125,7 @@
             Self::Status(args) => args.run(),
             Self::Drain(args) => args.run(),
             Self::Timeline(args) => args.run(),
+            Self::Explain(args) => args.run(),
             Self::Keys(args) => args.run(),
             Self::Settings(args) => args.run(),
         }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -24,8 +24,10 @@
 
 #[test]
 fn every_command_has_help_and_an_example() {
-    let commands =
-        ["entry", "standin", "demo", "table", "job", "status", "drain", "timeline", "keys"];
+    let commands = [
+        "entry", "standin", "demo", "table", "job", "status", "drain", "timeline", "keys",
+        "explain",
+    ];
     for command in commands {
         let help = sprucerudder(&[command, "--help"]);
         let text = String::from_utf8_lossy(&help.stdout).into_owned();
@@ -82,3 +84,36 @@
         assert!(text.contains(part), "{part} in {text}");
     }
 }
+
+#[test]
+fn explain_sums_waits_by_queue_and_reason() {
+    use std::io::Write;
+    use std::process::Stdio;
+    let log = "\
+        1.20 edge-1 event=waited step=00000000000000a1.0.0 queue=build for=advice ms=600 next=room tasks=4
+        1.90 edge-1 event=waited step=00000000000000a1.0.0 queue=build for=room ms=700 next=none tasks=0
+        2.10 edge-2 event=waited step=00000000000000a2.0.0 queue=build for=room ms=2300 next=none tasks=0
+        2.20 edge-2 event=start task=00000000000000a2.0.0.0 run=1 worker=w age_ms=2300
+        2.30 edge-2 event=waited step=00000000000000a3.0.0 queue=build for=room m";
+    let explain = |args: &[&str]| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sprucerudder"))
+            .arg("explain")
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("run");
+        child.stdin.take().expect("stdin").write_all(log.as_bytes()).expect("write");
+        let output = child.wait_with_output().expect("output");
+        String::from_utf8(output.stdout).expect("text")
+    };
+    let row = |text: &str, reason: &str| {
+        let row = text.lines().find(|line| line.contains(reason)).unwrap_or_default().to_string();
+        row.split_whitespace().map(str::to_string).collect::<Vec<_>>()
+    };
+    let all = explain(&[]);
+    assert_eq!(row(&all, "room")[2..], ["2", "3", "2300", "2300", "2300"], "{all}");
+    assert_eq!(row(&all, "advice")[2..], ["1", "0", "600", "600", "600"], "{all}");
+    let one = explain(&["--job", "00000000000000a1"]);
+    assert_eq!(row(&one, "room")[2..], ["1", "0", "700", "700", "700"], "{one}");
+}
