--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -11,7 +11,7 @@
 /// A question of this length or more is long: it holds up the objective of the shortest jobs.
 const LONG: Millis = Millis(150);
 /// The part of all entries that is kept free of long questions: one in this many, and at least one.
-const KEPT: usize = 5;
+const KEPT: usize = 3;
 
 /// A question.
 #[derive(Debug, Clone, PartialEq)]
