--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -35,6 +35,8 @@
     Start(u16),
     Cut(Link, Cut),
     Heal(Link),
+    /// Open connections go silent for good, without a reset; new ones work.
+    Silence(Link),
     Store(store::Faults),
     /// The store's history is dropped.
     Compact,
@@ -110,6 +112,20 @@
     acts
 }
 
+/// Silent connections, drawn apart from the other acts: those of a kept seed stay as they were.
+pub fn draw_silences(seed: u64, entries: u16, workers: u16, length: u64) -> Vec<(u64, Act)> {
+    let mut rng = Rng::with_seed(seed);
+    let mut silence = |_| {
+        let link = match rng.u32(0..3) {
+            0 => Link::Store(rng.u16(0..entries)),
+            1 => Link::Peer(rng.u16(0..entries)),
+            _ => Link::Worker(rng.u16(0..workers)),
+        };
+        (rng.u64(0..length), Act::Silence(link))
+    };
+    (0..3).map(&mut silence).collect()
+}
+
 fn cut(rng: &mut Rng) -> Cut {
     match rng.u32(0..5) {
         0 => Cut::Delay(Duration::from_millis(rng.u64(5..400))),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -90,7 +90,11 @@
         let way = Way { fronts, http: Http::default() };
         let jobs = Jobs::default();
         let mut run = Self { cell, way, jobs, checks: Checks::default(), restarts: Vec::new() };
-        let acts = faults::draw(&mut rng, entries, workers, TROUBLE);
+        let mut acts = faults::draw(&mut rng, entries, workers, TROUBLE);
+        if !KEPT.contains(&seed) {
+            acts.extend(faults::draw_silences(seed, entries, workers, TROUBLE));
+            acts.sort_by_key(|(at, _)| *at);
+        }
         if run.await_service().await {
             run.trouble(&acts, &mut rng).await;
             let calm = Instant::now();
@@ -179,6 +183,7 @@
             Act::Start(no) if self.cell.is_running(*no) => {}
             Act::Start(no) => self.cell.start_entry(*no),
             Act::Heal(link) => self.proxy(*link).heal(),
+            Act::Silence(link) => self.proxy(*link).set(|mode| mode.silences += 1),
             Act::Cut(link, cut) => self.proxy(*link).set(|mode| match cut {
                 Cut::Delay(time) => mode.delay = *time,
                 Cut::Reset => mode.resets += 1,
