--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -634,8 +634,7 @@
 
 #[test]
 fn an_owner_that_a_worker_refused_for_a_higher_fence_is_told_so_at_once() {
-    let deposed =
-        |cell: &mut Cell| cell.take_actions().iter().any(|action| *action == Action::Deposed);
+    let deposed = |cell: &mut Cell| cell.take_actions().contains(&Action::Deposed);
     let fence = Refusal::Fence;
     let mut by_report = cell(&[listed("w1", "a")]);
     by_report.unheld(Millis(10), &"w1".into(), &HoldError::Refused(fence));
