--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -94,7 +94,7 @@
     /// Tells from log lines on standard input what steps waited for, by queue
     ///
     ///
-    /// Example: cat entry-*.log | sprucerudder explain
+    /// Example: sprucerudder explain --job 27e4a95938c85eee < entry.log
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::explain_args))] explain::ExplainArgs),
     /// Makes a certificate authority and keys for entries, as parts of their settings
