--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -39,6 +39,11 @@
         /// How it ended.
         fate: Fate,
     },
+    /// It runs in another cell.
+    Forwarded {
+        /// The cell's number.
+        cell: u32,
+    },
 }
 
 /// What is known of one task that is not done.
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -28,6 +28,7 @@
         }
         for (key, record) in snapshot.jobs {
             match record {
+                JobRecord::Forwarded { cell } => drop(self.forwarded.insert(key, (cell, 0))),
                 JobRecord::Closed { queue, fate } => {
                     self.jobs.insert(key, Job::ended(self.queue_named(queue), fate, now));
                     self.closed.push_back(key);
@@ -400,6 +401,7 @@
             self.closed.pop_front();
             self.jobs.remove(&key);
             self.dirty.insert(key);
+            self.actions.push(Action::Forgotten(key));
         }
     }
 }
--- a/src/cell/map.rs
+++ b/src/cell/map.rs
@@ -32,7 +32,7 @@
 
 impl CellMap {
     /// Deals these workers to cells of about `size` workers: whole racks, each to the cell with the
-    /// fewest workers of its service so far, so that each cell has its share of every service and
+    /// fewest processors of its service so far, so that each cell has its share of every service and
     /// failure domain.
     pub fn new(workers: &[Listed], size: NonZeroUsize) -> Self {
         let size = size.get();
@@ -43,13 +43,14 @@
         if cells == 1 {
             return Self { cells, racks: BTreeMap::new() };
         }
-        let mut sizes: BTreeMap<(&Name, &Name, &Name), usize> = BTreeMap::new();
+        let mut sizes: BTreeMap<(&Name, &Name, &Name), u64> = BTreeMap::new();
         for worker in workers {
             if let Some(rack) = worker.rack() {
-                *sizes.entry((&worker.service, &worker.domain, rack)).or_default() += 1;
+                *sizes.entry((&worker.service, &worker.domain, rack)).or_default() +=
+                    worker.room.cpu;
             }
         }
-        let mut dealt: BTreeMap<(&Name, u32), usize> = BTreeMap::new();
+        let mut dealt: BTreeMap<(&Name, u32), u64> = BTreeMap::new();
         let mut racks = BTreeMap::new();
         for ((service, domain, rack), size) in sizes {
             let has = |cell: &u32| dealt.get(&(service, *cell)).copied().unwrap_or(0);
@@ -78,6 +79,12 @@
         known.copied().unwrap_or_else(|| self.pick(rack.as_bytes()))
     }
 
+    /// The cell of a rack that was known when the map was made.
+    pub fn of_rack(&self, rack: &Name) -> Option<u32> {
+        let mut known = self.racks.iter();
+        known.find(|((_, name), _)| name == rack).map(|(_, cell)| *cell)
+    }
+
     /// The cell that an entry belongs to: it follows that cell's owner closely, is the first to
     /// replace it, and asks the advice service for it.
     pub fn of_entry(&self, entry: &Name) -> u32 {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod advice;
 pub mod authority;
+pub mod balance;
 mod clearance;
 pub mod election;
 mod gather;
@@ -31,7 +32,7 @@
 use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
 use advice::{Advisers, Question};
 use job::Job;
-use journal::{Batch, Fate, Member, Snapshot};
+use journal::{Batch, Fate, JobRecord, Member, Snapshot};
 use mechanism::Off;
 use reserve::Reservations;
 use run_times::RunTimes;
@@ -71,6 +72,8 @@
     Watch(Listed),
     /// Stop asking this worker.
     Unwatch(Name),
+    /// A job is not known any more; if it came from another cell, that one may forget it too.
+    Forgotten(JobKey),
     /// Ask this worker for a report at once.
     Look(Name),
     /// Have an entry ask the advice service.
@@ -113,6 +116,8 @@
     ready: BTreeSet<(u32, Millis, StepKey)>,
     /// Steps whose time has not come, by the wall clock.
     timers: BTreeSet<(Millis, StepKey)>,
+    /// Jobs that run in another cell, with the batch that keeps that.
+    forwarded: HashMap<JobKey, (u32, u64)>,
     /// Jobs that are not in the store yet, by batch.
     fresh: VecDeque<(u64, JobKey)>,
     /// Closed jobs in the order of their ends.
@@ -158,6 +163,7 @@
             run_times: HashMap::new(),
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
+            forwarded: HashMap::new(),
             fresh: VecDeque::new(),
             closed: VecDeque::new(),
             advisers: Advisers::default(),
@@ -232,9 +238,37 @@
         Some(self.batch)
     }
 
-    /// The batch that has to be in the store before a job is accepted.
+    /// The batch that has to be in the store before a job is accepted, or sent to another cell.
     pub fn batch_of(&self, key: JobKey) -> Option<u64> {
-        self.jobs.get(&key).map(|job| job.batch)
+        let forwarded = self.forwarded.get(&key).map(|(_, batch)| *batch);
+        self.jobs.get(&key).map(|job| job.batch).or(forwarded)
+    }
+
+    /// Has another cell run a job that is not known here, from when [`Self::batch_of`] it is in the
+    /// store.
+    pub fn forward(&mut self, key: JobKey, cell: u32) {
+        log::info!("event=forwarded job={key} to={cell} batch={}", self.batch);
+        self.forwarded.insert(key, (cell, self.batch));
+        self.fresh.push_back((self.batch, key));
+        self.dirty.insert(key);
+    }
+
+    /// The cell that a job was sent to, once that is in the store.
+    pub fn forwarded(&self, key: JobKey) -> Option<u32> {
+        let (cell, batch) = self.forwarded.get(&key)?;
+        (*batch <= self.kept).then_some(*cell)
+    }
+
+    /// Whether a job is known here, to run here or in another cell.
+    pub fn knows(&self, key: JobKey) -> bool {
+        self.jobs.contains_key(&key) || self.forwarded.contains_key(&key)
+    }
+
+    /// The other cell has forgotten a job that was sent there.
+    pub fn forget_forwarded(&mut self, key: JobKey) {
+        if self.forwarded.remove(&key).is_some() {
+            self.dirty.insert(key);
+        }
     }
 
     /// A caller withdraws a job: the batch that has to be in the store before it is told so.
@@ -318,7 +352,11 @@
 
     fn write_job(&mut self, key: JobKey, records: &mut Vec<(String, Vec<u8>)>) {
         let Some(job) = self.jobs.get_mut(&key) else {
-            records.push(journal::drop_job(key));
+            let forwarded = self.forwarded.get(&key);
+            records.push(match forwarded {
+                Some((cell, _)) => journal::job(key, &JobRecord::Forwarded { cell: *cell }),
+                None => journal::drop_job(key),
+            });
             return;
         };
         let closed = job.closed.is_some();
@@ -355,13 +393,15 @@
 
     fn withdraw_where(&mut self, is_unsent: impl Fn(u64) -> bool) -> Vec<JobKey> {
         let of_batch = |(of, key): &&(u64, JobKey)| {
-            is_unsent(*of) && self.jobs.get(key).is_some_and(Job::is_open)
+            let is_new = self.jobs.get(key).is_some_and(Job::is_open);
+            is_unsent(*of) && (is_new || self.forwarded.contains_key(key))
         };
         let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
         self.fresh.retain(|(_, key)| !gone.contains(key));
         for key in &gone {
-            let job = self.jobs.remove(key);
-            let batch = job.map_or(0, |job| job.batch);
+            let batch = self.batch_of(*key).unwrap_or_default();
+            self.jobs.remove(key);
+            self.forwarded.remove(key);
             log::info!("event=withdrawn job={key} batch={batch}");
         }
         gone
@@ -410,6 +450,35 @@
         }
     }
 
+    /// The processors of the workers of a service, in thousandths of one.
+    pub fn processors(&self, service: &str) -> u64 {
+        let of_service = self.workers.values().filter(|worker| *worker.listed.service == *service);
+        of_service.map(|worker| worker.listed.room.cpu).sum()
+    }
+
+    /// What the workers of each service have to do: processors that are taken, and those that tasks
+    /// wait for.
+    pub fn loads(&self) -> Vec<balance::Load> {
+        let mut services: BTreeMap<&Name, (u64, u64)> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_open(self.kept)) {
+            let (taken, all) = services.entry(&worker.listed.service).or_default();
+            *taken += worker.used.cpu;
+            *all += worker.listed.room.cpu;
+        }
+        for (_, _, key) in &self.ready {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let (Some(spec), Some(step)) = (job.spec(key.step), job.step(*key)) else { continue };
+            if let Some((taken, _)) = services.get_mut(&job.queue.service) {
+                *taken += spec.charge().cpu * step.waiting.len() as u64;
+            }
+        }
+        let load = |(service, (taken, all)): (&Name, (u64, u64))| balance::Load {
+            service: service.clone(),
+            share: (taken * 1_000 / all.max(1)).min(u64::from(u32::MAX)) as u32,
+        };
+        services.into_iter().map(load).collect()
+    }
+
     /// Counts for logs and metrics.
     pub fn load(&self) -> Load {
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
--- a/src/cell/place.rs
+++ b/src/cell/place.rs
@@ -31,6 +31,8 @@
     pub is_sound: bool,
     /// It runs tasks that serve users of their own.
     pub serves: bool,
+    /// Room is gathered there for a gang of another step.
+    pub is_kept: bool,
 }
 
 impl Fit {
@@ -43,6 +45,7 @@
             runs: 0,
             is_sound: worker.is_sound(),
             serves: worker.runs.values().any(|run| run.tail.0 > 0),
+            is_kept: false,
         }
     }
 
@@ -85,7 +88,8 @@
         let free = fit.free.less(&charge).cpu;
         let room = if spec.filler { u64::MAX - free } else { free };
         let serves = spec.filler && fit.serves;
-        (avoid.contains(&fit.name), far, serves, away, !fit.is_sound, room)
+        let last = (serves, fit.is_kept, away, !fit.is_sound);
+        (avoid.contains(&fit.name), far, last, room)
     };
     fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
 }
--- a/src/cell/reserve.rs
+++ b/src/cell/reserve.rs
@@ -51,6 +51,12 @@
         self.gang = Some((step, until));
     }
 
+    /// Whether room is gathered at a worker for a gang of another step.
+    pub fn gathers_at(&self, worker: &Name, step: StepKey) -> bool {
+        let Some((gang, _)) = self.gang.filter(|(gang, _)| *gang != step) else { return false };
+        self.rows.get(worker).is_some_and(|rows| rows.iter().any(|row| row.step == gang))
+    }
+
     /// Whether room is gathered for a gang.
     pub fn gathers(&self) -> bool {
         self.gang.is_some()
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -122,7 +122,8 @@
             let fit = Fit::new(name, worker);
             let held = self.reserved.held(name, key, rank, spec.can_stop());
             let runs = if spec.apart == 0 { 0 } else { count_at(worker, key) };
-            Fit { free: fit.free.less(&held), runs, ..fit }
+            let is_kept = self.reserved.gathers_at(name, key);
+            Fit { free: fit.free.less(&held), runs, is_kept, ..fit }
         };
         suitable.map(fit).collect()
     }
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -46,8 +46,12 @@
         let begun = self.view.now();
         let Call { view, policy, route, job, until } = *self;
         let after = retry_after(&route.queue, &work, job);
-        let ask = Ask::Submit { job, queue: route.queue.name.clone(), work: Arc::new(work) };
-        let answer = view.ask(ask, until).await;
+        let (queue, work) = (route.queue.name.clone(), Arc::new(work));
+        let ask = |stay| Ask::Submit { job, queue: queue.clone(), work: work.clone(), stay };
+        let answer = match view.ask(ask(false), until).await {
+            Ok(Tell::Moved { cell }) => self.ask_there(cell, ask(true)).await,
+            answer => answer,
+        };
         let reply = match &answer {
             Ok(Tell::Accepted) => return Reply::Accepted,
             Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after },
@@ -77,8 +81,27 @@
         Ok(work)
     }
 
+    /// Asks the job's home, and the cell where the job is if that is another one.
+    async fn ask(&self, ask: Ask) -> Result<Tell, AskError> {
+        match self.view.ask(ask.clone(), self.until).await {
+            Ok(Tell::Moved { cell }) => self.ask_there(cell, ask).await,
+            answer => answer,
+        }
+    }
+
+    async fn ask_there(&self, cell: u32, ask: Ask) -> Result<Tell, AskError> {
+        let cells = self.view.node.cells();
+        match cells.as_ref().and_then(|cells| cells.get(cell)) {
+            Some(view) => view.ask(ask, self.until).await,
+            None => {
+                log::error!("event=no-such-cell job={} cell={cell}", self.job);
+                Err(AskError::Unsent)
+            }
+        }
+    }
+
     async fn state(&self) -> Reply {
-        match self.view.ask(Ask::State { job: self.job }, self.until).await {
+        match self.ask(Ask::State { job: self.job }).await {
             Ok(Tell::State(None)) => Reply::NoJob,
             Ok(Tell::State(Some(State::Queued))) => Reply::State("queued"),
             Ok(Tell::State(Some(State::Active))) => Reply::State("active"),
@@ -90,7 +113,7 @@
     }
 
     async fn cancel(&self) -> Reply {
-        let reply = match self.view.ask(Ask::Cancel { job: self.job }, self.until).await {
+        let reply = match self.ask(Ask::Cancel { job: self.job }).await {
             Ok(Tell::Cancelled(true)) => Reply::Accepted,
             Ok(Tell::Cancelled(false)) => Reply::NoJob,
             Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: admission::LEAST },
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -18,6 +18,9 @@
 
 /// Time between two pings. A silent connection is given up after [`SILENT`].
 const PING: Millis = Millis(150);
+/// The most time beyond [`PING`] between two pings from one owner to another: they tell each other what
+/// their cells have to do.
+const OWNERS_PAUSE: Millis = Millis(450);
 /// After this time without a frame nothing new is sent: a caller whose request may have been sent
 /// and is not answered cannot be told that it was not run.
 const STALE: Millis = Millis(350);
@@ -264,7 +267,9 @@
                     });
                 }
                 Frame { no: PONG, body } => {
-                    link.accepts.store(body == Tell::Done, Ordering::Relaxed);
+                    let Tell::Pong { accepts, loads } = body else { continue };
+                    link.accepts.store(accepts, Ordering::Relaxed);
+                    *lock(&self.loads) = (self.now(), loads);
                 }
                 frame => link.answer(frame),
             }
@@ -289,8 +294,12 @@
             tokio::time::sleep(PING.duration()).await;
             let store = !self.node.is_log_lost();
             if store && !*watched.borrow_and_update() {
+                let pause = match self.node.is_owner() {
+                    true => link.pause.min(OWNERS_PAUSE),
+                    false => link.pause,
+                };
                 tokio::select! {
-                    () = tokio::time::sleep(link.pause.duration()) => {}
+                    () = tokio::time::sleep(pause.duration()) => {}
                     changed = watched.changed() => changed.map_err(io::Error::other)?,
                 }
             }
@@ -390,10 +399,7 @@
             match body {
                 Ask::Ping { store } => {
                     owner.pinged(entry, store);
-                    let pong = match owner.is_sure() {
-                        true => Tell::Done,
-                        false => Tell::Refused(Refused::NoStore),
-                    };
+                    let pong = Tell::Pong { accepts: owner.is_sure(), loads: owner.loads() };
                     out.try_send(encode(PONG, pong)?).map_err(io::Error::other)?;
                 }
                 Ask::Probed { able } => owner.probed(entry, able),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -157,6 +157,12 @@
         !stopping && self.policy.borrow().version > 0 && accepts
     }
 
+    /// Whether this entry owns a cell.
+    fn is_owner(&self) -> bool {
+        let cells = self.cells();
+        cells.is_some_and(|cells| cells.views.iter().any(|view| view.living_owner().is_some()))
+    }
+
     /// Whether waiting for an owner is of no use: the log cannot be read, so nobody can claim.
     fn is_log_lost(&self) -> bool {
         let home = self.cells().and_then(|cells| cells.home().cloned());
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -1,6 +1,7 @@
 //! Messages between an entry and the owner of the cell: length-delimited frames of `postcard`.
 
 use crate::cell::State;
+use crate::cell::balance::Load;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::Cleared;
@@ -19,14 +20,16 @@
     Hello { entry: Name, cell: u32, epoch: u64, cpu: u32, is_home: bool },
     /// Whether the sender can read the platform's log.
     Ping { store: bool },
-    /// A caller submits a job.
-    Submit { job: JobKey, queue: Name, work: Arc<Work> },
+    /// A caller submits a job; `stay`: its home sent it here, so it goes to no other cell.
+    Submit { job: JobKey, queue: Name, work: Arc<Work>, stay: bool },
     /// A caller asks for a job's state.
     State { job: JobKey },
     /// A caller withdraws a job.
     Cancel { job: JobKey },
     /// A caller asks how many jobs wait.
     Pending { queue: Name },
+    /// The cell to which the receiver sent a job has forgotten it.
+    Forget { job: JobKey },
     /// Whether the sender could read the platform's log when it was asked to.
     Probed { able: bool },
     /// The advice service answered, or did not.
@@ -38,6 +41,10 @@
 pub enum Tell {
     /// Nothing to say.
     Done,
+    /// The answer to a ping: whether the owner takes new jobs, and what its cell has to do.
+    Pong { accepts: bool, loads: Vec<Load> },
+    /// The job runs in another cell: ask there.
+    Moved { cell: u32 },
     /// The job is in the store.
     Accepted,
     /// Nothing was done and nothing will be: come back later.
--- /dev/null
+++ b/src/node/owner/forward.rs
@@ -0,0 +1,93 @@
+//! Jobs that run in another cell than their home.
+
+use crate::cell::balance::{self, Choice, Load};
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::node::cells::Cells;
+use crate::node::lock;
+use crate::node::msg::Ask;
+use crate::node::owner::Owner;
+use crate::workload::{JobKey, Work};
+use std::sync::Arc;
+
+/// How long the home of a forgotten job is asked to forget it too. Without an answer its record stays
+/// there, some 30 bytes.
+const FORGET: Millis = Millis(3_000);
+
+impl Owner {
+    /// What the cell has to do.
+    pub fn loads(&self) -> Vec<Load> {
+        lock(&self.loads).clone()
+    }
+
+    /// The other cell that a job was sent to.
+    pub(super) fn forwarded(&self, job: JobKey) -> Option<u32> {
+        lock(&self.cell).forwarded(job)
+    }
+
+    /// Sends a job that is not known here to another cell, if that should run it.
+    pub(super) fn send_elsewhere(&self, job: JobKey, queue: &str, work: &Work) {
+        if self.view.cells == 1 || !self.is_sure() {
+            return;
+        }
+        let Some(cells) = self.node.cells() else { return };
+        let queue = self.node.policy().queues.get(queue).cloned();
+        let Some(service) = queue.map(|queue| queue.service.clone()) else { return };
+        let near = self.near_data(&cells, work);
+        let Some(to) = near.or_else(|| self.emptier(&cells, &service, job)) else { return };
+        let mut cell = lock(&self.cell);
+        if to == self.view.cell || cell.knows(job) {
+            return;
+        }
+        cell.forward(job, to);
+        drop(cell);
+        self.count_load(&cells, to, &service, work);
+    }
+
+    /// The cell with the rack that most of a job's tasks want to be on.
+    fn near_data(&self, cells: &Cells, work: &Work) -> Option<u32> {
+        let wanting = work.steps.iter().filter(|step| !step.near.is_empty());
+        let rack = &wanting.max_by_key(|step| step.count)?.near;
+        let to = cells.map.of_rack(rack)?;
+        cells.get(to).filter(|view| view.accepts())?;
+        Some(to)
+    }
+
+    /// A cell that has far less to do than this one.
+    fn emptier(&self, cells: &Cells, service: &Name, job: JobKey) -> Option<u32> {
+        let loads = lock(&self.loads);
+        let mine = loads.iter().find(|load| load.service == *service)?.share;
+        drop(loads);
+        let others = cells.views.iter().filter(|view| view.cell != self.view.cell);
+        let others: Vec<Choice> = others.filter_map(|view| view.choice(service)).collect();
+        balance::choose(mine, &others, job)
+    }
+
+    fn count_load(&self, cells: &Cells, to: u32, service: &Name, work: &Work) {
+        let cpu: u64 = work
+            .steps
+            .iter()
+            .filter(|step| step.after.is_empty())
+            .map(|step| step.charge().cpu * u64::from(step.count))
+            .sum();
+        let all = lock(&self.cell).processors(service).max(1);
+        if let Some(view) = cells.get(to) {
+            view.add_load(service, (cpu * 1_000 / all) as u32);
+        }
+    }
+
+    /// Tells the home of a job that this cell has forgotten it.
+    pub(super) fn forget_at_home(self: &Arc<Self>, job: JobKey) {
+        let Some(cells) = self.node.cells() else { return };
+        let Some(home) = cells.of_job(job).filter(|home| home.cell != self.view.cell) else {
+            return;
+        };
+        let home = home.clone();
+        tokio::spawn(async move {
+            let until = home.now() + FORGET;
+            if let Err(err) = home.ask(Ask::Forget { job }, until).await {
+                log::info!("event=not-forgotten job={job} home={} error={err:?}", home.cell);
+            }
+        });
+    }
+}
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -1,11 +1,13 @@
 //! The owner of the cell: the shell around [`Cell`], which decides.
 
+mod forward;
 mod store;
 mod transfer;
 mod workers;
 
 use crate::cell::advice::Question;
 use crate::cell::authority::Authority;
+use crate::cell::balance::Load;
 use crate::cell::lag::Lag;
 use crate::cell::life::TICK;
 use crate::cell::{Action, Bounds, Cell};
@@ -49,6 +51,8 @@
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
     looks: Mutex<HashMap<Name, Arc<Notify>>>,
+    /// What the cell has to do, as of the last tick.
+    loads: Mutex<Vec<Load>>,
     /// Bounds how many orders each worker is given at once.
     gates: Mutex<HashMap<Name, Arc<Semaphore>>>,
 }
@@ -91,6 +95,7 @@
             lag: Mutex::new(Lag::new(self.now())),
             store: AtomicBool::new(true),
             looks: Mutex::default(),
+            loads: Mutex::default(),
             gates: Mutex::default(),
             node: node.clone(),
             view: self.clone(),
@@ -202,6 +207,7 @@
                 }
             }
             Action::Ask { entry, question } => self.ask(entry, question),
+            Action::Forgotten(job) => self.forget_at_home(job),
             order => drop(tokio::spawn(self.clone().order(order))),
         }
     }
@@ -242,6 +248,7 @@
             let load = {
                 let mut cell = lock(&self.cell);
                 cell.tick(now, Millis::now());
+                *lock(&self.loads) = cell.loads();
                 cell.load()
             };
             self.node.metrics.loaded(&load);
@@ -299,7 +306,20 @@
         }
         match ask {
             Ask::Hello { .. } | Ask::Ping { .. } | Ask::Probed { .. } => Tell::Done,
-            Ask::Submit { job, queue, work } => self.submit(job, &queue, work).await,
+            Ask::Submit { job, queue, work, stay } => {
+                if !stay {
+                    self.send_elsewhere(job, &queue, &work);
+                }
+                self.submit(job, &queue, work).await
+            }
+            Ask::State { job } | Ask::Cancel { job } if self.forwarded(job).is_some() => {
+                self.forwarded(job).map_or(Tell::InDoubt, |cell| Tell::Moved { cell })
+            }
+            Ask::Forget { job } => {
+                lock(&self.cell).forget_forwarded(job);
+                self.write.notify_one();
+                Tell::Done
+            }
             Ask::State { job } => Tell::State(lock(&self.cell).state(job)),
             Ask::Pending { queue } => Tell::Pending(lock(&self.cell).pending(&queue)),
             Ask::Cancel { job } => {
@@ -322,7 +342,7 @@
     async fn submit(self: &Arc<Self>, job: JobKey, queue: &str, work: Arc<Work>) -> Tell {
         let batch = {
             let mut cell = lock(&self.cell);
-            if cell.state(job).is_none() && !self.may_accept() {
+            if !cell.knows(job) && !self.may_accept() {
                 let age = lock(&self.authority).age(self.node.now());
                 log::info!(
                     "event=refused job={job} why=no-store epoch={} beat_ms={age}",
@@ -330,7 +350,10 @@
                 );
                 return Tell::Refused(Refused::NoStore);
             }
-            cell.submit(self.node.now(), job, queue, work)
+            match cell.batch_of(job) {
+                Some(batch) => Some(batch),
+                None => cell.submit(self.node.now(), job, queue, work),
+            }
         };
         if batch.is_none() {
             return Tell::Refused(Refused::NoQueue);
@@ -342,7 +365,10 @@
             let known = lock(&self.cell).batch_of(job);
             match known {
                 None => return Tell::Refused(Refused::NoStore),
-                Some(batch) if batch <= *kept.borrow_and_update() => return Tell::Accepted,
+                Some(batch) if batch <= *kept.borrow_and_update() => {
+                    let cell = self.forwarded(job);
+                    return cell.map_or(Tell::Accepted, |cell| Tell::Moved { cell });
+                }
                 Some(_) => {}
             }
             tokio::select! {
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of one cell, and its part in it.
 
+use crate::cell::balance::{Choice, Load};
 use crate::cell::election::{Election, Leader};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -8,6 +9,7 @@
 use crate::node::owner::Owner;
 use crate::node::{Node, lock};
 use crate::platform::store::Part;
+use crate::workload::JobKey;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, watch};
@@ -15,6 +17,8 @@
 /// A question that could not be sent for this long is refused, so that its caller tries another
 /// entry: a takeover mostly takes less.
 const PATIENCE: Millis = Millis(1_500);
+/// What an owner said of its cell's load is good for so long: three of its words.
+const LOAD_FRESH: Millis = Millis(2_000);
 /// Time between attempts to ask.
 const OWNER_PAUSE: Millis = Millis(25);
 
@@ -49,6 +53,8 @@
     pub owner: watch::Sender<Option<Arc<Owner>>>,
     /// The last epoch that this entry owned and gave up or lost.
     pub given_up: AtomicU64,
+    /// What the cell has to do, as its owner last said, and when.
+    pub loads: Mutex<(Millis, Vec<Load>)>,
     /// The claims on the cell are followed.
     pub watched: watch::Sender<bool>,
 }
@@ -68,6 +74,7 @@
             link: watch::channel(None).0,
             owner: watch::channel(None).0,
             given_up: AtomicU64::new(0),
+            loads: Mutex::default(),
             watched: watch::channel(true).0,
         }
     }
@@ -122,6 +129,26 @@
         owned || linked
     }
 
+    /// The cell as one that a job of a service could go to; `None`: it takes none, or has said nothing
+    /// lately.
+    pub fn choice(&self, service: &str) -> Option<Choice> {
+        let loads = lock(&self.loads);
+        let (at, loads) = &*loads;
+        let is_fresh = self.now().since(*at) < LOAD_FRESH;
+        let load = loads.iter().find(|load| *load.service == *service)?;
+        let choice = Choice { cell: self.cell, share: load.share };
+        (is_fresh && self.accepts()).then_some(choice)
+    }
+
+    /// Counts work that was just sent to the cell, in thousandths of its processors, until its owner
+    /// speaks again.
+    pub fn add_load(&self, service: &str, share: u32) {
+        let mut loads = lock(&self.loads);
+        if let Some(load) = loads.1.iter_mut().find(|load| *load.service == *service) {
+            load.share = load.share.saturating_add(share);
+        }
+    }
+
     /// Follows the claims, or no longer. At home and as the owner they are always followed.
     pub fn watch_claims(&self, wanted: bool) {
         let wanted = wanted || self.is_home;
@@ -180,7 +207,7 @@
     }
 
     /// As [`Link::check`]; an owner that does not answer is suspected of being lost.
-    async fn check(&self, link: &Link, job: crate::workload::JobKey) -> Result<(), LinkError> {
+    async fn check(&self, link: &Link, job: JobKey) -> Result<(), LinkError> {
         let checked = link.check(job).await;
         if checked.is_err() {
             self.watch_claims(true);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -736,3 +736,47 @@
     }
     assert_eq!(started, 12, "at {now} ms");
 }
+
+/// What the store holds after all that the cell wrote.
+fn stored(cell: &mut Cell, now: u64) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    while let Some(batch) = cell.take_batch(Millis(now)) {
+        cell.keep(Millis(now), batch.no);
+        for (key, value) in batch.records {
+            snapshot.add(&key, &value).unwrap();
+        }
+    }
+    snapshot
+}
+
+#[test]
+fn a_job_that_was_sent_to_another_cell_stays_there_for_every_later_owner() {
+    let mut first = cell(&[listed("w1", "a")]);
+    first.forward(JobKey(7), 2);
+    assert_eq!(first.forwarded(JobKey(7)), None, "not before the store has it");
+    let snapshot = stored(&mut first, 10);
+    assert_eq!(first.forwarded(JobKey(7)), Some(2));
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000), off: Off::default() };
+    let queues = HashMap::from([("q".into(), queue("q", 0))]);
+    let mut next = Cell::new(2, bounds, queues, snapshot, false, Millis(0));
+    assert_eq!(next.forwarded(JobKey(7)), Some(2));
+    assert!(next.knows(JobKey(7)));
+    assert_eq!(next.state(JobKey(7)), None, "it does not run here");
+    // Once the other cell has forgotten it, it is a new job.
+    next.forget_forwarded(JobKey(7));
+    let left = stored(&mut next, 20);
+    assert!(left.jobs.is_empty(), "{left:?}");
+    assert!(!next.knows(JobKey(7)));
+}
+
+#[test]
+fn a_job_is_not_sent_elsewhere_if_the_store_did_not_take_that() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    cell.forward(JobKey(7), 2);
+    let batch = cell.take_batch(Millis(10)).unwrap();
+    assert_eq!(cell.withdraw(batch.no), vec![JobKey(7)]);
+    cell.keep(Millis(20), batch.no);
+    assert_eq!(cell.forwarded(JobKey(7)), None);
+    assert!(!cell.knows(JobKey(7)));
+    assert!(stored(&mut cell, 30).jobs.is_empty());
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -531,6 +531,8 @@
         for action in self.owners[owner].cell.take_actions() {
             self.count_stop(owner, &action);
             match action {
+                // A job of another cell: this world has one.
+                Action::Forgotten(_) => {}
                 Action::Start { ref worker, .. } | Action::Stop { ref worker, .. } => {
                     let worker = worker.clone();
                     let answer = self.answer();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,6 +7,7 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
+use sprucerudder::id::hash;
 use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
 use sprucerudder::standin::process::Process;
 use sprucerudder::standin::site::Site;
@@ -437,3 +438,38 @@
     let starts = cell.starts();
     assert!(starts.values().all(|count| *count == 1), "{starts:?}");
 }
+
+#[tokio::test]
+async fn a_job_whose_home_is_full_runs_in_another_cell_and_is_found_at_every_entry() {
+    let mut cell = Cell::start_with(6, 4, SMALL_CELLS).await;
+    // Jobs are dealt by a hash of their keys: these have one home.
+    let of_three = |no: &u64| hash(&[&no.to_le_bytes()]) % 3 == 0;
+    let keys: Vec<u64> = (0x500..0x600).filter(of_three).collect();
+    // A cell has 16 processors: this job takes all of them for five minutes.
+    let first = format!("/plain/{:016x}", keys[0]);
+    cell.submit(0, &first, &one_step("300000", 32)).await;
+    cell.until("the first job to fill its cell", async || {
+        cell.site.workers.iter().map(|worker| worker.running().len()).sum::<usize>() == 32
+    })
+    .await;
+    let small: Vec<String> = keys[1..7].iter().map(|key| format!("/plain/{key:016x}")).collect();
+    for path in &small {
+        // Until its home knows of an emptier cell a job stays and waits: others are sent after it.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cell.submit(1, path, &one_step("50", 2)).await;
+    }
+    let last = small.last().unwrap();
+    for no in 0..4 {
+        cell.await_state(no, last, "completed").await;
+    }
+    // The same job again is still the same job, also for another owner of its home.
+    for no in 1..4 {
+        signal(&cell.entries[&no], Signal::SIGKILL);
+        cell.entries.remove(&no);
+    }
+    cell.await_state(0, last, "completed").await;
+    cell.submit(0, last, &one_step("50", 2)).await;
+    cell.await_state(0, last, "completed").await;
+    let starts = cell.starts();
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
