--- a/src/cell/map.rs
+++ b/src/cell/map.rs
@@ -15,12 +15,10 @@
 use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 
-/// Workers of a cell where there are several. An owner of 350 workers with 745 starts a second takes
-/// 0.10 of a core, and the smallest entries have 0.12: 200 leave one half of that.
-pub const CELL_WORKERS: NonZeroUsize = NonZeroUsize::new(200).unwrap();
-/// A fleet stays one cell up to so many times [`CELL_WORKERS`]: wide jobs and gangs find room more
-/// easily in one cell, and 350 workers in one cell are served well.
-const WHOLE: usize = 2;
+/// The fewest workers of a cell where there are several. The widest steps have 120 tasks, each on a worker
+/// of its own, and the advice service clears 35 in 100 workers for them: of 400 that is 140. In cells of 180
+/// a lasting step of 71 tasks never ran whole.
+pub const CELL_WORKERS: NonZeroUsize = NonZeroUsize::new(400).unwrap();
 
 /// Which cell has which workers and jobs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,15 +29,11 @@
 }
 
 impl CellMap {
-    /// Deals these workers to cells of about `size` workers: whole racks, each to the cell with the
+    /// Deals these workers to cells of `size` workers or somewhat more: whole racks, each to the cell with the
     /// fewest processors of its service so far, so that each cell has its share of every service and
     /// failure domain.
     pub fn new(workers: &[Listed], size: NonZeroUsize) -> Self {
-        let size = size.get();
-        let cells = match workers.len() {
-            few if few <= WHOLE * size => 1,
-            many => many.div_ceil(size) as u32,
-        };
+        let cells = (workers.len() / size).max(1) as u32;
         if cells == 1 {
             return Self { cells, racks: BTreeMap::new() };
         }
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -27,7 +27,7 @@
     /// Address at which other entries reach this one, if it is not the one it listens on
     #[bpaf(argument("ADDR"))]
     advertise: Option<String>,
-    /// Workers of a cell in a fleet of more than twice as many; counts when the fleet starts first
+    /// Least workers of a cell in a fleet of twice as many or more; counts when the fleet starts first
     #[bpaf(argument("COUNT"), fallback(CELL_WORKERS), display_fallback)]
     cell_workers: NonZeroUsize,
     /// Mechanisms to switch off, to measure what they are worth
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -57,7 +57,7 @@
     match worker::parse_listed(id.clone(), value) {
         Ok(listed) => Some(listed),
         Err(err) => {
-            log::warn!("event=worker-unreadable worker={id} error={err:?}");
+            log::warn!("event=worker-unreadable worker={id} error={err}");
             None
         }
     }
@@ -71,9 +71,11 @@
         Ok((listed, end))
     }
 
+    /// Whether a worker belongs to the cell, and to a service that the policy names.
     fn has(&self, worker: &Listed) -> bool {
+        let is_named = self.node.policy.borrow().services.contains(&worker.service);
         let cells = self.node.cells();
-        cells.is_none_or(|cells| cells.map.of_worker(worker) == self.cell)
+        is_named && cells.is_none_or(|cells| cells.map.of_worker(worker) == self.cell)
     }
 }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -117,7 +117,9 @@
     pub queues: HashMap<Name, Arc<Queue>>,
     /// The routes by host, the longest prefix first.
     routes: HashMap<String, Vec<Route>>,
-    /// The services whose workers refuse what does not fit.
+    /// The services that there are; workers of others are not used.
+    pub services: Vec<Name>,
+    /// Those of them whose workers refuse what does not fit.
     pub guarded: Vec<Name>,
     /// Bounds on callers' exchanges.
     pub limits: Limits,
@@ -137,6 +139,7 @@
         for routes in policy.routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        policy.services = raw.services.iter().map(|service| service.name.clone()).collect();
         let guarded = raw.services.into_iter().filter(|service| service.admission_check);
         policy.guarded = guarded.map(|service| service.name).collect();
         policy.limits = limits(&raw.limits);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -96,7 +96,7 @@
     pub call_bytes: usize,
     /// Partitions of a topic in the store, at least one.
     pub parts: u32,
-    /// Workers of a cell where there are several; not from the file.
+    /// The fewest workers of a cell where there are several; not from the file.
     pub cell_size: NonZeroUsize,
     /// The advice service, if there is one.
     pub advice: Option<Name>,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 /// A read answers with at most this many kilobytes; small enough to be decoded within a few
@@ -112,9 +113,9 @@
 }
 
 #[derive(Deserialize)]
-struct RawPage {
-    #[serde(default)]
-    items: Vec<RawItem>,
+struct RawPage<'a> {
+    #[serde(default, borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     has_more: bool,
     end: u64,
@@ -247,9 +248,7 @@
             path.push_str(key);
         }
         let answer = self.call(Method::GET, &path, Bytes::new(), limit).await?;
-        let raw: RawPage = decode(&answer.body)?;
-        let items = raw.items.into_iter().map(newest).collect::<Result<_, _>>()?;
-        Ok(Page { items, more: raw.has_more, end: raw.end })
+        parse_page(&answer.body)
     }
 
     /// Reads the newest records of all keys; they may be of slightly different times.
@@ -273,7 +272,21 @@
     }
 }
 
-fn newest(raw: RawItem) -> Result<Newest, StoreError> {
+/// Reads a page of newest records. One that cannot be read does not hide the others.
+///
+/// # Errors
+/// [`StoreError::Malformed`]: it is no page at all.
+pub fn parse_page(body: &[u8]) -> Result<Page, StoreError> {
+    let raw: RawPage<'_> = decode(body)?;
+    let items = raw.items.into_iter().filter_map(|item| {
+        let found = newest(item.get());
+        found.inspect_err(|err| log::warn!("event=item-unreadable error={err}")).ok()
+    });
+    Ok(Page { items: items.collect(), more: raw.has_more, end: raw.end })
+}
+
+fn newest(item: &str) -> Result<Newest, StoreError> {
+    let raw: RawItem = decode(item.as_bytes())?;
     let value = BASE64_STANDARD.decode(&raw.value);
     let value = value.map_err(|err| StoreError::Malformed(err.to_string()))?;
     Ok(Newest { key: raw.key, value })
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -11,7 +11,9 @@
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
+use std::net::SocketAddr;
 use std::sync::OnceLock;
+use thiserror::Error;
 
 /// The topic in which workers list themselves, each under its id.
 pub const TOPIC: &str = "keyed.servers";
@@ -22,7 +24,6 @@
 struct RawCapacity {
     cpu: u64,
     mem_mb: u64,
-    #[serde(default)]
     gpu: u64,
 }
 
@@ -30,41 +31,64 @@
 struct RawWorker {
     service: Name,
     address: Name,
-    #[serde(default)]
     zone: Name,
-    #[serde(default)]
     state: Name,
-    capacity: Option<RawCapacity>,
-    #[serde(default)]
+    capacity: RawCapacity,
     labels: Vec<Name>,
     /// Only while it drains: the least time until it leaves.
     remaining_ms: Option<f64>,
+    // Not used, but an entry without them comes from another writer.
+    #[serde(rename = "version")]
+    _version: Name,
+    #[serde(rename = "slots")]
+    _slots: u64,
+    #[serde(rename = "cold_remaining_ms")]
+    _cold: f64,
+    #[serde(rename = "seq")]
+    _seq: u64,
 }
 
-/// Reads a worker's own entry.
+/// Why an entry names no worker.
+#[derive(Debug, Error)]
+pub enum ListedError {
+    /// It is no text, or fields are missing or of another type.
+    #[error("it is not the entry of a worker: {0}")]
+    Syntax(#[from] serde_json::Error),
+    /// The platform knows no such state.
+    #[error("there is no state {0:?}")]
+    State(Name),
+    /// It cannot be called there.
+    #[error("{0:?} is not an address")]
+    Address(Name),
+}
+
+/// Reads a worker's own entry. Other writers may have put one there: unless all of it can be read it
+/// names no worker.
 ///
 /// # Errors
-/// The text is not such an entry.
-pub fn parse_listed(id: Name, text: &[u8]) -> Result<Listed, serde_json::Error> {
-    const DRAINING: &str = "draining";
+/// See [`ListedError`].
+pub fn parse_listed(id: Name, text: &[u8]) -> Result<Listed, ListedError> {
     let raw: RawWorker = serde_json::from_slice(text)?;
-    if raw.capacity.is_none() {
-        // It gets nothing until it says what it has.
-        log::warn!("event=worker-without-capacity worker={id}");
+    if raw.address.parse::<SocketAddr>().is_err() {
+        return Err(ListedError::Address(raw.address));
     }
-    let room = raw.capacity.map(|room| Room { cpu: room.cpu, mem: room.mem_mb, gpu: room.gpu });
-    let leaves = *raw.state == *DRAINING;
+    let leaves = match &*raw.state {
+        "ready" => false,
+        "draining" => true,
+        _ => return Err(ListedError::State(raw.state)),
+    };
     if leaves && raw.remaining_ms.is_none() {
         // It may be gone at any moment: what runs there is moved.
         log::warn!("event=worker-without-time-left worker={id}");
     }
     let left = Millis(raw.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
+    let RawCapacity { cpu, mem_mb, gpu } = raw.capacity;
     Ok(Listed {
         id,
         service: raw.service,
         addr: raw.address,
         domain: raw.zone,
-        room: room.unwrap_or_default(),
+        room: Room { cpu, mem: mem_mb, gpu },
         labels: raw.labels,
         leaving: leaves.then_some(left),
     })
