--- a/src/cell/map.rs
+++ b/src/cell/map.rs
@@ -49,7 +49,7 @@
                     worker.room.cpu;
             }
         }
-        let least = (size / SERVICE_PART).max(1);
+        let least = (size.get() / SERVICE_PART).max(1);
         let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
         for worker in workers {
             *counts.entry(&worker.service).or_default() += 1;
