--- a/src/cell/map.rs
+++ b/src/cell/map.rs
@@ -42,33 +42,8 @@
         if cells == 1 {
             return Self { cells, racks: BTreeMap::new() };
         }
-        let mut sizes: BTreeMap<(&Name, &Name, &Name), u64> = BTreeMap::new();
-        for worker in workers {
-            if let Some(rack) = worker.rack() {
-                *sizes.entry((&worker.service, &worker.domain, rack)).or_default() +=
-                    worker.room.cpu;
-            }
-        }
         let least = (size.get() / SERVICE_PART).max(1);
-        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
-        for worker in workers {
-            *counts.entry(&worker.service).or_default() += 1;
-        }
-        let mut dealt: BTreeMap<(&Name, u32), u64> = BTreeMap::new();
-        let mut all: BTreeMap<u32, u64> = BTreeMap::new();
-        let mut racks = BTreeMap::new();
-        for ((service, domain, rack), size) in sizes {
-            let most = counts.get(service).map_or(1, |count| count / least).max(1);
-            let has = |cell: u32| dealt.get(&(service, cell)).copied().unwrap_or(0);
-            let used = (0..cells).filter(|cell| has(*cell) > 0).count();
-            let open = (0..cells).filter(|cell| has(*cell) > 0 || used < most);
-            let of_all = |cell: u32| all.get(&cell).copied().unwrap_or(0);
-            let Some(cell) = open.min_by_key(|cell| (has(*cell), of_all(*cell))) else { break };
-            *dealt.entry((service, cell)).or_default() += size;
-            *all.entry(cell).or_default() += size;
-            racks.insert((domain.clone(), rack.clone()), cell);
-        }
-        Self { cells, racks }
+        Self { cells, racks: Dealer::new(workers, cells, least).deal(workers) }
     }
 
     /// How many cells there are.
@@ -106,6 +81,57 @@
     }
 }
 
+/// Deals racks to cells, one after the other.
+struct Dealer<'a> {
+    cells: u32,
+    /// The most cells that a service's racks go to.
+    most: BTreeMap<&'a Name, usize>,
+    /// Processors of a service that a cell has so far.
+    dealt: BTreeMap<(&'a Name, u32), u64>,
+    /// Processors that a cell has so far.
+    all: BTreeMap<u32, u64>,
+}
+
+impl<'a> Dealer<'a> {
+    /// A cell that gets workers of a service should get `least` of them.
+    fn new(workers: &'a [Listed], cells: u32, least: usize) -> Self {
+        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+        for worker in workers {
+            *counts.entry(&worker.service).or_default() += 1;
+        }
+        let most = counts.into_iter().map(|(service, count)| (service, (count / least).max(1)));
+        Self { cells, most: most.collect(), dealt: BTreeMap::new(), all: BTreeMap::new() }
+    }
+
+    fn deal(mut self, workers: &'a [Listed]) -> BTreeMap<(Name, Name), u32> {
+        let mut sizes: BTreeMap<(&Name, &Name, &Name), u64> = BTreeMap::new();
+        for worker in workers {
+            if let Some(rack) = worker.rack() {
+                let rack = (&worker.service, &worker.domain, rack);
+                *sizes.entry(rack).or_default() += worker.room.cpu;
+            }
+        }
+        let mut racks = BTreeMap::new();
+        for ((service, domain, rack), size) in sizes {
+            let cell = self.emptiest(service);
+            *self.dealt.entry((service, cell)).or_default() += size;
+            *self.all.entry(cell).or_default() += size;
+            racks.insert((domain.clone(), rack.clone()), cell);
+        }
+        racks
+    }
+
+    /// The cell with the fewest processors of a service, of those that have some or may get some.
+    fn emptiest(&self, service: &'a Name) -> u32 {
+        let has = |cell: u32| self.dealt.get(&(service, cell)).copied().unwrap_or(0);
+        let used = (0..self.cells).filter(|cell| has(*cell) > 0).count();
+        let may_open = self.most.get(service).is_some_and(|most| used < *most);
+        let open = (0..self.cells).filter(|cell| may_open || has(*cell) > 0);
+        let of_all = |cell: u32| self.all.get(&cell).copied().unwrap_or(0);
+        open.min_by_key(|cell| (has(*cell), of_all(*cell))).unwrap_or(0)
+    }
+}
+
 /// The racks of the service that has the most: with more cells than that, one would have no worker at all.
 /// A worker without a rack counts as one. Jobs of a service that has fewer racks than there are cells run in
 /// the cells that have some.
--- a/src/node/cells.rs
+++ b/src/node/cells.rs
@@ -14,8 +14,11 @@
 /// The topic that holds the map, and its key there.
 const MAP: Part<'static> = Part { topic: "keyed.map", part: 0 };
 const KEY: &str = "map";
-/// The longest wait for the store's answer.
+/// The longest wait for the store's answer to a write.
 const LIMIT: Millis = Millis(2_000);
+/// The longest wait for the map itself, which is small: a store 60 times slower than usual answers within
+/// 240 ms, and a connection that was begun while it was away hangs.
+const MAP_LIMIT: Millis = Millis(450);
 /// Entries count the workers up to this much apart, from when the first ones are listed.
 const SPREAD: Duration = Duration::from_millis(1_500);
 /// Few go early: of 300 entries some 40 read the list of 3,000 workers, 0.9 MB each, before the first of
@@ -61,10 +64,14 @@
     /// Learns the map, and follows every cell from then on.
     pub(super) async fn find_cells(self: Arc<Self>) {
         let mut counted = Counted::new();
+        let mut is_told = false;
         let map = loop {
             match self.find_map(&mut counted).await {
                 Ok(Some(map)) => break map,
                 Ok(None) => {}
+                Err(err @ StoreError::Malformed(_)) if !std::mem::replace(&mut is_told, true) => {
+                    log::error!("event=map-unreadable error={err}");
+                }
                 Err(err) => log::debug!("event=map-unread error={err:?}"),
             }
             tokio::time::sleep(STORE_RETRY.duration()).await;
@@ -115,7 +122,7 @@
 
     /// The map, if there is one that can be read, and where its topic ends.
     async fn read_map(&self) -> Result<(Option<CellMap>, u64), StoreError> {
-        let (items, end) = self.store.newest_all(MAP, LIMIT).await?;
+        let (items, end) = self.store.newest_all(MAP, MAP_LIMIT).await?;
         let Some(item) = items.iter().find(|item| *item.key == *KEY) else {
             return Ok((None, end));
         };
