Why a worker's life is taken to be over, and which runs were lost with it, are in the log

Cause: the log could not tell whether a task waits again since its worker was replaced, is not listed any more, or is silent beyond its leases. Change: why= and leaving= in worker-gone, a line run-lost for each run. No decision changes.

--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::job::{Job, Status};
 use crate::cell::journal::{Fate, JobRecord, Member, Progress, Snapshot};
+use crate::cell::roster::Over;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
@@ -283,7 +284,7 @@
                 self.mark_silent(name);
             }
             Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => self.remove_worker(name),
+            Outcome::Refused(Refusal::OtherLife) => self.remove_worker(name, Over::Replaced),
             Outcome::Refused(Refusal::Late) => {
                 self.lose(name, task, run);
                 self.mark_silent(name);
@@ -316,7 +317,9 @@
     pub fn stopped(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
         match outcome {
             Outcome::Refused(Refusal::Fence) => return self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => return self.remove_worker(name),
+            Outcome::Refused(Refusal::OtherLife) => {
+                return self.remove_worker(name, Over::Replaced);
+            }
             _ => {}
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -21,7 +21,7 @@
 mod preempt;
 mod report;
 mod reserve;
-mod roster;
+pub mod roster;
 pub mod run_times;
 mod schedule;
 pub mod wait;
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::job::Status;
 use crate::cell::journal::Fate;
+use crate::cell::roster::Over;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, Hold};
 use crate::clock::Millis;
@@ -42,7 +43,7 @@
     pub fn unheld(&mut self, now: Millis, name: &Name, why: &HoldError) -> bool {
         match why {
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            HoldError::Refused(Refusal::OtherLife) => self.remove_worker(name),
+            HoldError::Refused(Refusal::OtherLife) => self.remove_worker(name, Over::Replaced),
             HoldError::Refused(_) => self.mark_silent(name),
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -9,6 +9,25 @@
 use crate::workload::TaskKey;
 use std::collections::BTreeSet;
 
+/// Why a life of a worker is taken to be over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Over {
+    /// Another life answers at its address.
+    Replaced,
+    /// It is not listed any more, it is silent, and its leases are over.
+    Unlisted,
+}
+
+impl Over {
+    /// The name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
 /// Workers of one failure domain that leave something unanswered at the same time, from which the
 /// domain is taken to be cut off: one alone may be lost by itself.
 const CUT_LEAST: usize = 2;
@@ -82,10 +101,15 @@
     }
 
     /// A life of a worker is over, and all that it ran with it.
-    pub fn remove_worker(&mut self, name: &Name) {
+    pub fn remove_worker(&mut self, name: &Name, why: Over) {
         let Some(worker) = self.workers.remove(name) else { return };
-        log::info!("event=worker-gone worker={name} runs={}", worker.runs.len());
+        let (why, is_leaving) = (why.name(), worker.listed.leaving.is_some());
+        log::info!(
+            "event=worker-gone worker={name} why={why} leaving={is_leaving} runs={}",
+            worker.runs.len()
+        );
         for (task, run) in worker.runs.into_keys() {
+            log::info!("event=run-lost task={task} run={run} worker={name} why={why}");
             self.requeue(task, run);
         }
         self.roster = true;
@@ -159,7 +183,7 @@
             .collect();
         for (name, present) in over {
             if !present {
-                self.remove_worker(&name);
+                self.remove_worker(&name, Over::Unlisted);
                 continue;
             }
             let worker = self.workers.get(&name);
@@ -169,6 +193,7 @@
                 log::info!("event=leases-over worker={name} runs={}", runs.len());
             }
             for (task, run) in runs {
+                log::info!("event=run-lost task={task} run={run} worker={name} why=lease-over");
                 self.lose(&name, task, run);
             }
         }
