--- /dev/null
+++ b/tests/crashworld/mod.rs
@@ -0,0 +1,356 @@
+//! Workers that crash under marked tasks, on a virtual clock: an owner's decisions, a store that takes
+//! everything unless it is away, and workers that come back as another life at their address.
+
+#![allow(dead_code)]
+
+use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::mechanism::Off;
+use sprucerudder::cell::{Action, Bounds, Cell, State};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
+use sprucerudder::order::{End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow};
+use sprucerudder::workload::{JobKey, Queue, Room, Step, TaskKey, Work};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+const LEASE: Millis = Millis(6_000);
+/// Time between two looks of the site.
+const TICK: u64 = 10;
+/// How long after its start a marked task crashes its worker.
+const FUSE: u64 = 10;
+/// How long the entry of a life that is over stays in the list: three heartbeats.
+const STALE: u64 = 4_500;
+/// How long a worker is away after a crash.
+pub const AWAY: u64 = 3_300;
+
+pub fn job(key: u64) -> JobKey {
+    JobKey(key)
+}
+
+/// Tasks of a quarter of a worker, for a second.
+pub fn step(count: u32) -> Step {
+    let room = Room { cpu: 4_000, mem: 1_000, gpu: 0 };
+    Step { count, room, estimate: Millis(1_000), ..Step::default() }
+}
+
+struct Running {
+    run: u64,
+    ends: u64,
+}
+
+/// A place where one life of a worker follows the other.
+struct Host {
+    life: u64,
+    running: BTreeMap<TaskKey, Running>,
+    ended: Vec<EndedRow>,
+    count: u64,
+    /// It is between two lives until then.
+    away_until: u64,
+    /// When its last life ended.
+    crashed: Option<u64>,
+    /// Nothing passes between it and owners until then.
+    cut_until: u64,
+}
+
+/// A site with one cell and its owner.
+pub struct Site {
+    pub now: u64,
+    cell: Cell,
+    hosts: Vec<Host>,
+    store: BTreeMap<String, Vec<u8>>,
+    /// The store takes nothing until then; starts go out all the same.
+    store_away: u64,
+    bad: BTreeSet<(JobKey, u32)>,
+    starts: Vec<(u64, TaskKey, usize)>,
+    pub crashes: usize,
+    epoch: u64,
+    /// Lives that the owner asks for reports.
+    watched: BTreeSet<Name>,
+}
+
+fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "q".into(),
+        service: "s".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2_000,
+        target: Millis(250),
+        advice: None,
+    })
+}
+
+impl Site {
+    pub fn new(workers: usize) -> Self {
+        let host = |_| Host {
+            life: 1,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            count: 0,
+            away_until: 0,
+            crashed: None,
+            cut_until: 0,
+        };
+        let mut site = Self {
+            now: 1,
+            cell: owner(1, Snapshot::default(), false, 1),
+            hosts: (0..workers).map(host).collect(),
+            store: BTreeMap::new(),
+            store_away: 0,
+            bad: BTreeSet::new(),
+            starts: Vec::new(),
+            crashes: 0,
+            epoch: 1,
+            watched: BTreeSet::new(),
+        };
+        site.play(100);
+        site
+    }
+
+    /// Each worker crashes that starts this task of a job.
+    pub fn crashes_under(&mut self, job: JobKey, index: u32) {
+        self.bad.insert((job, index));
+    }
+
+    pub fn submit(&mut self, job: JobKey, steps: Vec<Step>) {
+        let (first, every) = (Millis(0), Millis(0));
+        let work = Work { spec: "t".into(), steps, times: 1, first, every };
+        assert!(self.cell.submit(Millis(self.now), job, "q", Arc::new(work)).is_some());
+    }
+
+    pub fn state(&self, job: JobKey) -> Option<State> {
+        self.cell.state(job)
+    }
+
+    /// Starts of a job's tasks that workers carried out.
+    pub fn starts_of(&self, job: JobKey) -> usize {
+        self.starts.iter().filter(|(_, task, _)| task.step.job == job).count()
+    }
+
+    /// The most starts of any one task of a job.
+    pub fn most_starts(&self, job: JobKey) -> usize {
+        let mut counts: BTreeMap<TaskKey, usize> = BTreeMap::new();
+        for (_, task, _) in self.starts.iter().filter(|(_, task, _)| task.step.job == job) {
+            *counts.entry(*task).or_default() += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+
+    /// A worker crashes by itself.
+    pub fn crash(&mut self, no: usize) {
+        let host = &mut self.hosts[no];
+        host.running.clear();
+        host.ended.clear();
+        host.count = 0;
+        host.away_until = self.now + AWAY;
+        host.crashed = Some(self.now);
+        self.crashes += 1;
+    }
+
+    /// Nothing passes between a worker and owners for so long.
+    pub fn cut(&mut self, no: usize, length: u64) {
+        self.hosts[no].cut_until = self.now + length;
+    }
+
+    /// Workers on which a job runs.
+    pub fn workers_of(&self, job: JobKey) -> Vec<usize> {
+        let runs = |host: &Host| host.running.keys().any(|task| task.step.job == job);
+        (0..self.hosts.len()).filter(|no| runs(&self.hosts[*no])).collect()
+    }
+
+    /// The store takes nothing for so long, and the owner goes on by the word of the others.
+    pub fn lose_store(&mut self, length: u64) {
+        self.store_away = self.now + length;
+    }
+
+    /// Another entry owns the cell, and knows what the store holds.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        let mut snapshot = Snapshot::default();
+        for (key, value) in &self.store {
+            snapshot.add(key, value).expect("a record of ours");
+        }
+        self.cell = owner(self.epoch, snapshot, true, self.now);
+        self.watched.clear();
+        self.list();
+    }
+
+    /// The records as an older version leaves them: keys that it does not know are gone.
+    pub fn keep_records(&mut self, is_kept: impl Fn(&str) -> bool) {
+        self.store.retain(|key, _| is_kept(key));
+    }
+
+    /// Plays on for so long.
+    pub fn play(&mut self, length: u64) {
+        let until = self.now + length;
+        while self.now < until {
+            self.now += TICK;
+            self.run_workers();
+            self.list();
+            self.cell.tick(Millis(self.now), Millis(self.now));
+            self.report();
+            self.cell.schedule(Millis(self.now));
+            self.write();
+            self.obey();
+        }
+    }
+
+    fn run_workers(&mut self) {
+        for no in 0..self.hosts.len() {
+            let now = self.now;
+            let host = &mut self.hosts[no];
+            if host.away_until > 0 && host.away_until <= now {
+                host.away_until = 0;
+                host.life += 1;
+            }
+            let over: Vec<TaskKey> = host
+                .running
+                .iter()
+                .filter(|(_, running)| running.ends <= now)
+                .map(|(task, _)| *task)
+                .collect();
+            if over.iter().any(|task| self.bad.contains(&(task.step.job, task.index))) {
+                self.crash(no);
+                continue;
+            }
+            let host = &mut self.hosts[no];
+            for task in over {
+                let Some(running) = host.running.remove(&task) else { continue };
+                host.count += 1;
+                let (no, run) = (host.count, running.run);
+                host.ended.push(EndedRow { no, task, run, end: End::Done, saved: "".into() });
+            }
+        }
+    }
+
+    /// The lives of a host that are listed: also one that is over, for a while.
+    fn ids(&self, no: usize) -> Vec<Name> {
+        let host = &self.hosts[no];
+        let id = |life: u64| Name::from(format!("w{no}.{life}"));
+        let is_stale = host.crashed.is_some_and(|at| self.now - at < STALE);
+        match host.away_until > self.now {
+            true if is_stale => vec![id(host.life)],
+            true => Vec::new(),
+            false if is_stale => vec![id(host.life - 1), id(host.life)],
+            false => vec![id(host.life)],
+        }
+    }
+
+    fn list(&mut self) {
+        let lives = (0..self.hosts.len()).flat_map(|no| {
+            let ids = self.ids(no).into_iter();
+            ids.map(move |id| (no, id))
+        });
+        let listed = lives.map(|(no, id)| Listed {
+            id,
+            service: "s".into(),
+            addr: format!("a{no}").into(),
+            domain: format!("d{}", no % 3).into(),
+            room: Room { cpu: 16_000, mem: 32_000, gpu: 0 },
+            labels: vec!["a".into(), "r1".into()],
+            leaving: None,
+        });
+        let listed = listed.collect();
+        self.cell.set_workers(listed);
+    }
+
+    /// What an owner meets that calls a life: the host's number, or why there is no answer.
+    fn call(&self, worker: &Name) -> Result<usize, HoldError> {
+        let (no, life) = worker[1..].split_once('.').expect("a worker's id");
+        let no: usize = no.parse().expect("a number");
+        let host = &self.hosts[no];
+        match () {
+            () if host.cut_until > self.now => Err(HoldError::Silent("cut".to_string())),
+            () if host.away_until > self.now => Err(HoldError::Silent("refused".to_string())),
+            () if life != host.life.to_string() => Err(HoldError::Refused(Refusal::OtherLife)),
+            () => Ok(no),
+        }
+    }
+
+    fn report(&mut self) {
+        let now = Millis(self.now);
+        for name in self.watched.clone() {
+            let Some(hold) = self.cell.hold(now, &name, true) else { continue };
+            let result = self.call(&name);
+            match result {
+                Err(err) => drop(self.cell.unheld(now, &name, &err)),
+                Ok(no) => {
+                    let host = &mut self.hosts[no];
+                    host.ended.retain(|row| row.no > hold.seen);
+                    let row = |(task, running): (&TaskKey, &Running)| RunningRow {
+                        task: *task,
+                        run: running.run,
+                        saved: "".into(),
+                        percent: 100,
+                        gauge: None,
+                    };
+                    let running = host.running.iter().map(row).collect();
+                    let clock = 1_000_000 + now.0;
+                    let report = Report { clock, running, ended: host.ended.clone() };
+                    self.cell.held(now, now, &name, &report);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self) {
+        if self.store_away > self.now {
+            self.cell.send_unkept(Millis(self.now));
+            return;
+        }
+        while let Some(batch) = self.cell.take_batch(Millis(self.now)) {
+            for (key, value) in batch.records {
+                match value.is_empty() {
+                    true => drop(self.store.remove(&key)),
+                    false => drop(self.store.insert(key, value)),
+                }
+            }
+            self.cell.keep(Millis(self.now), batch.no);
+        }
+    }
+
+    fn obey(&mut self) {
+        let now = Millis(self.now);
+        for action in self.cell.take_actions() {
+            match action {
+                Action::Start { worker, start, .. } => {
+                    let outcome = match self.call(&worker) {
+                        Ok(no) => self.start(no, start.task, start.run),
+                        Err(HoldError::Refused(why)) => Outcome::Refused(why),
+                        Err(HoldError::Silent(_)) => Outcome::Unsent,
+                    };
+                    self.cell.started(now, &worker, start.task, start.run, outcome);
+                }
+                Action::Stop { worker, task, run } => {
+                    let outcome = match self.call(&worker) {
+                        Ok(no) => {
+                            self.hosts[no].running.remove(&task);
+                            Outcome::Done(None)
+                        }
+                        Err(HoldError::Refused(why)) => Outcome::Refused(why),
+                        Err(HoldError::Silent(_)) => Outcome::Unknown,
+                    };
+                    self.cell.stopped(now, &worker, task, run, outcome);
+                }
+                Action::Watch(listed) => drop(self.watched.insert(listed.id)),
+                Action::Unwatch(worker) => drop(self.watched.remove(&worker)),
+                _ => {}
+            }
+        }
+    }
+
+    /// A start that a worker carries out. It is not answered if the worker crashes under it.
+    fn start(&mut self, no: usize, task: TaskKey, run: u64) -> Outcome {
+        self.starts.push((self.now, task, no));
+        let is_bad = self.bad.contains(&(task.step.job, task.index));
+        let length = if is_bad { FUSE } else { 1_000 };
+        self.hosts[no].running.insert(task, Running { run, ends: self.now + length });
+        if is_bad { Outcome::Unknown } else { Outcome::Done(None) }
+    }
+}
+
+fn owner(epoch: u64, snapshot: Snapshot, doubt: bool, now: u64) -> Cell {
+    let bounds = Bounds { lease: LEASE, keep: Millis(600_000), off: Off::default() };
+    let queues = HashMap::from([("q".into(), queue())]);
+    Cell::new(epoch, bounds, queues, snapshot, doubt, Millis(now))
+}
