A task that crashes its workers is counted, tried alone, and given up

Cause: a task whose worker's life was over waited again as one whose worker was cut off; nothing counted that. Class: a retry without a budget, as the budget rested on a report which a crashed worker cannot give. Ruled out: a count lost at a takeover (one epoch), ends failed that were not counted (none were listed). Change: each life that another one replaced, and that was not leaving, counts once against each task that was sent there; the count is a record of its own beside the progress, written before the next start. From two on the task runs alone; three with the last one alone, or four, end the job as failed. One with a crash is not started while the store takes nothing.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -1,6 +1,7 @@
 //! A job at its owner: its steps, its tasks, and what is known of them.
 
-use crate::cell::journal::{Fate, JobRecord, Progress, StepNote, TaskNote};
+use crate::cell::crash::Crash;
+use crate::cell::journal::{CrashNote, Fate, JobRecord, Progress, StepNote, TaskNote};
 use crate::cell::wait::Why;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -38,12 +39,15 @@
     pub saved: Name,
     /// Workers on which it failed.
     pub avoid: Vec<Name>,
+    /// Lives of workers that ended, not by plan, while it ran there.
+    pub crashes: Vec<Crash>,
 }
 
 impl Default for Task {
     fn default() -> Self {
         let (status, saved) = (Status::Waiting, "".into());
-        Self { status, failed: Vec::new(), runs: 0, saved, avoid: Vec::new() }
+        let (avoid, crashes) = (Vec::new(), Vec::new());
+        Self { status, failed: Vec::new(), runs: 0, saved, avoid, crashes }
     }
 }
 
@@ -130,6 +134,8 @@
     pub closed: Option<(Fate, u64, Millis)>,
     /// Progress has been written.
     pub noted: bool,
+    /// Crashes under its tasks have been written.
+    pub has_crashes: bool,
     /// The steps: all of the first repetition, then all of the second.
     pub steps: Vec<StepState>,
 }
@@ -154,6 +160,7 @@
             home: None,
             closed: None,
             noted: false,
+            has_crashes: false,
             steps,
         }
     }
@@ -241,6 +248,36 @@
         Progress { steps: notes.collect() }
     }
 
+    /// The crashes under the job's tasks.
+    pub fn crashes(&self) -> Vec<CrashNote> {
+        let width = self.work.steps.len().max(1);
+        let steps = self.steps.iter().enumerate();
+        let notes = steps.flat_map(|(no, step)| {
+            let place = ((no / width) as u32, (no % width) as u16);
+            let tasks = step.tasks.iter().enumerate();
+            let crashed = tasks.filter(|(_, task)| !task.crashes.is_empty());
+            crashed.map(move |(index, task)| CrashNote {
+                place,
+                index: index as u32,
+                crashes: task.crashes.clone(),
+            })
+        });
+        notes.collect()
+    }
+
+    /// Takes in the crashes that an earlier owner counted.
+    pub fn restore_crashes(&mut self, notes: &[CrashNote]) {
+        for note in notes {
+            let at = self.at(note.place.0, note.place.1);
+            let step = self.steps.get_mut(at);
+            let task = step.and_then(|step| step.tasks.get_mut(note.index as usize));
+            if let Some(task) = task {
+                task.crashes.clone_from(&note.crashes);
+            }
+        }
+        self.has_crashes = true;
+    }
+
     /// Takes in what an earlier owner knew.
     pub fn restore(&mut self, progress: &Progress) {
         for note in &progress.steps {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -1,7 +1,9 @@
 //! What an owner keeps in the platform's store, and how it is written.
 
+use crate::cell::crash::Crash;
 use crate::id::Name;
 use crate::workload::{JobKey, Queue, Work};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,6 +12,9 @@
 const ROSTER: &str = "roster";
 /// What follows a job's key in the key of its progress.
 const PROGRESS: &str = ".p";
+/// What follows a job's key in the key of the crashes under its tasks. They stand apart from its progress,
+/// whose form is that of versions that count none: those pass over keys that they do not know.
+const CRASHES: &str = ".c";
 
 /// What became of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,6 +82,17 @@
     pub steps: Vec<StepNote>,
 }
 
+/// The crashes under one task.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrashNote {
+    /// The repetition and the step.
+    pub place: (u32, u16),
+    /// The task's place in its step.
+    pub index: u32,
+    /// The crashes, in order.
+    pub crashes: Vec<Crash>,
+}
+
 /// A worker that may run something.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
@@ -104,6 +120,8 @@
     pub jobs: BTreeMap<JobKey, JobRecord>,
     /// What is known of open jobs.
     pub progress: BTreeMap<JobKey, Progress>,
+    /// The crashes under tasks of open jobs.
+    pub crashes: BTreeMap<JobKey, Vec<CrashNote>>,
     /// The workers that may run something.
     pub roster: Vec<Member>,
 }
@@ -118,6 +136,11 @@
     (format!("{key}{PROGRESS}"), encode(progress))
 }
 
+/// The record of the crashes under a job's tasks.
+pub fn crashes(key: JobKey, notes: &[CrashNote]) -> (String, Vec<u8>) {
+    (format!("{key}{CRASHES}"), encode(notes))
+}
+
 /// Drops a job.
 pub fn drop_job(key: JobKey) -> (String, Vec<u8>) {
     (key.to_string(), Vec::new())
@@ -128,6 +151,11 @@
     (format!("{key}{PROGRESS}"), Vec::new())
 }
 
+/// Drops the crashes under a job's tasks.
+pub fn drop_crashes(key: JobKey) -> (String, Vec<u8>) {
+    (format!("{key}{CRASHES}"), Vec::new())
+}
+
 /// The record of the workers in use.
 pub fn roster(members: &[Member]) -> (String, Vec<u8>) {
     (ROSTER.to_string(), encode(&members))
@@ -151,20 +179,32 @@
             self.roster = if value.is_empty() { Vec::new() } else { postcard::from_bytes(value)? };
             return Ok(());
         }
-        let (text, of_progress) = match key.strip_suffix(PROGRESS) {
-            Some(text) => (text, true),
-            None => (key, false),
-        };
+        let (text, kind) = key.split_at(key.find('.').unwrap_or(key.len()));
         let Ok(job) = text.parse::<JobKey>() else {
             log::warn!("event=record-unknown key={key}");
             return Ok(());
         };
-        match of_progress {
-            true if value.is_empty() => drop(self.progress.remove(&job)),
-            true => drop(self.progress.insert(job, postcard::from_bytes(value)?)),
-            false if value.is_empty() => drop(self.jobs.remove(&job)),
-            false => drop(self.jobs.insert(job, postcard::from_bytes(value)?)),
+        match kind {
+            "" => take(&mut self.jobs, job, value),
+            PROGRESS => take(&mut self.progress, job, value),
+            CRASHES => take(&mut self.crashes, job, value),
+            _ => {
+                log::warn!("event=record-unknown key={key}");
+                Ok(())
+            }
         }
-        Ok(())
     }
 }
+
+/// Takes in a record of a job, or drops what is known of it.
+fn take<T: DeserializeOwned>(
+    known: &mut BTreeMap<JobKey, T>,
+    job: JobKey,
+    value: &[u8],
+) -> Result<(), postcard::Error> {
+    match value.is_empty() {
+        true => drop(known.remove(&job)),
+        false => drop(known.insert(job, postcard::from_bytes(value)?)),
+    }
+    Ok(())
+}
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -41,6 +41,9 @@
                     if let Some(progress) = snapshot.progress.get(&key) {
                         job.restore(progress);
                     }
+                    if let Some(crashes) = snapshot.crashes.get(&key) {
+                        job.restore_crashes(crashes);
+                    }
                     let done = job.is_done();
                     self.jobs.insert(key, job);
                     if let Some(progress) = snapshot.progress.get(&key) {
@@ -71,7 +74,9 @@
                 }
                 step.place(task.index, name.clone(), *no);
                 // The first report has to name it, or it is over.
-                let run = Run::bound(*no, &spec, Phase::Running(Millis(0)));
+                let mut run = Run::bound(*no, &spec, Phase::Running(Millis(0)));
+                // It may have been sent.
+                run.is_sent = true;
                 worker.add(TaskKey { step: step_key, index: task.index }, run);
             }
         }
@@ -284,7 +289,11 @@
                 self.mark_silent(name);
             }
             Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => self.remove_worker(name, Over::Replaced),
+            Outcome::Refused(Refusal::OtherLife) => {
+                // This run surely never was at the life that is over.
+                self.lose(name, task, run);
+                self.remove_worker(now, name, Over::Replaced);
+            }
             Outcome::Refused(Refusal::Late) => {
                 self.lose(name, task, run);
                 self.mark_silent(name);
@@ -318,7 +327,7 @@
         match outcome {
             Outcome::Refused(Refusal::Fence) => return self.actions.push(Action::Deposed),
             Outcome::Refused(Refusal::OtherLife) => {
-                return self.remove_worker(name, Over::Replaced);
+                return self.remove_worker(now, name, Over::Replaced);
             }
             _ => {}
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -8,6 +8,7 @@
 pub mod authority;
 pub mod balance;
 mod clearance;
+pub mod crash;
 pub mod election;
 mod forward;
 mod gather;
@@ -126,6 +127,8 @@
     advisers: Advisers,
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
+    /// Crashes of workers and what became of them, since the takeover.
+    counts: crash::Counts,
     /// Jobs with something to write.
     dirty: BTreeSet<JobKey>,
     /// The set of workers in use has to be written.
@@ -171,6 +174,7 @@
             closed: VecDeque::new(),
             advisers: Advisers::default(),
             reserved: Reservations::default(),
+            counts: crash::Counts::default(),
             dirty: BTreeSet::new(),
             roster: false,
             batch: 1,
@@ -351,6 +355,9 @@
             true if job.noted => {
                 job.noted = false;
                 records.push(journal::drop_progress(key));
+                if std::mem::take(&mut job.has_crashes) {
+                    records.push(journal::drop_crashes(key));
+                }
             }
             false if job.begun => {
                 let progress = job.progress();
@@ -358,6 +365,11 @@
                     job.noted = true;
                     records.push(journal::progress(key, &progress));
                 }
+                let crashes = job.crashes();
+                if !crashes.is_empty() {
+                    job.has_crashes = true;
+                    records.push(journal::crashes(key, &crashes));
+                }
             }
             _ => {}
         }
@@ -439,7 +451,14 @@
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|job| job.is_open()).count();
         let heard = self.workers.values().filter(|worker| worker.heard).count();
-        Load { jobs: open, runs, ready: self.ready.len(), workers: self.workers.len(), heard }
+        Load {
+            jobs: open,
+            runs,
+            ready: self.ready.len(),
+            workers: self.workers.len(),
+            heard,
+            counts: self.counts,
+        }
     }
 }
 
@@ -456,4 +475,6 @@
     pub workers: usize,
     /// Workers that answered their last call.
     pub heard: usize,
+    /// Crashes, since the takeover.
+    pub counts: crash::Counts,
 }
--- a/src/cell/place.rs
+++ b/src/cell/place.rs
@@ -1,5 +1,6 @@
 //! Which of several workers with room a task or a gang goes to.
 
+use crate::cell::job::Task;
 use crate::cell::worker::Worker;
 use crate::id::Name;
 use crate::workload::{Room, Step, StepKey, TaskKey};
@@ -28,6 +29,8 @@
     pub free: Room,
     /// Runs of the step there, if that matters.
     pub runs: u32,
+    /// All runs there.
+    pub busy: usize,
     pub is_sound: bool,
     /// It runs tasks that serve users of their own.
     pub serves: bool,
@@ -43,6 +46,7 @@
             rack: worker.rack().cloned(),
             free: worker.free(),
             runs: 0,
+            busy: worker.runs.len(),
             is_sound: worker.is_sound(),
             serves: worker.runs.values().any(|run| run.tail.0 > 0),
             is_kept: false,
@@ -74,12 +78,12 @@
 
 /// The best worker with room for one task: near the data, not one on which it failed, in the job's
 /// failure domain, sound, and then the one that is left with the least; fillers go where most
-/// processors are idle.
+/// processors are idle. One under which a worker crashed goes where the least else runs.
 pub(super) fn pick<'a>(
     fits: &'a mut [Fit],
     spec: &Step,
     home: Option<&Name>,
-    avoid: &[Name],
+    task: &Task,
 ) -> Option<&'a mut Fit> {
     let charge = spec.charge();
     let score = |fit: &Fit| {
@@ -89,13 +93,23 @@
         let room = if spec.filler { u64::MAX - free } else { free };
         let serves = spec.filler && fit.serves;
         let last = (serves, fit.is_kept, away, !fit.is_sound);
-        (avoid.contains(&fit.name), far, last, room)
+        let shared = if task.crashes.is_empty() { 0 } else { fit.busy };
+        (task.avoid.contains(&fit.name), shared, far, last, room)
     };
     fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
 }
 
-/// Workers for all tasks of a gang, on one rack if it wants that and one has the room.
-pub(super) fn pick_gang(fits: &[Fit], spec: &Step, home: Option<&Name>) -> Option<Vec<Name>> {
+/// Workers for all tasks of a gang, on one rack if it wants that and one has the room; on workers where
+/// nothing else runs, if there are such, for one with a `suspect` member.
+pub(super) fn pick_gang(
+    fits: &[Fit],
+    spec: &Step,
+    home: Option<&Name>,
+    is_suspect: bool,
+) -> Option<Vec<Name>> {
+    if is_suspect && let Some(chosen) = fill(fits, spec, |fit| fit.busy == 0) {
+        return Some(chosen);
+    }
     if spec.rack {
         let racks: BTreeSet<&Name> = fits.iter().filter_map(|fit| fit.rack.as_ref()).collect();
         for rack in racks {
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -43,7 +43,7 @@
     pub fn unheld(&mut self, now: Millis, name: &Name, why: &HoldError) -> bool {
         match why {
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            HoldError::Refused(Refusal::OtherLife) => self.remove_worker(name, Over::Replaced),
+            HoldError::Refused(Refusal::OtherLife) => self.remove_worker(now, name, Over::Replaced),
             HoldError::Refused(_) => self.mark_silent(name),
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
@@ -221,7 +221,7 @@
         let whole = self.workers.get(name).map(|worker| worker.listed.room).unwrap_or_default();
         let unknown = Step { room: whole, ..Step::default() };
         let mut run = Run::bound(row.run, &spec.unwrap_or(unknown), Phase::Running(now));
-        (run.seen, run.percent) = (true, row.percent);
+        (run.seen, run.is_sent, run.percent) = (true, true, row.percent);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.add(task, run);
         }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -101,8 +101,13 @@
     }
 
     /// A life of a worker is over, and all that it ran with it.
-    pub fn remove_worker(&mut self, name: &Name, why: Over) {
+    pub fn remove_worker(&mut self, now: Millis, name: &Name, why: Over) {
         let Some(worker) = self.workers.remove(name) else { return };
+        let given_up = match why {
+            Over::Replaced => self.count_crash(now, name, &worker),
+            // It may be behind a cut and run on.
+            Over::Unlisted => Vec::new(),
+        };
         let (why, is_leaving) = (why.name(), worker.listed.leaving.is_some());
         log::info!(
             "event=worker-gone worker={name} why={why} leaving={is_leaving} runs={}",
@@ -112,6 +117,7 @@
             log::info!("event=run-lost task={task} run={run} worker={name} why={why}");
             self.requeue(task, run);
         }
+        self.give_up(now, given_up);
         self.roster = true;
         self.changed = true;
         self.actions.push(Action::Unwatch(name.clone()));
@@ -183,7 +189,7 @@
             .collect();
         for (name, present) in over {
             if !present {
-                self.remove_worker(&name, Over::Unlisted);
+                self.remove_worker(now, &name, Over::Unlisted);
                 continue;
             }
             let worker = self.workers.get(&name);
@@ -194,6 +200,11 @@
             }
             for (task, run) in runs {
                 log::info!("event=run-lost task={task} run={run} worker={name} why=lease-over");
+                if let Some(worker) = self.workers.get_mut(&name)
+                    && let Some(known) = worker.runs.get(&(task, run)).cloned()
+                {
+                    worker.lapse(task, &known);
+                }
                 self.lose(&name, task, run);
             }
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -1,6 +1,7 @@
 //! Which task starts next, and where.
 
 use crate::cell::clearance::TICKET_SPARE;
+use crate::cell::crash;
 use crate::cell::job::{Job, StepState};
 use crate::cell::life::rank;
 use crate::cell::mechanism::Mechanism;
@@ -12,7 +13,7 @@
 use crate::id::Name;
 use crate::order::Start;
 use crate::workload::{Step, StepKey, TaskKey};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 impl Cell {
     /// Places waiting tasks, the most urgent first, as far as there is room.
@@ -115,7 +116,8 @@
     ) -> Vec<Fit> {
         let rank = rank(job);
         let minds = !self.bounds.off.has(Mechanism::Aside);
-        let aside = |worker: &Worker| minds && worker.is_aside(now);
+        let is_tried = |worker: &Worker| worker.tried_job().is_some_and(|tried| tried != key.job);
+        let aside = |worker: &Worker| (minds && worker.is_aside(now)) || is_tried(worker);
         let open = workers.filter(|(_, worker)| worker.is_open(self.kept) && !aside(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
@@ -157,12 +159,13 @@
             let task = TaskKey { step: key, index: *index };
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
-            let avoid = step.tasks.get(*index as usize).map(|task| task.avoid.as_slice());
+            let Some(state) = step.tasks.get(*index as usize) else { return };
             let home = job.home.as_ref().filter(|_| !spec.lasting);
-            let best = pick(fits, spec, home, avoid.unwrap_or_default());
+            let best = pick(fits, spec, home, state);
             let Some(fit) = best else { return };
             fit.free = fit.free.less(&charge);
             fit.runs += 1;
+            fit.busy += 1;
             let name = fit.name.clone();
             let run = self.next_run(key, [*index]);
             self.bind(now, task, &name, run, spec, "");
@@ -175,7 +178,9 @@
             return;
         }
         let home = self.jobs.get(&key.job).and_then(|job| job.home.clone());
-        let Some(chosen) = pick_gang(fits, spec, home.as_ref()) else { return };
+        let mut members = (0..spec.count).map(|index| TaskKey { step: key, index });
+        let is_suspect = members.any(|task| self.is_suspect(task));
+        let Some(chosen) = pick_gang(fits, spec, home.as_ref(), is_suspect) else { return };
         let run = self.next_run(key, 0..spec.count);
         let saved = self.gang_progress(key);
         for (index, name) in chosen.iter().enumerate() {
@@ -226,6 +231,9 @@
         let ticket = ticket.unwrap_or_else(|| "".into());
         let start = Start { task, run: no, spec: text, saved, ticket };
         self.dirty.insert(task.step.job);
+        if self.is_suspect(task) {
+            self.try_alone(name, task);
+        }
         self.unsent.push_back((self.batch, name.clone(), start));
     }
 
@@ -242,12 +250,28 @@
                 continue;
             }
             let Some(until) = worker.lease(now, lease) else { continue };
+            if let Some(run) = worker.runs.get_mut(&(start.task, start.run)) {
+                run.is_sent = true;
+            }
             self.actions.push(Action::Start { worker: name, start, until });
         }
     }
 
     /// Sends all starts while the store is away for everybody. The next owner will know that it was.
     pub fn send_unkept(&mut self, now: Millis) {
+        // Crashes have to be counted in the store before the task starts again: through six outages that
+        // each ended with a takeover a task started 9 times where 5 are allowed.
+        let unsent = std::mem::take(&mut self.unsent);
+        let (held, free): (VecDeque<_>, VecDeque<_>) =
+            unsent.into_iter().partition(|(batch, _, start)| {
+                *batch > self.kept && !self.crashes(start.task).is_empty()
+            });
+        self.unsent = free;
         self.send_starts(now, u64::MAX);
+        self.unsent = held;
+    }
+
+    fn is_suspect(&self, task: TaskKey) -> bool {
+        crash::is_suspect(self.crashes(task))
     }
 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -1,9 +1,10 @@
 //! A worker at its owner: the room that is taken, what runs, and what is known of its health.
 
+use crate::cell::crash::Lapsed;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Listed, Report};
-use crate::workload::{Room, Step, TaskKey};
+use crate::workload::{JobKey, Room, Step, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A lease is counted as over this much later, in thousandths of its length: a worker's clock may
@@ -48,6 +49,8 @@
     pub phase: Phase,
     /// A stop is under way to the worker.
     pub told: bool,
+    /// Its start may have reached the worker.
+    pub is_sent: bool,
     /// The worker surely began it.
     pub seen: bool,
     /// The share at which it may work, in hundredths.
@@ -76,6 +79,7 @@
             charge: spec.charge(),
             phase,
             told: false,
+            is_sent: false,
             seen: false,
             percent: 100,
             filler: spec.filler,
@@ -145,6 +149,10 @@
     late: Option<(TaskKey, Millis)>,
     /// When the shares of fillers were last changed.
     pub paced: Millis,
+    /// Runs that ended with their leases since the worker was last heard.
+    pub(super) lapsed: Lapsed,
+    /// The worker is left to this job.
+    pub(super) trial: Option<JobKey>,
 }
 
 impl Worker {
@@ -171,6 +179,8 @@
             aside_until: Millis(0),
             late: None,
             paced: Millis(0),
+            lapsed: Lapsed::new(),
+            trial: None,
         }
     }
 
@@ -220,6 +230,8 @@
         if self.doubted.is_some_and(|doubted| sent >= doubted) {
             self.doubted = None;
         }
+        // It is the same life: what ended with its leases did not end with a crash.
+        self.lapsed.clear();
         self.clock = Some((report.clock, now));
         self.heard = true;
         self.misses = 0;
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -25,6 +25,8 @@
     ready: IntGauge,
     workers: IntGauge,
     heard: IntGauge,
+    crashed: IntGauge,
+    given_up: IntGauge,
     /// Takeovers by this entry.
     pub takeovers: IntCounter,
 }
@@ -57,6 +59,14 @@
             ready: gauge("sprucerudder_steps_waiting", "Steps with tasks that need a worker")?,
             workers: gauge("sprucerudder_workers", "Workers in use")?,
             heard: gauge("sprucerudder_workers_heard", "Workers that answered their last call")?,
+            crashed: gauge(
+                "sprucerudder_workers_crashed",
+                "Workers that crashed with something running, since the takeover",
+            )?,
+            given_up: gauge(
+                "sprucerudder_jobs_given_up",
+                "Jobs given up for crashes under a task, since the takeover",
+            )?,
             takeovers: registry.counter("sprucerudder_takeovers_total", "Takeovers of the cell")?,
             registry,
         })
@@ -98,6 +108,8 @@
         self.ready.set(load.ready as i64);
         self.workers.set(load.workers as i64);
         self.heard.set(load.heard as i64);
+        self.crashed.set(load.counts.crashed as i64);
+        self.given_up.set(load.counts.given_up as i64);
     }
 
     /// All metrics as text; `dropped`: log lines that found no room.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -671,7 +671,7 @@
     confirm(&mut cell, 102, &first);
     // Long after the tickets ran out one of them is lost, and the other takes no second task.
     cell.set_workers(vec![listed("w1", "a"), listed("w3", "a")]);
-    cell.remove_worker(&"w2".into(), Over::Replaced);
+    cell.remove_worker(Millis(0), &"w2".into(), Over::Replaced);
     cell.tick(Millis(9_000), Millis(9_000));
     assert_eq!(named(&mut cell, 9_001), vec!["w3".into()]);
 }
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -30,3 +30,148 @@
     assert!(site.starts_of(bad) <= 3 + MORE, "{} starts", site.starts_of(bad));
     assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)));
 }
+
+/// Jobs of one task each, keys from `from` on.
+fn fill(site: &mut Site, from: u64, count: u64) -> Vec<sprucerudder::workload::JobKey> {
+    let jobs: Vec<_> = (from..from + count).map(job).collect();
+    for key in &jobs {
+        site.submit(*key, vec![step(1)]);
+    }
+    jobs
+}
+
+#[test]
+fn tasks_that_shared_crashed_workers_are_done() {
+    let mut site = Site::new(24);
+    let mut others = Vec::new();
+    for no in 0..20 {
+        let bad = job(0xbad0 + no);
+        site.crashes_under(bad, 0);
+        site.submit(bad, vec![step(1)]);
+        others.extend(fill(&mut site, 1_000 + 100 * no, 8));
+        site.play(1_500);
+    }
+    site.play(60_000);
+    for no in 0..20 {
+        let bad = job(0xbad0 + no);
+        assert!(site.most_starts(bad) <= 3 + MORE, "{} starts", site.most_starts(bad));
+        assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)));
+    }
+    for key in others {
+        assert_eq!(site.state(key), Some(State::Closed(Fate::Completed)), "{key}");
+    }
+}
+
+#[test]
+fn the_count_lasts_through_takeovers() {
+    for every in [900, 2_000, 3_100, 4_500, 7_000] {
+        let mut site = Site::new(6);
+        let bad = job(0xbad);
+        site.crashes_under(bad, 0);
+        site.submit(bad, vec![step(1)]);
+        for _ in 0..60_000 / every {
+            site.play(every);
+            site.take_over();
+        }
+        site.play(20_000);
+        assert!(site.starts_of(bad) <= 3 + MORE, "{} starts, every {every}", site.starts_of(bad));
+        assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)), "every {every}");
+    }
+}
+
+#[test]
+fn the_count_lasts_through_an_outage_of_the_store_and_the_owner_that_went_on_in_it() {
+    for from in [0, 3_000, 6_000, 9_000] {
+        let mut site = Site::new(6);
+        let bad = job(0xbad);
+        site.crashes_under(bad, 0);
+        site.submit(bad, vec![step(1)]);
+        site.play(50 + from);
+        site.lose_store(20_010);
+        site.play(20_000);
+        site.take_over();
+        site.play(40_000);
+        assert!(site.starts_of(bad) <= 3 + MORE, "{} starts, from {from}", site.starts_of(bad));
+        assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)), "from {from}");
+    }
+}
+
+#[test]
+fn workers_behind_a_cut_did_not_crash() {
+    let mut site = Site::new(6);
+    let key = job(1);
+    site.submit_long(key, vec![step(1)], 12_000);
+    for _ in 0..6 {
+        // Longer than a lease, each time before the task is done.
+        site.play(300);
+        for no in site.workers_of(key) {
+            site.cut(no, 9_000);
+        }
+        site.play(8_000);
+    }
+    site.play(30_000);
+    assert_eq!(site.state(key), Some(State::Closed(Fate::Completed)));
+    assert!(site.starts_of(key) > 4, "{} starts", site.starts_of(key));
+}
+
+#[test]
+fn workers_that_all_crash_together_condemn_nobody() {
+    let mut site = Site::new(16);
+    let jobs = fill(&mut site, 1, 60);
+    for _ in 0..2 {
+        site.play(400);
+        for no in 0..16 {
+            site.crash(no);
+        }
+        site.play(4_000);
+    }
+    site.play(60_000);
+    for key in jobs {
+        assert_eq!(site.state(key), Some(State::Closed(Fate::Completed)), "{key}");
+    }
+}
+
+#[test]
+fn a_gang_with_such_a_task_is_given_up() {
+    let mut site = Site::new(6);
+    let bad = job(0xbad);
+    site.crashes_under(bad, 1);
+    site.submit(bad, vec![sprucerudder::workload::Step { gang: true, ..step(3) }]);
+    site.play(60_000);
+    assert!(site.most_starts(bad) <= 3 + MORE, "{} starts", site.most_starts(bad));
+    assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)));
+}
+
+#[test]
+fn an_owner_reads_records_without_counts() {
+    let mut site = Site::new(6);
+    let bad = job(0xbad);
+    site.crashes_under(bad, 0);
+    site.submit(bad, vec![step(1)]);
+    site.play(4_000);
+    site.keep_records(|key| !key.ends_with(".c"));
+    site.take_over();
+    site.play(60_000);
+    assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)));
+}
+
+#[test]
+fn the_count_lasts_through_outages_each_of_which_ends_with_a_takeover() {
+    for length in [7_500, 12_000, 20_000] {
+        let mut site = Site::new(24);
+        let bad = job(0xbad);
+        site.crashes_under(bad, 0);
+        site.submit(bad, vec![step(1)]);
+        site.play(50);
+        for _ in 0..6 {
+            site.lose_store(length + 10);
+            site.play(length);
+            site.take_over();
+            site.play(20);
+        }
+        site.play(40_000);
+
+        assert!(site.starts_of(bad) <= 3 + MORE, "{} starts, length {length}", site.starts_of(bad));
+        assert_eq!(site.state(bad), Some(State::Closed(Fate::Failed)), "length {length}");
+    }
+}
--- a/tests/crashworld/mod.rs
+++ b/tests/crashworld/mod.rs
@@ -18,6 +18,8 @@
 const TICK: u64 = 10;
 /// How long after its start a marked task crashes its worker.
 const FUSE: u64 = 10;
+/// What workers' clocks show at the begin.
+const CLOCK: u64 = 1_000_000;
 /// How long the entry of a life that is over stays in the list: three heartbeats.
 const STALE: u64 = 4_500;
 /// How long a worker is away after a crash.
@@ -50,6 +52,8 @@
     crashed: Option<u64>,
     /// Nothing passes between it and owners until then.
     cut_until: u64,
+    /// When everything that runs there ends unless it is renewed.
+    lease: u64,
 }
 
 /// A site with one cell and its owner.
@@ -90,6 +94,7 @@
             away_until: 0,
             crashed: None,
             cut_until: 0,
+            lease: 0,
         };
         let mut site = Self {
             now: 1,
@@ -113,8 +118,13 @@
     }
 
     pub fn submit(&mut self, job: JobKey, steps: Vec<Step>) {
+        self.submit_long(job, steps, 1_000);
+    }
+
+    /// Submits a job whose tasks run for so long.
+    pub fn submit_long(&mut self, job: JobKey, steps: Vec<Step>, length: u64) {
         let (first, every) = (Millis(0), Millis(0));
-        let work = Work { spec: "t".into(), steps, times: 1, first, every };
+        let work = Work { spec: length.to_string().into(), steps, times: 1, first, every };
         assert!(self.cell.submit(Millis(self.now), job, "q", Arc::new(work)).is_some());
     }
 
@@ -214,6 +224,9 @@
                 continue;
             }
             let host = &mut self.hosts[no];
+            if host.lease <= now {
+                host.running.clear();
+            }
             for task in over {
                 let Some(running) = host.running.remove(&task) else { continue };
                 host.count += 1;
@@ -275,6 +288,7 @@
             match result {
                 Err(err) => drop(self.cell.unheld(now, &name, &err)),
                 Ok(no) => {
+                    self.renew(no, hold.until);
                     let host = &mut self.hosts[no];
                     host.ended.retain(|row| row.no > hold.seen);
                     let row = |(task, running): (&TaskKey, &Running)| RunningRow {
@@ -285,7 +299,7 @@
                         gauge: None,
                     };
                     let running = host.running.iter().map(row).collect();
-                    let clock = 1_000_000 + now.0;
+                    let clock = CLOCK + now.0;
                     let report = Report { clock, running, ended: host.ended.clone() };
                     self.cell.held(now, now, &name, &report);
                 }
@@ -293,6 +307,12 @@
         }
     }
 
+    /// A worker's leases go on until a time on its clock.
+    fn renew(&mut self, no: usize, until: Option<u64>) {
+        let host = &mut self.hosts[no];
+        host.lease = host.lease.max(until.unwrap_or(0).saturating_sub(CLOCK));
+    }
+
     fn write(&mut self) {
         if self.store_away > self.now {
             self.cell.send_unkept(Millis(self.now));
@@ -313,9 +333,13 @@
         let now = Millis(self.now);
         for action in self.cell.take_actions() {
             match action {
-                Action::Start { worker, start, .. } => {
+                Action::Start { worker, start, until } => {
+                    let length = start.spec.parse().expect("a number of milliseconds");
                     let outcome = match self.call(&worker) {
-                        Ok(no) => self.start(no, start.task, start.run),
+                        Ok(no) => {
+                            self.renew(no, Some(until));
+                            self.start(no, start.task, start.run, length)
+                        }
                         Err(HoldError::Refused(why)) => Outcome::Refused(why),
                         Err(HoldError::Silent(_)) => Outcome::Unsent,
                     };
@@ -340,10 +364,10 @@
     }
 
     /// A start that a worker carries out. It is not answered if the worker crashes under it.
-    fn start(&mut self, no: usize, task: TaskKey, run: u64) -> Outcome {
+    fn start(&mut self, no: usize, task: TaskKey, run: u64, length: u64) -> Outcome {
         self.starts.push((self.now, task, no));
         let is_bad = self.bad.contains(&(task.step.job, task.index));
-        let length = if is_bad { FUSE } else { 1_000 };
+        let length = if is_bad { FUSE } else { length };
         self.hosts[no].running.insert(task, Running { run, ends: self.now + length });
         if is_bad { Outcome::Unknown } else { Outcome::Done(None) }
     }
