Copies do not start from crash to crash; a crash in doubt is cleared up, or waited for

Cause: a silent worker had a copy of each task that allows copies started at once, before anybody could know of a crash: a task crashed 24 workers in 2 s. Of the runs of a task only the last one is kept, so the others were not counted after a takeover. A worker that came back later than its leases ran was not counted at all. Change: no copy while another run's worker is silent, or after a crash. Leases that are over count as a crash in doubt, which is kept, and cleared up by the next life at the address, by an answer of the same life, or after 20 s. With four crashes, doubts included, a task waits.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -5,6 +5,10 @@
 //! every 3.4 s for good, and thirty of them left none of 48 workers in use. Innocent tasks that shared
 //! crashed workers are told apart: from its second crash on a task runs alone where there is room for
 //! that, so that a third one is its own doing.
+//!
+//! A silent worker may have crashed, or be behind a cut. When its leases are over its tasks start
+//! elsewhere, and the crash stands in doubt until another life is at the address, or the same life
+//! answers again.
 
 use crate::cell::Cell;
 use crate::cell::job::Job;
@@ -25,6 +29,12 @@
 /// Crashes after which a task is given up however it ran: one more than [`PROVED`], and one less than the
 /// contract allows, as one may go uncounted at a takeover.
 const MOST: usize = 4;
+/// Crashes, those in doubt included, from which a task is not started until these are cleared up: the
+/// contract allows two starts after the third, and one crash may go uncounted.
+const HELD: usize = 4;
+/// A doubt is given up after this time: the worker is lost for good, or came back elsewhere. It is longer
+/// than workers of the platform are away, and than a lease and a takeover together.
+const DOUBT: Millis = Millis(20_000);
 /// One worker of a service in so many is left to suspects at once: where many workers crash together,
 /// there are more suspects than workers.
 const TRIAL_SHARE: usize = 8;
@@ -36,22 +46,45 @@
 pub struct Crash {
     /// The life: each counts once, however often it is noticed.
     pub worker: Name,
+    /// Where it was called.
+    pub addr: Name,
     /// Nothing of another job ran there.
     pub is_alone: bool,
+    /// Another life is at the address; else it may be behind a cut.
+    pub is_sure: bool,
+}
+
+/// What is known against a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// It runs where there is room.
+    Free,
+    /// It runs alone where there is room for that.
+    Suspect,
+    /// It waits until a crash in doubt is cleared up.
+    Held,
+    /// Its job ends.
+    Guilty,
 }
 
-/// Whether a task surely is what its workers crash under.
-fn is_proved(crashes: &[Crash]) -> bool {
-    let is_alone = crashes.last().is_some_and(|crash| crash.is_alone);
-    crashes.len() >= MOST || (crashes.len() >= PROVED && is_alone)
+fn judge(crashes: &[Crash]) -> Verdict {
+    let sure = crashes.iter().filter(|crash| crash.is_sure).count();
+    let last = crashes.iter().rfind(|crash| crash.is_sure);
+    let is_alone = last.is_some_and(|crash| crash.is_alone);
+    match crashes.len() {
+        _ if sure >= MOST || (sure >= PROVED && is_alone) => Verdict::Guilty,
+        HELD.. => Verdict::Held,
+        SUSPECT.. => Verdict::Suspect,
+        _ => Verdict::Free,
+    }
 }
 
-/// Whether a task with so many crashes runs alone.
-pub(super) fn is_suspect(crashes: &[Crash]) -> bool {
-    crashes.len() >= SUSPECT
+/// Whether a task with these crashes waits until one is cleared up.
+pub(super) fn is_held(crashes: &[Crash]) -> bool {
+    judge(crashes) == Verdict::Held
 }
 
-/// Crashes that count against no task and jobs that were given up, for the metrics.
+/// Counts for the metrics, since the takeover.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Lives of workers that ended, not by plan, with something running.
@@ -60,55 +93,180 @@
     pub given_up: u64,
 }
 
+/// What became of a life that may have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Life {
+    /// Another life is at its address.
+    Over,
+    /// It answers.
+    Alive,
+    /// Nothing was heard of it for [`DOUBT`].
+    Unknown,
+}
+
+/// A life of which it is in doubt whether it ended.
+#[derive(Debug)]
+struct Doubt {
+    addr: Name,
+    since: Millis,
+    /// What ran there.
+    tasks: BTreeSet<TaskKey>,
+}
+
+/// Lives of which it is in doubt whether they ended.
+#[derive(Debug, Default)]
+pub(super) struct Doubtful(BTreeMap<Name, Doubt>);
+
+impl Doubtful {
+    /// Takes in the crashes under a task that are in doubt.
+    pub fn add(&mut self, now: Millis, task: TaskKey, crashes: &[Crash]) {
+        for crash in crashes.iter().filter(|crash| !crash.is_sure) {
+            let addr = crash.addr.clone();
+            let doubt = || Doubt { addr, since: now, tasks: BTreeSet::new() };
+            let entry = self.0.entry(crash.worker.clone()).or_insert_with(doubt);
+            entry.tasks.insert(task);
+        }
+    }
+
+    fn find(&self, wanted: impl Fn(&Name, &Doubt) -> bool) -> Vec<Name> {
+        let found = self.0.iter().filter(|(life, doubt)| wanted(life, doubt));
+        found.map(|(life, _)| life.clone()).collect()
+    }
+}
+
 impl Cell {
-    /// A life of a worker ended, not by plan: counts that against each task that ran there. Returns the
-    /// jobs that are given up for it.
-    pub(super) fn count_crash(&mut self, now: Millis, name: &Name, worker: &Worker) -> Vec<JobKey> {
-        let mut tasks = worker.lapsed.clone();
-        let sent = worker.runs.iter().filter(|(_, run)| run.is_sent);
-        tasks.extend(sent.map(|((task, _), run)| (*task, run.began)));
-        if worker.listed.leaving.is_some() || tasks.is_empty() {
-            return Vec::new();
+    /// A life of a worker ended while it was not leaving, or may have: that counts against each task that
+    /// ran there.
+    pub(super) fn count_crash(&mut self, now: Millis, name: &Name, is_sure: bool) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let sent: Vec<(TaskKey, Millis)> =
+            worker.runs.iter().filter(|(_, run)| run.is_sent).map(since).collect();
+        if worker.listed.leaving.is_some() || sent.is_empty() {
+            return;
         }
-        self.counts.crashed += 1;
-        let jobs: BTreeSet<JobKey> = tasks.keys().map(|task| task.step.job).collect();
-        let is_alone = jobs.len() == 1;
-        let mut given_up = Vec::new();
-        for (task, began) in tasks {
-            let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
-                continue;
-            };
-            let is_proven = has_lasted(job, task, now.since(began), began);
-            let step = job.step_mut(task.step);
+        let jobs: BTreeSet<JobKey> = sent.iter().map(|(task, _)| task.step.job).collect();
+        let addr = worker.listed.addr.clone();
+        let is_next =
+            |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
+        let is_sure = is_sure || self.workers.values().any(is_next);
+        let crash = Crash { worker: name.clone(), addr, is_alone: jobs.len() == 1, is_sure };
+        self.counts.crashed += u64::from(is_sure);
+        for (task, since) in sent {
+            self.add_crash(now, task, &crash, now.since(since));
+        }
+    }
+
+    /// A task is copied though its silent worker may have crashed under it. Only its last run is kept for
+    /// the next owner: without this the others were not counted if a takeover came before their end.
+    pub(super) fn doubt_run(&mut self, now: Millis, name: &Name, task: TaskKey) {
+        let Some(worker) = self.workers.get(name).filter(|worker| !worker.heard) else { return };
+        let addr = worker.listed.addr.clone();
+        let crash = Crash { worker: name.clone(), addr, is_alone: false, is_sure: false };
+        self.add_crash(now, task, &crash, Millis(0));
+    }
+
+    fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let has_lasted = length >= PROVEN && is_lasting(job, task);
+        let step = job.step_mut(task.step);
+        let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
+            return;
+        };
+        let known = state.crashes.iter().position(|known| known.worker == crash.worker);
+        match known {
+            _ if has_lasted => state.crashes.clear(),
+            Some(_) => return,
+            None => state.crashes.push(crash.clone()),
+        }
+        let Crash { worker, is_alone, is_sure, .. } = crash;
+        log::info!(
+            "event=crash-counted task={task} worker={worker} crashes={} alone={is_alone} \
+             sure={is_sure}",
+            state.crashes.len()
+        );
+        self.doubtful.add(now, task, &state.crashes);
+        self.dirty.insert(task.step.job);
+        self.accused.insert(task.step.job);
+    }
+
+    /// Another life is at the address of one that may have crashed: so it did.
+    pub(super) fn confirm_crashes(&mut self, id: &Name, addr: &Name) {
+        for life in self.doubtful.find(|life, doubt| doubt.addr == *addr && life != id) {
+            self.settle_crash(&life, Life::Over);
+        }
+    }
+
+    /// Doubts that nothing cleared up are given up.
+    pub(super) fn expire_doubts(&mut self, now: Millis) {
+        for life in self.doubtful.find(|_, doubt| now.since(doubt.since) >= DOUBT) {
+            self.settle_crash(&life, Life::Unknown);
+        }
+    }
+
+    /// A life answers: it did not crash, and those before it at its address did.
+    pub(super) fn settle_by(&mut self, name: &Name) {
+        if self.doubtful.0.is_empty() {
+            return;
+        }
+        self.settle_crash(name, Life::Alive);
+        if let Some(addr) = self.addr(name) {
+            self.confirm_crashes(name, &addr);
+        }
+    }
+
+    /// A life that may have ended is in doubt no more. Where nothing was heard of it, it counts against
+    /// tasks that surely crashed two others.
+    pub(super) fn settle_crash(&mut self, life: &Name, found: Life) {
+        let Some(Doubt { tasks, .. }) = self.doubtful.0.remove(life) else { return };
+        log::info!("event=crash-settled worker={life} found={found:?} tasks={}", tasks.len());
+        self.counts.crashed += u64::from(found == Life::Over);
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.step.job);
+            let step = job.and_then(|job| job.step_mut(task.step));
             let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
                 continue;
             };
-            if is_proven {
-                state.crashes.clear();
-            } else if !state.crashes.iter().any(|crash| crash.worker == *name) {
-                state.crashes.push(Crash { worker: name.clone(), is_alone });
+            let sure = state.crashes.iter().filter(|crash| crash.is_sure).count();
+            match found {
+                Life::Unknown if sure < SUSPECT => {
+                    state.crashes.retain(|crash| crash.worker != *life);
+                }
+                Life::Alive => state.crashes.retain(|crash| crash.worker != *life),
+                Life::Over | Life::Unknown => {
+                    let of_life = state.crashes.iter_mut().filter(|crash| crash.worker == *life);
+                    of_life.for_each(|crash| crash.is_sure = true);
+                }
             }
-            let (count, is_proved) = (state.crashes.len(), is_proved(&state.crashes));
             self.dirty.insert(task.step.job);
-            log::info!(
-                "event=crash-counted task={task} worker={name} crashes={count} alone={is_alone}"
-            );
-            if is_proved {
-                log::warn!("event=given-up task={task} crashes={count} alone={is_alone}");
-                given_up.push(task.step.job);
-            }
+            self.accused.insert(task.step.job);
+            self.changed = true;
         }
-        given_up
     }
 
-    /// Ends jobs with a task that crashes its workers.
-    pub(super) fn give_up(&mut self, now: Millis, jobs: Vec<JobKey>) {
-        for job in jobs {
+    /// Ends jobs with a task that surely crashes its workers.
+    pub(super) fn give_up(&mut self, now: Millis) {
+        for key in std::mem::take(&mut self.accused) {
+            let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { continue };
+            let Some((task, count)) = find_guilty(key, job) else { continue };
+            log::warn!("event=given-up task={task} crashes={count}");
             self.counts.given_up += 1;
-            self.close(now, job, Fate::Failed);
+            self.close(now, key, Fate::Failed);
         }
     }
 
+    /// Whether workers may be silent since they crashed under a task: one did, or one that has another run
+    /// of it is silent too. Where each silence had a copy started, a task crashed 24 workers in 2 s.
+    pub(super) fn may_crash(&self, task: TaskKey, run: u64) -> bool {
+        let is_other = |worker: &Worker| {
+            let mut runs = worker.runs.range((task, 0)..=(task, u64::MAX));
+            runs.any(|((_, other), _)| *other != run)
+        };
+        let mut silent = self.workers.values().filter(|worker| !worker.heard);
+        !self.crashes(task).is_empty() || silent.any(is_other)
+    }
+
     /// The crashes under a task.
     pub(super) fn crashes(&self, task: TaskKey) -> &[Crash] {
         let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
@@ -116,13 +274,16 @@
         state.map(|state| state.crashes.as_slice()).unwrap_or_default()
     }
 
+    /// Whether a task runs alone.
+    pub(super) fn is_suspect(&self, task: TaskKey) -> bool {
+        judge(self.crashes(task)) != Verdict::Free
+    }
+
     /// Leaves a worker to a suspect, unless as many as may be are left to others.
     pub(super) fn try_alone(&mut self, name: &Name, task: TaskKey) {
-        let Some(service) = self.workers.get(name).map(|worker| worker.listed.service.clone())
-        else {
-            return;
-        };
-        let of_service = self.workers.values().filter(|worker| worker.listed.service == service);
+        let Some(worker) = self.workers.get(name) else { return };
+        let service = &worker.listed.service;
+        let of_service = self.workers.values().filter(|worker| worker.listed.service == *service);
         let (mut all, mut tried) = (0, 0);
         for worker in of_service {
             all += 1;
@@ -138,10 +299,22 @@
     }
 }
 
-/// Whether a lasting task ran so long that its worker's crash is not its doing.
-fn has_lasted(job: &Job, task: TaskKey, length: Millis, began: Millis) -> bool {
-    let is_lasting = job.spec(task.step.step).is_some_and(|spec| spec.lasting);
-    is_lasting && began.0 > 0 && length >= PROVEN
+fn since(((task, _), run): (&(TaskKey, u64), &Run)) -> (TaskKey, Millis) {
+    (*task, run.since)
+}
+
+fn is_lasting(job: &Job, task: TaskKey) -> bool {
+    job.spec(task.step.step).is_some_and(|spec| spec.lasting)
+}
+
+/// The first task of a job that surely crashes its workers, and its crashes.
+fn find_guilty(key: JobKey, job: &Job) -> Option<(TaskKey, usize)> {
+    job.keys(key).into_iter().find_map(|step_key| {
+        let tasks = job.step(step_key)?.tasks.iter().enumerate();
+        let mut guilty = tasks.filter(|(_, task)| judge(&task.crashes) == Verdict::Guilty);
+        let (index, task) = guilty.next()?;
+        Some((TaskKey { step: step_key, index: index as u32 }, task.crashes.len()))
+    })
 }
 
 impl Worker {
@@ -149,14 +322,4 @@
     pub(super) fn tried_job(&self) -> Option<JobKey> {
         self.trial.filter(|job| self.runs.keys().any(|(task, _)| task.step.job == *job))
     }
-
-    /// Its leases are over and its runs with them; whether its life is, nobody knows yet.
-    pub(super) fn lapse(&mut self, task: TaskKey, run: &Run) {
-        if run.is_sent {
-            self.lapsed.insert(task, run.began);
-        }
-    }
 }
-
-/// Runs whose leases are over, with the times when they began.
-pub(super) type Lapsed = BTreeMap<TaskKey, Millis>;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -135,7 +135,7 @@
     /// Progress has been written.
     pub noted: bool,
     /// Crashes under its tasks have been written.
-    pub has_crashes: bool,
+    pub noted_crashes: bool,
     /// The steps: all of the first repetition, then all of the second.
     pub steps: Vec<StepState>,
 }
@@ -160,7 +160,7 @@
             home: None,
             closed: None,
             noted: false,
-            has_crashes: false,
+            noted_crashes: false,
             steps,
         }
     }
@@ -275,7 +275,7 @@
                 task.crashes.clone_from(&note.crashes);
             }
         }
-        self.has_crashes = true;
+        self.noted_crashes = true;
     }
 
     /// Takes in what an earlier owner knew.
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -43,11 +43,18 @@
                     }
                     if let Some(crashes) = snapshot.crashes.get(&key) {
                         job.restore_crashes(crashes);
+                        self.accused.insert(key);
+                        for note in crashes {
+                            let (time, step) = note.place;
+                            let step = StepKey { job: key, time, step };
+                            let task = TaskKey { step, index: note.index };
+                            self.doubtful.add(now, task, &note.crashes);
+                        }
                     }
                     let done = job.is_done();
                     self.jobs.insert(key, job);
                     if let Some(progress) = snapshot.progress.get(&key) {
-                        self.rebind(key, progress);
+                        self.rebind(now, key, progress);
                     }
                     match done {
                         true => self.close(now, key, Fate::Completed),
@@ -60,7 +67,7 @@
 
     /// Tasks that an earlier owner bound to a worker stay there until the worker tells of them, is
     /// gone, or its leases are over.
-    fn rebind(&mut self, key: JobKey, progress: &Progress) {
+    fn rebind(&mut self, now: Millis, key: JobKey, progress: &Progress) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         for note in &progress.steps {
             let step_key = StepKey { job: key, time: note.place.0, step: note.place.1 };
@@ -76,7 +83,7 @@
                 // The first report has to name it, or it is over.
                 let mut run = Run::bound(*no, &spec, Phase::Running(Millis(0)));
                 // It may have been sent.
-                run.is_sent = true;
+                (run.is_sent, run.since) = (true, now);
                 worker.add(TaskKey { step: step_key, index: task.index }, run);
             }
         }
@@ -286,7 +293,7 @@
             }
             Outcome::Unsent => {
                 self.lose(name, task, run);
-                self.mark_silent(name);
+                self.mark_silent(now, name);
             }
             Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
             Outcome::Refused(Refusal::OtherLife) => {
@@ -296,7 +303,7 @@
             }
             Outcome::Refused(Refusal::Late) => {
                 self.lose(name, task, run);
-                self.mark_silent(name);
+                self.mark_silent(now, name);
             }
             Outcome::Refused(Refusal::Ticket) => {
                 self.drop_ticket(task.step, name);
@@ -362,6 +369,7 @@
             self.expire_leases(now);
         }
         self.settle_doubt(now);
+        self.expire_doubts(now);
         self.forget_jobs(now);
         if self.reserved.expire(now) {
             self.changed = true;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -127,6 +127,10 @@
     advisers: Advisers,
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
+    /// Lives of workers that may have ended.
+    doubtful: crash::Doubtful,
+    /// Jobs with something new against their tasks.
+    accused: BTreeSet<JobKey>,
     /// Crashes of workers and what became of them, since the takeover.
     counts: crash::Counts,
     /// Jobs with something to write.
@@ -174,6 +178,8 @@
             closed: VecDeque::new(),
             advisers: Advisers::default(),
             reserved: Reservations::default(),
+            doubtful: crash::Doubtful::default(),
+            accused: BTreeSet::new(),
             counts: crash::Counts::default(),
             dirty: BTreeSet::new(),
             roster: false,
@@ -355,7 +361,7 @@
             true if job.noted => {
                 job.noted = false;
                 records.push(journal::drop_progress(key));
-                if std::mem::take(&mut job.has_crashes) {
+                if std::mem::take(&mut job.noted_crashes) {
                     records.push(journal::drop_crashes(key));
                 }
             }
@@ -366,8 +372,8 @@
                     records.push(journal::progress(key, &progress));
                 }
                 let crashes = job.crashes();
-                if !crashes.is_empty() {
-                    job.has_crashes = true;
+                if !crashes.is_empty() || job.noted_crashes {
+                    job.noted_crashes = true;
                     records.push(journal::crashes(key, &crashes));
                 }
             }
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -44,7 +44,7 @@
         match why {
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
             HoldError::Refused(Refusal::OtherLife) => self.remove_worker(now, name, Over::Replaced),
-            HoldError::Refused(_) => self.mark_silent(name),
+            HoldError::Refused(_) => self.mark_silent(now, name),
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
                 if self.is_late {
@@ -55,7 +55,7 @@
                     self.doubt(now, name);
                     return false;
                 }
-                self.mark_silent(name);
+                self.mark_silent(now, name);
             }
         }
         true
@@ -71,6 +71,8 @@
         }
         self.changed = self.changed || worker.is_doubted();
         worker.hear(now, sent, report);
+        self.settle_by(name);
+        let Some(worker) = self.workers.get_mut(name) else { return };
         worker.known = true;
         for row in &report.ended {
             let Some(worker) = self.workers.get_mut(name) else { return };
@@ -104,7 +106,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         for (task, run) in worker.find_stragglers(now) {
             log::info!("event=straggler task={task} run={run} worker={name}");
-            self.copy(task, run);
+            self.copy(now, name, task, run);
         }
     }
 
@@ -221,7 +223,7 @@
         let whole = self.workers.get(name).map(|worker| worker.listed.room).unwrap_or_default();
         let unknown = Step { room: whole, ..Step::default() };
         let mut run = Run::bound(row.run, &spec.unwrap_or(unknown), Phase::Running(now));
-        (run.seen, run.is_sent, run.percent) = (true, true, row.percent);
+        (run.seen, run.is_sent, run.percent, run.since) = (true, true, row.percent, now);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.add(task, run);
         }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -1,5 +1,6 @@
 //! The workers of a cell: listed, silent, leaving, gone.
 
+use crate::cell::crash::Life;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::worker::Worker;
 use crate::cell::{Action, Cell};
@@ -34,7 +35,7 @@
 
 impl Cell {
     /// A worker did not answer: nothing new goes there until it does.
-    pub fn mark_silent(&mut self, name: &Name) {
+    pub fn mark_silent(&mut self, now: Millis, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name)
             && worker.heard
         {
@@ -42,7 +43,7 @@
             log::info!("event=worker-silent worker={name} runs={}", worker.runs.len());
             let runs: Vec<(TaskKey, u64)> = worker.runs.keys().copied().collect();
             for (task, run) in runs {
-                self.copy(task, run);
+                self.copy(now, name, task, run);
             }
         }
     }
@@ -76,12 +77,13 @@
 
     /// Lets a task run elsewhere too, if its copies may run side by side. The first one that is
     /// done counts.
-    pub(super) fn copy(&mut self, task: TaskKey, run: u64) {
+    pub(super) fn copy(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64) {
         if self.bounds.off.has(Mechanism::Copies) {
             return;
         }
         let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
-        if spec.is_some_and(|spec| spec.copies && !spec.gang) {
+        if spec.is_some_and(|spec| spec.copies && !spec.gang) && !self.may_crash(task, run) {
+            self.doubt_run(now, name, task);
             self.requeue(task, run);
         }
     }
@@ -102,12 +104,11 @@
 
     /// A life of a worker is over, and all that it ran with it.
     pub fn remove_worker(&mut self, now: Millis, name: &Name, why: Over) {
+        self.count_crash(now, name, why == Over::Replaced);
         let Some(worker) = self.workers.remove(name) else { return };
-        let given_up = match why {
-            Over::Replaced => self.count_crash(now, name, &worker),
-            // It may be behind a cut and run on.
-            Over::Unlisted => Vec::new(),
-        };
+        if why == Over::Replaced {
+            self.settle_crash(name, Life::Over);
+        }
         let (why, is_leaving) = (why.name(), worker.listed.leaving.is_some());
         log::info!(
             "event=worker-gone worker={name} why={why} leaving={is_leaving} runs={}",
@@ -117,7 +118,6 @@
             log::info!("event=run-lost task={task} run={run} worker={name} why={why}");
             self.requeue(task, run);
         }
-        self.give_up(now, given_up);
         self.roster = true;
         self.changed = true;
         self.actions.push(Action::Unwatch(name.clone()));
@@ -137,6 +137,7 @@
 
     fn set_worker(&mut self, listed: Listed) {
         let name = listed.id.clone();
+        self.confirm_crashes(&name, &listed.addr);
         match self.workers.get_mut(&name) {
             Some(worker) => {
                 let leaves = listed.leaving.is_some() && worker.listed.leaving.is_none();
@@ -198,13 +199,9 @@
             if !runs.is_empty() {
                 log::info!("event=leases-over worker={name} runs={}", runs.len());
             }
+            self.count_crash(now, &name, false);
             for (task, run) in runs {
                 log::info!("event=run-lost task={task} run={run} worker={name} why=lease-over");
-                if let Some(worker) = self.workers.get_mut(&name)
-                    && let Some(known) = worker.runs.get(&(task, run)).cloned()
-                {
-                    worker.lapse(task, &known);
-                }
                 self.lose(&name, task, run);
             }
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -18,6 +18,7 @@
 impl Cell {
     /// Places waiting tasks, the most urgent first, as far as there is room.
     pub fn schedule(&mut self, now: Millis) {
+        self.give_up(now);
         if !std::mem::take(&mut self.changed) {
             return;
         }
@@ -160,6 +161,9 @@
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
             let Some(state) = step.tasks.get(*index as usize) else { return };
+            if crash::is_held(&state.crashes) {
+                continue;
+            }
             let home = job.home.as_ref().filter(|_| !spec.lasting);
             let best = pick(fits, spec, home, state);
             let Some(fit) = best else { return };
@@ -179,6 +183,9 @@
         }
         let home = self.jobs.get(&key.job).and_then(|job| job.home.clone());
         let mut members = (0..spec.count).map(|index| TaskKey { step: key, index });
+        if members.clone().any(|task| crash::is_held(self.crashes(task))) {
+            return;
+        }
         let is_suspect = members.any(|task| self.is_suspect(task));
         let Some(chosen) = pick_gang(fits, spec, home.as_ref(), is_suspect) else { return };
         let run = self.next_run(key, 0..spec.count);
@@ -212,6 +219,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
         let mut run = Run::bound(no, spec, Phase::Starting);
+        run.since = now;
         let times = self.run_times.get(&job.queue.name).filter(|_| !spec.lasting);
         run.limit = times.and_then(|times| times.limit(spec.estimate));
         worker.add(task, run);
@@ -270,8 +278,4 @@
         self.send_starts(now, u64::MAX);
         self.unsent = held;
     }
-
-    fn is_suspect(&self, task: TaskKey) -> bool {
-        crash::is_suspect(self.crashes(task))
-    }
 }
--- a/src/cell/wait.rs
+++ b/src/cell/wait.rs
@@ -1,6 +1,7 @@
 //! Why a step waits: one line in the log whenever the reason changes.
 
 use crate::cell::Cell;
+use crate::cell::crash;
 use crate::cell::place::Fit;
 use crate::clock::Millis;
 use crate::workload::StepKey;
@@ -18,6 +19,8 @@
     NoneCleared,
     /// No worker that is cleared takes tasks now.
     NoWorker,
+    /// Workers may have crashed under its tasks, which wait until that is known.
+    Crashes,
     /// Cleared workers have no room, or none that is not kept for others.
     Room,
 }
@@ -30,6 +33,7 @@
             Self::Advice => "advice",
             Self::NoneCleared => "none-cleared",
             Self::NoWorker => "no-worker",
+            Self::Crashes => "crashes",
             Self::Room => "room",
         }
     }
@@ -41,8 +45,12 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.step(key)?;
         let advised = &step.advised;
+        let is_held = |index: &u32| {
+            step.tasks.get(*index as usize).is_some_and(|task| crash::is_held(&task.crashes))
+        };
         Some(match () {
             () if step.waiting.is_empty() => return None,
+            () if step.waiting.iter().all(is_held) => Why::Crashes,
             () if !fits.is_empty() => Why::Room,
             () if advised.asking => Why::Advice,
             () if job.queue.advice.is_none() => Why::NoWorker,
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -1,6 +1,5 @@
 //! A worker at its owner: the room that is taken, what runs, and what is known of its health.
 
-use crate::cell::crash::Lapsed;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Listed, Report};
@@ -51,6 +50,8 @@
     pub told: bool,
     /// Its start may have reached the worker.
     pub is_sent: bool,
+    /// Since when it is known here, as bound or as running.
+    pub since: Millis,
     /// The worker surely began it.
     pub seen: bool,
     /// The share at which it may work, in hundredths.
@@ -80,6 +81,7 @@
             phase,
             told: false,
             is_sent: false,
+            since: Millis(0),
             seen: false,
             percent: 100,
             filler: spec.filler,
@@ -149,8 +151,6 @@
     late: Option<(TaskKey, Millis)>,
     /// When the shares of fillers were last changed.
     pub paced: Millis,
-    /// Runs that ended with their leases since the worker was last heard.
-    pub(super) lapsed: Lapsed,
     /// The worker is left to this job.
     pub(super) trial: Option<JobKey>,
 }
@@ -179,7 +179,6 @@
             aside_until: Millis(0),
             late: None,
             paced: Millis(0),
-            lapsed: Lapsed::new(),
             trial: None,
         }
     }
@@ -230,8 +229,6 @@
         if self.doubted.is_some_and(|doubted| sent >= doubted) {
             self.doubted = None;
         }
-        // It is the same life: what ended with its leases did not end with a crash.
-        self.lapsed.clear();
         self.clock = Some((report.clock, now));
         self.heard = true;
         self.misses = 0;
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -3,7 +3,7 @@
 
 mod cellworld;
 
-use cellworld::{Without, search, search_crowded};
+use cellworld::{Without, search, search_crashing, search_crowded};
 
 /// A number from the environment; one that cannot be read is a fault, not the usual one.
 fn number(name: &str, usual: u64) -> u64 {
@@ -70,6 +70,12 @@
     }
     let (found, _) = search_crowded(5_212);
     assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+    // 9: a copy's other run was not counted, as a takeover came first. 272, 11,651: a crash in doubt that
+    // nothing cleared up, since the next life was listed before, or came at another address.
+    for seed in [9, 272, 11_651] {
+        let (found, _) = search_crashing(seed);
+        assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+    }
 }
 
 #[test]
@@ -83,3 +89,15 @@
     }
     assert!(stopped > 0, "nothing was stopped for others");
 }
+
+#[test]
+fn nothing_breaks_when_workers_crash_under_tasks() {
+    let first = first_seed();
+    let mut crashed = 0;
+    for seed in first..first + cases() {
+        let (found, count) = search_crashing(seed);
+        assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+        crashed += count;
+    }
+    assert!(crashed > 0, "no worker crashed");
+}
