Rooms that shrink, and machines that are suspended

Cause, by reading: a start that waited for the store went out with the room that it was decided for; at a worker with more taken than it has, each run that would end counted as room gained; a run of unknown size counted as the room at that moment. The entry's clock was the steady one, which stands still while a machine is suspended. Change: starts look at the room again when they go out; room gained counts beyond the excess; a run of unknown size fills any worker; a step for which no worker is large enough says so. Ages and leases are measured on a clock that counts suspended time; a gap of 2.5 s between two looks is a pause: workers' reports and list have to be new before anything starts, answers wait for a confirmed heartbeat, starts older than 2 s are not sent.

--- a/src/cell/forward.rs
+++ b/src/cell/forward.rs
@@ -46,7 +46,7 @@
         let mut services: BTreeMap<&Name, (u64, u64)> = BTreeMap::new();
         for worker in self.workers.values().filter(|worker| worker.is_open(self.kept)) {
             let (taken, all) = services.entry(&worker.listed.service).or_default();
-            *taken += worker.used.cpu;
+            *taken += worker.used.cpu.min(worker.listed.room.cpu);
             *all += worker.listed.room.cpu;
         }
         for (_, _, key) in &self.ready {
--- a/src/cell/gather.rs
+++ b/src/cell/gather.rs
@@ -70,8 +70,9 @@
             job.and_then(|job| job.spec(task.step)).is_none_or(|spec| spec.lasting)
         };
         let ending = worker.runs.iter().filter(|((task, _), _)| !stays(&task.step));
-        let free = ending.fold(fit.free, |free, (_, run)| free.plus(&run.charge));
-        let later = Fit { free, ..fit.clone() }.count(spec, charge);
+        let mut then = fit.clone();
+        ending.for_each(|(_, run)| then.gain(&run.charge));
+        let later = then.count(spec, charge);
         Some(Place { worker: fit.name.clone(), now: fit.count(spec, charge), later })
     }
 }
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -291,6 +291,7 @@
                 self.stop(name, task, run);
                 self.doubt(now, name);
             }
+            Outcome::Withheld => self.lose(name, task, run),
             Outcome::Unsent => {
                 self.lose(name, task, run);
                 self.mark_silent(now, name);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -143,6 +143,8 @@
     kept: u64,
     /// The owner's processor does not keep up: answers may lie unread here.
     is_late: bool,
+    /// The list of workers was last read before a pause of the owner.
+    is_stale: bool,
     /// Something changed that may let a task be placed.
     changed: bool,
     /// Earlier owners may have started tasks that no record tells of: inherited tasks are held back
@@ -186,6 +188,7 @@
             batch: 1,
             kept: 0,
             is_late: false,
+            is_stale: false,
             changed: true,
             doubt,
             unsent: VecDeque::new(),
@@ -222,6 +225,21 @@
         self.is_late = is_late;
     }
 
+    /// The owner did not run for seconds. What it believes of workers is too old: their room may have shrunk,
+    /// their runs may have ended. Nothing starts before the list of them is read again, at those that have
+    /// reported since; starts that wait for the store are given up.
+    pub fn wake(&mut self, now: Millis) {
+        log::info!("event=beliefs-too-old epoch={} workers={}", self.epoch, self.workers.len());
+        self.is_stale = true;
+        for (name, worker) in &mut self.workers {
+            worker.doubt(now);
+            self.actions.push(Action::Look(name.clone()));
+        }
+        for (_, name, start) in std::mem::take(&mut self.unsent) {
+            self.lose(&name, start.task, start.run);
+        }
+    }
+
     /// What has to be done since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/src/cell/place.rs
+++ b/src/cell/place.rs
@@ -27,6 +27,8 @@
     pub domain: Name,
     pub rack: Option<Name>,
     pub free: Room,
+    /// What is taken beyond the room, since that shrank.
+    pub excess: Room,
     /// Runs of the step there, if that matters.
     pub runs: u32,
     /// All runs there.
@@ -45,6 +47,7 @@
             domain: worker.listed.domain.clone(),
             rack: worker.rack().cloned(),
             free: worker.free(),
+            excess: worker.used.less(&worker.listed.room),
             runs: 0,
             busy: worker.runs.len(),
             is_sound: worker.is_sound(),
@@ -53,6 +56,12 @@
         }
     }
 
+    /// What a run took is free again, unless the worker has too much taken.
+    pub fn gain(&mut self, charge: &Room) {
+        self.free = self.free.plus(&charge.less(&self.excess));
+        self.excess = self.excess.less(charge);
+    }
+
     /// Whether one more task of a step may go there at all.
     pub fn takes(&self, spec: &Step) -> bool {
         spec.apart == 0 || self.runs < spec.apart
--- a/src/cell/preempt.rs
+++ b/src/cell/preempt.rs
@@ -112,8 +112,9 @@
     /// tasks were stopped.
     pub(super) fn could_hold(&self, fit: &Fit, priority: u32, spec: &Step) -> bool {
         let victims = self.victims(&fit.name, priority);
-        let free = victims.iter().fold(fit.free, |room, victim| room.plus(&victim.charge));
-        Fit { free, ..fit.clone() }.holds(spec, &spec.charge())
+        let mut then = fit.clone();
+        victims.iter().for_each(|victim| then.gain(&victim.charge));
+        then.holds(spec, &spec.charge())
     }
 
     /// Runs at a worker that may be stopped for a job of this priority, the least urgent first.
@@ -153,7 +154,7 @@
                 needed = stopped;
             }
             Some(victim) => {
-                fit.free = fit.free.plus(&victim.charge);
+                fit.gain(&victim.charge);
                 stopped += 1;
             }
             None => break,
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{End, EndedRow, HoldError, Refusal, Report, RunningRow};
-use crate::workload::{Step, TaskKey};
+use crate::workload::{Room, Step, TaskKey};
 use std::collections::BTreeSet;
 
 /// Fillers are slowed when a tail comes this close to its bound, in hundredths of it.
@@ -219,9 +219,9 @@
         let task = row.task;
         let job = self.jobs.get_mut(&task.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
-        // The size of a run whose job is over is not known: it may fill the worker.
-        let whole = self.workers.get(name).map(|worker| worker.listed.room).unwrap_or_default();
-        let unknown = Step { room: whole, ..Step::default() };
+        // The size of a run whose job is over is not known: it may fill the worker, whose room may have
+        // been larger when it began.
+        let unknown = Step { room: Room::UNKNOWN, ..Step::default() };
         let mut run = Run::bound(row.run, &spec.unwrap_or(unknown), Phase::Running(now));
         (run.seen, run.is_sent, run.percent, run.since) = (true, true, row.percent, now);
         if let Some(worker) = self.workers.get_mut(name) {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -132,6 +132,7 @@
         for one in listed {
             self.set_worker(one);
         }
+        self.is_stale = false;
         self.changed = true;
     }
 
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -19,7 +19,7 @@
     /// Places waiting tasks, the most urgent first, as far as there is room.
     pub fn schedule(&mut self, now: Millis) {
         self.give_up(now);
-        if !std::mem::take(&mut self.changed) {
+        if self.is_stale || !std::mem::take(&mut self.changed) {
             return;
         }
         let ready: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
@@ -257,6 +257,11 @@
             if run.is_none_or(|run| run.phase != Phase::Starting) {
                 continue;
             }
+            if worker.is_overfull() {
+                log::info!("event=room-shrank task={} worker={name}", start.task);
+                self.lose(&name, start.task, start.run);
+                continue;
+            }
             let Some(until) = worker.lease(now, lease) else { continue };
             if let Some(run) = worker.runs.get_mut(&(start.task, start.run)) {
                 run.is_sent = true;
--- a/src/cell/wait.rs
+++ b/src/cell/wait.rs
@@ -2,7 +2,8 @@
 
 use crate::cell::Cell;
 use crate::cell::crash;
-use crate::cell::place::Fit;
+use crate::cell::job::Job;
+use crate::cell::place::{Fit, is_suitable};
 use crate::clock::Millis;
 use crate::workload::StepKey;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,8 @@
     NoWorker,
     /// Workers may have crashed under its tasks, which wait until that is known.
     Crashes,
+    /// No worker is large enough now: the room of some may have shrunk.
+    TooLarge,
     /// Cleared workers have no room, or none that is not kept for others.
     Room,
 }
@@ -34,6 +37,7 @@
             Self::NoneCleared => "none-cleared",
             Self::NoWorker => "no-worker",
             Self::Crashes => "crashes",
+            Self::TooLarge => "too-large",
             Self::Room => "room",
         }
     }
@@ -53,6 +57,7 @@
             () if step.waiting.iter().all(is_held) => Why::Crashes,
             () if !fits.is_empty() => Why::Room,
             () if advised.asking => Why::Advice,
+            () if !self.has_large(job, key) => Why::TooLarge,
             () if job.queue.advice.is_none() => Why::NoWorker,
             () if advised.cleared.is_empty() => Why::NoneCleared,
             () if advised.has_ticket(now) => Why::NoWorker,
@@ -60,6 +65,12 @@
         })
     }
 
+    /// Whether a worker would be large enough for a task of a step if nothing else ran there.
+    fn has_large(&self, job: &Job, key: StepKey) -> bool {
+        let Some(spec) = job.spec(key.step) else { return true };
+        self.workers.values().any(|worker| is_suitable(worker, &job.queue.service, spec))
+    }
+
     /// Notes why a step waits, and logs how long it waited for what it waited for before.
     pub(super) fn note_wait(&mut self, now: Millis, key: StepKey, why: Option<Why>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -188,6 +188,11 @@
         self.listed.room.less(&self.used)
     }
 
+    /// Whether more is taken than there is, since its room shrank.
+    pub fn is_overfull(&self) -> bool {
+        !self.listed.room.holds(&self.used)
+    }
+
     /// Its rack.
     pub fn rack(&self) -> Option<&Name> {
         self.listed.rack()
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -84,6 +84,7 @@
             Outcome::Done(_) => "done",
             Outcome::Refused(_) => "refused",
             Outcome::Unsent => "unsent",
+            Outcome::Withheld => "withheld",
             Outcome::Unknown => "unknown",
         };
         let order = if start { "start" } else { "stop" };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,7 +13,7 @@
 mod stop;
 mod view;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::id::{EntryId, Name};
 use crate::order::Cleared;
 use crate::platform::advice::Adviser;
@@ -30,7 +30,6 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// How long runs go on without a renewal: longer than a takeover and a restart of the owner
 /// together, short enough that tasks of a lost worker start elsewhere within seconds.
@@ -56,7 +55,7 @@
 pub struct Node {
     me: EntryId,
     settings: Settings,
-    started: Instant,
+    clock: Clock,
     http: Http,
     store: Store,
     adviser: Option<Adviser>,
@@ -99,7 +98,7 @@
             cells: watch::channel(None).0,
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
-            started: Instant::now(),
+            clock: Clock::default(),
             http,
             me,
             settings,
@@ -135,7 +134,7 @@
 
     /// The time since this process started.
     fn now(&self) -> Millis {
-        Millis(self.started.elapsed().as_millis() as u64 + 1)
+        self.clock.now()
     }
 
     fn lease(&self) -> Millis {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -8,6 +8,7 @@
 use crate::cell::advice::Question;
 use crate::cell::authority::Authority;
 use crate::cell::balance::Load;
+use crate::cell::election::SILENCE;
 use crate::cell::lag::Lag;
 use crate::cell::life::TICK;
 use crate::cell::{Action, Bounds, Cell};
@@ -19,7 +20,7 @@
 use crate::node::{Node, lock};
 use crate::workload::{JobKey, Work};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, Semaphore, watch};
 
@@ -47,6 +48,10 @@
     peers: Mutex<HashMap<Name, Out>>,
     authority: Mutex<Authority>,
     lag: Mutex<Lag>,
+    /// Pauses of the process that the cell knows of.
+    pauses: AtomicU64,
+    /// No heartbeat has been confirmed since the last pause.
+    woke: AtomicBool,
     /// The store takes records.
     store: AtomicBool,
     /// Wakes the watch of a worker for a report at once.
@@ -93,6 +98,8 @@
             peers: Mutex::default(),
             authority: Mutex::new(Authority::new(self.now())),
             lag: Mutex::new(Lag::new(self.now())),
+            pauses: AtomicU64::new(node.clock.pauses()),
+            woke: AtomicBool::new(false),
             store: AtomicBool::new(true),
             looks: Mutex::default(),
             loads: Mutex::default(),
@@ -148,6 +155,9 @@
     /// A heartbeat that was sent at `sent` is in the log.
     pub fn confirm(&self, sent: Millis) {
         lock(&self.authority).confirm(sent);
+        if self.node.now().since(sent) < SILENCE {
+            self.woke.store(false, Ordering::Relaxed);
+        }
         // Without jobs there may be no batch that shows that the store takes records again.
         if !self.store.swap(true, Ordering::Relaxed) {
             log::info!("event=store-back epoch={}", self.epoch);
@@ -157,7 +167,19 @@
 
     /// Whether orders may go out: no other entry can have claimed the cell.
     fn may_order(&self) -> bool {
-        lock(&self.authority).holds(self.node.now())
+        let now = self.node.now();
+        self.notice_pause(now);
+        lock(&self.authority).holds(now)
+    }
+
+    /// After a pause of the process or its machine, what the cell believes of workers is too old: nothing
+    /// starts before the list of them is read again, and each has reported.
+    fn notice_pause(&self, now: Millis) {
+        let pauses = self.node.clock.pauses();
+        if self.pauses.swap(pauses, Ordering::Relaxed) != pauses {
+            self.woke.store(true, Ordering::Relaxed);
+            lock(&self.cell).wake(now);
+        }
     }
 
     /// Whether callers may come: this surely is the owner, and the store takes records.
@@ -170,9 +192,10 @@
         loop {
             self.wake.notified().await;
             let actions = {
+                let may_order = self.may_order();
                 let mut cell = lock(&self.cell);
                 let now = self.node.now();
-                if self.may_order() {
+                if may_order {
                     cell.schedule(now);
                 }
                 if lock(&self.authority).rests_on_peers(now) {
@@ -314,7 +337,9 @@
 
     /// Answers an entry.
     pub async fn answer(self: &Arc<Self>, entry: &Name, ask: Ask) -> Tell {
-        if self.is_over() {
+        self.notice_pause(self.node.now());
+        // Another entry may own the cell by now, and know more of its jobs.
+        if self.is_over() || self.woke.load(Ordering::Relaxed) {
             return Tell::Refused(Refused::NotOwner);
         }
         match ask {
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -35,6 +35,9 @@
 /// The room and the task are in doubt for that long if the answer is lost.
 const ORDER_LIMIT: Millis = Millis(300);
 
+/// A start is not sent this long after it was decided: the worker's room may have shrunk, or another entry
+/// may own the cell. Starts wait for each other for 1.2 s at the most where a worker answers none.
+const ORDER_FRESH: Millis = Millis(2_000);
 /// Orders that a worker is given at once. An order takes some 2 ms; each more at once opens another
 /// connection, which is dear: without this bound 1,970 a day of 65 s on 48 workers, with it 1,400.
 /// With three at once orders wait behind ones that get no answer.
@@ -89,11 +92,18 @@
             _ => return,
         };
         let Some(client) = self.client(&name) else { return };
+        let decided = self.node.now();
         let gate = lock(&self.gates).entry(name.clone()).or_insert_with(new_gate).clone();
         // A closed gate would only mean that the worker is gone, and orders to it fail by themselves.
         let _passed = gate.acquire().await;
         let sent = self.node.now();
+        self.notice_pause(sent);
+        let is_old = sent.since(decided) >= ORDER_FRESH;
         let (task, run, outcome) = match &action {
+            Action::Start { start, .. } if is_old => {
+                log::info!("event=start-withheld task={} worker={name}", start.task);
+                (start.task, start.run, Outcome::Withheld)
+            }
             Action::Start { start, until, .. } => {
                 (start.task, start.run, client.start(start, *until, ORDER_LIMIT).await)
             }
@@ -183,6 +193,7 @@
         let mut whole = Millis(0);
         loop {
             let now = self.node.now();
+            let pauses = self.node.clock.pauses();
             let result = if whole == Millis(0) || now.since(whole) >= LIST_WHOLE {
                 self.view.list_workers().await.map(|(listed, end)| {
                     (whole, next) = (now, end);
@@ -192,7 +203,13 @@
             } else {
                 self.read_changes(&mut known, &mut next).await
             };
+            self.notice_pause(self.node.now());
             match result {
+                // It may have been read before the pause.
+                _ if self.node.clock.pauses() != pauses => {
+                    whole = Millis(0);
+                    continue;
+                }
                 Ok(true) => {
                     lock(&self.cell).set_workers(known.values().cloned().collect());
                     self.wake.notify_one();
--- a/src/order.rs
+++ b/src/order.rs
@@ -118,8 +118,10 @@
     Done(Option<u64>),
     /// It was not followed, and won't be.
     Refused(Refusal),
-    /// Nothing was sent.
+    /// Nothing was sent: the worker could not be reached.
     Unsent,
+    /// Nothing was sent: what the order rested on was too old.
+    Withheld,
     /// It may have been followed, or may be later.
     Unknown,
 }
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -106,6 +106,9 @@
 }
 
 impl Room {
+    /// More than any worker has, and little enough to be added up.
+    pub const UNKNOWN: Self = Self { cpu: 1 << 32, mem: 1 << 32, gpu: 1 << 32 };
+
     /// Whether `other` fits into this room.
     pub fn holds(&self, other: &Self) -> bool {
         self.cpu >= other.cpu && self.mem >= other.mem && self.gpu >= other.gpu
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -808,3 +808,25 @@
         Some(State::Closed(sprucerudder::cell::journal::Fate::Completed))
     );
 }
+
+/// A machine was suspended for 20 s with its owner. By the steady clock no time had passed, and the owner
+/// went on by what it knew of workers: one had shrunk, one ran what the next owner had started.
+#[test]
+fn an_owner_that_was_suspended_starts_nothing_before_list_and_reports_are_new() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    let key = submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    cell.schedule(Millis(11));
+    let batch = cell.take_batch(Millis(11)).expect("the binding");
+    cell.wake(Millis(20_000));
+    cell.keep(Millis(20_000), batch.no);
+    assert_eq!(starts(&mut cell, 20_001), Vec::new(), "it was decided before");
+    let answer = Report { clock: 21_000, ..Report::default() };
+    cell.held(Millis(20_002), Millis(19_000), &"w1".into(), &answer);
+    assert_eq!(starts(&mut cell, 20_003), Vec::new(), "neither list nor report are new");
+    cell.set_workers(vec![listed("w1", "a")]);
+    assert_eq!(starts(&mut cell, 20_004), Vec::new(), "the report was asked for before");
+    cell.held(Millis(20_006), Millis(20_005), &"w1".into(), &answer);
+    let started = starts(&mut cell, 20_007);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.task.step.job, key);
+}
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -3,7 +3,7 @@
 
 mod cellworld;
 
-use cellworld::{Without, search, search_crashing, search_crowded};
+use cellworld::{Without, search, search_crashing, search_crowded, search_resizing};
 
 /// A number from the environment; one that cannot be read is a fault, not the usual one.
 fn number(name: &str, usual: u64) -> u64 {
@@ -101,3 +101,15 @@
     }
     assert!(crashed > 0, "no worker crashed");
 }
+
+#[test]
+fn nothing_breaks_when_rooms_shrink_and_grow_and_owners_are_suspended() {
+    let first = first_seed();
+    let mut resized = 0;
+    for seed in first..first + cases() {
+        let (found, count) = search_resizing(seed);
+        assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+        resized += count;
+    }
+    assert!(resized > 0, "no room changed");
+}
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -29,6 +29,14 @@
 const LOST_AFTER: u64 = 300;
 /// An owner is in touch if it was not paused for so long.
 const CONTACT: u64 = 3_000;
+/// Time between two entries of a worker in the list.
+const WORKER_BEAT: u64 = 1_500;
+/// Time between two looks of an owner at the list.
+const LIST_EVERY: u64 = 500;
+/// A pause that an owner notices, as `clock` has it.
+const PAUSE: u64 = 2_500;
+/// The age from which a start is withheld, as the owner's shell has it.
+const ORDER_FRESH: u64 = 2_000;
 
 /// A mechanism that is taken out, to show that the checks need it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +84,8 @@
     /// The last end that was listed when its lease last ran out: ends up to it are not taken note of
     /// afterwards, by the platform's contract.
     lapsed: u64,
+    /// Rooms that it had before, and until when they count.
+    rooms: Vec<(u64, Room)>,
     /// Runs slower than the world's clock by this, in thousandths.
     slow: u64,
 }
@@ -177,6 +187,12 @@
     Unlist {
         worker: Name,
     },
+    /// An owner reads the list of workers.
+    Relist {
+        owner: usize,
+    },
+    /// All rooms are as they were at the begin.
+    Regrow,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -224,8 +240,13 @@
     bad: BTreeMap<TaskKey, BTreeSet<Name>>,
     /// Starts of those after three crashes, by owners in touch.
     more: BTreeMap<TaskKey, usize>,
-    /// When an owner was last paused.
+    /// When an owner's last pause ended.
     paused: BTreeMap<usize, u64>,
+    /// Rooms shrink and grow, and owners notice long pauses.
+    resizing: bool,
+    pub resized: usize,
+    /// Owners that have not noticed their last pause, with its length.
+    asleep: BTreeMap<usize, u64>,
     lives: u64,
     works: BTreeMap<JobKey, Arc<Work>>,
     accepted: BTreeSet<JobKey>,
@@ -272,6 +293,9 @@
             bad: BTreeMap::new(),
             more: BTreeMap::new(),
             paused: BTreeMap::new(),
+            resizing: false,
+            resized: 0,
+            asleep: BTreeMap::new(),
             lives: 0,
             works: BTreeMap::new(),
             accepted: BTreeSet::new(),
@@ -360,6 +384,7 @@
             cut_until: 0,
             cut_from: 0,
             lapsed: 0,
+            rooms: Vec::new(),
             slow: self.pick(20),
         };
         self.workers.insert(id, worker);
@@ -402,6 +427,7 @@
                     self.at(until, event);
                     continue;
                 }
+                self.wake(owner);
             }
             self.expire();
             self.handle(event);
@@ -411,6 +437,36 @@
         }
     }
 
+    /// An owner that was paused for long notices it before anything else.
+    fn wake(&mut self, owner: usize) {
+        let Some(length) = self.asleep.remove(&owner) else { return };
+        if self.resizing && length >= PAUSE {
+            self.say(format!("owner {owner} wakes"));
+            self.owners[owner].cell.wake(Millis(self.now));
+            let delay = self.pick(LIST_EVERY);
+            self.after(delay, Event::Relist { owner });
+        }
+    }
+
+    fn resize(&mut self) {
+        let names: Vec<Name> = self.workers.keys().cloned().collect();
+        let name = names[self.pick(names.len() as u64) as usize].clone();
+        let cpu = 400 + self.pick(1_800);
+        self.say(format!("{name} has {cpu} from now on"));
+        self.resized += 1;
+        let until = self.now + CONTACT + WORKER_BEAT;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.rooms.push((until, worker.listed.room));
+            worker.listed.room = room(cpu);
+        }
+        // The worker says so with its next entry, and each owner reads that by itself.
+        let told = self.pick(WORKER_BEAT);
+        for owner in 0..self.owners.len() {
+            let delay = told + self.pick(LIST_EVERY);
+            self.after(delay, Event::Relist { owner });
+        }
+    }
+
     fn check_ends(&mut self) {
         let states: Vec<(JobKey, Option<State>)> = {
             let Some(owner) = self.owners.last() else { return };
@@ -432,6 +488,9 @@
                 self.after(TICK, Event::Tick { owner });
                 self.drive(owner);
                 self.trouble();
+                if self.resizing && self.chance(6) {
+                    self.resize();
+                }
             }
             Event::Beat { owner } => self.beat(owner),
             Event::Order { owner, worker, action, answer } => {
@@ -482,6 +541,19 @@
             Event::Elect => self.elect(),
             Event::Crash { worker, task, run } => self.crash_under(&worker, task, run),
             Event::Back { worker } => self.come_back(&worker),
+            Event::Regrow => {
+                let until = self.now + CONTACT + WORKER_BEAT;
+                for worker in self.workers.values_mut() {
+                    worker.rooms.push((until, worker.listed.room));
+                    worker.listed.room = room(2_000);
+                }
+                self.list();
+            }
+            Event::Relist { owner } => {
+                let listed = self.listed();
+                self.owners[owner].cell.set_workers(listed);
+                self.drive(owner);
+            }
             Event::Unlist { worker } => {
                 if let Some(worker) = self.workers.get_mut(&worker) {
                     worker.is_stale = false;
@@ -569,6 +641,7 @@
                 self.say(format!("owner {owner} is paused until {until}"));
                 self.owners[owner].paused_until = until;
                 self.paused.insert(owner, until);
+                self.asleep.insert(owner, until - self.now);
                 let at = self.now + 1_200 + self.pick(400);
                 self.at(at, Event::Elect);
             }
@@ -625,7 +698,12 @@
     /// Owners learn of new workers.
     fn list(&mut self) {
         let listed = self.listed();
-        for owner in &mut self.owners {
+        for owner in 0..self.owners.len() {
+            if self.resizing {
+                self.at(self.now, Event::Relist { owner });
+            }
+        }
+        for owner in self.owners.iter_mut().filter(|_| !self.resizing) {
             owner.cell.set_workers(listed.clone());
         }
     }
@@ -669,6 +747,11 @@
                     let delay = 1 + self.pick(3);
                     // An owner may be paused between deciding and sending.
                     let at = self.now.max(self.owners[owner].paused_until) + delay;
+                    let is_start = matches!(action, Action::Start { .. });
+                    if self.resizing && is_start && at - self.now >= ORDER_FRESH {
+                        self.withhold(owner, &action, at);
+                        continue;
+                    }
                     self.at(at, Event::Order { owner, worker, action, answer });
                 }
                 Action::Watch(listed) => {
@@ -690,6 +773,14 @@
         }
     }
 
+    /// A start that was decided long ago is not sent.
+    fn withhold(&mut self, owner: usize, action: &Action, at: u64) {
+        let Action::Start { worker, start, .. } = action else { return };
+        let (worker, task, run) = (worker.clone(), start.task, start.run);
+        let outcome = Outcome::Withheld;
+        self.at(at, Event::Answered { owner, worker, start: true, task, run, outcome });
+    }
+
     fn answer(&mut self) -> Answer {
         match self.chance(8) {
             false => Answer::Given,
@@ -936,7 +1027,10 @@
         let job = task.step.job;
         let worker = &self.workers[name];
         let used = worker.running.values().fold(Room::default(), |sum, run| sum.plus(&run.charge));
-        let over = !worker.listed.room.holds(&used.plus(&spec.charge()));
+        let wanted = used.plus(&spec.charge());
+        let before = worker.rooms.iter().filter(|(until, _)| *until >= self.now);
+        let mut rooms = before.map(|(_, room)| *room).chain([worker.listed.room]);
+        let over = !rooms.any(|room| room.holds(&wanted));
         let here = worker.running.keys().filter(|other| other.step == task.step).count() as u32;
         let crowded = spec.apart > 0 && here >= spec.apart;
         let elsewhere =
@@ -1094,6 +1188,7 @@
         | Event::Watch { owner, .. }
         | Event::Held { owner, .. }
         | Event::Kept { owner, .. }
+        | Event::Relist { owner }
         | Event::Refused { owner } => Some(*owner),
         // What is on its way arrives whatever becomes of its sender.
         Event::Order { .. }
@@ -1105,6 +1200,7 @@
         | Event::Crash { .. }
         | Event::Back { .. }
         | Event::Unlist { .. }
+        | Event::Regrow
         | Event::Elect => None,
     }
 }
@@ -1148,6 +1244,16 @@
     (told(&world, seed), crashes)
 }
 
+/// As [`search`], with rooms that shrink and grow, and owners that notice their pauses; and how many rooms
+/// changed.
+pub fn search_resizing(seed: u64) -> (Option<String>, usize) {
+    let mut world = World::new(seed, Without::Nothing);
+    world.resizing = true;
+    world.at(CALM + TICK, Event::Regrow);
+    world.run();
+    (told(&world, seed), world.resized)
+}
+
 fn told(world: &World, seed: u64) -> Option<String> {
     let from = world.trace.len().saturating_sub(60);
     let first = world.broken.first();
--- a/tests/crashworld/mod.rs
+++ b/tests/crashworld/mod.rs
@@ -20,6 +20,8 @@
 const FUSE: u64 = 10;
 /// What workers' clocks show at the begin.
 const CLOCK: u64 = 1_000_000;
+/// Processors of a worker, in thousandths of one.
+const WHOLE: u64 = 16_000;
 /// How long the entry of a life that is over stays in the list: three heartbeats.
 const STALE: u64 = 4_500;
 /// How long a worker is away after a crash.
@@ -54,6 +56,8 @@
     cut_until: u64,
     /// When everything that runs there ends unless it is renewed.
     lease: u64,
+    /// Its processors, in thousandths of one.
+    cpu: u64,
 }
 
 /// A site with one cell and its owner.
@@ -64,6 +68,10 @@
     store: BTreeMap<String, Vec<u8>>,
     /// The store takes nothing until then; starts go out all the same.
     store_away: u64,
+    /// The store takes nothing until then, and starts wait for it.
+    store_held: u64,
+    is_deaf: bool,
+    most: usize,
     bad: BTreeSet<(JobKey, u32)>,
     starts: Vec<(u64, TaskKey, usize)>,
     pub crashes: usize,
@@ -95,6 +103,7 @@
             crashed: None,
             cut_until: 0,
             lease: 0,
+            cpu: WHOLE,
         };
         let mut site = Self {
             now: 1,
@@ -102,6 +111,9 @@
             hosts: (0..workers).map(host).collect(),
             store: BTreeMap::new(),
             store_away: 0,
+            store_held: 0,
+            is_deaf: false,
+            most: 0,
             bad: BTreeSet::new(),
             starts: Vec::new(),
             crashes: 0,
@@ -123,9 +135,18 @@
 
     /// Submits a job whose tasks run for so long.
     pub fn submit_long(&mut self, job: JobKey, steps: Vec<Step>, length: u64) {
+        self.submit_to("q", job, steps, length);
+    }
+
+    /// As [`Self::submit_long`], to a less urgent queue.
+    pub fn submit_low(&mut self, job: JobKey, steps: Vec<Step>, length: u64) {
+        self.submit_to("low", job, steps, length);
+    }
+
+    fn submit_to(&mut self, queue: &str, job: JobKey, steps: Vec<Step>, length: u64) {
         let (first, every) = (Millis(0), Millis(0));
         let work = Work { spec: length.to_string().into(), steps, times: 1, first, every };
-        assert!(self.cell.submit(Millis(self.now), job, "q", Arc::new(work)).is_some());
+        assert!(self.cell.submit(Millis(self.now), job, queue, Arc::new(work)).is_some());
     }
 
     pub fn state(&self, job: JobKey) -> Option<State> {
@@ -173,6 +194,42 @@
         self.store_away = self.now + length;
     }
 
+    /// The store answers nothing for so long, and starts wait for it.
+    pub fn hold_store(&mut self, length: u64) {
+        self.store_held = self.now + length;
+    }
+
+    /// A worker lists another number of processors from now on.
+    pub fn resize(&mut self, no: usize, cpu: u64) {
+        self.hosts[no].cpu = cpu;
+    }
+
+    /// What runs now at all workers.
+    pub fn running(&self) -> usize {
+        self.hosts.iter().map(|host| host.running.len()).sum()
+    }
+
+    /// The most tasks that ran at once since the first room shrank.
+    pub fn most_at_once(&self) -> usize {
+        self.most
+    }
+
+    /// As [`Self::take_over`], but stops are not obeyed from then on.
+    pub fn take_over_deaf(&mut self) {
+        self.is_deaf = true;
+        self.take_over();
+    }
+
+    /// The owner did not run for so long, nor did anybody tell it anything.
+    pub fn pause(&mut self, length: u64) {
+        let until = self.now + length;
+        while self.now < until {
+            self.now += TICK;
+            self.run_workers();
+        }
+        self.cell.wake(Millis(self.now));
+    }
+
     /// Another entry owns the cell, and knows what the store holds.
     pub fn take_over(&mut self) {
         self.epoch += 1;
@@ -259,7 +316,7 @@
             service: "s".into(),
             addr: format!("a{no}").into(),
             domain: format!("d{}", no % 3).into(),
-            room: Room { cpu: 16_000, mem: 32_000, gpu: 0 },
+            room: Room { cpu: self.hosts[no].cpu, mem: 32_000, gpu: 0 },
             labels: vec!["a".into(), "r1".into()],
             leaving: None,
         });
@@ -314,6 +371,9 @@
     }
 
     fn write(&mut self) {
+        if self.store_held > self.now {
+            return;
+        }
         if self.store_away > self.now {
             self.cell.send_unkept(Millis(self.now));
             return;
@@ -347,6 +407,7 @@
                 }
                 Action::Stop { worker, task, run } => {
                     let outcome = match self.call(&worker) {
+                        Ok(_) if self.is_deaf => Outcome::Unknown,
                         Ok(no) => {
                             self.hosts[no].running.remove(&task);
                             Outcome::Done(None)
@@ -369,12 +430,16 @@
         let is_bad = self.bad.contains(&(task.step.job, task.index));
         let length = if is_bad { FUSE } else { length };
         self.hosts[no].running.insert(task, Running { run, ends: self.now + length });
+        if self.hosts.iter().any(|host| host.cpu < WHOLE) {
+            self.most = self.most.max(self.running());
+        }
         if is_bad { Outcome::Unknown } else { Outcome::Done(None) }
     }
 }
 
 fn owner(epoch: u64, snapshot: Snapshot, doubt: bool, now: u64) -> Cell {
     let bounds = Bounds { lease: LEASE, keep: Millis(600_000), off: Off::default() };
-    let queues = HashMap::from([("q".into(), queue())]);
+    let low = Queue { name: "low".into(), priority: 2, ..(*queue()).clone() };
+    let queues = HashMap::from([("q".into(), queue()), ("low".into(), Arc::new(low))]);
     Cell::new(epoch, bounds, queues, snapshot, doubt, Millis(now))
 }
