--- /dev/null
+++ b/src/cell/batch.rs
@@ -0,0 +1,154 @@
+//! What an owner writes to the store: which records go together, and what waits until they are there.
+
+use crate::cell::Cell;
+use crate::cell::job::Job;
+use crate::cell::journal::{self, Batch, JobRecord, Member};
+use crate::cell::worker::Worker;
+use crate::clock::Millis;
+use crate::workload::JobKey;
+
+/// A batch stops growing at this size, so that an append takes no more than some tens of
+/// milliseconds at the platform's 20 MB/s a partition.
+const BATCH_BYTES: usize = 512 * 1024;
+
+impl Cell {
+    /// The next batch for the store, if there is something to write. A batch is never empty: the
+    /// store does not count an append without records.
+    pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
+        if self.dirty.is_empty() && !self.roster {
+            return None;
+        }
+        let mut records = Vec::new();
+        if std::mem::take(&mut self.roster) {
+            records.push(journal::roster(&self.members()));
+        }
+        let is_new = |job: &Job| job.batch == self.batch && job.is_open();
+        let (new, known): (Vec<JobKey>, Vec<JobKey>) = std::mem::take(&mut self.dirty)
+            .into_iter()
+            .partition(|key| self.jobs.get(key).is_some_and(is_new));
+        // What workers reported goes first and whole: the ends in it are confirmed with the batch.
+        for key in known {
+            self.write_job(key, &mut records);
+        }
+        let mut size = 0;
+        let mut new = new.into_iter();
+        for key in new.by_ref() {
+            let from = records.len();
+            self.write_job(key, &mut records);
+            size += records.iter().skip(from).map(|(_, value)| value.len()).sum::<usize>();
+            if size >= BATCH_BYTES {
+                break;
+            }
+        }
+        let no = self.batch;
+        self.batch += 1;
+        for key in new {
+            self.postpone(key);
+        }
+        if records.is_empty() {
+            self.keep(now, no);
+            return None;
+        }
+        Some(Batch { no, records })
+    }
+
+    /// A new job that did not fit into the last batch goes into the next one.
+    fn postpone(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.batch = self.batch;
+            self.fresh.retain(|(_, other)| *other != key);
+            self.fresh.push_back((self.batch, key));
+            self.dirty.insert(key);
+        }
+    }
+
+    fn write_job(&mut self, key: JobKey, records: &mut Vec<(String, Vec<u8>)>) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            let forwarded = self.forwarded.get(&key);
+            records.push(match forwarded {
+                Some((cell, _)) => journal::job(key, &JobRecord::Forwarded { cell: *cell }),
+                None => journal::drop_job(key),
+            });
+            return;
+        };
+        let closed = job.closed.is_some();
+        if closed || job.batch == self.batch {
+            records.push(journal::job(key, &job.record()));
+        }
+        match closed {
+            true if job.noted => {
+                job.noted = false;
+                records.push(journal::drop_progress(key));
+                if std::mem::take(&mut job.noted_crashes) {
+                    records.push(journal::drop_crashes(key));
+                }
+            }
+            false if job.begun => {
+                let progress = job.progress();
+                if !progress.steps.is_empty() {
+                    job.noted = true;
+                    records.push(journal::progress(key, &progress));
+                }
+                let crashes = job.crashes();
+                if !crashes.is_empty() || job.noted_crashes {
+                    job.noted_crashes = true;
+                    records.push(journal::crashes(key, &crashes));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The store surely did not take a batch: its new jobs are given back to their callers. Returns
+    /// their keys.
+    pub fn withdraw(&mut self, batch: u64) -> Vec<JobKey> {
+        self.withdraw_where(|of| of == batch)
+    }
+
+    /// New jobs of batches after `batch`, none of which was sent, are given back to their callers.
+    /// Returns their keys.
+    pub fn withdraw_after(&mut self, batch: u64) -> Vec<JobKey> {
+        self.withdraw_where(|of| of > batch)
+    }
+
+    fn withdraw_where(&mut self, is_unsent: impl Fn(u64) -> bool) -> Vec<JobKey> {
+        let of_batch = |(of, key): &&(u64, JobKey)| {
+            let is_new = self.jobs.get(key).is_some_and(Job::is_open);
+            is_unsent(*of) && (is_new || self.forwarded.contains_key(key))
+        };
+        let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
+        self.fresh.retain(|(_, key)| !gone.contains(key));
+        for key in &gone {
+            let batch = self.batch_of(*key).unwrap_or(0);
+            self.jobs.remove(key);
+            self.forwarded.remove(key);
+            log::info!("event=withdrawn job={key} batch={batch}");
+        }
+        gone
+    }
+
+    /// All batches up to `batch` are in the store.
+    pub fn keep(&mut self, now: Millis, batch: u64) {
+        self.kept = self.kept.max(batch);
+        for worker in self.workers.values_mut() {
+            worker.keep(batch);
+        }
+        while let Some((of, key)) = self.fresh.front().copied()
+            && of <= batch
+        {
+            self.fresh.pop_front();
+            self.open_job(now, key);
+        }
+        self.send_starts(now, batch);
+        self.changed = true;
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let member = |worker: &Worker| Member {
+            id: worker.listed.id.clone(),
+            service: worker.listed.service.clone(),
+            addr: worker.listed.addr.clone(),
+        };
+        self.workers.values().map(member).collect()
+    }
+}
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -2,12 +2,12 @@
 
 use crate::cell::job::{Job, Status};
 use crate::cell::journal::{Fate, JobRecord, Member, Progress, Snapshot};
-use crate::cell::roster::{BURIED, Over};
+use crate::cell::roster::BURIED;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::order::{Listed, Outcome, Refusal};
+use crate::order::Listed;
 use crate::workload::{JobKey, Queue, Room, StepKey, TaskKey};
 use std::sync::Arc;
 
@@ -278,93 +278,6 @@
         }
     }
 
-    /// What became of an order to start a run.
-    pub fn started(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
-        if !matches!(outcome, Outcome::Done(_)) {
-            log::info!(
-                "event=start-failed task={task} run={run} worker={name} outcome={outcome:?}"
-            );
-        }
-        match outcome {
-            Outcome::Done(_) => self.confirm_start(now, name, task, run),
-            Outcome::Unknown => {
-                self.stop(name, task, run);
-                self.doubt(now, name);
-            }
-            Outcome::Withheld => self.lose(name, task, run),
-            Outcome::Unsent => {
-                self.lose(name, task, run);
-                self.mark_silent(now, name);
-            }
-            Outcome::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => {
-                // This run surely never was at the life that is over.
-                self.lose(name, task, run);
-                self.remove_worker(now, name, Over::Replaced);
-            }
-            Outcome::Refused(Refusal::Late) => {
-                self.lose(name, task, run);
-                self.mark_silent(now, name);
-            }
-            Outcome::Refused(Refusal::Ticket) => {
-                self.drop_ticket(task.step, name);
-                self.lose(name, task, run);
-            }
-            Outcome::Refused(
-                Refusal::Unwell | Refusal::Room | Refusal::Malformed | Refusal::Old,
-            ) => {
-                if let Some(worker) = self.workers.get_mut(name) {
-                    worker.set_aside(now);
-                }
-                self.lose(name, task, run);
-            }
-        }
-    }
-
-    fn confirm_start(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64) {
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        if let Some(known) = worker.runs.get_mut(&(task, run))
-            && known.phase == Phase::Starting
-        {
-            known.begin(now);
-            self.note_run(task.step.job);
-        }
-    }
-
-    /// A worker surely began a task of a job.
-    pub(super) fn note_run(&mut self, key: JobKey) {
-        if let Some(job) = self.jobs.get_mut(&key) {
-            job.has_run = true;
-        }
-    }
-
-    /// What became of an order to stop a run.
-    pub fn stopped(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64, outcome: Outcome) {
-        match outcome {
-            Outcome::Refused(Refusal::Fence) => return self.actions.push(Action::Deposed),
-            Outcome::Refused(Refusal::OtherLife) => {
-                return self.remove_worker(now, name, Over::Replaced);
-            }
-            _ => {}
-        }
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        let Some(known) = worker.runs.get_mut(&(task, run)) else { return };
-        known.told = false;
-        match outcome {
-            Outcome::Done(_) | Outcome::Refused(Refusal::Old) => {
-                known.phase = Phase::Stopping(Some(now));
-                if !known.seen {
-                    // It may never have begun: then no end will be listed, and only the next
-                    // report shows that the room is free.
-                    self.actions.push(Action::Look(name.clone()));
-                }
-            }
-            other => log::debug!(
-                "event=stop-failed task={task} run={run} worker={name} outcome={other:?}"
-            ),
-        }
-    }
-
     /// Time passes; `wall` is the time of day.
     pub fn tick(&mut self, now: Millis, wall: Millis) {
         while let Some((due, step)) = self.timers.first().copied()
@@ -387,19 +300,6 @@
         self.expire_questions();
     }
 
-    fn stop_again(&mut self) {
-        for (name, worker) in &mut self.workers {
-            let untold = worker
-                .runs
-                .iter_mut()
-                .filter(|(_, run)| matches!(run.phase, Phase::Stopping(None)) && !run.told);
-            for ((task, no), run) in untold {
-                run.told = true;
-                self.actions.push(Action::Stop { worker: name.clone(), task: *task, run: *no });
-            }
-        }
-    }
-
     /// Inherited tasks that nobody runs may be started once every worker that an earlier owner
     /// used is known, or its leases are over.
     fn settle_doubt(&mut self, now: Millis) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -7,6 +7,7 @@
 pub mod advice;
 pub mod authority;
 pub mod balance;
+mod batch;
 mod clearance;
 pub mod crash;
 pub mod election;
@@ -18,6 +19,7 @@
 pub mod life;
 pub mod map;
 pub mod mechanism;
+mod orders;
 mod place;
 mod preempt;
 mod report;
@@ -34,7 +36,7 @@
 use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
 use advice::{Advisers, Question};
 use job::Job;
-use journal::{Batch, Fate, JobRecord, Member, Snapshot};
+use journal::{Fate, Snapshot};
 use mechanism::Off;
 use reserve::Reservations;
 use run_times::RunTimes;
@@ -46,10 +48,6 @@
 /// Runs of one epoch are numbered within this many bits, below the epoch's own number: so a new
 /// owner's runs are above all earlier ones without knowing them.
 const RUN_BITS: u32 = 10;
-/// A batch stops growing at this size, so that an append takes no more than some tens of
-/// milliseconds at the platform's 20 MB/s a partition.
-const BATCH_BYTES: usize = 512 * 1024;
-
 /// Figures of the platform that decisions rest on.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -315,146 +313,6 @@
         self.jobs.values().filter(waits).count() as u32
     }
 
-    /// The next batch for the store, if there is something to write. A batch is never empty: the
-    /// store does not count an append without records.
-    pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
-        if self.dirty.is_empty() && !self.roster {
-            return None;
-        }
-        let mut records = Vec::new();
-        if std::mem::take(&mut self.roster) {
-            records.push(journal::roster(&self.members()));
-        }
-        let is_new = |job: &Job| job.batch == self.batch && job.is_open();
-        let (new, known): (Vec<JobKey>, Vec<JobKey>) = std::mem::take(&mut self.dirty)
-            .into_iter()
-            .partition(|key| self.jobs.get(key).is_some_and(is_new));
-        // What workers reported goes first and whole: the ends in it are confirmed with the batch.
-        for key in known {
-            self.write_job(key, &mut records);
-        }
-        let mut size = 0;
-        let mut new = new.into_iter();
-        for key in new.by_ref() {
-            let from = records.len();
-            self.write_job(key, &mut records);
-            size += records.iter().skip(from).map(|(_, value)| value.len()).sum::<usize>();
-            if size >= BATCH_BYTES {
-                break;
-            }
-        }
-        let no = self.batch;
-        self.batch += 1;
-        for key in new {
-            self.postpone(key);
-        }
-        if records.is_empty() {
-            self.keep(now, no);
-            return None;
-        }
-        Some(Batch { no, records })
-    }
-
-    /// A new job that did not fit into the last batch goes into the next one.
-    fn postpone(&mut self, key: JobKey) {
-        if let Some(job) = self.jobs.get_mut(&key) {
-            job.batch = self.batch;
-            self.fresh.retain(|(_, other)| *other != key);
-            self.fresh.push_back((self.batch, key));
-            self.dirty.insert(key);
-        }
-    }
-
-    fn write_job(&mut self, key: JobKey, records: &mut Vec<(String, Vec<u8>)>) {
-        let Some(job) = self.jobs.get_mut(&key) else {
-            let forwarded = self.forwarded.get(&key);
-            records.push(match forwarded {
-                Some((cell, _)) => journal::job(key, &JobRecord::Forwarded { cell: *cell }),
-                None => journal::drop_job(key),
-            });
-            return;
-        };
-        let closed = job.closed.is_some();
-        if closed || job.batch == self.batch {
-            records.push(journal::job(key, &job.record()));
-        }
-        match closed {
-            true if job.noted => {
-                job.noted = false;
-                records.push(journal::drop_progress(key));
-                if std::mem::take(&mut job.noted_crashes) {
-                    records.push(journal::drop_crashes(key));
-                }
-            }
-            false if job.begun => {
-                let progress = job.progress();
-                if !progress.steps.is_empty() {
-                    job.noted = true;
-                    records.push(journal::progress(key, &progress));
-                }
-                let crashes = job.crashes();
-                if !crashes.is_empty() || job.noted_crashes {
-                    job.noted_crashes = true;
-                    records.push(journal::crashes(key, &crashes));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// The store surely did not take a batch: its new jobs are given back to their callers. Returns
-    /// their keys.
-    pub fn withdraw(&mut self, batch: u64) -> Vec<JobKey> {
-        self.withdraw_where(|of| of == batch)
-    }
-
-    /// New jobs of batches after `batch`, none of which was sent, are given back to their callers.
-    /// Returns their keys.
-    pub fn withdraw_after(&mut self, batch: u64) -> Vec<JobKey> {
-        self.withdraw_where(|of| of > batch)
-    }
-
-    fn withdraw_where(&mut self, is_unsent: impl Fn(u64) -> bool) -> Vec<JobKey> {
-        let of_batch = |(of, key): &&(u64, JobKey)| {
-            let is_new = self.jobs.get(key).is_some_and(Job::is_open);
-            is_unsent(*of) && (is_new || self.forwarded.contains_key(key))
-        };
-        let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
-        self.fresh.retain(|(_, key)| !gone.contains(key));
-        for key in &gone {
-            let batch = self.batch_of(*key).unwrap_or(0);
-            self.jobs.remove(key);
-            self.forwarded.remove(key);
-            log::info!("event=withdrawn job={key} batch={batch}");
-        }
-        gone
-    }
-
-    /// All batches up to `batch` are in the store.
-    pub fn keep(&mut self, now: Millis, batch: u64) {
-        self.kept = self.kept.max(batch);
-        for worker in self.workers.values_mut() {
-            worker.keep(batch);
-        }
-        while let Some((of, key)) = self.fresh.front().copied()
-            && of <= batch
-        {
-            self.fresh.pop_front();
-            self.open_job(now, key);
-        }
-        self.send_starts(now, batch);
-        self.changed = true;
-    }
-
-    fn members(&self) -> Vec<Member> {
-        let member = |worker: &Worker| Member {
-            id: worker.listed.id.clone(),
-            service: worker.listed.service.clone(),
-            addr: worker.listed.addr.clone(),
-        };
-        self.workers.values().map(member).collect()
-    }
-
     /// An entry can ask the advice service from now on. It may have connected anew before its
     /// earlier connection was noticed as broken: without asking its question again, the step would
     /// wait for good. `is_home`: it belongs to this cell; others are asked only while there is no
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
 use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use sprucerudder::standin::site::worker::CRASHING;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -128,6 +129,22 @@
     }
 }
 
+/// Submits a few jobs with a task that crashes its workers.
+pub async fn run_crashing(way: Way, jobs: Jobs, mut rng: Rng, until: Instant) {
+    while Instant::now() < until {
+        let steps = vec![(rng.u32(1..3), rng.u64(300..1_800))];
+        let key = format!("{:016x}", rng.u64(1..));
+        let job = Job { key, spec: format!("{CRASHING}1"), steps, told: Told::default() };
+        let no = {
+            let mut jobs = jobs.lock().unwrap();
+            jobs.push(job.clone());
+            jobs.len() - 1
+        };
+        submit(&way, &jobs, no, &job, &mut rng).await;
+        tokio::time::sleep(Duration::from_millis(rng.u64(2_000..5_000))).await;
+    }
+}
+
 /// Up to four tries; after silence or a broken connection the same key is sent to another entry.
 async fn submit(way: &Way, jobs: &Jobs, no: usize, job: &Job, rng: &mut Rng) {
     const TRIES: u32 = 4;
--- a/tests/soak/checks_test.rs
+++ b/tests/soak/checks_test.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{Job, Told};
 use crate::checks::Checks;
-use sprucerudder::standin::site::worker::{Ledger, LedgerRow, RunEvent};
+use sprucerudder::standin::site::worker::{CRASHING, Ledger, LedgerRow, RunEvent};
 
 const KEY: &str = "00000000000000aa";
 
@@ -54,6 +54,31 @@
     assert_eq!(broken(&events, told("completed")), "");
 }
 
+#[test]
+fn a_task_that_is_started_too_often_after_crashes_is_found() {
+    let job = Job { spec: format!("{CRASHING}1"), ..job(told("")) };
+    let row = |worker: &str, run, event| entry(worker, "0.0", run, event);
+    let starts = |count: u64| {
+        let ledger = Ledger::default();
+        for run in 0..count {
+            let worker = format!("w{run}");
+            ledger.add(row(&worker, run, RunEvent::Start(job.spec.clone())));
+            ledger.add(row(&worker, run, RunEvent::End("crashed")));
+        }
+        let mut checks = Checks::default();
+        checks.look(&ledger, std::slice::from_ref(&job));
+        checks.broken.join("; ")
+    };
+    assert_eq!(starts(5), "");
+    assert!(starts(6).contains("three times more"), "{}", starts(6));
+}
+
+#[test]
+fn a_start_over_a_room_that_has_shrunk_is_found() {
+    let events = [("w1", "0.0", 1, RunEvent::Room(4_000)), ("w1", "0.0", 1, start())];
+    assert!(broken(&events, told("")).contains("over what"));
+}
+
 #[test]
 fn each_broken_promise_is_found() {
     let done = RunEvent::End("done");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -2,7 +2,7 @@
 
 use fastrand::Rng;
 use nix::sys::signal::Signal;
-use sprucerudder::standin::site::store;
+use sprucerudder::standin::site::{CPU, store};
 use std::time::Duration;
 
 /// How entries or workers are cut off.
@@ -44,6 +44,10 @@
     Grey(u16, bool),
     /// Orders to a worker are carried out so much later, in milliseconds, and not answered.
     Late(u16, u64),
+    /// A worker crashes by itself, and is back soon.
+    Crash(u16),
+    /// A worker has so many processors from now on, in thousandths of one.
+    Resize(u16, u64),
 }
 
 /// Acts in the order of their times, in milliseconds from the begin.
@@ -126,6 +130,23 @@
     (0..3).map(&mut silence).collect()
 }
 
+/// Workers that crash, shrink and grow, drawn apart from the other acts: kept seeds stay as they were.
+pub fn draw_workers(seed: u64, workers: u16, length: u64) -> Vec<(u64, Act)> {
+    let mut rng = Rng::with_seed(seed ^ 0x5eed);
+    let mut acts = Vec::new();
+    for _ in 0..rng.u32(1..4) {
+        let (at, worker) = (rng.u64(0..length), rng.u16(0..workers));
+        match rng.bool() {
+            true => acts.push((at, Act::Crash(worker))),
+            false => {
+                acts.push((at, Act::Resize(worker, rng.u64(500..6_000))));
+                acts.push((at + rng.u64(500..6_000), Act::Resize(worker, CPU)));
+            }
+        }
+    }
+    acts
+}
+
 fn cut(rng: &mut Rng) -> Cut {
     match rng.u32(0..5) {
         0 => Cut::Delay(Duration::from_millis(rng.u64(5..400))),
