Reverted: a refused connection is not the end of a worker's life

Ruled out: leases, which were not over. What stays: a life that another one replaced is left out of the list.

--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -45,7 +45,6 @@
             HoldError::Refused(Refusal::Fence) => self.actions.push(Action::Deposed),
             HoldError::Refused(Refusal::OtherLife) => self.remove_worker(now, name, Over::Replaced),
             HoldError::Refused(_) => self.mark_silent(now, name),
-            HoldError::Absent => self.mark_absent(now, name),
             HoldError::Silent(err) => {
                 log::debug!("event=hold-failed worker={name} error={err:?}");
                 if self.is_late {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -15,8 +15,6 @@
 pub enum Over {
     /// Another life answers at its address.
     Replaced,
-    /// No process listens at its address.
-    Absent,
     /// It is not listed any more, it is silent, and its leases are over.
     Unlisted,
 }
@@ -26,15 +24,11 @@
     fn name(self) -> &'static str {
         match self {
             Self::Replaced => "replaced",
-            Self::Absent => "absent",
             Self::Unlisted => "unlisted",
         }
     }
 }
 
-/// A worker's process is gone once connections to its address were refused for so long: a crash is then
-/// known 0.3 s after it, and by the next life 3.4 s after it.
-const ABSENT: Millis = Millis(200);
 /// A life that is over is not taken up again from the list for so long, where its entry stays for some
 /// seconds: it was, and removed again, every 0.4 s. By then all that it ran has surely ended.
 pub(super) const BURIED: Millis = Millis(10_000);
@@ -57,16 +51,6 @@
         }
     }
 
-    /// Connections to a worker are refused. Twice in a row its process is gone, and all that it ran.
-    pub(super) fn mark_absent(&mut self, now: Millis, name: &Name) {
-        self.mark_silent(now, name);
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        let since = *worker.absent.get_or_insert(now);
-        if now.since(since) >= ABSENT {
-            self.remove_worker(now, name, Over::Absent);
-        }
-    }
-
     /// A worker left something unanswered: nothing new goes there until it reports, which it is asked
     /// for at once. Where two of a failure domain did so, the others of it are taken to be behind the
     /// same cut. Without this, starts went behind a cut for 1.3 to 2.5 s, and their tasks were held up
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -133,8 +133,6 @@
     doubted: Option<Millis>,
     /// Reports in a row that did not come.
     misses: u32,
-    /// Since when no process listens at its address.
-    pub(super) absent: Option<Millis>,
     /// The worker's clock and when it was read here.
     clock: Option<(u64, Millis)>,
     /// When everything that it runs has surely ended unless it is renewed.
@@ -170,7 +168,6 @@
             used: Room::default(),
             doubted: None,
             misses: 0,
-            absent: None,
             clock: None,
             lease_end,
             seen: 0,
@@ -239,7 +236,6 @@
         }
         self.clock = Some((report.clock, now));
         self.heard = true;
-        self.absent = None;
         self.misses = 0;
     }
 
--- a/src/filter/forward.rs
+++ b/src/filter/forward.rs
@@ -75,7 +75,7 @@
 
 fn give_up(err: &HttpError, run: Run) -> Refused {
     let reason = match err {
-        HttpError::Connect(_) | HttpError::Refused(_) => Reason::NoUpstream,
+        HttpError::Connect(_) => Reason::NoUpstream,
         HttpError::Timeout(_) => Reason::Timeout,
         HttpError::Broken(..) | HttpError::Status(..) | HttpError::Malformed(..) => {
             Reason::BrokenAnswer
--- a/src/order.rs
+++ b/src/order.rs
@@ -146,8 +146,6 @@
 pub enum HoldError {
     /// The worker refused.
     Refused(Refusal),
-    /// Its machine is there, and no process listens at its address.
-    Absent,
     /// No answer, or one that cannot be read.
     Silent(String),
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -36,9 +36,7 @@
     /// No connection: nothing of the request was sent.
     #[error("cannot connect to {0}")]
     Connect(String),
-    /// As [`Self::Connect`]: the machine is there, and no process listens at the address.
-    #[error("nothing listens at {0}")]
-    Refused(String),
+
     /// The exchange broke off after the request may have been sent.
     #[error("{0} broke off: {1}")]
     Broken(String, String),
@@ -56,7 +54,7 @@
 impl HttpError {
     /// Whether surely nothing of the request reached the other side.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Refused(_))
+        matches!(self, Self::Connect(_))
     }
 }
 
@@ -143,10 +141,7 @@
             Ok(result) => result,
             Err(_) => Err(HttpError::Timeout(addr.to_string())),
         };
-        if matches!(
-            result,
-            Err(HttpError::Timeout(_) | HttpError::Connect(_) | HttpError::Refused(_))
-        ) {
+        if matches!(result, Err(HttpError::Timeout(_) | HttpError::Connect(_))) {
             self.drop_pool(addr, &pool);
         }
         result
@@ -202,7 +197,6 @@
 ) -> Result<Answer, HttpError> {
     let broken = |err: String| HttpError::Broken(addr.to_string(), err);
     let answer = pool.request(request).await.map_err(|err| match err.is_connect() {
-        true if is_refused(&err) => HttpError::Refused(addr.to_string()),
         true => HttpError::Connect(addr.to_string()),
         false => broken(err.to_string()),
     })?;
@@ -216,13 +210,6 @@
     }
 }
 
-/// Whether a connection was refused.
-fn is_refused(err: &(dyn std::error::Error + 'static)) -> bool {
-    let io = err.downcast_ref::<std::io::Error>();
-    let refused = io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused);
-    refused || err.source().is_some_and(is_refused)
-}
-
 fn malformed(addr: &str, err: impl std::fmt::Display) -> HttpError {
     HttpError::Malformed(addr.to_string(), err.to_string())
 }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -253,10 +253,7 @@
         let wait_ms = (wait.0 > 0).then_some(wait.0);
         let ask = RawHold { fence: self.fence, last_seen: seen, until_ms: until, wait_ms };
         let answer = self.call("/hold", &ask, limit).await;
-        let answer = answer.map_err(|err| match err {
-            HttpError::Refused(_) => HoldError::Absent,
-            err => HoldError::Silent(err.to_string()),
-        })?;
+        let answer = answer.map_err(|err| HoldError::Silent(err.to_string()))?;
         match outcome(&answer) {
             Outcome::Done(_) => report(&answer.body).map_err(HoldError::Silent),
             Outcome::Refused(why) => Err(HoldError::Refused(why)),
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -363,7 +363,10 @@
     if late > 0 && call.path != "/hold" {
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(late)).await;
-            drop(carry_out(&worker, &call.path, &ask).await);
+            // An order ends with the life that it was given to.
+            if worker.id(&worker.state()) == id {
+                drop(carry_out(&worker, &call.path, &ask).await);
+            }
         });
         return None;
     }
