--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -207,3 +207,30 @@
     assert_eq!(site.starts_of(job(1)), 1);
     assert_eq!(site.state(job(1)), Some(State::Closed(Fate::Completed)));
 }
+
+/// What one such task costs: its workers, and starts of others that were lost with them.
+#[test]
+fn the_harm_of_such_tasks_is_bounded() {
+    for (bad, most) in [(0, 0), (1, 3), (5, 15)] {
+        let mut site = Site::new(24);
+        let mut others = Vec::new();
+        for second in 0..60 {
+            others.extend(fill(&mut site, 1_000 + 100 * second, 22));
+            if bad > 0 && second % (60 / bad) == 0 {
+                let key = job(0xbad0 + second);
+                site.crashes_under(key, 0);
+                site.submit(key, vec![step(1)]);
+            }
+            site.play(1_000);
+        }
+        site.play(20_000);
+        let starts: usize = others.iter().map(|key| site.starts_of(*key)).sum();
+        let again = starts - others.len();
+        println!("{bad} a minute: {} workers crashed, {again} other starts lost", site.crashes);
+        assert!(site.crashes <= most, "{bad} a minute: {} workers crashed", site.crashes);
+        assert!(again <= 4 * most, "{bad} a minute: {again} other starts lost");
+        for key in others {
+            assert_eq!(site.state(key), Some(State::Closed(Fate::Completed)), "{key}");
+        }
+    }
+}
