--- /dev/null
+++ b/tests/golden.rs
@@ -0,0 +1,109 @@
+//! Records as 0.5.0 wrote them are read by this version, and written the same: entries of both versions
+//! own cells in turn while a fleet is replaced entry by entry.
+//!
+//! `UPDATE_GOLDEN=1 cargo test --test golden` writes the files; those of a version stay as that wrote them.
+
+use sprucerudder::cell::election::Record;
+use sprucerudder::cell::journal::{
+    Fate, JobRecord, Member, Progress, Snapshot, StepNote, TaskNote, job, progress, roster,
+};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::EntryId;
+use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, Work};
+use std::fmt::Write;
+use std::sync::Arc;
+
+const FILE: &str = "tests/golden/records-0.5.0.txt";
+const JOB: JobKey = JobKey(0x68aa_a70a_b6d3_eae3);
+
+fn queue() -> Queue {
+    Queue {
+        name: "q".into(),
+        service: "s".into(),
+        priority: 3,
+        attempts: 2,
+        stretch: 1_500,
+        target: Millis(250),
+        advice: Some(Advice { base: Millis(5), each: 100, valid: Millis(2_500) }),
+    }
+}
+
+fn open() -> JobRecord {
+    let room = Room { cpu: 500, mem: 256, gpu: 1 };
+    let first = Step { count: 4, room, estimate: Millis(900), near: "r1-3".into(), ..Step::default() };
+    let second = Step { after: vec![0], gang: true, saves: true, ..first.clone() };
+    let steps = vec![first, second];
+    let (first, every) = (Millis(0), Millis(0));
+    let work = Work { spec: "text".into(), steps, times: 1, first, every };
+    JobRecord::Open { queue: queue(), work: Arc::new(work) }
+}
+
+fn known() -> Progress {
+    let bound = Some((1_030, "i-1".into()));
+    let task = TaskNote { index: 2, failed: vec![1_025], saved: "0bb8".into(), bound };
+    Progress { steps: vec![StepNote { place: (0, 1), done: vec![0b101], tasks: vec![task] }] }
+}
+
+fn members() -> Vec<Member> {
+    vec![Member { id: "i-1".into(), service: "s".into(), addr: "10.1.64.25:8623".into() }]
+}
+
+fn claims() -> Vec<Record> {
+    let owner = EntryId { name: "entry-1".into(), inc: 7 };
+    let addr: sprucerudder::id::Name = "10.1.0.13:7720".into();
+    vec![
+        Record::Claim { owner: owner.clone(), addr: addr.clone() },
+        Record::Beat { epoch: 9, owner, addr, most: 250 },
+        Record::Release { epoch: 9 },
+        Record::Overloaded { epoch: 9 },
+    ]
+}
+
+/// Every record, a line each: its key and its bytes.
+fn lines() -> String {
+    let closed = JobRecord::Closed { queue: "q".into(), fate: Fate::Failed };
+    let mut records = vec![
+        job(JOB, &open()),
+        job(JobKey(2), &closed),
+        job(JobKey(3), &JobRecord::Forwarded { cell: 5 }),
+        progress(JOB, &known()),
+        roster(&members()),
+    ];
+    for (no, claim) in claims().iter().enumerate() {
+        records.push((format!("claim-{no}"), postcard::to_stdvec(claim).unwrap()));
+    }
+    let mut text = String::new();
+    for (key, value) in records {
+        let hex: String = value.iter().map(|byte| format!("{byte:02x}")).collect();
+        writeln!(text, "{key} {hex}").unwrap();
+    }
+    text
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let pairs = hex.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).unwrap());
+    pairs.map(|pair| u8::from_str_radix(pair, 16).unwrap()).collect()
+}
+
+#[test]
+fn records_of_the_last_version_are_read_and_written_the_same() {
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        std::fs::write(FILE, lines()).unwrap();
+    }
+    let text = std::fs::read_to_string(FILE).unwrap();
+    assert_eq!(lines(), text);
+    let mut snapshot = Snapshot::default();
+    let mut claimed = Vec::new();
+    for line in text.lines() {
+        let (key, hex) = line.split_once(' ').unwrap();
+        match key.starts_with("claim-") {
+            true => claimed.push(postcard::from_bytes::<Record>(&bytes(hex)).unwrap()),
+            false => snapshot.add(key, &bytes(hex)).unwrap(),
+        }
+    }
+    assert_eq!(claimed, claims());
+    assert_eq!(snapshot.jobs[&JOB], open());
+    assert_eq!(snapshot.progress[&JOB], known());
+    assert_eq!(snapshot.roster, members());
+    assert_eq!(snapshot.jobs.len(), 3);
+}
