A new owner takes over a run that is newer than the one it read of

Cause: while the store was away a task failed and started again at another worker, and neither was written down. Change: a run above the one that is known takes its place, and the older one is stopped. Before and after: the test has a stop of the newer run and a third start before, none after.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -51,6 +51,16 @@
     }
 }
 
+impl Task {
+    /// Where the task is known to run as a lower run than `run`.
+    pub fn older(&self, run: u64) -> Option<(Name, u64)> {
+        match &self.status {
+            Status::Placed { worker, run: older } if *older < run => Some((worker.clone(), *older)),
+            _ => None,
+        }
+    }
+}
+
 /// A worker's clearance for a step.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ticket {
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -234,7 +234,11 @@
             (job.begun, job.has_run) = (true, true);
             job.step_mut(task.step)
         });
-        let wanted = step.filter(|step| step.waiting.contains(&task.index));
+        let mut older = None;
+        let wanted = step.filter(|step| {
+            older = step.tasks.get(task.index as usize).and_then(|task| task.older(row.run));
+            step.waiting.contains(&task.index) || older.is_some()
+        });
         match wanted {
             Some(step) => {
                 step.place(task.index, name.clone(), row.run);
@@ -242,6 +246,10 @@
                     state.saved = row.saved.clone();
                 }
                 log::info!("event=adopted task={task} run={} worker={name}", row.run);
+                // It was over before the newer one began, or may be a copy.
+                if let Some((at, run)) = older {
+                    self.stop(&at, task, run);
+                }
             }
             None => {
                 log::info!("event=unwanted task={task} run={} worker={name}", row.run);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -1,6 +1,6 @@
 //! Single decisions of the cell's state machine.
 
-use sprucerudder::cell::journal::Snapshot;
+use sprucerudder::cell::journal::{JobRecord, Member, Progress, Snapshot, StepNote, TaskNote};
 use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::roster::Over;
 use sprucerudder::cell::{Action, Bounds, Cell, State};
@@ -9,7 +9,7 @@
 use sprucerudder::order::{
     End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow, Start,
 };
-use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, TaskKey, Work};
+use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, StepKey, TaskKey, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -847,3 +847,51 @@
     cell.held(Millis(500), Millis(450), worker, &report);
     assert_eq!(cell.pending("q"), 0, "the worker runs it");
 }
+
+/// While the store was away a task failed and started again at another worker; neither was written down. The
+/// next owner read the older binding, took the newer run for one that nobody wanted, and had it stopped;
+/// then the older one's end was listed, and the task started a third time 158 ms before the stop was done:
+/// "run 28674 on i-0b57e6f7ee 23.865 s to 26.116 s: stopped, run 64513 on i-78a1168610 from 25.958 s".
+#[test]
+fn a_new_owner_takes_over_a_run_that_is_newer_than_the_one_it_read_of() {
+    let workers = [listed("w1", "a"), listed("w2", "a"), listed("w3", "a")];
+    let (at, other) = (&workers[0].id, &workers[1].id);
+    let task = TaskKey { step: StepKey { job: JobKey(1), time: 0, step: 0 }, index: 0 };
+    let bound = Some((1_025, at.clone()));
+    let note = TaskNote { index: 0, failed: Vec::new(), saved: "".into(), bound };
+    let step_note = StepNote { place: (0, 0), done: Vec::new(), tasks: vec![note] };
+    let record = JobRecord::Open { queue: (*queue("q", 0)).clone(), work: work(vec![step(1)]) };
+    let member = |one: &Listed| Member {
+        id: one.id.clone(),
+        service: one.service.clone(),
+        addr: one.addr.clone(),
+    };
+    let mut snapshot = Snapshot::default();
+    snapshot.jobs.insert(task.step.job, record);
+    snapshot.progress.insert(task.step.job, Progress { steps: vec![step_note] });
+    snapshot.roster = workers.iter().map(member).collect();
+    let bounds = Bounds { lease: LEASE, keep: Millis(100_000), off: Off::default() };
+    let queues = HashMap::from([("q".into(), queue("q", 0))]);
+    let mut next = Cell::new(2, bounds, queues, snapshot, true, Millis(1_000));
+    next.set_workers(workers.to_vec());
+    write(&mut next, 1_000);
+    for worker in &workers {
+        next.hold(Millis(1_001), &worker.id, true);
+    }
+    let newer = vec![goes_on(task, 1_026)];
+    let report = Report { clock: 1_000, running: newer, ..Report::default() };
+    next.held(Millis(1_003), Millis(1_002), other, &report);
+    let end = ended(1, task, 1_025, End::Failed);
+    next.held(Millis(1_004), Millis(1_002), at, &end);
+    next.held(Millis(1_005), Millis(1_002), &workers[2].id, &Report::default());
+    next.tick(Millis(1_100), Millis(1_100));
+    next.schedule(Millis(1_101));
+    write(&mut next, 1_101);
+    let orders = next.take_actions();
+    let is_wrong = |action: &&Action| match action {
+        Action::Start { .. } => true,
+        Action::Stop { run, .. } => *run == 1_026,
+        _ => false,
+    };
+    assert_eq!(orders.iter().filter(is_wrong).collect::<Vec<_>>(), Vec::<&Action>::new());
+}
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -30,7 +30,8 @@
 
 fn open() -> JobRecord {
     let room = Room { cpu: 500, mem: 256, gpu: 1 };
-    let first = Step { count: 4, room, estimate: Millis(900), near: "r1-3".into(), ..Step::default() };
+    let first =
+        Step { count: 4, room, estimate: Millis(900), near: "r1-3".into(), ..Step::default() };
     let second = Step { after: vec![0], gang: true, saves: true, ..first.clone() };
     let steps = vec![first, second];
     let (first, every) = (Millis(0), Millis(0));
