The soak judges a start by its own time, not by the time of the look

The check compared the cancelling with the time at which it read the ledger, and looks are seconds apart while an entry does not answer. Change: ledger rows carry their time; the limit is as it was. Before and after: the test of the check fails before by its form (rows had no time); a start 2.9 s after the cancelling is none, one 3.1 s after it is.

--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -77,6 +77,8 @@
     pub run: u64,
     /// What was done.
     pub event: RunEvent,
+    /// When.
+    pub at: Instant,
 }
 
 /// What all workers of a site did.
@@ -284,7 +286,8 @@
     /// Notes what was done; the caller holds the state's lock, so that the order is right.
     fn note(&self, state: &State, task: &str, run: u64, event: RunEvent) {
         let (worker, task) = (self.id(state), task.to_string());
-        self.ledger.add(LedgerRow { worker, task, run, event });
+        let at = Instant::now();
+        self.ledger.add(LedgerRow { worker, task, run, event, at });
     }
 
     fn stop(&self, ask: &Value) -> Reply {
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -85,7 +85,7 @@
     }
 
     fn start(&mut self, entry: &LedgerRow, spec: &str, jobs: &[Job]) {
-        let LedgerRow { worker, task, run, .. } = entry;
+        let LedgerRow { worker, task, run, at, .. } = entry;
         let job = parts(task).and_then(|(key, step, index)| {
             let job = jobs.iter().find(|job| job.key == key)?;
             let (count, cpu) = *job.steps.get(step)?;
@@ -101,7 +101,8 @@
         let more = self.more.entry(task.clone()).or_default();
         *more += u32::from(crashed);
         let excess = *more >= CRASHES;
-        let late = job.told.cancelled.is_some_and(|at| at.elapsed() > CANCEL_LIMIT);
+        // By the time of the start, not of this look: looks may be seconds apart.
+        let late = job.told.cancelled.is_some_and(|told| *at > told + CANCEL_LIMIT);
         let elsewhere = self.running.insert(task.clone(), (worker.clone(), *run));
         let again = self.done.get_mut(task);
         let confirmed = again.as_ref().is_some_and(|done| done.confirmed);
--- a/tests/soak/checks_test.rs
+++ b/tests/soak/checks_test.rs
@@ -3,6 +3,8 @@
 use crate::callers::{Job, Told};
 use crate::checks::Checks;
 use sprucerudder::standin::site::worker::{CRASHING, Ledger, LedgerRow, RunEvent};
+use std::time::Duration;
+use tokio::time::Instant;
 
 const KEY: &str = "00000000000000aa";
 
@@ -12,7 +14,8 @@
 }
 
 fn entry(worker: &str, place: &str, run: u64, event: RunEvent) -> LedgerRow {
-    LedgerRow { worker: worker.to_string(), task: format!("{KEY}.0.{place}"), run, event }
+    let task = format!("{KEY}.0.{place}");
+    LedgerRow { worker: worker.to_string(), task, run, event, at: Instant::now() }
 }
 
 fn start() -> RunEvent {
@@ -73,6 +76,23 @@
     assert!(starts(6).contains("three times more"), "{}", starts(6));
 }
 
+/// Seed 7,044: a task started 62 ms after its job was submitted, which was cancelled 115 ms later. The ledger
+/// was looked at more than 3 s after that, and the start was taken for one long after the cancelling.
+#[test]
+fn a_start_is_late_by_its_own_time() {
+    let look = |after: u64| {
+        let ledger = Ledger::default();
+        let told_at = Instant::now() - Duration::from_secs(60);
+        let (cancelled, at) = (Some(told_at), told_at + Duration::from_millis(after));
+        ledger.add(LedgerRow { at, ..entry("w1", "0.0", 1, start()) });
+        let mut checks = Checks::default();
+        checks.look(&ledger, &[job(Told { cancelled, ..told("") })]);
+        checks.broken.join("; ")
+    };
+    assert_eq!(look(2_900), "");
+    assert!(look(3_100).contains("long after its job was cancelled"));
+}
+
 #[test]
 fn a_start_over_a_room_that_has_shrunk_is_found() {
     let events = [("w1", "0.0", 1, RunEvent::Room(4_000)), ("w1", "0.0", 1, start())];
