--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -36,6 +36,18 @@
     Advised { step: StepKey, named: Vec<Name>, answer: Option<Cleared> },
 }
 
+impl Ask {
+    /// Whether a caller waits for the answer.
+    pub fn is_callers(&self) -> bool {
+        match self {
+            Self::Submit { .. } | Self::State { .. } => true,
+            Self::Cancel { .. } | Self::Pending { .. } => true,
+            Self::Hello { .. } | Self::Ping { .. } | Self::Probed { .. } => false,
+            Self::Forget { .. } | Self::Advised { .. } => false,
+        }
+    }
+}
+
 /// What the owner answers, or says unasked.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Tell {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -338,8 +338,10 @@
     /// Answers an entry.
     pub async fn answer(self: &Arc<Self>, entry: &Name, ask: Ask) -> Tell {
         self.notice_pause(self.node.now());
-        // Another entry may own the cell by now, and know more of its jobs.
-        if self.is_over() || self.woke.load(Ordering::Relaxed) {
+        // Another entry may own the cell by now, and know more of its jobs. What entries tell is taken in all
+        // the same: an answer of the advice service that was turned away left its step waiting for good.
+        let is_late = ask.is_callers() && self.woke.load(Ordering::Relaxed);
+        if self.is_over() || is_late {
             return Tell::Refused(Refused::NotOwner);
         }
         match ask {
