--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -16,7 +16,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -96,9 +95,7 @@
 /// Answers a caller.
 pub(super) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let begun = node.now();
-    node.open.fetch_add(1, Ordering::Relaxed);
     let (call, reply) = reply(&node, request, begun).await;
-    node.open.fetch_sub(1, Ordering::Relaxed);
     let mut response = reply.response();
     if matches!(reply, Reply::Busy { .. }) && !node.is_ready() {
         // Behind a cut the balancer sends new connections elsewhere, but an open one stays here.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,7 @@
 use cells::Cells;
 use metrics::Metrics;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -64,8 +64,6 @@
     /// The cells; `None`: it is not known yet how workers are dealt to them.
     cells: watch::Sender<Option<Arc<Cells>>>,
     stopping: AtomicBool,
-    /// Callers' requests in flight.
-    open: AtomicUsize,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -97,7 +95,6 @@
             policy: watch::channel(Arc::new(Policy::default())).0,
             cells: watch::channel(None).0,
             stopping: AtomicBool::new(false),
-            open: AtomicUsize::new(0),
             clock: Clock::default(),
             http,
             me,
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -15,7 +15,7 @@
 /// The balancer sends no new callers after two questions a second apart, each of which may be
 /// half a second late.
 const UNLISTED: Millis = Millis(2_600);
-/// The part at the end of the grace in which requests in flight are not waited for.
+/// The part at the end of the grace in which connections are not waited for.
 const LAST: Millis = Millis(700);
 /// Time between looks.
 const LOOK: Millis = Millis(50);
@@ -61,8 +61,15 @@
             tokio::time::sleep(LOOK.duration()).await;
         }
         close.send_replace(true);
-        while self.open.load(Ordering::Relaxed) > 0 && self.now().since(begun) + LAST < grace {
-            tokio::time::sleep(LOOK.duration()).await;
+        // Each connection holds a receiver until its last answer has left. Counting requests in place of them
+        // lost one whose head was read after the last look.
+        let left = (grace - LAST) - self.now().since(begun);
+        if tokio::time::timeout(left.duration(), close.closed()).await.is_err() {
+            log::info!(
+                "event=callers-left entry={} connections={}",
+                self.me,
+                close.receiver_count()
+            );
         }
         // The last answers have to leave.
         tokio::time::sleep(LOOK.duration()).await;
