--- a/src/cell/batch.rs
+++ b/src/cell/batch.rs
@@ -119,10 +119,13 @@
         let gone: Vec<JobKey> = self.fresh.iter().filter(of_batch).map(|(_, key)| *key).collect();
         self.fresh.retain(|(_, key)| !gone.contains(key));
         for key in &gone {
-            let batch = self.batch_of(*key).unwrap_or(0);
+            match self.batch_of(*key) {
+                Some(batch) => log::info!("event=withdrawn job={key} batch={batch}"),
+                // It was found by its batch above: without one it was forgotten meanwhile, and is gone.
+                None => log::error!("event=withdrawn-unknown job={key}"),
+            }
             self.jobs.remove(key);
             self.forwarded.remove(key);
-            log::info!("event=withdrawn job={key} batch={batch}");
         }
         gone
     }
--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -267,7 +267,7 @@
         !self.crashes(task).is_empty() || silent.any(is_other)
     }
 
-    /// The crashes under a task.
+    /// The crashes under a task; none for one that is not known, as of a job that is over.
     pub(super) fn crashes(&self, task: TaskKey) -> &[Crash] {
         let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
         let state = step.and_then(|step| step.tasks.get(task.index as usize));
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -367,9 +367,12 @@
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(late)).await;
             // An order ends with the life that it was given to.
-            if worker.id(&worker.state()) == id {
-                drop(carry_out(&worker, &call.path, &ask).await);
+            if worker.id(&worker.state()) != id {
+                return log::debug!("event=late-order-dropped worker={id} path={}", call.path);
             }
+            // Nobody waits for the answer: its caller has had none for this long.
+            let answer = carry_out(&worker, &call.path, &ask).await;
+            log::debug!("event=late-order worker={id} path={} answer={answer:?}", call.path);
         });
         return None;
     }
