--- a/src/cell/batch.rs
+++ b/src/cell/batch.rs
@@ -83,7 +83,7 @@
                     records.push(journal::drop_crashes(key));
                 }
             }
-            false if job.begun => {
+            false if job.bound => {
                 let progress = job.progress();
                 if !progress.steps.is_empty() {
                     job.noted = true;
--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -1,13 +1,13 @@
-//! Tasks under which workers crash: counted, then tried alone, then given up.
+//! Tasks under which workers crash: counted, then quarantined, then given up.
 //!
 //! The load that this answers: some tasks each crash every worker that starts them, a few milliseconds
 //! after the start, and with the worker all else that ran there. Uncounted, such a task started again
-//! every 3.4 s for good, and thirty of them left none of 48 workers in use. Innocent tasks that shared
-//! crashed workers are told apart: from its second crash on a task runs alone where there is room for
-//! that, so that a third one is its own doing.
+//! every 3.4 s for good, and thirty of them left none of 48 workers in use. Tasks that merely shared the
+//! worker are told apart: from its second crash on a task runs alone where there is room for that, so
+//! that a third one is its own doing.
 //!
 //! A silent worker may have crashed, or be behind a cut. When its leases are over its tasks start
-//! elsewhere, and the crash stands in doubt until another life is at the address, or the same life
+//! elsewhere, and the crash is unconfirmed until another life is at the address, or the same life
 //! answers again.
 
 use crate::cell::Cell;
@@ -22,24 +22,25 @@
 
 /// Crashes from which a task runs alone: with one it is mostly one of the six to fourteen that shared
 /// the worker, and to run all of them alone would take as many workers.
-const SUSPECT: usize = 2;
+const QUARANTINE: usize = 2;
 /// Crashes after which a task is given up if it ran alone under the last one. The platform's contract
-/// allows that after two; a third one is worth a worker for some seconds, for it spares the innocent.
-const PROVED: usize = 3;
-/// Crashes after which a task is given up however it ran: one more than [`PROVED`], and one less than the
+/// allows that after two; a third one is worth a worker for some seconds: it tells apart tasks that
+/// merely shared the worker.
+const ALONE_LIMIT: usize = 3;
+/// Crashes after which a task is given up however it ran: one more than [`ALONE_LIMIT`], and one less than the
 /// contract allows, as one may go uncounted at a takeover.
-const MOST: usize = 4;
-/// Crashes, those in doubt included, from which a task is not started until these are cleared up: the
+const LIMIT: usize = 4;
+/// Crashes, unconfirmed ones included, from which a task is not started until these are settled: the
 /// contract allows two starts after the third, and one crash may go uncounted.
-const HELD: usize = 4;
-/// A doubt is given up after this time: the worker is lost for good, or came back elsewhere. It is longer
+const PAUSE: usize = 4;
+/// An unconfirmed crash is settled after this time: the worker is lost for good, or came back elsewhere. It is longer
 /// than workers of the platform are away, and than a lease and a takeover together.
-const DOUBT: Millis = Millis(20_000);
-/// One worker of a service in so many is left to suspects at once: where many workers crash together,
-/// there are more suspects than workers.
-const TRIAL_SHARE: usize = 8;
+const CONFIRM_LIMIT: Millis = Millis(20_000);
+/// One worker of a service in so many is left to quarantined tasks at once: where many workers crash
+/// together, there are more of these than workers.
+const QUARANTINE_SHARE: usize = 8;
 /// A lasting task that ran this long did not crash its worker: it is ten times the lease.
-const PROVEN: Millis = Millis(60_000);
+const STABLE: Millis = Millis(60_000);
 
 /// A life of a worker that ended, not by plan, with a run of a task on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -51,37 +52,37 @@
     /// Nothing of another job ran there.
     pub is_alone: bool,
     /// Another life is at the address; else it may be behind a cut.
-    pub is_sure: bool,
+    pub is_confirmed: bool,
 }
 
-/// What is known against a task.
+/// How a task is started again, by the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
+enum Stage {
     /// It runs where there is room.
-    Free,
+    Normal,
     /// It runs alone where there is room for that.
-    Suspect,
-    /// It waits until a crash in doubt is cleared up.
-    Held,
+    Quarantined,
+    /// It waits until an unconfirmed crash is settled.
+    Paused,
     /// Its job ends.
-    Guilty,
+    Exhausted,
 }
 
-fn judge(crashes: &[Crash]) -> Verdict {
-    let sure = crashes.iter().filter(|crash| crash.is_sure).count();
-    let last = crashes.iter().rfind(|crash| crash.is_sure);
+fn stage_of(crashes: &[Crash]) -> Stage {
+    let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
+    let last = crashes.iter().rfind(|crash| crash.is_confirmed);
     let is_alone = last.is_some_and(|crash| crash.is_alone);
     match crashes.len() {
-        _ if sure >= MOST || (sure >= PROVED && is_alone) => Verdict::Guilty,
-        HELD.. => Verdict::Held,
-        SUSPECT.. => Verdict::Suspect,
-        _ => Verdict::Free,
+        _ if confirmed >= LIMIT || (confirmed >= ALONE_LIMIT && is_alone) => Stage::Exhausted,
+        PAUSE.. => Stage::Paused,
+        QUARANTINE.. => Stage::Quarantined,
+        _ => Stage::Normal,
     }
 }
 
-/// Whether a task with these crashes waits until one is cleared up.
-pub(super) fn is_held(crashes: &[Crash]) -> bool {
-    judge(crashes) == Verdict::Held
+/// Whether a task with these crashes waits until one is settled.
+pub(super) fn is_paused(crashes: &[Crash]) -> bool {
+    stage_of(crashes) == Stage::Paused
 }
 
 /// Counts for the metrics, since the takeover.
@@ -100,36 +101,36 @@
     Over,
     /// It answers.
     Alive,
-    /// Nothing was heard of it for [`DOUBT`].
+    /// Nothing was heard of it for [`CONFIRM_LIMIT`].
     Unknown,
 }
 
-/// A life of which it is in doubt whether it ended.
+/// A life that may have ended.
 #[derive(Debug)]
-struct Doubt {
+struct Candidate {
     addr: Name,
     since: Millis,
     /// What ran there.
     tasks: BTreeSet<TaskKey>,
 }
 
-/// Lives of which it is in doubt whether they ended.
+/// Lives that may have ended, with unconfirmed crashes under tasks.
 #[derive(Debug, Default)]
-pub(super) struct Doubtful(BTreeMap<Name, Doubt>);
+pub(super) struct Unconfirmed(BTreeMap<Name, Candidate>);
 
-impl Doubtful {
-    /// Takes in the crashes under a task that are in doubt.
+impl Unconfirmed {
+    /// Takes in the unconfirmed crashes under a task.
     pub fn add(&mut self, now: Millis, task: TaskKey, crashes: &[Crash]) {
-        for crash in crashes.iter().filter(|crash| !crash.is_sure) {
+        for crash in crashes.iter().filter(|crash| !crash.is_confirmed) {
             let addr = crash.addr.clone();
-            let doubt = || Doubt { addr, since: now, tasks: BTreeSet::new() };
-            let entry = self.0.entry(crash.worker.clone()).or_insert_with(doubt);
+            let candidate = || Candidate { addr, since: now, tasks: BTreeSet::new() };
+            let entry = self.0.entry(crash.worker.clone()).or_insert_with(candidate);
             entry.tasks.insert(task);
         }
     }
 
-    fn find(&self, wanted: impl Fn(&Name, &Doubt) -> bool) -> Vec<Name> {
-        let found = self.0.iter().filter(|(life, doubt)| wanted(life, doubt));
+    fn find(&self, wanted: impl Fn(&Name, &Candidate) -> bool) -> Vec<Name> {
+        let found = self.0.iter().filter(|(life, candidate)| wanted(life, candidate));
         found.map(|(life, _)| life.clone()).collect()
     }
 }
@@ -137,7 +138,7 @@
 impl Cell {
     /// A life of a worker ended while it was not leaving, or may have: that counts against each task that
     /// ran there.
-    pub(super) fn count_crash(&mut self, now: Millis, name: &Name, is_sure: bool) {
+    pub(super) fn count_crash(&mut self, now: Millis, name: &Name, is_confirmed: bool) {
         let Some(worker) = self.workers.get(name) else { return };
         let sent: Vec<(TaskKey, Millis)> =
             worker.runs.iter().filter(|(_, run)| run.is_sent).map(since).collect();
@@ -148,9 +149,9 @@
         let addr = worker.listed.addr.clone();
         let is_next =
             |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
-        let is_sure = is_sure || self.workers.values().any(is_next);
-        let crash = Crash { worker: name.clone(), addr, is_alone: jobs.len() == 1, is_sure };
-        self.counts.crashed += u64::from(is_sure);
+        let is_confirmed = is_confirmed || self.workers.values().any(is_next);
+        let crash = Crash { worker: name.clone(), addr, is_alone: jobs.len() == 1, is_confirmed };
+        self.counts.crashed += u64::from(is_confirmed);
         for (task, since) in sent {
             self.add_crash(now, task, &crash, now.since(since));
         }
@@ -158,10 +159,10 @@
 
     /// A task is copied though its silent worker may have crashed under it. Only its last run is kept for
     /// the next owner: without this the others were not counted if a takeover came before their end.
-    pub(super) fn doubt_run(&mut self, now: Millis, name: &Name, task: TaskKey) {
+    pub(super) fn note_silent_run(&mut self, now: Millis, name: &Name, task: TaskKey) {
         let Some(worker) = self.workers.get(name).filter(|worker| !worker.heard) else { return };
         let addr = worker.listed.addr.clone();
-        let crash = Crash { worker: name.clone(), addr, is_alone: false, is_sure: false };
+        let crash = Crash { worker: name.clone(), addr, is_alone: false, is_confirmed: false };
         self.add_crash(now, task, &crash, Millis(0));
     }
 
@@ -169,7 +170,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
         };
-        let has_lasted = length >= PROVEN && is_lasting(job, task);
+        let has_lasted = length >= STABLE && is_lasting(job, task);
         let step = job.step_mut(task.step);
         let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
             return;
@@ -180,34 +181,36 @@
             Some(_) => return,
             None => state.crashes.push(crash.clone()),
         }
-        let Crash { worker, is_alone, is_sure, .. } = crash;
+        let Crash { worker, is_alone, is_confirmed, .. } = crash;
         log::info!(
             "event=crash-counted task={task} worker={worker} crashes={} alone={is_alone} \
-             sure={is_sure}",
+             confirmed={is_confirmed}",
             state.crashes.len()
         );
-        self.doubtful.add(now, task, &state.crashes);
+        self.unconfirmed.add(now, task, &state.crashes);
         self.dirty.insert(task.step.job);
-        self.accused.insert(task.step.job);
+        self.recounted.insert(task.step.job);
     }
 
     /// Another life is at the address of one that may have crashed: so it did.
     pub(super) fn confirm_crashes(&mut self, id: &Name, addr: &Name) {
-        for life in self.doubtful.find(|life, doubt| doubt.addr == *addr && life != id) {
+        for life in self.unconfirmed.find(|life, candidate| candidate.addr == *addr && life != id) {
             self.settle_crash(&life, Life::Over);
         }
     }
 
-    /// Doubts that nothing cleared up are given up.
-    pub(super) fn expire_doubts(&mut self, now: Millis) {
-        for life in self.doubtful.find(|_, doubt| now.since(doubt.since) >= DOUBT) {
+    /// Settles crashes that nothing confirmed or denied.
+    pub(super) fn expire_unconfirmed(&mut self, now: Millis) {
+        for life in
+            self.unconfirmed.find(|_, candidate| now.since(candidate.since) >= CONFIRM_LIMIT)
+        {
             self.settle_crash(&life, Life::Unknown);
         }
     }
 
     /// A life answers: it did not crash, and those before it at its address did.
     pub(super) fn settle_by(&mut self, name: &Name) {
-        if self.doubtful.0.is_empty() {
+        if self.unconfirmed.0.is_empty() {
             return;
         }
         self.settle_crash(name, Life::Alive);
@@ -216,10 +219,10 @@
         }
     }
 
-    /// A life that may have ended is in doubt no more. Where nothing was heard of it, it counts against
-    /// tasks that surely crashed two others.
+    /// It is settled whether a life ended. Where nothing was heard of it, it counts against
+    /// tasks with two confirmed crashes.
     pub(super) fn settle_crash(&mut self, life: &Name, found: Life) {
-        let Some(Doubt { tasks, .. }) = self.doubtful.0.remove(life) else { return };
+        let Some(Candidate { tasks, .. }) = self.unconfirmed.0.remove(life) else { return };
         log::info!("event=crash-settled worker={life} found={found:?} tasks={}", tasks.len());
         self.counts.crashed += u64::from(found == Life::Over);
         for task in tasks {
@@ -228,28 +231,28 @@
             let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
                 continue;
             };
-            let sure = state.crashes.iter().filter(|crash| crash.is_sure).count();
+            let confirmed = state.crashes.iter().filter(|crash| crash.is_confirmed).count();
             match found {
-                Life::Unknown if sure < SUSPECT => {
+                Life::Unknown if confirmed < QUARANTINE => {
                     state.crashes.retain(|crash| crash.worker != *life);
                 }
                 Life::Alive => state.crashes.retain(|crash| crash.worker != *life),
                 Life::Over | Life::Unknown => {
                     let of_life = state.crashes.iter_mut().filter(|crash| crash.worker == *life);
-                    of_life.for_each(|crash| crash.is_sure = true);
+                    of_life.for_each(|crash| crash.is_confirmed = true);
                 }
             }
             self.dirty.insert(task.step.job);
-            self.accused.insert(task.step.job);
+            self.recounted.insert(task.step.job);
             self.changed = true;
         }
     }
 
-    /// Ends jobs with a task that surely crashes its workers.
+    /// Ends jobs with a task that has used up its crashes.
     pub(super) fn give_up(&mut self, now: Millis) {
-        for key in std::mem::take(&mut self.accused) {
+        for key in std::mem::take(&mut self.recounted) {
             let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { continue };
-            let Some((task, count)) = find_guilty(key, job) else { continue };
+            let Some((task, count)) = find_exhausted(key, job) else { continue };
             log::warn!("event=given-up task={task} crashes={count}");
             self.counts.given_up += 1;
             self.close(now, key, Fate::Failed);
@@ -274,27 +277,27 @@
         state.map(|state| state.crashes.as_slice()).unwrap_or_default()
     }
 
-    /// Whether a task runs alone.
-    pub(super) fn is_suspect(&self, task: TaskKey) -> bool {
-        judge(self.crashes(task)) != Verdict::Free
+    /// Whether a task has to run alone.
+    pub(super) fn is_quarantined(&self, task: TaskKey) -> bool {
+        stage_of(self.crashes(task)) != Stage::Normal
     }
 
-    /// Leaves a worker to a suspect, unless as many as may be are left to others.
-    pub(super) fn try_alone(&mut self, name: &Name, task: TaskKey) {
+    /// Leaves a worker to a task alone, unless as many as may be are left to others.
+    pub(super) fn quarantine(&mut self, name: &Name, task: TaskKey) {
         let Some(worker) = self.workers.get(name) else { return };
         let service = &worker.listed.service;
         let of_service = self.workers.values().filter(|worker| worker.listed.service == *service);
-        let (mut all, mut tried) = (0, 0);
+        let (mut all, mut left) = (0, 0);
         for worker in of_service {
             all += 1;
-            tried += usize::from(worker.tried_job().is_some());
+            left += usize::from(worker.quarantined_job().is_some());
         }
-        if tried >= (all / TRIAL_SHARE).max(1) {
+        if left >= (all / QUARANTINE_SHARE).max(1) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(name) {
-            log::info!("event=tried-alone task={task} worker={name}");
-            worker.trial = Some(task.step.job);
+            log::info!("event=quarantined task={task} worker={name}");
+            worker.quarantine = Some(task.step.job);
         }
     }
 }
@@ -307,19 +310,19 @@
     job.spec(task.step.step).is_some_and(|spec| spec.lasting)
 }
 
-/// The first task of a job that surely crashes its workers, and its crashes.
-fn find_guilty(key: JobKey, job: &Job) -> Option<(TaskKey, usize)> {
+/// The first task of a job that has used up its crashes, and how many there were.
+fn find_exhausted(key: JobKey, job: &Job) -> Option<(TaskKey, usize)> {
     job.keys(key).into_iter().find_map(|step_key| {
         let tasks = job.step(step_key)?.tasks.iter().enumerate();
-        let mut guilty = tasks.filter(|(_, task)| judge(&task.crashes) == Verdict::Guilty);
-        let (index, task) = guilty.next()?;
+        let mut exhausted = tasks.filter(|(_, task)| stage_of(&task.crashes) == Stage::Exhausted);
+        let (index, task) = exhausted.next()?;
         Some((TaskKey { step: step_key, index: index as u32 }, task.crashes.len()))
     })
 }
 
 impl Worker {
     /// The job that the worker is left to, while anything of it is there.
-    pub(super) fn tried_job(&self) -> Option<JobKey> {
-        self.trial.filter(|job| self.runs.keys().any(|(task, _)| task.step.job == *job))
+    pub(super) fn quarantined_job(&self) -> Option<JobKey> {
+        self.quarantine.filter(|job| self.runs.keys().any(|(task, _)| task.step.job == *job))
     }
 }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -137,7 +137,7 @@
     /// It was accepted by an earlier owner, so a task may run where this owner cannot see it.
     pub inherited: bool,
     /// A task has been given to a worker.
-    pub begun: bool,
+    pub bound: bool,
     /// A worker surely began a task.
     pub has_run: bool,
     /// The failure domain that its tasks go to as far as there is room.
@@ -168,7 +168,7 @@
             since: now,
             batch,
             inherited: false,
-            begun: false,
+            bound: false,
             has_run: false,
             home: None,
             closed: None,
@@ -188,7 +188,7 @@
             every: Millis(0),
         };
         let job = Self::new(queue, Arc::new(work), now, 0);
-        Self { closed: Some((fate, 0, now)), begun: true, has_run: true, inherited: true, ..job }
+        Self { closed: Some((fate, 0, now)), bound: true, has_run: true, inherited: true, ..job }
     }
 
     fn at(&self, time: u32, step: u16) -> usize {
@@ -299,7 +299,7 @@
                 step.restore(note);
             }
         }
-        self.begun = self.begun || !progress.steps.is_empty();
+        self.bound = self.bound || !progress.steps.is_empty();
         let has_run = |note: &TaskNote| !note.failed.is_empty() || !note.saved.is_empty();
         let known = |note: &StepNote| !note.done.is_empty() || note.tasks.iter().any(has_run);
         self.has_run = self.has_run || progress.steps.iter().any(known);
--- a/src/cell/lag.rs
+++ b/src/cell/lag.rs
@@ -24,17 +24,17 @@
 
 /// How much longer than the time for which it waits a report may take, and how long an order may: a
 /// hundred times the way between failure domains.
-const USUAL: Patience = Patience { report: Millis(250), order: Millis(300), pause: Millis(0) };
+const USUAL: Timeouts = Timeouts { report: Millis(250), order: Millis(300), pause: Millis(0) };
 /// The same for an owner that does not keep up: answers lie unread there, and each that is given up for
 /// that costs another connection. Ends that come meanwhile are told together. An owner on 0.12 of a core
 /// with 540 workers, the one before it killed, opened 32,585 connections in 48 s without this; over three
 /// seeds the worth rose from -0.186 to 0.390. Used from 4 ms of lateness on, it cost 0.12 on a day on which
 /// the store was away for 4 s.
-const LATE: Patience = Patience { report: Millis(1_500), order: Millis(1_000), pause: Millis(200) };
+const LATE: Timeouts = Timeouts { report: Millis(1_500), order: Millis(1_000), pause: Millis(200) };
 
 /// How long an owner waits for workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
+pub struct Timeouts {
     /// For a report, beyond the time for which the worker holds it back.
     pub report: Millis,
     /// For the answer to an order. The room and the task are in doubt for that long if it is lost.
@@ -72,7 +72,7 @@
     }
 
     /// How long to wait for workers: longer while new jobs are turned away.
-    pub fn patience(&self) -> Patience {
+    pub fn timeouts(&self) -> Timeouts {
         if self.sheds { LATE } else { USUAL }
     }
 
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::job::{Job, Status};
 use crate::cell::journal::{Fate, JobRecord, Member, Progress, Snapshot};
-use crate::cell::roster::BURIED;
+use crate::cell::roster::ENDED_KEEP;
 use crate::cell::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
@@ -43,12 +43,12 @@
                     }
                     if let Some(crashes) = snapshot.crashes.get(&key) {
                         job.restore_crashes(crashes);
-                        self.accused.insert(key);
+                        self.recounted.insert(key);
                         for note in crashes {
                             let (time, step) = note.place;
                             let step = StepKey { job: key, time, step };
                             let task = TaskKey { step, index: note.index };
-                            self.doubtful.add(now, task, &note.crashes);
+                            self.unconfirmed.add(now, task, &note.crashes);
                         }
                     }
                     let done = job.is_done();
@@ -291,8 +291,8 @@
             self.expire_leases(now);
         }
         self.settle_doubt(now);
-        self.expire_doubts(now);
-        self.buried.retain(|_, since| now.since(*since) < BURIED);
+        self.expire_unconfirmed(now);
+        self.ended_lives.retain(|_, since| now.since(*since) < ENDED_KEEP);
         self.forget_jobs(now);
         if self.reserved.expire(now) {
             self.changed = true;
--- a/src/cell/map.rs
+++ b/src/cell/map.rs
@@ -128,7 +128,11 @@
         let may_open = self.most.get(service).is_some_and(|most| used < *most);
         let open = (0..self.cells).filter(|cell| may_open || has(*cell) > 0);
         let of_all = |cell: u32| self.all.get(&cell).copied().unwrap_or(0);
-        open.min_by_key(|cell| (has(*cell), of_all(*cell))).unwrap_or(0)
+        open.min_by_key(|cell| (has(*cell), of_all(*cell))).unwrap_or_else(|| {
+            // There is one cell at least, and the first one may always get workers.
+            log::error!("event=no-cell service={service} cells={}", self.cells);
+            0
+        })
     }
 }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -126,11 +126,11 @@
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
     /// Lives of workers that may have ended.
-    doubtful: crash::Doubtful,
+    unconfirmed: crash::Unconfirmed,
     /// Lives of workers that are over and may be listed still, with when they were found to be.
-    buried: BTreeMap<Name, Millis>,
+    ended_lives: BTreeMap<Name, Millis>,
     /// Jobs with something new against their tasks.
-    accused: BTreeSet<JobKey>,
+    recounted: BTreeSet<JobKey>,
     /// Crashes of workers and what became of them, since the takeover.
     counts: crash::Counts,
     /// Jobs with something to write.
@@ -180,9 +180,9 @@
             closed: VecDeque::new(),
             advisers: Advisers::default(),
             reserved: Reservations::default(),
-            doubtful: crash::Doubtful::default(),
-            buried: BTreeMap::new(),
-            accused: BTreeSet::new(),
+            unconfirmed: crash::Unconfirmed::default(),
+            ended_lives: BTreeMap::new(),
+            recounted: BTreeSet::new(),
             counts: crash::Counts::default(),
             dirty: BTreeSet::new(),
             roster: false,
@@ -300,7 +300,7 @@
         let job = self.jobs.get(&key)?;
         Some(match job.closed {
             Some((fate, batch, _)) if batch <= self.kept => State::Closed(fate),
-            None if !job.begun => State::Queued,
+            None if !job.bound => State::Queued,
             _ => State::Active,
         })
     }
--- a/src/cell/place.rs
+++ b/src/cell/place.rs
@@ -109,14 +109,14 @@
 }
 
 /// Workers for all tasks of a gang, on one rack if it wants that and one has the room; on workers where
-/// nothing else runs, if there are such, for one with a `suspect` member.
+/// nothing else runs, if there are such, for one with a quarantined member.
 pub(super) fn pick_gang(
     fits: &[Fit],
     spec: &Step,
     home: Option<&Name>,
-    is_suspect: bool,
+    is_quarantined: bool,
 ) -> Option<Vec<Name>> {
-    if is_suspect && let Some(chosen) = fill(fits, spec, |fit| fit.busy == 0) {
+    if is_quarantined && let Some(chosen) = fill(fits, spec, |fit| fit.busy == 0) {
         return Some(chosen);
     }
     if spec.rack {
--- a/src/cell/report.rs
+++ b/src/cell/report.rs
@@ -125,7 +125,7 @@
         };
         let Some(spec) = job.spec(task.step.step) else { return };
         let (lasting, gang, copies) = (spec.lasting, spec.gang, spec.copies);
-        (job.begun, job.has_run) = (true, true);
+        (job.bound, job.has_run) = (true, true);
         let attempts = job.queue.attempts;
         let Some(step) = job.step_mut(task.step) else { return };
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
@@ -231,7 +231,7 @@
             worker.add(task, run);
         }
         let step = job.filter(|job| job.is_open()).and_then(|job| {
-            (job.begun, job.has_run) = (true, true);
+            (job.bound, job.has_run) = (true, true);
             job.step_mut(task.step)
         });
         let mut older = None;
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -31,7 +31,7 @@
 
 /// A life that is over is not taken up again from the list for so long, where its entry stays for some
 /// seconds: it was, and removed again, every 0.4 s. By then all that it ran has surely ended.
-pub(super) const BURIED: Millis = Millis(10_000);
+pub(super) const ENDED_KEEP: Millis = Millis(10_000);
 /// Workers of one failure domain that leave something unanswered at the same time, from which the
 /// domain is taken to be cut off: one alone may be lost by itself.
 const CUT_LEAST: usize = 2;
@@ -86,7 +86,7 @@
         }
         let spec = self.jobs.get(&task.step.job).and_then(|job| job.spec(task.step.step));
         if spec.is_some_and(|spec| spec.copies && !spec.gang) && !self.may_crash(task, run) {
-            self.doubt_run(now, name, task);
+            self.note_silent_run(now, name, task);
             self.requeue(task, run);
         }
     }
@@ -112,7 +112,7 @@
         let Some(worker) = self.workers.remove(name) else { return };
         if is_over {
             self.settle_crash(name, Life::Over);
-            self.buried.insert(name.clone(), now);
+            self.ended_lives.insert(name.clone(), now);
         }
         let (why, is_leaving) = (why.name(), worker.listed.leaving.is_some());
         log::info!(
@@ -131,7 +131,7 @@
     /// The workers that are listed now, of every service.
     pub fn set_workers(&mut self, listed: Vec<Listed>) {
         let ids: BTreeSet<Name> = listed.iter().map(|one| one.id.clone()).collect();
-        self.buried.retain(|life, _| ids.contains(life));
+        self.ended_lives.retain(|life, _| ids.contains(life));
         for worker in self.workers.values_mut() {
             worker.present = ids.contains(&worker.listed.id);
         }
@@ -153,7 +153,7 @@
                     self.evacuate(&name);
                 }
             }
-            None if self.buried.contains_key(&name) => {}
+            None if self.ended_lives.contains_key(&name) => {}
             None => {
                 log::info!(
                     "event=worker-listed worker={name} service={} addr={} cpu={}",
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -117,8 +117,9 @@
     ) -> Vec<Fit> {
         let rank = rank(job);
         let minds = !self.bounds.off.has(Mechanism::Aside);
-        let is_tried = |worker: &Worker| worker.tried_job().is_some_and(|tried| tried != key.job);
-        let aside = |worker: &Worker| (minds && worker.is_aside(now)) || is_tried(worker);
+        let is_quarantine =
+            |worker: &Worker| worker.quarantined_job().is_some_and(|job| job != key.job);
+        let aside = |worker: &Worker| (minds && worker.is_aside(now)) || is_quarantine(worker);
         let open = workers.filter(|(_, worker)| worker.is_open(self.kept) && !aside(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
@@ -161,7 +162,7 @@
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
             let Some(state) = step.tasks.get(*index as usize) else { return };
-            if crash::is_held(&state.crashes) {
+            if crash::is_paused(&state.crashes) {
                 continue;
             }
             let home = job.home.as_ref().filter(|_| !spec.lasting);
@@ -183,11 +184,11 @@
         }
         let home = self.jobs.get(&key.job).and_then(|job| job.home.clone());
         let mut members = (0..spec.count).map(|index| TaskKey { step: key, index });
-        if members.clone().any(|task| crash::is_held(self.crashes(task))) {
+        if members.clone().any(|task| crash::is_paused(self.crashes(task))) {
             return;
         }
-        let is_suspect = members.any(|task| self.is_suspect(task));
-        let Some(chosen) = pick_gang(fits, spec, home.as_ref(), is_suspect) else { return };
+        let is_quarantined = members.any(|task| self.is_quarantined(task));
+        let Some(chosen) = pick_gang(fits, spec, home.as_ref(), is_quarantined) else { return };
         let run = self.next_run(key, 0..spec.count);
         let saved = self.gang_progress(key);
         for (index, name) in chosen.iter().enumerate() {
@@ -224,7 +225,7 @@
         run.limit = times.and_then(|times| times.limit(spec.estimate));
         worker.add(task, run);
         let age = now.since(job.since);
-        job.begun = true;
+        job.bound = true;
         let text = job.work.spec.clone();
         let Some(step) = job.step_mut(task.step) else { return };
         step.place(task.index, name.clone(), no);
@@ -239,8 +240,8 @@
         let ticket = ticket.unwrap_or_else(|| "".into());
         let start = Start { task, run: no, spec: text, saved, ticket };
         self.dirty.insert(task.step.job);
-        if self.is_suspect(task) {
-            self.try_alone(name, task);
+        if self.is_quarantined(task) {
+            self.quarantine(name, task);
         }
         self.unsent.push_back((self.batch, name.clone(), start));
     }
--- a/src/cell/wait.rs
+++ b/src/cell/wait.rs
@@ -50,7 +50,7 @@
         let step = job.step(key)?;
         let advised = &step.advised;
         let is_held = |index: &u32| {
-            step.tasks.get(*index as usize).is_some_and(|task| crash::is_held(&task.crashes))
+            step.tasks.get(*index as usize).is_some_and(|task| crash::is_paused(&task.crashes))
         };
         Some(match () {
             () if step.waiting.is_empty() => return None,
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -152,7 +152,7 @@
     /// When the shares of fillers were last changed.
     pub paced: Millis,
     /// The worker is left to this job.
-    pub(super) trial: Option<JobKey>,
+    pub(super) quarantine: Option<JobKey>,
 }
 
 impl Worker {
@@ -179,7 +179,7 @@
             aside_until: Millis(0),
             late: None,
             paced: Millis(0),
-            trial: None,
+            quarantine: None,
         }
     }
 
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -91,7 +91,7 @@
         // A closed gate would only mean that the worker is gone, and orders to it fail by themselves.
         let _passed = gate.acquire().await;
         let sent = self.node.now();
-        let limit = lock(&self.lag).patience().order;
+        let limit = lock(&self.lag).timeouts().order;
         self.notice_pause(sent);
         let is_old = sent.since(decided) >= ORDER_FRESH;
         let (task, run, outcome) = match &action {
@@ -142,9 +142,9 @@
             let renew = self.may_order();
             let sent = self.node.now();
             let Some(hold) = lock(&self.cell).hold(sent, &name, renew) else { return };
-            let patience = lock(&self.lag).patience();
+            let timeouts = lock(&self.lag).timeouts();
             let held = tokio::select! {
-                held = client.hold(hold.seen, hold.until, wait, wait + patience.report) => held,
+                held = client.hold(hold.seen, hold.until, wait, wait + timeouts.report) => held,
                 () = look.notified() => {
                     wait = Millis(0);
                     continue;
@@ -163,7 +163,7 @@
                 }
             };
             self.wake.notify_one();
-            let pause = if pause { HOLD_RETRY } else { patience.pause };
+            let pause = if pause { HOLD_RETRY } else { timeouts.pause };
             if pause > Millis(0) {
                 tokio::time::sleep(pause.duration()).await;
             }
