--- a/src/cell/lag.rs
+++ b/src/cell/lag.rs
@@ -28,8 +28,8 @@
 /// The same for an owner that does not keep up: answers lie unread there, and each that is given up for
 /// that costs another connection. Ends that come meanwhile are told together. An owner on 0.12 of a core
 /// with 540 workers, the one before it killed, opened 32,585 connections in 48 s without this; over three
-/// seeds the worth rose from -0.186 to 0.390. Used from 4 ms of lateness on, it cost 0.12 on a day on which
-/// the store was away for 4 s.
+/// seeds the worth rose from -0.186 to 0.390. An owner that is merely late for a moment keeps the usual ones,
+/// which show sooner that a worker is lost.
 const LATE: Timeouts = Timeouts { report: Millis(1_500), order: Millis(1_000), pause: Millis(200) };
 
 /// How long an owner waits for workers.
