--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -90,19 +90,21 @@
         let life = worker.life();
         // A run that was sent to the life before counted then: given on from life to life it counted each time.
         let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_barred;
-        let sent: Vec<(TaskKey, Millis)> = worker.runs.iter().filter(counts).map(since).collect();
+        let sent: Vec<Sent> = worker.runs.iter().filter(counts).map(sent).collect();
         if worker.listed.leaving.is_some() || sent.is_empty() {
             return;
         }
-        let jobs: BTreeSet<JobKey> = sent.iter().map(|(task, _)| task.step.job).collect();
+        let jobs: BTreeSet<JobKey> = sent.iter().map(|run| run.task.step.job).collect();
         let addr = worker.listed.addr.clone();
         let is_next =
             |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
         let is_confirmed = is_confirmed || self.workers.values().any(is_next);
         let crash = Crash { worker: life, addr, is_alone: jobs.len() == 1, is_confirmed };
         self.counts.crashed += u64::from(is_confirmed);
-        for (task, since) in sent {
-            self.add_crash(now, task, &crash, now.since(since));
+        for Sent { task, since, has_begun } in sent {
+            if has_begun || !self.has_crashed_at(task, &crash) {
+                self.add_crash(now, task, &crash, now.since(since));
+            }
         }
     }
 
@@ -116,6 +118,18 @@
         self.add_crash(now, task, &crash, Millis(0));
     }
 
+    /// Whether an earlier life of the worker crashed under a task. Then a start that was not answered tells nothing
+    /// more against the task: a worker that crashes by itself does so again. Three such starts ended a job none of
+    /// whose tasks had begun.
+    fn has_crashed_at(&self, task: TaskKey, crash: &Crash) -> bool {
+        let mut before = self.crashes(task).iter();
+        let is_again = before.any(|known| known.addr == crash.addr && known.worker != crash.worker);
+        if is_again {
+            log::info!("event=crash-not-counted task={task} worker={} why=again", crash.worker);
+        }
+        is_again
+    }
+
     fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
@@ -257,8 +271,16 @@
     }
 }
 
-fn since(((task, _), run): (&(TaskKey, u64), &Run)) -> (TaskKey, Millis) {
-    (*task, run.since)
+/// A run that was sent to a worker.
+struct Sent {
+    task: TaskKey,
+    since: Millis,
+    /// It surely began.
+    has_begun: bool,
+}
+
+fn sent(((task, _), run): (&(TaskKey, u64), &Run)) -> Sent {
+    Sent { task: *task, since: run.since, has_begun: run.seen }
 }
 
 fn is_lasting(job: &Job, task: TaskKey) -> bool {
