--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -134,6 +134,8 @@
     pub queue: Arc<Queue>,
     /// What was asked for.
     pub work: Arc<Work>,
+    /// The workspace of its caller; `None`: anybody's.
+    pub workspace: Option<Name>,
     /// When this owner learned of it.
     pub since: Millis,
     /// The batch with its record.
@@ -169,6 +171,7 @@
         Self {
             queue,
             work,
+            workspace: None,
             since: now,
             batch,
             inherited: false,
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -25,6 +25,7 @@
         // before it was over behind a cut.
         let lease_end = now + Millis(self.bounds.lease_max.0 * 1_050 / 1_000);
         let births = snapshot.births;
+        self.owned = snapshot.workspaces.keys().copied().collect();
         for member in snapshot.roster {
             let born = births.get(&member.id).copied();
             let mut worker = Worker::new(unlisted(member, born), 0, lease_end);
@@ -33,16 +34,18 @@
             self.workers.insert(worker.listed.id.clone(), worker);
         }
         for (key, record) in snapshot.jobs {
+            let workspace = snapshot.workspaces.get(&key).cloned();
             match record {
                 JobRecord::Forwarded { cell } => drop(self.forwarded.insert(key, (cell, 0))),
                 JobRecord::Closed { queue, fate } => {
-                    self.jobs.insert(key, Job::ended(self.queue_named(queue), fate, now));
+                    let job = Job::ended(self.queue_named(queue), fate, now);
+                    self.jobs.insert(key, Job { workspace, ..job });
                     self.closed.push_back(key);
                 }
                 JobRecord::Open { queue, work } => {
                     let queue = self.queues.get(&queue.name).cloned().unwrap_or(Arc::new(queue));
                     let mut job = Job::new(queue, work, now, 0);
-                    job.inherited = true;
+                    (job.inherited, job.workspace) = (true, workspace);
                     if let Some(progress) = snapshot.progress.get(&key) {
                         job.restore(progress);
                     }
@@ -74,6 +77,7 @@
     /// gone, or its leases are over.
     fn rebind(&mut self, now: Millis, key: JobKey, progress: &Progress) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
+        let owner = job.workspace.clone();
         for note in &progress.steps {
             let step_key = StepKey { job: key, time: note.place.0, step: note.place.1 };
             let Some(spec) = job.spec(step_key.step).cloned() else { continue };
@@ -87,6 +91,7 @@
                 step.place(task.index, name.clone(), *no);
                 // The first report has to name it, or it is over.
                 let mut run = Run::bound(*no, &spec, Phase::Running(Millis(0)));
+                run.held = owner.as_ref().map(|owner| self.usages.hold(owner, spec.room));
                 // It may have been sent.
                 (run.is_sent, run.since) = (true, now);
                 worker.add(TaskKey { step: step_key, index: task.index }, run);
--- a/src/cell/jobs/why.rs
+++ b/src/cell/jobs/why.rs
@@ -18,6 +18,8 @@
     Crashes,
     /// No worker is large enough now: the room of some may have shrunk.
     TooLarge,
+    /// Its workspace runs as much as it may.
+    Bound,
     /// Cleared workers have no room, or none that is not kept for others.
     Room,
 }
@@ -32,6 +34,7 @@
             Self::NoWorker => "no-worker",
             Self::Crashes => "crashes",
             Self::TooLarge => "too-large",
+            Self::Bound => "bound",
             Self::Room => "room",
         }
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -19,6 +19,7 @@
 use jobs::job::Job;
 use mechanism::Off;
 use placing::reserve::Reservations;
+use placing::usage::Usages;
 use records::journal::{Fate, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -108,6 +109,8 @@
     advisers: Advisers,
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
+    /// What workspaces have running, and may.
+    usages: Usages,
     /// Lives of workers that may have ended.
     unconfirmed: jobs::crash::Unconfirmed,
     /// Lives of workers that are over and may be listed still, with when they were found to be.
@@ -118,6 +121,8 @@
     counts: jobs::crash::Counts,
     /// Waits that a deadline ended, and not the event that they were for, since the takeover.
     expired_waits: u64,
+    /// Jobs whose workspace is in the store.
+    owned: BTreeSet<JobKey>,
     /// Jobs with something to write.
     dirty: BTreeSet<JobKey>,
     /// The set of workers in use has to be written.
@@ -165,11 +170,13 @@
             closed: VecDeque::new(),
             advisers: Advisers::default(),
             reserved: Reservations::default(),
+            usages: Usages::default(),
             unconfirmed: jobs::crash::Unconfirmed::default(),
             ended_lives: BTreeMap::new(),
             recounted: BTreeSet::new(),
             counts: jobs::crash::Counts::default(),
             expired_waits: 0,
+            owned: BTreeSet::new(),
             dirty: BTreeSet::new(),
             roster: false,
             batch: 1,
@@ -262,13 +269,31 @@
         key: JobKey,
         queue: &str,
         work: Arc<Work>,
+    ) -> Option<u64> {
+        self.submit_for(now, key, queue, work, None)
+    }
+
+    /// As [`Self::submit`], for a workspace.
+    pub fn submit_for(
+        &mut self,
+        now: Millis,
+        key: JobKey,
+        queue: &str,
+        work: Arc<Work>,
+        workspace: Option<Name>,
     ) -> Option<u64> {
         if let Some(job) = self.jobs.get(&key) {
             return Some(job.batch);
         }
         let queue = self.queues.get(queue)?.clone();
-        log::info!("event=submitted job={key} queue={} batch={}", queue.name, self.batch);
-        self.jobs.insert(key, Job::new(queue, work, now, self.batch));
+        log::info!(
+            "event=submitted job={key} queue={} workspace={} batch={}",
+            queue.name,
+            workspace.as_deref().unwrap_or("none"),
+            self.batch
+        );
+        let job = Job { workspace, ..Job::new(queue, work, now, self.batch) };
+        self.jobs.insert(key, job);
         self.fresh.push_back((self.batch, key));
         self.dirty.insert(key);
         Some(self.batch)
@@ -301,6 +326,13 @@
         })
     }
 
+    /// Whether a caller of a workspace may ask for a job: it is of that workspace or of none, or the caller of none, as
+    /// on a queue that is open to all.
+    pub fn is_visible(&self, key: JobKey, workspace: Option<&Name>) -> bool {
+        let owner = self.jobs.get(&key).and_then(|job| job.workspace.as_ref());
+        owner.is_none() || workspace.is_none() || owner == workspace
+    }
+
     /// Accepted jobs of a queue of which nothing is known to have run: starts may lie behind a cut.
     pub fn pending(&self, queue: &str) -> u32 {
         let waits = |job: &&Job| {
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -4,6 +4,7 @@
 //! belongs to, `balance` and `forward` where a job of a full cell runs, `lag` what an owner does that does not
 //! keep up, `admission` when refused callers come back.
 
+pub mod access;
 pub mod admission;
 pub mod authority;
 pub mod balance;
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -1,10 +1,11 @@
 //! Which task starts next, and where.
 //!
 //! `schedule` goes through the steps that wait, `place` picks workers; `preempt` stops less urgent tasks,
-//! `reserve` keeps room, `gather` collects it for gangs.
+//! `reserve` keeps room, `gather` collects it for gangs; `usage` bounds what a workspace has running.
 
 pub(super) mod gather;
 pub(super) mod place;
 pub(super) mod preempt;
 pub(super) mod reserve;
 pub(super) mod schedule;
+pub(super) mod usage;
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -53,8 +53,13 @@
             let why = self.why(now, key, &[]);
             return self.note_wait(now, key, why);
         }
+        let allowed = self.allowed(job, spec, step.waiting.len());
+        if allowed == 0 {
+            self.reserved.release(key);
+            return self.note_wait(now, key, Some(Why::Bound));
+        }
         let spec = spec.clone();
-        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        let waiting: Vec<u32> = step.waiting.iter().copied().take(allowed).collect();
         let mut fits = match advice {
             Some(_) => self.cleared(now, key, job, step, &spec),
             None => self.open(now, key, job, &spec),
@@ -64,25 +69,27 @@
             true => self.place_gang(now, key, &spec, &fits, waiting.len()),
             false => self.place_tasks(now, key, &spec, &mut fits, &waiting),
         }
-        let rest = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        let rest = rest.map_or(0, |step| step.waiting.len());
+        let left = self.jobs.get(&key.job).and_then(|job| job.step(key));
+        let left = left.map_or(0, |step| step.waiting.len());
+        // What the workspace may not start yet needs no room, and no clearance that would run out meanwhile.
+        let rest = self.jobs.get(&key.job).map_or(0, |job| self.allowed(job, &spec, left));
         if rest > 0 {
             self.make_room(now, key, &spec, &fits, rest as u32);
             self.share_room(now, key, &spec, rest as u32);
             self.gather_room(now, key, &spec, rest as u32);
         }
         match advice {
-            _ if rest == 0 => {
+            _ if left == 0 => {
                 self.reserved.release(key);
                 let ranks = self.jobs.get(&key.job).map(rank);
                 if let Some((priority, due)) = ranks {
                     self.ready.remove(&(priority, due, key));
                 }
             }
-            Some(advice) => self.question(now, key, &spec, advice, rest),
-            None => {}
+            Some(advice) if rest > 0 => self.question(now, key, &spec, advice, rest),
+            _ => {}
         }
-        let why = self.why(now, key, &fits);
+        let why = self.why(now, key, &fits).map(|why| if rest == 0 { Why::Bound } else { why });
         self.note_wait(now, key, why);
     }
 
@@ -253,6 +260,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         let mut run = Run::bound(no, spec, Phase::Starting);
         run.since = now;
+        run.held = job.workspace.as_ref().map(|owner| self.usages.hold(owner, spec.room));
         let times = self.run_times.get(&job.queue.name).filter(|_| !spec.lasting);
         run.limit = times.and_then(|times| times.limit(spec.estimate));
         worker.add(task, run);
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -68,13 +68,25 @@
     fn write_job(&mut self, key: JobKey, records: &mut Vec<(String, Vec<u8>)>) {
         let Some(job) = self.jobs.get_mut(&key) else {
             let forwarded = self.forwarded.get(&key);
-            records.push(match forwarded {
-                Some((cell, _)) => journal::job(key, &JobRecord::Forwarded { cell: *cell }),
-                None => journal::drop_job(key),
-            });
+            match forwarded {
+                Some((cell, _)) => {
+                    records.push(journal::job(key, &JobRecord::Forwarded { cell: *cell }));
+                }
+                None => {
+                    records.push(journal::drop_job(key));
+                    if self.owned.remove(&key) {
+                        records.push(journal::drop_workspace(key));
+                    }
+                }
+            }
             return;
         };
         let closed = job.closed.is_some();
+        if let Some(workspace) = job.workspace.as_ref().filter(|_| job.batch == self.batch) {
+            // Before the job itself: a job that is known without its workspace would run without a bound.
+            records.push(journal::workspace(key, workspace));
+            self.owned.insert(key);
+        }
         if closed || job.batch == self.batch {
             records.push(journal::job(key, &job.record()));
         }
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -55,6 +55,10 @@
     },
 }
 
+/// What follows a job's key in the key of its workspace. It stands apart from the job's own record for the same
+/// reason.
+const WORKSPACE: &str = ".w";
+
 /// What is known of one task that is not done.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskNote {
@@ -126,6 +130,8 @@
     pub progress: BTreeMap<JobKey, Progress>,
     /// The crashes under tasks of open jobs.
     pub crashes: BTreeMap<JobKey, Vec<CrashNote>>,
+    /// The workspaces of jobs that have one.
+    pub workspaces: BTreeMap<JobKey, Name>,
     /// The workers that may run something.
     pub roster: Vec<Member>,
     /// When these started, as far as they told.
@@ -147,6 +153,16 @@
     (format!("{key}{CRASHES}"), encode(notes))
 }
 
+/// The record of a job's workspace.
+pub fn workspace(key: JobKey, workspace: &Name) -> (String, Vec<u8>) {
+    (format!("{key}{WORKSPACE}"), encode(workspace))
+}
+
+/// Drops the record of a job's workspace.
+pub fn drop_workspace(key: JobKey) -> (String, Vec<u8>) {
+    (format!("{key}{WORKSPACE}"), Vec::new())
+}
+
 /// Drops a job.
 pub fn drop_job(key: JobKey) -> (String, Vec<u8>) {
     (key.to_string(), Vec::new())
@@ -204,6 +220,7 @@
             "" => take(&mut self.jobs, job, value),
             PROGRESS => take(&mut self.progress, job, value),
             CRASHES => take(&mut self.crashes, job, value),
+            WORKSPACE => take(&mut self.workspaces, job, value),
             _ => {
                 log::warn!("event=record-unknown key={key}");
                 Ok(())
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -239,10 +239,13 @@
         let task = row.task;
         let job = self.jobs.get_mut(&task.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
+        let owner = job.as_ref().and_then(|job| job.workspace.as_ref());
         // The size of a run whose job is over is not known: it may fill the worker, whose room may have
         // been larger when it began.
         let unknown = Step { room: Room::UNKNOWN, ..Step::default() };
-        let mut run = Run::bound(row.run, &spec.unwrap_or(unknown), Phase::Running(now));
+        let spec = spec.unwrap_or(unknown);
+        let mut run = Run::bound(row.run, &spec, Phase::Running(now));
+        run.held = owner.map(|owner| self.usages.hold(owner, spec.room));
         (run.seen, run.is_sent, run.percent, run.since) = (true, true, row.percent, now);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.add(task, run);
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -1,5 +1,6 @@
 //! A worker at its owner: the room that is taken, what runs, and what is known of its health.
 
+use crate::cell::placing::usage::Held;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Life, Listed, Report, differ};
@@ -38,12 +39,14 @@
 }
 
 /// A run whose room is taken.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Run {
     /// The number of the start.
     pub run: u64,
     /// What it takes.
     pub charge: Room,
+    /// Its part of what its workspace has running.
+    pub held: Option<Held>,
     /// Where it stands.
     pub phase: Phase,
     /// A stop is under way to the worker.
@@ -80,6 +83,7 @@
         Self {
             run,
             charge: spec.charge(),
+            held: None,
             phase,
             told: false,
             is_sent: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod trace;
 pub mod wire;
 pub mod workload;
+pub mod workspace;
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -4,8 +4,9 @@
 use crate::cell::owner::admission::{self, retry_after};
 use crate::cell::records::journal::Fate;
 use crate::clock::Millis;
+use crate::id::Name;
 use crate::node::cells::Cells;
-use crate::node::msg::{Ask, Tell};
+use crate::node::msg::{Ask, Refused, Tell};
 use crate::node::view::{AskError, View};
 use crate::platform::config::{Policy, Route};
 use crate::platform::front::Reply;
@@ -24,6 +25,8 @@
     pub policy: &'a Policy,
     pub route: &'a Route,
     pub job: JobKey,
+    /// The caller's workspace.
+    pub workspace: Option<Name>,
     /// When the answer has to leave.
     pub until: Millis,
 }
@@ -44,16 +47,20 @@
             Err(err) => return Reply::Malformed(err),
         };
         let begun = self.view.now();
-        let Call { view, policy, route, job, until } = *self;
+        let Call { view, policy, route, job, until, .. } = *self;
         let after = retry_after(&route.queue, &work, job);
         let (queue, work) = (route.queue.name.clone(), Arc::new(work));
-        let ask = |stay| Ask::Submit { job, queue: queue.clone(), work: work.clone(), stay };
+        let ask = |stay| {
+            let (queue, work, workspace) = (queue.clone(), work.clone(), self.workspace.clone());
+            Ask::Submit { job, queue, work, workspace, stay }
+        };
         let answer = match view.ask(ask(false), until).await {
             Ok(Tell::Moved { cell }) => self.ask_there(cell, ask(true)).await,
             answer => answer,
         };
         let reply = match &answer {
             Ok(Tell::Accepted) => return Reply::Accepted,
+            Ok(Tell::Refused(Refused::NotYours)) => Reply::NotYours,
             Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after },
             Ok(_) | Err(AskError::Unknown) => Reply::InDoubt,
         };
@@ -101,7 +108,7 @@
     }
 
     async fn state(&self) -> Reply {
-        match self.ask(Ask::State { job: self.job }).await {
+        match self.ask(Ask::State { job: self.job, workspace: self.workspace.clone() }).await {
             Ok(Tell::State(None)) => Reply::NoJob,
             Ok(Tell::State(Some(State::Queued))) => Reply::State("queued"),
             Ok(Tell::State(Some(State::Active))) => Reply::State("active"),
@@ -113,7 +120,8 @@
     }
 
     async fn cancel(&self) -> Reply {
-        let reply = match self.ask(Ask::Cancel { job: self.job }).await {
+        let ask = Ask::Cancel { job: self.job, workspace: self.workspace.clone() };
+        let reply = match self.ask(ask).await {
             Ok(Tell::Cancelled(true)) => Reply::Accepted,
             Ok(Tell::Cancelled(false)) => Reply::NoJob,
             Ok(Tell::Refused(_)) | Err(AskError::Unsent) => Reply::Busy { after: admission::LEAST },
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -1,10 +1,12 @@
 //! What callers reach: jobs over HTTP, and what the balancer and operators ask.
 
-use crate::cell::owner::admission;
+use crate::cell::owner::access::{Access, access, is_fresh};
+use crate::cell::owner::admission::LEAST;
 use crate::clock::Millis;
 use crate::node::Node;
 use crate::node::call::{Call, pending};
-use crate::platform::front::{Reply, deadline, host};
+use crate::platform::config::{Policy, Route};
+use crate::platform::front::{Reply, deadline, host, key};
 use crate::workload::JobKey;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -113,12 +115,22 @@
 ) -> (&'static str, Reply) {
     let policy = node.policy();
     if policy.version == 0 {
-        return ("none", Reply::Busy { after: admission::LEAST });
+        return ("none", Reply::Busy { after: LEAST });
     }
     let path = request.uri().path().to_string();
-    let Some(route) = policy.route(host(&request), &path) else { return ("none", Reply::NoQueue) };
+    let age = node.policy_age();
+    let Some(route) = policy.route(host(&request), &path) else {
+        // It may have been added since.
+        let reply = if is_fresh(age) { Reply::NoQueue } else { Reply::Busy { after: LEAST } };
+        return ("none", reply);
+    };
+    let workspace = match node.access(&policy, route, key(&request), age) {
+        Access::Granted(workspace) => workspace.map(|workspace| workspace.name.clone()),
+        Access::Denied => return ("denied", Reply::NoKey),
+        Access::Unsure => return ("denied", Reply::Busy { after: LEAST }),
+    };
     let Some(cells) = node.cells() else {
-        return ("none", Reply::Busy { after: admission::LEAST });
+        return ("none", Reply::Busy { after: LEAST });
     };
     let given = deadline(&request).unwrap_or(USUAL_WAIT);
     let wait = if route.timeout.0 > 0 { given.min(route.timeout) } else { given };
@@ -129,7 +141,8 @@
         (Method::POST | Method::GET | Method::DELETE, rest) => match rest.parse::<JobKey>() {
             Ok(job) => {
                 let Some(view) = cells.of_job(job) else { return ("none", Reply::NoQueue) };
-                Call { view, policy: &policy, route, job, until }.reply(request).await
+                let call = Call { view, policy: &policy, route, job, workspace, until };
+                call.reply(request).await
             }
             Err(err) => ("none", Reply::Malformed(err.to_string())),
         },
@@ -137,11 +150,23 @@
     }
 }
 
+impl Node {
+    /// Whether a caller may call on a route with its key.
+    fn access(&self, policy: &Policy, route: &Route, key: Option<&str>, age: Millis) -> Access {
+        match &policy.workspaces {
+            Some(workspaces) => access(workspaces, route.is_open, key, age),
+            // The policy was written without any, though callers of this platform belong to some.
+            None if self.settings.has_workspaces && !route.is_open => Access::Denied,
+            None => Access::Granted(None),
+        }
+    }
+}
+
 /// Answers the balancer: whether new callers may come.
 pub(super) async fn ready(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
     match node.is_ready() {
         true => Reply::Accepted.response(),
-        false => Reply::Busy { after: admission::LEAST }.response(),
+        false => Reply::Busy { after: LEAST }.response(),
     }
 }
 
@@ -151,7 +176,7 @@
         Ok(text) => Response::new(Full::from(text)),
         Err(err) => {
             log::warn!("event=metrics-failed error={err:?}");
-            Reply::Busy { after: admission::LEAST }.response()
+            Reply::Busy { after: LEAST }.response()
         }
     }
 }
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -108,7 +108,7 @@
     /// # Errors
     /// [`LinkError::Unsent`]: there was no answer, and the job was not sent.
     pub async fn check(&self, job: JobKey) -> Result<(), LinkError> {
-        let state = self.ask(Ask::State { job });
+        let state = self.ask(Ask::State { job, workspace: None });
         match tokio::time::timeout(CHECK.duration(), state).await {
             Ok(Ok(_)) => Ok(()),
             Ok(Err(_)) | Err(_) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -61,6 +61,8 @@
     adviser: Option<Adviser>,
     metrics: Metrics,
     policy: watch::Sender<Arc<Policy>>,
+    /// When the policy was last known to be the operators' newest.
+    policy_read: Mutex<Millis>,
     /// The cells; `None`: it is not known yet how workers are dealt to them.
     cells: watch::Sender<Option<Arc<Cells>>>,
     stopping: AtomicBool,
@@ -93,6 +95,7 @@
             adviser: settings.advice.clone().map(|addr| Adviser::new(http.clone(), addr)),
             metrics: Metrics::new()?,
             policy: watch::channel(Arc::new(Policy::default())).0,
+            policy_read: Mutex::default(),
             cells: watch::channel(None).0,
             stopping: AtomicBool::new(false),
             clock: Clock::default(),
@@ -142,6 +145,11 @@
         self.policy.borrow().clone()
     }
 
+    /// How long ago the policy was known to be the operators' newest.
+    fn policy_age(&self) -> Millis {
+        self.now().since(*lock(&self.policy_read))
+    }
+
     fn cells(&self) -> Option<Arc<Cells>> {
         self.cells.borrow().clone()
     }
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -20,12 +20,12 @@
     Hello { entry: Name, cell: u32, epoch: u64, cpu: u32, is_home: bool },
     /// Whether the sender can read the platform's log.
     Ping { store: bool },
-    /// A caller submits a job; `stay`: its home sent it here, so it goes to no other cell.
-    Submit { job: JobKey, queue: Name, work: Arc<Work>, stay: bool },
-    /// A caller asks for a job's state.
-    State { job: JobKey },
-    /// A caller withdraws a job.
-    Cancel { job: JobKey },
+    /// A caller submits a job for its workspace; `stay`: its home sent it here, so it goes to no other cell.
+    Submit { job: JobKey, queue: Name, work: Arc<Work>, workspace: Option<Name>, stay: bool },
+    /// A caller of a workspace asks for a job's state.
+    State { job: JobKey, workspace: Option<Name> },
+    /// A caller of a workspace withdraws a job.
+    Cancel { job: JobKey, workspace: Option<Name> },
     /// A caller asks how many jobs wait.
     Pending { queue: Name },
     /// The cell to which the receiver sent a job has forgotten it.
@@ -90,6 +90,8 @@
     Overload,
     /// No cell is known to have a worker of the service.
     NoWorker,
+    /// The job is another workspace's.
+    NotYours,
 }
 
 /// A message with the number that pairs a question with its answer; 0: unasked.
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -81,9 +81,10 @@
         let node = &self.node;
         let (lease, keep, off) = (node.lease(), node.settings.keep, node.settings.off);
         let bounds = Bounds { lease, lease_max: node.settings.lease_max, keep, off };
-        let queues = node.policy().queues.clone();
+        let policy = node.policy();
         let doubt = !lock(&self.election).is_steady(self.now());
-        let mut cell = Cell::new(epoch, bounds, queues, snapshot, doubt, self.now());
+        let mut cell = Cell::new(epoch, bounds, policy.queues.clone(), snapshot, doubt, self.now());
+        cell.set_workspaces(policy.workspaces.clone().unwrap_or_default(), self.cells);
         cell.set_workers(self.now(), listed);
         if node.adviser.is_some() {
             cell.join(self.me().clone(), self.is_home);
@@ -295,8 +296,13 @@
     async fn follow_policy(self: Arc<Self>) {
         let mut policies = self.node.policy.subscribe();
         loop {
-            let queues = policies.borrow_and_update().queues.clone();
-            lock(&self.cell).set_queues(queues);
+            let policy = policies.borrow_and_update().clone();
+            {
+                let mut cell = lock(&self.cell);
+                cell.set_queues(policy.queues.clone());
+                let workspaces = policy.workspaces.clone().unwrap_or_default();
+                cell.set_workspaces(workspaces, self.view.cells);
+            }
             self.wake.notify_one();
             if policies.changed().await.is_err() {
                 return;
@@ -346,13 +352,13 @@
         }
         match ask {
             Ask::Hello { .. } | Ask::Ping { .. } | Ask::Probed { .. } => Tell::Done,
-            Ask::Submit { job, queue, work, stay } => {
+            Ask::Submit { job, queue, work, workspace, stay } => {
                 if !stay && let Err(refused) = self.send_elsewhere(job, &queue, &work) {
                     return Tell::Refused(refused);
                 }
-                self.submit(job, &queue, work).await
+                self.submit(job, &queue, work, workspace).await
             }
-            Ask::State { job } | Ask::Cancel { job } if self.forwarded(job).is_some() => {
+            Ask::State { job, .. } | Ask::Cancel { job, .. } if self.forwarded(job).is_some() => {
                 self.forwarded(job).map_or(Tell::InDoubt, |cell| Tell::Moved { cell })
             }
             Ask::Forget { job } => {
@@ -360,10 +366,18 @@
                 self.write.notify_one();
                 Tell::Done
             }
-            Ask::State { job } => Tell::State(lock(&self.cell).state(job)),
+            Ask::State { job, workspace } => {
+                let cell = lock(&self.cell);
+                let is_visible = cell.is_visible(job, workspace.as_ref());
+                Tell::State(cell.state(job).filter(|_| is_visible))
+            }
             Ask::Pending { queue } => Tell::Pending(lock(&self.cell).pending(&queue)),
-            Ask::Cancel { job } => {
-                let batch = lock(&self.cell).cancel(self.node.now(), job);
+            Ask::Cancel { job, workspace } => {
+                let batch = {
+                    let mut cell = lock(&self.cell);
+                    let is_visible = cell.is_visible(job, workspace.as_ref());
+                    is_visible.then(|| cell.cancel(self.node.now(), job)).flatten()
+                };
                 self.wake.notify_one();
                 match batch {
                     None => Tell::Cancelled(false),
@@ -379,9 +393,19 @@
         }
     }
 
-    async fn submit(self: &Arc<Self>, job: JobKey, queue: &str, work: Arc<Work>) -> Tell {
+    async fn submit(
+        self: &Arc<Self>,
+        job: JobKey,
+        queue: &str,
+        work: Arc<Work>,
+        workspace: Option<Name>,
+    ) -> Tell {
         let batch = {
             let mut cell = lock(&self.cell);
+            if !cell.is_visible(job, workspace.as_ref()) {
+                log::warn!("event=refused job={job} why=another-workspace epoch={}", self.epoch);
+                return Tell::Refused(Refused::NotYours);
+            }
             if !cell.knows(job) && !self.may_accept() {
                 let age = lock(&self.authority).age(self.node.now());
                 log::info!(
@@ -396,7 +420,7 @@
             }
             match cell.batch_of(job) {
                 Some(batch) => Some(batch),
-                None => cell.submit(self.node.now(), job, queue, work),
+                None => cell.submit_for(self.node.now(), job, queue, work, workspace),
             }
         };
         if batch.is_none() {
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -1,7 +1,7 @@
 //! The operators' policy, as an entry follows it in the platform's store.
 
 use crate::clock::Millis;
-use crate::node::{Node, STORE_RETRY};
+use crate::node::{Node, STORE_RETRY, lock};
 use crate::platform::config::{KEY, Policy, TOPIC};
 use crate::platform::store::{Part, StoreError, split_keyed};
 use std::sync::Arc;
@@ -24,7 +24,10 @@
                 Some(from) => self.await_policy(from).await,
             };
             match result {
-                Ok(end) => next = Some(end),
+                Ok(end) => {
+                    *lock(&self.policy_read) = self.now();
+                    next = Some(end);
+                }
                 Err(StoreError::Gone(_)) => next = None,
                 Err(err) => {
                     log::debug!("event=policy-unread error={err:?}");
@@ -68,7 +71,10 @@
                     let newer = policy.version > current.version;
                     if newer {
                         let (version, queues) = (policy.version, policy.queues.len());
-                        log::info!("event=policy version={version} queues={queues}");
+                        let workspaces = policy.workspaces.as_ref().map_or(0, |all| all.len());
+                        log::info!(
+                            "event=policy version={version} queues={queues} workspaces={workspaces}"
+                        );
                         *current = Arc::new(policy);
                     }
                     newer
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,7 +2,8 @@
 
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{Advice, Queue};
+use crate::workload::{Advice, Queue, Room};
+use crate::workspace::{Workspace, Workspaces};
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -42,6 +43,29 @@
     extension: f64,
     #[serde(default)]
     advice: Option<RawAdvice>,
+    /// Callers need no key.
+    #[serde(default)]
+    anonymous: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawBound {
+    cpu: u64,
+    mem_mb: u64,
+    gpu: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawTenant {
+    name: Name,
+    #[serde(default)]
+    api_keys: Vec<Name>,
+    #[serde(default)]
+    weight: u32,
+    /// 0 is no bound.
+    #[serde(default)]
+    upper_bound: RawBound,
 }
 
 #[derive(Debug, Deserialize)]
@@ -73,6 +97,7 @@
     services: Vec<RawService>,
     #[serde(default)]
     limits: RawLimits,
+    tenants: Option<Vec<RawTenant>>,
 }
 
 /// Where callers reach a queue.
@@ -86,6 +111,8 @@
     pub timeout: Millis,
     /// The queue.
     pub queue: Arc<Queue>,
+    /// Anybody may call; else a caller bears the key of a workspace.
+    pub is_open: bool,
 }
 
 /// Bounds on callers' exchanges.
@@ -123,6 +150,8 @@
     pub guarded: Vec<Name>,
     /// Bounds on callers' exchanges.
     pub limits: Limits,
+    /// The workspaces; `None`: the policy knows none, and callers bear no keys.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Policy {
@@ -143,6 +172,7 @@
         let guarded = raw.services.into_iter().filter(|service| service.admission_check);
         policy.guarded = guarded.map(|service| service.name).collect();
         policy.limits = limits(&raw.limits);
+        policy.workspaces = raw.tenants.map(workspaces);
         Ok(policy)
     }
 
@@ -161,9 +191,14 @@
             target: Millis(raw.target_latency_ms.max(0.0) as u64),
             advice,
         });
-        let timeout = Millis(raw.timeout_ms);
-        let route =
-            Route { host: raw.host, prefix: raw.path_prefix, timeout, queue: queue.clone() };
+        let (timeout, is_open) = (Millis(raw.timeout_ms), raw.anonymous);
+        let route = Route {
+            host: raw.host,
+            prefix: raw.path_prefix,
+            timeout,
+            queue: queue.clone(),
+            is_open,
+        };
         self.queues.insert(raw.name, queue);
         self.routes.entry(route.host.to_ascii_lowercase()).or_default().push(route);
     }
@@ -176,6 +211,18 @@
     }
 }
 
+fn workspaces(raw: Vec<RawTenant>) -> Workspaces {
+    let or = |bound: u64, none: u64| if bound == 0 { none } else { bound };
+    let none = Room::UNLIMITED;
+    let mut all = Workspaces::default();
+    for RawTenant { name, api_keys, weight, upper_bound: RawBound { cpu, mem_mb, gpu } } in raw {
+        let limit =
+            Room { cpu: or(cpu, none.cpu), mem: or(mem_mb, none.mem), gpu: or(gpu, none.gpu) };
+        all.add(Workspace { name, weight, limit }, api_keys);
+    }
+    all
+}
+
 fn limits(raw: &RawLimits) -> Limits {
     let usual = Limits::default();
     let or = |given: u64, usual: Millis| if given == 0 { usual } else { Millis(given) };
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -3,7 +3,9 @@
 use crate::clock::Millis;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use hyper::{Request, Response, StatusCode};
 
 /// How long a caller waits for its answer, in milliseconds from when it sent the request.
@@ -16,6 +18,16 @@
     header.or(request.uri().host()).unwrap_or_default()
 }
 
+/// How callers show their keys.
+const SCHEME: &str = "Bearer";
+
+/// The key that a caller bears.
+pub fn key<B>(request: &Request<B>) -> Option<&str> {
+    let text = text(AUTHORIZATION.as_str(), request.headers().get(AUTHORIZATION)?)?;
+    let (scheme, key) = text.trim().split_once(' ')?;
+    scheme.eq_ignore_ascii_case(SCHEME).then_some(key.trim())
+}
+
 /// A header's text; one that is none counts as absent.
 fn text<'a>(name: &str, value: &'a HeaderValue) -> Option<&'a str> {
     let text = value.to_str();
@@ -50,6 +62,10 @@
     Malformed(String),
     /// Only GET, POST and DELETE are served.
     NoMethod,
+    /// The caller bears no key, or one that is not in force.
+    NoKey,
+    /// The job belongs to another workspace.
+    NotYours,
     /// Nothing was done, and nothing will be: come back after so many seconds.
     Busy {
         /// Seconds.
@@ -70,6 +86,8 @@
             Self::NoQueue => (StatusCode::NOT_FOUND, error("there is no such queue")),
             Self::Malformed(why) => (StatusCode::BAD_REQUEST, error(why)),
             Self::NoMethod => (StatusCode::METHOD_NOT_ALLOWED, error("only GET, POST and DELETE")),
+            Self::NoKey => (StatusCode::UNAUTHORIZED, error("this key is not in force")),
+            Self::NotYours => (StatusCode::FORBIDDEN, error("the job is another workspace's")),
             Self::Busy { .. } => (StatusCode::SERVICE_UNAVAILABLE, error("not taken: come back")),
             Self::InDoubt => (StatusCode::GATEWAY_TIMEOUT, error("in doubt: ask again")),
         };
@@ -80,8 +98,14 @@
         if !is_empty {
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        if let Self::Busy { after } = self {
-            headers.insert(RETRY_AFTER, HeaderValue::from(*after));
+        match self {
+            Self::Busy { after } => {
+                headers.insert(RETRY_AFTER, HeaderValue::from(*after));
+            }
+            Self::NoKey => {
+                headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(SCHEME));
+            }
+            _ => {}
         }
         response
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -12,6 +12,8 @@
 pub const VARIABLE: &str = "SPRUCERUDDER_SETTINGS";
 /// The way of giving orders to workers that is served: the owner calls the worker.
 const CALLED: &str = "invoke";
+/// The part of the platform's contract by which callers belong to workspaces.
+const WORKSPACES: &str = "tenants";
 /// The form of the platform's store that is served.
 const LOG_FORM: &str = "log";
 
@@ -69,6 +71,8 @@
     #[serde(default)]
     orders: Name,
     advice: Option<Name>,
+    #[serde(default)]
+    contracts: Vec<Name>,
 }
 
 /// What one entry needs to know on the platform.
@@ -100,6 +104,8 @@
     pub cell_size: NonZeroUsize,
     /// The advice service, if there is one.
     pub advice: Option<Name>,
+    /// Callers belong to workspaces, and bear their keys.
+    pub has_workspaces: bool,
     /// Processors.
     pub cores: usize,
     /// What the entry may use of them, in thousandths of one.
@@ -158,6 +164,7 @@
             parts: raw.platform.parts.max(1),
             cell_size: CELL_WORKERS,
             advice: raw.advice.filter(|addr| !addr.is_empty()),
+            has_workspaces: raw.contracts.iter().any(|part| **part == *WORKSPACES),
             cores: raw.limits.cores.max(1),
             cpu: (raw.limits.cpu_share.max(0.0) * raw.limits.cores.max(1) as f64 * 1_000.0) as u32,
             lease_max: Millis(raw.bounds.hold_max_ms),
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -109,6 +109,15 @@
     /// More than any worker has, and little enough to be added up.
     pub const UNKNOWN: Self = Self { cpu: 1 << 32, mem: 1 << 32, gpu: 1 << 32 };
 
+    /// No bound: more than all workers have, and little enough to be added up.
+    pub const UNLIMITED: Self = Self { cpu: u64::MAX / 4, mem: u64::MAX / 4, gpu: u64::MAX / 4 };
+
+    /// One of `parts` equal parts.
+    pub fn part(&self, parts: u64) -> Self {
+        let parts = parts.max(1);
+        Self { cpu: self.cpu / parts, mem: self.mem / parts, gpu: self.gpu / parts }
+    }
+
     /// Whether `other` fits into this room.
     pub fn holds(&self, other: &Self) -> bool {
         self.cpu >= other.cpu && self.mem >= other.mem && self.gpu >= other.gpu
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -690,7 +690,7 @@
                     // An owner may be paused between deciding and sending.
                     let at = self.now.max(self.owners[owner].paused_until) + delay;
                     let is_start = matches!(action, Action::Start { .. });
-                    if self.resizing && is_start && at - self.now >= ORDER_FRESH {
+                    if (self.resizing || self.keeping) && is_start && at - self.now >= ORDER_FRESH {
                         self.withhold(owner, &action, at);
                         continue;
                     }
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -12,6 +12,7 @@
 use sprucerudder::id::Name;
 use sprucerudder::order::{End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, Start};
 use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, TaskKey, Work};
+use sprucerudder::workspace::Workspaces;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -88,6 +89,8 @@
     /// What began and ended, and what was confirmed as done.
     spans: Vec<Span>,
     accepted: BTreeSet<JobKey>,
+    /// What the next owner learns from the policy.
+    pub workspaces: Workspaces,
 }
 
 /// A run as the platform sees it.
@@ -150,6 +153,7 @@
             held: None,
             spans: Vec::new(),
             accepted: BTreeSet::new(),
+            workspaces: Workspaces::default(),
         };
         if advice.is_some() {
             site.cell.join("entry".into(), true);
@@ -170,6 +174,19 @@
         assert!(self.cell.submit(Millis(self.now), key, "q", Arc::new(work)).is_some());
     }
 
+    /// A job of one step, for a workspace.
+    pub fn submit_for(&mut self, key: JobKey, step: Step, workspace: &str) {
+        let (first, every) = (Millis(0), Millis(0));
+        let work = Work { spec: "text".into(), steps: vec![step], times: 1, first, every };
+        let (now, workspace) = (Millis(self.now), Some(workspace.into()));
+        assert!(self.cell.submit_for(now, key, "q", Arc::new(work), workspace).is_some());
+    }
+
+    /// How many tasks run.
+    pub fn running(&self) -> usize {
+        self.hosts.iter().map(|host| host.life.running.len()).sum()
+    }
+
     pub fn state(&self, key: JobKey) -> Option<State> {
         self.cell.state(key)
     }
@@ -282,6 +299,7 @@
         }
         let now = Millis(self.now);
         self.cell = Cell::new(self.epoch, bounds(), queues(self.advice), snapshot, false, now);
+        self.cell.set_workspaces(self.workspaces.clone(), 1);
         if self.advice.is_some() {
             self.cell.join("entry".into(), true);
         }
--- /dev/null
+++ b/tests/workspaces.rs
@@ -0,0 +1,178 @@
+//! Workspaces: their callers' keys, and the bound on what each has running.
+
+mod lifeworld;
+
+use lifeworld::{LENGTH, Site, job, step};
+use sprucerudder::cell::State;
+use sprucerudder::cell::jobs::why::Why;
+use sprucerudder::cell::owner::access::{Access, access};
+use sprucerudder::cell::records::journal::Fate;
+use sprucerudder::clock::Millis;
+use sprucerudder::platform::config::Policy;
+use sprucerudder::workload::{Room, Step};
+use sprucerudder::workspace::{Workspace, Workspaces};
+
+const COMPLETED: Option<State> = Some(State::Closed(Fate::Completed));
+const NOW: Millis = Millis(0);
+const LONG_AGO: Millis = Millis(10_000);
+
+/// A workspace that may have so many tasks of one processor running.
+fn workspace(name: &str, tasks: u64) -> Workspace {
+    let limit = Room { cpu: 1_000 * tasks, ..Room::UNLIMITED };
+    Workspace { name: name.into(), weight: 1, limit }
+}
+
+fn workspaces(tasks: u64) -> Workspaces {
+    let mut all = Workspaces::default();
+    all.add(workspace("large", tasks), ["key-1".into(), "key-2".into()]);
+    all.add(workspace("small", 100), ["key-3".into()]);
+    all
+}
+
+/// A site with room for 16 tasks, and one of whose workspaces may have four running.
+fn site() -> Site {
+    let mut site = Site::new(4);
+    site.workspaces = workspaces(4);
+    site.cell.set_workspaces(workspaces(4), 1);
+    site
+}
+
+fn wide(count: u32) -> Step {
+    Step { count, ..step() }
+}
+
+/// Plays, and checks that a job never has more tasks running than `most`.
+fn play_bounded(site: &mut Site, length: u64, most: usize) -> usize {
+    let mut peak = 0;
+    for _ in 0..length / 20 {
+        site.play(20);
+        peak = peak.max(site.running());
+        assert!(site.running() <= most, "{} run at {}", site.running(), site.now);
+    }
+    peak
+}
+
+#[test]
+fn a_workspace_has_no_more_running_than_its_bound() {
+    let mut site = site();
+    site.submit_for(job(1), wide(10), "large");
+    let peak = play_bounded(&mut site, 4 * LENGTH, 4);
+    assert_eq!(peak, 4);
+    play_bounded(&mut site, 2_000, 4);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
+
+#[test]
+fn what_waits_for_the_bound_says_so_and_holds_up_nobody() {
+    let mut site = site();
+    site.submit_for(job(1), wide(10), "large");
+    site.submit_for(job(2), wide(8), "small");
+    site.play(40);
+    assert_eq!(site.running(), 12);
+    let waits: Vec<Why> = site.cell.waiting().map(|(_, why)| why).collect();
+    assert_eq!(waits, [Why::Bound]);
+}
+
+#[test]
+fn the_bound_holds_through_takeovers() {
+    // The next owner finds the workspace of each job in the store, and counts what the former one bound.
+    let mut site = site();
+    site.submit_for(job(1), wide(20), "large");
+    for _ in 0..8 {
+        play_bounded(&mut site, 200, 4);
+        site.take_over();
+    }
+    play_bounded(&mut site, 10_000, 4);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
+
+#[test]
+fn a_bound_that_falls_stops_nothing_and_starts_nothing() {
+    let mut site = site();
+    site.submit_for(job(1), wide(12), "large");
+    site.play(100);
+    assert_eq!(site.running(), 4);
+    site.cell.set_workspaces(workspaces(2), 1);
+    site.play(100);
+    assert_eq!(site.running(), 4);
+    site.play(LENGTH);
+    play_bounded(&mut site, 10 * LENGTH, 2);
+}
+
+#[test]
+fn a_task_larger_than_the_bound_runs_alone() {
+    let mut site = site();
+    site.cell.set_workspaces(workspaces(1), 1);
+    let room = Room { cpu: 2_000, mem: 1_000, gpu: 0 };
+    site.submit_for(job(1), Step { count: 3, room, ..step() }, "large");
+    play_bounded(&mut site, 6 * LENGTH, 1);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
+
+#[test]
+fn each_of_several_cells_has_its_part_of_a_bound() {
+    let mut site = site();
+    site.cell.set_workspaces(workspaces(4), 2);
+    site.submit_for(job(1), wide(8), "large");
+    let peak = play_bounded(&mut site, 2_000, 2);
+    assert_eq!(peak, 2);
+}
+
+#[test]
+fn a_job_is_seen_by_its_own_workspace() {
+    let mut site = site();
+    site.submit_for(job(1), wide(1), "large");
+    site.play(40);
+    let sees = |site: &Site, name: &str| site.cell.is_visible(job(1), Some(&name.into()));
+    for _ in 0..2 {
+        assert!(sees(&site, "large"));
+        assert!(!sees(&site, "small"));
+        assert!(site.cell.is_visible(job(1), None), "on a queue that is open to all");
+        site.take_over();
+        site.play(2_000);
+    }
+}
+
+#[test]
+fn keys_decide_who_may_call() {
+    let all = workspaces(4);
+    let of = |key, age| access(&all, false, key, age);
+    let name = |access| match access {
+        Access::Granted(Some(workspace)) => Some(workspace.name.clone()),
+        _ => None,
+    };
+    assert_eq!(name(of(Some("key-2"), NOW)).as_deref(), Some("large"));
+    assert_eq!(of(Some("other"), NOW), Access::Denied);
+    assert_eq!(of(None, NOW), Access::Denied);
+    assert_eq!(access(&all, true, None, NOW), Access::Granted(None));
+    assert_eq!(access(&all, true, Some("other"), NOW), Access::Granted(None));
+}
+
+#[test]
+fn a_key_that_may_have_been_added_since_is_not_refused_for_good() {
+    // An entry behind a cut from the store does not hear of new keys. A refusal for good is the caller's last answer;
+    // told to come back it finds another entry.
+    let all = workspaces(4);
+    assert_eq!(access(&all, false, Some("new"), LONG_AGO), Access::Unsure);
+    assert_eq!(access(&all, false, None, LONG_AGO), Access::Denied);
+    assert!(matches!(access(&all, false, Some("key-1"), LONG_AGO), Access::Granted(Some(_))));
+}
+
+#[test]
+fn a_policy_names_workspaces_keys_bounds_and_open_queues() {
+    let text = r#"{"version":7,"routes":[
+        {"name":"a","host":"h","path_prefix":"/a/","service":"s","anonymous":true},
+        {"name":"b","host":"h","path_prefix":"/b/","service":"s"}],
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"weight":18,
+        "upper_bound":{"cpu":4000,"mem_mb":0,"gpu":0}}]}"#;
+    let policy = Policy::parse(text.as_bytes()).unwrap();
+    assert!(policy.route("h", "/a/1").unwrap().is_open);
+    assert!(!policy.route("h", "/b/1").unwrap().is_open);
+    let all = policy.workspaces.unwrap();
+    let of_key = all.of_key("k2").unwrap();
+    let limit = Room { cpu: 4_000, ..Room::UNLIMITED };
+    assert_eq!(**of_key, Workspace { name: "t".into(), weight: 18, limit });
+    assert!(all.of_key("k3").is_none());
+    let none = Policy::parse(br#"{"version":7}"#).unwrap();
+    assert!(none.workspaces.is_none());
+}
