--- a/src/cell/advising/advice.rs
+++ b/src/cell/advising/advice.rs
@@ -28,6 +28,9 @@
     pub cost: Millis,
     /// Lower ones first.
     pub rank: (u32, Millis),
+    /// The step was asked about before: of equal priority it comes after all that were not. An answer to a first
+    /// question starts a whole step, one to a later question a few tasks that mostly find room meanwhile.
+    pub is_again: bool,
 }
 
 /// The questions that wait and the entries that can ask.
@@ -69,7 +72,11 @@
 
     /// Adds a question, in the order of its rank.
     pub fn push(&mut self, question: Question) {
-        let at = self.waiting.partition_point(|other| other.rank <= question.rank);
+        let order = |question: &Question| {
+            let (priority, due) = question.rank;
+            (priority, question.is_again, due)
+        };
+        let at = self.waiting.partition_point(|other| order(other) <= order(&question));
         self.waiting.insert(at, question);
     }
 
--- a/src/cell/advising/clearance.rs
+++ b/src/cell/advising/clearance.rs
@@ -25,6 +25,37 @@
 /// A question about workers known to be cleared names so many at least: some fill up meanwhile.
 const LEAST_AGAIN: usize = 4;
 
+/// The share of workers that is taken to be cleared before the service has answered.
+const FIRST_SHARE: f64 = 0.5;
+/// Room is asked for this many times the tasks: some of it is taken when the answer comes.
+const NAMED_SPARE: f64 = 1.5;
+/// So many workers should be cleared by one answer at least: with one, a chance of the draw leaves none.
+const LEAST_CLEARED: f64 = 3.0;
+/// The weight of one more answer in the share of workers that is cleared: the last 50 or so count.
+const RATE_WEIGHT: f64 = 0.02;
+
+/// The share of the workers named that the service cleared.
+#[derive(Debug, Default)]
+pub(in crate::cell) struct ClearRate {
+    share: f64,
+    count: u32,
+}
+
+impl ClearRate {
+    /// The service was asked about so many workers, and cleared so many.
+    fn add(&mut self, named: usize, cleared: usize) {
+        let share = cleared as f64 / named.max(1) as f64;
+        let weight = RATE_WEIGHT.max(1.0 / f64::from(self.count + 1));
+        self.share += (share - self.share) * weight;
+        self.count += 1;
+    }
+
+    /// The share, at least a tenth: a queue that was denied all is asked about ten times as many.
+    fn share(&self) -> f64 {
+        self.share.max(0.1)
+    }
+}
+
 impl Cell {
     /// Has the advice service asked about a step whose tasks found no cleared worker with room.
     pub(in crate::cell) fn question(
@@ -46,7 +77,8 @@
             return;
         }
         let cost = Millis(advice.base.0 + advice.each * workers.len() as u64 / 1_000);
-        let question = Question { step: key, workers, cost, rank: rank(job) };
+        let is_again = !advised.is_new() && !self.bounds.off.has(Mechanism::FirstAsked);
+        let question = Question { step: key, workers, cost, rank: rank(job), is_again };
         self.advisers.push(question);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.advised.asking, step.advised.since) = (true, now);
@@ -78,7 +110,7 @@
             return named;
         }
         let has_room = |fit: &Fit| fit.holds(spec, &charge);
-        let could_hold = |fit: &Fit| self.could_hold(fit, job.queue.priority, spec);
+        let could_hold = |fit: &Fit| self.could_hold(fit, job.priority(), spec);
         let known: Vec<Fit> = known.into_iter().filter(could_hold).collect();
         let again = rest.max(LEAST_AGAIN);
         let anew = (rest * CLEARED_SHARE).max(balance(advice));
@@ -91,11 +123,34 @@
             // Room can be made at some of them.
             () => (known, again),
         };
+        let is_tight = self.is_tight(job);
         named.sort_by_cached_key(|fit| {
             let away = job.home.as_ref().is_some_and(|home| fit.domain != *home);
-            (!fit.holds(spec, &charge), away, std::cmp::Reverse(fit.free.cpu))
+            let slow = is_tight && fit.is_slow;
+            (!fit.holds(spec, &charge), away, slow, std::cmp::Reverse(fit.free.cpu))
+        });
+        let most = most.min(MAX_NAMED);
+        let most = match self.bounds.off.has(Mechanism::Naming) || spec.gang {
+            true => most,
+            false => self.suffice(job, spec, &named, rest).min(most),
+        };
+        named.into_iter().take(most).map(|fit| fit.name).collect()
+    }
+
+    /// How many of the first of some workers have to be named so that those cleared hold `rest` tasks, by the share
+    /// that the service cleared before. A question takes longer with each worker, and entries ask one at a time: where
+    /// twice as many workers as tasks were named, each with room for three, steps waited 2.9 s for their turn to ask.
+    fn suffice(&self, job: &Job, spec: &Step, named: &[Fit], rest: usize) -> usize {
+        let share = self.clear_rates.get(&job.queue.name).map_or(FIRST_SHARE, ClearRate::share);
+        let charge = spec.charge();
+        let wanted = rest as f64 * NAMED_SPARE;
+        let mut expected = 0.0;
+        let count = named.iter().take_while(|fit| {
+            let is_short = expected < wanted;
+            expected += share * fit.count(spec, &charge) as f64;
+            is_short
         });
-        named.into_iter().take(most.min(MAX_NAMED)).map(|fit| fit.name).collect()
+        count.count().max((LEAST_CLEARED / share) as usize)
     }
 
     /// The workers known to be cleared for a gang, if they have room for all of it: all tasks start
@@ -152,6 +207,7 @@
 
     fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
+        let queue = job.queue.name.clone();
         let usual = job.queue.advice.map(|advice| advice.valid).unwrap_or_default();
         let until = now + cleared.valid.unwrap_or(usual);
         let Some(step) = job.step_mut(key) else { return };
@@ -161,6 +217,7 @@
         let is_same =
             |name: &Name| workers.get(name).is_some_and(|worker| worker.restarted <= since);
         log::info!("event=advised step={key} named={} cleared={}", named.len(), cleared.rows.len());
+        self.clear_rates.entry(queue).or_default().add(named.len(), cleared.rows.len());
         let advised = &mut step.advised;
         advised.asking = false;
         advised.again = now + ASK_AGAIN;
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -9,6 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// What is beyond a workspace's share is less urgent by this: more than any queue is.
+const BEYOND: u32 = 1 << 16;
+
 /// Where a task stands.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum Status {
@@ -136,6 +139,8 @@
     pub work: Arc<Work>,
     /// The workspace of its caller; `None`: anybody's.
     pub workspace: Option<Name>,
+    /// Its workspace sent more than its share when it came.
+    pub is_beyond: bool,
     /// When this owner learned of it.
     pub since: Millis,
     /// The batch with its record.
@@ -172,6 +177,7 @@
             queue,
             work,
             workspace: None,
+            is_beyond: false,
             since: now,
             batch,
             inherited: false,
@@ -218,6 +224,11 @@
         self.steps.get_mut(at)
     }
 
+    /// How urgent it is: 0 comes first. What is beyond its workspace's share comes after all that is not.
+    pub fn priority(&self) -> u32 {
+        self.queue.priority.saturating_add(if self.is_beyond { BEYOND } else { 0 })
+    }
+
     /// Whether nobody has ended it.
     pub fn is_open(&self) -> bool {
         self.closed.is_none()
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -350,7 +350,7 @@
 
 /// The place of a job among those that wait: lower ones first.
 pub(in crate::cell) fn rank(job: &Job) -> (u32, Millis) {
-    (job.queue.priority, job.since + job.queue.objective(&job.work))
+    (job.priority(), job.since + job.queue.objective(&job.work))
 }
 
 fn unlisted(member: Member, born: Option<Millis>) -> Listed {
--- a/src/cell/mechanism.rs
+++ b/src/cell/mechanism.rs
@@ -15,34 +15,47 @@
     Copies,
     /// Workers and failure domains that leave something unanswered get nothing new.
     Doubt,
+    /// Jobs with little time to spare go to workers that run fast.
+    Fast,
+    /// Steps that were not asked about come before those that were.
+    FirstAsked,
     /// Room is gathered for gangs that find too little.
     Gather,
     /// A job's tasks keep to one failure domain.
     Home,
+    /// A question names as many workers as its tasks need by what the service cleared before.
+    Naming,
     /// Less urgent tasks are stopped for more urgent ones.
     Preempt,
     /// Tasks that find no room keep some.
     Reserve,
+    /// What a workspace sends beyond its share comes after all else.
+    Shares,
     /// An owner hands the cell to a larger entry, or once it does not keep up.
     Transfer,
 }
 
-const ALL: [(Mechanism, &str); 9] = [
+const ALL: [(Mechanism, &str); 13] = [
     (Mechanism::Aside, "aside"),
     (Mechanism::AskBusy, "ask-busy"),
     (Mechanism::Copies, "copies"),
     (Mechanism::Doubt, "doubt"),
+    (Mechanism::Fast, "fast"),
+    (Mechanism::FirstAsked, "first-asked"),
     (Mechanism::Gather, "gather"),
     (Mechanism::Home, "home"),
+    (Mechanism::Naming, "naming"),
     (Mechanism::Preempt, "preempt"),
     (Mechanism::Reserve, "reserve"),
+    (Mechanism::Shares, "shares"),
     (Mechanism::Transfer, "transfer"),
 ];
 
 /// A text names no mechanism.
 #[derive(Debug, Error, PartialEq)]
 #[error(
-    "{0:?} is none of: aside, ask-busy, copies, doubt, gather, home, preempt, reserve, transfer"
+    "{0:?} is none of: aside, ask-busy, copies, doubt, fast, first-asked, gather, home, naming, preempt, reserve, \
+     shares, transfer"
 )]
 pub struct MechanismError(String);
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,9 +16,11 @@
 use crate::order::{Life, Listed, Start};
 use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
 use advising::advice::{Advisers, Question};
+use advising::clearance::ClearRate;
 use jobs::job::Job;
 use mechanism::Off;
 use placing::reserve::Reservations;
+use placing::share::Shares;
 use placing::usage::Usages;
 use records::journal::{Fate, Snapshot};
 use serde::{Deserialize, Serialize};
@@ -107,10 +109,14 @@
     /// Closed jobs in the order of their ends.
     closed: VecDeque<JobKey>,
     advisers: Advisers,
+    /// The share of workers that the advice service clears, by queue.
+    clear_rates: HashMap<Name, ClearRate>,
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
     /// What workspaces have running, and may.
     usages: Usages,
+    /// What workspaces may still send within their shares.
+    shares: Shares,
     /// Lives of workers that may have ended.
     unconfirmed: jobs::crash::Unconfirmed,
     /// Lives of workers that are over and may be listed still, with when they were found to be.
@@ -169,8 +175,10 @@
             fresh: VecDeque::new(),
             closed: VecDeque::new(),
             advisers: Advisers::default(),
+            clear_rates: HashMap::new(),
             reserved: Reservations::default(),
             usages: Usages::default(),
+            shares: Shares::default(),
             unconfirmed: jobs::crash::Unconfirmed::default(),
             ended_lives: BTreeMap::new(),
             recounted: BTreeSet::new(),
@@ -292,7 +300,8 @@
             workspace.as_deref().unwrap_or("none"),
             self.batch
         );
-        let job = Job { workspace, ..Job::new(queue, work, now, self.batch) };
+        let is_beyond = workspace.as_ref().is_some_and(|name| self.exceeds_share(now, name));
+        let job = Job { workspace, is_beyond, ..Job::new(queue, work, now, self.batch) };
         self.jobs.insert(key, job);
         self.fresh.push_back((self.batch, key));
         self.dirty.insert(key);
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -1,11 +1,13 @@
 //! Which task starts next, and where.
 //!
 //! `schedule` goes through the steps that wait, `place` picks workers; `preempt` stops less urgent tasks,
-//! `reserve` keeps room, `gather` collects it for gangs; `usage` bounds what a workspace has running.
+//! `reserve` keeps room, `gather` collects it for gangs; `usage` bounds what a
+//! workspace has running, `share` finds what it sends beyond its share.
 
 pub(super) mod gather;
 pub(super) mod place;
 pub(super) mod preempt;
 pub(super) mod reserve;
 pub(super) mod schedule;
+pub(super) mod share;
 pub(super) mod usage;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -56,7 +56,7 @@
             return;
         }
         let (mine, queue) = (rank(job), job.queue.name.clone());
-        let priority = job.queue.priority;
+        let priority = job.priority();
         let mut plans: Vec<Plan> = fits
             .iter()
             .map(|fit| plan(fit, spec, rest, self.victims(&fit.name, priority)))
@@ -136,7 +136,7 @@
             .filter_map(|((task, no), run)| {
                 let job = self.jobs.get(&task.step.job)?;
                 let spec = job.spec(task.step.step)?;
-                let may_stop = job.queue.priority > priority && spec.can_stop();
+                let may_stop = job.priority() > priority && spec.can_stop();
                 let victim = Victim { task: *task, run: *no, charge: run.charge };
                 may_stop.then_some((rank(job), victim))
             })
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -8,6 +8,8 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
+use crate::cell::mechanism::Mechanism;
+use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Room, Step};
 use crate::workspace::{Workspace, Workspaces};
@@ -84,6 +86,16 @@
         self.changed = true;
     }
 
+    /// A job of a workspace came; whether that is beyond the part of its share that this cell has.
+    pub(in crate::cell) fn exceeds_share(&mut self, now: Millis, name: &Name) -> bool {
+        let Some(workspace) = self.usages.workspaces.get(name) else { return false };
+        if workspace.weight == 0 || self.bounds.off.has(Mechanism::Shares) {
+            return false;
+        }
+        let rate = f64::from(workspace.weight) / self.usages.cells.max(1) as f64;
+        self.shares.exceeds(now, name, rate)
+    }
+
     /// How many tasks of a step the job's workspace may start now, of `most`. A gang starts whole or not at all.
     pub(in crate::cell) fn allowed(&self, job: &Job, spec: &Step, most: usize) -> usize {
         let workspace = job.workspace.as_ref().and_then(|name| self.usages.workspaces.get(name));
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -161,10 +161,11 @@
             }
             None => {
                 log::info!(
-                    "event=worker-listed worker={name} service={} addr={} cpu={}",
+                    "event=worker-listed worker={name} service={} addr={} cpu={} labels={}",
                     listed.service,
                     listed.addr,
-                    listed.room.cpu
+                    listed.room.cpu,
+                    listed.labels.join(",")
                 );
                 self.actions.push(Action::Watch(listed.clone()));
                 self.workers.insert(name, Worker::new(listed, self.batch, Millis(0)));
