Try: questions again after their own time, entries kept by demand, as many names as the share says

Also: where a workspace has used up its part of its bound in one cell, its jobs go to a cell where it has not.

--- a/src/cell/advising/clearance.rs
+++ b/src/cell/advising/clearance.rs
@@ -17,8 +17,6 @@
 pub(in crate::cell) const TICKET_SPARE: Millis = Millis(250);
 /// The most workers that one question may name, by the platform's contract.
 const MAX_NAMED: usize = 100;
-/// The share of workers that is assumed to be cleared when deciding how many to name: one in two.
-const CLEARED_SHARE: usize = 2;
 /// The shortest wait before a step is asked about again for want of room, so that steps that wait
 /// for room do not use up the advice service.
 const ASK_AGAIN: Millis = Millis(250);
@@ -27,10 +25,6 @@
 
 /// The share of workers that is taken to be cleared before the service has answered.
 const FIRST_SHARE: f64 = 0.5;
-/// Room is asked for this many times the tasks: some of it is taken when the answer comes.
-const NAMED_SPARE: f64 = 1.5;
-/// So many workers should be cleared by one answer at least: with one, a chance of the draw leaves none.
-const LEAST_CLEARED: f64 = 3.0;
 /// The weight of one more answer in the share of workers that is cleared: the last 50 or so count.
 const RATE_WEIGHT: f64 = 0.02;
 
@@ -77,8 +71,7 @@
             return;
         }
         let cost = Millis(advice.base.0 + advice.each * workers.len() as u64 / 1_000);
-        let is_again = !advised.is_new() && !self.bounds.off.has(Mechanism::FirstAsked);
-        let question = Question { step: key, workers, cost, rank: rank(job), is_again };
+        let question = Question { step: key, workers, cost, rank: rank(job) };
         self.advisers.push(question);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.advised.asking, step.advised.since) = (true, now);
@@ -113,7 +106,7 @@
         let could_hold = |fit: &Fit| self.could_hold(fit, job.priority(), spec);
         let known: Vec<Fit> = known.into_iter().filter(could_hold).collect();
         let again = rest.max(LEAST_AGAIN);
-        let anew = (rest * CLEARED_SHARE).max(balance(advice));
+        let anew = self.names_for(job, rest).max(balance(advice));
         let suffices = |known: &[Fit]| !spec.gang && known.iter().any(has_room);
         let (mut named, most) = match () {
             () if suffices(&known) => (known, again),
@@ -129,28 +122,15 @@
             let slow = is_tight && fit.is_slow;
             (!fit.holds(spec, &charge), away, slow, std::cmp::Reverse(fit.free.cpu))
         });
-        let most = most.min(MAX_NAMED);
-        let most = match self.bounds.off.has(Mechanism::Naming) || spec.gang {
-            true => most,
-            false => self.suffice(job, spec, &named, rest).min(most),
-        };
-        named.into_iter().take(most).map(|fit| fit.name).collect()
+        named.into_iter().take(most.min(MAX_NAMED)).map(|fit| fit.name).collect()
     }
 
-    /// How many of the first of some workers have to be named so that those cleared hold `rest` tasks, by the share
-    /// that the service cleared before. A question takes longer with each worker, and entries ask one at a time: where
-    /// twice as many workers as tasks were named, each with room for three, steps waited 2.9 s for their turn to ask.
-    fn suffice(&self, job: &Job, spec: &Step, named: &[Fit], rest: usize) -> usize {
-        let share = self.clear_rates.get(&job.queue.name).map_or(FIRST_SHARE, ClearRate::share);
-        let charge = spec.charge();
-        let wanted = rest as f64 * NAMED_SPARE;
-        let mut expected = 0.0;
-        let count = named.iter().take_while(|fit| {
-            let is_short = expected < wanted;
-            expected += share * fit.count(spec, &charge) as f64;
-            is_short
-        });
-        count.count().max((LEAST_CLEARED / share) as usize)
+    /// How many workers have to be named so that one is cleared for each of `rest` tasks, by the share that the
+    /// service cleared before.
+    fn names_for(&self, job: &Job, rest: usize) -> usize {
+        let rate = self.clear_rates.get(&job.queue.name);
+        let rate = rate.filter(|_| !self.bounds.off.has(Mechanism::Naming));
+        (rest as f64 / rate.map_or(FIRST_SHARE, ClearRate::share)) as usize
     }
 
     /// The workers known to be cleared for a gang, if they have room for all of it: all tasks start
@@ -208,6 +188,7 @@
     fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
         let queue = job.queue.name.clone();
+        let is_patient = !self.bounds.off.has(Mechanism::Patience);
         let usual = job.queue.advice.map(|advice| advice.valid).unwrap_or_default();
         let until = now + cleared.valid.unwrap_or(usual);
         let Some(step) = job.step_mut(key) else { return };
@@ -220,7 +201,8 @@
         self.clear_rates.entry(queue).or_default().add(named.len(), cleared.rows.len());
         let advised = &mut step.advised;
         advised.asking = false;
-        advised.again = now + ASK_AGAIN;
+        advised.again =
+            now + if is_patient { ASK_AGAIN.max(now.since(advised.since)) } else { ASK_AGAIN };
         let good: BTreeSet<Name> = cleared.rows.iter().map(|(name, _)| name.clone()).collect();
         let denied = named.iter().filter(|name| !good.contains(*name) && is_same(name));
         advised.denied.extend(denied.cloned());
--- a/src/cell/mechanism.rs
+++ b/src/cell/mechanism.rs
@@ -17,14 +17,16 @@
     Doubt,
     /// Jobs with little time to spare go to workers that run fast.
     Fast,
-    /// Steps that were not asked about come before those that were.
-    FirstAsked,
     /// Room is gathered for gangs that find too little.
     Gather,
     /// A job's tasks keep to one failure domain.
     Home,
+    /// Entries are kept free for short questions by how many of these come.
+    KeptAskers,
     /// A question names as many workers as its tasks need by what the service cleared before.
     Naming,
+    /// A step is asked about again only after the time that an answer takes.
+    Patience,
     /// Less urgent tasks are stopped for more urgent ones.
     Preempt,
     /// Tasks that find no room keep some.
@@ -35,16 +37,17 @@
     Transfer,
 }
 
-const ALL: [(Mechanism, &str); 13] = [
+const ALL: [(Mechanism, &str); 14] = [
     (Mechanism::Aside, "aside"),
     (Mechanism::AskBusy, "ask-busy"),
     (Mechanism::Copies, "copies"),
     (Mechanism::Doubt, "doubt"),
     (Mechanism::Fast, "fast"),
-    (Mechanism::FirstAsked, "first-asked"),
     (Mechanism::Gather, "gather"),
     (Mechanism::Home, "home"),
+    (Mechanism::KeptAskers, "kept-askers"),
     (Mechanism::Naming, "naming"),
+    (Mechanism::Patience, "patience"),
     (Mechanism::Preempt, "preempt"),
     (Mechanism::Reserve, "reserve"),
     (Mechanism::Shares, "shares"),
@@ -54,8 +57,8 @@
 /// A text names no mechanism.
 #[derive(Debug, Error, PartialEq)]
 #[error(
-    "{0:?} is none of: aside, ask-busy, copies, doubt, fast, first-asked, gather, home, naming, preempt, reserve, \
-     shares, transfer"
+    "{0:?} is none of: aside, ask-busy, copies, doubt, fast, gather, home, kept-askers, naming, patience, preempt, \
+     reserve, shares, transfer"
 )]
 pub struct MechanismError(String);
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -18,7 +18,7 @@
 use advising::advice::{Advisers, Question};
 use advising::clearance::ClearRate;
 use jobs::job::Job;
-use mechanism::Off;
+use mechanism::{Mechanism, Off};
 use placing::reserve::Reservations;
 use placing::share::Shares;
 use placing::usage::Usages;
@@ -174,7 +174,7 @@
             forwarded: HashMap::new(),
             fresh: VecDeque::new(),
             closed: VecDeque::new(),
-            advisers: Advisers::default(),
+            advisers: Advisers::new(bounds.off.has(Mechanism::KeptAskers)),
             clear_rates: HashMap::new(),
             reserved: Reservations::default(),
             usages: Usages::default(),
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -13,7 +13,7 @@
 use crate::id::Name;
 use crate::workload::{Room, Step};
 use crate::workspace::{Workspace, Workspaces};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// What one workspace has running. Clones are the same count.
@@ -63,6 +63,16 @@
         self.used.get(workspace).map(|usage| *usage.room()).unwrap_or_default()
     }
 
+    /// What each workspace has running here or `waiting`, in thousandths of what it may have running here.
+    pub fn shares(&self, waiting: &BTreeMap<&Name, Room>) -> Vec<(Name, u32)> {
+        let share = |workspace: &Arc<Workspace>| {
+            let waiting = waiting.get(&workspace.name).copied().unwrap_or_default();
+            let all = self.used(&workspace.name).plus(&waiting);
+            (workspace.name.clone(), all.share_of(&workspace.limit.part(self.cells)))
+        };
+        self.workspaces.iter().map(share).collect()
+    }
+
     /// How many tasks of a size a workspace may start here, at most `most`. One task runs alone though it is larger
     /// than the bound: it would never run otherwise.
     pub fn allowed(&self, workspace: &Workspace, room: &Room, most: usize) -> usize {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -353,7 +353,10 @@
         match ask {
             Ask::Hello { .. } | Ask::Ping { .. } | Ask::Probed { .. } => Tell::Done,
             Ask::Submit { job, queue, work, workspace, stay } => {
-                if !stay && let Err(refused) = self.send_elsewhere(job, &queue, &work) {
+                if !stay
+                    && let Err(refused) =
+                        self.send_elsewhere(job, &queue, &work, workspace.as_ref())
+                {
                     return Tell::Refused(refused);
                 }
                 self.submit(job, &queue, work, workspace).await
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -41,6 +41,11 @@
         self.by_name.get(name)
     }
 
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.by_name.values()
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_name.len()
