--- a/src/cell/advising/advice.rs
+++ b/src/cell/advising/advice.rs
@@ -10,12 +10,8 @@
 
 /// A question of this length or more is long: it holds up the objective of the shortest jobs.
 const LONG: Millis = Millis(150);
-/// The part of all entries that is kept free of long questions at most: one in this many.
+/// The part of all entries that is kept free of long questions: one in this many, and at least one.
 const KEPT: usize = 3;
-/// How fast the mean of what short questions take follows them.
-const DEMAND_SPAN: Millis = Millis(2_000);
-/// So many times the entries that short questions take on average are kept free for them: they come in bursts.
-const DEMAND_SPARE: f64 = 2.0;
 
 /// A question is put again if there is no answer this much later than twice the time that it takes: an entry
 /// gives up on the service after twice that time, and its word takes some milliseconds.
@@ -38,36 +34,9 @@
 #[derive(Debug, Default)]
 pub struct Advisers {
     waiting: VecDeque<Question>,
-    /// How many entries short questions take on average.
-    demand: Demand,
-    /// A fixed part of the entries is kept free for short questions.
-    keeps_part: bool,
     callers: BTreeMap<Name, Caller>,
 }
 
-/// The mean number of entries that short questions take.
-#[derive(Debug, Default)]
-struct Demand {
-    mean: f64,
-    at: Millis,
-}
-
-impl Demand {
-    fn add(&mut self, now: Millis, cost: Millis) {
-        self.mean = self.mean(now) + cost.0 as f64 / DEMAND_SPAN.0 as f64;
-        self.at = now;
-    }
-
-    fn mean(&self, now: Millis) -> f64 {
-        self.mean * (-(now.since(self.at).0 as f64) / DEMAND_SPAN.0 as f64).exp()
-    }
-
-    /// How many entries are kept free.
-    fn kept(&self, now: Millis) -> usize {
-        (self.mean(now) * DEMAND_SPARE).ceil() as usize + 1
-    }
-}
-
 /// An entry that can ask.
 #[derive(Debug)]
 struct Caller {
@@ -87,11 +56,6 @@
 }
 
 impl Advisers {
-    /// Nobody asks yet. `keeps_part`: a fixed part of the entries is kept free for short questions.
-    pub fn new(keeps_part: bool) -> Self {
-        Self { keeps_part, ..Self::default() }
-    }
-
     /// An entry can ask from now on; the question that was lost with its earlier connection, if any.
     pub fn join(&mut self, entry: Name, is_home: bool) -> Option<StepKey> {
         let earlier = self.callers.insert(entry, Caller { is_home, asking: None })?;
@@ -136,17 +100,13 @@
         let count = usable().count();
         let long =
             usable().filter_map(|(_, caller)| caller.asking).filter(|asked| asked.is_long).count();
-        let most = (count / KEPT).max(1);
-        let kept = if self.keeps_part { most } else { self.demand.kept(now).min(most) };
+        let kept = (count / KEPT).max(1);
         let may_long = long + kept < count || count == 1;
         let idle = usable().find(|(_, caller)| caller.asking.is_none());
         let entry = idle.map(|(name, _)| name.clone())?;
         let fits = |question: &Question| may_long || question.cost < LONG;
         let at = self.waiting.iter().position(fits)?;
         let question = self.waiting.remove(at)?;
-        if question.cost < LONG {
-            self.demand.add(now, question.cost);
-        }
         let until = now + question.cost + question.cost + ANSWER_SPARE;
         let asked = Asked { step: question.step, is_long: question.cost >= LONG, until };
         let caller = self.callers.get_mut(&entry)?;
--- a/src/cell/advising/clearance.rs
+++ b/src/cell/advising/clearance.rs
@@ -17,39 +17,14 @@
 pub(in crate::cell) const TICKET_SPARE: Millis = Millis(250);
 /// The most workers that one question may name, by the platform's contract.
 const MAX_NAMED: usize = 100;
+/// The share of workers that is assumed to be cleared when deciding how many to name: one in two.
+const CLEARED_SHARE: usize = 2;
 /// The shortest wait before a step is asked about again for want of room, so that steps that wait
 /// for room do not use up the advice service.
 const ASK_AGAIN: Millis = Millis(250);
 /// A question about workers known to be cleared names so many at least: some fill up meanwhile.
 const LEAST_AGAIN: usize = 4;
 
-/// The share of workers that is taken to be cleared before the service has answered.
-const FIRST_SHARE: f64 = 0.5;
-/// The weight of one more answer in the share of workers that is cleared: the last 50 or so count.
-const RATE_WEIGHT: f64 = 0.02;
-
-/// The share of the workers named that the service cleared.
-#[derive(Debug, Default)]
-pub(in crate::cell) struct ClearRate {
-    share: f64,
-    count: u32,
-}
-
-impl ClearRate {
-    /// The service was asked about so many workers, and cleared so many.
-    fn add(&mut self, named: usize, cleared: usize) {
-        let share = cleared as f64 / named.max(1) as f64;
-        let weight = RATE_WEIGHT.max(1.0 / f64::from(self.count + 1));
-        self.share += (share - self.share) * weight;
-        self.count += 1;
-    }
-
-    /// The share, at least a tenth: a queue that was denied all is asked about ten times as many.
-    fn share(&self) -> f64 {
-        self.share.max(0.1)
-    }
-}
-
 impl Cell {
     /// Has the advice service asked about a step whose tasks found no cleared worker with room.
     pub(in crate::cell) fn question(
@@ -106,7 +81,7 @@
         let could_hold = |fit: &Fit| self.could_hold(fit, job.priority(), spec);
         let known: Vec<Fit> = known.into_iter().filter(could_hold).collect();
         let again = rest.max(LEAST_AGAIN);
-        let anew = self.names_for(job, rest).max(balance(advice));
+        let anew = (rest * CLEARED_SHARE).max(balance(advice));
         let suffices = |known: &[Fit]| !spec.gang && known.iter().any(has_room);
         let (mut named, most) = match () {
             () if suffices(&known) => (known, again),
@@ -116,23 +91,13 @@
             // Room can be made at some of them.
             () => (known, again),
         };
-        let is_tight = self.is_tight(job);
         named.sort_by_cached_key(|fit| {
             let away = job.home.as_ref().is_some_and(|home| fit.domain != *home);
-            let slow = is_tight && fit.is_slow;
-            (!fit.holds(spec, &charge), away, slow, std::cmp::Reverse(fit.free.cpu))
+            (!fit.holds(spec, &charge), away, std::cmp::Reverse(fit.free.cpu))
         });
         named.into_iter().take(most.min(MAX_NAMED)).map(|fit| fit.name).collect()
     }
 
-    /// How many workers have to be named so that one is cleared for each of `rest` tasks, by the share that the
-    /// service cleared before.
-    fn names_for(&self, job: &Job, rest: usize) -> usize {
-        let rate = self.clear_rates.get(&job.queue.name);
-        let rate = rate.filter(|_| !self.bounds.off.has(Mechanism::Naming));
-        (rest as f64 / rate.map_or(FIRST_SHARE, ClearRate::share)) as usize
-    }
-
     /// The workers known to be cleared for a gang, if they have room for all of it: all tasks start
     /// together, so all tickets have to hold together. Where only those were named whose tickets had
     /// run out, a gang of 36 tasks asked 16 times in 14 s about 1 to 9 workers each, while the tickets
@@ -187,8 +152,6 @@
 
     fn clear(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: Cleared) {
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
-        let queue = job.queue.name.clone();
-        let is_patient = !self.bounds.off.has(Mechanism::Patience);
         let usual = job.queue.advice.map(|advice| advice.valid).unwrap_or_default();
         let until = now + cleared.valid.unwrap_or(usual);
         let Some(step) = job.step_mut(key) else { return };
@@ -198,11 +161,9 @@
         let is_same =
             |name: &Name| workers.get(name).is_some_and(|worker| worker.restarted <= since);
         log::info!("event=advised step={key} named={} cleared={}", named.len(), cleared.rows.len());
-        self.clear_rates.entry(queue).or_default().add(named.len(), cleared.rows.len());
         let advised = &mut step.advised;
         advised.asking = false;
-        advised.again =
-            now + if is_patient { ASK_AGAIN.max(now.since(advised.since)) } else { ASK_AGAIN };
+        advised.again = now + ASK_AGAIN;
         let good: BTreeSet<Name> = cleared.rows.iter().map(|(name, _)| name.clone()).collect();
         let denied = named.iter().filter(|name| !good.contains(*name) && is_same(name));
         advised.denied.extend(denied.cloned());
--- a/src/cell/mechanism.rs
+++ b/src/cell/mechanism.rs
@@ -15,18 +15,10 @@
     Copies,
     /// Workers and failure domains that leave something unanswered get nothing new.
     Doubt,
-    /// Jobs with little time to spare go to workers that run fast.
-    Fast,
     /// Room is gathered for gangs that find too little.
     Gather,
     /// A job's tasks keep to one failure domain.
     Home,
-    /// Entries are kept free for short questions by how many of these come.
-    KeptAskers,
-    /// A question names as many workers as its tasks need by what the service cleared before.
-    Naming,
-    /// A step is asked about again only after the time that an answer takes.
-    Patience,
     /// Less urgent tasks are stopped for more urgent ones.
     Preempt,
     /// Tasks that find no room keep some.
@@ -37,17 +29,13 @@
     Transfer,
 }
 
-const ALL: [(Mechanism, &str); 14] = [
+const ALL: [(Mechanism, &str); 10] = [
     (Mechanism::Aside, "aside"),
     (Mechanism::AskBusy, "ask-busy"),
     (Mechanism::Copies, "copies"),
     (Mechanism::Doubt, "doubt"),
-    (Mechanism::Fast, "fast"),
     (Mechanism::Gather, "gather"),
     (Mechanism::Home, "home"),
-    (Mechanism::KeptAskers, "kept-askers"),
-    (Mechanism::Naming, "naming"),
-    (Mechanism::Patience, "patience"),
     (Mechanism::Preempt, "preempt"),
     (Mechanism::Reserve, "reserve"),
     (Mechanism::Shares, "shares"),
@@ -57,8 +45,8 @@
 /// A text names no mechanism.
 #[derive(Debug, Error, PartialEq)]
 #[error(
-    "{0:?} is none of: aside, ask-busy, copies, doubt, fast, gather, home, kept-askers, naming, patience, preempt, \
-     reserve, shares, transfer"
+    "{0:?} is none of: aside, ask-busy, copies, doubt, gather, home, preempt, reserve, shares, \
+     transfer"
 )]
 pub struct MechanismError(String);
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,9 +16,8 @@
 use crate::order::{Life, Listed, Start};
 use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
 use advising::advice::{Advisers, Question};
-use advising::clearance::ClearRate;
 use jobs::job::Job;
-use mechanism::{Mechanism, Off};
+use mechanism::Off;
 use placing::reserve::Reservations;
 use placing::share::Shares;
 use placing::usage::Usages;
@@ -109,8 +108,6 @@
     /// Closed jobs in the order of their ends.
     closed: VecDeque<JobKey>,
     advisers: Advisers,
-    /// The share of workers that the advice service clears, by queue.
-    clear_rates: HashMap<Name, ClearRate>,
     /// Room that is kept for steps that are about to start.
     reserved: Reservations,
     /// What workspaces have running, and may.
@@ -174,8 +171,7 @@
             forwarded: HashMap::new(),
             fresh: VecDeque::new(),
             closed: VecDeque::new(),
-            advisers: Advisers::new(bounds.off.has(Mechanism::KeptAskers)),
-            clear_rates: HashMap::new(),
+            advisers: Advisers::default(),
             reserved: Reservations::default(),
             usages: Usages::default(),
             shares: Shares::default(),
--- a/src/cell/placing/place.rs
+++ b/src/cell/placing/place.rs
@@ -35,8 +35,6 @@
     /// All runs there.
     pub busy: usize,
     pub is_sound: bool,
-    /// It takes longer than others.
-    pub is_slow: bool,
     /// It runs tasks that serve users of their own.
     pub serves: bool,
     /// Room is gathered there for a gang of another step.
@@ -55,7 +53,6 @@
             runs: 0,
             busy: worker.runs.len(),
             is_sound: worker.is_sound(),
-            is_slow: worker.speed.is_slow(),
             serves: worker.runs.values().any(|run| run.tail.0 > 0),
             is_kept: false,
         }
@@ -91,7 +88,7 @@
 }
 
 /// The best worker with room for one task: near the data, not one on which it failed, in the job's
-/// failure domain, not slow if the job has little time to spare, sound, and then the one that is left with the least; fillers go where most
+/// failure domain, sound, and then the one that is left with the least; fillers go where most
 /// processors are idle. One under which a worker crashed goes to another worker, as a second crash of the same one
 /// tells little, and where the least else runs.
 pub(in crate::cell) fn pick<'a>(
@@ -99,7 +96,6 @@
     spec: &Step,
     home: Option<&Name>,
     task: &Task,
-    is_tight: bool,
 ) -> Option<&'a mut Fit> {
     let charge = spec.charge();
     let score = |fit: &Fit| {
@@ -108,7 +104,7 @@
         let free = fit.free.less(&charge).cpu;
         let room = if spec.filler { u64::MAX - free } else { free };
         let serves = spec.filler && fit.serves;
-        let last = (serves, fit.is_kept, away, is_tight && fit.is_slow, !fit.is_sound);
+        let last = (serves, fit.is_kept, away, !fit.is_sound);
         let shared = if task.crashes.is_empty() { 0 } else { fit.busy };
         let has_crashed = task.crashes.iter().any(|crash| crash.addr == fit.addr);
         (task.avoid.contains(&fit.name), has_crashed, shared, far, last, room)
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -196,7 +196,6 @@
         waiting: &[u32],
     ) {
         let charge = spec.charge();
-        let is_tight = self.jobs.get(&key.job).is_some_and(|job| self.is_tight(job));
         for index in waiting {
             let task = TaskKey { step: key, index: *index };
             let Some(job) = self.jobs.get(&key.job) else { return };
@@ -206,7 +205,7 @@
                 continue;
             }
             let home = job.home.as_ref().filter(|_| !spec.lasting);
-            let best = pick(fits, spec, home, state, is_tight);
+            let best = pick(fits, spec, home, state);
             let Some(fit) = best else { return };
             fit.free = fit.free.less(&charge);
             fit.runs += 1;
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -8,5 +8,4 @@
 pub(super) mod restart;
 pub mod roster;
 pub mod run_times;
-pub mod speed;
 pub mod worker;
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -99,7 +99,7 @@
             let run = worker.remove(row.task, row.run);
             self.changed = true;
             if let Some(run) = run.filter(|run| row.end == End::Done && run.began.0 > 0) {
-                self.learn(name, row.task, now.since(run.began));
+                self.learn(row.task, now.since(run.began));
             }
             self.end(now, name, row);
             // An end that changes nothing needs no record before it is confirmed.
@@ -128,15 +128,10 @@
     }
 
     /// A run that began here is done: how long it took against its estimate.
-    fn learn(&mut self, name: &Name, task: TaskKey, took: Millis) {
+    fn learn(&mut self, task: TaskKey, took: Millis) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(spec) = job.spec(task.step.step).filter(|spec| !spec.lasting) else { return };
-        let times = self.run_times.entry(job.queue.name.clone()).or_default();
-        let ratio = times.ratio(spec.estimate, took);
-        times.add(spec.estimate, took);
-        if let (Some(ratio), Some(worker)) = (ratio, self.workers.get_mut(name)) {
-            worker.speed.add(ratio);
-        }
+        self.run_times.entry(job.queue.name.clone()).or_default().add(spec.estimate, took);
     }
 
     fn end(&mut self, now: Millis, name: &Name, row: &EndedRow) {
--- a/src/cell/workers/run_times.rs
+++ b/src/cell/workers/run_times.rs
@@ -35,12 +35,6 @@
         self.count += 1;
     }
 
-    /// How many times as long as usual a run took, if that is known.
-    pub fn ratio(&self, estimate: Millis, took: Millis) -> Option<f64> {
-        let is_known = self.count >= LEAST && estimate.0 > 0;
-        is_known.then(|| took.0 as f64 / estimate.0 as f64 / self.mean)
-    }
-
     fn bound(&self) -> Option<f64> {
         (self.count >= LEAST).then_some(self.mean + DEVIATIONS * self.deviation)
     }
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -1,7 +1,6 @@
 //! A worker at its owner: the room that is taken, what runs, and what is known of its health.
 
 use crate::cell::placing::usage::Held;
-use crate::cell::workers::speed::Speed;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Life, Listed, Report, differ};
@@ -161,8 +160,6 @@
     last_fail: Option<TaskKey>,
     aside: Millis,
     aside_until: Millis,
-    /// How fast it runs tasks.
-    pub speed: Speed,
     /// The last run that was late, and when it was found to be.
     late: Option<(TaskKey, Millis)>,
     /// When the shares of fillers were last changed.
@@ -196,7 +193,6 @@
             last_fail: None,
             aside: Millis(0),
             aside_until: Millis(0),
-            speed: Speed::default(),
             late: None,
             paced: Millis(0),
             quarantine: None,
