--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -360,9 +360,9 @@
                 break;
             }
             self.closed.pop_front();
-            self.jobs.remove(&key);
+            let workspace = self.jobs.remove(&key).and_then(|job| job.workspace);
             self.dirty.insert(key);
-            self.actions.push(Action::Forgotten(key));
+            self.actions.push(Action::Forgotten(key, workspace));
         }
     }
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -57,8 +57,8 @@
     Watch(Listed),
     /// Stop asking this worker.
     Unwatch(Name),
-    /// A job is not known any more; if it came from another cell, that one may forget it too.
-    Forgotten(JobKey),
+    /// A job, of a workspace or none, is not known any more; if it came from another cell, that one may forget it too.
+    Forgotten(JobKey, Option<Name>),
     /// Ask this worker for a report at once.
     Look(Name),
     /// Have an entry ask the advice service.
--- a/src/cell/owner/balance.rs
+++ b/src/cell/owner/balance.rs
@@ -4,9 +4,6 @@
 //! full while others stand half empty. 75 builds in 34 s, 2 to 64 tasks wide, load a cell of 180 workers
 //! by 45 to 65 % of its processors: with all else the fullest cell waits for 20 s and more.
 //!
-//! The same holds for a workspace with a bound, of which each cell has its part: a few wide jobs in one cell use that
-//! up while nothing of the workspace runs in others.
-//!
 //! The home decides, and keeps in the store where it sent a job: so a job that comes again by another
 //! entry goes to the same cell.
 
@@ -21,35 +18,15 @@
 /// comes and goes between two words from it.
 const MARGIN: u32 = 150;
 
-/// What a load is counted for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Of {
-    /// The workers of a service: processors that are taken or waited for, of all that they have.
-    Service(Name),
-    /// A workspace: what it has running or waiting, of what it may have running in the cell.
-    Workspace(Name),
-}
-
-/// What a cell has to do, of one kind.
+/// What the workers of one service have to do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// What it is counted for.
-    pub of: Of,
-    /// How much, in thousandths of what there is.
+    /// The service.
+    pub service: Name,
+    /// Processors that are taken or waited for, in thousandths of all.
     pub share: u32,
 }
 
-/// Workspaces are told of from this share on: below it they find room, and there are many of them.
-pub const TOLD: u32 = FULL / 2;
-
-/// The load that counts for a job: of its service, or of its workspace where that is closer to its bound. `None`: the
-/// cell has no worker of the service.
-pub fn share_for(loads: &[Load], service: &Of, workspace: Option<&Of>) -> Option<u32> {
-    let share = |of: &Of| loads.iter().find(|load| load.of == *of).map(|load| load.share);
-    let of_workspace = workspace.and_then(share).unwrap_or_default();
-    Some(share(service)?.max(of_workspace))
-}
-
 /// A cell that a job could go to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice {
--- a/src/cell/owner/forward.rs
+++ b/src/cell/owner/forward.rs
@@ -1,9 +1,9 @@
 //! Jobs that another cell runs, and what cells tell each other to decide that.
 
 use crate::cell::Cell;
-use crate::cell::owner::balance::{Load, Of, TOLD};
+use crate::cell::owner::balance::Load;
 use crate::id::Name;
-use crate::workload::{JobKey, Room};
+use crate::workload::JobKey;
 use std::collections::BTreeMap;
 
 impl Cell {
@@ -49,27 +49,17 @@
             *taken += worker.used.cpu.min(worker.listed.room.cpu);
             *all += worker.listed.room.cpu;
         }
-        let mut waiting: BTreeMap<&Name, Room> = BTreeMap::new();
         for (_, _, key) in &self.ready {
             let Some(job) = self.jobs.get(&key.job) else { continue };
             let (Some(spec), Some(step)) = (job.spec(key.step), job.step(*key)) else { continue };
-            let count = step.waiting.len() as u64;
             if let Some((taken, _)) = services.get_mut(&job.queue.service) {
-                *taken += spec.charge().cpu * count;
-            }
-            if let Some(workspace) = &job.workspace {
-                let room = waiting.entry(workspace).or_default();
-                *room = room.plus(&spec.room.times(count));
+                *taken += spec.charge().cpu * step.waiting.len() as u64;
             }
         }
         let load = |(service, (taken, all)): (&Name, (u64, u64))| Load {
-            of: Of::Service(service.clone()),
+            service: service.clone(),
             share: (taken * 1_000 / all.max(1)).min(u64::from(u32::MAX)) as u32,
         };
-        let of_services = services.into_iter().map(load);
-        let of_workspaces = self.usages.shares(&waiting).into_iter().filter(|(_, s)| *s >= TOLD);
-        let of_workspaces =
-            of_workspaces.map(|(name, share)| Load { of: Of::Workspace(name), share });
-        of_services.chain(of_workspaces).collect()
+        services.into_iter().map(load).collect()
     }
 }
--- a/src/cell/owner/map.rs
+++ b/src/cell/owner/map.rs
@@ -56,6 +56,12 @@
         self.pick(&job.0.to_le_bytes())
     }
 
+    /// The cell of a workspace's jobs. They are all in one, so that one owner counts what the workspace has running:
+    /// where each cell had its part of a bound, that held no whole job of a small one.
+    pub fn of_workspace(&self, workspace: &Name) -> u32 {
+        self.pick(workspace.as_bytes())
+    }
+
     /// The cell of a worker. Racks that came after the map was made are spread by their names, and
     /// workers without a rack by their own.
     pub fn of_worker(&self, worker: &Listed) -> u32 {
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `election` and `authority` say who owns a cell and may give orders, `map` which cell a worker or a job
 //! belongs to, `balance` and `forward` where a job of a full cell runs, `lag` what an owner does that does not
-//! keep up, `admission` when refused callers come back.
+//! keep up, `admission` when refused callers come back, `access` who may call.
 
 pub mod access;
 pub mod admission;
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -13,7 +13,7 @@
 use crate::id::Name;
 use crate::workload::{Room, Step};
 use crate::workspace::{Workspace, Workspaces};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// What one workspace has running. Clones are the same count.
@@ -40,13 +40,11 @@
     }
 }
 
-/// The usage of all workspaces in one cell, and their bounds there.
+/// The usage of all workspaces in one cell, and their bounds: all jobs of a workspace with a bound are in one cell.
 #[derive(Debug, Default)]
 pub(in crate::cell) struct Usages {
     used: HashMap<Name, Usage>,
     workspaces: Workspaces,
-    /// Over how many cells the bounds are dealt.
-    cells: u64,
 }
 
 impl Usages {
@@ -63,22 +61,11 @@
         self.used.get(workspace).map(|usage| *usage.room()).unwrap_or_default()
     }
 
-    /// What each workspace has running here or `waiting`, in thousandths of what it may have running here.
-    pub fn shares(&self, waiting: &BTreeMap<&Name, Room>) -> Vec<(Name, u32)> {
-        let share = |workspace: &Arc<Workspace>| {
-            let waiting = waiting.get(&workspace.name).copied().unwrap_or_default();
-            let all = self.used(&workspace.name).plus(&waiting);
-            (workspace.name.clone(), all.share_of(&workspace.limit.part(self.cells)))
-        };
-        self.workspaces.iter().map(share).collect()
-    }
-
     /// How many tasks of a size a workspace may start here, at most `most`. One task runs alone though it is larger
     /// than the bound: it would never run otherwise.
     pub fn allowed(&self, workspace: &Workspace, room: &Room, most: usize) -> usize {
         let used = self.used(&workspace.name);
-        let limit = workspace.limit.part(self.cells);
-        let left = limit.less(&used);
+        let left = workspace.limit.less(&used);
         let fits = |left: u64, each: u64| left.checked_div(each).unwrap_or(u64::MAX);
         let count = fits(left.cpu, room.cpu).min(fits(left.mem, room.mem));
         let count = count.min(fits(left.gpu, room.gpu)).min(most as u64) as usize;
@@ -90,19 +77,19 @@
 }
 
 impl Cell {
-    /// The workspaces of another version of the policy; their bounds are dealt to so many cells.
-    pub fn set_workspaces(&mut self, workspaces: Workspaces, cells: u32) {
-        (self.usages.workspaces, self.usages.cells) = (workspaces, u64::from(cells));
+    /// The workspaces of another version of the policy.
+    pub fn set_workspaces(&mut self, workspaces: Workspaces) {
+        self.usages.workspaces = workspaces;
         self.changed = true;
     }
 
-    /// A job of a workspace came; whether that is beyond the part of its share that this cell has.
+    /// A job of a workspace came; whether that is beyond its share.
     pub(in crate::cell) fn exceeds_share(&mut self, now: Millis, name: &Name) -> bool {
         let Some(workspace) = self.usages.workspaces.get(name) else { return false };
         if workspace.weight == 0 || self.bounds.off.has(Mechanism::Shares) {
             return false;
         }
-        let rate = f64::from(workspace.weight) / self.usages.cells.max(1) as f64;
+        let rate = f64::from(workspace.weight);
         self.shares.exceeds(now, name, rate)
     }
 
--- a/src/node/cells.rs
+++ b/src/node/cells.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::owner::map::CellMap;
 use crate::clock::Millis;
-use crate::id::hash;
+use crate::id::{Name, hash};
 use crate::node::view::View;
 use crate::node::{Node, STORE_RETRY};
 use crate::platform::store::{Guard, Part, StoreError, put_keyed};
@@ -38,9 +38,11 @@
 }
 
 impl Cells {
-    /// The cell of a job.
-    pub fn of_job(&self, job: JobKey) -> Option<&Arc<View>> {
-        self.views.get(self.map.of_job(job) as usize)
+    /// The cell of a job: that of its workspace, if it has one.
+    pub fn of_job(&self, job: JobKey, workspace: Option<&Name>) -> Option<&Arc<View>> {
+        let of_job = || self.map.of_job(job);
+        let cell = workspace.map_or_else(of_job, |name| self.map.of_workspace(name));
+        self.views.get(cell as usize)
     }
 
     /// A cell by its number.
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -140,7 +140,9 @@
         (Method::GET, "") => ("pending", pending(&cells, route, until).await),
         (Method::POST | Method::GET | Method::DELETE, rest) => match rest.parse::<JobKey>() {
             Ok(job) => {
-                let Some(view) = cells.of_job(job) else { return ("none", Reply::NoQueue) };
+                let Some(view) = cells.of_job(job, workspace.as_ref()) else {
+                    return ("none", Reply::NoQueue);
+                };
                 let call = Call { view, policy: &policy, route, job, workspace, until };
                 call.reply(request).await
             }
--- a/src/node/owner/forward.rs
+++ b/src/node/owner/forward.rs
@@ -1,13 +1,13 @@
 //! Jobs that run in another cell than their home.
 
-use crate::cell::owner::balance::{self, Choice, Load, Of, share_for};
+use crate::cell::owner::balance::{self, Choice, Load};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::cells::Cells;
 use crate::node::lock;
 use crate::node::msg::{Ask, Refused};
 use crate::node::owner::Owner;
-use crate::workload::{JobKey, Room, Work};
+use crate::workload::{JobKey, Work};
 use std::sync::Arc;
 
 /// How long the home of a forgotten job is asked to forget it too. Without an answer its record stays
@@ -34,16 +34,19 @@
         work: &Work,
         workspace: Option<&Name>,
     ) -> Result<(), Refused> {
-        if self.view.cells == 1 || !self.is_sure() || lock(&self.cell).knows(job) {
+        // All that counts for a bound is counted here.
+        if self.view.cells == 1
+            || self.is_bounded(workspace)
+            || !self.is_sure()
+            || lock(&self.cell).knows(job)
+        {
             return Ok(());
         }
         let Some(cells) = self.node.cells() else { return Ok(()) };
         let queue = self.node.policy().queues.get(queue).cloned();
         let Some(service) = queue.map(|queue| queue.service.clone()) else { return Ok(()) };
         let near = self.near_data(&cells, work);
-        let of_workspace = workspace.map(|name| Of::Workspace(name.clone()));
-        let emptier = || self.emptier(&cells, &service, of_workspace.as_ref(), job);
-        let to = match near.or_else(emptier) {
+        let to = match near.or_else(|| self.emptier(&cells, &service, job)) {
             Some(to) if to != self.view.cell => to,
             None if lock(&self.cell).processors(&service) == 0 => {
                 log::info!("event=refused job={job} why=no-worker service={service}");
@@ -52,10 +55,17 @@
             _ => return Ok(()),
         };
         lock(&self.cell).forward(job, to);
-        self.count_load(&cells, to, &service, workspace, work);
+        self.count_load(&cells, to, &service, work);
         Ok(())
     }
 
+    fn is_bounded(&self, workspace: Option<&Name>) -> bool {
+        let policy = self.node.policy();
+        let all = policy.workspaces.as_ref();
+        let known = workspace.and_then(|name| all?.get(name));
+        known.is_some_and(|workspace| workspace.is_bounded())
+    }
+
     /// The cell with the rack that most of a job's tasks want to be on.
     fn near_data(&self, cells: &Cells, work: &Work) -> Option<u32> {
         let wanting = work.steps.iter().filter(|step| !step.near.is_empty());
@@ -67,15 +77,8 @@
 
     /// A cell that has far less to do than this one, or has workers of the service where this one has
     /// none left.
-    fn emptier(
-        &self,
-        cells: &Cells,
-        service: &Name,
-        workspace: Option<&Of>,
-        job: JobKey,
-    ) -> Option<u32> {
-        let of = Of::Service(service.clone());
-        let share = share_for(&lock(&self.loads), &of, workspace);
+    fn emptier(&self, cells: &Cells, service: &Name, job: JobKey) -> Option<u32> {
+        let share = lock(&self.loads).iter().find(|load| load.service == *service).map(|l| l.share);
         let mine = match share {
             Some(share) => share,
             // Its workers were not heard yet.
@@ -83,37 +86,28 @@
             None => u32::MAX,
         };
         let others = cells.views.iter().filter(|view| view.cell != self.view.cell);
-        let others: Vec<Choice> = others.filter_map(|view| view.choice(&of, workspace)).collect();
+        let others: Vec<Choice> = others.filter_map(|view| view.choice(service)).collect();
         balance::choose(mine, &others, job)
     }
 
-    fn count_load(
-        &self,
-        cells: &Cells,
-        to: u32,
-        service: &Name,
-        workspace: Option<&Name>,
-        work: &Work,
-    ) {
-        let first = || work.steps.iter().filter(|step| step.after.is_empty());
-        let cpu: u64 = first().map(|step| step.charge().cpu * u64::from(step.count)).sum();
-        let rooms = first().map(|step| step.room.times(u64::from(step.count)));
-        let room = rooms.fold(Room::default(), |sum, room| sum.plus(&room));
+    fn count_load(&self, cells: &Cells, to: u32, service: &Name, work: &Work) {
+        let cpu: u64 = work
+            .steps
+            .iter()
+            .filter(|step| step.after.is_empty())
+            .map(|step| step.charge().cpu * u64::from(step.count))
+            .sum();
         let all = lock(&self.cell).processors(service).max(1);
-        let Some(view) = cells.get(to) else { return };
-        view.add_load(&Of::Service(service.clone()), (cpu * 1_000 / all) as u32);
-        let policy = self.node.policy();
-        let workspaces = policy.workspaces.as_ref();
-        if let Some(known) = workspace.and_then(|name| workspaces?.get(name)) {
-            let part = known.limit.part(u64::from(self.view.cells));
-            view.add_load(&Of::Workspace(known.name.clone()), room.share_of(&part));
+        if let Some(view) = cells.get(to) {
+            view.add_load(service, (cpu * 1_000 / all) as u32);
         }
     }
 
     /// Tells the home of a job that this cell has forgotten it.
-    pub(super) fn forget_at_home(self: &Arc<Self>, job: JobKey) {
+    pub(super) fn forget_at_home(self: &Arc<Self>, job: JobKey, workspace: Option<&Name>) {
         let Some(cells) = self.node.cells() else { return };
-        let Some(home) = cells.of_job(job).filter(|home| home.cell != self.view.cell) else {
+        let Some(home) = cells.of_job(job, workspace).filter(|home| home.cell != self.view.cell)
+        else {
             return;
         };
         let home = home.clone();
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -84,7 +84,7 @@
         let policy = node.policy();
         let doubt = !lock(&self.election).is_steady(self.now());
         let mut cell = Cell::new(epoch, bounds, policy.queues.clone(), snapshot, doubt, self.now());
-        cell.set_workspaces(policy.workspaces.clone().unwrap_or_default(), self.cells);
+        cell.set_workspaces(policy.workspaces.clone().unwrap_or_default());
         cell.set_workers(self.now(), listed);
         if node.adviser.is_some() {
             cell.join(self.me().clone(), self.is_home);
@@ -231,7 +231,7 @@
                 }
             }
             Action::Ask { entry, question } => self.ask(entry, question),
-            Action::Forgotten(job) => self.forget_at_home(job),
+            Action::Forgotten(job, workspace) => self.forget_at_home(job, workspace.as_ref()),
             order => drop(tokio::spawn(self.clone().order(order))),
         }
     }
@@ -300,8 +300,7 @@
             {
                 let mut cell = lock(&self.cell);
                 cell.set_queues(policy.queues.clone());
-                let workspaces = policy.workspaces.clone().unwrap_or_default();
-                cell.set_workspaces(workspaces, self.view.cells);
+                cell.set_workspaces(policy.workspaces.clone().unwrap_or_default());
             }
             self.wake.notify_one();
             if policies.changed().await.is_err() {
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of one cell, and its part in it.
 
-use crate::cell::owner::balance::{Choice, Load, Of, share_for};
+use crate::cell::owner::balance::{Choice, Load};
 use crate::cell::owner::election::{Election, Leader};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -129,23 +129,23 @@
         owned || linked
     }
 
-    /// The cell as one that a job of a service and maybe a workspace could go to; `None`: it takes none, or has said
-    /// nothing lately.
-    pub fn choice(&self, service: &Of, workspace: Option<&Of>) -> Option<Choice> {
+    /// The cell as one that a job of a service could go to; `None`: it takes none, or has said nothing
+    /// lately.
+    pub fn choice(&self, service: &str) -> Option<Choice> {
         let loads = lock(&self.loads);
         let (at, loads) = &*loads;
         let is_fresh = self.now().since(*at) < LOAD_FRESH;
-        let choice = Choice { cell: self.cell, share: share_for(loads, service, workspace)? };
+        let load = loads.iter().find(|load| *load.service == *service)?;
+        let choice = Choice { cell: self.cell, share: load.share };
         (is_fresh && self.accepts()).then_some(choice)
     }
 
-    /// Counts work that was just sent to the cell, in thousandths of what there is, until its owner speaks
-    /// again.
-    pub fn add_load(&self, of: &Of, share: u32) {
+    /// Counts work that was just sent to the cell, in thousandths of its processors, until its owner
+    /// speaks again.
+    pub fn add_load(&self, service: &str, share: u32) {
         let mut loads = lock(&self.loads);
-        match loads.1.iter_mut().find(|load| load.of == *of) {
-            Some(load) => load.share = load.share.saturating_add(share),
-            None => loads.1.push(Load { of: of.clone(), share }),
+        if let Some(load) = loads.1.iter_mut().find(|load| *load.service == *service) {
+            load.share = load.share.saturating_add(share);
         }
     }
 
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -112,24 +112,6 @@
     /// No bound: more than all workers have, and little enough to be added up.
     pub const UNLIMITED: Self = Self { cpu: u64::MAX / 4, mem: u64::MAX / 4, gpu: u64::MAX / 4 };
 
-    /// So many times this room.
-    pub fn times(&self, count: u64) -> Self {
-        Self { cpu: self.cpu * count, mem: self.mem * count, gpu: self.gpu * count }
-    }
-
-    /// The largest part that this room takes of a dimension of `all`, in thousandths.
-    pub fn share_of(&self, all: &Self) -> u32 {
-        let share = |part: u64, all: u64| part.saturating_mul(1_000) / all.max(1);
-        let most = share(self.cpu, all.cpu).max(share(self.mem, all.mem));
-        most.max(share(self.gpu, all.gpu)).min(u64::from(u32::MAX)) as u32
-    }
-
-    /// One of `parts` equal parts.
-    pub fn part(&self, parts: u64) -> Self {
-        let parts = parts.max(1);
-        Self { cpu: self.cpu / parts, mem: self.mem / parts, gpu: self.gpu / parts }
-    }
-
     /// Whether `other` fits into this room.
     pub fn holds(&self, other: &Self) -> bool {
         self.cpu >= other.cpu && self.mem >= other.mem && self.gpu >= other.gpu
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -16,6 +16,13 @@
     pub limit: Room,
 }
 
+impl Workspace {
+    /// Whether there is a bound on what it has running.
+    pub fn is_bounded(&self) -> bool {
+        self.limit != Room::UNLIMITED
+    }
+}
+
 /// Workspaces, by what they are asked for.
 #[derive(Debug, Clone, Default)]
 pub struct Workspaces {
@@ -41,11 +48,6 @@
         self.by_name.get(name)
     }
 
-    /// All of them.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
-        self.by_name.values()
-    }
-
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_name.len()
