--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -21,8 +21,8 @@
     /// Takes in what the store holds.
     pub(in crate::cell) fn inherit(&mut self, snapshot: Snapshot, now: Millis) {
         // The longest lease that a worker grants: one that started again under its id was maybe asked for a time by the
-        // clock of its life before, which is cut down to that. With the usual lease a task started elsewhere 0.4 s
-        // before it was over behind a cut.
+        // clock of its life before, which is cut down to that. After the usual lease its task may run still, behind a
+        // cut.
         let lease_end = now + Millis(self.bounds.lease_max.0 * 1_050 / 1_000);
         let births = snapshot.births;
         self.owned = snapshot.workspaces.keys().copied().collect();
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -299,8 +299,8 @@
         let is_beyond = workspace.as_ref().is_some_and(|name| self.exceeds_share(now, name));
         let job = Job { workspace, is_beyond, ..Job::new(queue, work, now, self.batch) };
         self.jobs.insert(key, job);
-        // Its first steps ask and find workers while its record is written, and start once that is kept: with a store
-        // 28 times slower than usual each write that has to be waited for takes 0.2 s of a short job's 0.7 s to spare.
+        // Its first steps ask and find workers while its record is written, and start once that is kept: with a slow
+        // store a short job has no time to wait for one write more.
         self.open_job(now, key);
         self.fresh.push_back((self.batch, key));
         self.dirty.insert(key);
--- a/src/cell/placing/share.rs
+++ b/src/cell/placing/share.rs
@@ -7,8 +7,9 @@
 use crate::id::Name;
 use std::collections::HashMap;
 
-/// Work of this many seconds may come at once: the share is told by the second.
+/// What a workspace may send in this many seconds may come at once.
 const BURST: f64 = 1.0;
+/// In milliseconds.
 const SECOND: f64 = 1_000.0;
 
 /// What a workspace may still send within its share.
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -151,7 +151,7 @@
         for worker in self.workers.values_mut() {
             worker.keep(batch);
         }
-        while self.fresh.pop_front_if(|(of, _)| *of <= batch).is_some() {}
+        self.fresh.retain(|(of, _)| *of > batch);
         self.send_starts(now, batch);
         self.changed = true;
     }
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -27,7 +27,7 @@
 /// Time between two reports of a worker that does not answer.
 const HOLD_RETRY: Millis = Millis(250);
 /// Ends are confirmed with the next report; it waits this long at the most for the store to have them, twice what
-/// that usually takes. With a store that is slow, other ends at the worker were not known for 0.2 to 0.5 s more.
+/// that usually takes. With a store that is slow, later ends at the worker would not be known until then.
 const KEEP_WAIT: Millis = Millis(60);
 /// A start is not sent this long after it was decided: the worker's room may have shrunk, or another entry
 /// may own the cell. Starts wait for each other for 1.2 s at the most where a worker answers none.
