All records of a job that is given back are left out; a bounded job goes where its service has workers

Cause, by reading: since jobs find workers while their record is written, a batch that the store refuses may hold a binding and a workspace of a job that is given back; only the job's own record was left out, and a binding that stayed would be taken for one of the same job, submitted again. And a job of a workspace with a bound stayed in a cell without a worker of its service.

--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -138,6 +138,11 @@
     pub births: BTreeMap<Name, Millis>,
 }
 
+/// The job that a record is of; `None`: it is of the cell.
+pub fn job_of(key: &str) -> Option<JobKey> {
+    key.split('.').next()?.parse().ok()
+}
+
 /// The record of a job.
 pub fn job(key: JobKey, record: &JobRecord) -> (String, Vec<u8>) {
     (key.to_string(), encode(record))
--- a/src/node/owner/forward.rs
+++ b/src/node/owner/forward.rs
@@ -34,17 +34,16 @@
         work: &Work,
         workspace: Option<&Name>,
     ) -> Result<(), Refused> {
-        // All that counts for a bound is counted here.
-        if self.view.cells == 1
-            || self.is_bounded(workspace)
-            || !self.is_sure()
-            || lock(&self.cell).knows(job)
-        {
+        if self.view.cells == 1 || !self.is_sure() || lock(&self.cell).knows(job) {
             return Ok(());
         }
         let Some(cells) = self.node.cells() else { return Ok(()) };
         let queue = self.node.policy().queues.get(queue).cloned();
         let Some(service) = queue.map(|queue| queue.service.clone()) else { return Ok(()) };
+        // All that counts for a bound is counted here, as long as anything can run here.
+        if self.is_bounded(workspace) && lock(&self.cell).processors(&service) > 0 {
+            return Ok(());
+        }
         let near = self.near_data(&cells, work);
         let to = match near.or_else(|| self.emptier(&cells, &service, job)) {
             Some(to) if to != self.view.cell => to,
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -1,6 +1,6 @@
 //! What an owner keeps in the store, and how it reads it again after a takeover.
 
-use crate::cell::records::journal::{Batch, Snapshot};
+use crate::cell::records::journal::{Batch, Snapshot, job_of};
 use crate::clock::Millis;
 use crate::node::owner::Owner;
 use crate::node::view::View;
@@ -170,8 +170,8 @@
             may_be_there = may_be_there || !matches!(err, StoreError::Refused(_));
             if !may_be_there && self.node.now().since(begun) >= GIVE_BACK {
                 let gone = lock(&self.cell).withdraw(batch.no);
-                let gone: Vec<String> = gone.iter().map(ToString::to_string).collect();
-                records.retain(|(key, _)| !gone.contains(key));
+                // All that is of them: a binding that stayed would be taken for one of the same job, submitted again.
+                records.retain(|(key, _)| !job_of(key).is_some_and(|job| gone.contains(&job)));
                 // Callers that wait look again.
                 self.kept.send_modify(|_| {});
                 if records.is_empty() {
--- a/tests/accepting.rs
+++ b/tests/accepting.rs
@@ -7,6 +7,7 @@
 
 use lifeworld::{Site, job, step};
 use sprucerudder::cell::Action;
+use sprucerudder::cell::records::journal;
 use sprucerudder::clock::Millis;
 use sprucerudder::workload::{JobKey, Room, Step, Work};
 use std::sync::Arc;
@@ -52,6 +53,20 @@
     assert_eq!((site.starts(job(1)), site.starts(job(2))), (0, 1));
 }
 
+#[test]
+fn all_records_of_a_job_that_is_given_back_are_left_out() {
+    // The owner leaves out what is of jobs that it gave back. Since jobs find workers while their record is written, that
+    // is a binding and a workspace too, under keys of their own.
+    let mut site = Site::new(1);
+    site.submit_for(job(1), step(), "workspace");
+    assert_eq!(starts(&mut site), 0);
+    let batch = site.cell.take_batch(Millis(site.now)).expect("its records");
+    let of = |key: &str| journal::job_of(key);
+    let records = batch.records.iter().filter(|(key, _)| of(key) == Some(job(1)));
+    assert_eq!(records.count(), 3, "{:?}", batch.records);
+    assert_eq!(of("roster.born"), None);
+}
+
 #[test]
 fn nothing_unaccepted_starts_while_the_store_is_away() {
     // The owner sends starts whose bindings are not kept while the store is away for everybody. A job whose own record
