A crash without an answer does not count at a worker that loses a task's starts

Now such a crash is left out only if a start of the task surely reached nobody at that address too (answered stop, neither run nor end listed). tests/lives.rs, tests/crash.rs and the whole of tests/cell_search.rs pass. The preference for other workers is taken out again.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -102,7 +102,7 @@
         let crash = Crash { worker: life, addr, is_alone: jobs.len() == 1, is_confirmed };
         self.counts.crashed += u64::from(is_confirmed);
         for Sent { task, since, has_begun } in sent {
-            if has_begun || !self.has_crashed_at(task, &crash) {
+            if has_begun || !self.loses_starts_at(task, &crash) {
                 self.add_crash(now, task, &crash, now.since(since));
             }
         }
@@ -118,16 +118,32 @@
         self.add_crash(now, task, &crash, Millis(0));
     }
 
-    /// Whether an earlier life of the worker crashed under a task. Then a start that was not answered tells nothing
-    /// more against the task: a worker that crashes by itself does so again. Three such starts ended a job none of
-    /// whose tasks had begun.
-    fn has_crashed_at(&self, task: TaskKey, crash: &Crash) -> bool {
-        let mut before = self.crashes(task).iter();
-        let is_again = before.any(|known| known.addr == crash.addr && known.worker != crash.worker);
-        if is_again {
-            log::info!("event=crash-not-counted task={task} worker={} why=again", crash.worker);
+    /// Whether an earlier life of the worker crashed under a task, and another start of the task reached nobody there.
+    /// Then one more start without an answer tells nothing against the task: the worker crashes by itself, and starts
+    /// do not get to it. Three such starts ended a job none of whose tasks had begun.
+    fn loses_starts_at(&self, task: TaskKey, crash: &Crash) -> bool {
+        let is_before = |known: &Crash| known.addr == crash.addr && known.worker != crash.worker;
+        let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
+        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        let loses = state.is_some_and(|state| {
+            state.crashes.iter().any(is_before) && state.unreached.contains(&crash.addr)
+        });
+        if loses {
+            log::info!("event=crash-not-counted task={task} worker={}", crash.worker);
+        }
+        loses
+    }
+
+    /// A start of a task surely reached nobody at a worker: it was not answered, the stop after it was, and the worker
+    /// lists neither the run nor its end.
+    pub(in crate::cell) fn note_unreached(&mut self, name: &Name, task: TaskKey) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let addr = worker.listed.addr.clone();
+        let step = self.jobs.get_mut(&task.step.job).and_then(|job| job.step_mut(task.step));
+        let state = step.and_then(|step| step.tasks.get_mut(task.index as usize));
+        if let Some(state) = state.filter(|state| !state.unreached.contains(&addr)) {
+            state.unreached.push(addr);
         }
-        is_again
     }
 
     fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
--- a/src/cell/placing/place.rs
+++ b/src/cell/placing/place.rs
@@ -24,7 +24,6 @@
 #[derive(Debug, Clone)]
 pub(in crate::cell) struct Fit {
     pub name: Name,
-    pub addr: Name,
     pub domain: Name,
     pub rack: Option<Name>,
     pub free: Room,
@@ -45,7 +44,6 @@
     pub fn new(name: &Name, worker: &Worker) -> Self {
         Self {
             name: name.clone(),
-            addr: worker.listed.addr.clone(),
             domain: worker.listed.domain.clone(),
             rack: worker.rack().cloned(),
             free: worker.free(),
@@ -89,8 +87,7 @@
 
 /// The best worker with room for one task: near the data, not one on which it failed, in the job's
 /// failure domain, sound, and then the one that is left with the least; fillers go where most
-/// processors are idle. One under which a worker crashed goes to another worker, as a second crash of the same one
-/// tells little, and where the least else runs.
+/// processors are idle. One under which a worker crashed goes where the least else runs.
 pub(in crate::cell) fn pick<'a>(
     fits: &'a mut [Fit],
     spec: &Step,
@@ -106,8 +103,7 @@
         let serves = spec.filler && fit.serves;
         let last = (serves, fit.is_kept, away, !fit.is_sound);
         let shared = if task.crashes.is_empty() { 0 } else { fit.busy };
-        let has_crashed = task.crashes.iter().any(|crash| crash.addr == fit.addr);
-        (task.avoid.contains(&fit.name), has_crashed, shared, far, last, room)
+        (task.avoid.contains(&fit.name), shared, far, last, room)
     };
     fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
 }
