--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -90,21 +90,19 @@
         let life = worker.life();
         // A run that was sent to the life before counted then: given on from life to life it counted each time.
         let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_barred;
-        let sent: Vec<Sent> = worker.runs.iter().filter(counts).map(sent).collect();
+        let sent: Vec<(TaskKey, Millis)> = worker.runs.iter().filter(counts).map(since).collect();
         if worker.listed.leaving.is_some() || sent.is_empty() {
             return;
         }
-        let jobs: BTreeSet<JobKey> = sent.iter().map(|run| run.task.step.job).collect();
+        let jobs: BTreeSet<JobKey> = sent.iter().map(|(task, _)| task.step.job).collect();
         let addr = worker.listed.addr.clone();
         let is_next =
             |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
         let is_confirmed = is_confirmed || self.workers.values().any(is_next);
         let crash = Crash { worker: life, addr, is_alone: jobs.len() == 1, is_confirmed };
         self.counts.crashed += u64::from(is_confirmed);
-        for Sent { task, since, has_begun } in sent {
-            if has_begun || !self.loses_starts_at(task, &crash) {
-                self.add_crash(now, task, &crash, now.since(since));
-            }
+        for (task, since) in sent {
+            self.add_crash(now, task, &crash, now.since(since));
         }
     }
 
@@ -118,34 +116,6 @@
         self.add_crash(now, task, &crash, Millis(0));
     }
 
-    /// Whether an earlier life of the worker crashed under a task, and another start of the task reached nobody there.
-    /// Then one more start without an answer tells nothing against the task: the worker crashes by itself, and starts
-    /// do not get to it. Three such starts ended a job none of whose tasks had begun.
-    fn loses_starts_at(&self, task: TaskKey, crash: &Crash) -> bool {
-        let is_before = |known: &Crash| known.addr == crash.addr && known.worker != crash.worker;
-        let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
-        let state = step.and_then(|step| step.tasks.get(task.index as usize));
-        let loses = state.is_some_and(|state| {
-            state.crashes.iter().any(is_before) && state.unreached.contains(&crash.addr)
-        });
-        if loses {
-            log::info!("event=crash-not-counted task={task} worker={}", crash.worker);
-        }
-        loses
-    }
-
-    /// A start of a task surely reached nobody at a worker: it was not answered, the stop after it was, and the worker
-    /// lists neither the run nor its end.
-    pub(in crate::cell) fn note_unreached(&mut self, name: &Name, task: TaskKey) {
-        let Some(worker) = self.workers.get(name) else { return };
-        let addr = worker.listed.addr.clone();
-        let step = self.jobs.get_mut(&task.step.job).and_then(|job| job.step_mut(task.step));
-        let state = step.and_then(|step| step.tasks.get_mut(task.index as usize));
-        if let Some(state) = state.filter(|state| !state.unreached.contains(&addr)) {
-            state.unreached.push(addr);
-        }
-    }
-
     fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
@@ -287,16 +257,8 @@
     }
 }
 
-/// A run that was sent to a worker.
-struct Sent {
-    task: TaskKey,
-    since: Millis,
-    /// It surely began.
-    has_begun: bool,
-}
-
-fn sent(((task, _), run): (&(TaskKey, u64), &Run)) -> Sent {
-    Sent { task: *task, since: run.since, has_begun: run.seen }
+fn since(((task, _), run): (&(TaskKey, u64), &Run)) -> (TaskKey, Millis) {
+    (*task, run.since)
 }
 
 fn is_lasting(job: &Job, task: TaskKey) -> bool {
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -44,15 +44,13 @@
     pub avoid: Vec<Name>,
     /// Lives of workers that ended, not by plan, while it ran there.
     pub crashes: Vec<Crash>,
-    /// Where workers are called at which a start of it reached nobody.
-    pub unreached: Vec<Name>,
 }
 
 impl Default for Task {
     fn default() -> Self {
         let (status, saved) = (Status::Waiting, "".into());
-        let (avoid, crashes, unreached) = (Vec::new(), Vec::new(), Vec::new());
-        Self { status, failed: Vec::new(), runs: 0, saved, avoid, crashes, unreached }
+        let (avoid, crashes) = (Vec::new(), Vec::new());
+        Self { status, failed: Vec::new(), runs: 0, saved, avoid, crashes }
     }
 }
 
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -289,13 +289,10 @@
                 Phase::Running(at) | Phase::Stopping(Some(at)) => at < sent,
                 Phase::Starting | Phase::Stopping(None) => false,
             };
-            (over && !listed.contains(key)).then_some((*key, run.phase, run.seen))
+            (over && !listed.contains(key)).then_some((*key, run.phase))
         };
         let gone: Vec<_> = worker.runs.iter().filter_map(gone).collect();
-        for ((task, run), phase, seen) in gone {
-            if matches!(phase, Phase::Stopping(_)) && !seen {
-                self.note_unreached(name, task);
-            }
+        for ((task, run), phase) in gone {
             if matches!(phase, Phase::Running(_)) {
                 log::info!(
                     "event=run-vanished task={task} run={run} worker={name} born={:?} confirmed={confirmed}",
