--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -5,7 +5,7 @@
 use crate::cell::records::journal::{CrashNote, Fate, JobRecord, Progress, StepNote, TaskNote};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{JobKey, Queue, Step, StepKey, Work};
+use crate::workload::{JobKey, Queue, Step, StepKey, TaskKey, Work};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -229,6 +229,12 @@
         self.queue.priority.saturating_add(if self.is_beyond { BEYOND } else { 0 })
     }
 
+    /// Whether a step's turn came so long ago.
+    pub fn has_waited(&self, now: Millis, key: StepKey, length: Millis) -> bool {
+        let turn = self.step(key).and_then(|step| step.turn);
+        turn.is_some_and(|turn| now.since(turn) >= length)
+    }
+
     /// Whether nobody has ended it.
     pub fn is_open(&self) -> bool {
         self.closed.is_none()
@@ -261,6 +267,20 @@
         times.flat_map(|time| (0..steps).map(move |step| StepKey { job, time, step })).collect()
     }
 
+    /// The runs that its tasks were given to workers as.
+    pub fn placed(&self, job: JobKey) -> Vec<(Name, TaskKey, u64)> {
+        let steps = self.keys(job).into_iter().filter_map(|key| Some((key, self.step(key)?)));
+        let tasks = steps.flat_map(|(step, state)| {
+            let tasks = state.tasks.iter().enumerate();
+            tasks.map(move |(index, task)| (TaskKey { step, index: index as u32 }, &task.status))
+        });
+        let placed = tasks.filter_map(|(task, status)| match status {
+            Status::Placed { worker, run } => Some((worker.clone(), task, *run)),
+            Status::Waiting | Status::Done => None,
+        });
+        placed.collect()
+    }
+
     /// The record of the job.
     pub fn record(&self) -> JobRecord {
         match self.closed {
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -203,19 +203,7 @@
         job.closed = Some((fate, batch, now));
         let (priority, due) = rank(job);
         let steps = job.keys(key);
-        let mut placed = Vec::new();
-        for step in &steps {
-            let tasks = job.step(*step).map(|state| state.tasks.as_slice()).unwrap_or_default();
-            for (index, task) in tasks.iter().enumerate() {
-                if let Status::Placed { worker, run } = &task.status {
-                    placed.push((
-                        worker.clone(),
-                        TaskKey { step: *step, index: index as u32 },
-                        *run,
-                    ));
-                }
-            }
-        }
+        let placed = job.placed(key);
         job.steps = Vec::new();
         for step in steps {
             self.ready.remove(&(priority, due, step));
@@ -237,12 +225,10 @@
             self.ready.remove(&(priority, due, step));
             self.advisers.cancel(step);
             self.reserved.release(step);
-            let tasks = job.step(step).map(|state| state.tasks.as_slice()).unwrap_or_default();
-            for (index, task) in tasks.iter().enumerate() {
-                let Status::Placed { worker, run } = &task.status else { continue };
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.remove(TaskKey { step, index: index as u32 }, *run);
-                }
+        }
+        for (worker, task, run) in job.placed(key) {
+            if let Some(worker) = self.workers.get_mut(&worker) {
+                worker.remove(task, run);
             }
         }
         self.changed = true;
--- a/src/cell/owner/map.rs
+++ b/src/cell/owner/map.rs
@@ -56,8 +56,8 @@
         self.pick(&job.0.to_le_bytes())
     }
 
-    /// The cell of a workspace's jobs. They are all in one, so that one owner counts what the workspace has running:
-    /// where each cell had its part of a bound, that held no whole job of a small one.
+    /// The cell of a workspace's jobs. They are all in one, so that one owner counts what the workspace has running: a
+    /// part of a small bound in each cell would hold no whole job.
     pub fn of_workspace(&self, workspace: &Name) -> u32 {
         self.pick(workspace.as_bytes())
     }
--- a/src/cell/placing/gather.rs
+++ b/src/cell/placing/gather.rs
@@ -39,8 +39,7 @@
     ) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let mine = rank(job);
-        let turn = job.step(key).and_then(|step| step.turn);
-        let is_early = turn.is_none_or(|turn| now.since(turn) < PATIENCE);
+        let is_early = !job.has_waited(now, key, PATIENCE);
         let is_off = self.bounds.off.has(Mechanism::Gather);
         if !spec.gang || is_off || is_early || self.reserved.gathers() {
             return;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -50,8 +50,7 @@
         rest: u32,
     ) {
         let Some(job) = self.jobs.get(&key.job) else { return };
-        let turn = job.step(key).and_then(|step| step.turn);
-        let is_early = turn.is_none_or(|turn| now.since(turn) < PATIENCE);
+        let is_early = !job.has_waited(now, key, PATIENCE);
         // It may be given back to its caller, and nothing was gained by what was stopped for it.
         let is_unkept = job.batch > self.kept;
         if is_early || is_unkept || fits.is_empty() || self.reserved.has(key) {
--- a/src/cell/placing/share.rs
+++ b/src/cell/placing/share.rs
@@ -1,7 +1,7 @@
 //! What a workspace sends beyond its share.
 //!
 //! The load that this answers: one workspace sends many times its usual for some seconds. In the order of their
-//! deadlines its jobs went before those of all that came later, and everybody was late.
+//! deadlines its jobs would go before those of all that come later, and make everybody late.
 
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -1,7 +1,7 @@
 //! What each workspace has running, and what more of it may start.
 //!
-//! The load that this answers: one workspace sends many times its usual. Without a bound its tasks took what they
-//! found, and those of the others waited behind them.
+//! The load that this answers: one workspace sends many times its usual, and its tasks take whatever room there is
+//! before those of the others come to it.
 //!
 //! Each run holds its part of its workspace's usage for as long as anything may run: from when a worker is chosen
 //! until the worker has said that the run is gone, or its leases are surely over.
@@ -58,7 +58,11 @@
 
     /// What a workspace has running here.
     pub fn used(&self, workspace: &Name) -> Room {
-        self.used.get(workspace).map(|usage| *usage.room()).unwrap_or_default()
+        match self.used.get(workspace) {
+            Some(usage) => *usage.room(),
+            // No run of it was counted here yet.
+            None => Room::default(),
+        }
     }
 
     /// How many tasks of a size a workspace may start here, at most `most`. One task runs alone though it is larger
@@ -66,7 +70,11 @@
     pub fn allowed(&self, workspace: &Workspace, room: &Room, most: usize) -> usize {
         let used = self.used(&workspace.name);
         let left = workspace.limit.less(&used);
-        let fits = |left: u64, each: u64| left.checked_div(each).unwrap_or(u64::MAX);
+        let fits = |left: u64, each: u64| match each {
+            // A task that takes none of it fits any number of times.
+            0 => u64::MAX,
+            each => left / each,
+        };
         let count = fits(left.cpu, room.cpu).min(fits(left.mem, room.mem));
         let count = count.min(fits(left.gpu, room.gpu)).min(most as u64) as usize;
         match count {
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -138,9 +138,20 @@
     pub births: BTreeMap<Name, Millis>,
 }
 
-/// The job that a record is of; `None`: it is of the cell.
-pub fn job_of(key: &str) -> Option<JobKey> {
-    key.split('.').next()?.parse().ok()
+/// The job that a record is of, and what of it; `None`: it is of the cell, or not one of ours.
+pub fn job_of(key: &str) -> Option<(JobKey, &str)> {
+    if matches!(key, ROSTER | BIRTHS) {
+        return None;
+    }
+    let (text, kind) = key.split_at(key.find('.').unwrap_or(key.len()));
+    match text.parse() {
+        Ok(job) => Some((job, kind)),
+        Err(err) => {
+            // A later version may keep more: it is passed over.
+            log::warn!("event=record-unknown key={key} error={err}");
+            None
+        }
+    }
 }
 
 /// The record of a job.
@@ -216,11 +227,7 @@
                 if value.is_empty() { BTreeMap::new() } else { postcard::from_bytes(value)? };
             return Ok(());
         }
-        let (text, kind) = key.split_at(key.find('.').unwrap_or(key.len()));
-        let Ok(job) = text.parse::<JobKey>() else {
-            log::warn!("event=record-unknown key={key}");
-            return Ok(());
-        };
+        let Some((job, kind)) = job_of(key) else { return Ok(()) };
         match kind {
             "" => take(&mut self.jobs, job, value),
             PROGRESS => take(&mut self.progress, job, value),
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -126,8 +126,19 @@
     };
     let workspace = match node.access(&policy, route, key(&request), age) {
         Access::Granted(workspace) => workspace.map(|workspace| workspace.name.clone()),
-        Access::Denied => return ("denied", Reply::NoKey),
-        Access::Unsure => return ("denied", Reply::Busy { after: LEAST }),
+        denied => {
+            let reply = match denied {
+                Access::Unsure => Reply::Busy { after: LEAST },
+                _ => Reply::NoKey,
+            };
+            log::info!(
+                "event=denied queue={} policy={} age_ms={age} has_key={} reply={reply:?}",
+                route.queue.name,
+                policy.version,
+                key(&request).is_some()
+            );
+            return ("denied", reply);
+        }
     };
     let Some(cells) = node.cells() else {
         return ("none", Reply::Busy { after: LEAST });
@@ -155,11 +166,10 @@
 impl Node {
     /// Whether a caller may call on a route with its key.
     fn access(&self, policy: &Policy, route: &Route, key: Option<&str>, age: Millis) -> Access {
-        match &policy.workspaces {
-            Some(workspaces) => access(workspaces, route.is_open, key, age),
-            // The policy was written without any, though callers of this platform belong to some.
-            None if self.settings.has_workspaces && !route.is_open => Access::Denied,
-            None => Access::Granted(None),
+        // By the settings too: a policy that was written without workspaces would let anybody in.
+        match policy.has_keys || self.settings.has_workspaces {
+            true => access(&policy.workspaces, route.is_open, key, age),
+            false => Access::Granted(None),
         }
     }
 }
--- a/src/node/owner/forward.rs
+++ b/src/node/owner/forward.rs
@@ -60,8 +60,7 @@
 
     fn is_bounded(&self, workspace: Option<&Name>) -> bool {
         let policy = self.node.policy();
-        let all = policy.workspaces.as_ref();
-        let known = workspace.and_then(|name| all?.get(name));
+        let known = workspace.and_then(|name| policy.workspaces.get(name));
         known.is_some_and(|workspace| workspace.is_bounded())
     }
 
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -84,7 +84,7 @@
         let policy = node.policy();
         let doubt = !lock(&self.election).is_steady(self.now());
         let mut cell = Cell::new(epoch, bounds, policy.queues.clone(), snapshot, doubt, self.now());
-        cell.set_workspaces(policy.workspaces.clone().unwrap_or_default());
+        cell.set_workspaces(policy.workspaces.clone());
         cell.set_workers(self.now(), listed);
         if node.adviser.is_some() {
             cell.join(self.me().clone(), self.is_home);
@@ -300,7 +300,7 @@
             {
                 let mut cell = lock(&self.cell);
                 cell.set_queues(policy.queues.clone());
-                cell.set_workspaces(policy.workspaces.clone().unwrap_or_default());
+                cell.set_workspaces(policy.workspaces.clone());
             }
             self.wake.notify_one();
             if policies.changed().await.is_err() {
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -171,7 +171,7 @@
             if !may_be_there && self.node.now().since(begun) >= GIVE_BACK {
                 let gone = lock(&self.cell).withdraw(batch.no);
                 // All that is of them: a binding that stayed would be taken for one of the same job, submitted again.
-                records.retain(|(key, _)| !job_of(key).is_some_and(|job| gone.contains(&job)));
+                records.retain(|(key, _)| !job_of(key).is_some_and(|(job, _)| gone.contains(&job)));
                 // Callers that wait look again.
                 self.kept.send_modify(|_| {});
                 if records.is_empty() {
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -71,7 +71,7 @@
                     let newer = policy.version > current.version;
                     if newer {
                         let (version, queues) = (policy.version, policy.queues.len());
-                        let workspaces = policy.workspaces.as_ref().map_or(0, |all| all.len());
+                        let workspaces = policy.workspaces.len();
                         log::info!(
                             "event=policy version={version} queues={queues} workspaces={workspaces}"
                         );
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -150,8 +150,10 @@
     pub guarded: Vec<Name>,
     /// Bounds on callers' exchanges.
     pub limits: Limits,
-    /// The workspaces; `None`: the policy knows none, and callers bear no keys.
-    pub workspaces: Option<Workspaces>,
+    /// The workspaces.
+    pub workspaces: Workspaces,
+    /// Callers bear keys: the policy tells of workspaces, though it may be of none.
+    pub has_keys: bool,
 }
 
 impl Policy {
@@ -172,7 +174,9 @@
         let guarded = raw.services.into_iter().filter(|service| service.admission_check);
         policy.guarded = guarded.map(|service| service.name).collect();
         policy.limits = limits(&raw.limits);
-        policy.workspaces = raw.tenants.map(workspaces);
+        if let Some(tenants) = raw.tenants {
+            (policy.workspaces, policy.has_keys) = (workspaces(tenants), true);
+        }
         Ok(policy)
     }
 
--- a/tests/accepting.rs
+++ b/tests/accepting.rs
@@ -61,7 +61,7 @@
     site.submit_for(job(1), step(), "workspace");
     assert_eq!(starts(&mut site), 0);
     let batch = site.cell.take_batch(Millis(site.now)).expect("its records");
-    let of = |key: &str| journal::job_of(key);
+    let of = |key: &str| journal::job_of(key).map(|(job, _)| job);
     let records = batch.records.iter().filter(|(key, _)| of(key) == Some(job(1)));
     assert_eq!(records.count(), 3, "{:?}", batch.records);
     assert_eq!(of("roster.born"), None);
--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -223,11 +223,12 @@
     let policy = Policy::parse(text.as_bytes()).unwrap();
     assert!(policy.route("h", "/a/1").unwrap().is_open);
     assert!(!policy.route("h", "/b/1").unwrap().is_open);
-    let all = policy.workspaces.unwrap();
+    assert!(policy.has_keys);
+    let all = policy.workspaces;
     let of_key = all.of_key("k2").unwrap();
     let limit = Room { cpu: 4_000, ..Room::UNLIMITED };
     assert_eq!(**of_key, Workspace { name: "t".into(), weight: 18, limit });
     assert!(all.of_key("k3").is_none());
     let none = Policy::parse(br#"{"version":7}"#).unwrap();
-    assert!(none.workspaces.is_none());
+    assert!(none.workspaces.is_empty() && !none.has_keys);
 }
