Search: workspaces with bounds that change, and batches that the store refuses

Neither the search nor the stand-in knew workspaces with bounds. Strict: the bound itself, not the contract's tenth and a task more; one task alone may be larger.

--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -4,7 +4,8 @@
 mod cellworld;
 
 use cellworld::{
-    Without, search, search_crashing, search_crowded, search_keeping, search_power, search_resizing,
+    Without, search, search_bounded, search_crashing, search_crowded, search_keeping, search_power,
+    search_resizing,
 };
 
 /// A number from the environment; one that cannot be read is a fault, not the usual one.
@@ -134,6 +135,26 @@
     assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
 }
 
+#[test]
+fn nothing_breaks_when_workspaces_have_bounds_and_jobs_are_given_back() {
+    holds(|seed| search_bounded(seed, Without::Nothing));
+}
+
+#[test]
+fn owners_that_know_of_no_bounds_break_a_promise() {
+    breaks_bounded(Without::Bounds);
+}
+
+#[test]
+fn owners_that_forget_whose_a_job_is_break_a_promise() {
+    breaks_bounded(Without::Workspaces);
+}
+
+fn breaks_bounded(without: Without) {
+    let found = (1..3_000).find_map(|seed| search_bounded(seed, without).0);
+    assert!(found.is_some(), "nothing breaks without {without:?}");
+}
+
 #[test]
 fn nothing_breaks_when_power_is_lost_everywhere() {
     holds(search_power);
--- a/tests/cellworld/checks.rs
+++ b/tests/cellworld/checks.rs
@@ -36,7 +36,9 @@
             return;
         }
         let waits: Vec<_> = self.owners[owner].cell.waiting().collect();
-        let is_idle = |(step, why): &(StepKey, Why)| *why != Why::Crashes && self.has_room(*step);
+        let is_idle = |(step, why): &(StepKey, Why)| {
+            *why != Why::Crashes && self.has_room(*step) && !self.has_half(step.job)
+        };
         let idle: Vec<(StepKey, Why)> = waits.into_iter().filter(is_idle).collect();
         self.idle.retain(|step, _| idle.iter().any(|(other, _)| other == step));
         for (step, why) in idle {
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod bounds;
 mod checks;
 mod faults;
 #[path = "../rows/mod.rs"]
@@ -71,6 +72,10 @@
     Authority,
     /// Workers run on when their lease is over.
     Leases,
+    /// Owners know of no bounds.
+    Bounds,
+    /// The next owner does not learn which workspace a job belongs to.
+    Workspaces,
 }
 
 #[derive(Debug, Clone)]
@@ -232,6 +237,8 @@
     },
     /// Power is lost everywhere: the owner dies, and all workers crash.
     Power,
+    /// Owners hear of other bounds of workspaces.
+    Rebound,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -291,6 +298,12 @@
     pub outages: usize,
     /// Owners that have not noticed their last pause, with its length.
     asleep: BTreeMap<usize, u64>,
+    /// Jobs belong to workspaces with bounds, and some are given back.
+    bounded: bool,
+    limits: bounds::Limits,
+    /// The most that a workspace had running.
+    pub peak: u64,
+    pub given_back: usize,
     lives: u64,
     works: BTreeMap<JobKey, Arc<Work>>,
     accepted: BTreeSet<JobKey>,
@@ -348,6 +361,10 @@
             kept_ids: 0,
             outages: 0,
             asleep: BTreeMap::new(),
+            bounded: false,
+            limits: BTreeMap::new(),
+            peak: 0,
+            given_back: 0,
             lives: 0,
             works: BTreeMap::new(),
             accepted: BTreeSet::new(),
@@ -572,6 +589,7 @@
             Event::Crash { worker, task, run } => self.crash_under(&worker, task, run),
             Event::Fall { worker } => self.fall(&worker),
             Event::Power => self.lose_power(),
+            Event::Rebound => self.rebound(),
             Event::Back { worker } => self.come_back(&worker),
             Event::Regrow => {
                 let until = self.now + CONTACT + WORKER_BEAT;
@@ -600,7 +618,8 @@
         self.epoch += 1;
         let epoch = self.epoch;
         let mut snapshot = Snapshot::default();
-        for (key, value) in &self.store {
+        let is_lost = |key: &str| self.without == Without::Workspaces && key.ends_with(".w");
+        for (key, value) in self.store.iter().filter(|(key, _)| !is_lost(key)) {
             snapshot.add(key, value).unwrap();
         }
         let bounds = Bounds {
@@ -613,6 +632,7 @@
         let queues =
             HashMap::from([("q".into(), self.queue_row.clone()), ("low".into(), Arc::new(low))]);
         let mut cell = Cell::new(epoch, bounds, queues, snapshot, false, Millis(self.now));
+        cell.set_workspaces(self.workspaces());
         cell.set_workers(Millis(self.now), self.listed());
         let owner = Owner {
             cell,
@@ -721,6 +741,8 @@
         if !newest && self.without != Without::Producers {
             return self.after(1, Event::Refused { owner });
         }
+        let given_back = self.bounded && self.chance(15);
+        let batch = if given_back { self.give_back(owner, batch) } else { batch.clone() };
         for (key, value) in &batch.records {
             match value.is_empty() {
                 true => drop(self.store.remove(key)),
@@ -750,7 +772,9 @@
         let work = self.works[&job].clone();
         if usable {
             let queue = if self.crowded && job.0 % 2 == 1 { "low" } else { "q" };
-            self.owners[owner].cell.submit(Millis(self.now), job, queue, work);
+            let workspace = self.workspace(job);
+            let cell = &mut self.owners[owner].cell;
+            cell.submit_for(Millis(self.now), job, queue, work, workspace);
             self.drive(owner);
         }
         // The caller asks again until the store has the job.
@@ -784,6 +808,7 @@
         | Event::Regrow
         | Event::Fall { .. }
         | Event::Power
+        | Event::Rebound
         | Event::Elect => None,
     }
 }
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -92,6 +92,16 @@
     (told(&world, seed), world.outages)
 }
 
+/// As [`search`], with workspaces whose bounds change, and batches that the store refuses; and how many jobs were given
+/// back, if any workspace came near to a bound.
+pub fn search_bounded(seed: u64, without: Without) -> (Option<String>, usize) {
+    let mut world = World::new(seed, without);
+    world.bound();
+    world.run();
+    let count = if world.peak > 3_000 { world.given_back } else { 0 };
+    (told(&world, seed), count)
+}
+
 /// Lines of the trace that are shown; `SPRUCE_TRACE` sets another number.
 fn trace_lines() -> usize {
     let text = std::env::var("SPRUCE_TRACE").unwrap_or_else(|_| "60".to_string());
--- a/tests/cellworld/worker.rs
+++ b/tests/cellworld/worker.rs
@@ -38,6 +38,8 @@
         let running =
             Running { run: start.run, until: now + length, charge: spec.charge(), stopping: false };
         self.check_start(name, task, &spec);
+        self.check_bound(task, &spec);
+        self.check_known(task);
         self.check_crashes(owner, task);
         if self.bad.contains_key(&task) {
             let fuse = 1 + self.pick(40);
