Soak and stand-in: workspaces with keys and bounds in every third seed

The stand-in publishes a policy with workspaces; callers bear keys, and what a workspace has running is checked by the contract (a tenth and one task more than its bound).

--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -171,6 +171,20 @@
         Ok(site)
     }
 
+    /// Puts another version of the policy in force, with workspaces.
+    pub fn publish(&self, version: u64, workspaces: &[Workspace]) {
+        let row = |one: &Workspace| {
+            json!({
+                "name": one.name, "api_keys": [one.key], "weight": 5,
+                "upper_bound": {"cpu": one.cpu, "mem_mb": 0, "gpu": 0}
+            })
+        };
+        let mut policy = config();
+        policy["version"] = json!(version);
+        policy["tenants"] = workspaces.iter().map(row).collect();
+        self.store.put("keyed.op", "config", policy.to_string().as_bytes());
+    }
+
     /// Starts one more worker.
     ///
     /// # Errors
@@ -256,6 +270,17 @@
     }
 }
 
+/// A workspace in the policy of a site.
+#[derive(Debug, Clone, Copy)]
+pub struct Workspace {
+    /// Its name.
+    pub name: &'static str,
+    /// What its callers bear.
+    pub key: &'static str,
+    /// What it may have running, in thousandths of a core; 0: no bound.
+    pub cpu: u64,
+}
+
 /// Two queues: one without and one with advice.
 fn config() -> Value {
     let route = |name: &str, prefix: &str, advice: Value| {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
 use sprucerudder::platform::http::{Answer, Http, HttpError, uri};
+use sprucerudder::standin::site::Workspace;
 use sprucerudder::standin::site::worker::CRASHING;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -41,11 +42,24 @@
 /// All jobs of a run, shared with the checks.
 pub type Jobs = Arc<Mutex<Vec<Job>>>;
 
+/// The workspaces of seeds that have some: each may have as much running as a worker and a half have room for.
+pub const WORKSPACES: [Workspace; 2] = [
+    Workspace { name: "one", key: "key-one", cpu: 12_000 },
+    Workspace { name: "two", key: "key-two", cpu: 12_000 },
+];
+
+/// The workspace of a job, by its key.
+pub fn workspace(key: &str) -> &'static Workspace {
+    &WORKSPACES[usize::from(key.bytes().last().is_some_and(|byte| byte % 2 == 0))]
+}
+
 /// How callers reach a cell.
 #[derive(Debug, Clone)]
 pub struct Way {
     pub fronts: Vec<String>,
     pub http: Http,
+    /// Callers belong to workspaces.
+    pub keyed: bool,
 }
 
 impl Way {
@@ -57,13 +71,15 @@
         body: &str,
     ) -> Result<Answer, HttpError> {
         let addr = &self.fronts[entry % self.fronts.len()];
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(uri(addr, path)?)
             .header("Host", "desk.example")
-            .header("X-Sprucerudder-Deadline-Ms", "3000")
-            .body(Full::from(Bytes::from(body.to_string())))
-            .unwrap();
+            .header("X-Sprucerudder-Deadline-Ms", "3000");
+        if self.keyed {
+            request = request.header("Authorization", format!("Bearer {}", workspace(path).key));
+        }
+        let request = request.body(Full::from(Bytes::from(body.to_string()))).unwrap();
         self.http.send(addr, request, Millis(3_500)).await
     }
 
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,6 +1,6 @@
 //! What must hold, judged by what workers did and what callers were told.
 
-use crate::callers::Job;
+use crate::callers::{Job, workspace};
 use sprucerudder::standin::site::CPU;
 use sprucerudder::standin::site::worker::{CRASHING, Ledger, LedgerRow, RunEvent};
 use std::collections::{BTreeSet, HashMap};
@@ -31,6 +31,10 @@
     /// Where a task runs, and as which run.
     running: HashMap<String, (String, u64)>,
     used: HashMap<String, u64>,
+    /// Jobs belong to workspaces with bounds.
+    keyed: bool,
+    /// What each workspace has running.
+    of_workspaces: HashMap<&'static str, u64>,
     /// Processors of workers whose room changed.
     rooms: HashMap<String, u64>,
     /// Lives of workers that ended under a task.
@@ -51,6 +55,11 @@
 }
 
 impl Checks {
+    /// `keyed`: jobs belong to workspaces with bounds.
+    pub fn new(keyed: bool) -> Self {
+        Self { keyed, ..Self::default() }
+    }
+
     /// Takes in what workers did since the last look.
     pub fn look(&mut self, ledger: &Ledger, jobs: &[Job]) {
         let entries = ledger.since(self.read);
@@ -96,6 +105,11 @@
         };
         let used = self.used.entry(worker.clone()).or_default();
         *used += cpu;
+        let of_it = workspace(&job.key);
+        let running = self.of_workspaces.entry(of_it.name).or_default();
+        // By the platform's contract: a tenth and one task more.
+        let beyond = self.keyed && *running > of_it.cpu * 11 / 10;
+        *running += cpu;
         let over = *used > self.rooms.get(worker).copied().unwrap_or(CPU);
         let crashed = spec.starts_with(CRASHING) && self.crashed.get(task) >= Some(&CRASHES);
         let more = self.more.entry(task.clone()).or_default();
@@ -113,6 +127,7 @@
         self.started.insert(job.key.clone());
         let faults = [
             (over, "is over what the worker has"),
+            (beyond, "is beyond what its workspace may have running"),
             (excess, "starts three times more after three workers crashed under it"),
             (late, "starts long after its job was cancelled"),
             (elsewhere.is_some(), "runs twice at once"),
@@ -133,6 +148,11 @@
         if let Some(used) = self.used.get_mut(worker) {
             *used -= cpu.unwrap_or(0).min(*used);
         }
+        if let (Some(cpu), Some((key, ..))) = (cpu, parts(task))
+            && let Some(running) = self.of_workspaces.get_mut(workspace(key).name)
+        {
+            *running -= cpu.min(*running);
+        }
         if self.running.get(task) == Some(&(worker.clone(), *run)) {
             self.running.remove(task);
         }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -107,9 +107,14 @@
         let several = seed % 2 == 1 && seed != FIRST;
         let cell = Cell::start(no, workers, entries, several.then_some(CELL_SIZE)).await;
         let fronts = (0..entries).map(|no| cell.site.front(no)).collect();
-        let way = Way { fronts, http: Http::default() };
+        // The kept seeds are played as they were found.
+        let keyed = seed % 3 == 0 && !KEPT.contains(&seed) && !KEPT_LIVES.contains(&seed);
+        if keyed {
+            cell.site.publish(2, &callers::WORKSPACES);
+        }
+        let way = Way { fronts, http: Http::default(), keyed };
         let jobs = Jobs::default();
-        let mut run = Self { cell, way, jobs, checks: Checks::default(), restarts: Vec::new() };
+        let mut run = Self { cell, way, jobs, checks: Checks::new(keyed), restarts: Vec::new() };
         let mut acts = faults::draw(&mut rng, entries, workers, TROUBLE);
         if seed != FIRST {
             acts.extend(faults::draw_silences(seed, entries, workers, TROUBLE));
