--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -25,7 +25,7 @@
         // cut.
         let lease_end = now + Millis(self.bounds.lease_max.0 * 1_050 / 1_000);
         let births = snapshot.births;
-        self.owned = snapshot.workspaces.keys().copied().collect();
+        self.with_workspace = snapshot.workspaces.keys().copied().collect();
         for member in snapshot.roster {
             let born = births.get(&member.id).copied();
             let mut worker = Worker::new(unlisted(member, born), 0, lease_end);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -125,7 +125,7 @@
     /// Waits that a deadline ended, and not the event that they were for, since the takeover.
     expired_waits: u64,
     /// Jobs whose workspace is in the store.
-    owned: BTreeSet<JobKey>,
+    with_workspace: BTreeSet<JobKey>,
     /// Jobs with something to write.
     dirty: BTreeSet<JobKey>,
     /// The set of workers in use has to be written.
@@ -180,7 +180,7 @@
             recounted: BTreeSet::new(),
             counts: jobs::crash::Counts::default(),
             expired_waits: 0,
-            owned: BTreeSet::new(),
+            with_workspace: BTreeSet::new(),
             dirty: BTreeSet::new(),
             roster: false,
             batch: 1,
--- a/src/cell/placing/share.rs
+++ b/src/cell/placing/share.rs
@@ -3,6 +3,8 @@
 //! The load that this answers: one workspace sends many times its usual for some seconds. In the order of their
 //! deadlines its jobs would go before those of all that come later, and make everybody late.
 
+use crate::cell::Cell;
+use crate::cell::mechanism::Mechanism;
 use crate::clock::Millis;
 use crate::id::Name;
 use std::collections::HashMap;
@@ -38,3 +40,12 @@
         is_beyond
     }
 }
+
+impl Cell {
+    /// A job of a workspace came; whether that is beyond its share. A workspace without a weight has no share.
+    pub(in crate::cell) fn exceeds_share(&mut self, now: Millis, name: &Name) -> bool {
+        let weight = self.usages.workspace(name).map_or(0, |workspace| workspace.weight);
+        let is_off = self.bounds.off.has(Mechanism::Shares);
+        weight > 0 && !is_off && self.shares.exceeds(now, name, f64::from(weight))
+    }
+}
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -8,8 +8,6 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
-use crate::cell::mechanism::Mechanism;
-use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Room, Step};
 use crate::workspace::{Workspace, Workspaces};
@@ -48,6 +46,11 @@
 }
 
 impl Usages {
+    /// A workspace of the policy in force.
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
     /// Counts a run for its workspace.
     pub fn hold(&mut self, workspace: &Name, room: Room) -> Held {
         let usage = self.used.entry(workspace.clone()).or_default().clone();
@@ -91,19 +94,9 @@
         self.changed = true;
     }
 
-    /// A job of a workspace came; whether that is beyond its share.
-    pub(in crate::cell) fn exceeds_share(&mut self, now: Millis, name: &Name) -> bool {
-        let Some(workspace) = self.usages.workspaces.get(name) else { return false };
-        if workspace.weight == 0 || self.bounds.off.has(Mechanism::Shares) {
-            return false;
-        }
-        let rate = f64::from(workspace.weight);
-        self.shares.exceeds(now, name, rate)
-    }
-
     /// How many tasks of a step the job's workspace may start now, of `most`. A gang starts whole or not at all.
     pub(in crate::cell) fn allowed(&self, job: &Job, spec: &Step, most: usize) -> usize {
-        let workspace = job.workspace.as_ref().and_then(|name| self.usages.workspaces.get(name));
+        let workspace = job.workspace.as_ref().and_then(|name| self.usages.workspace(name));
         let Some(workspace) = workspace else { return most };
         match self.usages.allowed(workspace, &spec.room, most) {
             count if spec.gang && count < spec.count as usize => 0,
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -74,7 +74,7 @@
                 }
                 None => {
                     records.push(journal::drop_job(key));
-                    if self.owned.remove(&key) {
+                    if self.with_workspace.remove(&key) {
                         records.push(journal::drop_workspace(key));
                     }
                 }
@@ -85,7 +85,7 @@
         if let Some(workspace) = job.workspace.as_ref().filter(|_| job.batch == self.batch) {
             // Before the job itself: a job that is known without its workspace would run without a bound.
             records.push(journal::workspace(key, workspace));
-            self.owned.insert(key);
+            self.with_workspace.insert(key);
         }
         if closed || job.batch == self.batch {
             records.push(journal::job(key, &job.record()));
