A start counts as one crash at most, through takeovers and later lives of its worker

Cause: a job's progress was written only while something was left to note. A binding whose run was lost with its worker, or ended Stopped, stayed in the store until the next one. Each owner that took over meanwhile bound the run anew, to whatever life the worker's id was by then, and counted the end of that life as one more crash of the task.

The new test in tests/lives.rs replays it with one worker and five takeovers, and failed before with the job shown as failed after one start.

Change: progress is also written where nothing is left to note, and a run that is lost marks its job to be written. Such a record says that the job was given to a worker, as before.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -337,7 +337,8 @@
                 step.restore(note);
             }
         }
-        self.bound = self.bound || !progress.steps.is_empty();
+        // Progress is noted of jobs that were given to a worker, and stays when nothing is left to note.
+        self.bound = true;
         let has_run = |note: &TaskNote| !note.failed.is_empty() || !note.saved.is_empty();
         let known = |note: &StepNote| !note.done.is_empty() || note.tasks.iter().any(has_run);
         self.has_run = self.has_run || progress.steps.iter().any(known);
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -265,6 +265,7 @@
         let is_this = matches!(status, Some(Status::Placed { run: placed, .. }) if placed == run);
         if is_this {
             step.requeue(task.index);
+            self.dirty.insert(task.step.job);
             self.make_ready(task.step);
             self.settle_gang(task.step);
         }
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -100,7 +100,9 @@
             }
             false if job.bound => {
                 let progress = job.progress();
-                if !progress.steps.is_empty() {
+                // Also where nothing is left to note: to the next owners, a binding that stayed in the store was lost
+                // with each life of the worker that ended.
+                if !progress.steps.is_empty() || job.noted {
                     job.noted = true;
                     records.push(journal::progress(key, &progress));
                 }
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -247,3 +247,27 @@
     site.play(5_000);
     assert_eq!(site.state(job(1)), COMPLETED);
 }
+
+#[test]
+fn a_start_counts_once_through_later_lives_and_takeovers() {
+    // A task was started once at a worker that crashed, and counted against the next two lives of that worker, too:
+    // event=start task=T.0.0.0 run=1027 worker=w4
+    // event=crash-counted task=T.0.0.0 worker=w4@7 crashes=3
+    // event=crash-counted task=T.0.0.0 worker=w4@5001399 crashes=4
+    // event=crash-counted task=T.0.0.0 worker=w4@8005315 crashes=5
+    // The store still had the binding to run 1027: progress was not written when nothing was left to note.
+    let mut site = Site::new(1);
+    site.submit(job(1));
+    site.play(60);
+    // Nothing is placed meanwhile: the list tells of the first life.
+    site.hold_list(true);
+    for _ in 0..5 {
+        site.restart(0, 20);
+        site.play(300);
+        site.take_over();
+    }
+    site.hold_list(false);
+    site.play(8_000);
+    assert_eq!(site.state(job(1)), COMPLETED);
+    assert_eq!(site.starts(job(1)), 2);
+}
