What a crash tells of a task: evidence, and workers that have stayed up

The worker crashed by itself again and again, each time with one more start on its way to it.

Cause: every crash of a worker weighed the same against the tasks that were sent there. A worker that has started again a moment ago, and does so again, tells nothing of a task; nor does a binding of an earlier owner, whose run may have been done.

Ruled out before: looking at the start (docs/design/crashes.md, three ways). It is the worker that tells the two apart.

Change: a crash carries evidence, Alone, Shared or Doubtful, in place of a flag, in the same bytes of the record. A task with two crashes goes only to a worker heard for 2 s (a gang as a whole); until there is one it waits, and says so (new-workers). A job is given up at three crashes if the last is Alone and two were seen, or at four if one was seen; five doubtful ones end nothing, and start nothing any more. The silence under a quarantined task is noted at once, since the next owner sees no more than a binding.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -11,7 +11,7 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
-use crate::cell::jobs::stage::{Crash, QUARANTINE, Stage, stage_of};
+use crate::cell::jobs::stage::{Crash, Evidence, QUARANTINE, Stage, stage_of};
 use crate::cell::records::journal::Fate;
 use crate::cell::workers::worker::{Run, Worker};
 use crate::clock::Millis;
@@ -86,33 +86,33 @@
     /// ran there.
     pub(in crate::cell) fn count_crash(&mut self, now: Millis, name: &Name, is_confirmed: bool) {
         let Some(worker) = self.workers.get(name) else { return };
-        let life = worker.life();
-        // A run that was sent to the life before counted then: given on from life to life it counted each time.
-        let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_barred;
-        let sent: Vec<(TaskKey, Millis)> = worker.runs.iter().filter(counts).map(since).collect();
+        let sent: Vec<Sent> = sent_runs(worker);
         if worker.listed.leaving.is_some() || sent.is_empty() {
             return;
         }
-        let jobs: BTreeSet<JobKey> = sent.iter().map(|(task, _)| task.step.job).collect();
-        let addr = worker.listed.addr.clone();
+        let (life, addr) = (worker.life(), worker.listed.addr.clone());
         let is_next =
             |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
         let is_confirmed = is_confirmed || self.workers.values().any(is_next);
-        let crash = Crash { worker: life, addr, is_alone: jobs.len() == 1, is_confirmed };
         self.counts.crashed += u64::from(is_confirmed);
-        for (task, since) in sent {
+        for Sent { task, since, evidence } in sent {
+            let (worker, addr) = (life.clone(), addr.clone());
+            let crash = Crash { worker, addr, evidence, is_confirmed };
             self.add_crash(now, task, &crash, now.since(since));
         }
     }
 
-    /// A task is copied though its silent worker may have crashed under it. Only its last run is kept for
-    /// the next owner: without this the others were not counted if a takeover came before their end.
+    /// A worker that is silent may have crashed under a task. The next owner could not tell that from a run whose end
+    /// was not kept, nor would it know of a run that was copied meanwhile: only the last one is kept.
     pub(in crate::cell) fn note_silent_run(&mut self, now: Millis, name: &Name, task: TaskKey) {
         let Some(worker) = self.workers.get(name).filter(|worker| !worker.heard) else { return };
-        let addr = worker.listed.addr.clone();
-        let life = worker.life();
-        let crash = Crash { worker: life, addr, is_alone: false, is_confirmed: false };
-        self.add_crash(now, task, &crash, Millis(0));
+        let Some(run) = sent_runs(worker).into_iter().find(|run| run.task == task) else { return };
+        if worker.listed.leaving.is_some() {
+            return;
+        }
+        let (life, addr) = (worker.life(), worker.listed.addr.clone());
+        let crash = Crash { worker: life, addr, evidence: run.evidence, is_confirmed: false };
+        self.add_crash(now, task, &crash, now.since(run.since));
     }
 
     fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
@@ -130,9 +130,9 @@
             Some(_) => return,
             None => state.crashes.push(crash.clone()),
         }
-        let Crash { worker, is_alone, is_confirmed, .. } = crash;
+        let Crash { worker, evidence, is_confirmed, .. } = crash;
         log::info!(
-            "event=crash-counted task={task} worker={worker} crashes={} alone={is_alone} \
+            "event=crash-counted task={task} worker={worker} crashes={} evidence={evidence:?} \
              confirmed={is_confirmed}",
             state.crashes.len()
         );
@@ -256,8 +256,28 @@
     }
 }
 
-fn since(((task, _), run): (&(TaskKey, u64), &Run)) -> (TaskKey, Millis) {
-    (*task, run.since)
+/// A run that was sent to a worker.
+struct Sent {
+    task: TaskKey,
+    since: Millis,
+    /// What it tells of the task if the worker crashes.
+    evidence: Evidence,
+}
+
+/// What was sent to this life of a worker. What was sent to the life before counted then: given on from life to life it
+/// would count each time.
+fn sent_runs(worker: &Worker) -> Vec<Sent> {
+    let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_barred;
+    let sent = || worker.runs.iter().filter(counts);
+    let jobs: BTreeSet<JobKey> = sent().map(|((task, _), _)| task.step.job).collect();
+    let evidence = |run: &Run| match () {
+        () if !worker.is_settled(run.since) => Evidence::Doubtful,
+        () if jobs.len() == 1 => Evidence::Alone,
+        () => Evidence::Shared,
+    };
+    sent()
+        .map(|((task, _), run)| Sent { task: *task, since: run.since, evidence: evidence(run) })
+        .collect()
 }
 
 fn is_lasting(job: &Job, task: TaskKey) -> bool {
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -308,6 +308,7 @@
         }
         self.settle_doubt(now);
         self.expire_unconfirmed(now);
+        self.note_settled(now);
         self.ended_lives.retain(|_, since| now.since(*since) < ENDED_KEEP);
         self.forget_jobs(now);
         if self.reserved.expire(now) {
--- a/src/cell/jobs/stage.rs
+++ b/src/cell/jobs/stage.rs
@@ -11,12 +11,28 @@
 /// allows that after two; a third one is worth a worker for some seconds: it tells apart tasks that
 /// merely shared the worker.
 const ALONE_LIMIT: usize = 3;
-/// Crashes after which a task is given up however it ran: one more than [`ALONE_LIMIT`], and one less than the
-/// contract allows, as one may go uncounted at a takeover.
+/// Crashes after which a task is given up however it ran, unless all are doubtful: one less than the contract allows, as
+/// one may go uncounted at a takeover.
 const LIMIT: usize = 4;
-/// Crashes, unconfirmed ones included, from which a task is not started until these are settled: the
-/// contract allows two starts after the third, and one crash may go uncounted.
-const PAUSE: usize = 4;
+/// Crashes from which a task is not started any more, also where all are doubtful: the contract allows two starts after
+/// the third crash.
+const START_LIMIT: usize = 5;
+/// Crashes that were seen from the start on without which [`ALONE_LIMIT`] gives up nothing: else a task that met two
+/// takeovers would be given up for one crash of a worker.
+const SEEN_LEAST: usize = 2;
+
+/// What a crash tells of a task that was sent to the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Evidence {
+    /// The worker had stayed up until the task came; tasks of other jobs ran there, too.
+    Shared,
+    /// The worker had stayed up until the task came, and nothing of another job ran there.
+    Alone,
+    /// The worker had just started, and may crash by itself; or the task came from an earlier owner, which may have
+    /// read its end.
+    Doubtful,
+}
+
 /// A life of a worker that ended, not by plan, with a run of a task on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Crash {
@@ -24,8 +40,8 @@
     pub worker: Life,
     /// Where it was called.
     pub addr: Name,
-    /// Nothing of another job ran there.
-    pub is_alone: bool,
+    /// What it tells of the task.
+    pub evidence: Evidence,
     /// Another life is at the address; else it may be behind a cut.
     pub is_confirmed: bool,
 }
@@ -35,22 +51,24 @@
 pub(in crate::cell) enum Stage {
     /// It runs where there is room.
     Normal,
-    /// It runs alone where there is room for that.
+    /// It runs at a worker that has stayed up, alone where there is room for that.
     Quarantined,
-    /// It waits until an unconfirmed crash is settled.
+    /// It waits until an unconfirmed crash is settled; for good if all are doubtful, as no job is given up on doubt.
     Paused,
     /// Its job ends.
     Exhausted,
 }
 
 pub(in crate::cell) fn stage_of(crashes: &[Crash]) -> Stage {
-    let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
-    let last = crashes.iter().rfind(|crash| crash.is_confirmed);
-    let is_alone = last.is_some_and(|crash| crash.is_alone);
-    match crashes.len() {
-        _ if confirmed >= LIMIT || (confirmed >= ALONE_LIMIT && is_alone) => Stage::Exhausted,
-        PAUSE.. => Stage::Paused,
-        QUARANTINE.. => Stage::Quarantined,
+    let confirmed = || crashes.iter().filter(|crash| crash.is_confirmed);
+    let seen = confirmed().filter(|crash| crash.evidence != Evidence::Doubtful).count();
+    let last = confirmed().next_back().map(|crash| crash.evidence);
+    match confirmed().count() {
+        LIMIT.. if seen > 0 => Stage::Exhausted,
+        ALONE_LIMIT.. if last == Some(Evidence::Alone) && seen >= SEEN_LEAST => Stage::Exhausted,
+        known if known < crashes.len() && crashes.len() >= LIMIT => Stage::Paused,
+        START_LIMIT.. => Stage::Paused,
+        _ if crashes.len() >= QUARANTINE => Stage::Quarantined,
         _ => Stage::Normal,
     }
 }
@@ -59,3 +77,8 @@
 pub(in crate::cell) fn is_paused(crashes: &[Crash]) -> bool {
     stage_of(crashes) == Stage::Paused
 }
+
+/// Whether a task with these crashes goes only to workers that have stayed up.
+pub(in crate::cell) fn needs_settled(crashes: &[Crash]) -> bool {
+    stage_of(crashes) != Stage::Normal
+}
--- a/src/cell/jobs/why.rs
+++ b/src/cell/jobs/why.rs
@@ -16,6 +16,8 @@
     NoWorker,
     /// Workers may have crashed under its tasks, which wait until that is known.
     Crashes,
+    /// Workers crashed under its tasks, and those with room for them have not stayed up for long enough yet.
+    NewWorkers,
     /// No worker is large enough now: the room of some may have shrunk.
     TooLarge,
     /// Its workspace runs as much as it may.
@@ -33,6 +35,7 @@
             Self::NoneCleared => "none-cleared",
             Self::NoWorker => "no-worker",
             Self::Crashes => "crashes",
+            Self::NewWorkers => "new-workers",
             Self::TooLarge => "too-large",
             Self::Bound => "bound",
             Self::Room => "room",
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -138,6 +138,8 @@
     is_late: bool,
     /// The list of workers was last read before a pause of the owner.
     is_stale: bool,
+    /// When the first worker that a step waits for has stayed up.
+    next_settled: Option<Millis>,
     /// Something changed that may let a task be placed.
     changed: bool,
     /// Earlier owners may have started tasks that no record tells of: inherited tasks are held back
@@ -187,6 +189,7 @@
             kept: 0,
             is_late: false,
             is_stale: false,
+            next_settled: None,
             changed: true,
             doubt,
             unsent: VecDeque::new(),
--- a/src/cell/placing/place.rs
+++ b/src/cell/placing/place.rs
@@ -1,7 +1,9 @@
 //! Which of several workers with room a task or a gang goes to.
 
 use crate::cell::jobs::job::Task;
+use crate::cell::jobs::stage::needs_settled;
 use crate::cell::workers::worker::Worker;
+use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Room, Step, StepKey, TaskKey};
 use std::collections::BTreeSet;
@@ -43,6 +45,8 @@
     /// All runs there.
     pub busy: usize,
     pub is_sound: bool,
+    /// Its process has stayed up for a while.
+    pub is_settled: bool,
     /// It runs tasks that serve users of their own.
     pub serves: bool,
     /// Room is gathered there for a gang of another step.
@@ -50,7 +54,7 @@
 }
 
 impl Fit {
-    pub fn new(name: &Name, worker: &Worker) -> Self {
+    pub fn new(now: Millis, name: &Name, worker: &Worker) -> Self {
         Self {
             name: name.clone(),
             domain: worker.listed.domain.clone(),
@@ -60,6 +64,7 @@
             runs: 0,
             busy: worker.runs.len(),
             is_sound: worker.is_sound(),
+            is_settled: worker.is_settled(now),
             serves: worker.runs.values().any(|run| run.tail.0 > 0),
             is_kept: false,
         }
@@ -96,7 +101,8 @@
 
 /// The best worker with room for one task: near the data, not one on which it failed, in the job's
 /// failure domain, sound, and then the one that is left with the least; fillers go where most
-/// processors are idle. One under which a worker crashed goes where the least else runs.
+/// processors are idle. One under which a worker crashed goes where the least else runs, and from the second crash on
+/// only to a worker that has stayed up: a crash of one that has just started again tells nothing of the task.
 pub(in crate::cell) fn pick<'a>(
     fits: &'a mut [Fit],
     spec: &Step,
@@ -114,7 +120,9 @@
         let shared = if task.crashes.is_empty() { 0 } else { fit.busy };
         (task.avoid.contains(&fit.name), shared, far, last, room)
     };
-    fits.iter_mut().filter(|fit| fit.holds(spec, &charge)).min_by_key(|fit| score(fit))
+    let needs_settled = needs_settled(&task.crashes);
+    let takes = |fit: &&mut Fit| fit.holds(spec, &charge) && (fit.is_settled || !needs_settled);
+    fits.iter_mut().filter(takes).min_by_key(|fit| score(fit))
 }
 
 /// Workers for all tasks of a gang, on one rack if it wants that and one has the room; on workers where
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -64,6 +64,7 @@
             Some(_) => self.cleared(now, key, job, step, &spec),
             None => self.open(now, key, job, &spec),
         };
+        let is_for_settled = self.leave_settled(key, &spec, &mut fits);
         self.choose_home(key, &fits);
         match spec.gang {
             true => self.place_gang(now, key, &spec, &fits, waiting.len()),
@@ -90,7 +91,12 @@
             Some(advice) if rest > 0 => self.question(now, key, &spec, advice, rest),
             _ => {}
         }
-        let why = self.why(now, key, &fits).map(|why| if rest == 0 { Why::Bound } else { why });
+        let why = self.why(now, key, &fits).map(|why| match why {
+            _ if rest == 0 => Why::Bound,
+            Why::Crashes => why,
+            _ if is_for_settled => Why::NewWorkers,
+            _ => why,
+        });
         self.note_wait(now, key, why);
     }
 
@@ -163,7 +169,7 @@
         let open = workers.filter(|(_, worker)| worker.is_open(self.kept) && !aside(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
-            let fit = Fit::new(name, worker);
+            let fit = Fit::new(now, name, worker);
             let held = self.reserved.held(name, key, rank, spec.can_stop(), is_pressed);
             let runs = if spec.apart == 0 { 0 } else { count_at(worker, key) };
             let is_kept = self.reserved.gathers_at(name, key);
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -46,6 +46,9 @@
             log::info!("event=worker-silent worker={name} runs={}", worker.runs.len());
             let runs: Vec<(TaskKey, u64)> = worker.runs.keys().copied().collect();
             for (task, run) in runs {
+                if self.is_quarantined(task) {
+                    self.note_silent_run(now, name, task);
+                }
                 self.copy(now, name, task, run);
             }
         }
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -27,6 +27,10 @@
 /// Late runs of two jobs within this time are the worker's doing.
 const LATE_TOGETHER: Millis = Millis(3_000);
 
+/// A worker has stayed up once a life of it was heard for so long. One that crashes by itself mostly does so again and
+/// again, and sooner.
+const SETTLED: Millis = Millis(2_000);
+
 /// Where a run stands at its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -138,6 +142,8 @@
     pub heard: bool,
     /// It answered in this epoch: what earlier owners started there is known.
     pub known: bool,
+    /// When this life first answered in this epoch.
+    first_heard: Option<Millis>,
     /// What runs or may run there. A task can have two runs for a moment, one of them ending.
     pub runs: BTreeMap<(TaskKey, u64), Run>,
     /// The room taken by `runs`.
@@ -180,6 +186,7 @@
             batch,
             heard: false,
             known: false,
+            first_heard: None,
             runs: BTreeMap::new(),
             used: Room::default(),
             doubted: None,
@@ -290,6 +297,7 @@
         self.clock = Some((report.clock, now));
         self.unsure = false;
         self.heard = true;
+        self.first_heard.get_or_insert(now);
         self.misses = 0;
         let is_news = self.born.is_none() && report.born.is_some();
         self.born = self.born.or(report.born);
@@ -302,6 +310,16 @@
         self.misses > MAX_MISSES
     }
 
+    /// From when on this life has stayed up, if it does.
+    pub fn settles_at(&self) -> Option<Millis> {
+        self.first_heard.map(|at| at + SETTLED)
+    }
+
+    /// Whether this life had stayed up by then.
+    pub fn is_settled(&self, at: Millis) -> bool {
+        self.settles_at().is_some_and(|from| at >= from)
+    }
+
     /// The highest end that may be confirmed.
     pub fn confirmed(&self) -> u64 {
         self.confirmed
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -14,9 +14,12 @@
 
 mod lifeworld;
 
-use lifeworld::{Site, job, step};
+use lifeworld::{LENGTH, Site, job, step};
 use sprucerudder::cell::State;
+use sprucerudder::cell::jobs::why::Why;
 use sprucerudder::cell::records::journal::Fate;
+use sprucerudder::clock::Millis;
+use sprucerudder::workload::Step;
 
 const COMPLETED: Option<State> = Some(State::Closed(Fate::Completed));
 
@@ -144,7 +147,7 @@
 #[test]
 fn a_ticket_of_the_life_before_is_not_used() {
     let mut site = Site::advised(1);
-    site.submit_step(job(1), sprucerudder::workload::Step { count: 8, ..step() });
+    site.submit_step(job(1), Step { count: 8, ..step() });
     site.play(160);
     let asked = site.asked.len();
     site.restart(0, 100);
@@ -271,3 +274,111 @@
     assert_eq!(site.state(job(1)), COMPLETED);
     assert_eq!(site.starts(job(1)), 2);
 }
+
+/// All workers start again as soon as a job's task runs.
+fn crash_all(site: &mut Site, workers: usize) {
+    while !site.is_running(job(1)) {
+        site.play(20);
+    }
+    for no in 0..workers {
+        site.restart(no, 100);
+    }
+    site.play(100);
+}
+
+#[test]
+fn a_task_with_two_crashes_waits_until_a_worker_has_stayed_up() {
+    let mut site = Site::new(2);
+    site.submit(job(1));
+    for _ in 0..2 {
+        crash_all(&mut site, 2);
+    }
+    // The first report of the later lives comes now.
+    site.play(1_900);
+    let waits: Vec<Why> = site.cell.waiting().map(|(_, why)| why).collect();
+    assert_eq!(waits, [Why::NewWorkers]);
+    assert_eq!(site.starts(job(1)), 2);
+    site.play(220);
+    assert_eq!(site.starts(job(1)), 3);
+    site.play(400);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
+
+#[test]
+fn tasks_with_one_crash_do_not_wait_for_workers_to_have_stayed_up() {
+    let mut site = Site::new(2);
+    for key in 1..=4 {
+        site.submit(job(key));
+    }
+    site.play(60);
+    site.restart(0, 100);
+    site.restart(1, 100);
+    site.play(1_200);
+    for key in 1..=4 {
+        assert_eq!(site.state(job(key)), COMPLETED, "{key}");
+    }
+}
+
+#[test]
+fn a_gang_with_such_a_task_starts_whole_at_workers_that_have_stayed_up() {
+    let mut site = Site::new(2);
+    site.submit_step(job(1), Step { count: 6, gang: true, ..step() });
+    for _ in 0..2 {
+        crash_all(&mut site, 2);
+    }
+    site.play(1_000);
+    site.restart(1, 100);
+    site.play(1_500);
+    assert_eq!(site.starts(job(1)), 12, "one worker that has stayed up is too small for it");
+    site.play(1_500);
+    assert_eq!(site.state(job(1)), COMPLETED);
+    assert_eq!(site.starts(job(1)), 18);
+}
+
+/// An owner gives a job's task to a worker, the task is done there, and neither owner reads its end: the worker starts
+/// again while the next one takes over.
+fn lose_end(site: &mut Site) {
+    let until = site.now + 4_000;
+    while site.now < until && !site.is_running(job(1)) {
+        site.play(20);
+    }
+    if site.is_running(job(1)) {
+        let no = site.host_of(job(1));
+        site.play(LENGTH - 20);
+        // Of the reports that could tell of the end, one falls into this time.
+        site.lose_reports(no, 1);
+        site.play(40);
+        site.restart(no, 20);
+        site.take_over();
+    }
+}
+
+#[test]
+fn runs_that_were_done_before_a_takeover_end_no_job() {
+    // Ends that no owner had read or kept counted as crashes: three of them ended a job under whose task no worker had
+    // crashed.
+    let mut site = Site::new(2);
+    site.submit(job(1));
+    for _ in 0..3 {
+        lose_end(&mut site);
+    }
+    site.play(5_000);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
+
+#[test]
+fn a_task_with_nothing_but_doubtful_crashes_waits_and_says_so() {
+    let mut site = Site::new(2);
+    site.submit(job(1));
+    for _ in 0..8 {
+        lose_end(&mut site);
+    }
+    site.play(30_000);
+    assert_eq!(site.starts(job(1)), 5, "by the contract, two after the third crash");
+    assert_eq!(site.state(job(1)), Some(State::Active));
+    let waits: Vec<Why> = site.cell.waiting().map(|(_, why)| why).collect();
+    assert_eq!(waits, [Why::Crashes]);
+    site.cell.cancel(Millis(site.now), job(1));
+    site.play(200);
+    assert_eq!(site.state(job(1)), Some(State::Closed(Fate::Cancelled)));
+}
