Starts are not sent without authority: not after a pause, nor from a queue

What callers saw: none did yet; found by the search over kept ids, as a task that ran twice at once.

Cause: an owner that was paused took in the store's answer to a binding before it noticed the pause; the start that this set free went out, though it was decided 4.5 s before and another owner had taken over. Whether the owner had authority was asked only before it decided, not before it sent. A worker refuses such a start by its fence, unless it has started again meanwhile: a new process has seen none, and ran what ran elsewhere.

Change: without authority, starts that were decided are given up and decided anew, as they are when a pause is noticed; a start that waited for its turn at a worker asks once more before it is sent. The search's world does as the shell does.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -246,11 +246,27 @@
             worker.doubt(now);
             self.actions.push(Action::Look(name.clone()));
         }
+        self.withhold_starts();
         for (_, name, start) in std::mem::take(&mut self.unsent) {
             self.lose(&name, start.task, start.run);
         }
     }
 
+    /// Starts that were decided and not sent are given up, for another entry may own the cell by now. A worker that has
+    /// started again since knows no higher fence: it would run what runs elsewhere.
+    pub fn withhold_starts(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Start { worker, start, .. } => {
+                    let (task, run) = (start.task, start.run);
+                    log::info!("event=start-given-up task={task} worker={worker} why=no-authority");
+                    self.lose(&worker, task, run);
+                }
+                action => self.actions.push(action),
+            }
+        }
+    }
+
     /// What has to be done since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -196,8 +196,9 @@
                 let may_order = self.may_order();
                 let mut cell = lock(&self.cell);
                 let now = self.node.now();
-                if may_order {
-                    cell.schedule(now);
+                match may_order {
+                    true => cell.schedule(now),
+                    false => cell.withhold_starts(),
                 }
                 if lock(&self.authority).rests_on_peers(now) {
                     cell.send_unkept(now);
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -92,10 +92,11 @@
         let _passed = gate.acquire().await;
         let sent = self.node.now();
         let limit = lock(&self.lag).timeouts().order;
-        self.notice_pause(sent);
+        // Where it waited for its turn, another entry may own the cell by now.
+        let may_order = self.may_order();
         // Another life refuses nothing that this one would: it has seen no fence and no stop.
         let is_other = || lock(&self.cell).has_restarted(&life);
-        let is_old = sent.since(decided) >= ORDER_FRESH || is_other();
+        let is_old = !may_order || sent.since(decided) >= ORDER_FRESH || is_other();
         if is_other() && !matches!(action, Action::Start { .. }) {
             return log::debug!("event=order-withheld worker={name} why=restarted");
         }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -946,3 +946,31 @@
     };
     assert_eq!(orders.iter().filter(is_wrong).collect::<Vec<_>>(), Vec::<&Action>::new());
 }
+
+#[test]
+fn starts_that_the_store_kept_during_a_pause_are_given_up() {
+    // The answer of the store was taken in before the pause was noticed, and the start went out seconds after it was
+    // decided: to a worker that had started again since it ran the task twice.
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    cell.schedule(Millis(11));
+    let batch = cell.take_batch(Millis(11)).expect("the binding");
+    cell.keep(Millis(20_000), batch.no);
+    cell.wake(Millis(20_000));
+    let is_start = |action: &Action| matches!(action, Action::Start { .. });
+    assert!(!cell.take_actions().iter().any(is_start));
+}
+
+#[test]
+fn an_owner_without_authority_gives_up_its_starts_and_decides_them_anew() {
+    let mut cell = cell(&[listed("w1", "a")]);
+    submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    cell.schedule(Millis(11));
+    write(&mut cell, 12);
+    cell.withhold_starts();
+    let is_start = |action: &Action| matches!(action, Action::Start { .. });
+    assert!(!cell.take_actions().iter().any(is_start));
+    let again = starts(&mut cell, 13);
+    assert_eq!(again.len(), 1);
+    assert!(again[0].1.run > 1_025, "{}", again[0].1.run);
+}
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -139,6 +139,19 @@
     assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
 }
 
+#[test]
+fn a_start_decided_before_a_pause_is_not_sent_after_it() {
+    // An owner was paused for 4.5 s between its decision on a start and the store's answer, which it then took in, and sent
+    // the start. Its worker had started again meanwhile and had seen no higher fence. The task ran elsewhere:
+    //  4800 owner 3 is paused until 9284
+    //  4880 owner 4 takes over with epoch 5
+    //  7585 w3.1 starts T.0.1.2 run 7169
+    //  8852 w5 is back under its id, born at 5007808
+    //  9285 BROKEN a task runs twice at once: T.0.1.2 on w5
+    let (found, _) = search_keeping(730_858);
+    assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+}
+
 #[test]
 fn nothing_breaks_when_workspaces_have_bounds_and_jobs_are_given_back() {
     holds(|seed| search_bounded(seed, Without::Nothing));
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -695,8 +695,9 @@
         if self.owners[owner].deposed {
             return;
         }
-        if self.may_order(owner) {
-            self.owners[owner].cell.schedule(Millis(self.now));
+        match self.may_order(owner) {
+            true => self.owners[owner].cell.schedule(Millis(self.now)),
+            false => self.owners[owner].cell.withhold_starts(),
         }
         for action in self.owners[owner].cell.take_actions() {
             self.count_stop(owner, &action);
--- a/tests/cellworld/wire.rs
+++ b/tests/cellworld/wire.rs
@@ -104,6 +104,9 @@
         let there = self.workers.get(name).map(|worker| worker.listed.life());
         match action {
             _ if answer == Answer::Belated && there != life => return,
+            Action::Start { .. } if answer != Answer::Belated && !self.may_order(owner) => {
+                return self.withhold(owner, action, self.now);
+            }
             _ if answer == Answer::Belated || !is_other => {}
             Action::Start { .. } => return self.withhold(owner, action, self.now),
             _ => return,
