A takeover waits for the longest lease only where a worker may have started again under its id

What callers saw: after a takeover, what ran behind a cut started elsewhere 10.5 s later, also where workers do not tell when they started, and have another id in their next life (tests/lives.rs, virtual clock: 10,540 ms before, within 6.6 s now; 10.5 s where they tell). A lease of 10 s by another life's clock is possible only under one id.

Cause: since the next owner counted the longest lease for each worker.

Change: the longest lease is counted where the records tell when the worker started.

--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -20,14 +20,14 @@
 impl Cell {
     /// Takes in what the store holds.
     pub(in crate::cell) fn inherit(&mut self, snapshot: Snapshot, now: Millis) {
-        // The longest lease that a worker grants: one that started again under its id was maybe asked for a time by the
-        // clock of its life before, which is cut down to that. After the usual lease its task may run still, behind a
-        // cut.
-        let lease_end = now + Millis(self.bounds.lease_max.0 * 1_050 / 1_000);
         let births = snapshot.births;
         self.with_workspace = snapshot.workspaces.keys().copied().collect();
         for member in snapshot.roster {
             let born = births.get(&member.id).copied();
+            // One that may have started again under its id was maybe asked for a time by the clock of its life before,
+            // which it cuts down to the longest lease: after the usual one its task may run still, behind a cut.
+            let lease = if born.is_some() { self.bounds.lease_max } else { self.bounds.lease };
+            let lease_end = now + Millis(lease.0 * 1_050 / 1_000);
             let mut worker = Worker::new(unlisted(member, born), 0, lease_end);
             worker.present = false;
             self.actions.push(Action::Watch(worker.listed.clone()));
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -624,7 +624,7 @@
         }
         let bounds = Bounds {
             lease: Millis(LEASE),
-            lease_max: Millis(if self.keeping { LEASE_MAX } else { LEASE }),
+            lease_max: Millis(LEASE_MAX),
             keep: Millis(1_000_000),
             off: Off::default(),
         };
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -82,6 +82,8 @@
     pub unanswered: u32,
     /// Starts reach nobody and are not answered.
     pub loses_starts: bool,
+    /// Workers tell when they started.
+    tells_births: bool,
     /// Workers at which every task fails.
     pub grey: BTreeSet<usize>,
     /// The list is as it was.
@@ -114,16 +116,21 @@
 
 impl Site {
     pub fn new(workers: usize) -> Self {
-        Self::with(workers, None)
+        Self::with(workers, None, true)
+    }
+
+    /// A site whose workers do not tell when they started: a process that starts again has another id.
+    pub fn without_births(workers: usize) -> Self {
+        Self::with(workers, None, false)
     }
 
     /// A site whose queue is under the policy of an advice service.
     pub fn advised(workers: usize) -> Self {
         let advice = Advice { base: Millis(20), each: 0, valid: Millis(60_000) };
-        Self::with(workers, Some(advice))
+        Self::with(workers, Some(advice), true)
     }
 
-    fn with(workers: usize, advice: Option<Advice>) -> Self {
+    fn with(workers: usize, advice: Option<Advice>, tells_births: bool) -> Self {
         let host = |no: usize| Host {
             id: format!("w{no}").into(),
             room: 4_000,
@@ -149,6 +156,7 @@
             asked: Vec::new(),
             unanswered: 0,
             loses_starts: false,
+            tells_births,
             grey: BTreeSet::new(),
             held: None,
             spans: Vec::new(),
@@ -336,7 +344,7 @@
     fn entries(&self) -> Vec<Listed> {
         let entry = |host: &Host| Listed {
             id: host.id.clone(),
-            born: Some(Millis(host.listed)),
+            born: self.tells_births.then_some(Millis(host.listed)),
             service: "s".into(),
             addr: host.id.clone(),
             domain: "d".into(),
@@ -399,7 +407,7 @@
             self.confirmed.push((id.clone(), hold.seen));
             let running = life.running.iter().map(|(task, (run, _))| rows::running(*task, *run));
             let report = Report {
-                born: Some(Millis(life.born)),
+                born: self.tells_births.then_some(Millis(life.born)),
                 clock: life.clock(now.0),
                 running: running.collect(),
                 ended: life.ended.clone(),
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -14,7 +14,7 @@
 
 mod lifeworld;
 
-use lifeworld::{LENGTH, Site, job, step};
+use lifeworld::{LEASE, LENGTH, Site, job, step};
 use sprucerudder::cell::State;
 use sprucerudder::cell::jobs::why::Why;
 use sprucerudder::cell::records::journal::Fate;
@@ -382,3 +382,27 @@
     site.play(200);
     assert_eq!(site.state(job(1)), Some(State::Closed(Fate::Cancelled)));
 }
+
+/// How long after a takeover a task that ran behind a cut starts elsewhere.
+fn wait_after_takeover(mut site: Site) -> u64 {
+    site.submit(job(1));
+    site.play(60);
+    let no = site.host_of(job(1));
+    site.cut(no, 60_000);
+    site.take_over();
+    let from = site.now;
+    while site.starts(job(1)) < 2 {
+        site.play(20);
+    }
+    site.now - from
+}
+
+#[test]
+fn a_new_owner_waits_for_the_longest_lease_only_where_a_worker_may_have_started_again() {
+    // Workers that do not tell when they started have other ids in their next lives: no time of another life's clock
+    // reaches them. What ran there behind a cut waited for 10.5 s, too, before it started elsewhere.
+    let usual = wait_after_takeover(Site::without_births(2));
+    assert!((LEASE..LEASE + 600).contains(&usual), "{usual} ms");
+    let longest = wait_after_takeover(Site::new(2));
+    assert!((10_000..10_000 + 700).contains(&longest), "{longest} ms");
+}
