A step that waits for long takes room that is kept for others, while half of all room is free

What callers saw: a task for which two workers had room waited for more than 3 s, with half of the room free.

Cause: room was gathered for a gang that never found enough of it, and again each 1.5 s. Steps after the gang that could not start for it had room kept (shared) for them at the same workers, and a task after them had to leave that, too, though none of them could use it. Only the room gathered for the gang was exempt from 2 s on.

Ruled out: the gang could have started (it needed four workers, of which two ran tasks of its own queue that are not stopped), and the check (the contract's own words). First tried: leaving nothing as soon as half of the processors are free: a task that needs a whole worker was passed for good by those that need half of its accelerators (tests/preempt.rs); so half of every kind must be free.

--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -12,12 +12,12 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::Start;
-use crate::workload::{JobKey, Step, StepKey, TaskKey};
+use crate::workload::{JobKey, Room, Step, StepKey, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// After so long without a worker, though half of the room is free, a step goes where it would not go
 /// otherwise: to workers that are set aside, for 16 s at the most, or left to a task that crashes workers,
-/// for as long as that runs. By the platform's contract a task with room for it waits for 3 s at the most.
+/// for as long as that runs, and into room that is kept for others. By the platform's contract a task with room for it waits for 3 s at the most.
 const PRESSED: Millis = Millis(2_000);
 
 /// Whether a step has waited for so long that it takes any worker.
@@ -137,16 +137,16 @@
         self.fits(now, key, job, spec, known)
     }
 
-    /// Whether less than half of a service's processors are in use.
-    fn is_half_free(&self, service: &Name) -> bool {
+    /// What of a service's room is in use, and all of it.
+    fn usage_of(&self, service: &Name) -> (Room, Room) {
         let of_service = self
             .workers
             .values()
             .filter(|worker| worker.heard && worker.listed.service == *service);
-        let sum =
-            |(used, all), worker: &Worker| (used + worker.used.cpu, all + worker.listed.room.cpu);
-        let (used, all) = of_service.fold((0, 0), sum);
-        used * 2 < all
+        let none = (Room::default(), Room::default());
+        of_service.fold(none, |(used, all), worker| {
+            (used.plus(&worker.used), all.plus(&worker.listed.room))
+        })
     }
 
     /// Those of some workers that may run a step, with the room that others leave to it.
@@ -162,7 +162,13 @@
         let minds = !self.bounds.off.has(Mechanism::Aside);
         let is_quarantine =
             |worker: &Worker| worker.quarantined_job().is_some_and(|job| job != key.job);
-        let is_pressed = is_pressed(now, job.step(key)) && self.is_half_free(&job.queue.service);
+        let (mut is_pressed, mut is_free) = (is_pressed(now, job.step(key)), false);
+        if is_pressed {
+            let (used, all) = self.usage_of(&job.queue.service);
+            is_pressed = used.cpu * 2 < all.cpu;
+            // Beside accelerators that are mostly taken, a task that needs many would be passed by those that need few.
+            is_free = is_pressed && all.holds(&used.plus(&used));
+        }
         let aside = |worker: &Worker| {
             !is_pressed && ((minds && worker.is_aside(now)) || is_quarantine(worker))
         };
@@ -170,7 +176,12 @@
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
             let fit = Fit::new(now, name, worker);
-            let held = self.reserved.held(name, key, rank, spec.can_stop(), is_pressed);
+            // Room may be kept again and again for a gang that finds too little, and for steps that only wait for the
+            // gang. A step that has waited for long leaves none of it while half of all room is free.
+            let held = match is_free {
+                true => Room::default(),
+                false => self.reserved.held(name, key, rank, spec.can_stop(), is_pressed),
+            };
             let runs = if spec.apart == 0 { 0 } else { count_at(worker, key) };
             let is_kept = self.reserved.gathers_at(name, key);
             Fit { free: fit.free.less(&held), runs, is_kept, ..fit }
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -119,7 +119,7 @@
 fn room_kept_for_others_holds_up_no_task_for_long() {
     // Room was kept for a gang that never found enough of it, and again as soon as that time was over. Steps that were held
     // up by it kept room, too, which they could not use; a task for which two workers had room waited for more than 3 s.
-    for seed in [700_425, 1_000_799] {
+    for seed in [700_425, 1_000_799, 1_002_625] {
         let (found, _) = search_crowded(seed);
         assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
     }
