What a step need not mind after a long wait is one type, in a file of its own

No change of behaviour: PRESSED and two flags become Pressure (None, Processors, All), decided in placing/pressure.rs and read by reserve.rs; starts that are given up say whether for a pause or for want of authority.

--- a/src/cell/jobs/stage.rs
+++ b/src/cell/jobs/stage.rs
@@ -21,7 +21,8 @@
 /// takeovers would be given up for one crash of a worker.
 const SEEN_LEAST: usize = 2;
 
-/// What a crash tells of a task that was sent to the worker.
+/// What a crash tells of a task that was sent to the worker. In records the first two are the values of a flag that stood
+/// there before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
     /// The worker had stayed up until the task came; tasks of other jobs ran there, too.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -138,7 +138,7 @@
     is_late: bool,
     /// The list of workers was last read before a pause of the owner.
     is_stale: bool,
-    /// When the first worker that a step waits for has stayed up.
+    /// When the first of the workers that steps wait for has stayed up for long enough.
     next_settled: Option<Millis>,
     /// Something changed that may let a task be placed.
     changed: bool,
@@ -246,7 +246,7 @@
             worker.doubt(now);
             self.actions.push(Action::Look(name.clone()));
         }
-        self.withhold_starts();
+        self.withhold_starts("pause");
         for (_, name, start) in std::mem::take(&mut self.unsent) {
             self.lose(&name, start.task, start.run);
         }
@@ -254,12 +254,12 @@
 
     /// Starts that were decided and not sent are given up, for another entry may own the cell by now. A worker that has
     /// started again since knows no higher fence: it would run what runs elsewhere.
-    pub fn withhold_starts(&mut self) {
+    pub fn withhold_starts(&mut self, why: &str) {
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Start { worker, start, .. } => {
                     let (task, run) = (start.task, start.run);
-                    log::info!("event=start-given-up task={task} worker={worker} why=no-authority");
+                    log::info!("event=start-given-up task={task} worker={worker} why={why}");
                     self.lose(&worker, task, run);
                 }
                 action => self.actions.push(action),
--- /dev/null
+++ b/src/cell/placing/pressure.rs
@@ -0,0 +1,54 @@
+//! Steps that have waited for long though there is room.
+//!
+//! The load that this answers: a gang that finds too little room has it kept again and again; steps after it that only
+//! wait for the gang have room kept, too; workers are set aside or left to one task. Each of these is right for a while, and
+//! together they leave workers idle beside tasks that fit them.
+
+use crate::cell::Cell;
+use crate::cell::jobs::job::Job;
+use crate::clock::Millis;
+use crate::id::Name;
+use crate::workload::{Room, StepKey};
+
+/// After so long without a worker, though half of the room is free, a step goes where it would not go otherwise. By the
+/// platform's contract a task with room for it waits for 3 s at the most.
+const PATIENCE: Millis = Millis(2_000);
+
+/// What a step need not mind any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::cell) enum Pressure {
+    /// Nothing: it has not waited for long, or half of the processors are in use.
+    None,
+    /// Workers that are set aside, for 16 s at the most, or left to a task that crashes workers, for as long as that
+    /// runs; room that is gathered for a gang.
+    Processors,
+    /// Room that is kept for others, too: half of all room is free. Beside accelerators that are mostly taken, a task that
+    /// needs many would be passed by those that need few.
+    All,
+}
+
+impl Cell {
+    /// How hard a step is pressed by its wait.
+    pub(in crate::cell) fn pressure(&self, now: Millis, job: &Job, key: StepKey) -> Pressure {
+        let since = job.step(key).and_then(|step| step.idle_since);
+        if since.is_none_or(|since| now.since(since) < PATIENCE) {
+            return Pressure::None;
+        }
+        let (used, all) = self.usage_of(&job.queue.service);
+        match used.plus(&used) {
+            twice if twice.cpu >= all.cpu => Pressure::None,
+            twice if all.holds(&twice) => Pressure::All,
+            _ => Pressure::Processors,
+        }
+    }
+
+    /// What of a service's room is in use, and all of it.
+    fn usage_of(&self, service: &Name) -> (Room, Room) {
+        let heard = self.workers.values().filter(|worker| worker.heard);
+        let of_service = heard.filter(|worker| worker.listed.service == *service);
+        let none = (Room::default(), Room::default());
+        of_service.fold(none, |(used, all), worker| {
+            (used.plus(&worker.used), all.plus(&worker.listed.room))
+        })
+    }
+}
--- a/src/cell/placing/reserve.rs
+++ b/src/cell/placing/reserve.rs
@@ -3,6 +3,7 @@
 //! The load that this answers: a gang waits for whole workers while smaller tasks of less urgent jobs
 //! come all the time and take every piece of room as it becomes free.
 
+use crate::cell::placing::pressure::Pressure;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Room, StepKey};
@@ -77,21 +78,24 @@
     }
 
     /// The room at a worker that a step must leave to others that are as urgent or more;
-    /// `can_stop`: its tasks can be stopped for steps of a more urgent queue; `is_pressed`: it need not leave
-    /// what is gathered for a gang, which may go on for as long as the gang finds no room.
+    /// `can_stop`: its tasks can be stopped for steps of a more urgent queue.
     pub fn held(
         &self,
         worker: &Name,
         step: StepKey,
         rank: Rank,
         can_stop: bool,
-        is_pressed: bool,
+        pressure: Pressure,
     ) -> Room {
         let rows = self.rows.get(worker).map(Vec::as_slice).unwrap_or_default();
         let yields = |row: &&Row| row.is_shared && can_stop && row.rank.0 < rank.0;
         let others = rows.iter().filter(|row| row.step != step && row.rank <= rank);
         let is_gathered = |row: &Row| self.gang.is_some_and(|(gang, _)| gang == row.step);
-        let is_left = |row: &&Row| !is_pressed || !is_gathered(row);
+        let is_left = |row: &&Row| match pressure {
+            Pressure::None => true,
+            Pressure::Processors => !is_gathered(row),
+            Pressure::All => false,
+        };
         let others = others.filter(|row| !yields(row)).filter(is_left);
         others.fold(Room::default(), |sum, row| sum.plus(&row.room))
     }
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -7,25 +7,15 @@
 use crate::cell::jobs::why::Why;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::place::{Fit, Need, count_at, is_suitable, pick, pick_gang};
+use crate::cell::placing::pressure::Pressure;
 use crate::cell::workers::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell, RUN_BITS};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::Start;
-use crate::workload::{JobKey, Room, Step, StepKey, TaskKey};
+use crate::workload::{JobKey, Step, StepKey, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
-/// After so long without a worker, though half of the room is free, a step goes where it would not go
-/// otherwise: to workers that are set aside, for 16 s at the most, or left to a task that crashes workers,
-/// for as long as that runs, and into room that is kept for others. By the platform's contract a task with room for it waits for 3 s at the most.
-const PRESSED: Millis = Millis(2_000);
-
-/// Whether a step has waited for so long that it takes any worker.
-fn is_pressed(now: Millis, step: Option<&StepState>) -> bool {
-    let since = step.and_then(|step| step.idle_since);
-    since.is_some_and(|since| now.since(since) >= PRESSED)
-}
-
 impl Cell {
     /// Places waiting tasks, the most urgent first, as far as there is room.
     pub fn schedule(&mut self, now: Millis) {
@@ -64,7 +54,7 @@
             Some(_) => self.cleared(now, key, job, step, &spec),
             None => self.open(now, key, job, &spec),
         };
-        let is_for_settled = self.leave_settled(key, &spec, &mut fits);
+        let waits_for_settled = self.leave_settled(key, &spec, &mut fits);
         self.choose_home(key, &fits);
         match spec.gang {
             true => self.place_gang(now, key, &spec, &fits, waiting.len()),
@@ -94,7 +84,7 @@
         let why = self.why(now, key, &fits).map(|why| match why {
             _ if rest == 0 => Why::Bound,
             Why::Crashes => why,
-            _ if is_for_settled => Why::NewWorkers,
+            _ if waits_for_settled => Why::NewWorkers,
             _ => why,
         });
         self.note_wait(now, key, why);
@@ -137,18 +127,6 @@
         self.fits(now, key, job, spec, known)
     }
 
-    /// What of a service's room is in use, and all of it.
-    fn usage_of(&self, service: &Name) -> (Room, Room) {
-        let of_service = self
-            .workers
-            .values()
-            .filter(|worker| worker.heard && worker.listed.service == *service);
-        let none = (Room::default(), Room::default());
-        of_service.fold(none, |(used, all), worker| {
-            (used.plus(&worker.used), all.plus(&worker.listed.room))
-        })
-    }
-
     /// Those of some workers that may run a step, with the room that others leave to it.
     fn fits<'a>(
         &self,
@@ -162,26 +140,15 @@
         let minds = !self.bounds.off.has(Mechanism::Aside);
         let is_quarantine =
             |worker: &Worker| worker.quarantined_job().is_some_and(|job| job != key.job);
-        let (mut is_pressed, mut is_free) = (is_pressed(now, job.step(key)), false);
-        if is_pressed {
-            let (used, all) = self.usage_of(&job.queue.service);
-            is_pressed = used.cpu * 2 < all.cpu;
-            // Beside accelerators that are mostly taken, a task that needs many would be passed by those that need few.
-            is_free = is_pressed && all.holds(&used.plus(&used));
-        }
+        let pressure = self.pressure(now, job, key);
         let aside = |worker: &Worker| {
-            !is_pressed && ((minds && worker.is_aside(now)) || is_quarantine(worker))
+            pressure == Pressure::None && ((minds && worker.is_aside(now)) || is_quarantine(worker))
         };
         let open = workers.filter(|(_, worker)| worker.is_open(self.kept) && !aside(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let fit = |(name, worker)| {
             let fit = Fit::new(now, name, worker);
-            // Room may be kept again and again for a gang that finds too little, and for steps that only wait for the
-            // gang. A step that has waited for long leaves none of it while half of all room is free.
-            let held = match is_free {
-                true => Room::default(),
-                false => self.reserved.held(name, key, rank, spec.can_stop(), is_pressed),
-            };
+            let held = self.reserved.held(name, key, rank, spec.can_stop(), pressure);
             let runs = if spec.apart == 0 { 0 } else { count_at(worker, key) };
             let is_kept = self.reserved.gathers_at(name, key);
             Fit { free: fit.free.less(&held), runs, is_kept, ..fit }
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -198,7 +198,7 @@
                 let now = self.node.now();
                 match may_order {
                     true => cell.schedule(now),
-                    false => cell.withhold_starts(),
+                    false => cell.withhold_starts("no-authority"),
                 }
                 if lock(&self.authority).rests_on_peers(now) {
                     cell.send_unkept(now);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -967,7 +967,7 @@
     submit(&mut cell, 10, 1, "q", vec![step(1)]);
     cell.schedule(Millis(11));
     write(&mut cell, 12);
-    cell.withhold_starts();
+    cell.withhold_starts("no-authority");
     let is_start = |action: &Action| matches!(action, Action::Start { .. });
     assert!(!cell.take_actions().iter().any(is_start));
     let again = starts(&mut cell, 13);
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -724,7 +724,7 @@
         }
         match self.may_order(owner) {
             true => self.owners[owner].cell.schedule(Millis(self.now)),
-            false => self.owners[owner].cell.withhold_starts(),
+            false => self.owners[owner].cell.withhold_starts("no-authority"),
         }
         for action in self.owners[owner].cell.take_actions() {
             self.count_stop(owner, &action);
