--- a/src/cell/jobs/why.rs
+++ b/src/cell/jobs/why.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Why tasks of a step have no worker yet.
+/// Why tasks of a step have no worker yet. New reasons go last: entries of two versions tell each other by their places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Why {
@@ -16,14 +16,14 @@
     NoWorker,
     /// Workers may have crashed under its tasks, which wait until that is known.
     Crashes,
-    /// Workers crashed under its tasks, and those with room for them have not stayed up for long enough yet.
-    NewWorkers,
     /// No worker is large enough now: the room of some may have shrunk.
     TooLarge,
     /// Its workspace runs as much as it may.
     Bound,
     /// Cleared workers have no room, or none that is not kept for others.
     Room,
+    /// Workers crashed under its tasks, and those with room for them have not stayed up for long enough yet.
+    NewWorkers,
 }
 
 impl Why {
@@ -35,10 +35,10 @@
             Self::NoneCleared => "none-cleared",
             Self::NoWorker => "no-worker",
             Self::Crashes => "crashes",
-            Self::NewWorkers => "new-workers",
             Self::TooLarge => "too-large",
             Self::Bound => "bound",
             Self::Room => "room",
+            Self::NewWorkers => "new-workers",
         }
     }
 }
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -3,6 +3,7 @@
 //!
 //! `UPDATE_GOLDEN=1 cargo test --test golden` writes the files; those of a version stay as that wrote them.
 
+use sprucerudder::cell::jobs::stage::Evidence;
 use sprucerudder::cell::owner::election::Record;
 use sprucerudder::cell::records::journal::{
     Fate, JobRecord, Member, Progress, Snapshot, StepNote, TaskNote, job, progress, roster,
@@ -108,3 +109,16 @@
     assert_eq!(snapshot.roster, members());
     assert_eq!(snapshot.jobs.len(), 3);
 }
+
+/// The crashes under a task as 0.8.0 wrote them, with a flag for whether the task ran alone.
+const CRASHES: &str = "01 00 01 02 02 05 692d314037 02 6131 00 01 03 692d32 02 6131 01 00";
+
+#[test]
+fn crashes_with_a_flag_are_read_as_seen() {
+    let mut snapshot = Snapshot::default();
+    snapshot.add(&format!("{JOB}.c"), &bytes(&CRASHES.replace(' ', ""))).unwrap();
+    let crashes = &snapshot.crashes[&JOB][0].crashes;
+    let read: Vec<_> = crashes.iter().map(|one| (one.evidence, one.is_confirmed)).collect();
+    assert_eq!(read, [(Evidence::Shared, true), (Evidence::Alone, false)]);
+    assert_eq!(crashes[0].worker.born, Some(Millis(7)));
+}
