--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -406,3 +406,28 @@
     let longest = wait_after_takeover(Site::new(2));
     assert!((10_000..10_000 + 700).contains(&longest), "{longest} ms");
 }
+
+#[test]
+fn a_job_is_not_given_up_for_one_worker_that_crashes_again() {
+    // Two starts reached nobody, at workers that had just started. The third one ran when its worker crashed; the fourth one
+    // had no answer, at the same worker, which had stayed up for seconds and then crashed again:
+    // event=crash-counted task=T.0.0.0 worker=i-2+1@1699999998000 crashes=3 evidence=Shared confirmed=true
+    // event=start-failed task=T.0.0.0 run=11266 worker=i-2+1 outcome=Unknown
+    // event=crash-counted task=T.0.0.0 worker=i-2+1@1699999997000 crashes=4 evidence=Shared confirmed=false
+    // event=given-up task=T.0.0.0 crashes=4
+    let mut site = Site::new(1);
+    site.loses_starts = true;
+    site.submit(job(1));
+    for _ in 0..2 {
+        site.play(900);
+        site.restart(0, 60);
+    }
+    site.loses_starts = false;
+    crash_all(&mut site, 1);
+    site.loses_starts = true;
+    site.play(2_300);
+    site.restart(0, 60);
+    site.loses_starts = false;
+    site.play(6_000);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
