--- a/src/cell/jobs/stage.rs
+++ b/src/cell/jobs/stage.rs
@@ -21,8 +21,8 @@
 /// takeovers would be given up for one crash of a worker.
 const SEEN_LEAST: usize = 2;
 
-/// What a crash tells of a task that was sent to the worker. In records the first two are the values of a flag that stood
-/// there before.
+/// What a crash tells of a task that was sent to the worker. Records of earlier versions hold a flag in its place, which is
+/// read as one of the first two.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
     /// The worker had stayed up until the task came; tasks of other jobs ran there, too.
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -399,8 +399,8 @@
 
 #[test]
 fn a_new_owner_waits_for_the_longest_lease_only_where_a_worker_may_have_started_again() {
-    // Workers that do not tell when they started have other ids in their next lives: no time of another life's clock
-    // reaches them. What ran there behind a cut waited for 10.5 s, too, before it started elsewhere.
+    // Workers that do not tell when they started have other ids in their next lives, so no time of another life's clock
+    // reaches them. A takeover waited for the longest lease there, too, before what ran behind a cut started elsewhere.
     let usual = wait_after_takeover(Site::without_births(2));
     assert!((LEASE..LEASE + 600).contains(&usual), "{usual} ms");
     let longest = wait_after_takeover(Site::new(2));
