Log lines are written whole, and numbered

What a reader saw: lines of busy owners were missing and others ran together (event=starevent=submitted). Cause: 25 ms of lines went into one write, and the reader keeps 8,192 bytes of each. Now a write has whole lines of at most 4,096 bytes (PIPE_BUF), each line has its number, explain counts those that are missing, and a line that is too long says so. The test uses functions that did not exist before, so it could not be seen failing on the code before; a write of 8,192 bytes fails it.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -17,15 +17,47 @@
 
 impl Run for ExplainArgs {
     fn run(self) -> Result<()> {
-        let mut waits = Waits::default();
+        let (mut waits, mut gaps) = (Waits::default(), Gaps::default());
         for line in std::io::stdin().lock().lines() {
-            waits.add(&line.context("cannot read standard input")?, self.job.as_deref());
+            let line = line.context("cannot read standard input")?;
+            waits.add(&line, self.job.as_deref());
+            gaps.add(&line);
         }
         print!("{}", waits.table());
+        if gaps.missing > 0 {
+            println!("{} log lines are missing in {} places", gaps.missing, gaps.places);
+        }
         Ok(())
     }
 }
 
+/// The value of a key in a log line.
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    line.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// Where numbers of lines leap, in logs that follow each other process by process.
+#[derive(Debug, Default)]
+pub struct Gaps {
+    last: Option<u64>,
+    /// Lines that are missing.
+    pub missing: u64,
+    /// How often lines are missing.
+    pub places: u64,
+}
+
+impl Gaps {
+    /// Takes in one line.
+    pub fn add(&mut self, line: &str) {
+        let Some(no) = field(line, "line").and_then(|no| no.parse::<u64>().ok()) else { return };
+        // A lower number is the first of another process.
+        let left_out = self.last.map_or(0, |last| no.saturating_sub(last + 1));
+        self.missing += left_out;
+        self.places += u64::from(left_out > 0);
+        self.last = Some(no);
+    }
+}
+
 /// How long steps waited, by queue and reason.
 #[derive(Debug, Default)]
 pub struct Waits {
@@ -35,9 +67,7 @@
 impl Waits {
     /// Takes in one line of a log, if it tells of a wait, and of `job` if one is wanted.
     pub fn add(&mut self, line: &str, job: Option<&str>) {
-        let field = |name: &str| {
-            line.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
-        };
+        let field = |name: &str| field(line, name);
         let of_job = |step: &str| job.is_none_or(|job| step.starts_with(job));
         let is_wait = matches!(field("event"), Some("waited" | "wait-expired"));
         if !is_wait || !field("step").is_some_and(of_job) {
--- /dev/null
+++ b/tests/logs.rs
@@ -0,0 +1,57 @@
+//! Log lines reach their reader whole, numbered and in order.
+
+use sprucerudder::logs::{Lines, WRITE_MAX, write_lines};
+use std::io::{self, Write};
+
+/// A reader that takes each write as a unit and keeps so many bytes of it.
+struct Reader {
+    text: Vec<u8>,
+    writes: usize,
+}
+
+impl Write for Reader {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        assert!(bytes.len() <= WRITE_MAX, "a write of {} bytes may be split", bytes.len());
+        self.text.extend_from_slice(bytes);
+        self.writes += 1;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn numbered(count: usize, length: usize) -> Vec<Vec<u8>> {
+    let mut lines = Lines::default();
+    let text = format!("event=test text={}\n", "x".repeat(length));
+    (0..count).filter_map(|_| lines.add(text.as_bytes())).collect()
+}
+
+#[test]
+fn a_burst_of_lines_is_not_cut() {
+    // An owner gathered 25 ms of lines for one write, and its reader kept 8,192 bytes of each write:
+    //  event=starevent=submitted job=...
+    let mut reader = Reader { text: Vec::new(), writes: 0 };
+    write_lines(&mut reader, numbered(1_000, 100).into_iter()).expect("write");
+    let text = String::from_utf8(reader.text).expect("text");
+    let numbers = text.lines().map(|line| line.rsplit_once(" line=").expect("a number").1);
+    let expected: Vec<String> = (1..=1_000).map(|no: u32| no.to_string()).collect();
+    assert_eq!(numbers.collect::<Vec<_>>(), expected);
+    assert!(reader.writes < 50, "{} writes for 1,000 lines", reader.writes);
+}
+
+#[test]
+fn a_line_that_is_too_long_says_that_it_is_cut() {
+    let lines = numbered(1, 10_000);
+    let text = String::from_utf8(lines[0].clone()).expect("text");
+    assert!(text.len() < WRITE_MAX && text.ends_with(" cut=true line=1\n"), "{text}");
+}
+
+#[test]
+fn a_line_that_comes_in_pieces_has_one_number() {
+    let mut lines = Lines::default();
+    assert_eq!(lines.add(b"event="), None);
+    assert_eq!(lines.add(b"up\n"), Some(b"event=up line=1\n".to_vec()));
+    assert_eq!(lines.add(b"event=down\n"), Some(b"event=down line=2\n".to_vec()));
+}
