--- a/src/cell/advising/advice.rs
+++ b/src/cell/advising/advice.rs
@@ -78,6 +78,12 @@
         self.waiting.retain(|question| question.step != step);
     }
 
+    /// The entry that asks a step's question.
+    pub fn asked(&self, step: StepKey) -> Option<&Name> {
+        let asks = |caller: &Caller| caller.asking.is_some_and(|asked| asked.step == step);
+        self.callers.iter().find(|(_, caller)| asks(caller)).map(|(name, _)| name)
+    }
+
     /// An entry has its answer.
     pub fn answered(&mut self, entry: &Name, step: StepKey) {
         if let Some(caller) = self.callers.get_mut(entry)
--- a/src/cell/advising/clearance.rs
+++ b/src/cell/advising/clearance.rs
@@ -127,6 +127,15 @@
     /// Hands waiting questions to entries that can ask them.
     pub(in crate::cell) fn ask_next(&mut self, now: Millis) {
         while let Some((entry, question)) = self.advisers.assign(now) {
+            let job = self.jobs.get(&question.step.job);
+            let since = job.and_then(|job| job.step(question.step)).map(|step| step.advised.since);
+            log::info!(
+                "event=question step={} entry={entry} workers={} cost_ms={} queued_ms={}",
+                question.step,
+                question.workers.len(),
+                question.cost,
+                now.since(since.unwrap_or(now))
+            );
             self.actions.push(Action::Ask { entry, question });
         }
     }
@@ -143,7 +152,7 @@
         self.advisers.answered(entry, key);
         match answer {
             Some(cleared) => self.clear(now, key, named, cleared),
-            None => self.forget_question(key),
+            None => self.return_question(key, entry, "no-answer"),
         }
         self.changed = true;
     }
@@ -174,7 +183,13 @@
         }
     }
 
-    /// A question got no answer: it may be asked again.
+    /// A question got no answer from an entry: it may be asked again.
+    pub(in crate::cell) fn return_question(&mut self, key: StepKey, entry: &Name, why: &str) {
+        log::info!("event=question-returned step={key} entry={entry} why={why}");
+        self.forget_question(key);
+    }
+
+    /// A step has no question under way any more.
     pub(in crate::cell) fn forget_question(&mut self, key: StepKey) {
         let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
         if let Some(step) = step {
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -1,7 +1,7 @@
 //! A job at its owner: its steps, its tasks, and what is known of them.
 
 use crate::cell::jobs::stage::Crash;
-use crate::cell::jobs::why::Why;
+use crate::cell::jobs::wait::Wait;
 use crate::cell::records::journal::{CrashNote, Fate, JobRecord, Progress, StepNote, TaskNote};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -124,8 +124,8 @@
     pub advised: Advised,
     /// When its turn came: its dependencies are done and its time is due.
     pub turn: Option<Millis>,
-    /// Why it waits, and since when.
-    pub wait: Option<(Why, Millis)>,
+    /// Why it waits.
+    pub wait: Option<Wait>,
     /// Since when tasks wait and none of it was given to a worker.
     pub idle_since: Option<Millis>,
 }
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -320,13 +320,21 @@
     /// Inherited tasks that nobody runs may be started once every worker that an earlier owner
     /// used is known, or its leases are over.
     fn settle_doubt(&mut self, now: Millis) {
-        if !self.doubt {
-            return;
-        }
-        self.doubt = self.workers.values().any(|worker| !worker.known && now < worker.lease_end);
-        if self.doubt {
+        let Some(doubt) = self.doubt.as_mut() else { return };
+        let is_unknown = |worker: &&Worker| !worker.known && now < worker.lease_end;
+        let mut unknown = self.workers.values().filter(is_unknown);
+        if let Some(first) = unknown.next() {
+            let left = first.lease_end - now;
+            let (first, others) = (first.listed.id.clone(), unknown.count());
+            if doubt.is_due(now) {
+                log::info!(
+                    "event=runs-unknown epoch={} worker={first} others={others} left_ms={left}",
+                    self.epoch
+                );
+            }
             return;
         }
+        self.doubt = None;
         log::info!("event=all-runs-known epoch={}", self.epoch);
         self.changed = true;
         let gangs: Vec<StepKey> = self
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -17,6 +17,7 @@
 use crate::workload::{JobKey, Queue, StepKey, TaskKey, Work};
 use advising::advice::{Advisers, Question};
 use jobs::job::Job;
+use jobs::wait::LongWait;
 use mechanism::Off;
 use placing::reserve::Reservations;
 use placing::share::Shares;
@@ -31,6 +32,8 @@
 /// Runs of one epoch are numbered within this many bits, below the epoch's own number: so a new
 /// owner's runs are above all earlier ones without knowing them.
 const RUN_BITS: u32 = 10;
+/// Workers that hold up inherited tasks are logged after so long.
+const DOUBT_LOG: Millis = Millis(400);
 /// Figures of the platform that decisions rest on.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -144,7 +147,7 @@
     changed: bool,
     /// Earlier owners may have started tasks that no record tells of: inherited tasks are held back
     /// until all their workers are known.
-    doubt: bool,
+    doubt: Option<LongWait>,
     /// Starts that wait for the batch with their binding, in order.
     unsent: VecDeque<(u64, Name, Start)>,
     actions: Vec<Action>,
@@ -191,7 +194,7 @@
             is_stale: false,
             next_settled: None,
             changed: true,
-            doubt,
+            doubt: doubt.then(|| LongWait::new(now, DOUBT_LOG)),
             unsent: VecDeque::new(),
             actions: Vec::new(),
         };
@@ -373,8 +376,8 @@
     /// wait for good. `is_home`: it belongs to this cell; others are asked only while there is no
     /// such entry, for the service takes one question at a time from each.
     pub fn join(&mut self, entry: Name, is_home: bool) {
-        if let Some(step) = self.advisers.join(entry, is_home) {
-            self.forget_question(step);
+        if let Some(step) = self.advisers.join(entry.clone(), is_home) {
+            self.return_question(step, &entry, "connected-again");
         }
         self.changed = true;
     }
@@ -382,7 +385,7 @@
     /// An entry cannot any more.
     pub fn leave(&mut self, entry: &Name) {
         if let Some(step) = self.advisers.leave(entry) {
-            self.forget_question(step);
+            self.return_question(step, entry, "disconnected");
         }
     }
 
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -32,7 +32,7 @@
 
     fn place_step(&mut self, now: Millis, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else { return };
-        if job.inherited && self.doubt {
+        if job.inherited && self.doubt.is_some() {
             return self.note_wait(now, key, Some(Why::Takeover));
         }
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -70,8 +70,9 @@
             self.given_up.fetch_max(epoch, Ordering::Relaxed);
             return;
         };
+        let doubt = !lock(&self.election).is_steady(self.now());
         log::info!(
-            "event=takeover cell={} epoch={epoch} jobs={} roster={} listed={} took_ms={}",
+            "event=takeover cell={} epoch={epoch} jobs={} roster={} listed={} doubt={doubt} took_ms={}",
             self.cell,
             snapshot.jobs.len(),
             snapshot.roster.len(),
@@ -82,7 +83,6 @@
         let (lease, keep, off) = (node.lease(), node.settings.keep, node.settings.off);
         let bounds = Bounds { lease, lease_max: node.settings.lease_max, keep, off };
         let policy = node.policy();
-        let doubt = !lock(&self.election).is_steady(self.now());
         let mut cell = Cell::new(epoch, bounds, policy.queues.clone(), snapshot, doubt, self.now());
         cell.set_workspaces(policy.workspaces.clone());
         cell.set_workers(self.now(), listed);
