Tests that fail: a lasting task without a run for long, and jobs that an outage of the store leaves behind

Every inherited task waits for one worker that vanished (waiting for=takeover, runs-unknown others=0), 10.5 s where workers may start again under their ids. The bound is the contract's: 6 s and 3 s, calm for 7 s, a sound worker with room for 3 s.

--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -4,8 +4,8 @@
 mod cellworld;
 
 use cellworld::{
-    Without, search, search_bounded, search_crashing, search_crowded, search_keeping, search_power,
-    search_resizing, search_suspending,
+    Without, search, search_bounded, search_crashing, search_crowded, search_keeping,
+    search_lasting, search_outages, search_power, search_resizing, search_suspending,
 };
 
 /// A number from the environment; one that cannot be read is a fault, not the usual one.
@@ -205,3 +205,18 @@
 fn nothing_breaks_when_failure_domains_are_suspended() {
     holds(search_suspending);
 }
+
+#[test]
+fn no_lasting_task_is_without_a_run_for_long() {
+    holds(search_lasting);
+}
+
+#[test]
+fn nothing_breaks_when_the_store_is_away() {
+    holds(|seed| search_outages(seed, Without::Nothing));
+}
+
+#[test]
+fn owners_that_trust_records_after_an_outage_break_a_promise() {
+    breaks_in(Without::Doubt, |seed, without| search_outages(seed, without).0);
+}
--- a/tests/cellworld/checks.rs
+++ b/tests/cellworld/checks.rs
@@ -7,16 +7,18 @@
     pub(super) fn note_calm(&mut self) {
         let Some(owner) = self.owners.last() else { return };
         let is_over = |job: &JobKey| matches!(owner.cell.state(*job), Some(State::Closed(_)));
-        let all = self.accepted.len() == self.works.len() && self.accepted.iter().all(is_over);
+        let mut ending = self.accepted.iter().filter(|job| !self.is_lasting(**job));
+        let all = self.accepted.len() == self.works.len() && ending.all(is_over);
         if self.now > CALM && all {
-            self.end = self.end.min(self.now + REST);
+            self.end = self.end.min(self.now + self.rest());
         }
     }
 
     pub(super) fn check_ends(&mut self) {
         let states: Vec<(JobKey, Option<State>)> = {
             let Some(owner) = self.owners.last() else { return };
-            self.accepted.iter().map(|job| (*job, owner.cell.state(*job))).collect()
+            let ending = self.accepted.iter().filter(|job| !self.is_lasting(**job));
+            ending.map(|job| (*job, owner.cell.state(*job))).collect()
         };
         for (job, state) in states {
             match state {
@@ -106,6 +108,7 @@
         });
         let confirmed = self.done.get(&task).copied().unwrap_or(false);
         let failed = self.fails.get(&task).map_or(0, Vec::len);
+        self.lasting.note_start(task, spec);
         let faults = [
             (over, "a worker is given more than it has"),
             (crowded, "more tasks of a step on one worker than allowed"),
@@ -118,7 +121,7 @@
                 self.fault(format!("{what}: {task} on {name}"));
             }
         }
-        if failed >= self.queue_row.attempts as usize {
+        if failed >= self.queue_row.attempts as usize && !spec.lasting {
             self.excess.push((task, failed));
             self.check_excess();
         }
--- a/tests/cellworld/faults.rs
+++ b/tests/cellworld/faults.rs
@@ -62,6 +62,7 @@
 
     pub(super) fn crash(&mut self, name: &Name, away: u64) {
         self.crashed_at = self.now + away;
+        self.note_trouble(self.now);
         let under: Vec<TaskKey> = self.workers[name].running.keys().copied().collect();
         let life = self.workers[name].life();
         for task in under {
@@ -121,12 +122,27 @@
         let Some(owner) = self.owners.len().checked_sub(1) else { return };
         self.say(format!("owner {owner} is paused until {until}"));
         self.owners[owner].paused_until = until;
+        self.note_trouble(until);
         self.paused.insert(owner, until);
         self.asleep.insert(owner, until - self.now);
         let at = self.now + 1_200 + self.pick(400);
         self.at(at, Event::Elect);
     }
 
+    /// A worker is gone for good, and another one comes.
+    pub(super) fn vanish(&mut self, name: &Name, next: Name) {
+        self.say(format!("{name} crashes"));
+        self.note_trouble(self.now);
+        let domain = self.pick(2);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.alive = false;
+            let tasks = std::mem::take(&mut worker.running).into_keys();
+            self.note_vanished(tasks);
+        }
+        self.add_worker(next, domain);
+        self.list();
+    }
+
     /// Random faults, until it is calm.
     pub(super) fn trouble(&mut self) {
         if !self.chance(4) {
@@ -138,6 +154,7 @@
             0 => {
                 let until = self.now + 200 + self.pick(5_000);
                 self.say(format!("{name} is cut off until {until}"));
+                self.note_trouble(until);
                 // With its owner on the same side, another takes over on the other side.
                 let with_owner = self.pick(2) == 0;
                 let cut_from = if with_owner { self.owners.len() } else { 0 };
@@ -152,15 +169,8 @@
             }
             1 if self.gone_works < 2 && self.workers[&name].alive => {
                 self.gone_works += 1;
-                self.say(format!("{name} crashes"));
-                let domain = self.pick(2);
-                if let Some(worker) = self.workers.get_mut(&name) {
-                    worker.alive = false;
-                    worker.running.clear();
-                }
-                let id: Name = format!("{name}.{}", self.gone_works).into();
-                self.add_worker(id, domain);
-                self.list();
+                let next = format!("{name}.{}", self.gone_works).into();
+                self.vanish(&name, next);
             }
             2 => {
                 let until = self.now + 500 + self.pick(4_000);
@@ -169,6 +179,7 @@
             3 => {
                 let Some(owner) = self.owners.len().checked_sub(1) else { return };
                 self.say(format!("owner {owner} dies"));
+                self.note_trouble(self.now);
                 self.owners[owner].alive = false;
                 let at = self.now + 600 + self.pick(600);
                 self.at(at, Event::Elect);
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -6,6 +6,8 @@
 mod bounds;
 mod checks;
 mod faults;
+mod lasting;
+mod outage;
 #[path = "../rows/mod.rs"]
 mod rows;
 mod search;
@@ -16,6 +18,7 @@
 pub use search::*;
 
 use fastrand::Rng;
+use sprucerudder::cell::advising::advice::Question;
 use sprucerudder::cell::jobs::why::Why;
 use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::records::journal::{Batch, Snapshot};
@@ -77,6 +80,8 @@
     Bounds,
     /// The next owner does not learn which workspace a job belongs to.
     Workspaces,
+    /// Owners take it that no start was sent without a record.
+    Doubt,
 }
 
 #[derive(Debug, Clone)]
@@ -247,6 +252,26 @@
         domain: u64,
         with_owner: bool,
     },
+    /// An entry asked the advice service for an owner; the answer may be lost on its way.
+    Advice {
+        owner: usize,
+        entry: Name,
+        question: Question,
+        lost: bool,
+    },
+    /// The connection of an entry to an owner ends, and begins anew.
+    Reconnect {
+        owner: usize,
+        entry: Name,
+    },
+    /// A worker is gone for good.
+    Vanish {
+        worker: Name,
+    },
+    /// The store is away for so long.
+    Outage {
+        length: u64,
+    },
     /// A call for a report that nobody waits for any more.
     Unanswered {
         owner: usize,
@@ -334,6 +359,10 @@
     idle: BTreeMap<StepKey, u64>,
     /// When a worker last crashed or came back.
     crashed_at: u64,
+    /// Every other job lasts, the advice service is asked, and some workers fail all that they start.
+    lasting: lasting::Lasting,
+    /// The store can be away.
+    outage: outage::Outage,
     pub broken: Vec<String>,
     pub trace: Vec<String>,
 }
@@ -392,6 +421,8 @@
             gone_works: 0,
             idle: BTreeMap::new(),
             crashed_at: 0,
+            lasting: lasting::Lasting::default(),
+            outage: outage::Outage::default(),
             broken: Vec::new(),
             trace: Vec::new(),
         };
@@ -554,6 +585,7 @@
                 self.after(TICK, Event::Tick { owner });
                 self.drive(owner);
                 self.check_waits(owner);
+                self.check_lasting();
                 self.trouble();
                 if self.resizing && self.chance(6) {
                     self.resize();
@@ -593,7 +625,24 @@
                 let wait = if pause { 250 } else { 0 };
                 self.after(wait, Event::Watch { owner, worker });
             }
-            Event::Append { owner, batch } => self.append(owner, &batch),
+            Event::Append { owner, batch } => match self.outage.left(self.now) {
+                Some(left) => self.after(left, Event::Append { owner, batch }),
+                None => self.append(owner, &batch),
+            },
+            Event::Advice { owner, entry, question, lost } => {
+                self.answer_question(owner, &entry, &question, lost);
+            }
+            Event::Reconnect { owner, entry } => self.reconnect(owner, entry),
+            Event::Vanish { worker } if self.workers[&worker].alive => {
+                let next = format!("{worker}.x").into();
+                self.vanish(&worker, next);
+                // Nothing answers at its address any more.
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.away_until = u64::MAX;
+                }
+            }
+            Event::Vanish { .. } => {}
+            Event::Outage { length } => self.lose_store(length),
             Event::Kept { owner, batch } => {
                 self.owners[owner].writing = false;
                 self.owners[owner].cell.keep(Millis(self.now), batch);
@@ -642,6 +691,12 @@
 
     /// Another entry owns the cell from now on.
     fn elect(&mut self) {
+        // Nobody can claim the cell while the store is away.
+        if let Some(left) = self.outage.left(self.now) {
+            let delay = left + self.pick(800);
+            return self.after(delay, Event::Elect);
+        }
+        self.note_trouble(self.now);
         self.epoch += 1;
         let epoch = self.epoch;
         let mut snapshot = Snapshot::default();
@@ -650,15 +705,17 @@
             snapshot.add(key, value).unwrap();
         }
         let bounds = Bounds {
-            lease: Millis(LEASE),
+            lease: Millis(self.lease()),
             lease_max: Millis(LEASE_MAX),
             keep: Millis(1_000_000),
             off: Off::default(),
         };
         let low = Queue { name: "low".into(), priority: 1, ..(*self.queue_row).clone() };
-        let queues =
+        let mut queues =
             HashMap::from([("q".into(), self.queue_row.clone()), ("low".into(), Arc::new(low))]);
-        let mut cell = Cell::new(epoch, bounds, queues, snapshot, false, Millis(self.now));
+        queues.insert("lasts".into(), Arc::new(self.lasting_queue()));
+        let doubt = self.has_doubt();
+        let mut cell = Cell::new(epoch, bounds, queues, snapshot, doubt, Millis(self.now));
         cell.set_workspaces(self.workspaces());
         cell.set_workers(Millis(self.now), self.listed());
         let owner = Owner {
@@ -675,6 +732,7 @@
         self.say(format!("owner {owner} takes over with epoch {epoch}"));
         self.after(0, Event::Tick { owner });
         self.after(0, Event::Beat { owner });
+        self.connect_entries(owner);
         self.drive(owner);
     }
 
@@ -699,6 +757,9 @@
 
     fn beat(&mut self, owner: usize) {
         let newest = owner + 1 == self.owners.len();
+        if self.outage.left(self.now).is_some() {
+            return self.after(TICK, Event::Beat { owner });
+        }
         match newest {
             true => self.owners[owner].confirmed = self.now,
             false => return self.depose(owner),
@@ -715,7 +776,7 @@
 
     fn may_order(&self, owner: usize) -> bool {
         let free = self.without == Without::Authority;
-        free || self.now - self.owners[owner].confirmed < 1_200
+        free || self.now - self.owners[owner].confirmed < 1_200 || self.rests_on_peers(owner)
     }
 
     fn drive(&mut self, owner: usize) {
@@ -726,6 +787,9 @@
             true => self.owners[owner].cell.schedule(Millis(self.now)),
             false => self.owners[owner].cell.withhold_starts("no-authority"),
         }
+        if self.rests_on_peers(owner) {
+            self.owners[owner].cell.send_unkept(Millis(self.now));
+        }
         for action in self.owners[owner].cell.take_actions() {
             self.count_stop(owner, &action);
             match action {
@@ -751,8 +815,8 @@
                     }
                 }
                 Action::Deposed => self.depose(owner),
-                Action::Pace { .. } | Action::Look(_) | Action::Unwatch(_) | Action::Ask { .. } => {
-                }
+                Action::Ask { entry, question } => self.ask(owner, entry, question),
+                Action::Pace { .. } | Action::Look(_) | Action::Unwatch(_) => {}
             }
         }
         if !self.owners[owner].writing
@@ -800,6 +864,7 @@
         let work = self.works[&job].clone();
         if usable {
             let queue = if self.crowded && job.0 % 2 == 1 { "low" } else { "q" };
+            let queue = if self.is_lasting(job) { "lasts" } else { queue };
             let workspace = self.workspace(job);
             let cell = &mut self.owners[owner].cell;
             cell.submit_for(Millis(self.now), job, queue, work, workspace);
@@ -822,6 +887,8 @@
         | Event::Held { owner, .. }
         | Event::Kept { owner, .. }
         | Event::Relist { owner }
+        | Event::Advice { owner, .. }
+        | Event::Reconnect { owner, .. }
         | Event::Refused { owner } => Some(*owner),
         // What is on its way arrives whatever becomes of its sender.
         Event::Order { .. }
@@ -838,6 +905,8 @@
         | Event::Power
         | Event::Rebound
         | Event::Suspend { .. }
+        | Event::Outage { .. }
+        | Event::Vanish { .. }
         | Event::Unanswered { .. }
         | Event::Elect => None,
     }
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -123,6 +123,27 @@
     (told(&world, seed), count)
 }
 
+/// As [`search`], with jobs that last, workers that fail all they start, lost answers of the advice service, and owners
+/// whose processes have just started; and how many lasting tasks lost a run.
+pub fn search_lasting(seed: u64) -> (Option<String>, usize) {
+    let mut world = World::new(seed, Without::Nothing);
+    world.make_lasting(seed % 2 == 0);
+    world.outage.restarts = true;
+    world.run();
+    (told(&world, seed), world.lasting.lost_runs)
+}
+
+/// As [`search`], with a store that is away once or twice, at any moment; and how often it was.
+pub fn search_outages(seed: u64, without: Without) -> (Option<String>, usize) {
+    let mut world = World::new(seed, without);
+    for _ in 0..1 + world.pick(2) {
+        let (at, length) = (world.pick(CALM), 1_000 + world.pick(4_000));
+        world.at(at, Event::Outage { length });
+    }
+    world.run();
+    (told(&world, seed), world.outage.count)
+}
+
 /// Lines of the trace that are shown; `SPRUCE_TRACE` sets another number.
 fn trace_lines() -> usize {
     let text = std::env::var("SPRUCE_TRACE").unwrap_or_else(|_| "60".to_string());
--- a/tests/cellworld/worker.rs
+++ b/tests/cellworld/worker.rs
@@ -49,7 +49,13 @@
             worker.running.insert(task, running);
         }
         self.say(format!("{name} starts {task} run {}", start.run));
-        self.after(length, Event::Finish { worker: name.clone(), task, run: start.run });
+        let length = match self.lasting.fails_at(name, now) {
+            true => Some(20 + self.pick(400)),
+            false => (!spec.lasting).then_some(length),
+        };
+        if let Some(length) = length {
+            self.after(length, Event::Finish { worker: name.clone(), task, run: start.run });
+        }
         Outcome::Done(None)
     }
 
@@ -81,7 +87,9 @@
         }
         // Some jobs fail every other time, so that tasks come to the last start they may have.
         let poor = task.step.job.0 % 6 == 0 && self.pick(2) == 0;
-        let failed = self.chance(6) || poor;
+        let is_grey = self.lasting.fails_at(name, self.now);
+        let lasts = self.is_lasting(task.step.job);
+        let failed = self.chance(6) || poor || is_grey || lasts;
         let spec = &self.works[&task.step.job].steps[usize::from(task.step.step)];
         let (gang, count) = (spec.gang, spec.count as usize);
         if gang {
@@ -138,7 +146,7 @@
         let no = worker.count;
         let barred = worker.barred.entry(task).or_default();
         *barred = (*barred).max(running.run);
-        if end == End::Failed {
+        if end == End::Failed && !self.lasting.has_begun(task) {
             let life = worker.life();
             self.fails.entry(task).or_default().push((life, no, false));
         }
