Starts of jobs that are not accepted yet outlast an outage of the store

What callers would see: a job that came while the store failed is accepted once it is back and never runs (LOST). Cause: send_unkept wrote the list of starts held back for crashes over the list of those whose jobs were not accepted yet.

--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -274,12 +274,17 @@
 
     /// Sends the starts whose bindings are in the store: the next owner has to know of them.
     pub(in crate::cell) fn send_starts(&mut self, now: Millis, kept: u64) {
+        self.send_if(now, |_, batch, _| batch <= kept);
+    }
+
+    /// Sends the starts of accepted jobs that may go now; the others stay, in order.
+    fn send_if(&mut self, now: Millis, may_go: impl Fn(&Self, u64, TaskKey) -> bool) {
         let lease = self.bounds.lease;
         let unsent = std::mem::take(&mut self.unsent);
-        let is_kept = |(batch, _, start): &(u64, Name, Start)| {
-            *batch <= kept && self.is_accepted(start.task.step.job)
+        let goes = |(batch, _, start): &(u64, Name, Start)| {
+            self.is_accepted(start.task.step.job) && may_go(self, *batch, start.task)
         };
-        let (ready, rest): (VecDeque<_>, VecDeque<_>) = unsent.into_iter().partition(is_kept);
+        let (ready, rest): (VecDeque<_>, VecDeque<_>) = unsent.into_iter().partition(goes);
         self.unsent = rest;
         for (_, name, start) in ready {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
@@ -297,7 +302,11 @@
                 self.lose(&name, start.task, start.run);
                 continue;
             }
-            let Some(until) = worker.lease(now, lease) else { continue };
+            let Some(until) = worker.lease(now, lease) else {
+                log::info!("event=start-given-up task={} worker={name} why=no-clock", start.task);
+                self.lose(&name, start.task, start.run);
+                continue;
+            };
             if let Some(run) = worker.runs.get_mut(&(start.task, start.run)) {
                 run.is_sent = true;
             }
@@ -315,13 +324,6 @@
     pub fn send_unkept(&mut self, now: Millis) {
         // Crashes have to be counted in the store before the task starts again: through
         // outages that each end with a takeover it would start more often than is allowed.
-        let unsent = std::mem::take(&mut self.unsent);
-        let (held, free): (VecDeque<_>, VecDeque<_>) =
-            unsent.into_iter().partition(|(batch, _, start)| {
-                *batch > self.kept && !self.crashes(start.task).is_empty()
-            });
-        self.unsent = free;
-        self.send_starts(now, u64::MAX);
-        self.unsent = held;
+        self.send_if(now, |cell, batch, task| batch <= cell.kept || cell.crashes(task).is_empty());
     }
 }
--- a/tests/accepting.rs
+++ b/tests/accepting.rs
@@ -78,6 +78,20 @@
     assert_eq!(starts(&mut site), 0);
 }
 
+#[test]
+fn a_start_that_is_held_back_while_the_store_is_away_goes_out_once_it_is_back() {
+    // An owner sent what it could while the store was away, and forgot the starts of jobs that were not accepted yet. The
+    // store was back and had them, and they waited for good: nothing else ends the wait of a start that was never sent.
+    let mut site = Site::new(1);
+    submit(&mut site, job(1), step());
+    assert_eq!(starts(&mut site), 0);
+    let now = Millis(site.now);
+    site.cell.send_unkept(now);
+    let batch = site.cell.take_batch(now).expect("its record");
+    site.cell.keep(now, batch.no);
+    assert_eq!(starts(&mut site), 1);
+}
+
 #[test]
 fn a_job_that_is_not_accepted_stops_nothing() {
     let mut site = Site::new(1);
