--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -974,3 +974,45 @@
     assert_eq!(again.len(), 1);
     assert!(again[0].1.run > 1_025, "{}", again[0].1.run);
 }
+
+/// A new owner of so many workers, none of which has reported, with a step that needs advice.
+fn advised_cell(workers: usize) -> (Cell, Vec<Name>) {
+    let advice = Advice { base: Millis(560), each: 8_000, valid: Millis(2_000) };
+    let advised = Arc::new(Queue { advice: Some(advice), ..(*queue("q", 0)).clone() });
+    let queues = HashMap::from([("q".into(), advised)]);
+    let bounds =
+        Bounds { lease: LEASE, lease_max: LEASE, keep: Millis(100_000), off: Off::default() };
+    let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
+    let names: Vec<String> = (0..workers).map(|no| format!("w{no}")).collect();
+    cell.set_workers(Millis(0), names.iter().map(|name| listed(name, "a")).collect());
+    cell.join("e".into(), true);
+    write(&mut cell, 0);
+    submit(&mut cell, 1, 1, "q", vec![step(3)]);
+    (cell, names.into_iter().map(Into::into).collect())
+}
+
+fn report(cell: &mut Cell, now: u64, name: &Name) {
+    cell.hold(Millis(now - 1), name, true);
+    cell.held(Millis(now), Millis(now - 1), name, &Report { clock: 1_000, ..Report::default() });
+}
+
+#[test]
+fn a_question_after_a_takeover_waits_for_the_reports_of_more_than_the_first_worker() {
+    // A new owner had two thirds of all entries ask for half a second about the one worker that had reported:
+    //  11.7017 event=question entry=... workers=1 cost_ms=557 queued_ms=0
+    let (mut cell, names) = advised_cell(60);
+    report(&mut cell, 5, &names[0]);
+    assert_eq!(named(&mut cell, 6), Vec::<Name>::new());
+    names.iter().skip(1).for_each(|name| report(&mut cell, 20, name));
+    assert!(named(&mut cell, 21).len() >= 30);
+}
+
+#[test]
+fn a_question_after_a_takeover_does_not_wait_for_silent_workers() {
+    let (mut cell, names) = advised_cell(3);
+    names.iter().take(2).for_each(|name| report(&mut cell, 5, name));
+    assert_eq!(named(&mut cell, 6), Vec::<Name>::new());
+    // By then the question could have been answered.
+    cell.tick(Millis(600), Millis(600));
+    assert_eq!(named(&mut cell, 600), names[..2]);
+}
