--- a/src/cell/advising/clearance.rs
+++ b/src/cell/advising/clearance.rs
@@ -5,7 +5,6 @@
 use crate::cell::jobs::life::rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::place::Fit;
-use crate::cell::workers::worker::Worker;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -47,12 +46,6 @@
             return;
         }
         let cost = Millis(advice.base.0 + advice.each * workers.len() as u64 / 1_000);
-        // Right after a takeover few workers have reported. A question about the first of them holds up its step, and an
-        // entry, for as long as one about all.
-        let is_short = workers.len() < (rest * CLEARED_SHARE).max(balance(advice));
-        if is_short && advised.is_new() && self.awaits_reports(now, &job.queue.service, cost) {
-            return;
-        }
         let question = Question { step: key, workers, cost, rank: rank(job) };
         self.advisers.push(question);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
@@ -60,13 +53,6 @@
         }
     }
 
-    /// Whether workers of a service have not reported since the takeover, which was less than `patience` ago.
-    fn awaits_reports(&self, now: Millis, service: &Name, patience: Millis) -> bool {
-        let is_awaited =
-            |worker: &Worker| !worker.known && worker.present && worker.listed.service == *service;
-        now.since(self.begun) < patience && self.workers.values().any(is_awaited)
-    }
-
     /// The workers that the next question about a step names: those known to be cleared that have
     /// room but no ticket that holds; if there are none, those never asked about, ones with room
     /// first; if none of them has room, those known to be cleared where tasks can be stopped. Asking about busy
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -94,8 +94,6 @@
 #[derive(Debug)]
 pub struct Cell {
     epoch: u64,
-    /// When the owner took over.
-    begun: Millis,
     bounds: Bounds,
     queues: HashMap<Name, Arc<Queue>>,
     jobs: BTreeMap<JobKey, Job>,
@@ -168,7 +166,6 @@
     ) -> Self {
         let mut cell = Self {
             epoch,
-            begun: now,
             bounds,
             queues,
             jobs: BTreeMap::new(),
