A lasting task has a run again in time however full the service is

What callers would see: a lasting task without a run for up to 16 s, though a worker that may run it has room. Cause: what a step need not mind after 2 s (workers set aside for failures, for up to 16 s; kept room) it had to mind for as long as half of the processors were in use, and its wait began anew with each of its other tasks that started. The contract's bound on lasting tasks holds however full the service is, for each of them. Class: waits with a bound each, and nothing that bounds their sum. Ruled out: the takeover (one owner only) and advice (none is asked): event=waited for=room ms=16000. Change: each lasting task keeps the time it has been without a run; from 2 s on its step minds neither. An inherited one that is bound to no worker counts as having waited.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -44,13 +44,15 @@
     pub avoid: Vec<Name>,
     /// Lives of workers that ended, not by plan, while it ran there.
     pub crashes: Vec<Crash>,
+    /// Since when it lasts and waits for a worker.
+    pub idle_since: Option<Millis>,
 }
 
 impl Default for Task {
     fn default() -> Self {
         let (status, saved) = (Status::Waiting, "".into());
         let (avoid, crashes) = (Vec::new(), Vec::new());
-        Self { status, failed: Vec::new(), runs: 0, saved, avoid, crashes }
+        Self { status, failed: Vec::new(), runs: 0, saved, avoid, crashes, idle_since: None }
     }
 }
 
@@ -255,6 +257,14 @@
         follows.map(|(no, _)| StepKey { step: no as u16, ..key }).collect()
     }
 
+    /// Tasks that last and are bound to no worker may have waited for long under an earlier owner.
+    pub fn note_idle_before(&mut self) {
+        let steps = self.steps.iter_mut().zip(self.work.steps.iter().cycle());
+        for (step, _) in steps.filter(|(_, spec)| spec.lasting) {
+            step.note_idle(Millis(0));
+        }
+    }
+
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.left == 0)
@@ -347,6 +357,21 @@
 }
 
 impl StepState {
+    /// Takes note that its waiting tasks have no run; those that were known to wait have waited longer.
+    pub fn note_idle(&mut self, since: Millis) {
+        for index in &self.waiting {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.idle_since.get_or_insert(since);
+            }
+        }
+    }
+
+    /// Since when the task waits that has waited longest, of a step that lasts.
+    pub fn longest_idle(&self) -> Option<Millis> {
+        let waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
+        waiting.filter_map(|task| task.idle_since).min()
+    }
+
     fn note(&self, place: (u32, u16)) -> StepNote {
         const BITS: usize = 8;
         let mut note = StepNote { place, ..StepNote::default() };
@@ -412,6 +437,7 @@
     pub fn place(&mut self, index: u32, worker: Name, run: u64) {
         if let Some(task) = self.tasks.get_mut(index as usize) {
             task.status = Status::Placed { worker, run };
+            task.idle_since = None;
             self.waiting.remove(&index);
         }
     }
--- a/src/cell/jobs/life.rs
+++ b/src/cell/jobs/life.rs
@@ -64,6 +64,9 @@
                     if let Some(progress) = snapshot.progress.get(&key) {
                         self.rebind(now, key, progress);
                     }
+                    if let Some(job) = self.jobs.get_mut(&key) {
+                        job.note_idle_before();
+                    }
                     match done {
                         true => self.close(now, key, Fate::Completed),
                         false => self.open_job(now, key),
--- a/src/cell/jobs/wait.rs
+++ b/src/cell/jobs/wait.rs
@@ -85,7 +85,11 @@
     pub(in crate::cell) fn note_wait(&mut self, now: Millis, key: StepKey, why: Option<Why>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let queue = job.queue.name.clone();
+        let is_lasting = job.spec(key.step).is_some_and(|spec| spec.lasting);
         let Some(step) = job.step_mut(key) else { return };
+        if is_lasting {
+            step.note_idle(now);
+        }
         step.idle_since = why.and(step.idle_since.or(Some(now)));
         let before = step.wait;
         if before.map(|wait| wait.why) == why {
--- a/src/cell/placing/pressure.rs
+++ b/src/cell/placing/pressure.rs
@@ -14,15 +14,20 @@
 /// platform's contract a task with room for it waits for 3 s at the most.
 const PATIENCE: Millis = Millis(2_000);
 
+/// After so long without a run a task that lasts goes wherever it may: the contract allows 9 s, and a question about it
+/// takes up to one second more, or three if its answer is lost.
+const LASTING_PATIENCE: Millis = Millis(2_000);
+
 /// What a step need not mind any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::cell) enum Pressure {
-    /// Nothing: it has not waited for long, or half of the processors are in use.
+    /// Nothing: it has not waited for long, or half of the processors are in use and it does not last.
     None,
     /// Workers that are set aside, for 16 s at the most, or left to a task that crashes workers, for as long as that
     /// runs; room that is gathered for a gang.
     Processors,
-    /// Room that is kept for others, too: half of all room is free. Beside accelerators that are mostly taken, a task that
+    /// Room that is kept for others, too: half of all room is free, or the step lasts, whose bound holds however full the
+    /// service is. Beside accelerators that are mostly taken, a task that
     /// needs many would be passed by those that need few.
     All,
 }
@@ -30,7 +35,12 @@
 impl Cell {
     /// How hard a step is pressed by its wait.
     pub(in crate::cell) fn pressure(&self, now: Millis, job: &Job, key: StepKey) -> Pressure {
-        let since = job.step(key).and_then(|step| step.idle_since);
+        let Some(step) = job.step(key) else { return Pressure::None };
+        let idle = step.longest_idle();
+        if idle.is_some_and(|since| now.since(since) >= LASTING_PATIENCE) {
+            return Pressure::All;
+        }
+        let since = step.idle_since;
         if since.is_none_or(|since| now.since(since) < PATIENCE) {
             return Pressure::None;
         }
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -86,6 +86,8 @@
     tells_births: bool,
     /// Workers at which every task fails.
     pub grey: BTreeSet<usize>,
+    /// Jobs whose tasks run on, but for those at workers that fail all.
+    pub lasting: BTreeSet<JobKey>,
     /// The list is as it was.
     held: Option<Vec<Listed>>,
     /// What began and ended, and what was confirmed as done.
@@ -158,6 +160,7 @@
             loses_starts: false,
             tells_births,
             grey: BTreeSet::new(),
+            lasting: BTreeSet::new(),
             held: None,
             spans: Vec::new(),
             accepted: BTreeSet::new(),
@@ -266,6 +269,20 @@
         })
     }
 
+    /// The longest time that the one task of a job was without a run after its first one.
+    pub fn longest_without_run(&self, key: JobKey) -> u64 {
+        let of_job = self.spans.iter().filter(|span| span.task.step.job == key);
+        let mut spans: Vec<(u64, u64)> = of_job.map(|span| (span.from, span.until)).collect();
+        spans.sort_unstable();
+        let next = spans.iter().skip(1).map(|(from, _)| *from).chain([self.now]);
+        spans
+            .iter()
+            .zip(next)
+            .map(|((_, until), next)| next.saturating_sub(*until))
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Whether a task of a job started again though it was done, and that was confirmed.
     pub fn was_redone(&self, key: JobKey) -> bool {
         let of_job = || self.spans.iter().filter(|span| span.task.step.job == key);
@@ -360,7 +377,10 @@
             let life = &mut host.life;
             let is_grey = self.grey.contains(&no);
             let over = life.clock(self.now.max(life.began)) >= life.lease;
-            let is_over = |(_, (_, until)): &(&TaskKey, &(u64, u64))| over || *until <= self.now;
+            let lasts = |task: &TaskKey| !is_grey && self.lasting.contains(&task.step.job);
+            let is_over = |(task, (_, until)): &(&TaskKey, &(u64, u64))| {
+                over || (*until <= self.now && !lasts(task))
+            };
             let done: Vec<TaskKey> =
                 life.running.iter().filter(is_over).map(|(task, _)| *task).collect();
             for task in done {
