A task that waits for a worker that has stayed up holds up no other task of its step

What callers would see: after two crashes under one task, the other waiting tasks of its step start up to 2 s later, each time that the workers with room have just started. Cause: the first waiting task that finds no worker ended the search for all of them, also where only it needs a worker that has stayed up. Evidence: tests/cell.rs, a_task_that_waits_for_a_worker_that_has_stayed_up_holds_up_no_other, failed before (nothing started) and passes now.

--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -3,7 +3,7 @@
 use crate::cell::advising::clearance::TICKET_SPARE;
 use crate::cell::jobs::job::{Job, StepState};
 use crate::cell::jobs::life::rank;
-use crate::cell::jobs::stage::is_paused;
+use crate::cell::jobs::stage::{is_paused, needs_settled};
 use crate::cell::jobs::why::Why;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::place::{Fit, Need, count_at, is_suitable, pick, pick_gang};
@@ -190,8 +190,13 @@
                 continue;
             }
             let home = job.home.as_ref().filter(|_| !spec.lasting);
-            let best = pick(fits, spec, home, state);
-            let Some(fit) = best else { return };
+            let needs_settled = needs_settled(&state.crashes);
+            let fit = match pick(fits, spec, home, state) {
+                Some(fit) => fit,
+                // The others may go to workers that have just started, too.
+                None if needs_settled => continue,
+                None => return,
+            };
             fit.free = fit.free.less(&charge);
             fit.runs += 1;
             fit.busy += 1;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -3,16 +3,17 @@
 mod rows;
 
 use rows::running as running_row;
+use sprucerudder::cell::jobs::stage::{Crash, Evidence};
 use sprucerudder::cell::mechanism::Off;
 use sprucerudder::cell::records::journal::{
-    JobRecord, Member, Progress, Snapshot, StepNote, TaskNote,
+    self, CrashNote, JobRecord, Member, Progress, Snapshot, StepNote, TaskNote,
 };
 use sprucerudder::cell::workers::roster::Over;
 use sprucerudder::cell::{Action, Bounds, Cell, State};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{
-    End, EndedRow, HoldError, Listed, Outcome, Refusal, Report, RunningRow, Start,
+    End, EndedRow, HoldError, Life, Listed, Outcome, Refusal, Report, RunningRow, Start,
 };
 use sprucerudder::workload::{Advice, JobKey, Queue, Room, Step, StepKey, TaskKey, Work};
 use std::collections::HashMap;
@@ -974,3 +975,33 @@
     assert_eq!(again.len(), 1);
     assert!(again[0].1.run > 1_025, "{}", again[0].1.run);
 }
+
+#[test]
+fn a_task_that_waits_for_a_worker_that_has_stayed_up_holds_up_no_other() {
+    // The first waiting task of a step had two crashes, and the only worker had just started: no task of the step was
+    // placed for as long as that.
+    let crash = |no: u32| Crash {
+        worker: Life { id: format!("gone{no}").into(), born: None },
+        addr: format!("gone{no}").into(),
+        evidence: Evidence::Doubtful,
+        is_confirmed: true,
+    };
+    let note = CrashNote { place: (0, 0), index: 0, crashes: vec![crash(1), crash(2)] };
+    let record = JobRecord::Open { queue: (*queue("q", 0)).clone(), work: work(vec![step(2)]) };
+    let mut snapshot = Snapshot::default();
+    for (key, value) in [journal::job(JobKey(1), &record), journal::crashes(JobKey(1), &[note])] {
+        snapshot.add(&key, &value).unwrap();
+    }
+    let bounds =
+        Bounds { lease: LEASE, lease_max: LEASE, keep: Millis(100_000), off: Off::default() };
+    let queues = HashMap::from([("q".into(), queue("q", 0))]);
+    let mut cell = Cell::new(2, bounds, queues, snapshot, false, Millis(0));
+    cell.set_workers(Millis(0), vec![listed("w1", "a")]);
+    write(&mut cell, 1);
+    let w1: Name = "w1".into();
+    cell.hold(Millis(2), &w1, true);
+    cell.held(Millis(3), Millis(2), &w1, &Report { clock: 1_000, ..Report::default() });
+    let started = starts(&mut cell, 4);
+    let indices: Vec<u32> = started.iter().map(|(_, start)| start.task.index).collect();
+    assert_eq!(indices, [1]);
+}
