A start without an answer, where a worker crashed under the task before, is no evidence against it

Cause: four crashes that were not all doubtful gave the job up; the fourth was a start that nobody answered, at the address of the third. Such a crash is doubtful now; four crashes end a job if two were seen from the start on, five if one was. Tried first: five with one seen waits for good; search over crashes, a crashing task's job never ended, so it was not kept.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -95,8 +95,13 @@
             |other: &Worker| other.heard && other.listed.addr == addr && other.listed.id != *name;
         let is_confirmed = is_confirmed || self.workers.values().any(is_next);
         self.counts.crashed += u64::from(is_confirmed);
-        for Sent { task, since, evidence } in sent {
+        for Sent { task, since, evidence, is_seen } in sent {
             let (worker, addr) = (life.clone(), addr.clone());
+            let evidence = match is_seen || !self.has_crashed_at(task, &addr) {
+                true => evidence,
+                // Its start may have reached nobody, and the worker crashes again and again by itself.
+                false => Evidence::Doubtful,
+            };
             let crash = Crash { worker, addr, evidence, is_confirmed };
             self.add_crash(now, task, &crash, now.since(since));
         }
@@ -115,6 +120,11 @@
         self.add_crash(now, task, &crash, now.since(run.since));
     }
 
+    /// Whether a worker at an address crashed under a task before.
+    fn has_crashed_at(&self, task: TaskKey, addr: &Name) -> bool {
+        self.crashes(task).iter().any(|crash| crash.addr == *addr)
+    }
+
     fn add_crash(&mut self, now: Millis, task: TaskKey, crash: &Crash, length: Millis) {
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
@@ -262,6 +272,8 @@
     since: Millis,
     /// What it tells of the task if the worker crashes.
     evidence: Evidence,
+    /// The worker surely began it.
+    is_seen: bool,
 }
 
 /// What was sent to this life of a worker. What was sent to the life before counted then: given on from life to life it
@@ -275,9 +287,13 @@
         () if jobs.len() == 1 => Evidence::Alone,
         () => Evidence::Shared,
     };
-    sent()
-        .map(|((task, _), run)| Sent { task: *task, since: run.since, evidence: evidence(run) })
-        .collect()
+    let row = |((task, _), run): (&(TaskKey, u64), &Run)| Sent {
+        task: *task,
+        since: run.since,
+        evidence: evidence(run),
+        is_seen: run.seen,
+    };
+    sent().map(row).collect()
 }
 
 fn is_lasting(job: &Job, task: TaskKey) -> bool {
--- a/src/cell/jobs/stage.rs
+++ b/src/cell/jobs/stage.rs
@@ -11,14 +11,14 @@
 /// allows that after two; a third one is worth a worker for some seconds: it tells apart tasks that
 /// merely shared the worker.
 const ALONE_LIMIT: usize = 3;
-/// Crashes after which a task is given up however it ran, unless all are doubtful: one less than the contract allows, as
-/// one may go uncounted at a takeover.
+/// Crashes after which a task is given up however it ran, unless only one was seen: one less than the contract allows, as one
+/// may go uncounted at a takeover.
 const LIMIT: usize = 4;
 /// Crashes from which a task is not started any more, also where all are doubtful: the contract allows two starts after
 /// the third crash.
 const START_LIMIT: usize = 5;
-/// Crashes that were seen from the start on without which [`ALONE_LIMIT`] gives up nothing: else a task that met two
-/// takeovers would be given up for one crash of a worker.
+/// Crashes that were seen from the start on without which nothing is given up before [`START_LIMIT`]: else a task that met
+/// two takeovers, or two starts that reached nobody, would be given up for one crash of a worker.
 const SEEN_LEAST: usize = 2;
 
 /// What a crash tells of a task that was sent to the worker. Records of earlier versions hold a flag in its place, which is
@@ -65,7 +65,9 @@
     let seen = confirmed().filter(|crash| crash.evidence != Evidence::Doubtful).count();
     let last = confirmed().next_back().map(|crash| crash.evidence);
     match confirmed().count() {
-        LIMIT.. if seen > 0 => Stage::Exhausted,
+        // Nothing more can be learned by another start.
+        START_LIMIT.. if seen > 0 => Stage::Exhausted,
+        LIMIT.. if seen >= SEEN_LEAST => Stage::Exhausted,
         ALONE_LIMIT.. if last == Some(Evidence::Alone) && seen >= SEEN_LEAST => Stage::Exhausted,
         known if known < crashes.len() && crashes.len() >= LIMIT => Stage::Paused,
         START_LIMIT.. => Stage::Paused,
