--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -346,7 +346,7 @@
         }
     }
 
-    /// How many other entries there are.
+    /// How many other entries there are. If this process does not own the cell any more, it tells the next owner.
     pub fn entries(&self) -> u32 {
         let entries = lock(&self.authority).known(self.node.now()) as u32;
         self.view.entries.store(entries, Ordering::Relaxed);
