--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -80,6 +80,8 @@
     pub asked: Vec<Vec<Name>>,
     /// Answers of the advice service that are lost from now on.
     pub unanswered: u32,
+    /// Workers that starts were sent to, in order.
+    pub sent: Vec<usize>,
     /// Starts reach nobody and are not answered.
     pub loses_starts: bool,
     /// Workers tell when they started.
@@ -157,6 +159,7 @@
             good: BTreeSet::new(),
             asked: Vec::new(),
             unanswered: 0,
+            sent: Vec::new(),
             loses_starts: false,
             tells_births,
             grey: BTreeSet::new(),
@@ -472,7 +475,9 @@
                 }
                 Action::Start { ref worker, .. } | Action::Stop { ref worker, .. } => {
                     let no = self.host(worker);
-                    let is_lost = self.loses_starts && matches!(action, Action::Start { .. });
+                    let is_start = matches!(action, Action::Start { .. });
+                    let is_lost = self.loses_starts && is_start;
+                    self.sent.extend(is_start.then_some(no));
                     match self.late.get(&no) {
                         _ if is_lost => self.tell(&action, Outcome::Unknown),
                         Some(late) => {
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -431,3 +431,28 @@
     site.play(6_000);
     assert_eq!(site.state(job(1)), COMPLETED);
 }
+
+#[test]
+fn a_job_is_not_given_up_for_starts_that_reached_nobody_at_workers_that_had_stayed_up() {
+    // Two starts reached nobody at workers that had just started, and two more at others that had stayed up; each of them
+    // started again at that moment by itself. The task had run nowhere:
+    //  event=start-failed task=T.0.2.1 run=5123 worker=i-3 outcome=Unknown
+    //  event=crash-counted task=T.0.2.1 worker=i-3@1699999999000 crashes=3 evidence=Shared confirmed=false
+    //  event=start-failed task=T.0.2.1 run=5124 worker=i-5 outcome=Unknown
+    //  event=crash-counted task=T.0.2.1 worker=i-5@1699999997000 crashes=4 evidence=Shared confirmed=false
+    //  event=given-up task=T.0.2.1 crashes=4
+    let mut site = Site::new(6);
+    site.loses_starts = true;
+    site.submit(job(1));
+    for _ in 0..4 {
+        let before = site.sent.len();
+        while site.sent.len() == before && site.now < 30_000 {
+            site.play(20);
+        }
+        let no = *site.sent.last().expect("a start");
+        site.restart(no, 60);
+    }
+    site.loses_starts = false;
+    site.play(8_000);
+    assert_eq!(site.state(job(1)), COMPLETED);
+}
