The searches' check of waits counts though former owners are alive; their ticks in calm times are left out

Each tick of a former owner that was alive set the check back, so it counted only in runs whose former owners were all dead.

--- a/tests/cellworld/checks.rs
+++ b/tests/cellworld/checks.rs
@@ -32,8 +32,11 @@
     /// and less than half of all room is in use: 3 s, with 4 s of calm before them.
     pub(super) fn check_waits(&mut self, owner: usize) {
         let is_owner = owner + 1 == self.owners.len() && !self.owners[owner].deposed;
+        if !is_owner {
+            return;
+        }
         let calm_from = CALM.max(self.crashed_at) + CALM_BEFORE;
-        if !is_owner || self.now < calm_from {
+        if self.now < calm_from {
             self.idle.clear();
             return;
         }
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -584,6 +584,8 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            // One that is not the owner any more orders nothing, and in calm times draws no faults.
+            Event::Tick { owner } if self.owners[owner].deposed && self.now > CALM => {}
             Event::Tick { owner } => {
                 let now = Millis(self.now);
                 self.note_calm();
