--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -229,3 +229,30 @@
 fn owners_that_trust_records_after_an_outage_break_a_promise() {
     breaks_in(Without::Doubt, |seed, without| search_outages(seed, without).0);
 }
+
+/// A kept seed of a search.
+fn holds_at(search: impl Fn(u64) -> (Option<String>, usize), seed: u64) {
+    let (found, _) = search(seed);
+    assert_eq!(found, None, "{}", found.as_deref().unwrap_or_default());
+}
+
+#[test]
+fn a_step_whose_tasks_are_all_done_is_not_said_to_wait() {
+    // All tasks of a step were done, and it stayed listed among those that wait for a worker:
+    //  event=waiting step=0000000000000004.0.0 queue=q for=bound ms=4082 tasks=0
+    holds_at(search_resizing, 6_017_283);
+    holds_at(search_crowded, 6_004_569);
+}
+
+#[test]
+fn a_job_with_five_crashes_that_are_doubtful_by_a_takeover_comes_to_an_end() {
+    // The last of five crashes was seen by one owner, and the next one counted it as doubtful, as an earlier owner had sent
+    // the task: the job waits until it is cancelled.
+    holds_at(search_crashing, 6_017_112);
+}
+
+#[test]
+fn a_takeover_behind_a_cut_keeps_a_workspace_within_its_bound() {
+    // 11516 BROKEN 0000000000000009.0.1.2 takes workspace one to 4389 of Some(4238)
+    holds_at(|seed| search_bounded(seed, Without::Nothing), 6_014_115);
+}
