An owner that went on without the log is no witness for the records

Found by reading the change: an owner that had rested on the other entries could give the cell up, connect to the next one and be counted among those that told no owner that they cannot read the log. Where exactly half of the others had told it so, it would be the entry too many, and starts without a record would be forgotten (a task twice). What owners and entries tell each other of the time before is a file of its own.

--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the cell: the shell around [`Cell`], which decides.
 
 mod forward;
+mod history;
 mod store;
 mod transfer;
 mod workers;
@@ -11,7 +12,7 @@
 use crate::cell::owner::balance::Load;
 use crate::cell::owner::election::SILENCE;
 use crate::cell::owner::lag::Lag;
-use crate::cell::owner::witness::{Witnesses, Word};
+use crate::cell::owner::witness::Witnesses;
 use crate::cell::{Action, Bounds, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
@@ -208,6 +209,7 @@
                 }
                 if lock(&self.authority).rests_on_peers(now) {
                     cell.send_unkept(now);
+                    self.note_rest(now);
                 }
                 cell.take_actions()
             };
@@ -329,30 +331,6 @@
         self.wake.notify_one();
     }
 
-    /// Takes in what an entry knows of the time before.
-    pub fn hear_word(&self, entry: &Name, word: Word) {
-        let now = self.node.now();
-        lock(&self.authority).expect(now, word.entries);
-        let mut witnesses = lock(&self.witnesses);
-        witnesses.add(entry, word);
-        if witnesses.suffice() && lock(&self.cell).trust_records() {
-            let (cell, epoch) = (self.view.cell, self.epoch);
-            log::info!(
-                "event=records-trusted cell={cell} epoch={epoch} steady={} entries={}",
-                witnesses.steady(),
-                witnesses.entries()
-            );
-            self.wake.notify_one();
-        }
-    }
-
-    /// How many other entries there are. If this process does not own the cell any more, it tells the next owner.
-    pub fn entries(&self) -> u32 {
-        let entries = lock(&self.authority).known(self.node.now()) as u32;
-        self.view.entries.store(entries, Ordering::Relaxed);
-        entries
-    }
-
     /// Its connection ended, unless it has a newer one.
     pub fn leave(&self, entry: &Name, out: &Out) {
         let mut peers = lock(&self.peers);
--- a/tests/witness.rs
+++ b/tests/witness.rs
@@ -30,6 +30,19 @@
     assert!(steady(5).suffice() && !steady(4).suffice());
 }
 
+#[test]
+fn an_owner_that_rested_on_the_others_is_no_witness() {
+    // Four of eight others cannot read the log: the owner rests on them. Counted itself, it would be the fifth witness.
+    let word = |is_steady| Word { is_steady, entries: 8 };
+    let mut history = History::new(Millis(1));
+    history.note_lost(Millis(60_000));
+    let mut witnesses = steady(4);
+    witnesses.add(&"owner".into(), word(history.is_steady(Millis(63_000))));
+    assert!(!witnesses.suffice());
+    witnesses.add(&"owner".into(), word(true));
+    assert!(witnesses.suffice());
+}
+
 #[test]
 fn entries_that_heard_no_owner_are_no_witnesses() {
     let mut witnesses = steady(4);
