The searches' check of waits knows clearances

Narrowed by the trace of lasting tasks: a step of a job that lasts waited for room, and the worker with room was not cleared for it by the advice service. The world with advice is new, and the check did not know of it.

--- a/tests/cellworld/lasting.rs
+++ b/tests/cellworld/lasting.rs
@@ -262,6 +262,11 @@
         bound.any(|(_, worker)| self.workers.get(&worker).is_none_or(|worker| !worker.alive))
     }
 
+    /// Whether a worker may run a step: the advice service is asked about jobs that last.
+    pub(super) fn is_cleared(&self, step: StepKey, worker: &Name) -> bool {
+        !self.is_lasting(step.job) || is_cleared(step, worker)
+    }
+
     /// Whether a sound worker has room for a task twice over, and takes one more of its step.
     fn has_place(&self, task: TaskKey) -> bool {
         let spec = &self.works[&task.step.job].steps[usize::from(task.step.step)];
