A step whose tasks all run or are done does not stay listed as waiting

What an operator saw: waiting step=... for=bound tasks=0, for seconds, of a step that waits for nothing and whose workspace has no bound. Cause: a step is listed while it has waiting tasks, and one whose tasks were all found running or done by reports was never placed again, so nothing took it off.

--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -36,6 +36,12 @@
             return self.note_wait(now, key, Some(Why::Takeover));
         }
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
+        if step.waiting.is_empty() {
+            // All its tasks were found to run, or to be done, since it was listed.
+            let (priority, due) = rank(job);
+            self.ready.remove(&(priority, due, key));
+            return self.note_wait(now, key, None);
+        }
         let advice = job.queue.advice;
         // Most steps wait for an answer most of the time: these cost nothing more.
         let pauses = advice.is_some() && (step.advised.asking || now < step.advised.again);
