--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -73,6 +73,13 @@
     play_all(KEPT_LIVES.into_iter(), 240).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_on_a_kept_seed_of_rooms_that_shrink() {
+    // A worker's room shrank from 8000 to 975 and to 3623, and runs of one owner were counted beyond it:
+    // f2ef91114a5acb4b.0.0.3 run 1025 on i-0 is over what the worker has; also at None
+    play_all([10_086].into_iter(), 244).await;
+}
+
 /// Plays seeds side by side; `place`: the first of their loopback addresses.
 async fn play_all(seeds: impl Iterator<Item = u64>, place: usize) {
     let abreast = Arc::new(Semaphore::new(ABREAST));
