A test of keys waits with another job than the one that it asks about

Cause: the loop that waits until keys are asked for submits the test's own job; where that came before the new policy was in force, it was accepted as nobody's, and the other workspace saw it (200, 410 wanted). The product is right: such a job is of no workspace. The loop has a job of its own now, every check is as before.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -544,8 +544,10 @@
     };
     publish(2, "key-one");
     let path = "/plain/00000000000000a1";
+    // A job that comes before keys are asked for is nobody's: it is another one than the one below.
+    let early = "/plain/00000000000000a9";
     cell.until("keys to be asked for", async || {
-        status(0, Method::POST, path, None).await == StatusCode::UNAUTHORIZED
+        status(0, Method::POST, early, None).await == StatusCode::UNAUTHORIZED
             && status(1, Method::GET, path, Some("other")).await == StatusCode::UNAUTHORIZED
     })
     .await;
