Drop everything that refers to a withdrawn job: queued starts, timers, questions, second runs

What callers saw: a task ran twice at once (TWICE, LIMIT), after its caller had been told to come back and did.

Cause: discard_job removed the job and the runs that its tasks are bound to. Its starts stayed in the queue of starts that wait for the store. Submitted again under the same key, the job was known, and stored some time later: both starts of a task were sent. The worker refused the older one for its ticket, and the owner started the task elsewhere while the newer run began.

The class, looked through: starts in the queue, timers of scheduled steps, questions under way (their answers counted for the next question of the step), and runs that a copy had replaced at a silent worker (their room stayed taken). Why it works: after the withdrawal nothing names the job; an entry whose question is under way stays busy until the answer, which is not used.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -53,20 +53,30 @@
 struct PendingRequest {
     step: StepKey,
     is_long: bool,
+    /// The job of the step was closed or withdrawn. The entry is busy until the service answers,
+    /// but the answer is not used: the same job may have been submitted again.
+    is_cancelled: bool,
     /// When the request is repeated if there is no answer.
     deadline: Millis,
 }
 
+impl PendingRequest {
+    /// The step that waits for the answer, unless the request was cancelled.
+    fn wanted_step(self) -> Option<StepKey> {
+        (!self.is_cancelled).then_some(self.step)
+    }
+}
+
 impl AdviceQueue {
     /// Adds an entry. Returns the step whose request was lost with an earlier connection, if any.
     pub fn add_client(&mut self, entry: Name, is_home: bool) -> Option<StepKey> {
         let earlier = self.clients.insert(entry, Client { is_home, pending: None })?;
-        earlier.pending.map(|pending| pending.step)
+        earlier.pending.and_then(PendingRequest::wanted_step)
     }
 
     /// Removes an entry. Returns the step whose request is lost with it, if any.
     pub fn remove_client(&mut self, entry: &Name) -> Option<StepKey> {
-        self.clients.remove(entry)?.pending.map(|pending| pending.step)
+        self.clients.remove(entry)?.pending.and_then(PendingRequest::wanted_step)
     }
 
     /// Adds a request to the queue, in the order of its rank.
@@ -75,31 +85,40 @@
         self.waiting.insert(index, request);
     }
 
-    /// Removes the request of a step from the queue.
+    /// Removes the request of a step from the queue. If it was sent already, its answer will not be
+    /// used.
     pub fn cancel(&mut self, step: StepKey) {
         self.waiting.retain(|request| request.step != step);
+        let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
+        for request in pending.filter(|request| request.step == step) {
+            request.is_cancelled = true;
+        }
     }
 
     /// The entry that is sending the request of a step.
     pub fn client_of(&self, step: StepKey) -> Option<&Name> {
-        let sends = |client: &Client| client.pending.is_some_and(|pending| pending.step == step);
+        let sends = |client: &Client| {
+            client.pending.and_then(PendingRequest::wanted_step).is_some_and(|sent| sent == step)
+        };
         self.clients.iter().find(|(_, client)| sends(client)).map(|(name, _)| name)
     }
 
-    /// Records that the request of an entry for a step was answered.
-    pub fn complete(&mut self, entry: &Name, step: StepKey) {
-        if let Some(client) = self.clients.get_mut(entry)
-            && client.pending.is_some_and(|pending| pending.step == step)
-        {
-            client.pending = None;
-        }
+    /// Records that the request of an entry for a step was answered. Returns whether the answer may
+    /// be used: not if the request was cancelled meanwhile.
+    pub fn complete(&mut self, entry: &Name, step: StepKey) -> bool {
+        let client = self.clients.get_mut(entry);
+        let answered =
+            client.and_then(|client| client.pending.take_if(|pending| pending.step == step));
+        answered.is_none_or(|request| !request.is_cancelled)
     }
 
-    /// Removes the pending requests whose answers are overdue. Returns their steps.
+    /// Removes the pending requests whose answers are overdue. Returns the steps that still need
+    /// one.
     pub fn take_overdue(&mut self, now: Millis) -> Vec<StepKey> {
         let overdue =
             |client: &mut Client| client.pending.take_if(|pending| now >= pending.deadline);
-        self.clients.values_mut().filter_map(overdue).map(|pending| pending.step).collect()
+        let overdue = self.clients.values_mut().filter_map(overdue);
+        overdue.filter_map(PendingRequest::wanted_step).collect()
     }
 
     /// Assigns the next request to an idle entry. Entries of other cells are used only while there
@@ -120,8 +139,8 @@
         let index = self.waiting.iter().position(fits)?;
         let request = self.waiting.remove(index)?;
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
-        let pending =
-            PendingRequest { step: request.step, is_long: request.cost >= LONG_REQUEST, deadline };
+        let is_long = request.cost >= LONG_REQUEST;
+        let pending = PendingRequest { step: request.step, is_long, is_cancelled: false, deadline };
         let client = self.clients.get_mut(&entry)?;
         client.pending = Some(pending);
         Some((entry, request))
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -170,8 +170,9 @@
         named: &[Name],
         answer: Option<ClearedWorkers>,
     ) {
-        self.advice_queue.complete(entry, key);
+        let is_wanted = self.advice_queue.complete(entry, key);
         match answer {
+            _ if !is_wanted => log::info!("event=advice-unused step={key} entry={entry}"),
             Some(cleared) => self.apply_advice(now, key, named, cleared),
             None => self.return_request(key, entry, "no-answer"),
         }
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -235,6 +235,9 @@
 
     /// Discards a job that was not accepted. None of its starts was sent, so no run has to be
     /// stopped.
+    ///
+    /// Its caller may submit it again under the same key, so nothing may be left that refers to it:
+    /// a start that stayed queued would be sent together with that of the new binding.
     pub(in crate::cell) fn discard_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
         let (priority, due) = queue_rank(&job);
@@ -243,10 +246,10 @@
             self.advice_queue.cancel(step);
             self.reservations.release(step);
         }
-        for (worker, task, run) in job.placed_runs(key) {
-            if let Some(worker) = self.workers.get_mut(&worker) {
-                worker.remove_run(task, run);
-            }
+        self.start_timers.retain(|(_, step)| step.job != key);
+        self.unsent_starts.retain(|(_, _, start)| start.task.step.job != key);
+        for worker in self.workers.values_mut() {
+            worker.remove_unsent_runs(key);
         }
         self.needs_placement = true;
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -377,6 +377,11 @@
         owner.is_none() || workspace.is_none() || owner == workspace
     }
 
+    /// The bindings of a job's tasks to workers: the worker, the task and the number of the run.
+    pub fn bindings(&self, key: JobKey) -> Vec<(Name, TaskKey, u64)> {
+        self.jobs.get(&key).map(|job| job.placed_runs(key)).unwrap_or_default()
+    }
+
     /// The number of accepted jobs of a queue of which no run has been confirmed. Their starts may
     /// have been sent to workers that are unreachable.
     pub fn pending_jobs(&self, queue: &str) -> u32 {
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -287,6 +287,18 @@
         Some(run)
     }
 
+    /// Removes the runs of a job whose starts were not sent. A task may have several of them, if it
+    /// was bound again while this worker did not answer.
+    pub fn remove_unsent_runs(&mut self, job: JobKey) {
+        let is_unsent =
+            |((task, _), run): &(&(TaskKey, u64), &Run)| task.step.job == job && !run.is_sent;
+        let unsent: Vec<(TaskKey, u64)> =
+            self.runs.iter().filter(is_unsent).map(|(key, _)| *key).collect();
+        for (task, run) in unsent {
+            self.remove_run(task, run);
+        }
+    }
+
     /// Renews the lease. Returns its end on the worker's clock, or `None` if that clock is not
     /// known.
     pub fn renew_lease(&mut self, now: Millis, length: Millis) -> Option<u64> {
