Number the runs of a cell by one count, so that a run's number names one binding

What callers saw: two runs of a task at once (with the fault before); by itself, a start refused as an old one, or a task freed while it ran.

Cause: a run's number was the epoch and a count of the task. A withdrawn job took its counts with it; submitted again in the same epoch its tasks got the same numbers, and an answer, a refusal or a stop of the withdrawn binding was taken for the new one's.

Why it works: the owner counts all runs in one number of 32 bits below the epoch, so no number comes twice in an epoch, and a later owner's are higher without knowing them. Ten bits would overflow into the next epoch. A ticket is marked as refused only for a run that is known.

Tests: an_answer_to_a_withdrawn_binding_changes_no_later_one failed before (no binding left after InvalidTicket). The search invariants_hold_when_withdrawn_jobs_are_submitted_again is new: outages in which appends are overdue, jobs withdrawn and submitted again.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -40,8 +40,6 @@
     /// The runs of the task that failed. After a takeover a worker may report the same failure
     /// again, which must not count twice.
     pub failed_runs: Vec<u64>,
-    /// The number of its last run that was started in this epoch.
-    pub last_run: u64,
     /// The name of the task's last checkpoint; empty if there is none.
     pub checkpoint: Name,
     /// Workers on which the task failed; placement avoids them.
@@ -60,7 +58,6 @@
         Self {
             status,
             failed_runs: Vec::new(),
-            last_run: 0,
             checkpoint,
             failed_workers,
             crashes,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -32,7 +32,7 @@
 
 /// The number of low bits of a run number that count the runs of an epoch. The bits above hold the
 /// epoch, so that the run numbers of a new owner exceed all earlier ones without knowing them.
-const RUN_NUMBER_BITS: u32 = 10;
+const RUN_NUMBER_BITS: u32 = 32;
 /// How long inherited tasks are held back before the workers that delay them are logged.
 const HOLDBACK_LOG_DELAY: Millis = Millis(400);
 
@@ -109,6 +109,10 @@
     ready_steps: BTreeSet<(u32, Millis, StepKey)>,
     /// Steps that are scheduled for later, by wall-clock time.
     start_timers: BTreeSet<(Millis, StepKey)>,
+    /// The number of the last run that was assigned in this epoch, of whichever task. If each task
+    /// counted for itself, a job that is withdrawn and submitted again would get the numbers of its
+    /// withdrawn runs, and answers to these would be taken for answers to the new ones.
+    last_run: u64,
     /// Jobs that were forwarded to another cell, with the cell and the batch with that record.
     forwarded: HashMap<JobKey, (u32, u64)>,
     /// Jobs that are not stored yet, in the order of their batches.
@@ -179,6 +183,7 @@
             run_times: HashMap::new(),
             ready_steps: BTreeSet::new(),
             start_timers: BTreeSet::new(),
+            last_run: epoch << RUN_NUMBER_BITS,
             forwarded: HashMap::new(),
             unstored_jobs: VecDeque::new(),
             closed_jobs: VecDeque::new(),
@@ -382,6 +387,11 @@
         self.jobs.get(&key).map(|job| job.placed_runs(key)).unwrap_or_default()
     }
 
+    /// The starts that wait until the store has their bindings, with their workers.
+    pub fn unsent_starts(&self) -> impl Iterator<Item = (&Name, &StartOrder)> {
+        self.unsent_starts.iter().map(|(_, worker, start)| (worker, start))
+    }
+
     /// The number of accepted jobs of a queue of which no run has been confirmed. Their starts may
     /// have been sent to workers that are unreachable.
     pub fn pending_jobs(&self, queue: &str) -> u32 {
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -11,7 +11,7 @@
 };
 use crate::cell::placing::relaxation::Relaxation;
 use crate::cell::workers::worker::{Phase, Run, Worker};
-use crate::cell::{Action, Cell, RUN_NUMBER_BITS};
+use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::StartOrder;
@@ -236,7 +236,7 @@
             candidate.step_runs += 1;
             candidate.total_runs += 1;
             let name = candidate.name.clone();
-            let run = self.next_run_number(key, [*index]);
+            let run = self.next_run_number();
             self.bind(now, task, &name, run, spec, "");
         }
     }
@@ -263,7 +263,7 @@
         else {
             return;
         };
-        let run = self.next_run_number(key, 0..spec.count);
+        let run = self.next_run_number();
         let checkpoint = self.gang_checkpoint(key);
         for (index, name) in chosen.iter().enumerate() {
             let task = TaskKey { step: key, index: index as u32 };
@@ -280,14 +280,11 @@
         checkpoint.cloned().unwrap_or_else(|| "".into())
     }
 
-    /// The run number for a new start: higher than all earlier ones of these tasks, in this epoch and before.
-    fn next_run_number(&self, key: StepKey, indices: impl IntoIterator<Item = u32>) -> u64 {
-        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        let runs = indices.into_iter().filter_map(|index| {
-            let task = step?.tasks.get(index as usize)?;
-            Some(task.last_run)
-        });
-        (self.epoch << RUN_NUMBER_BITS).max(runs.max().unwrap_or(0)) + 1
+    /// The run number for a new start, which is higher than all earlier ones, in this epoch and before. The tasks of a
+    /// gang share one.
+    fn next_run_number(&mut self) -> u64 {
+        self.last_run += 1;
+        self.last_run
     }
 
     /// Binds a task to a worker: takes the resources for the run and queues the start, which is sent once the binding
@@ -318,7 +315,6 @@
         step.idle_since = None;
         let ticket = step.clearances.cleared.get(name).map(|ticket| ticket.text.clone());
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        state.last_run = run_number;
         let checkpoint = match checkpoint {
             "" if !spec.is_gang => state.checkpoint.clone(),
             checkpoint => checkpoint.into(),
--- a/src/cell/workers/orders.rs
+++ b/src/cell/workers/orders.rs
@@ -46,7 +46,11 @@
                 self.mark_unreachable(now, name);
             }
             OrderOutcome::Refused(Refusal::InvalidTicket) => {
-                self.invalidate_ticket(task.step, name);
+                // The step may have a newer ticket than the one that was refused, if the run is no
+                // longer known.
+                if self.knows_run(name, task, run) {
+                    self.invalidate_ticket(task.step, name);
+                }
                 self.abandon_run(name, task, run);
             }
             OrderOutcome::Refused(
@@ -60,6 +64,11 @@
         }
     }
 
+    /// Whether a run is or may be on a worker.
+    fn knows_run(&self, name: &Name, task: TaskKey, run: u64) -> bool {
+        self.workers.get(name).is_some_and(|worker| worker.runs.contains_key(&(task, run)))
+    }
+
     /// The worker confirmed that it started a run.
     fn confirm_start(&mut self, now: Millis, name: &Name, task: TaskKey, run: u64) {
         let Some(worker) = self.workers.get_mut(name) else { return };
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -6,7 +6,7 @@
 use cellworld::{
     Disabled, search, search_crashing_tasks, search_lasting, search_limits, search_power_loss,
     search_preemption, search_restarts, search_room_changes, search_store_outages,
-    search_suspensions,
+    search_suspensions, search_withdrawals,
 };
 
 /// A number from the environment. An invalid one is an error; it doesn't fall back to the default.
@@ -237,6 +237,13 @@
     });
 }
 
+#[test]
+fn invariants_hold_when_withdrawn_jobs_are_submitted_again() {
+    // Starts of a withdrawn job were sent together with those of the same job when it had been
+    // submitted again, and the bindings of both had the same run numbers.
+    assert_holds(search_withdrawals);
+}
+
 /// Runs a single seed of a search that failed before.
 fn assert_holds_for(search: impl Fn(u64) -> (Option<String>, usize), seed: u64) {
     let (violation, _) = search(seed);
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -14,6 +14,7 @@
 mod rows;
 mod search;
 mod suspended;
+mod withdrawal;
 mod worker;
 
 pub use search::*;
@@ -217,6 +218,11 @@
     AppendRefused {
         owner: usize,
     },
+    /// The store has not answered an append in time.
+    AppendOverdue {
+        owner: usize,
+        batch: u64,
+    },
     FinishRun {
         worker: Name,
         task: TaskKey,
@@ -387,6 +393,8 @@
     lasting: lasting::LastingJobs,
     /// State of the searches in which the store becomes unavailable.
     outage: outage::Outage,
+    /// State of the searches in which overdue appends make owners withdraw jobs.
+    withdrawals: withdrawal::Withdrawals,
     pub violations: Vec<String>,
     /// The events so far, one line each.
     pub trace: Vec<String>,
@@ -448,6 +456,7 @@
             last_disruption: 0,
             lasting: lasting::LastingJobs::default(),
             outage: outage::Outage::default(),
+            withdrawals: withdrawal::Withdrawals::default(),
             violations: Vec::new(),
             trace: Vec::new(),
         };
@@ -664,7 +673,14 @@
                 self.schedule_after(wait, Event::PollReport { owner, worker });
             }
             Event::Append { owner, batch } => match self.outage.remaining(self.now) {
-                Some(left) => self.schedule_after(left, Event::Append { owner, batch }),
+                Some(left) => {
+                    if self.withdrawals.enabled && left >= withdrawal::OVERDUE_MS {
+                        let batch = batch.number;
+                        let overdue = Event::AppendOverdue { owner, batch };
+                        self.schedule_after(withdrawal::OVERDUE_MS, overdue);
+                    }
+                    self.schedule_after(left, Event::Append { owner, batch });
+                }
                 None => self.append(owner, &batch),
             },
             Event::AdviceAnswered { owner, entry, question, lost } => {
@@ -688,6 +704,10 @@
                 self.advance_owner(owner);
             }
             Event::AppendRefused { owner } => self.depose(owner),
+            Event::AppendOverdue { owner, batch } => {
+                self.withdraw_later_jobs(owner, batch);
+                self.advance_owner(owner);
+            }
             Event::FinishRun { worker, task, run } => self.finish_run(&worker, task, run),
             Event::StopRun { worker, task, run } => {
                 let running = self.workers.get(&worker).and_then(|one| one.running.get(&task));
@@ -838,6 +858,7 @@
             true => self.owners[owner].cell.schedule(Millis(self.now)),
             false => self.owners[owner].cell.give_up_starts("no-authority"),
         }
+        self.check_run_numbers(owner);
         if self.relies_on_peers(owner) {
             self.owners[owner].cell.send_unstored(Millis(self.now));
         }
@@ -948,6 +969,7 @@
         | Event::ConnectPeers { owner, .. }
         | Event::AdviceAnswered { owner, .. }
         | Event::Reconnect { owner, .. }
+        | Event::AppendOverdue { owner, .. }
         | Event::AppendRefused { owner } => Some(*owner),
         // A message that is under way arrives even if its sender has died.
         Event::Order { .. }
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -151,6 +151,19 @@
     (first_violation(&sim, seed), sim.outage.count)
 }
 
+/// As [`search_store_outages`], with short outages in which owners withdraw jobs that are submitted
+/// again at once. Also returns the number of jobs that were bound again after a withdrawal.
+pub fn search_withdrawals(seed: u64) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, Disabled::Nothing);
+    sim.withdrawals.enabled = true;
+    for _ in 0..2 + sim.pick(4) {
+        let (at, length) = (sim.pick(FAULTS_END_MS), 300 + sim.pick(1_500));
+        sim.schedule_at(at, Event::StoreOutage { length });
+    }
+    sim.run();
+    (first_violation(&sim, seed), sim.withdrawals.resubmitted.len())
+}
+
 /// The number of lines of the trace that are shown; set by `SPRUCE_TRACE`.
 fn trace_lines() -> usize {
     let text = std::env::var("SPRUCE_TRACE").unwrap_or_else(|_| "60".to_string());
--- a/tests/withdrawal.rs
+++ b/tests/withdrawal.rs
@@ -20,8 +20,8 @@
 use sprucerudder::cell::advice::queue::AdviceRequest;
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
-use sprucerudder::order::{ClearedWorkers, StartOrder};
-use sprucerudder::workload::{JobDefinition, JobKey, Step};
+use sprucerudder::order::{ClearedWorkers, OrderOutcome, Refusal, StartOrder};
+use sprucerudder::workload::{JobDefinition, JobKey, Step, TaskKey};
 use std::sync::Arc;
 
 fn definition(steps: Vec<Step>) -> Arc<JobDefinition> {
@@ -96,6 +96,56 @@
     assert!(starts.iter().all(|(_, start)| &*start.ticket == "second"), "{starts:?}");
 }
 
+#[test]
+fn an_answer_to_a_withdrawn_binding_changes_no_later_one() {
+    // The worker, the job and the epoch are the same for both bindings.
+    let mut cluster = Cluster::with_advice(1);
+    let pending = begin_write(&mut cluster);
+    submit_cleared(&mut cluster, job(1), step(), "first");
+    let withdrawn = bindings(&cluster);
+    cluster.cell.withdraw_after(pending);
+    submit_cleared(&mut cluster, job(1), step(), "second");
+    finish_writes(&mut cluster, pending);
+    let starts = take_starts(&mut cluster);
+    let (worker, start) = &starts[0];
+    for refusal in [Refusal::InvalidTicket, Refusal::StaleRun, Refusal::LeaseExpired] {
+        let (now, outcome) = (Millis(cluster.now), OrderOutcome::Refused(refusal));
+        for (task, run) in &withdrawn {
+            cluster.cell.on_start_outcome(now, worker, *task, *run, outcome.clone());
+            cluster.cell.on_stop_outcome(now, worker, *task, *run, outcome.clone());
+        }
+        cluster.run_for(20);
+        assert_eq!(bindings(&cluster), [(start.task, start.run)], "{refusal:?}");
+    }
+    assert_eq!(withdrawn.len(), 1);
+    assert_ne!(withdrawn[0].1, start.run, "two bindings have one number");
+}
+
+#[test]
+fn a_refused_ticket_of_a_withdrawn_binding_is_not_the_newer_one() {
+    let mut cluster = Cluster::with_advice(1);
+    let pending = begin_write(&mut cluster);
+    submit_cleared(&mut cluster, job(1), step(), "first");
+    let (task, withdrawn) = bindings(&cluster)[0];
+    cluster.cell.withdraw_after(pending);
+    submit_cleared(&mut cluster, job(1), step(), "second");
+    finish_writes(&mut cluster, pending);
+    let starts = take_starts(&mut cluster);
+    let (worker, start) = &starts[0];
+    let now = Millis(cluster.now);
+    let refused = OrderOutcome::Refused(Refusal::InvalidTicket);
+    cluster.cell.on_start_outcome(now, worker, task, withdrawn, refused);
+    cluster.cell.on_start_outcome(now, worker, task, start.run, OrderOutcome::Withheld);
+    cluster.cell.schedule(now);
+    assert_eq!(bindings(&cluster).len(), 1, "the newer ticket is still used");
+}
+
+/// The bindings of the job that the tests submit, with their run numbers.
+fn bindings(cluster: &Cluster) -> Vec<(TaskKey, u64)> {
+    let bound = cluster.cell.bindings(job(1)).into_iter();
+    bound.map(|(_, task, run)| (task, run)).collect()
+}
+
 #[test]
 fn a_withdrawn_job_leaves_no_run_on_a_worker() {
     // Copies are allowed, so the task was bound again when its worker stopped answering. The job
