Fail a job whose task may not start again after 60 s, though all its crashes are doubtful

What callers saw: a job shown as active for good. Five workers had crashed under its task, each crash doubtful; the contract's bound on starts was reached, and no job was given up on doubtful crashes alone.

Cause: a state without a way out.

Why it works: the owner notes when it finds such a task and fails the job after 60 s, longer than any crash can stay unconfirmed. The caller can cancel before; the log says job-undecided with the time left.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -28,6 +28,10 @@
 /// another address. It is longer than the platform's workers are unreachable, and than a lease and
 /// a takeover together.
 const CONFIRM_TIMEOUT: Millis = Millis(20_000);
+/// How long a job with a task that is not started any more stays open if all crashes of the task are
+/// doubtful, so that its caller can cancel it. It is longer than a crash can stay unconfirmed, after
+/// which nothing can show any more that the task is not the cause.
+const UNDECIDED_TIMEOUT: Millis = Millis(60_000);
 /// At most one in this many workers of a service is dedicated to quarantined tasks at once. When
 /// many workers crash together, there are more quarantined tasks than workers.
 const WORKERS_PER_QUARANTINE: usize = 8;
@@ -264,17 +268,49 @@
         }
     }
 
-    /// Fails jobs with a task whose crashes have reached the limit.
+    /// Fails jobs with a task whose crashes have reached the limit, or notes them if all these
+    /// crashes are doubtful.
     pub(in crate::cell) fn fail_exhausted_jobs(&mut self, now: Millis) {
         for key in std::mem::take(&mut self.recount_jobs) {
             let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { continue };
-            let Some((task, count)) = find_exhausted_task(key, job) else { continue };
-            log::warn!("event=job-given-up task={task} crashes={count}");
-            self.crash_counts.given_up += 1;
-            self.close_job(now, key, JobOutcome::Failed);
+            let exhausted = find_task(key, job, RestartPolicy::Exhausted);
+            match (exhausted, find_task(key, job, RestartPolicy::Undecided)) {
+                (Some((task, count)), _) => self.give_up_job(now, task, count),
+                (None, Some(_)) if self.undecided_jobs.contains_key(&key) => {}
+                (None, Some((task, count))) => {
+                    let left = UNDECIDED_TIMEOUT;
+                    log::warn!("event=job-undecided task={task} crashes={count} left_ms={left}");
+                    self.undecided_jobs.insert(key, now);
+                }
+                (None, None) => drop(self.undecided_jobs.remove(&key)),
+            }
+        }
+    }
+
+    /// Fails jobs that have stayed undecided for [`UNDECIDED_TIMEOUT`]. Their tasks can never start
+    /// again, so that their callers would wait forever.
+    pub(in crate::cell) fn fail_undecided_jobs(&mut self, now: Millis) {
+        let jobs = &self.jobs;
+        self.undecided_jobs.retain(|key, _| jobs.get(key).is_some_and(Job::is_open));
+        let is_expired = |(_, since): &(&JobKey, &Millis)| now.since(**since) >= UNDECIDED_TIMEOUT;
+        let expired: Vec<JobKey> =
+            self.undecided_jobs.iter().filter(is_expired).map(|(key, _)| *key).collect();
+        for key in expired {
+            let found =
+                self.jobs.get(&key).and_then(|job| find_task(key, job, RestartPolicy::Undecided));
+            if let Some((task, count)) = found {
+                self.give_up_job(now, task, count);
+            }
         }
     }
 
+    /// Fails the job of a task that crashed too many workers.
+    fn give_up_job(&mut self, now: Millis, task: TaskKey, crashes: usize) {
+        log::warn!("event=job-given-up task={task} crashes={crashes}");
+        self.crash_counts.given_up += 1;
+        self.close_job(now, task.step.job, JobOutcome::Failed);
+    }
+
     /// Whether a task may be the reason why a worker does not answer: a worker crashed before while
     /// it ran the task, or a worker with another run of it does not answer either. If such a task
     /// were copied each time, it would crash the workers one by one.
@@ -357,13 +393,11 @@
     job.spec(task.step.step).is_some_and(|spec| spec.long_running)
 }
 
-/// The first task of a job whose crashes have reached the limit, and how many they are.
-fn find_exhausted_task(key: JobKey, job: &Job) -> Option<(TaskKey, usize)> {
+/// The first task of a job that may be started again by this policy, and how many crashes it has.
+fn find_task(key: JobKey, job: &Job, policy: RestartPolicy) -> Option<(TaskKey, usize)> {
     job.step_keys(key).into_iter().find_map(|step_key| {
-        let tasks = job.step(step_key)?.tasks.iter().enumerate();
-        let mut exhausted =
-            tasks.filter(|(_, task)| restart_policy(&task.crashes) == RestartPolicy::Exhausted);
-        let (index, task) = exhausted.next()?;
+        let mut tasks = job.step(step_key)?.tasks.iter().enumerate();
+        let (index, task) = tasks.find(|(_, task)| restart_policy(&task.crashes) == policy)?;
         Some((TaskKey { step: step_key, index: index as u32 }, task.crashes.len()))
     })
 }
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -333,6 +333,7 @@
         }
         self.check_unknown_runs(now);
         self.expire_unconfirmed(now);
+        self.fail_undecided_jobs(now);
         self.check_stability(now);
         self.ended_incarnations.retain(|_, since| now.since(*since) < ENDED_INCARNATION_RETENTION);
         self.forget_closed_jobs(now);
--- a/src/cell/jobs/restart_policy.rs
+++ b/src/cell/jobs/restart_policy.rs
@@ -89,10 +89,11 @@
     /// The task runs only on workers that have been up for long enough, and alone there where that
     /// is possible.
     Quarantined,
-    /// The task waits until an unconfirmed crash is confirmed or ruled out. If all crashes are
-    /// doubtful it waits until its job is cancelled, because no job is given up on doubtful
-    /// evidence alone.
+    /// The task waits until an unconfirmed crash is confirmed or ruled out.
     Paused,
+    /// The task is not started any more, but all its crashes are doubtful. Its job is given up later
+    /// than for [`Self::Exhausted`].
+    Undecided,
     /// The task is given up, and its job fails.
     Exhausted,
 }
@@ -114,15 +115,15 @@
         CRASH_LIMIT.. if certain >= min_certain => RestartPolicy::Exhausted,
         ALONE_CRASH_LIMIT.. if was_alone && certain >= min_certain => RestartPolicy::Exhausted,
         known if known < crashes.len() && crashes.len() >= CRASH_LIMIT => RestartPolicy::Paused,
-        RESTART_CRASH_LIMIT.. => RestartPolicy::Paused,
+        RESTART_CRASH_LIMIT.. => RestartPolicy::Undecided,
         _ if crashes.len() >= QUARANTINE_CRASHES => RestartPolicy::Quarantined,
         _ => RestartPolicy::Normal,
     }
 }
 
-/// Whether a task with these crashes waits until one of them is confirmed or ruled out.
-pub(in crate::cell) fn is_paused(crashes: &[Crash]) -> bool {
-    restart_policy(crashes) == RestartPolicy::Paused
+/// Whether a task with these crashes is not started now.
+pub(in crate::cell) fn is_held_back(crashes: &[Crash]) -> bool {
+    matches!(restart_policy(crashes), RestartPolicy::Paused | RestartPolicy::Undecided)
 }
 
 /// Whether a task with these crashes is placed only on workers that have been up for long enough.
--- a/src/cell/jobs/wait.rs
+++ b/src/cell/jobs/wait.rs
@@ -3,7 +3,7 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
-use crate::cell::jobs::restart_policy::is_paused;
+use crate::cell::jobs::restart_policy;
 use crate::cell::jobs::wait_reason::WaitReason;
 use crate::cell::placing::candidate::{Candidate, is_suitable};
 use crate::clock::Millis;
@@ -60,7 +60,8 @@
         let step = job.step(key)?;
         let clearances = &step.clearances;
         let is_held_back = |index: &u32| {
-            step.tasks.get(*index as usize).is_some_and(|task| is_paused(&task.crashes))
+            let task = step.tasks.get(*index as usize);
+            task.is_some_and(|task| restart_policy::is_held_back(&task.crashes))
         };
         Some(match () {
             () if step.waiting.is_empty() => return None,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -132,6 +132,9 @@
     ended_incarnations: BTreeMap<Incarnation, Millis>,
     /// Jobs whose counts of crashes have changed.
     recount_jobs: BTreeSet<JobKey>,
+    /// Jobs with a task that is not started any more although all its crashes are doubtful, by when
+    /// this owner noticed it.
+    undecided_jobs: BTreeMap<JobKey, Millis>,
     /// Counts of worker crashes by their outcome, since the takeover.
     crash_counts: jobs::crash::CrashCounts,
     /// The number of waits that timed out before the awaited event occurred, since the takeover.
@@ -194,6 +197,7 @@
             unconfirmed_crashes: jobs::crash::UnconfirmedCrashes::default(),
             ended_incarnations: BTreeMap::new(),
             recount_jobs: BTreeSet::new(),
+            undecided_jobs: BTreeMap::new(),
             crash_counts: jobs::crash::CrashCounts::default(),
             expired_waits: 0,
             stored_workspaces: BTreeSet::new(),
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -3,7 +3,7 @@
 use crate::cell::advice::request::MIN_TICKET_VALIDITY;
 use crate::cell::jobs::job::{Job, StepState};
 use crate::cell::jobs::lifecycle::queue_rank;
-use crate::cell::jobs::restart_policy::{is_paused, needs_stable_worker};
+use crate::cell::jobs::restart_policy::{is_held_back, needs_stable_worker};
 use crate::cell::jobs::wait_reason::WaitReason;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::{
@@ -221,7 +221,7 @@
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
             let Some(state) = step.tasks.get(*index as usize) else { return };
-            if is_paused(&state.crashes) {
+            if is_held_back(&state.crashes) {
                 continue;
             }
             let home = job.home_domain.as_ref().filter(|_| !spec.long_running);
@@ -255,7 +255,7 @@
         }
         let home = self.jobs.get(&key.job).and_then(|job| job.home_domain.clone());
         let mut members = (0..spec.count).map(|index| TaskKey { step: key, index });
-        if members.clone().any(|task| is_paused(self.task_crashes(task))) {
+        if members.clone().any(|task| is_held_back(self.task_crashes(task))) {
             return;
         }
         let is_quarantined = members.any(|task| self.is_quarantined(task));
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -387,6 +387,20 @@
     assert_eq!(cluster.state(job(1)), Some(JobState::Closed(JobOutcome::Cancelled)));
 }
 
+#[test]
+fn a_job_with_only_uncertain_crashes_does_not_wait_forever() {
+    // Its task may not start again, and nothing could show that it was not the cause. The job was
+    // shown as active for as long as its caller asked.
+    let mut cluster = Cluster::new(2);
+    cluster.submit(job(1));
+    for _ in 0..8 {
+        lose_end_at_takeover(&mut cluster);
+    }
+    cluster.run_for(60_000);
+    assert_eq!(cluster.start_count(job(1)), 5);
+    assert_eq!(cluster.state(job(1)), Some(JobState::Closed(JobOutcome::Failed)));
+}
+
 /// How long after a takeover a task on a partitioned worker starts elsewhere, in milliseconds.
 fn wait_after_takeover(mut cluster: Cluster) -> u64 {
     cluster.submit(job(1));
