Store the runs that no task is assigned as, so that the next owner counts them

What callers saw: after a takeover a workspace ran more than its limit (4,389 of 4,238 thousandths of a core).

Cause: the store has the bindings of open jobs, and the last one of each task. Runs of a closed job that were being stopped, first runs of tasks with a copy, and runs that a newer one replaced were unknown to the next owner until their worker reported.

Evidence: search over workspaces, with its log: owner 37 closed job c at 11386 and died at 11405; owner 38, from 11495 on, started two tasks while two runs of job c went on at a worker that had not reported.

Why it works: KEY.r has these runs with their sizes, written in the batch that takes their assignment away and deleted when they have ended. The next owner counts them as runs being stopped, and stops them.

--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -38,12 +38,14 @@
         }
         for (key, record) in snapshot.jobs {
             let workspace = snapshot.workspaces.get(&key).cloned();
+            let unassigned = snapshot.unassigned_runs.get(&key).map_or(&[][..], Vec::as_slice);
             match record {
                 JobRecord::Forwarded { cell } => drop(self.forwarded.insert(key, (cell, 0))),
                 JobRecord::Closed { queue, outcome } => {
                     let job = Job::ended(self.queue_or_placeholder(queue), outcome, now);
                     self.jobs.insert(key, Job { workspace, ..job });
                     self.closed_jobs.push_back(key);
+                    self.restore_unassigned(now, key, unassigned);
                 }
                 JobRecord::Open { queue, work } => {
                     let queue = self.queues.get(&queue.name).cloned().unwrap_or(Arc::new(queue));
@@ -67,6 +69,7 @@
                     if let Some(progress) = snapshot.progress.get(&key) {
                         self.restore_runs(now, key, progress);
                     }
+                    self.restore_unassigned(now, key, unassigned);
                     if let Some(job) = self.jobs.get_mut(&key) {
                         job.mark_idle_at_takeover();
                     }
@@ -228,6 +231,7 @@
         }
         self.dirty_jobs.insert(key);
         self.closed_jobs.push_back(key);
+        self.track_unassigned(key);
         for (worker, task, run) in placed {
             self.stop_run(&worker, task, run);
         }
@@ -248,6 +252,7 @@
         }
         self.start_timers.retain(|(_, step)| step.job != key);
         self.unsent_starts.retain(|(_, _, start)| start.task.step.job != key);
+        self.stored_unassigned.remove(&key);
         for worker in self.workers.values_mut() {
             worker.remove_unsent_runs(key);
         }
@@ -328,6 +333,7 @@
             self.open_step(now, step);
         }
         self.resend_stops();
+        self.update_unassigned();
         if !self.is_overloaded {
             self.expire_leases(now);
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -141,6 +141,8 @@
     expired_waits: u64,
     /// Jobs whose workspace is stored.
     stored_workspaces: BTreeSet<JobKey>,
+    /// Jobs that may have unassigned runs, with the numbers of those that are in the store.
+    stored_unassigned: BTreeMap<JobKey, BTreeSet<u64>>,
     /// Jobs with changes that have to be stored.
     dirty_jobs: BTreeSet<JobKey>,
     /// Whether the list of workers in use has to be stored.
@@ -201,6 +203,7 @@
             crash_counts: jobs::crash::CrashCounts::default(),
             expired_waits: 0,
             stored_workspaces: BTreeSet::new(),
+            stored_unassigned: BTreeMap::new(),
             dirty_jobs: BTreeSet::new(),
             workers_dirty: false,
             open_batch: 1,
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -31,6 +31,13 @@
     room: Resources,
 }
 
+impl UsageGuard {
+    /// The resources that the run adds to the usage.
+    pub fn room(&self) -> Resources {
+        self.room
+    }
+}
+
 impl Drop for UsageGuard {
     fn drop(&mut self) {
         let mut used = self.usage.lock();
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -77,6 +77,7 @@
                 }
                 None => {
                     records.push(journal::delete_job(key));
+                    self.write_unassigned(key, records);
                     if self.stored_workspaces.remove(&key) {
                         records.push(journal::delete_workspace(key));
                     }
@@ -119,6 +120,7 @@
             }
             _ => {}
         }
+        self.write_unassigned(key, records);
     }
 
     /// Removes the new jobs of a batch that was definitely not stored, so that their callers can be
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -3,7 +3,7 @@
 use crate::cell::jobs::restart_policy::Crash;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{JobDefinition, JobKey, Queue};
+use crate::workload::{JobDefinition, JobKey, Queue, Resources};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -21,6 +21,10 @@
 /// skip unknown keys.
 const CRASHES_SUFFIX: &str = ".c";
 
+/// The suffix of a job's key under which its unassigned runs are stored. They are separate from the
+/// progress, which a closed job does not have.
+const UNASSIGNED_RUNS_SUFFIX: &str = ".r";
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobOutcome {
@@ -103,6 +107,24 @@
     pub crashes: Vec<Crash>,
 }
 
+/// A run that may be on a worker although its task is not assigned as it: the job was closed, or the
+/// task was started again elsewhere.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UnassignedRun {
+    /// The indexes of the repetition and the step.
+    pub step_index: (u32, u16),
+    /// The index of the task in its step.
+    pub index: u32,
+    /// The number of the run.
+    pub run: u64,
+    /// The worker's id.
+    pub worker: Name,
+    /// The resources of the worker that are charged for the run.
+    pub charge: Resources,
+    /// The resources that the run adds to the usage of its workspace.
+    pub usage: Resources,
+}
+
 /// A worker that may have runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -132,6 +154,8 @@
     pub progress: BTreeMap<JobKey, Progress>,
     /// The worker crashes during tasks of open jobs.
     pub crashes: BTreeMap<JobKey, Vec<TaskCrashes>>,
+    /// The unassigned runs of jobs with a workspace.
+    pub unassigned_runs: BTreeMap<JobKey, Vec<UnassignedRun>>,
     /// The workspaces of those jobs that have one.
     pub workspaces: BTreeMap<JobKey, Name>,
     /// The workers that may have runs.
@@ -172,6 +196,12 @@
     (format!("{key}{CRASHES_SUFFIX}"), encode(crashes))
 }
 
+/// Creates the record of a job's unassigned runs, or deletes it if there are none.
+pub fn put_unassigned_runs(key: JobKey, runs: &[UnassignedRun]) -> (String, Vec<u8>) {
+    let value = if runs.is_empty() { Vec::new() } else { encode(runs) };
+    (format!("{key}{UNASSIGNED_RUNS_SUFFIX}"), value)
+}
+
 /// Creates the record of a job's workspace.
 pub fn put_workspace(key: JobKey, workspace: &Name) -> (String, Vec<u8>) {
     (format!("{key}{WORKSPACE_SUFFIX}"), encode(workspace))
@@ -235,6 +265,7 @@
             "" => apply_to(&mut self.jobs, job, value),
             PROGRESS_SUFFIX => apply_to(&mut self.progress, job, value),
             CRASHES_SUFFIX => apply_to(&mut self.crashes, job, value),
+            UNASSIGNED_RUNS_SUFFIX => apply_to(&mut self.unassigned_runs, job, value),
             WORKSPACE_SUFFIX => apply_to(&mut self.workspaces, job, value),
             _ => {
                 log::warn!("event=record-unknown key={key}");
--- a/src/cell/records/mod.rs
+++ b/src/cell/records/mod.rs
@@ -1,5 +1,6 @@
-//! Persistence of an owner's state: the records in the store (`journal`) and how they are batched
-//! (`batch`).
+//! Persistence of an owner's state: the records in the store (`journal`), how they are batched
+//! (`batch`), and runs that the progress of a job does not name (`unassigned`).
 
 pub(super) mod batch;
 pub mod journal;
+mod unassigned;
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -191,7 +191,10 @@
                 }
                 match other {
                     _ if allow_copies => self.stop_all_runs(task),
-                    Some((worker, run)) => self.stop_run(&worker, task, run),
+                    Some((worker, run)) => {
+                        self.track_unassigned(task.step.job);
+                        self.stop_run(&worker, task, run);
+                    }
                     None => {}
                 }
                 self.finish_task(now, task);
@@ -306,11 +309,13 @@
                 log::info!("event=run-adopted task={task} run={} worker={name}", row.run);
                 // The older run ended before this one started, or may be a copy of the task.
                 if let Some((at, run)) = older {
+                    self.track_unassigned(task.step.job);
                     self.stop_run(&at, task, run);
                 }
             }
             None => {
                 log::info!("event=run-unwanted task={task} run={} worker={name}", row.run);
+                self.track_unassigned(task.step.job);
                 self.stop_run(name, task, row.run);
             }
         }
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -104,6 +104,7 @@
             && !self.may_have_crashed_workers(task, run)
         {
             self.record_possible_crash(now, name, task);
+            self.track_unassigned(task.step.job);
             self.requeue_task(task, run);
         }
     }
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -4,7 +4,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Incarnation, WorkerInfo, WorkerReport, start_times_differ};
-use crate::workload::{JobKey, Resources, Step, TaskKey};
+use crate::workload::{JobKey, Resources, Step, StepKey, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The owner considers a lease expired after its length times this factor, in thousandths. A
@@ -287,13 +287,22 @@
         Some(run)
     }
 
+    /// The runs of a job.
+    pub fn runs_of(&self, job: JobKey) -> impl Iterator<Item = (&TaskKey, &Run)> {
+        let first = TaskKey { step: StepKey { job, repetition: 0, step: 0 }, index: 0 };
+        let from_first = self.runs.range((first, 0)..);
+        let of_job = from_first.take_while(move |((task, _), _)| task.step.job == job);
+        of_job.map(|((task, _), run)| (task, run))
+    }
+
     /// Removes the runs of a job whose starts were not sent. A task may have several of them, if it
     /// was bound again while this worker did not answer.
     pub fn remove_unsent_runs(&mut self, job: JobKey) {
-        let is_unsent =
-            |((task, _), run): &(&(TaskKey, u64), &Run)| task.step.job == job && !run.is_sent;
-        let unsent: Vec<(TaskKey, u64)> =
-            self.runs.iter().filter(is_unsent).map(|(key, _)| *key).collect();
+        let unsent: Vec<(TaskKey, u64)> = self
+            .runs_of(job)
+            .filter(|(_, run)| !run.is_sent)
+            .map(|(task, run)| (*task, run.run))
+            .collect();
         for (task, run) in unsent {
             self.remove_run(task, run);
         }
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -264,6 +264,17 @@
         self.hosts.iter().position(runs).expect("a running task")
     }
 
+    /// The workers on which tasks of a job run.
+    pub fn hosts_of(&self, key: JobKey) -> Vec<usize> {
+        let runs = |host: &Host| host.incarnation.running.keys().any(|task| task.step.job == key);
+        (0..self.hosts.len()).filter(|index| runs(&self.hosts[*index])).collect()
+    }
+
+    /// The keys of the records in the store that end with a suffix.
+    pub fn record_keys(&self, suffix: &str) -> Vec<String> {
+        self.store.keys().filter(|key| key.ends_with(suffix)).cloned().collect()
+    }
+
     pub fn is_running(&self, key: JobKey) -> bool {
         self.hosts
             .iter()
--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -11,7 +11,7 @@
 use sprucerudder::clock::Millis;
 use sprucerudder::order::WorkerInfo;
 use sprucerudder::platform::config::Policy;
-use sprucerudder::workload::{Resources, Step};
+use sprucerudder::workload::{JobKey, Resources, Step};
 use sprucerudder::workspace::{Workspace, Workspaces};
 use std::collections::BTreeSet;
 use std::num::NonZeroUsize;
@@ -92,6 +92,62 @@
     assert_eq!(cluster.state(job(1)), COMPLETED);
 }
 
+/// Partitions the workers on which tasks of a job run.
+fn partition_workers_of(cluster: &mut Cluster, key: JobKey) {
+    for index in cluster.hosts_of(key) {
+        cluster.partition(index, 4_000);
+    }
+}
+
+#[test]
+fn runs_of_a_closed_job_count_after_a_takeover() {
+    // A job was closed while its runs went on behind a partition. The next owner did not learn of
+    // them from the store, and started other tasks of the workspace beyond its limit.
+    let mut cluster = cluster();
+    cluster.lasting_jobs.insert(job(1));
+    cluster.submit_for(job(1), step_of(4), "large");
+    cluster.run_for(100);
+    partition_workers_of(&mut cluster, job(1));
+    cluster.cell.cancel(Millis(cluster.now), job(1));
+    cluster.run_for(40);
+    cluster.take_over();
+    cluster.submit_for(job(2), step_of(8), "large");
+    run_within_limit(&mut cluster, 3_000, 4);
+    assert_eq!(cluster.start_count(job(2)), 0, "the workers have not reported yet");
+    run_within_limit(&mut cluster, 3_000, 4);
+    assert_eq!(cluster.state(job(2)), COMPLETED);
+}
+
+#[test]
+fn runs_that_copies_replaced_count_after_a_takeover() {
+    // The store names the last run of each task. Its first run went on behind a partition while a
+    // copy ran elsewhere.
+    let mut cluster = cluster();
+    cluster.lasting_jobs.insert(job(1));
+    cluster.submit_for(job(1), Step { allow_copies: true, ..step_of(2) }, "large");
+    cluster.run_for(100);
+    partition_workers_of(&mut cluster, job(1));
+    cluster.run_for(800);
+    assert_eq!(cluster.running(), 4, "both tasks have copies");
+    cluster.take_over();
+    cluster.submit_for(job(2), step_of(8), "large");
+    run_within_limit(&mut cluster, 2_000, 4);
+}
+
+#[test]
+fn the_record_of_unassigned_runs_goes_with_them() {
+    let mut cluster = cluster();
+    cluster.lasting_jobs.insert(job(1));
+    cluster.submit_for(job(1), step_of(4), "large");
+    cluster.run_for(100);
+    cluster.cell.cancel(Millis(cluster.now), job(1));
+    cluster.run_for(20);
+    assert_eq!(cluster.record_keys(".r").len(), 1);
+    cluster.run_for(400);
+    assert_eq!(cluster.running(), 0);
+    assert_eq!(cluster.record_keys(".r"), Vec::<String>::new());
+}
+
 #[test]
 fn a_lowered_limit_stops_nothing_and_starts_nothing() {
     let mut cluster = cluster();
