Compare unassigned runs whole, so that the end of one member of a gang is noticed

Members of a gang share a run number, so the set of numbers did not change before the last one had ended, and the record stayed as it was. By reading; a next owner would have stopped such a run once more. tests/workspaces.rs, withdrawal.rs, lives.rs, crash.rs, cell.rs pass.

--- a/src/cell/jobs/restart_policy.rs
+++ b/src/cell/jobs/restart_policy.rs
@@ -105,7 +105,7 @@
     let doubtful = confirmed().count() - certain;
     // A start without an answer may have been lost on the way to a worker that ended for another
     // reason. Unless the task was seen running often enough, the certain crashes have to outnumber
-    // the doubtful ones, because many of these show that workers end for other reasons.
+    // the doubtful ones: where these are many, workers end for other reasons.
     let is_cause =
         seen >= MIN_CERTAIN_CRASHES || (certain >= MIN_CERTAIN_CRASHES && certain > doubtful);
     let was_alone = confirmed().next_back().is_some_and(|crash| crash.evidence.is_alone());
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -23,7 +23,7 @@
 use placing::fair_share::ShareLimits;
 use placing::reservation::Reservations;
 use placing::usage::WorkspaceUsages;
-use records::journal::{JobOutcome, Snapshot};
+use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -141,8 +141,8 @@
     expired_waits: u64,
     /// Jobs whose workspace is stored.
     stored_workspaces: BTreeSet<JobKey>,
-    /// Jobs that may have unassigned runs, with the numbers of those that are in the store.
-    stored_unassigned: BTreeMap<JobKey, BTreeSet<u64>>,
+    /// Jobs that may have unassigned runs, with those that are in the store.
+    stored_unassigned: BTreeMap<JobKey, Vec<UnassignedRun>>,
     /// Jobs with changes that have to be stored.
     dirty_jobs: BTreeSet<JobKey>,
     /// Whether the list of workers in use has to be stored.
--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -12,7 +12,6 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobKey, Step, StepKey, TaskKey};
-use std::collections::BTreeSet;
 
 impl Cell {
     /// Notes that runs of a job may become unassigned. They are stored if the job has a workspace,
@@ -36,18 +35,15 @@
             records.push(journal::put_unassigned_runs(key, &runs));
         }
         if !runs.is_empty() {
-            self.stored_unassigned.insert(key, run_numbers(&runs));
+            self.stored_unassigned.insert(key, runs);
         }
     }
 
     /// Has the jobs stored again whose unassigned runs have changed, mostly because they have ended.
     pub(in crate::cell) fn update_unassigned(&mut self) {
-        let is_changed = |(key, stored): &(&JobKey, &BTreeSet<u64>)| {
-            run_numbers(&self.unassigned_runs(**key)) != **stored
-        };
-        let changed: Vec<JobKey> =
-            self.stored_unassigned.iter().filter(is_changed).map(|(key, _)| *key).collect();
-        self.dirty_jobs.extend(changed);
+        let stored = self.stored_unassigned.iter();
+        let changed = stored.filter(|(key, runs)| self.unassigned_runs(**key) != **runs);
+        self.dirty_jobs.extend(changed.map(|(key, _)| *key).collect::<Vec<JobKey>>());
     }
 
     /// Restores the unassigned runs of a job. They are stopped, as a job has no use for them.
@@ -61,7 +57,7 @@
             return;
         };
         if !runs.is_empty() {
-            self.stored_unassigned.insert(key, run_numbers(runs));
+            self.stored_unassigned.insert(key, runs.to_vec());
         }
         for record in runs {
             let Some(worker) = self.workers.get_mut(&record.worker) else { continue };
@@ -102,11 +98,6 @@
     }
 }
 
-/// The numbers of runs.
-fn run_numbers(runs: &[UnassignedRun]) -> BTreeSet<u64> {
-    runs.iter().map(|record| record.run).collect()
-}
-
 /// Whether a task is assigned to a worker as a run.
 fn is_assigned(job: &Job, task: TaskKey, name: &Name, run: u64) -> bool {
     let state = job.step(task.step).and_then(|step| step.tasks.get(task.index as usize));
