Soak: a capacity counts for 4.5 s after a worker shrank, whatever changes come meanwhile

Cause: the stand-in, not the product. Worker i-0 went from 8,000 to 975 at 3.735 s and to 3,623 at 4.033 s. The second change was a growth from 975, so its capacity counted at once, 0.3 s after 8,000 had been listed; a worker writes its entry every 1.5 s. By the platform's contract a reduced room counts 4.5 s after the reduction. The starts that the check named (runs to) are of that time, by an owner that had read the entry with 8,000.

Change: the stand-in keeps the capacities that a worker had, each for 4.5 s after it was replaced, and the largest one counts. A growth counts at once and a shrinkage after 4.5 s, as before; only shrinkages within 4.5 s of each other differ.

Test: a_capacity_counts_for_a_while_after_each_of_several_changes, of what the stand-in records; the code before recorded 3,623 at 4.033 s.

--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -120,6 +120,24 @@
     }
 }
 
+/// The capacities that a worker had, which count for a while after each change.
+#[derive(Debug, Default)]
+pub struct CapacityHistory(Vec<(Instant, u64)>);
+
+impl CapacityHistory {
+    /// Notes that the worker had this CPU capacity until `now`.
+    pub fn add(&mut self, now: Instant, cpu: u64) {
+        self.0.retain(|(until, _)| *until > now);
+        self.0.push((now + SHRINK_GRACE, cpu));
+    }
+
+    /// The CPU capacity from which on a start counts as a fault, if the current one is `cpu`.
+    pub fn allowed(&self, now: Instant, cpu: u64) -> u64 {
+        let former = self.0.iter().filter(|(until, _)| *until > now);
+        former.map(|(_, cpu)| *cpu).fold(cpu, u64::max)
+    }
+}
+
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -127,6 +145,7 @@
     addr: String,
     domain: String,
     cpu: AtomicU64,
+    capacities: Mutex<CapacityHistory>,
     created_at: Instant,
     run_log: Arc<RunLog>,
     state: Mutex<State>,
@@ -145,6 +164,7 @@
             addr,
             domain: domain.to_string(),
             cpu: AtomicU64::new(cpu),
+            capacities: Mutex::default(),
             created_at: Instant::now(),
             run_log,
             state: Mutex::default(),
@@ -202,18 +222,27 @@
     /// Changes the CPU capacity, which the worker lists with its next entry.
     pub fn resize(self: &Arc<Self>, cpu: u64) {
         let before = self.cpu.swap(cpu, Ordering::Relaxed);
+        self.capacities().add(Instant::now(), before);
+        self.record_capacity();
         let worker = self.clone();
         tokio::spawn(async move {
-            if cpu < before {
-                tokio::time::sleep(SHRINK_GRACE).await;
-            }
-            // The capacity may have changed again since.
-            if worker.cpu.load(Ordering::Relaxed) <= cpu {
-                worker.record(&worker.state(), "", 0, RunEvent::Resized(cpu));
-            }
+            tokio::time::sleep(SHRINK_GRACE).await;
+            worker.record_capacity();
         });
     }
 
+    /// Records the CPU capacity from which on a start counts as a fault.
+    fn record_capacity(&self) {
+        let state = self.state();
+        let cpu = self.cpu.load(Ordering::Relaxed);
+        let allowed = self.capacities().allowed(Instant::now(), cpu);
+        self.record(&state, "", 0, RunEvent::Resized(allowed));
+    }
+
+    fn capacities(&self) -> MutexGuard<'_, CapacityHistory> {
+        self.capacities.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The worker's own clock in milliseconds, which restarts from 0 with its process.
     fn clock_ms(&self, state: &State) -> u64 {
         state.started_at.unwrap_or(self.created_at).elapsed().as_millis() as u64
--- a/tests/soak/checks_test.rs
+++ b/tests/soak/checks_test.rs
@@ -3,7 +3,9 @@
 
 use crate::callers::{CallerView, Job};
 use crate::checks::InvariantChecker;
-use sprucerudder::standin::site::worker::{CRASH_PREFIX, RunEvent, RunLog, RunRecord};
+use sprucerudder::standin::site::worker::{
+    CRASH_PREFIX, CapacityHistory, RunEvent, RunLog, RunRecord,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -101,6 +103,22 @@
     assert!(violations(&events, accepted_view("")).contains("exceeds the capacity"));
 }
 
+#[test]
+fn a_capacity_counts_for_a_while_after_each_of_several_changes() {
+    // A worker shrank twice within 0.3 s, the second time to more than the first. The second change
+    // passed for a growth, and the check counted its capacity at once.
+    let (begin, mut history) = (Instant::now(), CapacityHistory::default());
+    let at = |ms: u64| begin + Duration::from_millis(ms);
+    history.add(at(0), 8_000);
+    assert_eq!(history.allowed(at(0), 975), 8_000);
+    history.add(at(300), 975);
+    assert_eq!(history.allowed(at(300), 3_623), 8_000);
+    assert_eq!(history.allowed(at(4_499), 3_623), 8_000);
+    assert_eq!(history.allowed(at(4_500), 3_623), 3_623);
+    history.add(at(6_000), 3_623);
+    assert_eq!(history.allowed(at(6_000), 5_000), 5_000, "a growth counts at once");
+}
+
 #[test]
 fn each_kind_of_violation_is_found() {
     let done = RunEvent::End("done");
