Stand-in: read the newest records and the end of a topic at the same time

Entry 0 logged policy version 1 and never version 2 in its 4.8 s; 19 of 171 jobs reached the owner without a workspace, all by that entry's policy.

Cause: the stand-in's store answered /log-newest with the records of one moment and the end of a later one. A policy that is published between is behind the offset from which the entry reads on. The platform's answers are linearizable, so the product relies on it rightly.

Evidence: the entry's log and the code; the moment itself is not logged.

--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -84,6 +84,12 @@
 
     /// The newest value of each key of a topic.
     pub fn newest(&self, topic: &str) -> BTreeMap<String, Bytes> {
+        self.newest_and_end(topic).0
+    }
+
+    /// The newest value of each key of a topic, and the end of the topic at that time. A caller that
+    /// got a later end would miss the records between.
+    fn newest_and_end(&self, topic: &str) -> (BTreeMap<String, Bytes>, usize) {
         let topics = lock(&self.topics);
         let records = topics.get(topic).map(|topic| topic.records.as_slice()).unwrap_or_default();
         let mut newest = BTreeMap::new();
@@ -95,7 +101,7 @@
                 value => drop(newest.insert(key, value)),
             }
         }
-        newest
+        (newest, records.len())
     }
 
     /// The number of records of a topic.
@@ -191,7 +197,7 @@
     fn newest_page(&self, call: &Call) -> serde_json::Value {
         let topic = call.query_text("topic");
         let after = call.query_text("depends_on");
-        let newest = self.newest(topic);
+        let (newest, end) = self.newest_and_end(topic);
         let rest: Vec<_> = newest
             .into_iter()
             .filter(|(key, _)| after.is_empty() || key.as_str() > after)
@@ -199,7 +205,7 @@
         let has_more = rest.len() > MAX_PAGE_ITEMS;
         let item = |(key, value): &(String, Bytes)| json!({"key": key, "value": BASE64_STANDARD.encode(value), "offset": 0});
         let items: Vec<_> = rest.iter().take(MAX_PAGE_ITEMS).map(item).collect();
-        json!({"items": items, "has_more": has_more, "end": self.len(topic)})
+        json!({"items": items, "has_more": has_more, "end": end})
     }
 }
 
