--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -283,6 +283,18 @@
     assert_holds_for(search_restarts, 12_000_343);
 }
 
+#[test]
+fn a_job_is_not_given_up_for_one_seen_crash_and_unanswered_starts() {
+    // Two starts had no answer, one of them at a worker that had stayed up, and one run was seen
+    // when its worker crashed. With one worker that crashed under it, the task was given up:
+    //  event=crash-counted task=T worker=w6@1001039 crashes=1 evidence=UnansweredAlone
+    //  event=crash-counted task=T worker=w4@7 crashes=2 evidence=Doubtful
+    //  event=crash-counted task=T worker=w3@5006429 crashes=3 evidence=Alone
+    //  37610 VIOLATION job 0000000000000008 failed without a cause
+    assert_holds_for(search_restarts, 20_000_283);
+    assert_holds_for(search_crashing_tasks, 20_000_838);
+}
+
 #[test]
 fn a_takeover_behind_a_cut_keeps_a_workspace_within_its_bound() {
     // 11516 VIOLATION 0000000000000009.0.1.2 takes workspace one to 4389 of Some(4238)
