--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -1,6 +1,6 @@
 //! Runs that may be on workers although their tasks are not assigned as them.
 //!
-//! They count towards the usage of their workspace until their worker reports that they have ended.
+//! Such runs count towards the usage of their workspace until their worker reports that they ended.
 //! The next owner does not learn of them from the progress of their jobs: a closed job has none, and
 //! that of an open job names the last run of each task only. It would start tasks beyond the limits
 //! of the workspace until it has heard the workers.
