Count only crashes under which a task was seen, once it was seen at all

Cause: a start without an answer counted as a certain crash of a task that had been seen running, so one seen crash and one unanswered start ended its job. Ruled out: a crash counted twice, a takeover in between (one owner, three workers).

--- a/src/cell/jobs/restart_policy.rs
+++ b/src/cell/jobs/restart_policy.rs
@@ -104,10 +104,13 @@
     let seen = confirmed().filter(|crash| crash.evidence.was_seen_running()).count();
     let doubtful = confirmed().count() - certain;
     // A start without an answer may have been lost on the way to a worker that ended for another
-    // reason. Unless the task was seen running often enough, the certain crashes have to outnumber
+    // reason. A task that was seen running once answers before it crashes its worker, so only the
+    // crashes under which it was seen count then. Otherwise the certain crashes have to outnumber
     // the doubtful ones: where these are many, workers end for other reasons.
-    let is_cause =
-        seen >= MIN_CERTAIN_CRASHES || (certain >= MIN_CERTAIN_CRASHES && certain > doubtful);
+    let is_cause = match seen {
+        0 => certain >= MIN_CERTAIN_CRASHES && certain > doubtful,
+        seen => seen >= MIN_CERTAIN_CRASHES,
+    };
     let was_alone = confirmed().next_back().is_some_and(|crash| crash.evidence.is_alone());
     match confirmed().count() {
         // Another start would reveal nothing more.
