Start nothing in failure domains that the operators drain

Change: entries follow them beside the policy; the cell leaves workers there out of placement, gives up starts that wait for the store or are ready to be sent, and withholds those that queue for a worker. Tasks that end by themselves go on; lasting ones are moved one at a time. A new owner knows them before its first start, since an entry without a policy claims no cell. Not passed on over links: an owner that cannot read the store loses its cell to one that can.

--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -333,6 +333,7 @@
             self.open_step(now, step);
         }
         self.resend_stops();
+        self.move_drained_tasks();
         self.update_unassigned();
         if !self.is_overloaded {
             self.expire_leases(now);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -126,6 +126,8 @@
     usages: WorkspaceUsages,
     /// How much each workspace may still submit within its share.
     shares: ShareLimits,
+    /// Failure domains in which no task is started.
+    drained_domains: Arc<BTreeSet<Name>>,
     /// Worker processes that may have crashed.
     unconfirmed_crashes: jobs::crash::UnconfirmedCrashes,
     /// Worker processes that have ended but may still be listed, with when the end was noticed.
@@ -196,6 +198,7 @@
             reservations: Reservations::default(),
             usages: WorkspaceUsages::default(),
             shares: ShareLimits::default(),
+            drained_domains: Arc::default(),
             unconfirmed_crashes: jobs::crash::UnconfirmedCrashes::default(),
             ended_incarnations: BTreeMap::new(),
             recount_jobs: BTreeSet::new(),
@@ -284,9 +287,14 @@
     /// now. A worker that has restarted since does not know a higher fencing token, and would run a
     /// task that already runs elsewhere.
     pub fn give_up_starts(&mut self, reason: &str) {
+        self.give_up_starts_if(reason, |_, _| true);
+    }
+
+    /// Gives up the starts on workers for which `is_wanted` holds, as [`Self::give_up_starts`] does.
+    fn give_up_starts_if(&mut self, reason: &str, is_wanted: impl Fn(&Self, &Name) -> bool) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Start { worker, start, .. } => {
+                Action::Start { worker, start, .. } if is_wanted(self, &worker) => {
                     let (task, run) = (start.task, start.run);
                     log::info!("event=start-given-up task={task} worker={worker} why={reason}");
                     self.abandon_run(&worker, task, run);
--- a/src/cell/placing/relaxation.rs
+++ b/src/cell/placing/relaxation.rs
@@ -7,6 +7,7 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
+use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, StepKey};
@@ -53,9 +54,10 @@
         }
     }
 
-    /// The resources in use and the total resources of the reachable workers of a service.
+    /// The resources in use and the total resources of the workers of a service that are reachable and not drained.
     fn service_usage(&self, service: &Name) -> (Resources, Resources) {
-        let reachable = self.workers.values().filter(|worker| worker.is_reachable);
+        let usable = |worker: &&Worker| worker.is_reachable && !worker.is_drained;
+        let reachable = self.workers.values().filter(usable);
         let of_service = reachable.filter(|worker| worker.listed.service == *service);
         let zero = (Resources::default(), Resources::default());
         of_service.fold(zero, |(used, total), worker| {
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -3,10 +3,12 @@
 //! - `worker`: the state of one worker and of the runs on it.
 //! - `roster`: the set of workers, and workers that become unreachable, leave or are gone.
 //! - `report`: handling of the reports of workers.
+//! - `drain`: failure domains in which no task is started.
 //! - `orders`: handling of the outcomes of start and stop orders.
 //! - `restart`: workers whose process was restarted with the same id.
 //! - `run_times`: statistics of how long tasks take compared with their estimates.
 
+pub(super) mod drain;
 pub(super) mod orders;
 pub(super) mod report;
 pub(super) mod restart;
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -159,6 +159,8 @@
         for entry in listed {
             self.update_listing(now, entry);
         }
+        // A worker that a snapshot named had no failure domain before it was listed.
+        self.mark_drained_workers();
         self.list_stale = false;
         self.needs_placement = true;
     }
@@ -177,7 +179,7 @@
                     listed.leaves_in.is_some() && worker.listed.leaves_in.is_none();
                 worker.listed = listed;
                 if starts_leaving {
-                    self.evacuate(&name);
+                    self.vacate(&name);
                 }
             }
             None => {
@@ -197,7 +199,7 @@
 
     /// Stops the runs on a leaving worker that would not end in time, so that their tasks start
     /// elsewhere.
-    fn evacuate(&mut self, name: &Name) {
+    fn vacate(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else { return };
         let time_left = worker.listed.leaves_in.unwrap_or_default();
         log::info!(
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -70,6 +70,8 @@
     pub percent: u32,
     /// The run uses only processors that other tasks leave idle.
     pub is_filler: bool,
+    /// The run goes on until its job is cancelled.
+    pub is_lasting: bool,
     /// The limit for the tail latency of the run's responses; 0 if it serves no requests.
     pub tail_limit: Millis,
     /// The run saves checkpoints of its progress.
@@ -99,6 +101,7 @@
             has_started: false,
             percent: 100,
             is_filler: spec.best_effort,
+            is_lasting: spec.long_running,
             tail_limit: spec.latency_bound,
             saves_progress: spec.has_checkpoints,
             started_at: Millis(0),
@@ -140,6 +143,8 @@
     maybe_restarted: bool,
     /// The worker is on the list of workers now.
     pub is_listed: bool,
+    /// No task is started on the worker, because its failure domain is drained.
+    pub is_drained: bool,
     /// The batch that records it as a worker in use.
     pub roster_batch: u64,
     /// The worker has reported in this epoch, and answered since the owner last considered it
@@ -197,6 +202,7 @@
             maybe_restarted: false,
             listed,
             is_listed: true,
+            is_drained: false,
             roster_batch,
             is_reachable: false,
             has_reported: false,
@@ -244,7 +250,8 @@
         lease_end: Millis,
     ) -> Self {
         let next = Self::new(self.listed.clone(), batch, lease_end);
-        let next = Self { started_at, restarted_at: now, is_listed: self.is_listed, ..next };
+        let (is_listed, is_drained) = (self.is_listed, self.is_drained);
+        let next = Self { started_at, restarted_at: now, is_listed, is_drained, ..next };
         std::mem::replace(self, next)
     }
 
@@ -462,6 +469,7 @@
             && is_responsive
             && self.roster_batch <= stored_batch
             && !self.is_other_incarnation(self.listed.started_at);
-        is_known && self.listed.leaves_in.is_none() && self.clock.is_some()
+        let is_available = !self.is_drained && self.listed.leaves_in.is_none();
+        is_known && is_available && self.clock.is_some()
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -33,6 +33,8 @@
     expired_waits: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
+    /// Failure domains that the operators drain.
+    pub drained_domains: IntGauge,
 }
 
 impl Metrics {
@@ -85,6 +87,10 @@
                 "sprucerudder_waits_expired",
                 "Waits that a deadline ended and not the event, since the takeover",
             )?,
+            drained_domains: gauge(
+                "sprucerudder_domains_drained",
+                "Failure domains in which no task is started",
+            )?,
             takeovers: registry.counter("sprucerudder_takeovers_total", "Takeovers of the cell")?,
             registry,
         })
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 use crate::workload::StepKey;
 use cells::Cells;
 use metrics::Metrics;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -66,6 +67,8 @@
     policy: watch::Sender<Arc<Policy>>,
     /// When the policy was last known to be the newest one.
     policy_read_at: Mutex<Millis>,
+    /// The failure domains that the operators drain.
+    drained_domains: watch::Sender<Arc<BTreeSet<Name>>>,
     /// The cells. `None` until the map that assigns workers to them is loaded.
     cells: watch::Sender<Option<Arc<Cells>>>,
     /// A planned stop has begun.
@@ -105,6 +108,7 @@
             metrics: Metrics::new()?,
             policy: watch::channel(Arc::new(Policy::default())).0,
             policy_read_at: Mutex::default(),
+            drained_domains: watch::channel(Arc::default()).0,
             cells: watch::channel(None).0,
             stopping: AtomicBool::new(false),
             clock,
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -102,6 +102,7 @@
             self.now(),
         );
         cell.set_workspaces(policy.workspaces.clone());
+        cell.set_drained_domains(node.drained_domains.borrow().clone());
         cell.set_workers(self.now(), listed);
         if node.adviser.is_some() {
             cell.add_entry(self.entry_name().clone(), self.is_home);
@@ -168,6 +169,7 @@
             () = self.clone().tick() => {}
             () = self.clone().follow_workers() => {}
             () = self.clone().follow_policy() => {}
+            () = self.clone().follow_drained_domains() => {}
             () = self.clone().watch_for_transfer() => {}
             _ = ended.wait_for(|ended| *ended) => {}
         }
@@ -342,6 +344,19 @@
         }
     }
 
+    /// Passes each change of the drained failure domains to the cell.
+    async fn follow_drained_domains(self: Arc<Self>) {
+        let mut domains = self.node.drained_domains.subscribe();
+        loop {
+            let drained = domains.borrow_and_update().clone();
+            lock(&self.cell).set_drained_domains(drained);
+            self.schedule_wake.notify_one();
+            if domains.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Registers the connection of another entry.
     pub fn add_peer(&self, entry: Name, cpu: u32, is_home: bool, sender: FrameSender) {
         log::info!(
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -101,8 +101,12 @@
         // A restarted worker has seen neither the fence nor the stops that its earlier process had
         // seen, so it would not refuse an outdated order.
         let has_restarted = || lock(&self.cell).has_restarted(&incarnation);
-        let is_withheld =
-            !has_authority || sent.since(decided_at) >= ORDER_MAX_AGE || has_restarted();
+        // Its failure domain may have been drained meanwhile.
+        let is_drained = lock(&self.cell).is_drained(&name);
+        let is_withheld = !has_authority
+            || is_drained
+            || sent.since(decided_at) >= ORDER_MAX_AGE
+            || has_restarted();
         if has_restarted() && !matches!(action, Action::Start { .. }) {
             return log::debug!("event=order-withheld worker={name} why=restarted");
         }
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -1,9 +1,11 @@
-//! Follows the operators' policy in the platform's store.
+//! Follows the operators' policy in the platform's store, and the failure domains that they drain.
 
 use crate::clock::Millis;
+use crate::id::Name;
 use crate::node::{Node, STORE_RETRY_DELAY, lock};
-use crate::platform::config::{KEY, Policy, TOPIC};
+use crate::platform::config::{KEY, Policy, TOPIC, drained_domain};
 use crate::platform::store::{Partition, StoreError, decode_keyed};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The partition with the operators' records.
@@ -41,6 +43,9 @@
     /// Reads the newest policy. Returns the offset from which to read on.
     async fn read_policy(&self) -> Result<u64, StoreError> {
         let (items, end) = self.store.latest_all(POLICY_PART, READ_WAIT + READ_MARGIN).await?;
+        // Set before the policy, because an entry with a policy may own a cell.
+        let kept = items.iter().filter(|item| !item.value.is_empty());
+        self.set_drained(kept.filter_map(|item| drained_domain(&item.key)).collect());
         if let Some(item) = items.iter().find(|item| *item.key == *KEY) {
             self.set_policy(&item.value);
         }
@@ -52,9 +57,19 @@
         let timeout = READ_WAIT + READ_MARGIN;
         let read = self.store.read(POLICY_PART, from, READ_WAIT, timeout).await?;
         let end = read.records.last().map_or(from, |(offset, _)| offset + 1);
-        let keyed = read.records.iter().filter_map(|(_, record)| decode_keyed(record));
-        if let Some((_, value)) = keyed.filter(|(key, _)| **key == *KEY).last() {
-            self.set_policy(&value);
+        let keyed: Vec<_> =
+            read.records.iter().filter_map(|(_, record)| decode_keyed(record)).collect();
+        let mut drained = BTreeSet::clone(&self.drained_domains.borrow());
+        for (key, value) in &keyed {
+            match drained_domain(key) {
+                Some(domain) if value.is_empty() => drop(drained.remove(&domain)),
+                Some(domain) => drop(drained.insert(domain)),
+                None => {}
+            }
+        }
+        self.set_drained(drained);
+        if let Some((_, value)) = keyed.iter().rfind(|(key, _)| **key == *KEY) {
+            self.set_policy(value);
         }
         // Records that were removed between two reads leave a gap before the first remaining one.
         match read.end > from && read.records.is_empty() {
@@ -63,6 +78,18 @@
         }
     }
 
+    /// Sets the failure domains that are drained.
+    fn set_drained(&self, domains: BTreeSet<Name>) {
+        self.drained_domains.send_if_modified(|current| {
+            let has_changed = **current != domains;
+            if has_changed {
+                self.metrics.drained_domains.set(domains.len() as i64);
+                *current = Arc::new(domains);
+            }
+            has_changed
+        });
+    }
+
     /// Puts a policy in force if it is newer than the current one.
     fn set_policy(&self, text: &[u8]) {
         match Policy::parse(text) {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -12,6 +12,13 @@
 pub const KEY: &str = "config";
 /// The topic that holds the operators' records.
 pub const TOPIC: &str = "keyed.op";
+/// The start of the keys of the records that drain a failure domain, whose name follows.
+const DRAIN_PREFIX: &str = "evacuate/";
+
+/// The failure domain that is drained for as long as there is a record with this key, if it is such a key.
+pub fn drained_domain(key: &str) -> Option<Name> {
+    key.strip_prefix(DRAIN_PREFIX).filter(|domain| !domain.is_empty()).map(Name::from)
+}
 
 #[derive(Debug, Deserialize)]
 struct RawAdvice {
