Learn the speed of each worker, and run tight work on fast ones

Change: a moving average of each worker's run times against what its queue's estimates lead to expect, centred on the mean of all. Work with little time prefers fast workers, other work slow ones; gangs prefer workers that suit all of their tasks; advice is asked about suitable workers first. A preference only: nothing waits for a fast worker.

--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -106,7 +106,8 @@
         };
         selected.sort_by_cached_key(|candidate| {
             let is_remote = job.home_domain.as_ref().is_some_and(|home| candidate.domain != *home);
-            (!candidate.has_room(spec, &charge), is_remote, std::cmp::Reverse(candidate.free.cpu))
+            let order = (!candidate.has_room(spec, &charge), candidate.speed_order, is_remote);
+            (order, std::cmp::Reverse(candidate.free.cpu))
         });
         selected
             .into_iter()
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -334,6 +334,7 @@
         }
         self.resend_stops();
         self.move_drained_tasks();
+        self.center_speeds();
         self.update_unassigned();
         if !self.is_overloaded {
             self.expire_leases(now);
--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -53,6 +53,8 @@
     pub serves_users: bool,
     /// Resources on the worker are reserved for a gang of another step.
     pub is_reserved: bool,
+    /// The place of the worker in the order of speeds that the job prefers, lower ones first.
+    pub speed_order: u8,
 }
 
 impl Candidate {
@@ -69,6 +71,7 @@
             is_stable: worker.is_stable(now),
             serves_users: worker.runs.values().any(|run| run.tail_limit.0 > 0),
             is_reserved: false,
+            speed_order: 0,
         }
     }
 
@@ -104,8 +107,8 @@
 /// Selects the best worker with room for one task.
 ///
 /// Preferences, in descending order: a worker on which the task hasn't failed; the rack of its data; for a filler, a
-/// worker that runs no serving tasks; a worker without resources reserved for a gang; the job's failure domain; a
-/// healthy worker; the worker with the fewest cores left free. A filler takes the one with the most idle cores instead.
+/// worker that runs no serving tasks; a worker without resources reserved for a gang; a worker of the speed that the
+/// job prefers; the job's failure domain; a healthy worker; the worker with the fewest cores left free. A filler takes the one with the most idle cores instead.
 ///
 /// A task that was running when a worker crashed prefers the worker with the fewest other runs over all but the first
 /// preference. From the second crash on it only goes to stable workers: a crash of a worker that has just restarted is
@@ -123,7 +126,9 @@
         let free = candidate.free.saturating_sub(&charge).cpu;
         let cpu_score = if spec.best_effort { u64::MAX - free } else { free };
         let beside_serving = spec.best_effort && candidate.serves_users;
-        let penalties = (beside_serving, candidate.is_reserved, away, !candidate.is_healthy);
+        let is_reserved = candidate.is_reserved;
+        let speed = candidate.speed_order;
+        let penalties = (beside_serving, is_reserved, speed, away, !candidate.is_healthy);
         let neighbors = if task.crashes.is_empty() { 0 } else { candidate.total_runs };
         (task.failed_workers.contains(&candidate.name), neighbors, far, penalties, cpu_score)
     };
@@ -160,7 +165,11 @@
             }
         }
     }
-    assign_gang(candidates, spec, |candidate| Some(&candidate.domain) == home)
+    // The tasks of a gang end together, with the one on the slowest worker.
+    let is_home = |candidate: &Candidate| Some(&candidate.domain) == home;
+    let suits = |candidate: &Candidate| candidate.speed_order <= 1;
+    assign_gang(candidates, spec, |candidate| suits(candidate) && is_home(candidate))
+        .or_else(|| assign_gang(candidates, spec, suits))
         .or_else(|| assign_gang(candidates, spec, |_| true))
 }
 
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -10,6 +10,7 @@
     Candidate, UnplacedTasks, count_step_runs, is_suitable, pick_gang_workers, pick_worker,
 };
 use crate::cell::placing::relaxation::Relaxation;
+use crate::cell::workers::speed::is_tight;
 use crate::cell::workers::worker::{Phase, Run, Worker};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
@@ -65,9 +66,9 @@
     fn awaits_answer_quietly(&self, now: Millis, key: StepKey) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return false };
-        let is_known = step.wait.is_some_and(|wait| {
-            wait.reason == WaitReason::Advice && !wait.timer.will_log(now)
-        });
+        let is_known = step
+            .wait
+            .is_some_and(|wait| wait.reason == WaitReason::Advice && !wait.timer.will_log(now));
         let has_no_worker = step.clearances.request_pending && step.clearances.cleared.is_empty();
         is_known && has_no_worker && !step.waiting.is_empty() && !spec.long_running
     }
@@ -207,7 +208,8 @@
         let open = workers
             .filter(|(_, worker)| worker.accepts_tasks(self.stored_batch) && !is_avoided(worker));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
-        let to_candidate = |(name, worker)| {
+        let is_tight = is_tight(job);
+        let to_candidate = |(name, worker): (&Name, &Worker)| {
             let candidate = Candidate::new(now, name, worker);
             let unavailable = self.reservations.unavailable(
                 name,
@@ -222,6 +224,7 @@
                 free: candidate.free.saturating_sub(&unavailable),
                 step_runs,
                 is_reserved,
+                speed_order: worker.speed.class().order(is_tight),
                 ..candidate
             }
         };
@@ -358,6 +361,10 @@
             "" if !spec.is_gang => state.checkpoint.clone(),
             checkpoint => checkpoint.into(),
         };
+        let worker = self.workers.get_mut(name);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&(task, run_number))) {
+            run.is_resumed = !checkpoint.is_empty();
+        }
         log::info!("event=start task={task} run={run_number} worker={name} age_ms={age}");
         let ticket = ticket.unwrap_or_else(|| "".into());
         let start = StartOrder { task, run: run_number, payload: spec_text, checkpoint, ticket };
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -120,7 +120,7 @@
             if let Some(run) =
                 run.filter(|run| row.reason == EndReason::Done && run.started_at.0 > 0)
             {
-                self.record_run_time(row.task, now.since(run.started_at));
+                self.record_run_time(name, row.task, &run, now.since(run.started_at));
             }
             self.on_run_end(now, name, row);
             // An end that changes no job needs no record, and can be confirmed once the earlier
@@ -151,11 +151,19 @@
         }
     }
 
-    /// Adds the time that a completed run took to the statistics of its queue.
-    fn record_run_time(&mut self, task: TaskKey, run_time: Millis) {
+    /// Adds the time that a completed run took to the statistics of its queue and of its worker.
+    fn record_run_time(&mut self, name: &Name, task: TaskKey, run: &Run, run_time: Millis) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(spec) = job.spec(task.step.step).filter(|spec| !spec.long_running) else { return };
-        self.run_times.entry(job.queue.name.clone()).or_default().add(spec.estimate, run_time);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let run_times = self.run_times.entry(job.queue.name.clone()).or_default();
+        // The tasks of a gang end together, with the slowest, and a task that continues from a
+        // checkpoint has less to do.
+        let tells_speed = !spec.is_gang && !run.is_resumed;
+        if let Some(expected) = run_times.expected(spec.estimate).filter(|_| tells_speed) {
+            worker.speed.add(expected, run_time);
+        }
+        run_times.add(spec.estimate, run_time, worker.speed.ratio());
     }
 
     /// Handles the end of a run.
--- a/src/cell/workers/run_times.rs
+++ b/src/cell/workers/run_times.rs
@@ -18,11 +18,14 @@
     count: u32,
     mean: f64,
     deviation: f64,
+    /// The mean ratio on a worker of usual speed.
+    usual: f64,
 }
 
 impl RunTimes {
-    /// Adds a completed run with its estimated and its actual run time.
-    pub fn add(&mut self, estimate: Millis, run_time: Millis) {
+    /// Adds a completed run with its estimated and its actual run time, on a worker where runs take
+    /// `slowness` times as long as on a usual one.
+    pub fn add(&mut self, estimate: Millis, run_time: Millis, slowness: f64) {
         if estimate.0 == 0 {
             return;
         }
@@ -32,9 +35,21 @@
         let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.count + 1));
         self.deviation += ((ratio - self.mean).abs() - self.deviation) * weight;
         self.mean += (ratio - self.mean) * weight;
+        self.usual += (ratio / slowness - self.usual) * weight;
         self.count += 1;
     }
 
+    /// How long a run with this estimate takes on a worker of usual speed, if enough runs are known.
+    pub fn expected(&self, estimate: Millis) -> Option<Millis> {
+        let expected = Millis((estimate.0 as f64 * self.usual) as u64);
+        (self.count >= MIN_SAMPLES).then_some(expected)
+    }
+
+    /// Changes what counts as the usual speed of a worker by a factor.
+    pub fn scale(&mut self, factor: f64) {
+        self.usual *= factor;
+    }
+
     /// The ratio of run time to estimate beyond which a run is late, if enough runs are known.
     fn late_ratio(&self) -> Option<f64> {
         (self.count >= MIN_SAMPLES).then_some(self.mean + LATE_DEVIATIONS * self.deviation)
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -1,6 +1,7 @@
 //! The owner's view of one worker: its resources, the runs on it, and its health.
 
 use crate::cell::placing::usage::UsageGuard;
+use crate::cell::workers::speed::Speed;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Incarnation, WorkerInfo, WorkerReport, start_times_differ};
@@ -76,6 +77,8 @@
     pub tail_limit: Millis,
     /// The run saves checkpoints of its progress.
     pub saves_progress: bool,
+    /// The run continues from a checkpoint.
+    pub is_resumed: bool,
     /// When this owner learned that the run had started.
     pub started_at: Millis,
     /// When the run last saved a checkpoint, or started.
@@ -104,6 +107,7 @@
             is_lasting: spec.long_running,
             tail_limit: spec.latency_bound,
             saves_progress: spec.has_checkpoints,
+            is_resumed: false,
             started_at: Millis(0),
             progressed_at: Millis(0),
             late_after: None,
@@ -187,6 +191,8 @@
     excluded_until: Millis,
     /// The task of the last straggler, and when it was found.
     last_late: Option<(TaskKey, Millis)>,
+    /// How long runs take here compared with other workers.
+    pub speed: Speed,
     /// When the processor shares of filler tasks were last changed.
     pub throttled_at: Millis,
     /// The job to which the worker is dedicated because one of its tasks is quarantined.
@@ -221,6 +227,7 @@
             exclusion: Millis(0),
             excluded_until: Millis(0),
             last_late: None,
+            speed: Speed::default(),
             throttled_at: Millis(0),
             quarantined_for: None,
         }
