Start of a large fleet, and one reader of the list of workers for all owners

With no map of cells, every entry read the whole list of workers (584 lists of some 2 MB at 80 MB/s for all), pages timed out, each list began anew, for good: nothing was served. Now an entry announces in the log that it counts, on the condition that the log ends where it was read; the others wait for the map alone and take over when the announcements end. A page that fails is read again, not the list. Two counts that differ by at most one in 200 are alike. An entry without a map says so at warn. 2. Now owners announce themselves in a topic with a record a cell; claims on a cell that is not an entry's home are read only after 3 s without its owner. Failed calls are repeated after a delay that doubles, up to a millisecond for each entry of the fleet. Reads of the policy wait half of its bound, 2 s at most; in fleets of 100 entries and more, entries far smaller than the largest read several heartbeats at once. 3. Now the owner of the first cell reads it, and answers the other owners with what its next reading changes in their cells. An owner that gets no answer reads the list itself; an answer that is older than what it read itself is dropped.

--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -67,7 +67,7 @@
 }
 
 /// The owner according to the newest claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leader {
     /// The offset of its claim plus one.
     pub epoch: u64,
@@ -168,6 +168,8 @@
         }
         self.next_offset = offset + 1;
         match record {
+            // A later owner may be known from elsewhere than the log.
+            ElectionRecord::Claim { .. } if offset + 1 < self.epoch() => {}
             ElectionRecord::Claim { owner, addr } => {
                 self.set_leader(Leader { epoch: offset + 1, owner, addr });
                 self.owner_heard = now;
@@ -193,6 +195,14 @@
         }
     }
 
+    /// Records an owner that is known from elsewhere than the log, unless a later one is known.
+    pub fn learn_leader(&mut self, now: Millis, leader: Leader) {
+        if leader.epoch > self.epoch() {
+            self.set_leader(leader);
+            self.owner_heard = self.owner_heard.max(now);
+        }
+    }
+
     fn set_leader(&mut self, leader: Leader) {
         self.leader = Some(leader);
         self.released = false;
@@ -291,6 +301,12 @@
         Some(self.next_offset)
     }
 
+    /// Whether this entry delays its claims by more than half of the longest delay, because there are
+    /// far larger entries.
+    pub fn claims_late(&self) -> bool {
+        self.largest_cpu > 0 && self.claim_delay().0 * 2 > MAX_CLAIM_DELAY.0
+    }
+
     /// How long this entry delays a claim because other entries have more CPU; zero for the largest
     /// known entry.
     fn claim_delay(&self) -> Millis {
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -3,6 +3,8 @@
 //! - `election` and `authority`: which entry owns a cell, and whether it may send orders.
 //! - `log_reports`: whether an earlier owner may have started runs without a record.
 //! - `cell_map`: the cell of each worker and job.
+//! - `map_writer`: which entry counts the workers and writes that map.
+//! - `backoff`: the delay before a failed call to the store is repeated.
 //! - `balance` and `forward`: forwarding of jobs from a full cell to another one.
 //! - `lag`: detection of an overloaded owner.
 //! - `admission`: the rate of jobs that an overloaded owner accepts.
@@ -13,11 +15,13 @@
 pub mod access;
 pub mod admission;
 pub mod authority;
+pub mod backoff;
 pub mod balance;
 pub mod cell_map;
 pub mod election;
 pub(super) mod forward;
 pub mod lag;
 pub mod log_reports;
+pub mod map_writer;
 pub mod pass_pacing;
 pub mod retry;
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -7,6 +7,7 @@
 //! - `orders`: handling of the outcomes of start and stop orders.
 //! - `restart`: workers whose process was restarted with the same id.
 //! - `run_times`: statistics of how long tasks take compared with their estimates.
+//! - `shared_list`: the list of all workers, which one owner reads for the others.
 //! - `speed`: how fast each worker is compared with the others.
 
 pub(super) mod drain;
@@ -15,5 +16,6 @@
 pub(super) mod restart;
 pub mod roster;
 pub mod run_times;
+pub mod shared_list;
 pub mod speed;
 pub mod worker;
--- a/src/node/cells.rs
+++ b/src/node/cells.rs
@@ -1,16 +1,18 @@
 //! The cells of the fleet, and the map that assigns workers and jobs to them: every entry reads the
-//! map from the store, and the first one writes it.
+//! map from the store, and one of them writes it.
 
+use crate::cell::jobs::wait::WaitLogTimer;
+use crate::cell::owner::backoff::Backoff;
 use crate::cell::owner::cell_map::CellMap;
+use crate::cell::owner::map_writer::{MapStep, MapWriter};
 use crate::clock::Millis;
-use crate::id::{Name, hash};
+use crate::id::Name;
+use crate::node::Node;
 use crate::node::view::CellView;
-use crate::node::{Node, STORE_RETRY_DELAY};
 use crate::platform::store::{Partition, Precondition, StoreError, encode_keyed};
 use crate::workload::JobKey;
 use bytes::BytesMut;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// The topic of the map, and the key of its record.
 const MAP_PART: Partition<'static> = Partition { topic: "keyed.map", index: 0 };
@@ -20,17 +22,15 @@
 /// Timeout of reading the map, which is small. A store that is 60 times slower than usual answers
 /// within 240 ms, and a connection that was opened while it was down hangs.
 const READ_TIMEOUT: Millis = Millis(450);
-/// After their first count of the workers, entries wait for up to this long, each for a different
-/// time.
-const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
-/// Exponent that makes most of those delays long, so that few entries read the long list of workers
-/// before the first one has written the map.
-const START_DELAY_EXPONENT: f64 = 0.25;
-/// Time between two counts of the workers. The map is written once two counts in a row are equal:
-/// workers register within 1.5 s of each other, so the count changes until all are there.
-const COUNT_INTERVAL: Millis = Millis(600);
-/// After this many counts the map is written even if the number of workers still changes.
-const MAX_COUNTS: u32 = 8;
+/// The key of the record by which an entry announces that it counts the workers.
+const COUNTER_KEY: &str = "counter";
+/// How long a read waits for the next record of the map's topic at the most. A connection that went
+/// silent is noticed within this time.
+const MAX_WAIT: Millis = Millis(1_000);
+/// How long an entry without a policy waits before it looks again.
+const COUNT_POLL: Millis = Millis(200);
+/// How long an entry is without a map before that is first logged.
+const FIRST_LOG_DELAY: Millis = Millis(2_000);
 
 /// All cells of the fleet.
 #[derive(Debug)]
@@ -68,19 +68,7 @@
 impl Node {
     /// Loads the map, then starts following every cell.
     pub(super) async fn discover_cells(self: Arc<Self>) {
-        let mut worker_count = WorkerCount::new();
-        let mut is_logged = false;
-        let map = loop {
-            match self.load_or_create_map(&mut worker_count).await {
-                Ok(Some(map)) => break map,
-                Ok(None) => {}
-                Err(err @ StoreError::Malformed(_)) if !std::mem::replace(&mut is_logged, true) => {
-                    log::error!("event=cell-map-invalid error={err}");
-                }
-                Err(err) => log::debug!("event=cell-map-read-failed error={err:?}"),
-            }
-            tokio::time::sleep(STORE_RETRY_DELAY.duration()).await;
-        };
+        let map = self.wait_for_map().await;
         let home = map.cell_of_entry(&self.id.name);
         log::info!("event=cell-map-loaded count={} home={home}", map.cell_count());
         let view =
@@ -89,87 +77,101 @@
         for view in &views {
             view.follow();
         }
+        self.metrics.has_map.set(1);
         self.cells.send_replace(Some(Arc::new(Cells { map, views })));
+        self.follow_owners().await;
     }
 
-    /// Reads the map, or writes it if there is none. Returns `None` if the map has to be read
-    /// again, because the workers are not counted yet, or because this or another entry has just
-    /// written it.
-    async fn load_or_create_map(
-        &self,
-        worker_count: &mut WorkerCount,
-    ) -> Result<Option<CellMap>, StoreError> {
-        let (map, end) = self.read_map().await?;
-        if map.is_some() || self.policy.borrow().version == 0 {
-            return Ok(map);
-        }
-        let (listed, _) = self.list_workers().await?;
-        if !worker_count.is_complete(listed.len()) {
-            if std::mem::take(&mut worker_count.delay_pending) {
-                tokio::time::sleep(self.start_delay()).await;
+    /// Reads the map until there is one. Logs what the entry waits for while that takes long.
+    async fn wait_for_map(&self) -> CellMap {
+        let mut writer = MapWriter::new(&self.id.name, self.now());
+        let mut log_timer = WaitLogTimer::new(self.now(), FIRST_LOG_DELAY);
+        let mut backoff = Backoff::default();
+        loop {
+            let result = self.find_map(&mut writer).await;
+            if let Ok(Some(map)) = result {
+                return map;
+            }
+            if log_timer.is_due(self.now()) {
+                let counter = writer.counter().map_or("none", |name| name);
+                log::warn!(
+                    "event=cell-map-missing waited_ms={} counter={counter} policy={} error={:?}",
+                    self.now().since(log_timer.since),
+                    self.policy.borrow().version,
+                    result.as_ref().err()
+                );
+            }
+            match result {
+                Ok(_) => backoff.record_success(),
+                Err(err) => {
+                    log::debug!("event=cell-map-read-failed error={err:?}");
+                    let delay = backoff.next_delay(0, self.seed());
+                    tokio::time::sleep(delay.duration()).await;
+                }
             }
-            tokio::time::sleep(COUNT_INTERVAL.duration()).await;
-            return Ok(None);
-        }
-        let map = CellMap::new(&listed, self.settings.min_workers);
-        let bytes = postcard::to_stdvec(&map);
-        let bytes = bytes.map_err(|err| StoreError::Malformed(err.to_string()))?;
-        let mut body = BytesMut::new();
-        encode_keyed(&mut body, MAP_KEY, &bytes);
-        let cells = map.cell_count();
-        match self
-            .store
-            .append(MAP_PART, Precondition::End(end), body.freeze(), WRITE_TIMEOUT)
-            .await
-        {
-            Ok(_) => log::info!("event=cell-map-written cells={cells} workers={}", listed.len()),
-            Err(err) => log::info!("event=cell-map-write-failed cells={cells} error={err:?}"),
         }
-        Ok(None)
-    }
-
-    /// The delay of this entry, between zero and [`MAX_START_DELAY`], by the hash of its name.
-    fn start_delay(&self) -> Duration {
-        let part = hash(&[self.id.name.as_bytes()]) as f64 / u64::MAX as f64;
-        MAX_START_DELAY.mul_f64(part.powf(START_DELAY_EXPONENT))
     }
 
-    /// Reads the map, if there is one. Also returns the end offset of its topic.
-    async fn read_map(&self) -> Result<(Option<CellMap>, u64), StoreError> {
+    /// Reads the topic of the map, then takes one step towards the map. Returns `None` if the topic
+    /// has to be read again.
+    async fn find_map(&self, writer: &mut MapWriter) -> Result<Option<CellMap>, StoreError> {
         let (items, end) = self.store.latest_all(MAP_PART, READ_TIMEOUT).await?;
-        let Some(item) = items.iter().find(|item| *item.key == *MAP_KEY) else {
-            return Ok((None, end));
-        };
-        match postcard::from_bytes(&item.value) {
-            Ok(map) => Ok((Some(map), end)),
-            Err(err) => {
-                Err(StoreError::Malformed(format!("the map of cells cannot be decoded: {err}")))
+        let value = |key: &str| items.iter().find(|item| *item.key == *key).map(|item| &item.value);
+        if let Some(bytes) = value(MAP_KEY) {
+            return postcard::from_bytes(bytes).map(Some).map_err(|err| {
+                StoreError::Malformed(format!("the map of cells cannot be decoded: {err}"))
+            });
+        }
+        if let Some(counter) = value(COUNTER_KEY) {
+            writer.record_announcement(self.now(), end, &String::from_utf8_lossy(counter));
+        }
+        // Workers are counted once the operators' policy names their services.
+        let has_policy = self.policy.borrow().version > 0;
+        match writer.next_step(self.now()) {
+            MapStep::Announce if has_policy => {
+                self.append_to_map(end, COUNTER_KEY, self.id.name.as_bytes()).await?;
+                log::info!("event=cell-map-counter entry={} end={end}", self.id.name);
             }
+            MapStep::Count if has_policy => self.count_workers(writer, end).await?,
+            MapStep::Wait(until) => self.wait_for_record(end, until - self.now()).await?,
+            _ => self.wait_for_record(end, COUNT_POLL).await?,
         }
+        Ok(None)
     }
-}
 
-/// Repeated counts of the registered workers.
-#[derive(Debug)]
-struct WorkerCount {
-    last: usize,
-    attempts: u32,
-    /// The delay after the first count is still to come.
-    delay_pending: bool,
-}
+    /// Waits until the topic of the map gets a record, for `wait` at the most.
+    async fn wait_for_record(&self, end: u64, wait: Millis) -> Result<(), StoreError> {
+        let wait = wait.min(MAX_WAIT);
+        self.store.read(MAP_PART, end, wait, wait + READ_TIMEOUT).await.map(drop)
+    }
 
-impl WorkerCount {
-    fn new() -> Self {
-        Self { last: 0, attempts: 0, delay_pending: true }
+    /// Counts the workers and writes the map, or announces the next count if they are not complete.
+    async fn count_workers(&self, writer: &mut MapWriter, end: u64) -> Result<(), StoreError> {
+        let (listed, _) = self.list_workers().await?;
+        if !writer.record_count(self.now(), listed.len()) {
+            return self.append_to_map(end, COUNTER_KEY, self.id.name.as_bytes()).await;
+        }
+        let map = CellMap::new(&listed, self.settings.min_workers);
+        let bytes = postcard::to_stdvec(&map);
+        let bytes = bytes.map_err(|err| StoreError::Malformed(err.to_string()))?;
+        let cells = map.cell_count();
+        let written = self.append_to_map(end, MAP_KEY, &bytes).await;
+        match &written {
+            Ok(()) => log::info!("event=cell-map-written cells={cells} workers={}", listed.len()),
+            Err(err) => log::info!("event=cell-map-write-failed cells={cells} error={err:?}"),
+        }
+        written
     }
 
-    /// Whether the workers seem complete: the count has not changed, or the attempts are used up.
-    fn is_complete(&mut self, count: usize) -> bool {
-        let is_unchanged = std::mem::replace(&mut self.last, count) == count;
-        if count == 0 {
-            return false;
+    /// Appends a record to the topic of the map if that ends at `end`. The topic has to be read again
+    /// if another entry came first.
+    async fn append_to_map(&self, end: u64, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let mut body = BytesMut::new();
+        encode_keyed(&mut body, key, value);
+        let body = body.freeze();
+        match self.store.append(MAP_PART, Precondition::End(end), body, WRITE_TIMEOUT).await {
+            Ok(_) | Err(StoreError::EndMismatch(_)) => Ok(()),
+            Err(err) => Err(err),
         }
-        self.attempts += 1;
-        is_unchanged || self.attempts >= MAX_COUNTS
     }
 }
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -1,6 +1,7 @@
 //! The claims on a cell in the platform's log: reading them, claiming the cell, and sending
 //! heartbeats as its owner.
 
+use crate::cell::owner::backoff::Backoff;
 use crate::cell::owner::election::{ElectionRecord, HEARTBEAT_INTERVAL, Leader};
 use crate::clock::Millis;
 use crate::id::hash;
@@ -24,6 +25,11 @@
 /// down hang, and a store that is 60 times slower than usual answers within 240 ms. With the usual
 /// timeouts entries would notice late that the store is back.
 const PROBE_TIMEOUT: Millis = Millis(450);
+/// The number of entries from which on the reads of heartbeats by small entries are worth saving.
+const MIN_LARGE_FLEET: u32 = 100;
+/// The time between two reads of the claims by a small entry. With the time of a read it stays below
+/// that from which a log counts as not read, also if the store is 60 times slower than usual.
+const SMALL_ENTRY_PAUSE: Millis = Millis(700);
 /// Time between two checks of whether to claim the cell, without the jitter.
 const CLAIM_INTERVAL: Millis = Millis(150);
 /// How much later an entry claims a free cell that is not its home. It is the time that a small
@@ -39,6 +45,7 @@
     /// Reads the claims on the cell, and keeps the current owner up to date.
     pub(super) async fn follow_claims(self: Arc<Self>) {
         let mut reachable = true;
+        let mut backoff = Backoff::default();
         let mut follows_claims = self.follows_claims.subscribe();
         while follows_claims.wait_for(|follows_claims| *follows_claims).await.is_ok() {
             let (wait, timeout) = match reachable {
@@ -50,17 +57,30 @@
                     if !std::mem::replace(&mut reachable, true) {
                         log::info!("event=log-readable cell={}", self.cell);
                     }
+                    backoff.record_success();
+                    tokio::time::sleep(self.claims_pause().duration()).await;
                 }
                 Err(err) => {
                     if std::mem::replace(&mut reachable, false) {
                         log::info!("event=log-unreadable cell={} error={err:?}", self.cell);
                     }
-                    tokio::time::sleep(STORE_RETRY_DELAY.duration()).await;
+                    let delay = backoff.next_delay(self.node.entry_count(), self.node.seed());
+                    tokio::time::sleep(delay.duration()).await;
                 }
             }
         }
     }
 
+    /// The time between two reads of the claims. In a large fleet, most entries are too small to be
+    /// the next owner while there are larger ones, and read several heartbeats at once.
+    fn claims_pause(&self) -> Millis {
+        let is_late = lock(&self.election).claims_late();
+        match self.node.entry_count() >= MIN_LARGE_FLEET && is_late {
+            true => SMALL_ENTRY_PAUSE,
+            false => Millis(0),
+        }
+    }
+
     /// Reads new records once, waiting up to `wait` for the first one.
     async fn read_claims(&self, wait: Millis, timeout: Millis) -> Result<(), StoreError> {
         let from = lock(&self.election).next_offset();
@@ -99,7 +119,7 @@
     }
 
     /// Publishes the owner by the last claim. Ends an ownership here that it supersedes.
-    fn set_leader(&self, leader: Option<Leader>) {
+    pub(super) fn set_leader(&self, leader: Option<Leader>) {
         let changed = self.leader.send_if_modified(|current| {
             let changed = *current != leader;
             if changed {
@@ -147,6 +167,7 @@
                     self.node.metrics.takeovers.inc();
                     tokio::spawn(self.clone().run_owner(epoch));
                     tokio::spawn(self.clone().send_heartbeats(epoch));
+                    tokio::spawn(self.clone().announce_owner(epoch));
                 }
                 Some(_) => {}
                 None => self.claim().await,
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -168,7 +168,7 @@
                 },
             }
             self.connection.send_replace(None);
-            self.set_follows_claims(true);
+            self.lose_owner();
         }
     }
 
--- a/src/node/job_call.rs
+++ b/src/node/job_call.rs
@@ -22,7 +22,7 @@
 /// A caller's request about one job.
 pub(super) struct JobCall<'a> {
     /// The home cell of the job.
-    pub view: &'a CellView,
+    pub view: &'a Arc<CellView>,
     pub policy: &'a Policy,
     pub route: &'a Route,
     pub job: JobKey,
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -34,6 +34,8 @@
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
+    /// Whether this entry has the map of cells.
+    pub has_map: IntGauge,
     /// Failure domains that the operators drain.
     pub drained_domains: IntGauge,
 }
@@ -88,6 +90,10 @@
                 "sprucerudder_waits_expired",
                 "Waits that a deadline ended and not the event, since the takeover",
             )?,
+            has_map: gauge(
+                "sprucerudder_map_loaded",
+                "Whether the map of cells is loaded, without which an entry serves nobody",
+            )?,
             admission_limit: gauge(
                 "sprucerudder_admission_limit",
                 "Tasks a second that an overloaded owner accepts; 0 without a limit",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,13 +10,16 @@
 mod metrics;
 mod msg;
 mod owner;
+mod owners;
+mod pages;
 mod policy;
 mod stop;
 mod view;
 
 use crate::cell::owner::log_reports::LogHistory;
+use crate::cell::workers::shared_list::SharedList;
 use crate::clock::{Clock, Millis};
-use crate::id::{EntryId, Name};
+use crate::id::{EntryId, Name, hash};
 use crate::order::ClearedWorkers;
 use crate::platform::advice::AdviceClient;
 use crate::platform::config::Policy;
@@ -71,6 +74,9 @@
     drained_domains: watch::Sender<Arc<BTreeSet<Name>>>,
     /// The cells. `None` until the map that assigns workers to them is loaded.
     cells: watch::Sender<Option<Arc<Cells>>>,
+    /// The list of all workers, if this entry reads it for the owners of all cells. Each reading
+    /// publishes it anew.
+    worker_list: watch::Sender<Option<Arc<SharedList>>>,
     /// A planned stop has begun.
     stopping: AtomicBool,
     /// When this process last told an owner that the log cannot be read.
@@ -110,6 +116,7 @@
             policy_read_at: Mutex::default(),
             drained_domains: watch::channel(Arc::default()).0,
             cells: watch::channel(None).0,
+            worker_list: watch::channel(None).0,
             stopping: AtomicBool::new(false),
             clock,
             http,
@@ -161,6 +168,18 @@
         RUN_LEASE.min(self.settings.max_lease)
     }
 
+    /// A number that differs from entry to entry, to spread what all of them do.
+    fn seed(&self) -> u64 {
+        hash(&[self.id.name.as_bytes()])
+    }
+
+    /// The number of entries by what the owners of the cells told; 0 if none has.
+    fn entry_count(&self) -> u32 {
+        let cells = self.cells();
+        let counts = cells.iter().flat_map(|cells| &cells.views);
+        counts.map(|view| view.entry_count.load(Ordering::Relaxed)).max().unwrap_or(0)
+    }
+
     fn policy(&self) -> Arc<Policy> {
         self.policy.borrow().clone()
     }
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -4,6 +4,7 @@
 use crate::cell::JobState;
 use crate::cell::owner::balance::ServiceLoad;
 use crate::cell::owner::log_reports::LogReport;
+use crate::cell::workers::shared_list::{ListUpdate, ListVersion};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::ClearedWorkers;
@@ -41,6 +42,9 @@
     Pending { queue: Name },
     /// The cell to which the receiver forwarded a job has forgotten that job.
     Forget { job: JobKey },
+    /// The owner of a cell asks the one that reads the list of workers for the next change of the
+    /// list of its cell. `known`: the state of the list that it knows; `None` asks for the whole list.
+    FollowWorkers { cell: u32, known: Option<ListVersion> },
     /// Answers [`OwnerMessage::ProbeLog`]: whether the sender could read the platform's log.
     LogProbed { readable: bool },
     /// Answers [`OwnerMessage::AskAdvice`] about the candidate workers. `None`: the advice service
@@ -55,7 +59,7 @@
             Self::Submit { .. } | Self::State { .. } => true,
             Self::Cancel { .. } | Self::Pending { .. } => true,
             Self::Hello { .. } | Self::Ping { .. } | Self::LogProbed { .. } => false,
-            Self::Forget { .. } | Self::Advice { .. } => false,
+            Self::Forget { .. } | Self::Advice { .. } | Self::FollowWorkers { .. } => false,
         }
     }
 }
@@ -84,6 +88,8 @@
     Cancelled(bool),
     /// The number of waiting jobs.
     Pending(u32),
+    /// What the next reading of the list of workers changed.
+    Workers(ListUpdate),
     /// Asks the entry to read the platform's log and to tell whether that works. Not an answer.
     ProbeLog,
     /// The sender has given up the cell but cannot write that to the log. Not an answer.
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -3,6 +3,7 @@
 
 mod forward;
 mod history;
+mod list;
 mod store;
 mod transfer;
 mod workers;
@@ -172,6 +173,7 @@
             () = self.clone().write_batches() => {}
             () = self.clone().tick() => {}
             () = self.clone().follow_workers() => {}
+            () = self.clone().publish_workers() => {}
             () = self.clone().follow_policy() => {}
             () = self.clone().follow_drained_domains() => {}
             () = self.clone().watch_for_transfer() => {}
@@ -467,6 +469,7 @@
                 self.write_wake.notify_one();
                 OwnerMessage::Ack
             }
+            EntryMessage::FollowWorkers { cell, known } => self.next_list_update(cell, known).await,
             EntryMessage::State { job, workspace } => {
                 let cell = lock(&self.cell);
                 let is_visible = cell.is_visible(job, workspace.as_ref());
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -82,7 +82,7 @@
             Ok(_) | Err(StoreError::OutOfSequence) => {}
             Err(err) => return Err(err),
         }
-        let (items, _) = store.latest_all(part, READ_TIMEOUT).await?;
+        let (items, _) = self.node.read_latest(part, READ_TIMEOUT).await?;
         let mut snapshot = Snapshot::default();
         for item in items {
             if let Err(err) = snapshot.apply(&item.key, &item.value) {
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -1,6 +1,7 @@
 //! Follows the list of workers, asks workers for reports and sends them orders.
 
 use crate::cell::Action;
+use crate::cell::workers::shared_list::ListVersion;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::owner::Owner;
@@ -15,12 +16,12 @@
 use tokio::sync::Semaphore;
 
 /// The partition in which workers register themselves.
-const WORKERS_PART: Partition<'static> = Partition { topic: worker::TOPIC, index: 0 };
+pub(super) const WORKERS_PART: Partition<'static> = Partition { topic: worker::TOPIC, index: 0 };
 /// Time between two reads of the list of workers. The reads don't wait for the next record: every
 /// worker rewrites its own every 1.5 s, so such a wait would end at once.
-const LIST_READ_INTERVAL: Millis = Millis(400);
+pub(super) const LIST_READ_INTERVAL: Millis = Millis(400);
 /// Time between two reads of the whole list, which show the workers whose records were removed.
-const FULL_LIST_INTERVAL: Millis = Millis(5_000);
+pub(super) const FULL_LIST_INTERVAL: Millis = Millis(5_000);
 /// How long a worker holds back a report until a run ends. If the answer is lost, the owner learns
 /// of ended runs at least this much later; a shorter time costs more reports.
 const REPORT_WAIT: Millis = Millis(800);
@@ -43,16 +44,41 @@
     Arc::new(Semaphore::new(MAX_WORKER_ORDERS))
 }
 
+/// The list of a cell's workers, as its owner knows it.
+#[derive(Debug, Default)]
+pub(super) struct KnownList {
+    pub workers: HashMap<Name, WorkerInfo>,
+    /// The offset of the log from which to read on.
+    pub next_offset: u64,
+    /// The state of the list by the owner that reads it for all; `None` if this one read it itself.
+    pub version: Option<ListVersion>,
+    /// When the whole list was last read; 0 if it has to be read now.
+    pub read_all_at: Millis,
+    /// When the list was last passed to the cell.
+    pub applied_at: Millis,
+    /// The owner that reads the list for all cells gave the last update.
+    pub is_followed: bool,
+    /// Until when that owner is not asked, because it did not answer.
+    pub retry_at: Millis,
+}
+
+impl KnownList {
+    /// Whether the whole list has to be read.
+    pub fn is_whole_due(&self, now: Millis) -> bool {
+        self.read_all_at == Millis(0) || now.since(self.read_all_at) >= FULL_LIST_INTERVAL
+    }
+}
+
 impl Node {
     /// Reads the whole list of workers. Also returns the end offset of the list.
     pub(in crate::node) async fn list_workers(&self) -> Result<(Vec<WorkerInfo>, u64), StoreError> {
-        let (items, end) = self.store.latest_all(WORKERS_PART, READ_TIMEOUT).await?;
+        let (items, end) = self.read_latest(WORKERS_PART, READ_TIMEOUT).await?;
         let items = items.into_iter().filter(|item| !item.value.is_empty());
         Ok((items.filter_map(|item| parse_worker(item.key, &item.value)).collect(), end))
     }
 }
 
-fn parse_worker(id: Name, value: &[u8]) -> Option<WorkerInfo> {
+pub(super) fn parse_worker(id: Name, value: &[u8]) -> Option<WorkerInfo> {
     match worker::parse_worker_entry(id.clone(), value) {
         Ok(listed) => Some(listed),
         Err(err) => {
@@ -71,7 +97,7 @@
     }
 
     /// Whether a worker belongs to this cell and to a service that is in the policy.
-    fn contains(&self, worker: &WorkerInfo) -> bool {
+    pub(super) fn contains(&self, worker: &WorkerInfo) -> bool {
         let is_named = self.node.policy.borrow().services.contains(&worker.service);
         let cells = self.node.cells();
         is_named && cells.is_none_or(|cells| cells.map.cell_of_worker(worker) == self.cell)
@@ -205,42 +231,54 @@
 
     /// Keeps the cell's list of workers up to date.
     pub(super) async fn follow_workers(self: Arc<Self>) {
-        let mut known: HashMap<Name, WorkerInfo> = HashMap::new();
-        let mut next_offset = 0;
-        let mut read_all_at = Millis(0);
+        let mut known = KnownList::default();
         loop {
-            let now = self.node.now();
             let pauses = self.node.clock.pause_count();
-            let result = if read_all_at == Millis(0) || now.since(read_all_at) >= FULL_LIST_INTERVAL
-            {
-                self.view.list_workers().await.map(|(listed, end)| {
-                    (read_all_at, next_offset) = (now, end);
-                    known = listed.into_iter().map(|worker| (worker.id.clone(), worker)).collect();
-                    true
-                })
-            } else {
-                self.read_changes(&mut known, &mut next_offset).await
+            let result = match self.follow_reader(&mut known).await {
+                Some(changed) => Ok(changed),
+                None => self.read_list(&mut known).await,
             };
             self.check_for_pause(self.node.now());
             match result {
                 // The list may have been read before the pause, so the whole of it is read again.
                 _ if self.node.clock.pause_count() != pauses => {
-                    read_all_at = Millis(0);
+                    known.read_all_at = Millis(0);
                     continue;
                 }
-                Ok(true) => {
-                    lock(&self.cell)
-                        .set_workers(self.node.now(), known.values().cloned().collect());
-                    self.schedule_wake.notify_one();
+                Ok(changed) => {
+                    let now = self.node.now();
+                    // The policy may name other services since.
+                    if changed || now.since(known.applied_at) >= FULL_LIST_INTERVAL {
+                        known.applied_at = now;
+                        let listed =
+                            known.workers.values().filter(|worker| self.view.contains(worker));
+                        lock(&self.cell).set_workers(now, listed.cloned().collect());
+                        self.schedule_wake.notify_one();
+                    }
                 }
-                Ok(false) => {}
                 Err(err) => {
-                    read_all_at = Millis(0);
+                    known.read_all_at = Millis(0);
                     log::debug!("event=worker-list-read-failed error={err:?}");
                 }
             }
-            tokio::time::sleep(LIST_READ_INTERVAL.duration()).await;
+            if !known.is_followed {
+                tokio::time::sleep(LIST_READ_INTERVAL.duration()).await;
+            }
+        }
+    }
+
+    /// Reads the list from the store: what changed, or from time to time the whole of it. Returns
+    /// whether that changes the list.
+    async fn read_list(&self, known: &mut KnownList) -> Result<bool, StoreError> {
+        let now = self.node.now();
+        let was_followed = known.version.take().is_some();
+        if !was_followed && !known.is_whole_due(now) {
+            return self.read_changes(&mut known.workers, &mut known.next_offset).await;
         }
+        let (listed, end) = self.view.list_workers().await?;
+        (known.read_all_at, known.next_offset) = (now, end);
+        known.workers = listed.into_iter().map(|worker| (worker.id.clone(), worker)).collect();
+        Ok(true)
     }
 
     /// Reads the records that workers wrote since `next_offset`. Returns whether they change the
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -1,8 +1,9 @@
 //! Follows the operators' policy in the platform's store, and the failure domains that they drain.
 
+use crate::cell::owner::backoff::Backoff;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::node::{Node, STORE_RETRY_DELAY, lock};
+use crate::node::{Node, lock};
 use crate::platform::config::{KEY, Policy, TOPIC, drained_domain};
 use crate::platform::store::{Partition, StoreError, decode_keyed};
 use std::collections::BTreeSet;
@@ -10,16 +11,22 @@
 
 /// The partition with the operators' records.
 const POLICY_PART: Partition<'static> = Partition { topic: TOPIC, index: 0 };
-/// How long a read waits for the next record of the operators. A dead connection is noticed within
-/// this time, and a change of the policy has to be in force within two seconds.
-const READ_WAIT: Millis = Millis(1_000);
-/// How much longer than [`READ_WAIT`] the answer to a read may take.
+/// How long a read waits for the next record of the operators at the most. A call with an unknown
+/// key is denied only with a policy that is hardly older than that.
+const MAX_READ_WAIT: Millis = Millis(2_000);
+/// A dead connection is noticed within the time of a read, and then the policy is read again: both
+/// have to fit into the bound on when a change is in force.
+const READS_PER_BOUND: u64 = 2;
+/// How much longer than the wait the answer to a read may take.
 const READ_MARGIN: Millis = Millis(500);
+/// Timeout of reading the newest policy.
+const READ_TIMEOUT: Millis = Millis(1_500);
 
 impl Node {
     /// Keeps the policy at the newest version that the operators have published.
     pub(super) async fn follow_policy(self: Arc<Self>) {
         let mut next_offset = None;
+        let mut backoff = Backoff::default();
         loop {
             let result = match next_offset {
                 None => self.read_policy().await,
@@ -29,12 +36,14 @@
                 Ok(end) => {
                     *lock(&self.policy_read_at) = self.now();
                     next_offset = Some(end);
+                    backoff.record_success();
                 }
                 Err(StoreError::Gone(_)) => next_offset = None,
                 Err(err) => {
                     log::debug!("event=policy-read-failed error={err:?}");
                     next_offset = None;
-                    tokio::time::sleep(STORE_RETRY_DELAY.duration()).await;
+                    let delay = backoff.next_delay(self.entry_count(), self.seed());
+                    tokio::time::sleep(delay.duration()).await;
                 }
             }
         }
@@ -42,7 +51,7 @@
 
     /// Reads the newest policy. Returns the offset from which to read on.
     async fn read_policy(&self) -> Result<u64, StoreError> {
-        let (items, end) = self.store.latest_all(POLICY_PART, READ_WAIT + READ_MARGIN).await?;
+        let (items, end) = self.store.latest_all(POLICY_PART, READ_TIMEOUT).await?;
         // Set before the policy, because an entry with a policy may own a cell.
         let kept = items.iter().filter(|item| !item.value.is_empty());
         self.set_drained(kept.filter_map(|item| drained_domain(&item.key)).collect());
@@ -54,8 +63,8 @@
 
     /// Waits for the next records of the operators. Returns the offset from which to read on.
     async fn wait_for_policy(&self, from: u64) -> Result<u64, StoreError> {
-        let timeout = READ_WAIT + READ_MARGIN;
-        let read = self.store.read(POLICY_PART, from, READ_WAIT, timeout).await?;
+        let wait = Millis(self.settings.policy_bound.0 / READS_PER_BOUND).min(MAX_READ_WAIT);
+        let read = self.store.read(POLICY_PART, from, wait, wait + READ_MARGIN).await?;
         let end = read.records.last().map_or(from, |(offset, _)| offset + 1);
         let keyed: Vec<_> =
             read.records.iter().filter_map(|(_, record)| decode_keyed(record)).collect();
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -11,7 +11,7 @@
 use crate::node::{Node, lock};
 use crate::platform::store::Partition;
 use crate::workload::JobKey;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, watch};
 
@@ -20,6 +20,9 @@
 const SEND_TIMEOUT: Millis = Millis(1_500);
 /// How long the load that an owner last reported may be used: three intervals between its reports.
 const LOAD_MAX_AGE: Millis = Millis(2_000);
+/// How long the owner of a cell that is not the home cell is not heard before its claims are read:
+/// longer than the entries of that cell take to replace it.
+const FOREIGN_FOLLOW_DELAY: Millis = Millis(3_000);
 /// Delay before a request is retried.
 const REQUEST_RETRY_DELAY: Millis = Millis(25);
 
@@ -35,8 +38,9 @@
 /// A cell as one entry sees it.
 ///
 /// Every entry can send requests to the owner of every cell. It always follows the claims on its
-/// home cell, and those on another cell only while it does not hear from that cell's owner: with
-/// many cells and entries, reading all heartbeats would take more calls than the store can serve.
+/// home cell, and those on another cell only once it has not heard from that cell's owner for a
+/// while: with many cells and entries, reading all heartbeats would take more calls than the store
+/// can serve.
 #[derive(Debug)]
 pub(super) struct CellView {
     pub node: Arc<Node>,
@@ -63,6 +67,8 @@
     pub entry_count: AtomicU32,
     /// Whether the claims on the cell are read.
     pub follows_claims: watch::Sender<bool>,
+    /// Whether the claims will be read unless the owner is heard before.
+    follow_pending: AtomicBool,
 }
 
 impl CellView {
@@ -82,7 +88,8 @@
             ended_epoch: AtomicU64::new(0),
             loads: Mutex::default(),
             entry_count: AtomicU32::new(0),
-            follows_claims: watch::channel(true).0,
+            follows_claims: watch::channel(is_home).0,
+            follow_pending: AtomicBool::new(false),
         }
     }
 
@@ -91,6 +98,7 @@
         tokio::spawn(self.clone().follow_claims());
         tokio::spawn(self.clone().campaign());
         tokio::spawn(self.clone().keep_connection());
+        self.lose_owner();
     }
 
     /// The time since this process started.
@@ -160,6 +168,24 @@
         }
     }
 
+    /// Reads the claims on the cell because its owner is not heard: at once on the home cell, and on
+    /// others if the owner is still not heard after [`FOREIGN_FOLLOW_DELAY`].
+    pub fn lose_owner(self: &Arc<Self>) {
+        if self.is_home || self.follow_pending.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let view = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(FOREIGN_FOLLOW_DELAY.duration()).await;
+            view.follow_pending.store(false, Ordering::Relaxed);
+            let connection = view.connection.borrow().clone();
+            let is_heard = connection.is_some_and(|connection| connection.is_live(view.now()));
+            if !is_heard && view.local_owner().is_none() {
+                view.set_follows_claims(true);
+            }
+        });
+    }
+
     /// Starts or stops reading the claims on the cell. Those on the home cell are always read. An
     /// owner reads the claims on its cell too, because only messages of another owner stop the
     /// reading.
@@ -180,7 +206,7 @@
     /// Sends a request to the owner of the cell, and again if the owner changes, until it is
     /// answered or `deadline` has passed.
     pub async fn request(
-        &self,
+        self: &Arc<Self>,
         message: EntryMessage,
         deadline: Millis,
     ) -> Result<OwnerMessage, RequestError> {
@@ -216,7 +242,10 @@
     }
 
     /// Sends a request once, to the owner as it is known now.
-    async fn request_once(&self, message: EntryMessage) -> Result<OwnerMessage, ConnectionError> {
+    pub async fn request_once(
+        self: &Arc<Self>,
+        message: EntryMessage,
+    ) -> Result<OwnerMessage, ConnectionError> {
         if let Some(owner) = self.local_owner() {
             return Ok(owner.handle_request(&self.node.id.name, message).await);
         }
@@ -235,13 +264,13 @@
     /// Like [`OwnerConnection::check_owner`]. If the owner does not answer, also starts reading the
     /// claims, because it may be lost.
     async fn check_owner(
-        &self,
+        self: &Arc<Self>,
         connection: &OwnerConnection,
         job: JobKey,
     ) -> Result<(), ConnectionError> {
         let checked = connection.check_owner(job).await;
         if checked.is_err() {
-            self.set_follows_claims(true);
+            self.lose_owner();
         }
         checked
     }
--- a/src/order.rs
+++ b/src/order.rs
@@ -58,7 +58,7 @@
 }
 
 /// A worker's registration in the platform's list of workers.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerInfo {
     /// Worker id. A restarted worker may keep it.
     pub id: Name,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -56,6 +56,12 @@
     hold_max_ms: u64,
     status_s: f64,
     grace_s: f64,
+    #[serde(default = "default_config_ms")]
+    config_ms: u64,
+}
+
+fn default_config_ms() -> u64 {
+    2_000
 }
 
 #[derive(Debug, Deserialize)]
@@ -114,6 +120,8 @@
     pub max_lease: Millis,
     /// How long the state of a finished job can be queried.
     pub job_retention: Millis,
+    /// The time within which a change of the policy has to be in force.
+    pub policy_bound: Millis,
     /// The time between the request to stop and the forced end of the process.
     pub stop_grace: Millis,
     /// Mechanisms that are disabled. Not read from the file.
@@ -170,6 +178,7 @@
                 as u32,
             max_lease: Millis(raw.bounds.hold_max_ms),
             job_retention: seconds(raw.bounds.status_s),
+            policy_bound: Millis(raw.bounds.config_ms),
             stop_grace: seconds(raw.bounds.grace_s),
         })
     }
