Reserve room for several gangs at once, up to an eighth of a service's cores

Change: each gang that has waited for 2 s gets all that it needs, beside what is reserved for more urgent ones, or nothing, while less than one in eight cores of the service is reserved so.

--- a/src/cell/placing/gang.rs
+++ b/src/cell/placing/gang.rs
@@ -8,6 +8,7 @@
 use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::{Candidate, UnplacedTasks};
+use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, Step, StepKey};
@@ -15,6 +16,9 @@
 /// How long a gang waits, from when it became ready, before resources are reserved for it. Most gangs find enough free
 /// resources within this time, and reserved resources stay idle.
 const MIN_GANG_WAIT: Millis = Millis(2_000);
+/// Resources are reserved for another gang only while less than one in this many cores of the service is reserved for
+/// gangs: what is reserved stays idle until all of it is free.
+const RESERVED_DIVISOR: u64 = 8;
 /// How long a reservation for a gang lasts. The workers are then chosen again, since some may have been lost.
 const RESERVATION_TIME: Millis = Millis(1_500);
 
@@ -29,8 +33,8 @@
 
 impl Cell {
     /// Reserves resources for all unplaced tasks of a gang, so that less urgent tasks can't take them. Prefers the
-    /// cleared workers on which most of its tasks fit. Reserves for one gang at a time, since two could block each
-    /// other.
+    /// cleared workers on which most of its tasks fit. Several gangs can't block each other: each gets all that it
+    /// needs, beside what is reserved for more urgent ones, or nothing.
     pub(in crate::cell) fn reserve_for_gang(
         &mut self,
         now: Millis,
@@ -41,7 +45,10 @@
         let gang_rank = queue_rank(job);
         let is_early = !job.has_waited(now, key, MIN_GANG_WAIT);
         let is_disabled = self.config.disabled.contains(Mechanism::GatherForGangs);
-        if !spec.is_gang || is_disabled || is_early || self.reservations.has_gang() {
+        if !spec.is_gang || is_disabled || is_early || self.reservations.has_gang(key) {
+            return;
+        }
+        if self.is_enough_reserved(&job.queue.service) {
             return;
         }
         let charge = spec.charged_resources();
@@ -77,6 +84,17 @@
         }
     }
 
+    /// Whether no resources are reserved for a further gang of a service.
+    fn is_enough_reserved(&self, service: &Name) -> bool {
+        let of_service = |worker: &Worker| worker.listed.service == *service;
+        let workers = self.workers.values().filter(|worker| of_service(worker));
+        let total: u64 = workers.map(|worker| worker.listed.capacity.cpu).sum();
+        let reserved = self
+            .reservations
+            .reserved_for_gangs(|name| self.workers.get(name).is_some_and(of_service));
+        reserved.cpu > 0 && reserved.cpu * RESERVED_DIVISOR >= total
+    }
+
     /// Counts the gang's tasks that fit on a worker now and once other runs have ended.
     fn gang_capacity(
         &self,
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -31,8 +31,8 @@
     exclusive: HashMap<StepKey, Millis>,
     /// Steps with reservations that tasks which can be stopped may use, and when these expire.
     shared: HashMap<StepKey, Millis>,
-    /// The gang for which resources are reserved before they are all free, and when its reservations expire.
-    gang: Option<(StepKey, Millis)>,
+    /// Gangs for which resources are reserved before they are all free, and when the reservations expire.
+    gangs: HashMap<StepKey, Millis>,
 }
 
 impl Reservations {
@@ -72,20 +72,26 @@
         until: Millis,
     ) {
         self.insert(worker, Reservation { step, rank, room, until, is_shared: false });
-        self.gang = Some((step, until));
+        self.gangs.insert(step, until);
     }
 
     /// Whether resources on a worker are reserved for a gang of another step.
     pub fn has_gang_at(&self, worker: &Name, step: StepKey) -> bool {
-        let Some((gang, _)) = self.gang.filter(|(gang, _)| *gang != step) else { return false };
-        self.by_worker.get(worker).is_some_and(|reservations| {
-            reservations.iter().any(|reservation| reservation.step == gang)
-        })
+        let reservations = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
+        reservations.iter().any(|other| other.step != step && self.has_gang(other.step))
+    }
+
+    /// Whether resources are reserved for a gang before they are all free.
+    pub fn has_gang(&self, step: StepKey) -> bool {
+        self.gangs.contains_key(&step)
     }
 
-    /// Whether resources are reserved for a gang.
-    pub fn has_gang(&self) -> bool {
-        self.gang.is_some()
+    /// The resources that are reserved for gangs on workers for which `is_wanted` holds.
+    pub fn reserved_for_gangs(&self, is_wanted: impl Fn(&Name) -> bool) -> Resources {
+        let wanted = self.by_worker.iter().filter(|(worker, _)| is_wanted(worker));
+        let reservations = wanted.flat_map(|(_, reservations)| reservations);
+        let of_gangs = reservations.filter(|reservation| self.has_gang(reservation.step));
+        of_gangs.fold(Resources::default(), |sum, reservation| sum.plus(&reservation.room))
     }
 
     fn insert(&mut self, worker: &Name, reservation: Reservation) {
@@ -119,8 +125,7 @@
         let others = reservations
             .iter()
             .filter(|reservation| reservation.step != step && reservation.rank <= rank);
-        let is_for_gang =
-            |reservation: &Reservation| self.gang.is_some_and(|(gang, _)| gang == reservation.step);
+        let is_for_gang = |reservation: &Reservation| self.has_gang(reservation.step);
         let is_blocked = |reservation: &&Reservation| match relaxation {
             Relaxation::None => true,
             Relaxation::Partial => !is_for_gang(reservation),
@@ -133,7 +138,7 @@
     /// Removes all reservations of a step.
     pub fn release(&mut self, step: StepKey) {
         let shared = self.shared.remove(&step);
-        let gang = self.gang.take_if(|(gang, _)| *gang == step).map(|(_, until)| until);
+        let gang = self.gangs.remove(&step);
         if self.exclusive.remove(&step).or(shared).or(gang).is_some() {
             self.retain(|reservation| reservation.step != step);
         }
@@ -141,11 +146,12 @@
 
     /// Removes expired reservations; returns whether there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.exclusive.len() + self.shared.len();
+        let count = |kept: &Self| kept.exclusive.len() + kept.shared.len() + kept.gangs.len();
+        let before = count(self);
         self.exclusive.retain(|_, until| now < *until);
         self.shared.retain(|_, until| now < *until);
-        let gang = self.gang.take_if(|(_, until)| now >= *until);
-        let has_expired = self.exclusive.len() + self.shared.len() < before || gang.is_some();
+        self.gangs.retain(|_, until| now < *until);
+        let has_expired = count(self) < before;
         if has_expired {
             self.retain(|reservation| now < reservation.until);
         }
