Stop all runs of a job that ends, also those that its tasks have copies of

Cause: a job that ended stopped only the runs that its tasks were last assigned as. Change: all runs of the job on all workers are stopped. Test: a_cancelled_job_leaves_no_copy_running failed before: one of two runs was stopped. Also: an entry that learns that its earlier process owned a cell that is not its home reads the claims on it at once.

--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -222,7 +222,6 @@
         job.closed = Some((outcome, batch, now));
         let (priority, due) = queue_rank(job);
         let steps = job.step_keys(key);
-        let placed = job.placed_runs(key);
         job.steps = Vec::new();
         for step in steps {
             self.ready_steps.remove(&(priority, due, step));
@@ -232,7 +231,13 @@
         self.dirty_jobs.insert(key);
         self.closed_jobs.push_back(key);
         self.track_unassigned(key);
-        for (worker, task, run) in placed {
+        // A task may have other runs than the one that it is assigned as, such as one that it has a
+        // copy of.
+        let runs_of = |(name, worker): (&Name, &Worker)| -> Vec<(Name, TaskKey, u64)> {
+            worker.runs_of(key).map(|(task, run)| (name.clone(), *task, run.run)).collect()
+        };
+        let runs: Vec<_> = self.workers.iter().flat_map(runs_of).collect();
+        for (worker, task, run) in runs {
             self.stop_run(&worker, task, run);
         }
     }
--- a/src/node/owners.rs
+++ b/src/node/owners.rs
@@ -90,12 +90,17 @@
     /// Notes an owner that another entry than the claims tell of.
     fn learn_owner(&self, leader: Leader) {
         let now = self.now();
-        let leader = {
+        let (leader, is_vacant) = {
             let mut election = lock(&self.election);
             election.learn_leader(now, leader);
-            election.leader().cloned()
+            (election.leader().cloned(), election.is_vacant())
         };
         self.set_leader(leader);
+        // The owner was an earlier process of this entry, which can claim the cell before others
+        // notice that it is gone.
+        if is_vacant {
+            self.set_follows_claims(true);
+        }
     }
 
     /// Announces this entry as the owner of the cell in `epoch`, until that succeeds or another
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -19,7 +19,7 @@
 use sprucerudder::workload::{
     AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey, TaskKey,
 };
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 const LEASE: Millis = Millis(6_000);
@@ -673,6 +673,35 @@
     assert!(cell.take_actions().iter().any(stops), "the run without progress is stopped");
 }
 
+#[test]
+fn a_cancelled_job_leaves_no_copy_running() {
+    // A job that ends stopped only the run that its task was last assigned as. The run that the copy
+    // was made of went on:
+    //  14.011 s to 22.018 s  T run 193273529991, started by the owner: done; cancelled at 16.533 s
+    //  15.943 s to 17.285 s  T run 193273531554, started by the owner: stopped
+    let (mut cell, from) = cell_with_known_run_times();
+    let key = submit(&mut cell, from, 1, "q", vec![Step { allow_copies: true, ..step(1) }]);
+    let first = starts(&mut cell, from);
+    confirm_starts(&mut cell, from, &first);
+    let (name, start) = first[0].clone();
+    let late = from + 3_000;
+    let report = running_report(&[(start.task, start.run, "")]);
+    cell.on_report(Millis(late), Millis(late - 5), &name, &report);
+    let copy = starts(&mut cell, late);
+    confirm_starts(&mut cell, late, &copy);
+    assert_eq!(copy.len(), 1);
+    cell.cancel(Millis(late + 100), key);
+    write_batches(&mut cell, late + 100);
+    let actions = cell.take_actions().into_iter();
+    let stopped: BTreeSet<u64> = actions
+        .filter_map(|action| match action {
+            Action::Stop { run, .. } => Some(run),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(stopped, BTreeSet::from([start.run, copy[0].1.run]));
+}
+
 #[test]
 fn a_question_is_asked_again_when_its_entry_reconnects() {
     let advice = AdviceConfig {
