--- a/src/node/cells.rs
+++ b/src/node/cells.rs
@@ -129,8 +129,9 @@
         let has_policy = self.policy.borrow().version > 0;
         match writer.next_step(self.now()) {
             MapStep::Announce if has_policy => {
-                self.append_to_map(end, COUNTER_KEY, self.id.name.as_bytes()).await?;
-                log::info!("event=cell-map-counter entry={} end={end}", self.id.name);
+                if self.announce_count(end).await? {
+                    log::info!("event=cell-map-counter entry={} end={end}", self.id.name);
+                }
             }
             MapStep::Count if has_policy => self.count_workers(writer, end).await?,
             MapStep::Wait(until) => self.wait_for_record(end, until - self.now()).await?,
@@ -149,28 +150,33 @@
     async fn count_workers(&self, writer: &mut MapWriter, end: u64) -> Result<(), StoreError> {
         let (listed, _) = self.list_workers().await?;
         if !writer.record_count(self.now(), listed.len()) {
-            return self.append_to_map(end, COUNTER_KEY, self.id.name.as_bytes()).await;
+            return self.announce_count(end).await.map(drop);
         }
         let map = CellMap::new(&listed, self.settings.min_workers);
         let bytes = postcard::to_stdvec(&map);
         let bytes = bytes.map_err(|err| StoreError::Malformed(err.to_string()))?;
         let cells = map.cell_count();
-        let written = self.append_to_map(end, MAP_KEY, &bytes).await;
-        match &written {
-            Ok(()) => log::info!("event=cell-map-written cells={cells} workers={}", listed.len()),
-            Err(err) => log::info!("event=cell-map-write-failed cells={cells} error={err:?}"),
+        match self.append_to_map(end, MAP_KEY, &bytes).await {
+            Ok(true) => log::info!("event=cell-map-written cells={cells} workers={}", listed.len()),
+            result => log::info!("event=cell-map-write-failed cells={cells} result={result:?}"),
         }
-        written
+        Ok(())
+    }
+
+    /// Announces that this entry counts the workers. Returns whether it does: not if another entry
+    /// appended a record first.
+    async fn announce_count(&self, end: u64) -> Result<bool, StoreError> {
+        self.append_to_map(end, COUNTER_KEY, self.id.name.as_bytes()).await
     }
 
-    /// Appends a record to the topic of the map if that ends at `end`. The topic has to be read again
-    /// if another entry came first.
-    async fn append_to_map(&self, end: u64, key: &str, value: &[u8]) -> Result<(), StoreError> {
+    /// Appends a record to the topic of the map if that ends at `end`. Returns whether it did.
+    async fn append_to_map(&self, end: u64, key: &str, value: &[u8]) -> Result<bool, StoreError> {
         let mut body = BytesMut::new();
         encode_keyed(&mut body, key, value);
         let body = body.freeze();
         match self.store.append(MAP_PART, Precondition::End(end), body, WRITE_TIMEOUT).await {
-            Ok(_) | Err(StoreError::EndMismatch(_)) => Ok(()),
+            Ok(_) => Ok(true),
+            Err(StoreError::EndMismatch(_)) => Ok(false),
             Err(err) => Err(err),
         }
     }
--- a/src/node/owner/list.rs
+++ b/src/node/owner/list.rs
@@ -118,7 +118,9 @@
                 Some(self.apply_update(known, update))
             }
             answer => {
-                log::debug!("event=worker-list-not-followed cell={} {answer:?}", self.view.cell);
+                let is_answered = matches!(answer, Ok(Ok(_)));
+                let cell = self.view.cell;
+                log::debug!("event=worker-list-not-followed cell={cell} answered={is_answered}");
                 known.retry_at = self.node.now() + READER_RETRY_DELAY;
                 None
             }
--- a/src/node/owners.rs
+++ b/src/node/owners.rs
@@ -73,15 +73,16 @@
     /// Takes the owner of a cell from its record.
     fn apply_owner(&self, key: &str, value: &[u8]) {
         let cells = self.cells();
-        let cell = key.parse().ok();
-        let view = cells.as_ref().zip(cell).and_then(|(cells, cell)| cells.get(cell));
-        match (view, postcard::from_bytes::<Leader>(value)) {
-            (Some(view), Ok(leader)) => view.learn_owner(leader),
-            (view, leader) => log::warn!(
-                "event=owner-record-invalid key={key} known={} error={:?}",
-                view.is_some(),
-                leader.err()
-            ),
+        let view = |cell: u32| cells.as_ref().and_then(|cells| cells.get(cell));
+        let leader = postcard::from_bytes::<Leader>(value);
+        match (key.parse().map(view), leader) {
+            (Ok(Some(view)), Ok(leader)) => view.learn_owner(leader),
+            (cell, leader) => {
+                let is_known = matches!(cell, Ok(Some(_)));
+                log::warn!(
+                    "event=owner-record-invalid key={key} known={is_known} leader={leader:?}"
+                );
+            }
         }
     }
 }
--- a/src/node/pages.rs
+++ b/src/node/pages.rs
@@ -3,7 +3,7 @@
 use crate::cell::owner::backoff::Backoff;
 use crate::clock::Millis;
 use crate::node::Node;
-use crate::platform::store::{LatestRecord, Partition, StoreError};
+use crate::platform::store::{LatestRecord, Page, Partition, StoreError};
 
 /// How often a page is read before the whole reading fails. Where the store refuses most calls for
 /// their rate, a list of many pages would otherwise never be read to its end.
@@ -17,17 +17,14 @@
         partition: Partition<'_>,
         timeout: Millis,
     ) -> Result<(Vec<LatestRecord>, u64), StoreError> {
-        let mut all: Vec<LatestRecord> = Vec::new();
-        let mut end = None;
-        let mut has_more = true;
-        while has_more {
-            let after = all.last().map(|item| item.key.clone());
-            let mut page = self.read_page(partition, after.as_deref(), timeout).await?;
-            end.get_or_insert(page.end);
-            has_more = page.has_more && !page.items.is_empty();
+        let Page { items: mut all, mut has_more, end } =
+            self.read_page(partition, None, timeout).await?;
+        while has_more && let Some(last) = all.last().map(|item| item.key.clone()) {
+            let mut page = self.read_page(partition, Some(&last), timeout).await?;
+            has_more = page.has_more;
             all.append(&mut page.items);
         }
-        Ok((all, end.unwrap_or_default()))
+        Ok((all, end))
     }
 
     /// Reads one page, repeatedly if that fails.
@@ -36,19 +33,17 @@
         partition: Partition<'_>,
         after: Option<&str>,
         timeout: Millis,
-    ) -> Result<crate::platform::store::Page, StoreError> {
+    ) -> Result<Page, StoreError> {
         let mut backoff = Backoff::default();
-        let mut attempts = 0;
+        let mut attempts = 1;
         loop {
-            let err = match self.store.latest(partition, after, timeout).await {
-                Ok(page) => return Ok(page),
-                Err(err) => err,
-            };
-            attempts += 1;
-            if attempts >= PAGE_ATTEMPTS {
-                return Err(err);
+            match self.store.latest(partition, after, timeout).await {
+                Err(err) if attempts < PAGE_ATTEMPTS => {
+                    log::debug!("event=page-read-failed topic={} error={err:?}", partition.topic);
+                }
+                result => return result,
             }
-            log::debug!("event=page-read-failed topic={} error={err:?}", partition.topic);
+            attempts += 1;
             tokio::time::sleep(backoff.next_delay(0, self.seed()).duration()).await;
         }
     }
