--- a/src/cell/owner/admission.rs
+++ b/src/cell/owner/admission.rs
@@ -5,8 +5,8 @@
 //! owner refused every job until it is on time again, the accepted load would alternate between all
 //! and nothing, and a backlog would keep out all new callers until it is done. So the owner accepts
 //! a rate of tasks instead, which falls while its ticks are late and rises while they are on time.
-//! What goes beyond the rate is refused at once, the least urgent jobs first. The rate is measured
-//! by what the owner starts, as what it accepts may be many times that.
+//! What goes beyond the rate is refused at once, the least urgent jobs first. The rate is taken
+//! from the starts of the owner, as it may accept many times what it can start.
 
 use crate::clock::Millis;
 
@@ -15,7 +15,7 @@
 /// The factor on the rate for each late tick. It is close to 1, because a tick can be late for the
 /// work of a moment.
 const DECREASE_FACTOR: f64 = 0.97;
-/// What each tick on time adds to the rate, as a share of the highest rate of starts.
+/// The share of the highest rate of starts that each tick on time adds to the rate.
 const INCREASE_SHARE: f64 = 0.06;
 /// The least rate, as a share of the highest rate of starts. The lateness may come from a backlog
 /// that was accepted before, which refusals do not make smaller.
--- a/src/cell/owner/map_writer.rs
+++ b/src/cell/owner/map_writer.rs
@@ -25,7 +25,7 @@
 /// After this many counts the map is written even if the number of workers still changes.
 const MAX_COUNTS: u32 = 8;
 
-/// What an entry without a map does next.
+/// The next step of an entry without a map.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MapStep {
     /// Wait for a record, until this time at the latest.
@@ -88,7 +88,7 @@
         is_unchanged || self.counts >= MAX_COUNTS
     }
 
-    /// What to do at `now`.
+    /// The step to take at `now`.
     pub fn next_step(&self, now: Millis) -> MapStep {
         let age = |at: Millis| now.since(at);
         match &self.counter {
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -77,8 +77,8 @@
 
     /// Whether resources on a worker are reserved for a gang of another step.
     pub fn has_gang_at(&self, worker: &Name, step: StepKey) -> bool {
-        let reservations = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
-        reservations.iter().any(|other| other.step != step && self.has_gang(other.step))
+        let mut reservations = self.by_worker.get(worker).into_iter().flatten();
+        reservations.any(|other| other.step != step && self.has_gang(other.step))
     }
 
     /// Whether resources are reserved for a gang before they are all free.
--- a/src/cell/workers/shared_list.rs
+++ b/src/cell/workers/shared_list.rs
@@ -23,7 +23,7 @@
     pub changes: u64,
 }
 
-/// What has changed in the list of a cell.
+/// The changes of the list of a cell.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListUpdate {
     /// Whether `listed` is the whole list of the cell.
@@ -116,7 +116,7 @@
         }
     }
 
-    /// What has changed in a cell since a version, or its whole list.
+    /// The changes of a cell since a version, or its whole list.
     pub fn update_since(&self, cell: u32, version: Option<ListVersion>) -> ListUpdate {
         let empty = CellList::default();
         let list = self.cells.get(&cell).unwrap_or(&empty);
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -88,7 +88,7 @@
     Cancelled(bool),
     /// The number of waiting jobs.
     Pending(u32),
-    /// What the next reading of the list of workers changed.
+    /// The changes by the next reading of the list of workers.
     Workers(ListUpdate),
     /// Asks the entry to read the platform's log and to tell whether that works. Not an answer.
     ProbeLog,
--- a/src/node/owner/list.rs
+++ b/src/node/owner/list.rs
@@ -41,7 +41,7 @@
             };
             self.check_for_pause(self.node.now());
             match result {
-                // What was read before the pause is not passed on.
+                // A list that was read before the pause is not passed on.
                 _ if self.node.clock.pause_count() != pauses => read_all_at = Millis(0),
                 Ok(end) => {
                     next_offset = end;
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -127,7 +127,7 @@
         // A restarted worker has seen neither the fence nor the stops that its earlier process had
         // seen, so it would not refuse an outdated order.
         let has_restarted = || lock(&self.cell).has_restarted(&incarnation);
-        // Its failure domain may have been drained meanwhile.
+        // The failure domain of the worker may have been drained meanwhile.
         let is_drained = lock(&self.cell).is_drained(&name);
         let is_withheld = !has_authority
             || is_drained
