--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -108,7 +108,8 @@
 ///
 /// Preferences, in descending order: a worker on which the task hasn't failed; the rack of its data; for a filler, a
 /// worker that runs no serving tasks; a worker without resources reserved for a gang; a worker of the speed that the
-/// job prefers; the job's failure domain; a healthy worker; the worker with the fewest cores left free. A filler takes the one with the most idle cores instead.
+/// job prefers; the job's failure domain; a healthy worker; the worker with the fewest cores left free. A filler takes
+/// the one with the most idle cores instead.
 ///
 /// A task that was running when a worker crashed prefers the worker with the fewest other runs over all but the first
 /// preference. From the second crash on it only goes to stable workers: a crash of a worker that has just restarted is
