--- a/src/node/owner/actions.rs
+++ b/src/node/owner/actions.rs
@@ -75,7 +75,7 @@
             }
             Action::Watch(listed) => drop(tokio::spawn(self.clone().watch_worker(listed))),
             Action::Unwatch(worker) => {
-                // The woken task ends by itself, because the cell no longer knows the worker.
+                // The woken task ends by itself, because the cell does not know the worker any more.
                 if let Some(report_wake) = lock(&self.report_wakes).remove(&worker) {
                     report_wake.notify_one();
                 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -651,10 +651,11 @@
     assert_ne!(next(&mut cell, &both, from + 3_000, 4), name);
 }
 
-#[test]
-fn a_late_task_gets_a_copy_and_the_first_one_done_counts() {
+/// A cell with a task that is late and has a copy, the time, and the starts of the task and of the
+/// copy, the latter with its worker.
+fn cell_with_copied_task() -> (Cell, u64, StartOrder, (Name, StartOrder)) {
     let (mut cell, from) = cell_with_known_run_times();
-    let key = submit(&mut cell, from, 1, "q", vec![Step { allow_copies: true, ..step(1) }]);
+    submit(&mut cell, from, 1, "q", vec![Step { allow_copies: true, ..step(1) }]);
     let first = starts(&mut cell, from);
     confirm_starts(&mut cell, from, &first);
     let (name, start) = first[0].clone();
@@ -664,7 +665,13 @@
     let copy = starts(&mut cell, late);
     assert_eq!(copy.len(), 1);
     confirm_starts(&mut cell, late, &copy);
-    let (other, retried) = copy[0].clone();
+    (cell, late, start, copy[0].clone())
+}
+
+#[test]
+fn a_late_task_gets_a_copy_and_the_first_one_done_counts() {
+    let (mut cell, late, start, (other, retried)) = cell_with_copied_task();
+    let key = start.task.step.job;
     let done = end_report(200, retried.task, retried.run, EndReason::Done);
     cell.on_report(Millis(late + 900), Millis(late + 895), &other, &done);
     write_batches(&mut cell, late + 900);
@@ -679,17 +686,8 @@
     // was made of went on:
     //  14.011 s to 22.018 s  T run 193273529991, started by the owner: done; cancelled at 16.533 s
     //  15.943 s to 17.285 s  T run 193273531554, started by the owner: stopped
-    let (mut cell, from) = cell_with_known_run_times();
-    let key = submit(&mut cell, from, 1, "q", vec![Step { allow_copies: true, ..step(1) }]);
-    let first = starts(&mut cell, from);
-    confirm_starts(&mut cell, from, &first);
-    let (name, start) = first[0].clone();
-    let late = from + 3_000;
-    let report = running_report(&[(start.task, start.run, "")]);
-    cell.on_report(Millis(late), Millis(late - 5), &name, &report);
-    let copy = starts(&mut cell, late);
-    confirm_starts(&mut cell, late, &copy);
-    assert_eq!(copy.len(), 1);
+    let (mut cell, late, start, (_, copy)) = cell_with_copied_task();
+    let key = start.task.step.job;
     cell.cancel(Millis(late + 100), key);
     write_batches(&mut cell, late + 100);
     let actions = cell.take_actions().into_iter();
@@ -699,7 +697,7 @@
             _ => None,
         })
         .collect();
-    assert_eq!(stopped, BTreeSet::from([start.run, copy[0].1.run]));
+    assert_eq!(stopped, BTreeSet::from([start.run, copy.run]));
 }
 
 #[test]
