Advice: state of the queue of requests, and whether answers lead to starts

Logs could not tell apart entries that are lost, entries that are kept free and answers that start nothing. Added: gauges of clients, busy clients, queued requests and the age of the oldest; one line a second while a request waits for more than a second (advice-queue); one line for each answer with the starts of the first look at its step (advice-applied), and their counts. No change of what is decided.

--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -1,6 +1,8 @@
 //! Requests to the platform's advice service, which decides on which workers a step may run.
 //!
-//! `request` creates requests and applies their answers, and `queue` assigns them to entries.
+//! `request` creates requests and applies their answers, `queue` assigns them to entries, and `load`
+//! tells how busy these are.
 
+pub mod load;
 pub mod queue;
 pub(super) mod request;
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -3,6 +3,7 @@
 //! The service processes one request at a time from each entry, and its time grows with the number
 //! of workers in the request. Short requests must not wait behind long ones.
 
+use crate::cell::advice::load::AdviceLoad;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::StepKey;
@@ -30,6 +31,8 @@
     pub cost: Millis,
     /// The order of requests; lower ranks go first.
     pub rank: (u32, Millis),
+    /// When the request was queued.
+    pub queued_at: Millis,
 }
 
 /// Requests that wait to be sent, and the entries that can send them.
@@ -79,6 +82,18 @@
         self.clients.remove(entry)?.pending.and_then(PendingRequest::wanted_step)
     }
 
+    /// The state of the queue.
+    pub fn load(&self, now: Millis) -> AdviceLoad {
+        let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
+        let oldest = self.waiting.iter().map(|request| now.since(request.queued_at)).max();
+        AdviceLoad {
+            clients: self.clients.len(),
+            busy,
+            queued: self.waiting.len(),
+            oldest: oldest.unwrap_or_default(),
+        }
+    }
+
     /// Adds a request to the queue, in the order of its rank.
     pub fn push(&mut self, request: AdviceRequest) {
         let index = self.waiting.partition_point(|other| other.rank <= request.rank);
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -48,7 +48,8 @@
         }
         let cost =
             Millis(advice.base_latency.0 + advice.worker_micros * workers.len() as u64 / 1_000);
-        let request = AdviceRequest { step: key, workers, cost, rank: queue_rank(job) };
+        let request =
+            AdviceRequest { step: key, workers, cost, rank: queue_rank(job), queued_at: now };
         self.advice_queue.push(request);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
@@ -148,15 +149,12 @@
     /// Assigns queued requests to idle entries.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
         while let Some((entry, request)) = self.advice_queue.assign_next(now) {
-            let job = self.jobs.get(&request.step.job);
-            let since =
-                job.and_then(|job| job.step(request.step)).map(|step| step.clearances.requested_at);
             log::info!(
                 "event=advice-requested step={} entry={entry} workers={} cost_ms={} queued_ms={}",
                 request.step,
                 request.workers.len(),
                 request.cost,
-                now.since(since.unwrap_or(now))
+                now.since(request.queued_at)
             );
             self.actions.push(Action::RequestAdvice { entry, request });
         }
@@ -198,7 +196,7 @@
             cleared.tickets.len()
         );
         let clearances = &mut step.clearances;
-        clearances.request_pending = false;
+        (clearances.request_pending, clearances.answer_new) = (false, true);
         clearances.retry_at = now + REQUEST_INTERVAL;
         let allowed: BTreeSet<Name> =
             cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -95,6 +95,8 @@
     pub request_pending: bool,
     /// When that request was made.
     pub requested_at: Millis,
+    /// An answer has arrived since the step's tasks were last placed.
+    pub answer_new: bool,
     /// No further request is made before this time.
     pub retry_at: Millis,
     /// Workers that may run the step. The clearance of a worker never changes; only its ticket
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -354,6 +354,7 @@
             self.needs_placement = true;
         }
         self.expire_requests(now);
+        self.log_advice_load(now);
     }
 
     /// Lets inherited tasks start once every worker that an earlier owner used has reported, or its
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,6 +16,7 @@
 use crate::id::Name;
 use crate::order::{Incarnation, StartOrder, WorkerInfo};
 use crate::workload::{JobDefinition, JobKey, Queue, StepKey, TaskKey};
+use advice::load::AnswerCounts;
 use advice::queue::{AdviceQueue, AdviceRequest};
 use jobs::job::Job;
 use jobs::wait::WaitLogTimer;
@@ -120,6 +121,10 @@
     /// Closed jobs in the order in which they ended.
     closed_jobs: VecDeque<JobKey>,
     advice_queue: AdviceQueue,
+    /// Answers of the advice service by whether they led to starts, since the takeover.
+    answer_counts: AnswerCounts,
+    /// When the state of the queue of requests was last logged.
+    advice_logged_at: Millis,
     /// Room that is reserved for steps that are about to start.
     reservations: Reservations,
     /// The running tasks of each workspace and its limits.
@@ -197,6 +202,8 @@
             unstored_jobs: VecDeque::new(),
             closed_jobs: VecDeque::new(),
             advice_queue: AdviceQueue::default(),
+            answer_counts: AnswerCounts::default(),
+            advice_logged_at: Millis(0),
             reservations: Reservations::default(),
             usages: WorkspaceUsages::default(),
             shares: ShareLimits::default(),
@@ -459,6 +466,7 @@
             reachable_workers,
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
+            answers: self.answer_counts,
         }
     }
 }
@@ -480,4 +488,6 @@
     pub crash_counts: jobs::crash::CrashCounts,
     /// The number of waits that timed out since the takeover.
     pub expired_waits: u64,
+    /// Answers of the advice service since the takeover.
+    pub answers: AnswerCounts,
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an entry on the platform, in the Prometheus text format.
 
 use crate::cell::CellStats;
+use crate::cell::advice::load::AdviceLoad;
 use crate::clock::Millis;
 use crate::order::OrderOutcome;
 use crate::registry;
@@ -31,6 +32,12 @@
     abandoned_jobs: IntGauge,
     restarted_workers: IntGauge,
     expired_waits: IntGauge,
+    advice_clients: IntGauge,
+    advice_busy: IntGauge,
+    advice_queued: IntGauge,
+    advice_oldest: IntGauge,
+    answers_used: IntGauge,
+    answers_fruitless: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -90,6 +97,30 @@
                 "sprucerudder_waits_expired",
                 "Waits that a deadline ended and not the event, since the takeover",
             )?,
+            advice_clients: gauge(
+                "sprucerudder_advice_clients",
+                "Entries that can send requests to the advice service",
+            )?,
+            advice_busy: gauge(
+                "sprucerudder_advice_clients_busy",
+                "Those of them that wait for an answer",
+            )?,
+            advice_queued: gauge(
+                "sprucerudder_advice_requests_queued",
+                "Requests for advice that wait for an entry",
+            )?,
+            advice_oldest: gauge(
+                "sprucerudder_advice_oldest_request_ms",
+                "How long the oldest of them has waited, in milliseconds",
+            )?,
+            answers_used: gauge(
+                "sprucerudder_advice_answers_used",
+                "Answers after which a task was assigned, since the takeover",
+            )?,
+            answers_fruitless: gauge(
+                "sprucerudder_advice_answers_fruitless",
+                "Answers after which none was, since the takeover",
+            )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
                 "Whether the map of cells is loaded, without which an entry serves nobody",
@@ -148,6 +179,16 @@
         self.abandoned_jobs.set(load.crash_counts.given_up as i64);
         self.restarted_workers.set(load.crash_counts.restarted as i64);
         self.expired_waits.set(load.expired_waits as i64);
+        self.answers_used.set(load.answers.used as i64);
+        self.answers_fruitless.set(load.answers.fruitless as i64);
+    }
+
+    /// Sets the gauges about the queue of requests to the advice service.
+    pub fn set_advice_load(&self, load: AdviceLoad) {
+        self.advice_clients.set(load.clients as i64);
+        self.advice_busy.set(load.busy as i64);
+        self.advice_queued.set(load.queued as i64);
+        self.advice_oldest.set(load.oldest.0 as i64);
     }
 
     /// Sets the rate of tasks that the owner accepts, if it is limited.
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -227,14 +227,15 @@
             let now = self.node.now();
             let starts = lock(&self.cell).bound_starts();
             let is_shedding = self.update_lag(now, starts);
-            let load = {
+            let (load, advice) = {
                 let mut cell = lock(&self.cell);
                 cell.set_overloaded(is_shedding);
                 cell.tick(now, Millis::now());
                 *lock(&self.loads) = cell.service_loads();
-                cell.stats()
+                (cell.stats(), cell.advice_load(now))
             };
             self.node.metrics.set_load(&load);
+            self.node.metrics.set_advice_load(advice);
             self.schedule_wake.notify_one();
         }
     }
