Advice: choose the workers of a request when it is sent

Callers saw: steps without anything running beside free workers. Cause: the workers of a request were chosen when it was queued. Steps that were queued together, as all open ones are at a takeover, chose the same workers, those with the most room; sent up to 20 s later, the request named workers that others had filled. The answer started nothing and the step was queued again. Change: the queue holds steps; a request is made of one when an entry can send it. A step that has nobody left to ask about is dropped from the queue. The test fails on the code before: the second of three requests names a worker that the first step has filled.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -29,16 +29,35 @@
     pub workers: Vec<Name>,
     /// The time that the service takes to answer.
     pub cost: Millis,
+}
+
+/// A step that waits for a request to be sent. Its workers are chosen when an entry can send it: a
+/// worker that has room when the step is queued may be full by then.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueuedStep {
+    /// The step whose tasks need workers.
+    pub step: StepKey,
+    /// The time that the service would take if the request were sent when the step is queued.
+    pub cost: Millis,
     /// The order of requests; lower ranks go first.
     pub rank: (u32, Millis),
-    /// When the request was queued.
+    /// When the step was queued.
     pub queued_at: Millis,
 }
 
-/// Requests that wait to be sent, and the entries that can send them.
+/// An entry that can send the next request.
+#[derive(Debug, PartialEq)]
+pub struct IdleClient {
+    /// The entry.
+    pub entry: Name,
+    /// Whether the request may be a long one.
+    pub allows_long: bool,
+}
+
+/// Steps that wait for a request to be sent, and the entries that can send them.
 #[derive(Debug, Default)]
 pub struct AdviceQueue {
-    waiting: VecDeque<AdviceRequest>,
+    waiting: VecDeque<QueuedStep>,
     clients: BTreeMap<Name, Client>,
 }
 
@@ -63,6 +82,13 @@
     deadline: Millis,
 }
 
+impl AdviceRequest {
+    /// Whether the request takes so long that short ones must not wait for it.
+    pub fn is_long(&self) -> bool {
+        self.cost >= LONG_REQUEST
+    }
+}
+
 impl PendingRequest {
     /// The step that waits for the answer, unless the request was cancelled.
     fn wanted_step(self) -> Option<StepKey> {
@@ -85,7 +111,7 @@
     /// The state of the queue.
     pub fn load(&self, now: Millis) -> AdviceLoad {
         let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
-        let oldest = self.waiting.iter().map(|request| now.since(request.queued_at)).max();
+        let oldest = self.waiting.iter().map(|queued| now.since(queued.queued_at)).max();
         AdviceLoad {
             clients: self.clients.len(),
             busy,
@@ -94,16 +120,16 @@
         }
     }
 
-    /// Adds a request to the queue, in the order of its rank.
-    pub fn push(&mut self, request: AdviceRequest) {
-        let index = self.waiting.partition_point(|other| other.rank <= request.rank);
-        self.waiting.insert(index, request);
+    /// Adds a step to the queue, in the order of its rank.
+    pub fn push(&mut self, queued: QueuedStep) {
+        let index = self.waiting.partition_point(|other| other.rank <= queued.rank);
+        self.waiting.insert(index, queued);
     }
 
     /// Removes the request of a step from the queue. If it was sent already, its answer will not be
     /// used.
     pub fn cancel(&mut self, step: StepKey) {
-        self.waiting.retain(|request| request.step != step);
+        self.waiting.retain(|queued| queued.step != step);
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
             request.is_cancelled = true;
@@ -136,28 +162,41 @@
         overdue.filter_map(PendingRequest::wanted_step).collect()
     }
 
-    /// Assigns the next request to an idle entry. Entries of other cells are used only while there
-    /// is none of this cell.
-    pub fn assign_next(&mut self, now: Millis) -> Option<(Name, AdviceRequest)> {
+    /// An entry that can send a request now, if any is idle. Entries of other cells are used only
+    /// while there is none of this cell.
+    pub fn idle_client(&self) -> Option<IdleClient> {
         let no_home = self.clients.values().all(|client| !client.is_home);
         let usable = || self.clients.iter().filter(|(_, client)| client.is_home || no_home);
         let count = usable().count();
         let long = usable()
-            .filter_map(|(_, client)| client.pending)
+            .filter_map(|(_, client)| client.pending.as_ref())
             .filter(|pending| pending.is_long)
             .count();
         let reserved = (count / CLIENTS_PER_RESERVE).max(1);
         let allows_long = long + reserved < count || count == 1;
-        let idle = usable().find(|(_, client)| client.pending.is_none());
-        let entry = idle.map(|(name, _)| name.clone())?;
-        let fits = |request: &AdviceRequest| allows_long || request.cost < LONG_REQUEST;
-        let index = self.waiting.iter().position(fits)?;
-        let request = self.waiting.remove(index)?;
+        let (entry, _) = usable().find(|(_, client)| client.pending.is_none())?;
+        Some(IdleClient { entry: entry.clone(), allows_long })
+    }
+
+    /// The position in the queue, from `from` on, of the first step whose request `client` may
+    /// send, and the step.
+    pub fn next_for(&self, client: &IdleClient, from: usize) -> Option<(usize, &QueuedStep)> {
+        let fits = |queued: &QueuedStep| client.allows_long || queued.cost < LONG_REQUEST;
+        self.waiting.iter().enumerate().skip(from).find(|(_, queued)| fits(queued))
+    }
+
+    /// Removes the step at a position from the queue.
+    pub fn remove(&mut self, index: usize) {
+        self.waiting.remove(index);
+    }
+
+    /// Records that an entry sends a request.
+    pub fn start(&mut self, now: Millis, client: &IdleClient, request: &AdviceRequest) {
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
-        let is_long = request.cost >= LONG_REQUEST;
-        let pending = PendingRequest { step: request.step, is_long, is_cancelled: false, deadline };
-        let client = self.clients.get_mut(&entry)?;
-        client.pending = Some(pending);
-        Some((entry, request))
+        let is_long = request.is_long();
+        if let Some(client) = self.clients.get_mut(&client.entry) {
+            let step = request.step;
+            client.pending = Some(PendingRequest { step, is_long, is_cancelled: false, deadline });
+        }
     }
 }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -1,6 +1,6 @@
 //! Requests to the advice service for steps that need workers, and the handling of its answers.
 
-use crate::cell::advice::queue::AdviceRequest;
+use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
 use crate::cell::jobs::job::{Job, Ticket};
 use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
@@ -46,16 +46,32 @@
         if workers.is_empty() {
             return;
         }
-        let cost =
-            Millis(advice.base_latency.0 + advice.worker_micros * workers.len() as u64 / 1_000);
-        let request =
-            AdviceRequest { step: key, workers, cost, rank: queue_rank(job), queued_at: now };
-        self.advice_queue.push(request);
+        let cost = request_cost(advice, workers.len());
+        self.advice_queue.push(QueuedStep {
+            step: key,
+            cost,
+            rank: queue_rank(job),
+            queued_at: now,
+        });
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
         }
     }
 
+    /// Creates the request for a step as it is now. Returns `None` if there is no worker to ask
+    /// about any more.
+    fn build_request(&self, now: Millis, key: StepKey) -> Option<AdviceRequest> {
+        let job = self.jobs.get(&key.job)?;
+        let (advice, spec) = (job.queue.advice?, job.spec(key.step)?);
+        let remaining = self.allowed_starts(job, spec, job.step(key)?.waiting.len());
+        let workers = match remaining {
+            0 => Vec::new(),
+            _ => self.select_workers(now, key, job, spec, remaining),
+        };
+        let cost = request_cost(advice, workers.len());
+        (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost })
+    }
+
     /// Selects the workers for the next request of a step. These are cleared workers that have room
     /// but no valid ticket. If there are none, they are workers that were never asked about, those
     /// with room first. If none of these has room, they are cleared workers on which room can be
@@ -146,20 +162,54 @@
         (room >= remaining).then_some(selected)
     }
 
-    /// Assigns queued requests to idle entries.
+    /// Has idle entries send the requests of queued steps.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
-        while let Some((entry, request)) = self.advice_queue.assign_next(now) {
-            log::info!(
-                "event=advice-requested step={} entry={entry} workers={} cost_ms={} queued_ms={}",
-                request.step,
-                request.workers.len(),
-                request.cost,
-                now.since(request.queued_at)
-            );
-            self.actions.push(Action::RequestAdvice { entry, request });
+        let mut from = 0;
+        while let Some(client) = self.advice_queue.idle_client()
+            && let Some((index, queued)) = self.advice_queue.next_for(&client, from)
+        {
+            let (step, queued_at) = (queued.step, queued.queued_at);
+            match self.build_request(now, step) {
+                // The request has become a long one, for which no entry is free.
+                Some(request) if request.is_long() && !client.allows_long => from = index + 1,
+                Some(request) => {
+                    self.advice_queue.remove(index);
+                    self.send_request(now, &client, request, queued_at);
+                    from = 0;
+                }
+                None => {
+                    self.advice_queue.remove(index);
+                    log::info!("event=advice-request-dropped step={step} why=no-worker");
+                    self.clear_request(step);
+                }
+            }
         }
     }
 
+    /// Has an entry send a request.
+    fn send_request(
+        &mut self,
+        now: Millis,
+        client: &IdleClient,
+        request: AdviceRequest,
+        queued_at: Millis,
+    ) {
+        let entry = client.entry.clone();
+        log::info!(
+            "event=advice-requested step={} entry={entry} workers={} cost_ms={} queued_ms={}",
+            request.step,
+            request.workers.len(),
+            request.cost,
+            now.since(queued_at)
+        );
+        self.advice_queue.start(now, client, &request);
+        let key = request.step;
+        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+            step.clearances.requested_at = now;
+        }
+        self.actions.push(Action::RequestAdvice { entry, request });
+    }
+
     /// Handles the answer that an entry got from the advice service; `None` if there was none.
     pub fn handle_advice(
         &mut self,
@@ -184,7 +234,7 @@
         let default = job.queue.advice.map(|advice| advice.ticket_validity).unwrap_or_default();
         let expires_at = now + cleared.valid_for.unwrap_or(default);
         let Some(step) = job.step_mut(key) else { return };
-        // Workers that restarted since the request was queued are left out, because the answer may
+        // Workers that restarted since the request was sent are left out, because the answer may
         // be about their previous process.
         let workers = &self.workers;
         let since = step.clearances.requested_at;
@@ -254,6 +304,11 @@
     }
 }
 
+/// The time that the service takes to answer a request.
+fn request_cost(advice: AdviceConfig, workers: usize) -> Millis {
+    Millis(advice.base_latency.0 + advice.worker_micros * workers as u64 / 1_000)
+}
+
 /// The number of workers for which the per-worker time of a request is half of its base time.
 fn balanced_size(advice: AdviceConfig) -> usize {
     match advice.worker_micros {
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -93,7 +93,7 @@
 pub struct Clearances {
     /// A request for the step is queued or was sent, and has not been answered yet.
     pub request_pending: bool,
-    /// When that request was made.
+    /// When that request was queued, or sent if it was.
     pub requested_at: Millis,
     /// An answer has arrived since the step's tasks were last placed.
     pub answer_new: bool,
--- /dev/null
+++ b/tests/advice.rs
@@ -0,0 +1,160 @@
+//! Requests to the advice service while many steps wait for it, on a virtual clock.
+
+use sprucerudder::cell::mechanism::DisabledMechanisms;
+use sprucerudder::cell::records::journal::Snapshot;
+use sprucerudder::cell::{Action, Cell, CellConfig};
+use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
+use sprucerudder::order::{ClearedWorkers, StartOrder, WorkerInfo, WorkerReport};
+use sprucerudder::workload::{
+    AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey,
+};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// The cores of a worker, in thousandths: room for one task of a job of [`JOB_CPU`].
+const WORKER_CPU: u64 = 8_000;
+const JOB_CPU: u64 = 8_000;
+
+/// A request for one of the tasks takes this long, and names two workers for each task.
+const LONG: AdviceConfig = AdviceConfig {
+    base_latency: Millis(300),
+    worker_micros: 100_000,
+    ticket_validity: Millis(2_500),
+};
+const SHORT: AdviceConfig =
+    AdviceConfig { base_latency: Millis(20), worker_micros: 1_000, ticket_validity: Millis(2_500) };
+
+/// A request that an entry was told to send.
+#[derive(Debug, Clone)]
+struct Sent {
+    entry: Name,
+    step: StepKey,
+    workers: Vec<Name>,
+}
+
+/// An owner with idle workers, whose store answers at once.
+struct Cluster {
+    cell: Cell,
+    now: u64,
+}
+
+fn worker(index: usize) -> WorkerInfo {
+    WorkerInfo {
+        id: format!("w{index:02}").into(),
+        service: "s".into(),
+        domain: "d".into(),
+        addr: format!("addr{index}").into(),
+        labels: Vec::new(),
+        capacity: Resources { cpu: WORKER_CPU, mem: 1 << 20, gpu: 0 },
+        started_at: None,
+        leaves_in: None,
+    }
+}
+
+fn queue(name: &str, priority: u32, advice: AdviceConfig) -> (Name, Arc<Queue>) {
+    let queue = Queue {
+        name: name.into(),
+        service: "s".into(),
+        priority,
+        max_attempts: 2,
+        stretch: 2_000,
+        target: Millis(1_000),
+        advice: Some(advice),
+    };
+    (name.into(), Arc::new(queue))
+}
+
+impl Cluster {
+    fn new(workers: usize, entries: usize) -> Self {
+        let config = CellConfig {
+            lease: Millis(6_000),
+            max_lease: Millis(10_000),
+            job_retention: Millis(100_000),
+            disabled: DisabledMechanisms::default(),
+        };
+        let queues = HashMap::from([queue("long", 2, LONG), queue("short", 0, SHORT)]);
+        let mut cell = Cell::new(1, config, queues, Snapshot::default(), false, Millis(0));
+        cell.set_workers(Millis(0), (0..workers).map(worker).collect());
+        for index in 0..entries {
+            cell.add_entry(format!("e{index:02}").into(), true);
+        }
+        let mut cluster = Self { cell, now: 1 };
+        for index in 0..workers {
+            let report = WorkerReport { clock: 1_000, ..WorkerReport::default() };
+            cluster.cell.on_report(Millis(1), Millis(0), &worker(index).id, &report);
+        }
+        cluster.advance(1);
+        cluster
+    }
+
+    fn submit(&mut self, key: u64, queue: &str, count: u32) -> StepKey {
+        let resources = Resources { cpu: JOB_CPU, mem: 1, gpu: 0 };
+        let step = Step { count, resources, ..Step::default() };
+        let work = JobDefinition {
+            payload: "".into(),
+            steps: vec![step],
+            repetitions: 1,
+            first_due: Millis(0),
+            interval: Millis(0),
+        };
+        let submitted = self.cell.submit(Millis(self.now), JobKey(key), queue, Arc::new(work));
+        assert!(submitted.is_some());
+        StepKey { job: JobKey(key), repetition: 0, step: 0 }
+    }
+
+    /// Lets time pass, makes a scheduling pass and returns the requests and starts that it led to.
+    fn advance(&mut self, by: u64) -> (Vec<Sent>, Vec<(Name, StartOrder)>) {
+        self.now += by;
+        let now = Millis(self.now);
+        self.cell.tick(now, now);
+        self.cell.schedule(now);
+        while let Some(batch) = self.cell.take_batch(now) {
+            self.cell.mark_stored(now, batch.number);
+        }
+        self.cell.schedule(now);
+        let (mut sent, mut starts) = (Vec::new(), Vec::new());
+        for action in self.cell.take_actions() {
+            match action {
+                Action::RequestAdvice { entry, request } => {
+                    sent.push(Sent { entry, step: request.step, workers: request.workers });
+                }
+                Action::Start { worker, start, .. } => starts.push((worker, start)),
+                _ => {}
+            }
+        }
+        (sent, starts)
+    }
+
+    /// Answers a request: all of its workers may run the step.
+    fn clear_all(&mut self, sent: &Sent) {
+        let tickets = sent.workers.iter().map(|name| (name.clone(), "ticket".into())).collect();
+        let answer = Some(ClearedWorkers { tickets, valid_for: None });
+        self.cell.handle_advice(Millis(self.now), &sent.entry, sent.step, &sent.workers, answer);
+    }
+}
+
+#[test]
+fn a_request_that_waited_names_no_worker_that_filled_up_meanwhile() {
+    // The workers of a request were chosen when it was queued. Steps that were queued together chose
+    // the same ones, and by the time the later requests were sent the earlier steps had filled them.
+    let mut cluster = Cluster::new(8, 1);
+    for key in 1..=3 {
+        cluster.submit(key, "long", 1);
+    }
+    let (mut sent, _) = cluster.advance(1);
+    let mut full: BTreeSet<Name> = BTreeSet::new();
+    for _ in 0..3 {
+        assert_eq!(sent.len(), 1, "one entry sends one request at a time");
+        let request = sent.remove(0);
+        let stale: Vec<&Name> =
+            request.workers.iter().filter(|name| full.contains(*name)).collect();
+        assert!(stale.is_empty(), "{:?} names full workers {stale:?}", request.step);
+        cluster.now += 500;
+        cluster.clear_all(&request);
+        let (next, starts) = cluster.advance(0);
+        assert_eq!(starts.len(), 1, "{:?} has a worker", request.step);
+        full.extend(starts.into_iter().map(|(name, _)| name));
+        sent = next;
+    }
+}
