Advice: requests in progress spread over the workers with room

Callers saw: steps without anything running beside free workers. Cause: requests that were sent before the first answer named the same workers, those with the most room at that moment. The first answer filled them, the others started nothing, and the rest of the cell stood idle until the steps were asked about again. With 20 entries and requests of 0.8 s this is the usual state of a queue. Change: a long request claims its share of the workers that it names (its tasks, spread over them) until it ends, however it ends; later requests prefer workers by what is left. Claims order the choice only: nothing is withheld from a task that can start. Short requests claim nothing, as little is sent before they are answered. The first test fails on the code before (not every task finds a worker); the second guards the end of claims.

--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -1,8 +1,9 @@
 //! Requests to the platform's advice service, which decides on which workers a step may run.
 //!
-//! `request` creates requests and applies their answers, `queue` assigns them to entries, and `load`
-//! tells how busy these are.
+//! `request` creates requests and applies their answers, `queue` assigns them to entries, `claims`
+//! spreads them over the workers, and `load` tells how busy the entries are.
 
+pub mod claims;
 pub mod load;
 pub mod queue;
 pub(super) mod request;
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -3,10 +3,11 @@
 //! The service processes one request at a time from each entry, and its time grows with the number
 //! of workers in the request. Short requests must not wait behind long ones.
 
+use crate::cell::advice::claims::{Claim, Claims};
 use crate::cell::advice::load::AdviceLoad;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::StepKey;
+use crate::workload::{Resources, StepKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The duration from which a request is long, which would delay the shortest jobs beyond their
@@ -59,6 +60,8 @@
 pub struct AdviceQueue {
     waiting: VecDeque<QueuedStep>,
     clients: BTreeMap<Name, Client>,
+    /// The claims of the requests in progress.
+    claims: Claims,
 }
 
 /// An entry that can send requests to the advice service.
@@ -71,9 +74,11 @@
 }
 
 /// A request that an entry is sending to the service.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct PendingRequest {
     step: StepKey,
+    /// What the step is expected to take once it is answered.
+    claim: Claim,
     is_long: bool,
     /// The job of the step was closed or withdrawn. The entry is busy until the service answers,
     /// but the answer is not used: the same job may have been submitted again.
@@ -91,7 +96,7 @@
 
 impl PendingRequest {
     /// The step that waits for the answer, unless the request was cancelled.
-    fn wanted_step(self) -> Option<StepKey> {
+    fn wanted_step(&self) -> Option<StepKey> {
         (!self.is_cancelled).then_some(self.step)
     }
 }
@@ -100,12 +105,25 @@
     /// Adds an entry. Returns the step whose request was lost with an earlier connection, if any.
     pub fn add_client(&mut self, entry: Name, is_home: bool) -> Option<StepKey> {
         let earlier = self.clients.insert(entry, Client { is_home, pending: None })?;
-        earlier.pending.and_then(PendingRequest::wanted_step)
+        earlier.pending.and_then(|request| self.end_request(request))
     }
 
     /// Removes an entry. Returns the step whose request is lost with it, if any.
     pub fn remove_client(&mut self, entry: &Name) -> Option<StepKey> {
-        self.clients.remove(entry)?.pending.and_then(PendingRequest::wanted_step)
+        let client = self.clients.remove(entry)?;
+        client.pending.and_then(|request| self.end_request(request))
+    }
+
+    /// Removes the claim of a request that ended. Returns the step that waits for the answer, if
+    /// any.
+    fn end_request(&mut self, request: PendingRequest) -> Option<StepKey> {
+        self.claims.remove(&request.claim);
+        request.wanted_step()
+    }
+
+    /// What the requests in progress are expected to take of a worker.
+    pub fn claimed(&self, worker: &Name) -> Resources {
+        self.claims.of(worker)
     }
 
     /// The state of the queue.
@@ -133,13 +151,15 @@
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
             request.is_cancelled = true;
+            self.claims.remove(&std::mem::take(&mut request.claim));
         }
     }
 
     /// The entry that is sending the request of a step.
     pub fn client_of(&self, step: StepKey) -> Option<&Name> {
         let sends = |client: &Client| {
-            client.pending.and_then(PendingRequest::wanted_step).is_some_and(|sent| sent == step)
+            let pending = client.pending.as_ref();
+            pending.and_then(PendingRequest::wanted_step).is_some_and(|sent| sent == step)
         };
         self.clients.iter().find(|(_, client)| sends(client)).map(|(name, _)| name)
     }
@@ -150,7 +170,7 @@
         let client = self.clients.get_mut(entry);
         let answered =
             client.and_then(|client| client.pending.take_if(|pending| pending.step == step));
-        answered.is_none_or(|request| !request.is_cancelled)
+        answered.is_none_or(|request| self.end_request(request).is_some())
     }
 
     /// Removes the pending requests whose answers are overdue. Returns the steps that still need
@@ -158,8 +178,8 @@
     pub fn take_overdue(&mut self, now: Millis) -> Vec<StepKey> {
         let overdue =
             |client: &mut Client| client.pending.take_if(|pending| now >= pending.deadline);
-        let overdue = self.clients.values_mut().filter_map(overdue);
-        overdue.filter_map(PendingRequest::wanted_step).collect()
+        let overdue: Vec<PendingRequest> = self.clients.values_mut().filter_map(overdue).collect();
+        overdue.into_iter().filter_map(|request| self.end_request(request)).collect()
     }
 
     /// An entry that can send a request now, if any is idle. Entries of other cells are used only
@@ -190,13 +210,24 @@
         self.waiting.remove(index);
     }
 
-    /// Records that an entry sends a request.
-    pub fn start(&mut self, now: Millis, client: &IdleClient, request: &AdviceRequest) {
+    /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        client: &IdleClient,
+        request: &AdviceRequest,
+        (charge, tasks): (&Resources, usize),
+    ) {
+        let Some(client) = self.clients.get_mut(&client.entry) else { return };
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
-        let is_long = request.is_long();
-        if let Some(client) = self.clients.get_mut(&client.entry) {
-            let step = request.step;
-            client.pending = Some(PendingRequest { step, is_long, is_cancelled: false, deadline });
-        }
+        let (step, is_long) = (request.step, request.is_long());
+        // Little is sent before a short request is answered.
+        let claim = match is_long {
+            true => Claim::new(&request.workers, charge, tasks),
+            false => Claim::default(),
+        };
+        self.claims.add(&claim);
+        client.pending =
+            Some(PendingRequest { step, claim, is_long, is_cancelled: false, deadline });
     }
 }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -76,7 +76,8 @@
     /// but no valid ticket. If there are none, they are workers that were never asked about, those
     /// with room first. If none of these has room, they are cleared workers on which room can be
     /// made by stopping tasks. The first request includes busy workers, and later ones prefer
-    /// cleared workers, which leaves more of the service's time to other steps.
+    /// cleared workers, which leaves more of the service's time to other steps. Workers that other
+    /// requests in progress name come later by what these are expected to take.
     fn select_workers(
         &self,
         now: Millis,
@@ -122,9 +123,12 @@
             () => (known, renewed),
         };
         selected.sort_by_cached_key(|candidate| {
+            let claimed = self.advice_queue.claimed(&candidate.name);
+            let free = candidate.free.saturating_sub(&claimed);
+            let has_room = candidate.is_below_limit(spec) && free.can_fit(&charge);
             let is_remote = job.home_domain.as_ref().is_some_and(|home| candidate.domain != *home);
-            let order = (!candidate.has_room(spec, &charge), candidate.speed_order, is_remote);
-            (order, std::cmp::Reverse(candidate.free.cpu))
+            let order = (!has_room, candidate.speed_order, is_remote);
+            (order, std::cmp::Reverse(free.cpu))
         });
         selected
             .into_iter()
@@ -202,8 +206,12 @@
             request.cost,
             now.since(queued_at)
         );
-        self.advice_queue.start(now, client, &request);
         let key = request.step;
+        let job = self.jobs.get(&key.job);
+        let spec = job.and_then(|job| job.spec(key.step));
+        let charge = spec.map(Step::charged_resources).unwrap_or_default();
+        let tasks = job.and_then(|job| job.step(key)).map_or(0, |step| step.waiting.len());
+        self.advice_queue.start(now, client, &request, (&charge, tasks));
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             step.clearances.requested_at = now;
         }
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -158,3 +158,33 @@
         sent = next;
     }
 }
+
+#[test]
+fn requests_in_progress_do_not_all_name_the_workers_with_the_most_room() {
+    // All requests that were sent before the first answer named the same workers. The first step
+    // filled them, and the others got nothing, while the rest of the cell was idle.
+    let mut cluster = Cluster::new(24, 6);
+    for key in 1..=4 {
+        cluster.submit(key, "long", 2);
+    }
+    let (sent, _) = cluster.advance(1);
+    assert_eq!(sent.len(), 4);
+    cluster.now += 700;
+    sent.iter().for_each(|request| cluster.clear_all(request));
+    let (_, starts) = cluster.advance(0);
+    assert_eq!(starts.len(), 4 * 2, "there is a worker for each task");
+}
+
+#[test]
+fn a_request_that_was_lost_claims_no_room() {
+    // What is kept back for an answer has to end with the request, however that ends.
+    let mut cluster = Cluster::new(4, 3);
+    let step = cluster.submit(1, "long", 2);
+    let (first, _) = cluster.advance(1);
+    let lost = |cluster: &mut Cluster, entry: &Name| cluster.cell.remove_entry(entry);
+    lost(&mut cluster, &first[0].entry);
+    cluster.cell.cancel(Millis(cluster.now), step.job);
+    cluster.submit(2, "long", 2);
+    let (second, _) = cluster.advance(1);
+    assert_eq!(second[0].workers, first[0].workers);
+}
