Advice: keep entries free for short requests only while these come

Callers saw: steps that wait for advice while a third of the entries is idle. Cause: one in three entries was kept free of long requests at all times, also when nothing but long ones waited. Change: as many entries are kept free as twice what the short requests of the last 2 s kept busy, a third at the most as before, and none while none comes. The first test fails on the code before (4 of 6 entries send); the second holds on both: short requests that go on coming are sent at once.

--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -1,9 +1,11 @@
 //! Requests to the platform's advice service, which decides on which workers a step may run.
 //!
 //! `request` creates requests and applies their answers, `queue` assigns them to entries, `claims`
-//! spreads them over the workers, and `load` tells how busy the entries are.
+//! spreads them over the workers, `short_load` keeps entries free for short ones, and `load` tells
+//! how busy the entries are.
 
 pub mod claims;
 pub mod load;
 pub mod queue;
 pub(super) mod request;
+pub mod short_load;
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -5,6 +5,7 @@
 
 use crate::cell::advice::claims::{Claim, Claims};
 use crate::cell::advice::load::AdviceLoad;
+use crate::cell::advice::short_load::ShortLoad;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, StepKey};
@@ -13,7 +14,7 @@
 /// The duration from which a request is long, which would delay the shortest jobs beyond their
 /// objective.
 const LONG_REQUEST: Millis = Millis(150);
-/// One in this many clients, and at least one, is kept free of long requests.
+/// At most one in this many clients is kept free of long requests.
 const CLIENTS_PER_RESERVE: usize = 3;
 
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
@@ -62,6 +63,8 @@
     clients: BTreeMap<Name, Client>,
     /// The claims of the requests in progress.
     claims: Claims,
+    /// The load of short requests.
+    short_load: ShortLoad,
 }
 
 /// An entry that can send requests to the advice service.
@@ -184,7 +187,8 @@
 
     /// An entry that can send a request now, if any is idle. Entries of other cells are used only
     /// while there is none of this cell.
-    pub fn idle_client(&self) -> Option<IdleClient> {
+    pub fn idle_client(&mut self, now: Millis) -> Option<IdleClient> {
+        let wanted = self.short_load.wanted_clients(now);
         let no_home = self.clients.values().all(|client| !client.is_home);
         let usable = || self.clients.iter().filter(|(_, client)| client.is_home || no_home);
         let count = usable().count();
@@ -192,8 +196,8 @@
             .filter_map(|(_, client)| client.pending.as_ref())
             .filter(|pending| pending.is_long)
             .count();
-        let reserved = (count / CLIENTS_PER_RESERVE).max(1);
-        let allows_long = long + reserved < count || count == 1;
+        let most_reserved = if count == 1 { 0 } else { (count / CLIENTS_PER_RESERVE).max(1) };
+        let allows_long = long + wanted.min(most_reserved) < count;
         let (entry, _) = usable().find(|(_, client)| client.pending.is_none())?;
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
@@ -226,6 +230,9 @@
             true => Claim::new(&request.workers, charge, tasks),
             false => Claim::default(),
         };
+        if !is_long {
+            self.short_load.record(now, request.cost);
+        }
         self.claims.add(&claim);
         client.pending =
             Some(PendingRequest { step, claim, is_long, is_cancelled: false, deadline });
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -169,7 +169,7 @@
     /// Has idle entries send the requests of queued steps.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
         let mut from = 0;
-        while let Some(client) = self.advice_queue.idle_client()
+        while let Some(client) = self.advice_queue.idle_client(now)
             && let Some((index, queued)) = self.advice_queue.next_for(&client, from)
         {
             let (step, queued_at) = (queued.step, queued.queued_at);
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -188,3 +188,38 @@
     let (second, _) = cluster.advance(1);
     assert_eq!(second[0].workers, first[0].workers);
 }
+
+#[test]
+fn no_entry_is_kept_free_for_short_requests_that_do_not_come() {
+    // A third of the entries was kept free of long requests at all times. They stood idle for as
+    // long as nothing but long requests waited, and the queue grew.
+    let mut cluster = Cluster::new(24, 6);
+    for key in 1..=6 {
+        cluster.submit(key, "long", 1);
+    }
+    let (sent, _) = cluster.advance(1);
+    assert_eq!(sent.len(), 6, "each entry sends a request");
+}
+
+#[test]
+fn short_requests_that_go_on_coming_do_not_wait_for_long_ones() {
+    // While short requests come, entries are kept free for as many as come at once.
+    let mut cluster = Cluster::new(24, 6);
+    for key in 1..=20 {
+        cluster.submit(key, "short", 1);
+        let (sent, _) = cluster.advance(0);
+        assert_eq!(sent.len(), 1);
+        cluster.advance(22);
+        cluster.clear_all(&sent[0]);
+        cluster.cell.cancel(Millis(cluster.now), sent[0].step.job);
+        cluster.advance(28);
+    }
+    for key in 101..=112 {
+        cluster.submit(key, "long", 1);
+    }
+    let (long, _) = cluster.advance(1);
+    assert!((4..6).contains(&long.len()), "{} of 6 entries send long requests", long.len());
+    cluster.submit(21, "short", 1);
+    let (short, _) = cluster.advance(1);
+    assert_eq!(short.len(), 1, "the short request is sent at once");
+}
