Advice: ask first about steps with room, and in turn about the one that waits longest

Callers saw: steps without anything running beside free workers, in a service that is hardly used, while another service or more urgent steps take the time of the advice service. Cause: requests went strictly by rank. Urgent steps whose workers are full were asked about again and again, to no avail; and nothing bounded the wait of a step behind others that keep coming. Change: a request goes to the first step that finds a worker with room, or else to the first; one step of each queue is looked at. Once the oldest step has waited for a second, every second long request goes by age instead of by rank. While one looks at the step of a queue that stands for the others, a smaller step of the same queue behind it is passed over until the next request.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -17,6 +17,10 @@
 /// At most one in this many clients is kept free of long requests.
 const CLIENTS_PER_RESERVE: usize = 3;
 
+/// Once the oldest step has waited for this long, every second long request goes by age and not by
+/// rank. With the request itself this stays below the 3 s that a step beside free workers may wait.
+const MAX_RANKED_WAIT: Millis = Millis(1_000);
+
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
 /// times out on the service after twice the duration, and its message to the owner takes some
 /// milliseconds.
@@ -31,6 +35,8 @@
     pub workers: Vec<Name>,
     /// The time that the service takes to answer.
     pub cost: Millis,
+    /// Whether any of the workers has room for a task, beside what other requests claim.
+    pub has_room: bool,
 }
 
 /// A step that waits for a request to be sent. Its workers are chosen when an entry can send it: a
@@ -39,6 +45,8 @@
 pub struct QueuedStep {
     /// The step whose tasks need workers.
     pub step: StepKey,
+    /// The queue of the step's job.
+    pub queue: Name,
     /// The time that the service would take if the request were sent when the step is queued.
     pub cost: Millis,
     /// The order of requests; lower ranks go first.
@@ -65,6 +73,8 @@
     claims: Claims,
     /// The load of short requests.
     short_load: ShortLoad,
+    /// Whether the next request goes by age, once the oldest has waited for long.
+    is_oldest_turn: bool,
 }
 
 /// An entry that can send requests to the advice service.
@@ -90,10 +100,10 @@
     deadline: Millis,
 }
 
-impl AdviceRequest {
-    /// Whether the request takes so long that short ones must not wait for it.
-    pub fn is_long(&self) -> bool {
-        self.cost >= LONG_REQUEST
+impl IdleClient {
+    /// Whether the entry may send a request of this duration.
+    pub fn may_take(&self, cost: Millis) -> bool {
+        self.allows_long || cost < LONG_REQUEST
     }
 }
 
@@ -202,16 +212,24 @@
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
 
-    /// The position in the queue, from `from` on, of the first step whose request `client` may
-    /// send, and the step.
-    pub fn next_for(&self, client: &IdleClient, from: usize) -> Option<(usize, &QueuedStep)> {
-        let fits = |queued: &QueuedStep| client.allows_long || queued.cost < LONG_REQUEST;
-        self.waiting.iter().enumerate().skip(from).find(|(_, queued)| fits(queued))
+    /// The queued steps in the order in which requests are sent next.
+    pub fn in_turn(&self, now: Millis) -> Vec<QueuedStep> {
+        let mut steps: Vec<QueuedStep> = self.waiting.iter().cloned().collect();
+        if !self.is_oldest_turn {
+            return steps;
+        }
+        let oldest = steps.iter().min_by_key(|queued| queued.queued_at).cloned();
+        if let Some(oldest) = oldest
+            && now.since(oldest.queued_at) >= MAX_RANKED_WAIT
+        {
+            steps.sort_by_key(|queued| queued.queued_at);
+        }
+        steps
     }
 
-    /// Removes the step at a position from the queue.
-    pub fn remove(&mut self, index: usize) {
-        self.waiting.remove(index);
+    /// Removes a step from the queue.
+    pub fn remove(&mut self, step: StepKey) {
+        self.waiting.retain(|queued| queued.step != step);
     }
 
     /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
@@ -224,7 +242,7 @@
     ) {
         let Some(client) = self.clients.get_mut(&client.entry) else { return };
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
-        let (step, is_long) = (request.step, request.is_long());
+        let (step, is_long) = (request.step, request.cost >= LONG_REQUEST);
         // Little is sent before a short request is answered.
         let claim = match is_long {
             true => Claim::new(&request.workers, charge, tasks),
@@ -234,6 +252,7 @@
             self.short_load.record(now, request.cost);
         }
         self.claims.add(&claim);
+        self.is_oldest_turn = is_long && !self.is_oldest_turn;
         client.pending =
             Some(PendingRequest { step, claim, is_long, is_cancelled: false, deadline });
     }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -49,6 +49,7 @@
         let cost = request_cost(advice, workers.len());
         self.advice_queue.push(QueuedStep {
             step: key,
+            queue: job.queue.name.clone(),
             cost,
             rank: queue_rank(job),
             queued_at: now,
@@ -64,12 +65,22 @@
         let job = self.jobs.get(&key.job)?;
         let (advice, spec) = (job.queue.advice?, job.spec(key.step)?);
         let remaining = self.allowed_starts(job, spec, job.step(key)?.waiting.len());
-        let workers = match remaining {
-            0 => Vec::new(),
-            _ => self.select_workers(now, key, job, spec, remaining),
-        };
+        if remaining == 0 {
+            return None;
+        }
+        let workers = self.select_workers(now, key, job, spec, remaining);
         let cost = request_cost(advice, workers.len());
-        (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost })
+        let has_room = workers.first().is_some_and(|name| self.has_unclaimed_room(name, spec));
+        (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost, has_room })
+    }
+
+    /// Whether a worker has room for a task beside what the requests in progress claim. The first
+    /// worker of a request stands for all, as those with room come first.
+    fn has_unclaimed_room(&self, name: &Name, spec: &Step) -> bool {
+        let claimed = self.advice_queue.claimed(name);
+        self.workers.get(name).is_some_and(|worker| {
+            worker.free().saturating_sub(&claimed).can_fit(&spec.charged_resources())
+        })
     }
 
     /// Selects the workers for the next request of a step. These are cleared workers that have room
@@ -168,26 +179,47 @@
 
     /// Has idle entries send the requests of queued steps.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
-        let mut from = 0;
         while let Some(client) = self.advice_queue.idle_client(now)
-            && let Some((index, queued)) = self.advice_queue.next_for(&client, from)
+            && let Some((queued, request)) = self.next_request(now, &client)
         {
-            let (step, queued_at) = (queued.step, queued.queued_at);
-            match self.build_request(now, step) {
-                // The request has become a long one, for which no entry is free.
-                Some(request) if request.is_long() && !client.allows_long => from = index + 1,
+            self.advice_queue.remove(queued.step);
+            self.send_request(now, &client, request, queued.queued_at);
+        }
+    }
+
+    /// The request to send next: that of the first queued step that finds a worker with room, or
+    /// else of the first step. The time of the service would be lost on steps that have no room
+    /// while others have. One step of each queue is looked at, as the others find about the same.
+    fn next_request(
+        &mut self,
+        now: Millis,
+        client: &IdleClient,
+    ) -> Option<(QueuedStep, AdviceRequest)> {
+        let mut first = None;
+        let mut full_queues: BTreeSet<Name> = BTreeSet::new();
+        for queued in self.advice_queue.in_turn(now) {
+            let is_known = full_queues.contains(&queued.queue);
+            if is_known || !client.may_take(queued.cost) {
+                continue;
+            }
+            match self.build_request(now, queued.step) {
+                None => self.drop_request(queued.step),
+                Some(request) if !client.may_take(request.cost) => {}
+                Some(request) if request.has_room => return Some((queued, request)),
                 Some(request) => {
-                    self.advice_queue.remove(index);
-                    self.send_request(now, &client, request, queued_at);
-                    from = 0;
-                }
-                None => {
-                    self.advice_queue.remove(index);
-                    log::info!("event=advice-request-dropped step={step} why=no-worker");
-                    self.clear_request(step);
+                    full_queues.insert(queued.queue.clone());
+                    first.get_or_insert((queued, request));
                 }
             }
         }
+        first
+    }
+
+    /// Drops the request of a step that has no worker to ask about any more.
+    fn drop_request(&mut self, key: StepKey) {
+        log::info!("event=advice-request-dropped step={key} why=no-worker");
+        self.advice_queue.remove(key);
+        self.clear_request(key);
     }
 
     /// Has an entry send a request.
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -45,7 +45,7 @@
         service: "s".into(),
         domain: "d".into(),
         addr: format!("addr{index}").into(),
-        labels: Vec::new(),
+        labels: if index < 2 { vec!["x".into()] } else { Vec::new() },
         capacity: Resources { cpu: WORKER_CPU, mem: 1 << 20, gpu: 0 },
         started_at: None,
         leaves_in: None,
@@ -65,6 +65,11 @@
     (name.into(), Arc::new(queue))
 }
 
+/// A step of tasks that fill a worker each.
+fn step(count: u32) -> Step {
+    Step { count, resources: Resources { cpu: JOB_CPU, mem: 1, gpu: 0 }, ..Step::default() }
+}
+
 impl Cluster {
     fn new(workers: usize, entries: usize) -> Self {
         let config = CellConfig {
@@ -73,7 +78,11 @@
             job_retention: Millis(100_000),
             disabled: DisabledMechanisms::default(),
         };
-        let queues = HashMap::from([queue("long", 2, LONG), queue("short", 0, SHORT)]);
+        let queues = HashMap::from([
+            queue("long", 2, LONG),
+            queue("low", 3, LONG),
+            queue("short", 0, SHORT),
+        ]);
         let mut cell = Cell::new(1, config, queues, Snapshot::default(), false, Millis(0));
         cell.set_workers(Millis(0), (0..workers).map(worker).collect());
         for index in 0..entries {
@@ -89,8 +98,10 @@
     }
 
     fn submit(&mut self, key: u64, queue: &str, count: u32) -> StepKey {
-        let resources = Resources { cpu: JOB_CPU, mem: 1, gpu: 0 };
-        let step = Step { count, resources, ..Step::default() };
+        self.submit_step(key, queue, step(count))
+    }
+
+    fn submit_step(&mut self, key: u64, queue: &str, step: Step) -> StepKey {
         let work = JobDefinition {
             payload: "".into(),
             steps: vec![step],
@@ -223,3 +234,47 @@
     let (short, _) = cluster.advance(1);
     assert_eq!(short.len(), 1, "the short request is sent at once");
 }
+
+#[test]
+fn steps_whose_workers_are_full_do_not_keep_the_service_from_steps_with_room() {
+    // Requests went by rank alone. Where the workers of one service were full, its urgent steps were
+    // asked about again and again, to no avail, while steps beside free workers waited.
+    let mut cluster = Cluster::new(6, 1);
+    let labelled = |count| Step { required_label: "x".into(), ..step(count) };
+    cluster.submit_step(1, "long", labelled(2));
+    let (sent, _) = cluster.advance(1);
+    cluster.now += 500;
+    cluster.clear_all(&sent[0]);
+    let (_, starts) = cluster.advance(0);
+    assert_eq!(starts.len(), 2, "the workers with the label are full");
+    for key in 2..=4 {
+        cluster.submit_step(key, "long", labelled(1));
+    }
+    let with_room = cluster.submit(5, "low", 1);
+    let (sent, _) = cluster.advance(1);
+    assert_eq!(sent[0].step, with_room);
+}
+
+#[test]
+fn a_step_is_asked_about_though_more_urgent_ones_keep_coming() {
+    // Nothing bounded the wait of a step behind steps of a higher rank, which came as fast as they
+    // were asked about.
+    let mut cluster = Cluster::new(12, 1);
+    cluster.submit(1, "long", 1);
+    let (mut sent, _) = cluster.advance(1);
+    let low = cluster.submit(2, "low", 1);
+    let submitted = cluster.now;
+    for key in 3.. {
+        assert!(cluster.now - submitted < 3_000, "not asked about within 3 s");
+        cluster.submit(key, "long", 1);
+        cluster.submit(key + 1_000, "long", 1);
+        let request = sent.remove(0);
+        cluster.now += 500;
+        cluster.clear_all(&request);
+        (sent, _) = cluster.advance(0);
+        cluster.cell.cancel(Millis(cluster.now), request.step.job);
+        if sent[0].step == low {
+            return;
+        }
+    }
+}
