Owner: an entry stays known while any of its connections is open

What callers saw: after a takeover, steps waited for the advice service though entries were idle: the owner asked only some of the entries that were connected to it, until the next change of owner. The others also got no log probes and no notice of a step-down.

Cause: the owner kept one connection by entry name, and took the order of registrations for the order of connections. An entry that gives a connection up and opens another one has several; during a takeover they all wait for the owner and are registered in any order. A dead one that came last replaced the live one, was found closed at its first read, and removed the entry with it. Three further ways to the same state, by reading: with the writer ending first, the reader was dropped before `remove_peer`; `remove_peer` let go of the list before it removed the advice client, so a connection in between was undone; and one request that could not be queued removed the client for good, though the connection stayed open.

Change: `cell::owner::connections` keeps all open connections of an entry, numbered when they are accepted. The newest open one is used; when it closes, the next one is, and the entry is removed with the last. So the numbers only say which connection is tried first: if accepting does not follow the order in which the entry opened them, the dead one is found and the live one used. Numbers in the greeting would order them better, but need a change of the protocol and cannot replace this. A registration is a guard: its drop removes the connection, in whichever way the task ends. List and advice client change under one lock, the list's before the cell's. A connection that takes no more frames is closed, which returns the request and makes the entry reconnect. `entry-connected` and `entry-disconnected` name the connection, the open ones and the one in use; metric `sprucerudder_entries_connected`.

Writer ending first, the gap between the two locks and the full queue have no test of their own: none of them could be made deterministic from outside.

Conclusion: the way to lose live entries that the takeover opened is closed.

--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `election` and `authority`: which entry owns a cell, and whether it may send orders.
 //! - `log_reports`: whether an earlier owner may have started runs without a record.
+//! - `connections`: the open connections of the other entries.
 //! - `cell_map`: the cell of each worker and job.
 //! - `map_writer`: which entry counts the workers and writes that map.
 //! - `backoff`: the delay before a failed call to the store is repeated.
@@ -18,6 +19,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod cell_map;
+pub mod connections;
 pub mod election;
 pub(super) mod forward;
 pub mod lag;
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -1,6 +1,7 @@
 //! The connection from an entry to the owner of a cell, on the side of the entry and on that of the
 //! owner.
 
+use crate::cell::owner::connections::ConnectionNumber;
 use crate::cell::owner::election::Leader;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -360,13 +361,17 @@
 
     /// Accepts connections of other entries.
     pub(super) async fn serve_peers(self: Arc<Self>, listener: tokio::net::TcpListener) {
+        let mut number: ConnectionNumber = 0;
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
+                    number += 1;
                     let node = self.clone();
                     tokio::spawn(async move {
-                        if let Err(err) = node.serve_peer(stream).await {
-                            log::debug!("event=peer-connection-lost from={from} error={err:?}");
+                        if let Err(err) = node.serve_peer(stream, number).await {
+                            log::debug!(
+                                "event=peer-connection-lost from={from} connection={number} error={err:?}"
+                            );
                         }
                     });
                 }
@@ -379,12 +384,16 @@
     }
 
     /// Serves the connection of another entry until it ends.
-    async fn serve_peer(self: Arc<Self>, stream: TcpStream) -> io::Result<()> {
+    async fn serve_peer(
+        self: Arc<Self>,
+        stream: TcpStream,
+        number: ConnectionNumber,
+    ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (read_half, write_half) = stream.into_split();
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
         let writer = write_frames(write_half, queue);
-        let reader = self.serve_entry(FrameReader::new(read_half, IDLE_TIMEOUT), sender);
+        let reader = self.serve_entry(FrameReader::new(read_half, IDLE_TIMEOUT), sender, number);
         tokio::select! {
             result = writer => result,
             result = reader => result,
@@ -396,6 +405,7 @@
         self: &Arc<Self>,
         mut frames: FrameReader,
         sender: FrameSender,
+        number: ConnectionNumber,
     ) -> io::Result<()> {
         let Some(Frame {
             body: EntryMessage::Hello { entry, cell, epoch, cpu, is_home, history },
@@ -423,11 +433,12 @@
                 Millis(PING_INTERVAL.0 * u64::from(view.cell_count)) + IDLE_TIMEOUT,
             );
         }
-        owner.add_peer(entry.clone(), cpu, is_home, sender.clone());
+        let mut registration = owner.register_peer(&entry, number, cpu, is_home, sender.clone());
         owner.add_log_history(&entry, history);
-        let result = self.serve_requests(&owner, &entry, &mut frames, &sender).await;
-        owner.remove_peer(&entry, &sender);
-        result
+        tokio::select! {
+            result = self.serve_requests(&owner, &entry, &mut frames, &sender) => result,
+            () = registration.closed() => Err(io::Error::other("the entry reads too slowly")),
+        }
     }
 
     /// Answers the messages of an entry until its connection or the ownership ends.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -27,6 +27,7 @@
     waiting_steps: IntGauge,
     workers: IntGauge,
     heard_workers: IntGauge,
+    connected_entries: IntGauge,
     crashed_workers: IntGauge,
     abandoned_jobs: IntGauge,
     restarted_workers: IntGauge,
@@ -74,6 +75,10 @@
                 "sprucerudder_workers_heard",
                 "Workers that answered their last call",
             )?,
+            connected_entries: gauge(
+                "sprucerudder_entries_connected",
+                "Other entries with an open connection to this owner",
+            )?,
             crashed_workers: gauge(
                 "sprucerudder_workers_crashed",
                 "Workers that crashed with something running, since the takeover",
@@ -150,6 +155,11 @@
         self.expired_waits.set(load.expired_waits as i64);
     }
 
+    /// Sets the number of other entries that are connected to the owner of a cell.
+    pub fn set_connected_entries(&self, count: usize) {
+        self.connected_entries.set(count as i64);
+    }
+
     /// Sets the rate of tasks that the owner accepts, if it is limited.
     pub fn set_admission_limit(&self, limit: Option<f64>) {
         self.admission_limit.set(limit.map_or(0, |limit| limit as i64));
--- a/src/node/owner/actions.rs
+++ b/src/node/owner/actions.rs
@@ -5,7 +5,6 @@
 use crate::cell::owner::pass_pacing::PassPacing;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::node::frame::encode;
 use crate::node::lock;
 use crate::node::msg::OwnerMessage;
 use crate::node::owner::Owner;
@@ -107,16 +106,9 @@
             });
             return;
         }
-        let sender = lock(&self.peers).get(&entry).cloned();
-        let frame = encode(0, OwnerMessage::AskAdvice { step, workers, cost });
-        let sent = match (sender, frame) {
-            (Some(sender), Ok(frame)) => sender.try_send(frame).is_ok(),
-            _ => false,
-        };
-        if !sent {
+        let message = OwnerMessage::AskAdvice { step, workers, cost };
+        if !self.send_to(&entry, &message) {
             log::info!("event=advice-request-not-sent entry={entry} step={step}");
-            lock(&self.cell).remove_entry(&entry);
-            self.schedule_wake.notify_one();
         }
     }
 }
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod history;
 mod list;
+mod peers;
 mod store;
 mod transfer;
 mod workers;
@@ -13,17 +14,18 @@
 use crate::cell::owner::admission::Admission;
 use crate::cell::owner::authority::Authority;
 use crate::cell::owner::balance::ServiceLoad;
+use crate::cell::owner::connections::Connections;
 use crate::cell::owner::election::OWNER_TIMEOUT;
 use crate::cell::owner::lag::TickLag;
 use crate::cell::owner::log_reports::LogReports;
 use crate::cell::{Cell, CellConfig};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::node::frame::FrameSender;
 use crate::node::msg::{EntryMessage, OwnerMessage, RefusalReason};
 use crate::node::view::CellView;
 use crate::node::{Node, lock};
 use crate::workload::{JobDefinition, JobKey};
+use peers::Peer;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -52,8 +54,8 @@
     write_wake: Notify,
     /// Set once this entry no longer owns the cell.
     ended: watch::Sender<bool>,
-    /// The other entries that are connected to this owner.
-    peers: Mutex<HashMap<Name, FrameSender>>,
+    /// The connections of the other entries. Its lock is taken before that of the cell.
+    peers: Mutex<Connections<Peer>>,
     authority: Mutex<Authority>,
     /// The reports of the other entries about the time before this epoch.
     witnesses: Mutex<LogReports>,
@@ -235,6 +237,7 @@
                 cell.stats()
             };
             self.node.metrics.set_load(&load);
+            self.node.metrics.set_connected_entries(self.connected_entries());
             self.schedule_wake.notify_one();
         }
     }
@@ -288,36 +291,6 @@
         }
     }
 
-    /// Registers the connection of another entry.
-    pub fn add_peer(&self, entry: Name, cpu: u32, is_home: bool, sender: FrameSender) {
-        log::info!(
-            "event=entry-connected cell={} entry={entry} epoch={}",
-            self.view.cell,
-            self.epoch
-        );
-        lock(&self.peers).insert(entry.clone(), sender);
-        // The cell is transferred only to entries whose home it is.
-        let cpu = if is_home { cpu } else { 0 };
-        lock(&self.authority).add_peer(self.node.now(), &entry, cpu);
-        if self.node.adviser.is_some() {
-            lock(&self.cell).add_entry(entry, is_home);
-        }
-        self.schedule_wake.notify_one();
-    }
-
-    /// Removes the connection of an entry, unless the entry has a newer one.
-    pub fn remove_peer(&self, entry: &Name, sender: &FrameSender) {
-        let mut peers = lock(&self.peers);
-        if peers.get(entry).is_some_and(|known| known.same_channel(sender)) {
-            let (cell, epoch) = (self.view.cell, self.epoch);
-            log::info!("event=entry-disconnected cell={cell} entry={entry} epoch={epoch}");
-            peers.remove(entry);
-            drop(peers);
-            lock(&self.cell).remove_entry(entry);
-            self.schedule_wake.notify_one();
-        }
-    }
-
     /// Notes whether an entry can read the log.
     pub fn handle_ping(&self, entry: &Name, log_readable: bool) {
         lock(&self.authority).update_peer(self.node.now(), entry, log_readable);
--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -5,7 +5,6 @@
 use crate::cell::owner::lag::CLAIM_BACKOFF;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::node::frame::encode;
 use crate::node::lock;
 use crate::node::msg::OwnerMessage;
 use crate::node::owner::Owner;
@@ -48,16 +47,6 @@
         }
     }
 
-    /// Sends a message to all connected entries.
-    fn broadcast(&self, message: &OwnerMessage) {
-        for (entry, sender) in lock(&self.peers).iter() {
-            let sent = encode(0, message.clone()).map(|frame| sender.try_send(frame));
-            if !matches!(sent, Ok(Ok(()))) {
-                log::info!("event=broadcast-not-sent entry={entry} message={message:?}");
-            }
-        }
-    }
-
     /// The processors of the largest other entry that could own the cell, in thousandths of one.
     pub fn largest_peer_cpu(&self) -> u32 {
         lock(&self.authority).largest_peer_cpu(self.node.now())
