Owner: a stale greeting does not replace what a newer one told

What callers saw: nothing that is on record. An owner could give its cell up for processors that no entry has, and could trust the stored records because of a report that the entry had taken back since: tasks that an earlier owner had started without a record would then start twice.

Cause: the owner took the greeting that it handled last for the newest. After a takeover the greetings of an entry's connections are handled in any order. A dead one's greeting brought back the entry's former processors and its former report about the log.

Change: processors and the report about the log are taken only from a greeting on the newest connection that the entry ever had, whether that is still open or not. How many entries an earlier owner counted is taken from every greeting, as a higher count only makes the owner more careful.

Conclusion: what the owner believes about an entry does not depend on the order in which greetings are handled.

--- a/src/cell/owner/log_reports.rs
+++ b/src/cell/owner/log_reports.rs
@@ -60,9 +60,14 @@
 }
 
 impl LogReports {
-    /// Adds the report of an entry.
+    /// Records how many other entries an earlier owner counted.
+    pub fn expect_peers(&mut self, count: u32) {
+        self.peer_count = self.peer_count.max(count);
+    }
+
+    /// Adds the report of an entry, which replaces its earlier one.
     pub fn add(&mut self, entry: &Name, report: LogReport) {
-        self.peer_count = self.peer_count.max(report.peers);
+        self.expect_peers(report.peers);
         match report {
             LogReport { log_steady: true, peers: 1.. } => drop(self.steady.insert(entry.clone())),
             // An entry that was not connected to an owner was not counted by it as able to read the
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -8,6 +8,7 @@
 use crate::node::frame::{FrameReader, FrameSender, IDLE_TIMEOUT, encode, write_frames};
 use crate::node::msg::{EntryMessage, Frame, OwnerMessage, RefusalReason};
 use crate::node::owner::Owner;
+use crate::node::owner::peers::Greeting;
 use crate::node::view::CellView;
 use crate::node::{Node, lock};
 use crate::workload::JobKey;
@@ -433,8 +434,8 @@
                 Millis(PING_INTERVAL.0 * u64::from(view.cell_count)) + IDLE_TIMEOUT,
             );
         }
-        let mut registration = owner.register_peer(&entry, number, cpu, is_home, sender.clone());
-        owner.add_log_history(&entry, history);
+        let greeting = Greeting { cpu, is_home, history };
+        let mut registration = owner.register_peer(&entry, number, greeting, sender.clone());
         tokio::select! {
             result = self.serve_requests(&owner, &entry, &mut frames, &sender) => result,
             () = registration.closed() => Err(io::Error::other("the entry reads too slowly")),
--- a/src/node/owner/history.rs
+++ b/src/node/owner/history.rs
@@ -8,11 +8,15 @@
 use std::sync::atomic::Ordering;
 
 impl Owner {
+    /// Records how many other entries an earlier owner counted.
+    pub(super) fn expect_peers(&self, count: u32) {
+        lock(&self.authority).expect_peers(self.node.now(), count);
+        lock(&self.witnesses).expect_peers(count);
+    }
+
     /// Adds what an entry knows about the time before this epoch. Once enough entries confirm that
     /// no earlier owner started tasks without a record, the stored records are trusted.
-    pub fn add_log_history(&self, entry: &Name, history: LogReport) {
-        let now = self.node.now();
-        lock(&self.authority).expect_peers(now, history.peers);
+    pub(super) fn add_log_history(&self, entry: &Name, history: LogReport) {
         let mut witnesses = lock(&self.witnesses);
         witnesses.add(entry, history);
         if witnesses.exclude_unrecorded_starts() && lock(&self.cell).trust_records() {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -5,7 +5,7 @@
 mod forward;
 mod history;
 mod list;
-mod peers;
+pub(super) mod peers;
 mod store;
 mod transfer;
 mod workers;
@@ -54,7 +54,7 @@
     write_wake: Notify,
     /// Set once this entry no longer owns the cell.
     ended: watch::Sender<bool>,
-    /// The connections of the other entries. Its lock is taken before that of the cell.
+    /// The connections of the other entries. Its lock is taken before all others.
     peers: Mutex<Connections<Peer>>,
     authority: Mutex<Authority>,
     /// The reports of the other entries about the time before this epoch.
--- a/src/node/owner/peers.rs
+++ b/src/node/owner/peers.rs
@@ -1,6 +1,7 @@
 //! The connections of the other entries to this owner, and what is sent to them unasked.
 
 use crate::cell::owner::connections::{Addition, ConnectionNumber, Removal};
+use crate::cell::owner::log_reports::LogReport;
 use crate::id::Name;
 use crate::node::frame::{FrameSender, encode};
 use crate::node::lock;
@@ -20,6 +21,17 @@
     _open: oneshot::Sender<Infallible>,
 }
 
+/// What an entry tells in its greeting.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::node) struct Greeting {
+    /// The processors of the entry, in thousandths of one.
+    pub cpu: u32,
+    /// The cell is the home of the entry.
+    pub is_home: bool,
+    /// What the entry knows about the time before this epoch.
+    pub history: LogReport,
+}
+
 /// Keeps a connection registered at the owner. Dropping it removes the connection, so that this
 /// happens in whichever way the connection's task ends.
 #[derive(Debug)]
@@ -44,28 +56,32 @@
 }
 
 impl Owner {
-    /// Registers a connection of another entry for as long as the returned value lives. `cpu`: the
-    /// processors of the entry, in thousandths of one.
+    /// Registers a connection of another entry for as long as the returned value lives.
     pub fn register_peer(
         self: &Arc<Self>,
         entry: &Name,
         number: ConnectionNumber,
-        cpu: u32,
-        is_home: bool,
+        greeting: Greeting,
         frames: FrameSender,
     ) -> Registration {
+        let Greeting { cpu, is_home, history } = greeting;
         let (open, closed) = oneshot::channel();
         let mut peers = lock(&self.peers);
         let added = peers.add(entry, number, Peer { frames, is_home, _open: open });
-        let Addition { is_used, open, .. } = added;
+        let Addition { is_newest, is_used, open } = added;
         log::info!(
             "event=entry-connected cell={} entry={entry} epoch={} connection={number} open={open} used={is_used}",
             self.view.cell,
             self.epoch
         );
-        // The cell is transferred only to entries whose home it is.
-        let cpu = if is_home { cpu } else { 0 };
-        lock(&self.authority).add_peer(self.node.now(), entry, cpu);
+        self.expect_peers(history.peers);
+        // An older greeting tells what held before the newest one was sent.
+        if is_newest {
+            // The cell is transferred only to entries whose home it is.
+            let cpu = if is_home { cpu } else { 0 };
+            lock(&self.authority).add_peer(self.node.now(), entry, cpu);
+            self.add_log_history(entry, history);
+        }
         if is_used {
             self.restart_advice_client(entry, is_home);
         }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -29,6 +29,8 @@
 const PING_INTERVAL: Duration = Duration::from_millis(100);
 /// Longer than an owner takes to find a closed connection.
 const CLOSE_TIME: Duration = Duration::from_millis(300);
+/// Longer than an entry takes to write a log line.
+const LOG_TIME: Duration = Duration::from_millis(300);
 const PORT: u16 = 20_000;
 /// Offset of the port for other entries from that for callers.
 const PEER_PORT_OFFSET: u16 = 2;
@@ -89,6 +91,31 @@
         .await;
     }
 
+    /// Whether an entry has logged a line that contains `text`, once what it did is written.
+    async fn has_logged(&self, entry: u16, text: &str) -> bool {
+        tokio::time::sleep(LOG_TIME).await;
+        self.log(entry).contains(text)
+    }
+
+    fn log(&self, entry: u16) -> String {
+        std::fs::read_to_string(self.log_path(entry)).unwrap()
+    }
+
+    /// Waits until an entry has taken the cell over, and returns its epoch.
+    async fn await_takeover(&self, entry: u16) -> u64 {
+        let mut epoch = None;
+        wait_until("a takeover", async || {
+            let log = self.log(entry);
+            let line = log.lines().find(|line| line.starts_with("event=takeover "));
+            let field =
+                line.and_then(|line| line.split(' ').find_map(|part| part.strip_prefix("epoch=")));
+            epoch = field.and_then(|text| text.parse().ok());
+            epoch.is_some()
+        })
+        .await;
+        epoch.unwrap()
+    }
+
     /// Waits until an owner counts so many other entries as connected.
     async fn await_connected_entries(&self, owner: u16, count: usize) {
         let addr = self.site.metrics_addr(owner);
@@ -292,3 +319,47 @@
     let asked = futures_util::future::join_all(asked).await;
     assert_eq!(asked, [true; NAMES.len()], "the owner does not know all of {NAMES:?}");
 }
+
+// An entry moves to a smaller VM. The greeting of its former process is handled last: the owner must
+// not take the processors in it for those that the entry has.
+#[tokio::test]
+async fn cell_given_up_for_the_processors_in_a_stale_greeting() {
+    let cluster = Cluster::start(1).await;
+    let addr = cluster.peer_addr(0);
+    let stale = Connection::open(&addr).await;
+    let live = Connection::open(&addr).await;
+    let live = live.register(Greeting { cpu: 100, ..Greeting::default() }).await;
+    let stale = stale.register(Greeting { cpu: 64_000, ..Greeting::default() }).await;
+    let _stale = stale.keep_alive();
+    let mut live = live.keep_alive();
+    // Longer than an owner waits before it gives a cell to a larger entry.
+    let end = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < end {
+        assert!(live.receives(PONG).await, "the owner gave the cell up");
+    }
+}
+
+// An entry could read the log when it opened a connection, and could not when it opened the next
+// one. The owner handles the earlier greeting last: it must not take it for what holds now, and
+// conclude that no earlier owner started anything without a record.
+#[tokio::test]
+async fn records_trusted_for_the_word_in_a_stale_greeting() {
+    let mut cluster = Cluster::start(2).await;
+    cluster.submit_advised(0, 1).await;
+    // After the takeover, tasks are held back until it is known what runs on these workers.
+    for worker in &cluster.site.workers {
+        worker.faults.unreachable.store(true, Ordering::Relaxed);
+    }
+    drop(cluster.entries.remove(0));
+    let epoch = cluster.await_takeover(1).await;
+    let addr = cluster.peer_addr(1);
+    let greeting = |log_steady| Greeting { epoch, log_steady, ..Greeting::default() };
+    let stale = Connection::open(&addr).await;
+    let live = Connection::open(&addr).await;
+    let next = Connection::open(&addr).await;
+    let _live = live.register(greeting(false)).await;
+    let _stale = stale.register(greeting(true)).await;
+    assert!(!cluster.has_logged(1, "event=records-trusted").await, "a stale greeting counted");
+    let _next = next.register(greeting(true)).await;
+    assert!(cluster.has_logged(1, "event=records-trusted").await, "the newest one did not count");
+}
