Owner: pings on a replaced connection are ignored

What callers saw: nothing that is on record. An owner without the store could start tasks although the other entries read the log, so that another one may own the cell: the same task could run twice.

Cause: each ping counted as the entry's word of the moment at which it was handled, on whichever of its connections it came. Pings on a connection that the entry gave up wait there, during a takeover until the owner is ready, and are handled beside those on its newer connection.

Evidence, on the commit before: task_started_for_the_pings_on_a_stale_connection FAILED: the second task was started, left: 2, right: 1 The test makes the window wide: the stale connection stays open and pings ten times as often as the live one.

Change: only pings on the connection that is used for sending to the entry are noted. If that one is dead, the entry counts as one that reads the log until the owner finds that out, which is the careful side.

After: the test passes, as do the four others of tests/peers.rs, in three runs of three.

Conclusion: an owner acts without the log only on what entries told it on their newest open connections. A single connection still delivers its pings late if it waited for the owner; the last one of them counts.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -437,7 +437,7 @@
         let greeting = Greeting { cpu, is_home, history };
         let mut registration = owner.register_peer(&entry, number, greeting, sender.clone());
         tokio::select! {
-            result = self.serve_requests(&owner, &entry, &mut frames, &sender) => result,
+            result = self.serve_requests(&owner, &entry, number, &mut frames, &sender) => result,
             () = registration.closed() => Err(io::Error::other("the entry reads too slowly")),
         }
     }
@@ -447,6 +447,7 @@
         self: &Arc<Self>,
         owner: &Arc<Owner>,
         entry: &Name,
+        number: ConnectionNumber,
         frames: &mut FrameReader,
         sender: &FrameSender,
     ) -> io::Result<()> {
@@ -456,7 +457,7 @@
             }
             match body {
                 EntryMessage::Ping { log_readable } => {
-                    owner.handle_ping(entry, log_readable);
+                    owner.handle_ping(entry, number, log_readable);
                     let (accepts_jobs, entry_count) = (owner.is_serving(), owner.entry_count());
                     let pong =
                         OwnerMessage::Pong { accepts_jobs, loads: owner.loads(), entry_count };
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -14,7 +14,7 @@
 use crate::cell::owner::admission::Admission;
 use crate::cell::owner::authority::Authority;
 use crate::cell::owner::balance::ServiceLoad;
-use crate::cell::owner::connections::Connections;
+use crate::cell::owner::connections::{ConnectionNumber, Connections};
 use crate::cell::owner::election::OWNER_TIMEOUT;
 use crate::cell::owner::lag::TickLag;
 use crate::cell::owner::log_reports::LogReports;
@@ -291,8 +291,12 @@
         }
     }
 
-    /// Notes whether an entry can read the log.
-    pub fn handle_ping(&self, entry: &Name, log_readable: bool) {
+    /// Notes whether an entry can read the log. A ping on a connection that is not used any more may
+    /// have waited there while the entry told something else on a newer one.
+    pub fn handle_ping(&self, entry: &Name, number: ConnectionNumber, log_readable: bool) {
+        if !self.is_used(entry, number) {
+            return log::debug!("event=ping-ignored entry={entry} connection={number}");
+        }
         lock(&self.authority).update_peer(self.node.now(), entry, log_readable);
     }
 
--- a/src/node/owner/peers.rs
+++ b/src/node/owner/peers.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Whether a connection is the one that is used for sending to its entry.
+    pub(super) fn is_used(&self, entry: &Name, number: ConnectionNumber) -> bool {
+        lock(&self.peers).used(entry).is_some_and(|(used, _)| used == number)
+    }
+
     /// The number of other entries with an open connection.
     pub(super) fn connected_entries(&self) -> usize {
         lock(&self.peers).connected().count()
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -5,11 +5,12 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
 use sprucerudder::platform::http::{HttpClient, uri};
 use sprucerudder::standin::process::Process;
 use sprucerudder::standin::site::Site;
+use sprucerudder::standin::site::store::Faults;
 use std::io;
 use std::path::PathBuf;
 use std::process::Stdio;
@@ -139,11 +140,16 @@
 
     /// Submits a job whose only task needs the advice service.
     async fn submit_advised(&self, entry: u16, job: u64) {
-        let addr = self.site.front_addr(entry);
         let step = json!({"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 100});
-        let body = json!({"spec": "100", "steps": [step]}).to_string();
+        let body = json!({"spec": "100", "steps": [step]});
+        self.submit(entry, &format!("/advised/{job:016x}"), &body).await;
+    }
+
+    async fn submit(&self, entry: u16, path: &str, body: &Value) {
+        let addr = self.site.front_addr(entry);
+        let body = body.to_string();
         wait_until("a job to be accepted", async || {
-            let request = Request::post(uri(&addr, &format!("/advised/{job:016x}")).unwrap())
+            let request = Request::post(uri(&addr, path).unwrap())
                 .header("Host", "desk.example")
                 .header("X-Sprucerudder-Deadline-Ms", "3000")
                 .body(Full::from(Bytes::from(body.clone())))
@@ -212,10 +218,15 @@
 
     /// Pings in the background from now on, as an entry does.
     fn keep_alive(self) -> LiveConnection {
+        self.report_log(true, PING_INTERVAL)
+    }
+
+    /// As [`Self::keep_alive`], with pings that tell whether the entry can read the log.
+    fn report_log(self, readable: bool, interval: Duration) -> LiveConnection {
         let Self { reader, mut writer } = self;
         let pings = tokio::spawn(async move {
-            while send(&mut writer, (PING, true)).await.is_ok() {
-                tokio::time::sleep(PING_INTERVAL).await;
+            while send(&mut writer, (PING, readable)).await.is_ok() {
+                tokio::time::sleep(interval).await;
             }
         });
         LiveConnection { reader, pings }
@@ -363,3 +374,30 @@
     let _next = next.register(greeting(true)).await;
     assert!(cluster.has_logged(1, "event=records-trusted").await, "the newest one did not count");
 }
+
+// An entry that could not read the log replaced its connection and can read it now. Its earlier
+// pings are handled last: an owner without the store must not take them for news, and start tasks
+// because most entries cannot read the log either.
+#[tokio::test]
+async fn task_started_for_the_pings_on_a_stale_connection() {
+    let cluster = Cluster::start(1).await;
+    let addr = cluster.peer_addr(0);
+    let stale = Connection::open(&addr).await;
+    let live = Connection::open(&addr).await;
+    let live = live.register(Greeting::default()).await;
+    let stale = stale.register(Greeting::default()).await;
+    let _live = live.report_log(true, PING_INTERVAL);
+    let _stale = stale.report_log(false, PING_INTERVAL / 10);
+    let steps = json!([
+        {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 2_500},
+        {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 2_500, "depends_on": [0]}
+    ]);
+    cluster.submit(0, "/plain/00000000000000a1", &json!({"spec": "2500", "steps": steps})).await;
+    let starts = || cluster.site.workers.iter().map(|worker| worker.starts().len()).sum::<usize>();
+    wait_until("the first task to start", async || starts() == 1).await;
+    cluster.site.store.set(Faults { refuses: true, ..Faults::default() });
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(starts(), 1, "the second task was started");
+    cluster.site.store.set(Faults::default());
+    wait_until("the second task to start", async || starts() == 2).await;
+}
