Wire: a late failure drops only its own connection from the pool

What callers saw: nothing that is on record. After a connection between entries broke, its requests that timed out one by one each made the next request open another connection, though a good one was open.

Cause: a request that failed or timed out removed whatever connection the pool had for that peer, which can be newer than the one it was sent on.

Evidence, on the code before: newer_connection_dropped_for_a_late_timeout_of_an_older_one FAILED: the second connection was dropped, left: 3, right: 2

Change: a connection is removed from the pool only if it is the one that the request was sent on. The time limit now covers connecting and the exchange separately, up to the same deadline, so that a timeout knows its connection.

--- a/src/wire/quic.rs
+++ b/src/wire/quic.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
 
 /// The size limit of a message. The largest one carries the complete state of a shard, which a new
 /// owner exchanges with each replica at the start of an epoch.
@@ -123,8 +124,7 @@
         request: PeerRequest,
         limit: Millis,
     ) -> Result<PeerResponse, WireError> {
-        let exchange = self.exchange(name, addr, |_| Some(request));
-        self.with_timeout(name, addr, limit, exchange).await
+        self.request_by_version(name, addr, |_| Some(request), limit).await
     }
 
     /// As [`QuicTransport::request`], with a request that depends on the negotiated protocol
@@ -139,8 +139,15 @@
         request: impl FnOnce(u8) -> Option<PeerRequest>,
         limit: Millis,
     ) -> Result<PeerResponse, WireError> {
-        let exchange = self.exchange(name, addr, request);
-        self.with_timeout(name, addr, limit, exchange).await
+        let deadline = Instant::now() + limit.duration();
+        let timed_out = |_| WireError::Timeout(name.clone());
+        let connecting = timeout_at(deadline, self.connect(name, addr));
+        let connection = connecting.await.map_err(timed_out)??;
+        let exchange = timeout_at(deadline, self.exchange(name, addr, &connection, request));
+        exchange.await.unwrap_or_else(|elapsed| {
+            self.drop_connection(name, addr, &connection);
+            Err(timed_out(elapsed))
+        })
     }
 
     /// The protocol version negotiated with a peer.
@@ -158,22 +165,6 @@
         negotiated_version(&connection).ok_or_else(|| WireError::Connect(name.clone()))
     }
 
-    async fn with_timeout(
-        &self,
-        name: &Name,
-        addr: SocketAddr,
-        limit: Millis,
-        exchange: impl Future<Output = Result<PeerResponse, WireError>>,
-    ) -> Result<PeerResponse, WireError> {
-        match tokio::time::timeout(limit.duration(), exchange).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.drop_connection(name, addr);
-                Err(WireError::Timeout(name.clone()))
-            }
-        }
-    }
-
     fn count_exchange(&self, bytes: usize) {
         self.traffic.requests.fetch_add(1, Ordering::Relaxed);
         self.traffic.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
@@ -183,14 +174,14 @@
         &self,
         name: &Name,
         addr: SocketAddr,
+        connection: &Connection,
         request: impl FnOnce(u8) -> Option<PeerRequest>,
     ) -> Result<PeerResponse, WireError> {
-        let connection = self.connect(name, addr).await?;
         let version =
-            negotiated_version(&connection).ok_or_else(|| WireError::Connect(name.clone()))?;
+            negotiated_version(connection).ok_or_else(|| WireError::Connect(name.clone()))?;
         let body = request(version).ok_or_else(|| WireError::PeerTooOld(name.clone()))?;
         let message = encode(version, &Envelope { stamp: self.trace.stamp(), body })?;
-        let bytes = self.send_and_receive(name, addr, &connection, &message).await?;
+        let bytes = self.send_and_receive(name, addr, connection, &message).await?;
         self.count_exchange(message.len() + bytes.len());
         let envelope: Envelope<PeerResponse> = decode(version, &bytes)?;
         self.trace.observe(envelope.stamp);
@@ -206,11 +197,11 @@
         message: &[u8],
     ) -> Result<Vec<u8>, WireError> {
         let broken = || {
-            self.drop_connection(name, addr);
+            self.drop_connection(name, addr, connection);
             WireError::Broken(name.clone())
         };
         let (mut send, mut recv) = connection.open_bi().await.map_err(|_| {
-            self.drop_connection(name, addr);
+            self.drop_connection(name, addr, connection);
             WireError::Connect(name.clone())
         })?;
         send.write_all(message).await.map_err(|_| broken())?;
@@ -224,8 +215,13 @@
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn drop_connection(&self, name: &Name, addr: SocketAddr) {
-        self.lock_connections().remove(&(name.clone(), addr));
+    /// Removes a connection from the pool, unless another one has taken its place.
+    fn drop_connection(&self, name: &Name, addr: SocketAddr, connection: &Connection) {
+        let key = (name.clone(), addr);
+        let mut connections = self.lock_connections();
+        if connections.get(&key).is_some_and(|open| open.stable_id() == connection.stable_id()) {
+            connections.remove(&key);
+        }
     }
 
     async fn connect(&self, name: &Name, addr: SocketAddr) -> Result<Connection, WireError> {
--- a/tests/quic.rs
+++ b/tests/quic.rs
@@ -2,8 +2,9 @@
 //! negotiate the newest protocol version that both support.
 
 use sprucerudder::clock::Millis;
+use sprucerudder::id::Name;
 use sprucerudder::settings::Keys;
-use sprucerudder::trace::Trace;
+use sprucerudder::trace::{EventKind, Stamp, Trace};
 use sprucerudder::wire::keys::Authority;
 use sprucerudder::wire::msg::{NEWEST_VERSION, PeerRequest, PeerResponse};
 use sprucerudder::wire::quic::{QuicTransport, WireError};
@@ -68,3 +69,40 @@
         assert_eq!(negotiated, here.min(there), "{here} with {there}");
     }
 }
+
+// Two requests wait on one connection. The first to time out takes it from the pool, and the next
+// request opens another one. When the second one times out, it must not take that one from the pool.
+#[tokio::test]
+async fn newer_connection_dropped_for_a_late_timeout_of_an_older_one() {
+    let cell = Authority::new("cell").expect("authority");
+    let server = bind("e1", &cell.issue("e1").expect("keys"));
+    let to = server.addr().expect("addr");
+    tokio::spawn(server.serve(|request| async move {
+        match request {
+            PeerRequest::Table => std::future::pending().await,
+            _ => PeerResponse::Done,
+        }
+    }));
+    let trace = Arc::new(Trace::new("e2".into()));
+    let any = (Ipv4Addr::LOCALHOST, 0).into();
+    let keys = cell.issue("e2").expect("keys");
+    let client = QuicTransport::bind(any, &keys, NEWEST_VERSION, trace.clone()).expect("bind");
+    let name = Name::from("e1");
+    let ask = |request, limit| client.request(&name, to, request, Millis(limit));
+    let opened = || {
+        let events = trace.events_after(Stamp(0), usize::MAX);
+        events.iter().filter(|event| matches!(event.kind, EventKind::PeerConnected { .. })).count()
+    };
+    ask(PeerRequest::VmList, 10_000).await.expect("the first connection");
+    let late = ask(PeerRequest::Table, 1_500);
+    let newer = async {
+        let early = ask(PeerRequest::Table, 300).await;
+        assert!(matches!(early, Err(WireError::Timeout(_))), "{early:?}");
+        ask(PeerRequest::VmList, 10_000).await.expect("the second connection");
+        assert_eq!(opened(), 2);
+    };
+    let (late, ()) = tokio::join!(late, newer);
+    assert!(matches!(late, Err(WireError::Timeout(_))), "{late:?}");
+    ask(PeerRequest::VmList, 10_000).await.expect("an open connection");
+    assert_eq!(opened(), 2, "the second connection was dropped");
+}
