Entry: keep an answer of the advice service until an owner has it

Callers saw jobs that waited for seconds though workers had room. Their steps waited for the advice service, whose answers the entries' logs show as dropped (advice-not-delivered error=Broken/Unsent).

Cause: an answer was bound to the connection on which the owner had asked. If that ended during the call, the answer was dropped and the step was asked about again. Each new connection or owner also started a call beside the one that was in progress; the service processes one request at a time from each machine, so the second one waited there while its timeout ran.

Change: src/node/advice_calls.rs makes the calls of an entry for one cell, one at a time, also those for an owner in the same process. It sends an answer until an owner has confirmed it or its tickets have run out. A request for the same step that arrived meanwhile is settled by that answer. The message carries the age of the request and of the answer. An owner that did not ask takes the answer (src/cell/advice/late_answer.rs): - tickets expire by the age of the answer; a later ticket is kept; - workers that restarted since the request was sent are left out; a ticket for a life that ended before the takeover is refused by the worker and then renewed, so it may be used; - a denial counts only if the worker had reported to this owner before the request was sent, because nothing would correct a wrong one; - not for a job that was submitted to this owner after the request was sent: it may be another one under the same key; - a request in progress at another entry goes on and a queued one is withdrawn. The news that a call failed changes nothing unless this entry has the request: it made the owner send a third request.

Alternatives: the greeting could carry held answers, but an answer may also become ready when the connection is open and one path for both is simpler; calls that go on beside each other would take more of the service's time than they save.

Conclusion: an answer survives the end of its connection and a change of owner. An owner still returns the request of an entry to its queue when the connection ends, so another entry may be asked about the step.

--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -8,7 +8,7 @@
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::order::ClearedWorkers;
+use crate::order::{AdviceAge, ClearedWorkers};
 use crate::workload::{AdviceConfig, Step, StepKey};
 use std::collections::BTreeSet;
 
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Handles the answer that an entry got from the advice service; `None` if there was none.
+    /// Handles an answer that has just arrived from the advice service; `None` if there was none.
     pub fn handle_advice(
         &mut self,
         now: Millis,
@@ -171,25 +171,26 @@
         named: &[Name],
         answer: Option<ClearedWorkers>,
     ) {
-        let is_wanted = self.advice_queue.complete(entry, key);
-        match answer {
-            _ if !is_wanted => log::info!("event=advice-unused step={key} entry={entry}"),
-            Some(cleared) => self.apply_advice(now, key, named, cleared),
-            None => self.return_request(key, entry, "no-answer"),
-        }
-        self.needs_placement = true;
+        self.handle_aged_advice(now, entry, key, named, answer, AdviceAge::default());
     }
 
-    /// Stores the tickets and denials of an answer in the step.
-    fn apply_advice(&mut self, now: Millis, key: StepKey, named: &[Name], cleared: ClearedWorkers) {
+    /// Stores the tickets and denials of an answer in the step that waits for it.
+    pub(super) fn apply_advice(
+        &mut self,
+        now: Millis,
+        key: StepKey,
+        named: &[Name],
+        cleared: ClearedWorkers,
+        age: AdviceAge,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
         let default = job.queue.advice.map(|advice| advice.ticket_validity).unwrap_or_default();
-        let expires_at = now + cleared.valid_for.unwrap_or(default);
+        let expires_at = now + (cleared.valid_for.unwrap_or(default) - age.answer);
         let Some(step) = job.step_mut(key) else { return };
         // Workers that restarted since the request was queued are left out, because the answer may
         // be about their previous process.
         let workers = &self.workers;
-        let since = step.clearances.requested_at;
+        let since = step.clearances.requested_at.min(now - age.request);
         let is_same =
             |name: &Name| workers.get(name).is_some_and(|worker| worker.restarted_at <= since);
         log::info!(
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -262,6 +262,11 @@
         std::mem::replace(self, next)
     }
 
+    /// Whether the current incarnation reported to this owner at or before a time.
+    pub fn has_reported_by(&self, at: Millis) -> bool {
+        self.first_report.is_some_and(|first| first <= at)
+    }
+
     /// A message to it was not answered.
     pub fn suspect_restart(&mut self) {
         self.maybe_restarted = true;
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -4,6 +4,7 @@
 use crate::cell::owner::election::Leader;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::node::advice_calls::AdviceCall;
 use crate::node::frame::{FrameReader, FrameSender, IDLE_TIMEOUT, encode, write_frames};
 use crate::node::msg::{EntryMessage, Frame, OwnerMessage, RefusalReason};
 use crate::node::owner::Owner;
@@ -78,6 +79,11 @@
         self.is_live(now) && self.accepts_jobs.load(Ordering::Relaxed)
     }
 
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for the answer.
     ///
     /// # Errors
@@ -276,16 +282,8 @@
                     self.claim_wake.notify_one();
                 }
                 Frame { id: 0, body: OwnerMessage::AskAdvice { step, workers, cost } } => {
-                    let (node, connection) = (self.node.clone(), connection.clone());
-                    tokio::spawn(async move {
-                        let answer = node.advise(step, &workers, cost).await;
-                        let sent = connection
-                            .request(EntryMessage::Advice { step, candidates: workers, answer })
-                            .await;
-                        if let Err(err) = sent {
-                            log::info!("event=advice-not-delivered step={step} error={err:?}");
-                        }
-                    });
+                    let connection = Some(connection.clone());
+                    self.request_advice(AdviceCall { step, workers, cost, connection });
                 }
                 Frame { id: PONG_ID, body } => {
                     let OwnerMessage::Pong { accepts_jobs, loads, entry_count } = body else {
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -21,6 +21,10 @@
     order_time: Histogram,
     append_time: Histogram,
     advice_time: Histogram,
+    /// The age at delivery of answers of the advice service that were held back.
+    late_advice: Histogram,
+    /// Answers of the advice service that reached no owner in time.
+    pub dropped_advice: IntCounter,
     dropped_lines: IntGauge,
     open_jobs: IntGauge,
     runs: IntGauge,
@@ -62,6 +66,14 @@
             order_time: times("sprucerudder_order_seconds", "Time of orders to workers")?,
             append_time: times("sprucerudder_append_seconds", "Time of appends to the store")?,
             advice_time: times("sprucerudder_advice_seconds", "Time of questions for advice")?,
+            late_advice: times(
+                "sprucerudder_advice_late_seconds",
+                "Age at delivery of advice that was held until an owner was connected",
+            )?,
+            dropped_advice: registry.counter(
+                "sprucerudder_advice_dropped_total",
+                "Answers of the advice service that reached no owner in time",
+            )?,
             dropped_lines: gauge("sprucerudder_log_lines_dropped", "Log lines that found no room")?,
             open_jobs: gauge("sprucerudder_jobs_open", "Open jobs at the owner")?,
             runs: gauge("sprucerudder_runs", "Runs whose room is taken")?,
@@ -137,6 +149,11 @@
         self.advice_time.observe(seconds(took));
     }
 
+    /// Records the age of an answer of the advice service that was held back and then delivered.
+    pub fn observe_late_advice(&self, age: Millis) {
+        self.late_advice.observe(seconds(age));
+    }
+
     /// Sets the gauges about a cell that this entry owns.
     pub fn set_load(&self, load: &CellStats) {
         self.open_jobs.set(load.open_jobs as i64);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! An entry, one process of the scheduler on the platform: the tasks, timers and sockets around the
 //! decisions that are made in [`crate::cell`].
 
+mod advice_calls;
 mod cells;
 mod claims;
 mod connection;
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -7,7 +7,7 @@
 use crate::cell::workers::shared_list::{ListUpdate, ListVersion};
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::order::ClearedWorkers;
+use crate::order::{AdviceAge, ClearedWorkers};
 use crate::workload::{JobDefinition, JobKey, StepKey};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -48,8 +48,9 @@
     /// Answers [`OwnerMessage::ProbeLog`]: whether the sender could read the platform's log.
     LogProbed { readable: bool },
     /// Answers [`OwnerMessage::AskAdvice`] about the candidate workers. `None`: the advice service
-    /// gave no answer.
-    Advice { step: StepKey, candidates: Vec<Name>, answer: Option<ClearedWorkers> },
+    /// gave no answer. The request may have been made on an earlier connection, or by an earlier
+    /// owner.
+    Advice { step: StepKey, candidates: Vec<Name>, answer: Option<ClearedWorkers>, age: AdviceAge },
 }
 
 impl EntryMessage {
--- a/src/node/owner/actions.rs
+++ b/src/node/owner/actions.rs
@@ -5,6 +5,7 @@
 use crate::cell::owner::pass_pacing::PassPacing;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::node::advice_calls::AdviceCall;
 use crate::node::frame::encode;
 use crate::node::lock;
 use crate::node::msg::OwnerMessage;
@@ -98,14 +99,7 @@
     fn request_advice(self: &Arc<Self>, entry: Name, request: AdviceRequest) {
         let AdviceRequest { step, workers, cost, .. } = request;
         if entry == self.node.id.name {
-            let owner = self.clone();
-            tokio::spawn(async move {
-                let answer = owner.node.advise(step, &workers, cost).await;
-                let now = owner.node.now();
-                lock(&owner.cell).handle_advice(now, &entry, step, &workers, answer);
-                owner.schedule_wake.notify_one();
-            });
-            return;
+            return self.view.request_advice(AdviceCall { step, workers, cost, connection: None });
         }
         let sender = lock(&self.peers).get(&entry).cloned();
         let frame = encode(0, OwnerMessage::AskAdvice { step, workers, cost });
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -382,8 +382,9 @@
                     Some(_) => OwnerMessage::InDoubt,
                 }
             }
-            EntryMessage::Advice { step, candidates, answer } => {
-                lock(&self.cell).handle_advice(self.node.now(), entry, step, &candidates, answer);
+            EntryMessage::Advice { step, candidates, answer, age } => {
+                let now = self.node.now();
+                lock(&self.cell).handle_aged_advice(now, entry, step, &candidates, answer, age);
                 self.schedule_wake.notify_one();
                 OwnerMessage::Ack
             }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -5,6 +5,7 @@
 use crate::cell::owner::log_reports::LogReport;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::node::advice_calls::AdviceCalls;
 use crate::node::connection::{ConnectionError, OwnerConnection};
 use crate::node::msg::{EntryMessage, OwnerMessage, RefusalReason};
 use crate::node::owner::Owner;
@@ -67,6 +68,8 @@
     pub entry_count: AtomicU32,
     /// Whether the claims on the cell are read.
     pub follows_claims: watch::Sender<bool>,
+    /// The requests of the owner to the advice service that wait to be sent.
+    pub advice_calls: AdviceCalls,
     /// Whether the claims will be read unless the owner is heard before.
     follow_pending: AtomicBool,
 }
@@ -89,6 +92,7 @@
             loads: Mutex::default(),
             entry_count: AtomicU32::new(0),
             follows_claims: watch::channel(is_home).0,
+            advice_calls: AdviceCalls::default(),
             follow_pending: AtomicBool::new(false),
         }
     }
@@ -98,6 +102,7 @@
         tokio::spawn(self.clone().follow_claims());
         tokio::spawn(self.clone().campaign());
         tokio::spawn(self.clone().keep_connection());
+        tokio::spawn(self.clone().run_advice_calls());
         self.lose_owner();
     }
 
--- a/src/order.rs
+++ b/src/order.rs
@@ -219,3 +219,12 @@
     /// Validity of the tickets, if the service states it.
     pub valid_for: Option<Millis>,
 }
+
+/// How old an answer of the advice service is when the owner handles it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct AdviceAge {
+    /// Time since the request was sent to the service.
+    pub request: Millis,
+    /// Time since the service answered.
+    pub answer: Millis,
+}
