Entry: wait after a failed call to the advice service

Nothing is known of what callers saw of this; owners and entries were kept busy.

Cause: a refused call fails within microseconds. The entry told the owner at once, which assigned the same request to the entry, now idle, at once.

Change: a failed call takes at least a delay from when it was sent, 100 ms after the first failure, then 200 and at most 500 ms with the spread; it is reset by a success. The entry holds back the news of the failure for that time, so the owner does not take it for idle. The bound is a third of the 1.5 s beyond twice the cost after which an owner gives up on an answer, and a service that is back is used within half a second. A call that took longer than the delay, such as one that timed out, is reported at once. Refusals with a status, such as 429, and broken connections are treated alike.

Alternatives: to retry at the entry would keep a step from other entries whose connection to the service may work; to wait at the owner would need the owner to know why each call failed.

Conclusion: the loop of the two processes is gone. Each entry backs off by itself: a fleet of n entries tries at most 2.5 n times a second.

--- a/src/cell/owner/backoff.rs
+++ b/src/cell/owner/backoff.rs
@@ -1,4 +1,4 @@
-//! How long an entry waits before it repeats a call that the store failed.
+//! How long an entry waits before it repeats a call that the store or the advice service failed.
 //!
 //! The load that this answers: the store refuses calls beyond its rate, and hundreds of entries
 //! repeat theirs. With a fixed delay their calls alone would exceed the rate for good, and what an
--- a/src/node/advice_calls.rs
+++ b/src/node/advice_calls.rs
@@ -4,6 +4,7 @@
 //! answer is as good for the next connection or owner as for the one that asked, so it is kept until
 //! an owner has confirmed it, or its tickets have run out.
 
+use crate::cell::owner::backoff::Backoff;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::connection::OwnerConnection;
@@ -124,13 +125,14 @@
 
     /// Calls the advice service for the owner, one request after the other.
     pub(super) async fn run_advice_calls(self: Arc<Self>) {
+        let mut backoff = Backoff::default();
         loop {
             let call = self.advice_calls.next().await;
             if !self.is_wanted(&call) {
                 log::info!("event=advice-call-dropped step={} why=owner-gone", call.step);
                 continue;
             }
-            let answer = self.call_service(call).await;
+            let answer = self.call_service(call, &mut backoff).await;
             self.deliver(&answer).await;
         }
     }
@@ -143,11 +145,21 @@
         }
     }
 
-    /// Calls the advice service.
-    async fn call_service(&self, call: AdviceCall) -> AdviceAnswer {
+    /// Calls the advice service. A failed call takes at least the delay before the next one, so
+    /// that the owner, which assigns requests to idle entries, does not take this one for idle. The
+    /// delay is shorter than the time after which an owner gives up on an answer.
+    async fn call_service(&self, call: AdviceCall, backoff: &mut Backoff) -> AdviceAnswer {
         let sent_at = self.now();
         let cleared = self.node.advise(call.step, &call.workers, call.cost).await;
         let answered_at = self.now();
+        match &cleared {
+            Some(_) => backoff.record_success(),
+            None => {
+                let delay = backoff.next_delay(0, self.node.seed()) - answered_at.since(sent_at);
+                log::info!("event=advice-held step={} why=call-failed delay_ms={delay}", call.step);
+                tokio::time::sleep(delay.duration()).await;
+            }
+        }
         AdviceAnswer { call, cleared, sent_at, answered_at }
     }
 
--- a/tests/advice_calls.rs
+++ b/tests/advice_calls.rs
@@ -1,5 +1,5 @@
 //! Calls of entries to the advice service: answers whose connection to the owner broke, and a
-//! service whose connections fall silent.
+//! service that refuses connections.
 
 #[path = "soak/proxy.rs"]
 #[allow(dead_code)]
@@ -311,6 +311,25 @@
     assert!(took < Duration::from_secs(10), "completed {took:?} after the request");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_connection_to_the_service_is_not_retried_in_a_loop() {
+    // A refused call was returned to the owner at once, which assigned the request to the same
+    // entry at once: thousands of tries a second in all.
+    let time = Duration::from_millis(5);
+    let mut cluster = Cluster::start(time, &[time]).await;
+    cluster.start_entry(0, &[]).await;
+    cluster.submit(0, "/advised/00000000000000a1").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let log = std::fs::read_to_string(cluster.log_path(0)).unwrap();
+    let tries = log.lines().filter(|line| line.contains("event=advice-failed")).count();
+    cluster.services[0].listen().await;
+    let begun = Instant::now();
+    cluster.await_completed(0, "/advised/00000000000000a1").await;
+    let took = begun.elapsed();
+    assert!((1..=10).contains(&tries), "{tries} calls in 2 s");
+    assert!(took < Duration::from_millis(1_500), "completed {took:?} after the service was back");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_to_the_service_that_fell_silent_costs_one_call() {
     // Connections may become dead without a reset while new ones work. A call on one has to time
