Entry: a former owner is not published over a newer one

What callers saw: nothing that is on record. An entry on several threads could go back to the former owner of a cell, and give up its connection to the new one with all requests on it, until it next read the claims.

Cause: three tasks learn of owners (claims that were read, a claim that was appended, the announcements of other cells). Each takes the owner from the election under its lock and publishes it after letting go of the lock. Of two that do so at once, the one with the older owner may publish last.

Evidence: by reading. The race needs two threads and could not be made to happen from outside; with one core an entry has one thread, and no task is suspended between the two steps. So the rule was moved to `Leader::replaces`, at first with the condition as it was: former_owner_published_over_a_newer_one FAILED: the former owner replaces the newer one

Change: an owner is published only over one of an earlier epoch. The election itself has followed that rule already.

After: the test passes, as do the others of tests/election.rs, tests/node.rs, tests/peers.rs and tests/silence.rs, each in one run.

Conclusion: the published owner is never older than one that was published before.

--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -77,6 +77,14 @@
     pub addr: Name,
 }
 
+impl Leader {
+    /// Whether this leader replaces the one that is known. Tasks that read the claims at the same
+    /// time may publish what they found in any order.
+    pub fn replaces(&self, known: Option<&Self>) -> bool {
+        known.is_none_or(|known| known.epoch < self.epoch)
+    }
+}
+
 /// The state of the election as known to one entry.
 #[derive(Debug)]
 pub struct Election {
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -120,14 +120,17 @@
 
     /// Publishes the owner by the last claim. Ends an ownership here that it supersedes.
     pub(super) fn set_leader(&self, leader: Option<Leader>) {
-        let changed = self.leader.send_if_modified(|current| {
-            let changed = *current != leader;
-            if changed {
-                current.clone_from(&leader);
+        let Some(leader) = leader else { return };
+        let is_new = self.leader.send_if_modified(|known| {
+            let is_new = leader.replaces(known.as_ref());
+            if is_new {
+                *known = Some(leader.clone());
             }
-            changed
+            is_new
         });
-        let Some(leader) = leader.filter(|_| changed) else { return };
+        if !is_new {
+            return;
+        }
         log::info!(
             "event=owner-changed cell={} owner={} epoch={}",
             self.cell,
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,7 @@
 //! When an entry claims the cell.
 
 use sprucerudder::cell::owner::authority::Authority;
-use sprucerudder::cell::owner::election::{Election, ElectionRecord, OWNER_TIMEOUT};
+use sprucerudder::cell::owner::election::{Election, ElectionRecord, Leader, OWNER_TIMEOUT};
 use sprucerudder::cell::owner::lag::TickLag;
 use sprucerudder::clock::Millis;
 use sprucerudder::id::EntryId;
@@ -203,3 +203,15 @@
     tick_late(&mut lag, slow, 1);
     assert_eq!(lag.timeouts(), usual, "it keeps up again");
 }
+
+// Several tasks of an entry learn of owners, each on a thread of its own: the one that knows of the
+// newer owner may publish it first. The entry went back to the former owner, and gave up its
+// connection to the new one.
+#[test]
+fn former_owner_published_over_a_newer_one() {
+    let leader = |epoch, name| Leader { epoch, owner: entry(name), addr: "1.2.3.4:5".into() };
+    let (former, newer) = (leader(5, "a"), leader(9, "b"));
+    assert!(former.replaces(None) && newer.replaces(Some(&former)));
+    assert!(!newer.replaces(Some(&newer)), "nothing has changed");
+    assert!(!former.replaces(Some(&newer)), "the former owner replaces the newer one");
+}
