--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -1,13 +1,15 @@
 //! A simulation of the users' platform within one process: store, workers and advice service with
 //! their published protocol, and faults that can be set at any time.
 
+pub mod advice;
 pub mod store;
 pub mod worker;
 
-use crate::clock::Millis;
+use advice::{Advice, AdvisedQueue};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HOST;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -30,6 +32,8 @@
     pub path: String,
     pub query: HashMap<String, String>,
     pub instance: Option<String>,
+    /// The address that the caller used.
+    pub host: String,
     pub body: Bytes,
 }
 
@@ -94,6 +98,9 @@
     // refused.
     let instance = request.headers().get(INSTANCE_HEADER);
     let instance = instance.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
+    // A request without the header counts as one from a caller without a name.
+    let host = request.headers().get(HOST).and_then(|value| value.to_str().ok());
+    let host = host.unwrap_or_default().to_string();
     let body = Limited::new(request.into_body(), MAX_BODY).collect().await;
     let body = body.map(|body| body.to_bytes()).unwrap_or_else(|err| {
         // The caller disconnected or sent too much: the request is handled as one with an empty
@@ -101,7 +108,7 @@
         log::warn!("event=body-read-failed path={path} error={err:?}");
         Bytes::new()
     });
-    Call { path, query, instance, body }
+    Call { path, query, instance, host, body }
 }
 
 /// Serves requests on a listener until its task is dropped.
@@ -138,6 +145,8 @@
 pub struct Site {
     /// The store.
     pub store: Arc<Store>,
+    /// The advice service.
+    pub advice: Arc<Advice>,
     /// The workers, by index.
     pub workers: Vec<Arc<Worker>>,
     /// Log of what the workers ran.
@@ -162,13 +171,14 @@
     /// A port is in use.
     pub async fn start(host: &str, port: u16, workers: usize) -> io::Result<Self> {
         let store = Arc::new(Store::default());
-        store.put("keyed.op", "config", default_policy().to_string().as_bytes());
+        let advice = Arc::new(Advice::default());
+        store.put("keyed.op", "config", policy(&advice.queues()).to_string().as_bytes());
         let listener = TcpListener::bind((host, port)).await?;
         tokio::spawn(serve(listener, store.clone(), store::handle));
         let listener = TcpListener::bind((host, port + 1)).await?;
-        tokio::spawn(serve(listener, Arc::new(()), advise));
-        let host = host.to_string();
-        let mut site = Self { store, workers: Vec::new(), run_log: Arc::default(), host, port };
+        tokio::spawn(serve(listener, advice.clone(), advice::handle));
+        let (host, run_log) = (host.to_string(), Arc::default());
+        let mut site = Self { store, advice, workers: Vec::new(), run_log, host, port };
         for _ in 0..workers {
             site.add_worker().await?;
         }
@@ -183,12 +193,21 @@
                 "upper_bound": {"cpu": one.cpu, "mem_mb": 0, "gpu": 0}
             })
         };
-        let mut policy = default_policy();
+        let mut policy = policy(&self.advice.queues());
         policy["version"] = json!(version);
         policy["tenants"] = workspaces.iter().map(row).collect();
         self.store.put("keyed.op", "config", policy.to_string().as_bytes());
     }
 
+    /// Publishes a version of the policy that has these queues with advice, and has the advice
+    /// service answer accordingly.
+    pub fn publish_advised_queues(&self, version: u64, queues: &[AdvisedQueue]) {
+        self.advice.set_queues(queues);
+        let mut policy = policy(queues);
+        policy["version"] = json!(version);
+        self.store.put("keyed.op", "config", policy.to_string().as_bytes());
+    }
+
     /// Starts one more worker.
     ///
     /// # Errors
@@ -217,6 +236,7 @@
             domain,
             WORKER_CPU,
             self.run_log.clone(),
+            self.advice.clone(),
         ));
         tokio::spawn(serve(listener, worker.clone(), worker::handle));
         tokio::spawn(worker.clone().publish_entries(self.store.clone(), SERVICE));
@@ -290,33 +310,29 @@
     pub cpu: u64,
 }
 
-/// The initial policy, with three queues: one without advice, one with advice, and one that is open
-/// to callers without API keys.
-fn default_policy() -> Value {
-    let route = |name: &str, prefix: &str, advice: Value| {
+/// A policy with these queues with advice, one without advice, and one that is open to callers
+/// without API keys.
+fn policy(advised: &[AdvisedQueue]) -> Value {
+    let route = |name: &str, advice: Value| {
         json!({
-            "name": name, "host": "desk.example", "path_prefix": prefix, "kind": "non_idempotent",
-            "timeout_ms": 3000, "target_latency_ms": 250, "priority": 0, "service": SERVICE,
-            "max_attempts": 2, "extension": 1.5, "advice": advice
+            "name": name, "host": "desk.example", "path_prefix": format!("/{name}/"),
+            "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 250, "priority": 0,
+            "service": SERVICE, "max_attempts": 2, "extension": 1.5, "advice": advice
         })
     };
-    let mut open = route("open", "/open/", Value::Null);
+    let mut open = route("open", Value::Null);
     open["anonymous"] = json!(true);
-    let advice = json!({"decide_ms": 5.0, "period_ms": 0.1, "valid_ms": 2500});
+    let mut routes = vec![route("plain", Value::Null), open];
+    routes.extend(advised.iter().map(|queue| {
+        let period_ms = queue.worker_micros as f64 / 1_000.0;
+        let (decide_ms, valid_ms) = (queue.decide_ms as f64, queue.valid_ms);
+        let advice = json!({"decide_ms": decide_ms, "period_ms": period_ms, "valid_ms": valid_ms});
+        route(queue.name, advice)
+    }));
     json!({
         "version": 1,
-        "routes": [route("plain", "/plain/", Value::Null), route("advised", "/advised/", advice), open],
+        "routes": routes,
         "services": [{"name": SERVICE, "admission_check": false}],
         "limits": {}
     })
 }
-
-/// The advice service: reports every worker as healthy, each with a ticket.
-async fn advise(_: Arc<()>, call: Call) -> Reply {
-    const RESPONSE_TIME: Millis = Millis(5);
-    tokio::time::sleep(RESPONSE_TIME.duration()).await;
-    let body = call.json();
-    let workers = body["workers"].as_array().cloned().unwrap_or_default();
-    let rows: Vec<Value> = workers.into_iter().map(|worker| json!([worker, "ticket"])).collect();
-    reply(StatusCode::OK, &json!({"healthy": rows, "valid_ms": 2500}))
-}
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -1,6 +1,7 @@
 //! A simulated worker that does not check its capacity: it obeys the highest fence that it has
 //! seen, runs tasks under leases and reports how they end.
 
+use crate::standin::site::advice::Advice;
 use crate::standin::site::store::Store;
 use crate::standin::site::{Call, Reply, number_field, reply, text_field};
 use hyper::StatusCode;
@@ -148,6 +149,7 @@
     capacities: Mutex<CapacityHistory>,
     created_at: Instant,
     run_log: Arc<RunLog>,
+    advice: Arc<Advice>,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
     /// Notified after a restart, so that the worker renews its entry in the list at once.
@@ -158,7 +160,14 @@
 
 impl Worker {
     /// Creates a worker that runs no task.
-    pub fn new(id: String, addr: String, domain: &str, cpu: u64, run_log: Arc<RunLog>) -> Self {
+    pub fn new(
+        id: String,
+        addr: String,
+        domain: &str,
+        cpu: u64,
+        run_log: Arc<RunLog>,
+        advice: Arc<Advice>,
+    ) -> Self {
         Self {
             id,
             addr,
@@ -167,6 +176,7 @@
             capacities: Mutex::default(),
             created_at: Instant::now(),
             run_log,
+            advice,
             state: Mutex::default(),
             changed: watch::channel(0).0,
             restarted: Notify::new(),
@@ -271,6 +281,7 @@
             }
             if !self.is_unreachable() {
                 listed.clone_from(&id);
+                self.advice.set_worker(&id, born);
                 let entry = json!({
                     "service": service, "address": self.addr, "zone": self.domain, "version": "v1",
                     "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": seq,
@@ -318,6 +329,10 @@
         if state.ended_runs.get(&task).is_some_and(|last| run <= *last) {
             return self.refuse(&state, "old");
         }
+        let ticket = text_field(body, "ticket");
+        if !self.advice.admits(&task, &self.id(&state), self.start_time(&state), ticket) {
+            return self.refuse(&state, "ticket");
+        }
         state.running.insert(task.clone(), run);
         state.starts.push((task.clone(), run));
         let spec = text_field(body, "spec");
