--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -3,9 +3,11 @@
 //! The service processes one request at a time from each entry, and its time grows with the number
 //! of workers in the request. Short requests must not wait behind long ones.
 
+use crate::cell::advice::claims::{Claim, Claims};
+use crate::cell::advice::load::AdviceLoad;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::StepKey;
+use crate::workload::{Resources, StepKey};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The duration from which a request is long, which would delay the shortest jobs beyond their
@@ -28,15 +30,38 @@
     pub workers: Vec<Name>,
     /// The time that the service takes to answer.
     pub cost: Millis,
+}
+
+/// A step that waits for a request to be sent. Its workers are chosen when an entry can send it: a
+/// worker that has room when the step is queued may be full by then.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueuedStep {
+    /// The step whose tasks need workers.
+    pub step: StepKey,
+    /// The time that the service would take if the request were sent when the step is queued.
+    pub cost: Millis,
     /// The order of requests; lower ranks go first.
     pub rank: (u32, Millis),
+    /// When the step was queued.
+    pub queued_at: Millis,
 }
 
-/// Requests that wait to be sent, and the entries that can send them.
+/// An entry that can send the next request.
+#[derive(Debug, PartialEq)]
+pub struct IdleClient {
+    /// The entry.
+    pub entry: Name,
+    /// Whether the request may be a long one.
+    pub allows_long: bool,
+}
+
+/// Steps that wait for a request to be sent, and the entries that can send them.
 #[derive(Debug, Default)]
 pub struct AdviceQueue {
-    waiting: VecDeque<AdviceRequest>,
+    waiting: VecDeque<QueuedStep>,
     clients: BTreeMap<Name, Client>,
+    /// The claims of the requests in progress.
+    claims: Claims,
 }
 
 /// An entry that can send requests to the advice service.
@@ -49,9 +74,11 @@
 }
 
 /// A request that an entry is sending to the service.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct PendingRequest {
     step: StepKey,
+    /// What the step is expected to take once it is answered.
+    claim: Claim,
     is_long: bool,
     /// The job of the step was closed or withdrawn. The entry is busy until the service answers,
     /// but the answer is not used: the same job may have been submitted again.
@@ -60,9 +87,16 @@
     deadline: Millis,
 }
 
+impl AdviceRequest {
+    /// Whether the request takes so long that short ones must not wait for it.
+    pub fn is_long(&self) -> bool {
+        self.cost >= LONG_REQUEST
+    }
+}
+
 impl PendingRequest {
     /// The step that waits for the answer, unless the request was cancelled.
-    fn wanted_step(self) -> Option<StepKey> {
+    fn wanted_step(&self) -> Option<StepKey> {
         (!self.is_cancelled).then_some(self.step)
     }
 }
@@ -71,34 +105,61 @@
     /// Adds an entry. Returns the step whose request was lost with an earlier connection, if any.
     pub fn add_client(&mut self, entry: Name, is_home: bool) -> Option<StepKey> {
         let earlier = self.clients.insert(entry, Client { is_home, pending: None })?;
-        earlier.pending.and_then(PendingRequest::wanted_step)
+        earlier.pending.and_then(|request| self.end_request(request))
     }
 
     /// Removes an entry. Returns the step whose request is lost with it, if any.
     pub fn remove_client(&mut self, entry: &Name) -> Option<StepKey> {
-        self.clients.remove(entry)?.pending.and_then(PendingRequest::wanted_step)
+        let client = self.clients.remove(entry)?;
+        client.pending.and_then(|request| self.end_request(request))
+    }
+
+    /// Removes the claim of a request that ended. Returns the step that waits for the answer, if
+    /// any.
+    fn end_request(&mut self, request: PendingRequest) -> Option<StepKey> {
+        self.claims.remove(&request.claim);
+        request.wanted_step()
+    }
+
+    /// What the requests in progress are expected to take of a worker.
+    pub fn claimed(&self, worker: &Name) -> Resources {
+        self.claims.of(worker)
     }
 
-    /// Adds a request to the queue, in the order of its rank.
-    pub fn push(&mut self, request: AdviceRequest) {
-        let index = self.waiting.partition_point(|other| other.rank <= request.rank);
-        self.waiting.insert(index, request);
+    /// The state of the queue.
+    pub fn load(&self, now: Millis) -> AdviceLoad {
+        let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
+        let oldest = self.waiting.iter().map(|queued| now.since(queued.queued_at)).max();
+        AdviceLoad {
+            clients: self.clients.len(),
+            busy,
+            queued: self.waiting.len(),
+            oldest: oldest.unwrap_or_default(),
+        }
+    }
+
+    /// Adds a step to the queue, in the order of its rank.
+    pub fn push(&mut self, queued: QueuedStep) {
+        let index = self.waiting.partition_point(|other| other.rank <= queued.rank);
+        self.waiting.insert(index, queued);
     }
 
     /// Removes the request of a step from the queue. If it was sent already, its answer will not be
     /// used.
     pub fn cancel(&mut self, step: StepKey) {
-        self.waiting.retain(|request| request.step != step);
+        self.waiting.retain(|queued| queued.step != step);
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
             request.is_cancelled = true;
+            self.claims.remove(&std::mem::take(&mut request.claim));
         }
     }
 
     /// The entry that is sending the request of a step.
     pub fn client_of(&self, step: StepKey) -> Option<&Name> {
         let sends = |client: &Client| {
-            client.pending.and_then(PendingRequest::wanted_step).is_some_and(|sent| sent == step)
+            let pending = client.pending.as_ref();
+            pending.and_then(PendingRequest::wanted_step).is_some_and(|sent| sent == step)
         };
         self.clients.iter().find(|(_, client)| sends(client)).map(|(name, _)| name)
     }
@@ -109,7 +170,7 @@
         let client = self.clients.get_mut(entry);
         let answered =
             client.and_then(|client| client.pending.take_if(|pending| pending.step == step));
-        answered.is_none_or(|request| !request.is_cancelled)
+        answered.is_none_or(|request| self.end_request(request).is_some())
     }
 
     /// Removes the pending requests whose answers are overdue. Returns the steps that still need
@@ -117,32 +178,56 @@
     pub fn take_overdue(&mut self, now: Millis) -> Vec<StepKey> {
         let overdue =
             |client: &mut Client| client.pending.take_if(|pending| now >= pending.deadline);
-        let overdue = self.clients.values_mut().filter_map(overdue);
-        overdue.filter_map(PendingRequest::wanted_step).collect()
+        let overdue: Vec<PendingRequest> = self.clients.values_mut().filter_map(overdue).collect();
+        overdue.into_iter().filter_map(|request| self.end_request(request)).collect()
     }
 
-    /// Assigns the next request to an idle entry. Entries of other cells are used only while there
-    /// is none of this cell.
-    pub fn assign_next(&mut self, now: Millis) -> Option<(Name, AdviceRequest)> {
+    /// An entry that can send a request now, if any is idle. Entries of other cells are used only
+    /// while there is none of this cell.
+    pub fn idle_client(&self) -> Option<IdleClient> {
         let no_home = self.clients.values().all(|client| !client.is_home);
         let usable = || self.clients.iter().filter(|(_, client)| client.is_home || no_home);
         let count = usable().count();
         let long = usable()
-            .filter_map(|(_, client)| client.pending)
+            .filter_map(|(_, client)| client.pending.as_ref())
             .filter(|pending| pending.is_long)
             .count();
         let reserved = (count / CLIENTS_PER_RESERVE).max(1);
         let allows_long = long + reserved < count || count == 1;
-        let idle = usable().find(|(_, client)| client.pending.is_none());
-        let entry = idle.map(|(name, _)| name.clone())?;
-        let fits = |request: &AdviceRequest| allows_long || request.cost < LONG_REQUEST;
-        let index = self.waiting.iter().position(fits)?;
-        let request = self.waiting.remove(index)?;
+        let (entry, _) = usable().find(|(_, client)| client.pending.is_none())?;
+        Some(IdleClient { entry: entry.clone(), allows_long })
+    }
+
+    /// The position in the queue, from `from` on, of the first step whose request `client` may
+    /// send, and the step.
+    pub fn next_for(&self, client: &IdleClient, from: usize) -> Option<(usize, &QueuedStep)> {
+        let fits = |queued: &QueuedStep| client.allows_long || queued.cost < LONG_REQUEST;
+        self.waiting.iter().enumerate().skip(from).find(|(_, queued)| fits(queued))
+    }
+
+    /// Removes the step at a position from the queue.
+    pub fn remove(&mut self, index: usize) {
+        self.waiting.remove(index);
+    }
+
+    /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        client: &IdleClient,
+        request: &AdviceRequest,
+        (charge, tasks): (&Resources, usize),
+    ) {
+        let Some(client) = self.clients.get_mut(&client.entry) else { return };
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
-        let is_long = request.cost >= LONG_REQUEST;
-        let pending = PendingRequest { step: request.step, is_long, is_cancelled: false, deadline };
-        let client = self.clients.get_mut(&entry)?;
-        client.pending = Some(pending);
-        Some((entry, request))
+        let (step, is_long) = (request.step, request.is_long());
+        // Little is sent before a short request is answered.
+        let claim = match is_long {
+            true => Claim::new(&request.workers, charge, tasks),
+            false => Claim::default(),
+        };
+        self.claims.add(&claim);
+        client.pending =
+            Some(PendingRequest { step, claim, is_long, is_cancelled: false, deadline });
     }
 }
