--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -1,12 +1,15 @@
 //! The connection from an entry to the owner of a cell, on the side of the entry and on that of the
 //! owner.
 
+use crate::cell::owner::connections::ConnectionNumber;
 use crate::cell::owner::election::Leader;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::node::advice_calls::AdviceCall;
 use crate::node::frame::{FrameReader, FrameSender, IDLE_TIMEOUT, encode, write_frames};
 use crate::node::msg::{EntryMessage, Frame, OwnerMessage, RefusalReason};
 use crate::node::owner::Owner;
+use crate::node::owner::peers::Greeting;
 use crate::node::view::CellView;
 use crate::node::{Node, lock};
 use crate::workload::JobKey;
@@ -78,6 +81,11 @@
         self.is_live(now) && self.accepts_jobs.load(Ordering::Relaxed)
     }
 
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for the answer.
     ///
     /// # Errors
@@ -276,16 +284,8 @@
                     self.claim_wake.notify_one();
                 }
                 Frame { id: 0, body: OwnerMessage::AskAdvice { step, workers, cost } } => {
-                    let (node, connection) = (self.node.clone(), connection.clone());
-                    tokio::spawn(async move {
-                        let answer = node.advise(step, &workers, cost).await;
-                        let sent = connection
-                            .request(EntryMessage::Advice { step, candidates: workers, answer })
-                            .await;
-                        if let Err(err) = sent {
-                            log::info!("event=advice-not-delivered step={step} error={err:?}");
-                        }
-                    });
+                    let connection = Some(connection.clone());
+                    self.request_advice(AdviceCall { step, workers, cost, connection });
                 }
                 Frame { id: PONG_ID, body } => {
                     let OwnerMessage::Pong { accepts_jobs, loads, entry_count } = body else {
@@ -360,13 +360,17 @@
 
     /// Accepts connections of other entries.
     pub(super) async fn serve_peers(self: Arc<Self>, listener: tokio::net::TcpListener) {
+        let mut number: ConnectionNumber = 0;
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
+                    number += 1;
                     let node = self.clone();
                     tokio::spawn(async move {
-                        if let Err(err) = node.serve_peer(stream).await {
-                            log::debug!("event=peer-connection-lost from={from} error={err:?}");
+                        if let Err(err) = node.serve_peer(stream, number).await {
+                            log::debug!(
+                                "event=peer-connection-lost from={from} connection={number} error={err:?}"
+                            );
                         }
                     });
                 }
@@ -379,12 +383,16 @@
     }
 
     /// Serves the connection of another entry until it ends.
-    async fn serve_peer(self: Arc<Self>, stream: TcpStream) -> io::Result<()> {
+    async fn serve_peer(
+        self: Arc<Self>,
+        stream: TcpStream,
+        number: ConnectionNumber,
+    ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (read_half, write_half) = stream.into_split();
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
         let writer = write_frames(write_half, queue);
-        let reader = self.serve_entry(FrameReader::new(read_half, IDLE_TIMEOUT), sender);
+        let reader = self.serve_entry(FrameReader::new(read_half, IDLE_TIMEOUT), sender, number);
         tokio::select! {
             result = writer => result,
             result = reader => result,
@@ -396,6 +404,7 @@
         self: &Arc<Self>,
         mut frames: FrameReader,
         sender: FrameSender,
+        number: ConnectionNumber,
     ) -> io::Result<()> {
         let Some(Frame {
             body: EntryMessage::Hello { entry, cell, epoch, cpu, is_home, history },
@@ -423,11 +432,12 @@
                 Millis(PING_INTERVAL.0 * u64::from(view.cell_count)) + IDLE_TIMEOUT,
             );
         }
-        owner.add_peer(entry.clone(), cpu, is_home, sender.clone());
-        owner.add_log_history(&entry, history);
-        let result = self.serve_requests(&owner, &entry, &mut frames, &sender).await;
-        owner.remove_peer(&entry, &sender);
-        result
+        let greeting = Greeting { cpu, is_home, history };
+        let mut registration = owner.register_peer(&entry, number, greeting, sender.clone());
+        tokio::select! {
+            result = self.serve_requests(&owner, &entry, number, &mut frames, &sender) => result,
+            () = registration.closed() => Err(io::Error::other("the entry reads too slowly")),
+        }
     }
 
     /// Answers the messages of an entry until its connection or the ownership ends.
@@ -435,6 +445,7 @@
         self: &Arc<Self>,
         owner: &Arc<Owner>,
         entry: &Name,
+        number: ConnectionNumber,
         frames: &mut FrameReader,
         sender: &FrameSender,
     ) -> io::Result<()> {
@@ -444,7 +455,7 @@
             }
             match body {
                 EntryMessage::Ping { log_readable } => {
-                    owner.handle_ping(entry, log_readable);
+                    owner.handle_ping(entry, number, log_readable);
                     let (accepts_jobs, entry_count) = (owner.is_serving(), owner.entry_count());
                     let pong =
                         OwnerMessage::Pong { accepts_jobs, loads: owner.loads(), entry_count };
