Search: no entry stays idle while requests to the advice service wait

The world with lasting jobs checks it after each tick of the owner in calm seconds: all its requests are long, so an entry that is idle for more than a second beside a queued request is lost time.

--- a/tests/cellworld/lasting.rs
+++ b/tests/cellworld/lasting.rs
@@ -22,6 +22,9 @@
     worker_micros: 8_000,
     ticket_validity: Millis(2_000),
 };
+/// How long an entry may be idle while a request waits, in milliseconds: an owner that was paused
+/// starts and asks nothing before it has read the list of workers again.
+const MAX_UNUSED_MS: u64 = 1_000;
 /// The number of entries that are connected to an owner.
 const ENTRY_COUNT: usize = 9;
 
@@ -41,6 +44,8 @@
     idle: BTreeMap<TaskKey, IdleTask>,
     /// When the last fault ended or will end.
     last_fault: u64,
+    /// Since when an entry is idle although requests to the advice service wait.
+    unused_since: Option<u64>,
     /// How often a task lost its run.
     pub lost_runs: usize,
 }
@@ -223,6 +228,23 @@
         self.advance_owner(owner);
     }
 
+    /// Checks that no entry stays idle while requests to the advice service wait. All requests here
+    /// are long, so no entry is kept free for short ones.
+    pub(super) fn check_advice_clients(&mut self, owner: usize) {
+        let is_current = owner + 1 == self.owners.len() && !self.owners[owner].deposed;
+        if !self.lasting.enabled || !is_current {
+            return;
+        }
+        let load = self.owners[owner].cell.advice_load(Millis(self.now));
+        let is_unused = load.queued > 0 && load.busy < load.clients;
+        let since = self.lasting.unused_since.unwrap_or(self.now);
+        self.lasting.unused_since = is_unused.then_some(since);
+        let is_fault_free = self.now >= self.lasting.last_fault + FAULT_FREE_MS;
+        if is_unused && is_fault_free && self.now - since > MAX_UNUSED_MS {
+            self.record_violation(format!("requests wait beside idle entries: {load:?}"));
+        }
+    }
+
     /// Checks that no long-running task is without a run for longer than the contract allows.
     pub(super) fn check_lasting(&mut self) {
         if !self.lasting.enabled {
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -634,6 +634,7 @@
                 self.schedule_after(TICK_MS, Event::Tick { owner });
                 self.advance_owner(owner);
                 self.check_waits(owner);
+                self.check_advice_clients(owner);
                 self.check_lasting();
                 self.inject_fault();
                 if self.resizes_rooms && self.chance(6) {
