Advice: requests of one priority go in the order in which they were queued

Callers saw: first steps of new jobs that wait for longer than the queue is long. Cause: requests of one priority went by the age of their jobs, so each new step and each renewal of an old job came before the first steps of younger ones. Change: the order is priority, then the time at which the step was queued. Placement still goes by the age of the job. The test fails on the code before.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -18,7 +18,7 @@
 const CLIENTS_PER_RESERVE: usize = 3;
 
 /// Once the oldest step has waited for this long, every second long request goes by age and not by
-/// rank. With the request itself this stays below the 3 s that a step beside free workers may wait.
+/// priority. With the request itself this stays below the 3 s that a step beside free workers may wait.
 const MAX_RANKED_WAIT: Millis = Millis(1_000);
 
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
@@ -49,8 +49,9 @@
     pub queue: Name,
     /// The time that the service would take if the request were sent when the step is queued.
     pub cost: Millis,
-    /// The order of requests; lower ranks go first.
-    pub rank: (u32, Millis),
+    /// The priority of the step's job; lower values go first, and steps of the same priority in the
+    /// order in which they were queued.
+    pub priority: u32,
     /// When the step was queued.
     pub queued_at: Millis,
 }
@@ -151,9 +152,9 @@
         }
     }
 
-    /// Adds a step to the queue, in the order of its rank.
+    /// Adds a step to the queue, in the order of its priority.
     pub fn push(&mut self, queued: QueuedStep) {
-        let index = self.waiting.partition_point(|other| other.rank <= queued.rank);
+        let index = self.waiting.partition_point(|other| other.priority <= queued.priority);
         self.waiting.insert(index, queued);
     }
 
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -2,7 +2,6 @@
 
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
 use crate::cell::jobs::job::{Job, Ticket};
-use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::Candidate;
 use crate::cell::{Action, Cell};
@@ -51,7 +50,7 @@
             step: key,
             queue: job.queue.name.clone(),
             cost,
-            rank: queue_rank(job),
+            priority: job.priority(),
             queued_at: now,
         });
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -5,7 +5,9 @@
 use sprucerudder::cell::{Action, Cell, CellConfig};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
-use sprucerudder::order::{ClearedWorkers, StartOrder, WorkerInfo, WorkerReport};
+use sprucerudder::order::{
+    ClearedWorkers, EndReason, EndedTask, OrderOutcome, StartOrder, WorkerInfo, WorkerReport,
+};
 use sprucerudder::workload::{
     AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey,
 };
@@ -102,9 +104,14 @@
     }
 
     fn submit_step(&mut self, key: u64, queue: &str, step: Step) -> StepKey {
+        self.submit_steps(key, queue, vec![step])
+    }
+
+    /// Submits a job. Returns its first step.
+    fn submit_steps(&mut self, key: u64, queue: &str, steps: Vec<Step>) -> StepKey {
         let work = JobDefinition {
             payload: "".into(),
-            steps: vec![step],
+            steps,
             repetitions: 1,
             first_due: Millis(0),
             interval: Millis(0),
@@ -137,6 +144,16 @@
         (sent, starts)
     }
 
+    /// A worker confirms a start and reports that the run is done.
+    fn finish(&mut self, (name, start): &(Name, StartOrder)) {
+        let now = Millis(self.now);
+        let (task, run) = (start.task, start.run);
+        self.cell.on_start_outcome(now, name, task, run, OrderOutcome::Done(None));
+        let end = EndedTask { seq: 1, task, run, reason: EndReason::Done, checkpoint: "".into() };
+        let report = WorkerReport { clock: 1_000, ended: vec![end], ..WorkerReport::default() };
+        self.cell.on_report(now, now, name, &report);
+    }
+
     /// Answers a request: all of its workers may run the step.
     fn clear_all(&mut self, sent: &Sent) {
         let tickets = sent.workers.iter().map(|name| (name.clone(), "ticket".into())).collect();
@@ -278,3 +295,24 @@
         }
     }
 }
+
+#[test]
+fn a_step_does_not_wait_behind_later_steps_of_older_jobs() {
+    // Requests of one priority went by the age of their jobs, so each new step of an old job came
+    // before the first steps of younger ones, which waited for longer than the queue was long.
+    let mut cluster = Cluster::new(12, 1);
+    let chain = vec![step(1), Step { dependencies: vec![0], ..step(1) }];
+    cluster.submit_steps(1, "long", chain);
+    let (first, _) = cluster.advance(1);
+    cluster.submit(2, "long", 1);
+    let waiting = cluster.submit(3, "long", 1);
+    cluster.advance(100);
+    cluster.clear_all(&first[0]);
+    let (second, starts) = cluster.advance(0);
+    assert_eq!(second[0].step.job, JobKey(2));
+    cluster.finish(&starts[0]);
+    cluster.advance(100);
+    cluster.clear_all(&second[0]);
+    let (third, _) = cluster.advance(0);
+    assert_eq!(third[0].step, waiting, "the second step of job 1 was queued later");
+}
