Test of steps behind a backlog of requests for advice (fails; listed)

What the check sees: seed 32 (12 entries, two owners killed and not restarted) still has steps with nothing running for up to 3.3 s in calm, beside room on cleared workers.

Nine of ten entries get 12 to 15 long requests each; the tenth gets none. The queue drains, but not within 4 s of calm. That the tenth entry is the reserve for short requests is suspected, not shown.

The summary of a run no longer counts entries by connect and disconnect lines, which now stand for connections, and counts advice-held instead of advice-not-delivered, which the code no longer logs.

--- a/tests/advice_wait/main.rs
+++ b/tests/advice_wait/main.rs
@@ -22,7 +22,7 @@
 use sprucerudder::platform::http::{HttpClient, uri};
 use sprucerudder::standin::site::advice::{AdviceCall, AdvisedQueue};
 use sprucerudder::standin::site::store::Faults;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -31,6 +31,8 @@
 
 /// Seeds of waits for advice that have failed.
 const WAIT_SEEDS: [u64; 2] = [5, 9];
+/// A seed whose steps still wait in a queue while all entries are busy with advice.
+const BACKLOG_SEED: u64 = 32;
 /// Seeds that have failed because the owner did not ask all entries for advice.
 const CALLER_SEEDS: [u64; 2] = [2, 3];
 /// How long to wait for a condition: longer than any takes on a busy machine.
@@ -343,33 +345,17 @@
         lines.filter(|line| line.contains(text)).count()
     }
 
-    /// The entries that are connected to the owner, by its own log.
-    fn registered_entries(&self) -> usize {
-        let lines = self.owner().map(|(_, no)| self.log_lines(no)).unwrap_or_default();
-        let takeover = lines.iter().rposition(|line| epoch_of(line).is_some()).unwrap_or_default();
-        let mut states = BTreeMap::new();
-        for line in &lines[takeover..] {
-            let is_connected = line.contains("event=entry-connected ");
-            let entry = line.split(' ').find(|field| field.starts_with("entry="));
-            if is_connected || line.contains("event=entry-disconnected ") {
-                states.insert(entry, is_connected);
-            }
-        }
-        states.into_values().filter(|is_connected| *is_connected).count()
-    }
-
     fn summary(&self, calm_since: Instant) -> String {
         let jobs = self.callers.jobs.lock().unwrap();
         format!(
-            "seed {}: {:?}, {} running, {} registered at the owner, {} jobs, {} takeovers, {} answers not delivered, longest \
+            "seed {}: {:?}, {} running, {} jobs, {} takeovers, {} answers not delivered at once, longest \
              wait that counts {:?}, with the time before {:?}, advice in the calm: {}",
             self.seed,
             self.shape,
             self.running_entries().len(),
-            self.registered_entries(),
             jobs.len(),
             self.count_lines("event=takeover "),
-            self.count_lines("event=advice-not-delivered"),
+            self.count_lines("event=advice-held "),
             self.monitor.longest,
             self.monitor.longest_total,
             self.describe_advice(calm_since)
@@ -455,6 +441,14 @@
     assert!(reports.is_empty(), "{}", reports.join("\n"));
 }
 
+// Guards against a queue of requests that is still seconds long in calm, with all entries busy.
+// After two takeovers all open jobs ask again, on top of the jobs that were held up meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn steps_wait_behind_a_backlog_of_requests_for_advice_after_two_takeovers() {
+    let report = SeedRun::check_waits(BACKLOG_SEED, 64).await;
+    assert!(report.is_none(), "{}", report.unwrap_or_default());
+}
+
 // Guards against live entries that an owner no longer asks for advice. An entry whose connection is
 // lost during the takeover opens another one; the owner may register the dead one last.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
