--- a/src/cell/advice/claims.rs
+++ b/src/cell/advice/expected_use.rs
@@ -5,16 +5,16 @@
 use crate::workload::Resources;
 use std::collections::BTreeMap;
 
-/// The resources that a request is expected to take of each worker that it names.
+/// The resources that a step is expected to take of each worker that its request names.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Claim {
+pub struct ExpectedUse {
     workers: Vec<Name>,
     each: Resources,
 }
 
-impl Claim {
-    /// The claim of `tasks` tasks on the workers of a request. Which of these are cleared is not
-    /// known, so each is expected to get the same share.
+impl ExpectedUse {
+    /// What `tasks` tasks take of the workers of a request. Which of these are cleared is not known,
+    /// so each is expected to get the same share.
     pub fn new(workers: &[Name], charge: &Resources, tasks: usize) -> Self {
         let share = |amount: u64| amount * tasks as u64 / workers.len().max(1) as u64;
         let each =
@@ -23,31 +23,31 @@
     }
 }
 
-/// The sum of all claims, by worker.
+/// The sum of what all requests in progress are expected to take, by worker.
 #[derive(Debug, Default)]
-pub struct Claims(BTreeMap<Name, Resources>);
+pub struct ExpectedUses(BTreeMap<Name, Resources>);
 
-impl Claims {
-    /// Adds a claim.
-    pub fn add(&mut self, claim: &Claim) {
-        for name in &claim.workers {
+impl ExpectedUses {
+    /// Adds what a request is expected to take.
+    pub fn add(&mut self, request: &ExpectedUse) {
+        for name in &request.workers {
             let sum = self.0.entry(name.clone()).or_default();
-            *sum = sum.plus(&claim.each);
+            *sum = sum.plus(&request.each);
         }
     }
 
-    /// Removes a claim that was added.
-    pub fn remove(&mut self, claim: &Claim) {
-        for name in &claim.workers {
+    /// Removes what was added for a request.
+    pub fn remove(&mut self, request: &ExpectedUse) {
+        for name in &request.workers {
             let Some(sum) = self.0.get_mut(name) else { continue };
-            *sum = sum.saturating_sub(&claim.each);
+            *sum = sum.saturating_sub(&request.each);
             if *sum == Resources::default() {
                 self.0.remove(name);
             }
         }
     }
 
-    /// What is claimed of a worker.
+    /// What is expected to be taken of a worker.
     pub fn of(&self, name: &Name) -> Resources {
         self.0.get(name).copied().unwrap_or_default()
     }
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -3,7 +3,7 @@
 //! The service processes one request at a time from each entry, and its time grows with the number
 //! of workers in the request. Short requests must not wait behind long ones.
 
-use crate::cell::advice::claims::{Claim, Claims};
+use crate::cell::advice::expected_use::{ExpectedUse, ExpectedUses};
 use crate::cell::advice::load::AdviceLoad;
 use crate::cell::advice::short_load::ShortLoad;
 use crate::clock::Millis;
@@ -18,8 +18,9 @@
 const CLIENTS_PER_RESERVE: usize = 3;
 
 /// Once the oldest step has waited for this long, every second long request goes by age and not by
-/// priority. With the request itself this stays below the 3 s that a step beside free workers may wait.
-const MAX_RANKED_WAIT: Millis = Millis(1_000);
+/// priority. With the request itself this stays below the 3 s that a step beside free workers may
+/// wait.
+const MAX_PRIORITY_WAIT: Millis = Millis(1_000);
 
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
 /// times out on the service after twice the duration, and its message to the owner takes some
@@ -35,7 +36,8 @@
     pub workers: Vec<Name>,
     /// The time that the service takes to answer.
     pub cost: Millis,
-    /// Whether any of the workers has room for a task, beside what other requests claim.
+    /// Whether any of the workers has room for a task, beside what other requests
+    /// in progress are expected to take.
     pub has_room: bool,
 }
 
@@ -70,8 +72,8 @@
 pub struct AdviceQueue {
     waiting: VecDeque<QueuedStep>,
     clients: BTreeMap<Name, Client>,
-    /// The claims of the requests in progress.
-    claims: Claims,
+    /// What the requests in progress are expected to take of the workers.
+    expected: ExpectedUses,
     /// The load of short requests.
     short_load: ShortLoad,
     /// Whether the next request goes by age, once the oldest has waited for long.
@@ -92,7 +94,7 @@
 struct PendingRequest {
     step: StepKey,
     /// What the step is expected to take once it is answered.
-    claim: Claim,
+    expected: ExpectedUse,
     is_long: bool,
     /// The job of the step was closed or withdrawn. The entry is busy until the service answers,
     /// but the answer is not used: the same job may have been submitted again.
@@ -128,16 +130,16 @@
         client.pending.and_then(|request| self.end_request(request))
     }
 
-    /// Removes the claim of a request that ended. Returns the step that waits for the answer, if
-    /// any.
+    /// Removes what a request that ended was expected to take. Returns the step that waits for the
+    /// answer, if any.
     fn end_request(&mut self, request: PendingRequest) -> Option<StepKey> {
-        self.claims.remove(&request.claim);
+        self.expected.remove(&request.expected);
         request.wanted_step()
     }
 
     /// What the requests in progress are expected to take of a worker.
-    pub fn claimed(&self, worker: &Name) -> Resources {
-        self.claims.of(worker)
+    pub fn expected_use(&self, worker: &Name) -> Resources {
+        self.expected.of(worker)
     }
 
     /// The state of the queue.
@@ -165,7 +167,7 @@
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
             request.is_cancelled = true;
-            self.claims.remove(&std::mem::take(&mut request.claim));
+            self.expected.remove(&std::mem::take(&mut request.expected));
         }
     }
 
@@ -221,7 +223,7 @@
         }
         let oldest = steps.iter().min_by_key(|queued| queued.queued_at).cloned();
         if let Some(oldest) = oldest
-            && now.since(oldest.queued_at) >= MAX_RANKED_WAIT
+            && now.since(oldest.queued_at) >= MAX_PRIORITY_WAIT
         {
             steps.sort_by_key(|queued| queued.queued_at);
         }
@@ -245,16 +247,16 @@
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
         let (step, is_long) = (request.step, request.cost >= LONG_REQUEST);
         // Little is sent before a short request is answered.
-        let claim = match is_long {
-            true => Claim::new(&request.workers, charge, tasks),
-            false => Claim::default(),
+        let expected = match is_long {
+            true => ExpectedUse::new(&request.workers, charge, tasks),
+            false => ExpectedUse::default(),
         };
         if !is_long {
             self.short_load.record(now, request.cost);
         }
-        self.claims.add(&claim);
+        self.expected.add(&expected);
         self.is_oldest_turn = is_long && !self.is_oldest_turn;
         client.pending =
-            Some(PendingRequest { step, claim, is_long, is_cancelled: false, deadline });
+            Some(PendingRequest { step, expected, is_long, is_cancelled: false, deadline });
     }
 }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -69,16 +69,17 @@
         }
         let workers = self.select_workers(now, key, job, spec, remaining);
         let cost = request_cost(advice, workers.len());
-        let has_room = workers.first().is_some_and(|name| self.has_unclaimed_room(name, spec));
+        let has_room =
+            workers.first().is_some_and(|name| self.has_room_beside_requests(name, spec));
         (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost, has_room })
     }
 
-    /// Whether a worker has room for a task beside what the requests in progress claim. The first
+    /// Whether a worker has room for a task beside what the requests in progress are expected to take. The first
     /// worker of a request stands for all, as those with room come first.
-    fn has_unclaimed_room(&self, name: &Name, spec: &Step) -> bool {
-        let claimed = self.advice_queue.claimed(name);
+    fn has_room_beside_requests(&self, name: &Name, spec: &Step) -> bool {
+        let expected = self.advice_queue.expected_use(name);
         self.workers.get(name).is_some_and(|worker| {
-            worker.free().saturating_sub(&claimed).can_fit(&spec.charged_resources())
+            worker.free().saturating_sub(&expected).can_fit(&spec.charged_resources())
         })
     }
 
@@ -133,8 +134,8 @@
             () => (known, renewed),
         };
         selected.sort_by_cached_key(|candidate| {
-            let claimed = self.advice_queue.claimed(&candidate.name);
-            let free = candidate.free.saturating_sub(&claimed);
+            let expected = self.advice_queue.expected_use(&candidate.name);
+            let free = candidate.free.saturating_sub(&expected);
             let has_room = candidate.is_below_limit(spec) && free.can_fit(&charge);
             let is_remote = job.home_domain.as_ref().is_some_and(|home| candidate.domain != *home);
             let order = (!has_room, candidate.speed_order, is_remote);
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -204,7 +204,7 @@
 }
 
 #[test]
-fn a_request_that_was_lost_claims_no_room() {
+fn a_request_that_was_lost_keeps_back_no_room() {
     // What is kept back for an answer has to end with the request, however that ends.
     let mut cluster = Cluster::new(4, 3);
     let step = cluster.submit(1, "long", 2);
