Workers: a removed worker's tickets and denials are forgotten

A worker that was denied for a step, removed because another incarnation answers at its address, and listed again under its id was never asked about again. Only a restart that was noticed on the same entry of the list forgot them.

--- a/src/cell/workers/restart.rs
+++ b/src/cell/workers/restart.rs
@@ -101,7 +101,7 @@
 
     /// Forgets tickets and denials for a worker. Tickets are valid for one incarnation, and the
     /// next one may be of another kind.
-    fn forget_clearances(&mut self, name: &Name) {
+    pub(in crate::cell) fn forget_clearances(&mut self, name: &Name) {
         for job in self.jobs.values_mut().filter(|job| job.is_open() && job.queue.advice.is_some())
         {
             for step in &mut job.steps {
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -143,6 +143,7 @@
             log::info!("event=run-lost task={task} run={run} worker={name} why={why}");
             self.requeue_task(task, run);
         }
+        self.forget_clearances(name);
         self.workers_dirty = true;
         self.needs_placement = true;
         self.actions.push(Action::Unwatch(name.clone()));
