Advice: what the review of the queue found

Each with a test in tests/advice.rs or tests/late_answers.rs: - A step that needs whole workers, or one that can only make room by stopping others, was passed over for as long as other steps found room: what requests in progress are expected to take counted as taken, and only free room counted. It now counts if a worker has room or room can be made; expected use only orders the workers. Tasks beyond the bound of the workspace are not expected. - Short requests took the turn of the step that waits longest. - The answer to an earlier request that settles a request of this owner skipped the checks for late answers: a denial of an incarnation that the owner never knew counted for good, and a job submitted again under its key got the old one's. - A step went back to the entry that had just failed it, beside an idle one. - One step without room stood for all of its queue, also for smaller ones and for those of other workers. - A request that was lost went to the end of the queue. - a_request_that_was_lost_keeps_back_no_room named all workers, so it could not fail; with more workers it does without the release.

--- a/src/cell/advice/late_answer.rs
+++ b/src/cell/advice/late_answer.rs
@@ -22,9 +22,15 @@
     ) {
         let is_asked = self.advice_queue.client_of(key).is_some_and(|client| client == entry);
         let is_wanted = self.advice_queue.complete(entry, key);
+        self.advice_queue.record_outcome(entry, answer.is_none().then_some(now));
+        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
+        // The answer to an earlier request may settle this one.
+        let sent_at = now - age.request;
+        let is_to_request =
+            is_asked && step.is_some_and(|step| sent_at >= step.clearances.requested_at);
         match answer {
             _ if !is_wanted => log::info!("event=advice-unused step={key} entry={entry}"),
-            Some(cleared) if is_asked => self.apply_advice(now, key, named, cleared, age),
+            Some(cleared) if is_to_request => self.apply_advice(now, key, named, cleared, age),
             Some(cleared) => self.apply_unasked(now, entry, key, named, cleared, age),
             None if is_asked => self.return_request(key, entry, "no-answer"),
             // Another entry may have the request by now.
@@ -74,7 +80,7 @@
         let was_known =
             |name: &Name| workers.get(name).is_some_and(|worker| worker.has_reported_by(sent_at));
         let clearances = &mut step.clearances;
-        clearances.answer_new = true;
+        (clearances.answer_new, clearances.queued_since) = (true, None);
         for name in named {
             let is_cleared = cleared.tickets.iter().any(|(cleared, _)| cleared == name);
             if !is_cleared && is_same(name) && was_known(name) {
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -36,8 +36,7 @@
     pub workers: Vec<Name>,
     /// The time that the service takes to answer.
     pub cost: Millis,
-    /// Whether any of the workers has room for a task, beside what other requests
-    /// in progress are expected to take.
+    /// Whether any of the workers has room for a task, or room can be made there.
     pub has_room: bool,
 }
 
@@ -54,7 +53,7 @@
     /// The priority of the step's job; lower values go first, and steps of the same priority in the
     /// order in which they were queued.
     pub priority: u32,
-    /// When the step was queued.
+    /// Since when the step waits for an answer. A request that was lost keeps the step's place.
     pub queued_at: Millis,
 }
 
@@ -87,6 +86,9 @@
     is_home: bool,
     /// The request that waits for an answer, if any.
     pending: Option<PendingRequest>,
+    /// When the last request failed; `None` if it was answered. An entry that cannot reach the
+    /// service is used after all others.
+    failed_at: Option<Millis>,
 }
 
 /// A request that an entry is sending to the service.
@@ -120,7 +122,8 @@
 impl AdviceQueue {
     /// Adds an entry. Returns the step whose request was lost with an earlier connection, if any.
     pub fn add_client(&mut self, entry: Name, is_home: bool) -> Option<StepKey> {
-        let earlier = self.clients.insert(entry, Client { is_home, pending: None })?;
+        let earlier =
+            self.clients.insert(entry, Client { is_home, pending: None, failed_at: None })?;
         earlier.pending.and_then(|request| self.end_request(request))
     }
 
@@ -154,9 +157,10 @@
         }
     }
 
-    /// Adds a step to the queue, in the order of its priority.
+    /// Adds a step to the queue, in the order of its priority and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
-        let index = self.waiting.partition_point(|other| other.priority <= queued.priority);
+        let order = |step: &QueuedStep| (step.priority, step.queued_at);
+        let index = self.waiting.partition_point(|other| order(other) <= order(&queued));
         self.waiting.insert(index, queued);
     }
 
@@ -189,12 +193,24 @@
         answered.is_none_or(|request| self.end_request(request).is_some())
     }
 
+    /// Records whether the last request of an entry was answered, or when it failed.
+    pub fn record_outcome(&mut self, entry: &Name, failed_at: Option<Millis>) {
+        if let Some(client) = self.clients.get_mut(entry) {
+            client.failed_at = failed_at;
+        }
+    }
+
     /// Removes the pending requests whose answers are overdue. Returns the steps that still need
     /// one.
     pub fn take_overdue(&mut self, now: Millis) -> Vec<StepKey> {
         let overdue =
             |client: &mut Client| client.pending.take_if(|pending| now >= pending.deadline);
-        let overdue: Vec<PendingRequest> = self.clients.values_mut().filter_map(overdue).collect();
+        let failed = |client: &mut Client| {
+            let request = overdue(client)?;
+            client.failed_at = Some(now);
+            Some(request)
+        };
+        let overdue: Vec<PendingRequest> = self.clients.values_mut().filter_map(failed).collect();
         overdue.into_iter().filter_map(|request| self.end_request(request)).collect()
     }
 
@@ -211,7 +227,8 @@
             .count();
         let most_reserved = if count == 1 { 0 } else { (count / CLIENTS_PER_RESERVE).max(1) };
         let allows_long = long + wanted.min(most_reserved) < count;
-        let (entry, _) = usable().find(|(_, client)| client.pending.is_none())?;
+        let idle = usable().filter(|(_, client)| client.pending.is_none());
+        let (entry, _) = idle.min_by_key(|(_, client)| client.failed_at)?;
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
 
@@ -255,7 +272,8 @@
             self.short_load.record(now, request.cost);
         }
         self.expected.add(&expected);
-        self.is_oldest_turn = is_long && !self.is_oldest_turn;
+        // Short requests neither take the turn nor end it.
+        self.is_oldest_turn = self.is_oldest_turn != is_long;
         client.pending =
             Some(PendingRequest { step, expected, is_long, is_cancelled: false, deadline });
     }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{AdviceAge, ClearedWorkers};
-use crate::workload::{AdviceConfig, Step, StepKey};
+use crate::workload::{AdviceConfig, Resources, Step, StepKey};
 use std::collections::BTreeSet;
 
 /// The remaining validity that a ticket needs to be used. An order takes a few milliseconds, and
@@ -24,6 +24,32 @@
 /// The smallest number of cleared workers to request new tickets for, because some of them fill up
 /// before the answer arrives.
 const MIN_RENEWED_WORKERS: usize = 4;
+/// The most steps without room that are looked at before a request is sent all the same. Each look
+/// goes through all workers.
+const MAX_FULL_STEPS: usize = 8;
+
+/// The workers that a request would name.
+#[derive(Debug, Default)]
+struct Selection {
+    workers: Vec<Name>,
+    /// Whether any of them has room for a task, or room can be made there.
+    has_room: bool,
+}
+
+/// What a step without room needs of a worker.
+#[derive(Debug)]
+struct FullStep {
+    queue: Name,
+    label: Name,
+    charge: Resources,
+}
+
+impl FullStep {
+    /// Whether a worker with room for this step has room for another one as well.
+    fn needs_no_less_than(&self, other: &Self) -> bool {
+        self.queue == other.queue && self.label == other.label && self.charge.can_fit(&other.charge)
+    }
+}
 
 impl Cell {
     /// Queues a request for a step whose tasks found no cleared worker with room.
@@ -41,7 +67,7 @@
         if clearances.request_pending || now < clearances.retry_at {
             return;
         }
-        let workers = self.select_workers(now, key, job, spec, remaining);
+        let Selection { workers, .. } = self.select_workers(now, key, job, spec, remaining);
         if workers.is_empty() {
             return;
         }
@@ -51,10 +77,11 @@
             queue: job.queue.name.clone(),
             cost,
             priority: job.priority(),
-            queued_at: now,
+            queued_at: clearances.queued_since.unwrap_or(now),
         });
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
+            step.clearances.queued_since.get_or_insert(now);
         }
     }
 
@@ -67,22 +94,11 @@
         if remaining == 0 {
             return None;
         }
-        let workers = self.select_workers(now, key, job, spec, remaining);
+        let Selection { workers, has_room } = self.select_workers(now, key, job, spec, remaining);
         let cost = request_cost(advice, workers.len());
-        let has_room =
-            workers.first().is_some_and(|name| self.has_room_beside_requests(name, spec));
         (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost, has_room })
     }
 
-    /// Whether a worker has room for a task beside what the requests in progress are expected to take. The first
-    /// worker of a request stands for all, as those with room come first.
-    fn has_room_beside_requests(&self, name: &Name, spec: &Step) -> bool {
-        let expected = self.advice_queue.expected_use(name);
-        self.workers.get(name).is_some_and(|worker| {
-            worker.free().saturating_sub(&expected).can_fit(&spec.charged_resources())
-        })
-    }
-
     /// Selects the workers for the next request of a step. These are cleared workers that have room
     /// but no valid ticket. If there are none, they are workers that were never asked about, those
     /// with room first. If none of these has room, they are cleared workers on which room can be
@@ -96,9 +112,9 @@
         job: &Job,
         spec: &Step,
         remaining: usize,
-    ) -> Vec<Name> {
+    ) -> Selection {
         let (Some(step), Some(advice)) = (job.step(key), job.queue.advice) else {
-            return Vec::new();
+            return Selection::default();
         };
         let charge = spec.charged_resources();
         let clearances = &step.clearances;
@@ -116,7 +132,7 @@
         if spec.is_gang
             && let Some(selected) = self.select_gang_workers(now, key, spec, remaining)
         {
-            return selected;
+            return Selection { workers: selected, has_room: true };
         }
         let has_room = |candidate: &Candidate| candidate.has_room(spec, &charge);
         let fits_after_preemption =
@@ -133,6 +149,9 @@
             // Room can be made on some of them.
             () => (known, renewed),
         };
+        let is_useful =
+            |candidate: &Candidate| has_room(candidate) || fits_after_preemption(candidate);
+        let any_room = selected.iter().any(is_useful);
         selected.sort_by_cached_key(|candidate| {
             let expected = self.advice_queue.expected_use(&candidate.name);
             let free = candidate.free.saturating_sub(&expected);
@@ -141,11 +160,8 @@
             let order = (!has_room, candidate.speed_order, is_remote);
             (order, std::cmp::Reverse(free.cpu))
         });
-        selected
-            .into_iter()
-            .take(limit.min(MAX_REQUEST_WORKERS))
-            .map(|candidate| candidate.name)
-            .collect()
+        let named = selected.into_iter().take(limit.min(MAX_REQUEST_WORKERS));
+        Selection { workers: named.map(|candidate| candidate.name).collect(), has_room: any_room }
     }
 
     /// Selects cleared workers for a gang if they have room for all of it. All tasks of a gang
@@ -189,17 +205,18 @@
 
     /// The request to send next: that of the first queued step that finds a worker with room, or
     /// else of the first step. The time of the service would be lost on steps that have no room
-    /// while others have. One step of each queue is looked at, as the others find about the same.
+    /// while others have. Steps that need no less than one that found no room are not looked at.
     fn next_request(
         &mut self,
         now: Millis,
         client: &IdleClient,
     ) -> Option<(QueuedStep, AdviceRequest)> {
         let mut first = None;
-        let mut full_queues: BTreeSet<Name> = BTreeSet::new();
+        let mut full: Vec<FullStep> = Vec::new();
         for queued in self.advice_queue.in_turn(now) {
-            let is_known = full_queues.contains(&queued.queue);
-            if is_known || !client.may_take(queued.cost) {
+            let shape = self.full_step(&queued);
+            let is_known = full.iter().any(|known| shape.needs_no_less_than(known));
+            if is_known || full.len() >= MAX_FULL_STEPS || !client.may_take(queued.cost) {
                 continue;
             }
             match self.build_request(now, queued.step) {
@@ -207,7 +224,7 @@
                 Some(request) if !client.may_take(request.cost) => {}
                 Some(request) if request.has_room => return Some((queued, request)),
                 Some(request) => {
-                    full_queues.insert(queued.queue.clone());
+                    full.push(shape);
                     first.get_or_insert((queued, request));
                 }
             }
@@ -215,10 +232,24 @@
         first
     }
 
+    /// What a queued step needs of a worker.
+    fn full_step(&self, queued: &QueuedStep) -> FullStep {
+        let job = self.jobs.get(&queued.step.job);
+        let spec = job.and_then(|job| job.spec(queued.step.step));
+        FullStep {
+            queue: queued.queue.clone(),
+            label: spec.map(|spec| spec.required_label.clone()).unwrap_or_default(),
+            charge: spec.map(Step::charged_resources).unwrap_or_default(),
+        }
+    }
+
     /// Drops the request of a step that has no worker to ask about any more.
     fn drop_request(&mut self, key: StepKey) {
         log::info!("event=advice-request-dropped step={key} why=no-worker");
         self.advice_queue.remove(key);
+        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+            step.clearances.queued_since = None;
+        }
         self.clear_request(key);
     }
 
@@ -242,7 +273,11 @@
         let job = self.jobs.get(&key.job);
         let spec = job.and_then(|job| job.spec(key.step));
         let charge = spec.map(Step::charged_resources).unwrap_or_default();
-        let tasks = job.and_then(|job| job.step(key)).map_or(0, |step| step.waiting.len());
+        let waiting = job.and_then(|job| job.step(key)).map_or(0, |step| step.waiting.len());
+        let tasks = match (job, spec) {
+            (Some(job), Some(spec)) => self.allowed_starts(job, spec, waiting),
+            _ => 0,
+        };
         self.advice_queue.start(now, client, &request, (&charge, tasks));
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             step.clearances.requested_at = now;
@@ -288,6 +323,7 @@
         );
         let clearances = &mut step.clearances;
         (clearances.request_pending, clearances.answer_new) = (false, true);
+        clearances.queued_since = None;
         clearances.retry_at = now + REQUEST_INTERVAL;
         let allowed: BTreeSet<Name> =
             cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
--- a/src/cell/advice/short_load.rs
+++ b/src/cell/advice/short_load.rs
@@ -4,9 +4,9 @@
 use crate::clock::Millis;
 use std::collections::VecDeque;
 
-/// How far back requests count. Short jobs come in bursts with pauses of about a second.
+/// How far back requests count.
 const WINDOW: Millis = Millis(2_000);
-/// Entries that are kept free for each one that short requests kept busy: at half use a request
+/// Entries that are kept free for each one that short requests kept busy. At half use a request
 /// rarely finds all of them busy.
 const CLIENTS_PER_BUSY: u64 = 2;
 
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -95,6 +95,9 @@
     pub request_pending: bool,
     /// When that request was queued, or sent if it was.
     pub requested_at: Millis,
+    /// Since when the step waits for an answer; `None` if it does not. A request that is lost and
+    /// queued again does not change it.
+    pub queued_since: Option<Millis>,
     /// An answer has arrived since the step's tasks were last placed.
     pub answer_new: bool,
     /// No further request is made before this time.
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -6,7 +6,8 @@
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{
-    ClearedWorkers, EndReason, EndedTask, OrderOutcome, StartOrder, WorkerInfo, WorkerReport,
+    ClearedWorkers, EndReason, EndedTask, OrderOutcome, Refusal, ReportError, RunningTask,
+    StartOrder, WorkerInfo, WorkerReport,
 };
 use sprucerudder::workload::{
     AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey,
@@ -39,6 +40,7 @@
 struct Cluster {
     cell: Cell,
     now: u64,
+    workers: usize,
 }
 
 fn worker(index: usize) -> WorkerInfo {
@@ -90,7 +92,7 @@
         for index in 0..entries {
             cell.add_entry(format!("e{index:02}").into(), true);
         }
-        let mut cluster = Self { cell, now: 1 };
+        let mut cluster = Self { cell, now: 1, workers };
         for index in 0..workers {
             let report = WorkerReport { clock: 1_000, ..WorkerReport::default() };
             cluster.cell.on_report(Millis(1), Millis(0), &worker(index).id, &report);
@@ -154,6 +156,46 @@
         self.cell.on_report(now, now, name, &report);
     }
 
+    /// All workers report, those of these starts that they run.
+    fn report_running(&mut self, starts: &[(Name, StartOrder)]) {
+        for index in 0..self.workers {
+            let id = worker(index).id;
+            let here = starts.iter().filter(|(name, _)| *name == id);
+            let running = here.map(|(_, start)| RunningTask {
+                task: start.task,
+                run: start.run,
+                checkpoint: "c".into(),
+                pace_percent: 100,
+                gauge: None,
+            });
+            let running = running.collect();
+            let report = WorkerReport { clock: self.now, running, ..WorkerReport::default() };
+            self.cell.on_report(Millis(self.now), Millis(self.now - 1), &id, &report);
+        }
+    }
+
+    /// The first worker is listed, and reports, as an incarnation that started at this time.
+    fn list_again(&mut self, started_at: u64) {
+        let started_at = Some(Millis(started_at));
+        let listed = WorkerInfo { started_at, ..worker(0) };
+        self.cell.set_workers(Millis(self.now), vec![listed]);
+        self.now += 10;
+        let report = WorkerReport { clock: 1_000, started_at, ..WorkerReport::default() };
+        self.cell.on_report(Millis(self.now), Millis(self.now - 1), &worker(0).id, &report);
+    }
+
+    /// Answers a request and cancels its job.
+    fn clear_and_cancel(&mut self, sent: &Sent) {
+        self.clear_all(sent);
+        self.cell.cancel(Millis(self.now), sent.step.job);
+    }
+
+    /// Cancels the job of a request, which then gets no answer.
+    fn withdraw(&mut self, sent: &Sent) {
+        self.cell.cancel(Millis(self.now), sent.step.job);
+        self.cell.handle_advice(Millis(self.now), &sent.entry, sent.step, &sent.workers, None);
+    }
+
     /// Answers a request: all of its workers may run the step.
     fn clear_all(&mut self, sent: &Sent) {
         let tickets = sent.workers.iter().map(|name| (name.clone(), "ticket".into())).collect();
@@ -206,7 +248,7 @@
 #[test]
 fn a_request_that_was_lost_keeps_back_no_room() {
     // What is kept back for an answer has to end with the request, however that ends.
-    let mut cluster = Cluster::new(4, 3);
+    let mut cluster = Cluster::new(12, 3);
     let step = cluster.submit(1, "long", 2);
     let (first, _) = cluster.advance(1);
     let lost = |cluster: &mut Cluster, entry: &Name| cluster.cell.remove_entry(entry);
@@ -316,3 +358,160 @@
     let (third, _) = cluster.advance(0);
     assert_eq!(third[0].step, waiting, "the second step of job 1 was queued later");
 }
+
+#[test]
+fn short_requests_do_not_take_the_turn_of_the_step_that_waits_longest() {
+    // A short request between two long ones ended the turn of the oldest step, so that no long
+    // request ever went by age.
+    let mut cluster = Cluster::new(12, 2);
+    cluster.submit(900, "short", 1);
+    let (short, _) = cluster.advance(1);
+    cluster.clear_and_cancel(&short[0]);
+    cluster.submit(1, "long", 1);
+    let (mut sent, _) = cluster.advance(1);
+    let low = cluster.submit(2, "low", 1);
+    let submitted = cluster.now;
+    for key in 3.. {
+        assert!(cluster.now - submitted < 3_000, "not asked about within 3 s");
+        cluster.submit(key, "long", 1);
+        cluster.submit(key + 1_000, "long", 1);
+        cluster.submit(key + 2_000, "short", 1);
+        let (short, _) = cluster.advance(1);
+        cluster.now += 22;
+        cluster.clear_and_cancel(&short[0]);
+        let request = sent.remove(0);
+        cluster.now += 478;
+        cluster.clear_all(&request);
+        (sent, _) = cluster.advance(0);
+        cluster.cell.cancel(Millis(cluster.now), request.step.job);
+        if sent[0].step == low {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_large_step_is_asked_about_beside_small_ones_that_have_not_started() {
+    // What small steps were expected to take counted as taken. A step that needs whole workers was
+    // passed over for as long as small ones came, on workers that were all idle.
+    let mut cluster = Cluster::new(4, 2);
+    let resources = Resources { cpu: JOB_CPU / 8, mem: 1, gpu: 0 };
+    let small = || Step { count: 4, resources, ..Step::default() };
+    cluster.submit_step(1, "low", small());
+    let (mut sent, _) = cluster.advance(1);
+    cluster.now += 350;
+    let large = cluster.submit(900_000, "long", 1);
+    let submitted = cluster.now;
+    for key in 2.. {
+        assert!(cluster.now - submitted < 3_000, "not asked about within 3 s");
+        cluster.submit_step(key, "low", small());
+        cluster.submit_step(key + 1_000, "low", small());
+        sent.extend(cluster.advance(1).0);
+        if sent.iter().any(|request| request.step == large) {
+            return;
+        }
+        cluster.now += 350;
+        cluster.withdraw(&sent.remove(0));
+        sent.extend(cluster.advance(0).0);
+    }
+}
+
+#[test]
+fn an_urgent_step_that_can_make_room_is_asked_about() {
+    // Only free room counted. An urgent step whose workers were full of work that it may stop was
+    // passed over for as long as steps of other workers came, and without a ticket it stops nothing.
+    let mut cluster = Cluster::new(6, 1);
+    let labelled =
+        |count| Step { required_label: "x".into(), has_checkpoints: true, ..step(count) };
+    cluster.submit_step(1, "low", labelled(2));
+    let (sent, _) = cluster.advance(1);
+    cluster.now += 500;
+    cluster.clear_all(&sent[0]);
+    let (_, starts) = cluster.advance(0);
+    cluster.report_running(&starts);
+    cluster.advance(400);
+    cluster.report_running(&starts);
+    let urgent = cluster.submit_step(2, "long", labelled(1));
+    cluster.submit(3, "low", 1);
+    let submitted = cluster.now;
+    let (mut sent, _) = cluster.advance(1);
+    for key in 4.. {
+        assert!(cluster.now - submitted < 3_000, "not asked about within 3 s");
+        if sent[0].step == urgent {
+            return;
+        }
+        cluster.submit(key, "low", 1);
+        cluster.now += 500;
+        cluster.withdraw(&sent.remove(0));
+        cluster.report_running(&starts);
+        (sent, _) = cluster.advance(0);
+    }
+}
+
+#[test]
+fn a_step_is_not_sent_again_to_the_entry_that_failed_it() {
+    // The first idle entry was taken. One that cannot reach the service failed each request at once
+    // and got the next one, while another entry was idle.
+    let mut cluster = Cluster::new(4, 2);
+    cluster.submit(1, "long", 1);
+    let (sent, _) = cluster.advance(1);
+    let Sent { entry, step, workers } = &sent[0];
+    cluster.cell.handle_advice(Millis(cluster.now), entry, *step, workers, None);
+    let (again, _) = cluster.advance(500);
+    assert_ne!(again[0].entry, *entry);
+}
+
+#[test]
+fn a_denial_of_a_removed_worker_is_forgotten() {
+    // Another incarnation may be of another kind. Denials were kept when the worker was removed and
+    // listed again under its id.
+    let mut cluster = Cluster::new(1, 1);
+    cluster.list_again(1);
+    cluster.advance(10);
+    cluster.submit(1, "long", 1);
+    let (sent, _) = cluster.advance(300);
+    let Sent { entry, step, workers } = &sent[0];
+    let denied = Some(ClearedWorkers { tickets: Vec::new(), valid_for: None });
+    cluster.cell.handle_advice(Millis(cluster.now), entry, *step, workers, denied);
+    assert!(cluster.advance(500).0.is_empty(), "there is nobody else to ask about");
+    let replaced = ReportError::Refused(Refusal::OtherIncarnation);
+    cluster.cell.on_missing_report(Millis(cluster.now), &worker(0).id, &replaced);
+    cluster.list_again(500);
+    let asked = (0..10).any(|_| !cluster.advance(500).0.is_empty());
+    assert!(asked, "the next incarnation is asked about");
+}
+
+#[test]
+fn steps_without_room_do_not_hide_a_step_of_their_queue_that_has_room() {
+    // One step stood for all of its queue, also for those that may run on other workers.
+    let mut cluster = Cluster::new(6, 1);
+    let labelled = |count| Step { required_label: "x".into(), ..step(count) };
+    cluster.submit_step(1, "long", labelled(2));
+    let (sent, _) = cluster.advance(1);
+    cluster.now += 500;
+    cluster.clear_all(&sent[0]);
+    assert_eq!(cluster.advance(0).1.len(), 2);
+    for key in 2..=4 {
+        cluster.submit_step(key, "long", labelled(1));
+    }
+    let with_room = cluster.submit(5, "long", 1);
+    let (sent, _) = cluster.advance(1);
+    assert_eq!(sent[0].step, with_room);
+}
+
+#[test]
+fn a_step_whose_request_was_lost_keeps_its_place() {
+    // A lost request was queued as a new one, behind all that had come meanwhile.
+    let mut cluster = Cluster::new(12, 1);
+    let first = cluster.submit(1, "long", 1);
+    let (sent, _) = cluster.advance(1);
+    for key in 2..=4 {
+        cluster.submit(key, "long", 1);
+    }
+    cluster.advance(100);
+    cluster.cell.remove_entry(&sent[0].entry);
+    cluster.advance(100);
+    cluster.cell.add_entry(sent[0].entry.clone(), true);
+    let (again, _) = cluster.advance(1);
+    assert_eq!(again[0].step, first);
+}
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -166,3 +166,56 @@
     cluster.cell.add_entry("entry".into(), true);
     assert_eq!(take_requests(&mut cluster), []);
 }
+
+#[test]
+fn a_held_denial_that_settles_a_new_request_is_not_kept_for_good() {
+    // The answer to the request of an earlier owner settled the one of this owner, and was taken for
+    // its answer: a denial of an incarnation that this owner never knew then counted for good.
+    let mut cluster = inherited(1);
+    let now = Millis(cluster.now);
+    let answer = Some(ClearedWorkers { tickets: Vec::new(), valid_for: None });
+    cluster.cell.handle_aged_advice(
+        now,
+        &"entry".into(),
+        STEP,
+        &["w0".into()],
+        answer,
+        age(500, 450),
+    );
+    cluster.lost_answers = 0;
+    cluster.run_for(5_000);
+    assert_eq!(cluster.start_count(job(1)), 1);
+}
+
+#[test]
+fn an_answer_is_not_used_for_a_job_that_was_submitted_again_and_asked_about_at_the_same_entry() {
+    // The answer to the request of the withdrawn job settled that of the job that was submitted
+    // again under its key.
+    let mut cluster = Cluster::with_advice(1);
+    let definition = |steps: Vec<Step>| {
+        let (first_due, interval) = (Millis(0), Millis(0));
+        let payload = "text".into();
+        Arc::new(JobDefinition { payload, steps, repetitions: 1, first_due, interval })
+    };
+    let other = definition(vec![Step { count: 0, ..step() }]);
+    assert!(cluster.cell.submit(Millis(cluster.now), job(0xf0), "q", other).is_some());
+    let pending = cluster.cell.take_batch(Millis(cluster.now)).expect("a new job").number;
+    cluster.submit(job(1));
+    let first = take_requests(&mut cluster);
+    assert_eq!(first.len(), 1);
+    let entry = first[0].0.clone();
+    // Its connection breaks during the call.
+    cluster.cell.remove_entry(&entry);
+    assert_eq!(cluster.cell.withdraw_after(pending), [job(1)]);
+    cluster.now += 100;
+    cluster.submit(job(1));
+    cluster.cell.add_entry(entry.clone(), true);
+    let second = take_requests(&mut cluster);
+    assert_eq!(second.len(), 1);
+    let now = Millis(cluster.now);
+    let tickets = vec![(Name::from("w0"), "old".into())];
+    let answer = Some(ClearedWorkers { tickets, valid_for: None });
+    cluster.cell.handle_aged_advice(now, &entry, STEP, &["w0".into()], answer, age(150, 50));
+    cluster.cell.schedule(now);
+    assert_eq!(cluster.cell.bindings(job(1)), [], "asked before it was submitted again");
+}
