--- a/tests/advice_wait/main.rs
+++ b/tests/advice_wait/main.rs
@@ -31,7 +31,7 @@
 
 /// Seeds of waits for advice that have failed.
 const WAIT_SEEDS: [u64; 2] = [5, 9];
-/// A seed whose steps still wait in a queue while all entries are busy with advice.
+/// A seed whose steps wait in the queue while all entries are busy with advice.
 const BACKLOG_SEED: u64 = 32;
 /// Seeds that have failed because the owner did not ask all entries for advice.
 const CALLER_SEEDS: [u64; 2] = [2, 3];
