Advice: fewer looks at the workers for each request

Change: a step that finds room while nobody waits and an entry is idle is sent with the workers just chosen; a step of a workspace at its bound keeps its place; two steps without room are looked at, not eight; whether room can be made is looked at only when a request is made.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Whether no step waits for a request to be sent.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Adds a step to the queue, in the order of its priority and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
         let order = |step: &QueuedStep| (step.priority, step.queued_at);
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -26,15 +26,7 @@
 const MIN_RENEWED_WORKERS: usize = 4;
 /// The most steps without room that are looked at before a request is sent all the same. Each look
 /// goes through all workers.
-const MAX_FULL_STEPS: usize = 8;
-
-/// The workers that a request would name.
-#[derive(Debug, Default)]
-struct Selection {
-    workers: Vec<Name>,
-    /// Whether any of them has room for a task, or room can be made there.
-    has_room: bool,
-}
+const MAX_FULL_STEPS: usize = 2;
 
 /// What a step without room needs of a worker.
 #[derive(Debug)]
@@ -67,22 +59,32 @@
         if clearances.request_pending || now < clearances.retry_at {
             return;
         }
-        let Selection { workers, .. } = self.select_workers(now, key, job, spec, remaining);
-        if workers.is_empty() {
+        let selected = self.select_workers(now, key, job, spec, remaining);
+        if selected.is_empty() {
             return;
         }
-        let cost = request_cost(advice, workers.len());
-        self.advice_queue.push(QueuedStep {
+        let cost = request_cost(advice, selected.len());
+        let queued = QueuedStep {
             step: key,
             queue: job.queue.name.clone(),
             cost,
             priority: job.priority(),
             queued_at: clearances.queued_since.unwrap_or(now),
-        });
+        };
+        let request = match self.advice_queue.is_empty() {
+            true => self.to_request(key, job, spec, advice, selected),
+            false => None,
+        };
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
             step.clearances.queued_since.get_or_insert(now);
         }
+        match (request, self.advice_queue.idle_client(now)) {
+            (Some(request), Some(client)) if request.has_room && client.may_take(cost) => {
+                self.send_request(now, &client, request, queued.queued_at);
+            }
+            _ => self.advice_queue.push(queued),
+        }
     }
 
     /// Creates the request for a step as it is now. Returns `None` if there is no worker to ask
@@ -90,13 +92,30 @@
     fn build_request(&self, now: Millis, key: StepKey) -> Option<AdviceRequest> {
         let job = self.jobs.get(&key.job)?;
         let (advice, spec) = (job.queue.advice?, job.spec(key.step)?);
-        let remaining = self.allowed_starts(job, spec, job.step(key)?.waiting.len());
-        if remaining == 0 {
+        let remaining = self.allowed_tasks(key);
+        let selected = self.select_workers(now, key, job, spec, remaining);
+        self.to_request(key, job, spec, advice, selected)
+    }
+
+    /// Creates the request for a step that names these workers, if there are any.
+    fn to_request(
+        &self,
+        key: StepKey,
+        job: &Job,
+        spec: &Step,
+        advice: AdviceConfig,
+        selected: Vec<Candidate>,
+    ) -> Option<AdviceRequest> {
+        if selected.is_empty() {
             return None;
         }
-        let Selection { workers, has_room } = self.select_workers(now, key, job, spec, remaining);
-        let cost = request_cost(advice, workers.len());
-        (!workers.is_empty()).then_some(AdviceRequest { step: key, workers, cost, has_room })
+        let charge = spec.charged_resources();
+        let has_room = selected.iter().any(|candidate| candidate.has_room(spec, &charge));
+        let can_make_room = |candidate| self.fits_after_preemption(candidate, job.priority(), spec);
+        let has_room = has_room || selected.iter().any(can_make_room);
+        let cost = request_cost(advice, selected.len());
+        let workers = selected.into_iter().map(|candidate| candidate.name).collect();
+        Some(AdviceRequest { step: key, workers, cost, has_room })
     }
 
     /// Selects the workers for the next request of a step. These are cleared workers that have room
@@ -112,9 +131,9 @@
         job: &Job,
         spec: &Step,
         remaining: usize,
-    ) -> Selection {
+    ) -> Vec<Candidate> {
         let (Some(step), Some(advice)) = (job.step(key), job.queue.advice) else {
-            return Selection::default();
+            return Vec::new();
         };
         let charge = spec.charged_resources();
         let clearances = &step.clearances;
@@ -132,7 +151,7 @@
         if spec.is_gang
             && let Some(selected) = self.select_gang_workers(now, key, spec, remaining)
         {
-            return Selection { workers: selected, has_room: true };
+            return selected;
         }
         let has_room = |candidate: &Candidate| candidate.has_room(spec, &charge);
         let fits_after_preemption =
@@ -149,9 +168,6 @@
             // Room can be made on some of them.
             () => (known, renewed),
         };
-        let is_useful =
-            |candidate: &Candidate| has_room(candidate) || fits_after_preemption(candidate);
-        let any_room = selected.iter().any(is_useful);
         selected.sort_by_cached_key(|candidate| {
             let expected = self.advice_queue.expected_use(&candidate.name);
             let free = candidate.free.saturating_sub(&expected);
@@ -160,8 +176,8 @@
             let order = (!has_room, candidate.speed_order, is_remote);
             (order, std::cmp::Reverse(free.cpu))
         });
-        let named = selected.into_iter().take(limit.min(MAX_REQUEST_WORKERS));
-        Selection { workers: named.map(|candidate| candidate.name).collect(), has_room: any_room }
+        selected.truncate(limit.min(MAX_REQUEST_WORKERS));
+        selected
     }
 
     /// Selects cleared workers for a gang if they have room for all of it. All tasks of a gang
@@ -173,7 +189,7 @@
         key: StepKey,
         spec: &Step,
         remaining: usize,
-    ) -> Option<Vec<Name>> {
+    ) -> Option<Vec<Candidate>> {
         let charge = spec.charged_resources();
         let mut candidates = self.cleared_candidates(now, key, spec);
         candidates.retain(|candidate| candidate.has_room(spec, &charge));
@@ -188,7 +204,7 @@
                 break;
             }
             room += candidate.count_fitting(spec, &charge);
-            selected.push(candidate.name);
+            selected.push(candidate);
         }
         (room >= remaining).then_some(selected)
     }
@@ -214,9 +230,13 @@
         let mut first = None;
         let mut full: Vec<FullStep> = Vec::new();
         for queued in self.advice_queue.in_turn(now) {
+            // The workspace may be allowed to start more by the time the next request is sent.
+            let is_held = !client.may_take(queued.cost) || self.allowed_tasks(queued.step) == 0;
+            if is_held || full.len() >= MAX_FULL_STEPS {
+                continue;
+            }
             let shape = self.full_step(&queued);
-            let is_known = full.iter().any(|known| shape.needs_no_less_than(known));
-            if is_known || full.len() >= MAX_FULL_STEPS || !client.may_take(queued.cost) {
+            if full.iter().any(|known| shape.needs_no_less_than(known)) {
                 continue;
             }
             match self.build_request(now, queued.step) {
@@ -232,6 +252,17 @@
         first
     }
 
+    /// How many waiting tasks of a step its workspace may start now. A step without waiting tasks
+    /// counts as one, so that it is looked at and dropped.
+    fn allowed_tasks(&self, key: StepKey) -> usize {
+        let Some(job) = self.jobs.get(&key.job) else { return 1 };
+        let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return 1 };
+        match step.waiting.len() {
+            0 => 1,
+            waiting => self.allowed_starts(job, spec, waiting),
+        }
+    }
+
     /// What a queued step needs of a worker.
     fn full_step(&self, queued: &QueuedStep) -> FullStep {
         let job = self.jobs.get(&queued.step.job);
@@ -273,11 +304,7 @@
         let job = self.jobs.get(&key.job);
         let spec = job.and_then(|job| job.spec(key.step));
         let charge = spec.map(Step::charged_resources).unwrap_or_default();
-        let waiting = job.and_then(|job| job.step(key)).map_or(0, |step| step.waiting.len());
-        let tasks = match (job, spec) {
-            (Some(job), Some(spec)) => self.allowed_starts(job, spec, waiting),
-            _ => 0,
-        };
+        let tasks = self.allowed_tasks(key);
         self.advice_queue.start(now, client, &request, (&charge, tasks));
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             step.clearances.requested_at = now;
