Revert the order of the queue: requests go by the age of their jobs again

Tried: requests of one priority in the order in which they were queued. So the rank is priority and age of the job as before; every second long request still goes to the step that waits longest.

--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -18,9 +18,9 @@
 const CLIENTS_PER_RESERVE: usize = 3;
 
 /// Once the oldest step has waited for this long, every second long request goes by age and not by
-/// priority. With the request itself this stays below the 3 s that a step beside free workers may
+/// rank. With the request itself this stays below the 3 s that a step beside free workers may
 /// wait.
-const MAX_PRIORITY_WAIT: Millis = Millis(1_000);
+const MAX_RANKED_WAIT: Millis = Millis(1_000);
 
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
 /// times out on the service after twice the duration, and its message to the owner takes some
@@ -50,9 +50,9 @@
     pub queue: Name,
     /// The time that the service would take if the request were sent when the step is queued.
     pub cost: Millis,
-    /// The priority of the step's job; lower values go first, and steps of the same priority in the
-    /// order in which they were queued.
-    pub priority: u32,
+    /// The rank of the step's job, by its priority and its age; lower ranks go first. While there is
+    /// more work than room, jobs of one priority that take turns would all be late.
+    pub rank: (u32, Millis),
     /// Since when the step waits for an answer. A request that was lost keeps the step's place.
     pub queued_at: Millis,
 }
@@ -162,9 +162,9 @@
         self.waiting.is_empty()
     }
 
-    /// Adds a step to the queue, in the order of its priority and of the time since which it waits.
+    /// Adds a step to the queue, in the order of its rank and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
-        let order = |step: &QueuedStep| (step.priority, step.queued_at);
+        let order = |step: &QueuedStep| (step.rank, step.queued_at);
         let index = self.waiting.partition_point(|other| order(other) <= order(&queued));
         self.waiting.insert(index, queued);
     }
@@ -245,7 +245,7 @@
         }
         let oldest = steps.iter().min_by_key(|queued| queued.queued_at).cloned();
         if let Some(oldest) = oldest
-            && now.since(oldest.queued_at) >= MAX_PRIORITY_WAIT
+            && now.since(oldest.queued_at) >= MAX_RANKED_WAIT
         {
             steps.sort_by_key(|queued| queued.queued_at);
         }
