--- a/src/cell/advice/expected_use.rs
+++ b/src/cell/advice/expected_use.rs
@@ -13,8 +13,8 @@
 }
 
 impl ExpectedUse {
-    /// What `tasks` tasks take of the workers of a request. Which of these are cleared is not known,
-    /// so each is expected to get the same share.
+    /// What `tasks` tasks take of the workers of a request. Which of these are cleared is not yet
+    /// known, so each is expected to get the same share.
     pub fn new(workers: &[Name], charge: &Resources, tasks: usize) -> Self {
         let share = |amount: u64| amount * tasks as u64 / workers.len().max(1) as u64;
         let each =
--- a/src/cell/advice/load.rs
+++ b/src/cell/advice/load.rs
@@ -7,8 +7,7 @@
 
 /// The time between two log lines about the queue of requests.
 const LOG_INTERVAL: Millis = Millis(1_000);
-/// A request that waits for less than this time is not worth a line. It is how long a step may have
-/// waited when it ignores reservations for others.
+/// The shortest wait that is logged. Shorter ones leave a step most of the 3 s that it may wait.
 const MIN_LOGGED_WAIT: Millis = Millis(1_000);
 
 /// The state of the queue of requests.
