--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -6,6 +6,7 @@
 use crate::cell::advice::expected_use::{ExpectedUse, ExpectedUses};
 use crate::cell::advice::load::AdviceLoad;
 use crate::cell::advice::short_load::ShortLoad;
+use crate::cell::placing::rank::Rank;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, StepKey};
@@ -52,7 +53,7 @@
     pub cost: Millis,
     /// The rank of the step's job, by its priority and its age; lower ranks go first. While there is
     /// more work than room, jobs of one priority that take turns would all be late.
-    pub rank: (u32, Millis),
+    pub rank: Rank,
     /// Since when the step waits for an answer. A request that was lost keeps the step's place.
     pub queued_at: Millis,
 }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -2,7 +2,6 @@
 
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
 use crate::cell::jobs::job::{Job, Ticket};
-use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::Candidate;
 use crate::cell::{Action, Cell};
@@ -69,7 +68,7 @@
             step: key,
             queue: job.queue.name.clone(),
             cost,
-            rank: queue_rank(job),
+            rank: job.rank(),
             queued_at: clearances.queued_since.unwrap_or(now),
         };
         let request = match self.advice_queue.is_empty() {
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::jobs::restart_policy::Crash;
 use crate::cell::jobs::wait::Wait;
+use crate::cell::placing::rank::{Rank, RankClass};
 use crate::cell::records::journal::{
     JobOutcome, JobRecord, Progress, StepProgress, TaskCrashes, TaskProgress,
 };
@@ -164,6 +165,8 @@
     pub is_over_share: bool,
     /// When this owner first learned of the job.
     pub known_since: Millis,
+    /// Whether the job can be on time, as of the last update of its rank.
+    pub rank_class: RankClass,
     /// The batch with the record of the job.
     pub batch: u64,
     /// The job was accepted by an earlier owner, so its tasks may run on workers that have not
@@ -201,6 +204,7 @@
             workspace: None,
             is_over_share: false,
             known_since: now,
+            rank_class: RankClass::default(),
             batch,
             is_inherited: false,
             was_placed: false,
@@ -265,6 +269,12 @@
         ready_since.is_some_and(|ready| now.since(ready) >= length)
     }
 
+    /// The position of the job among the waiting ones.
+    pub fn rank(&self) -> Rank {
+        let due = self.known_since + self.queue.objective(&self.work);
+        Rank { priority: self.priority(), class: self.rank_class, due }
+    }
+
     /// Whether the job has not ended.
     pub fn is_open(&self) -> bool {
         self.closed.is_none()
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -160,15 +160,14 @@
         if step.ready_since.is_none() || step.waiting.is_empty() {
             return;
         }
-        let (priority, due) = queue_rank(job);
-        self.ready_steps.insert((priority, due, key));
+        self.ready_steps.insert(job.rank(), key);
         self.needs_placement = true;
     }
 
     /// Sorts the steps to be placed again, because a new policy may have changed the ranks of their
     /// jobs.
     pub(in crate::cell) fn rebuild_ready(&mut self) {
-        let keys: Vec<StepKey> = self.ready_steps.iter().map(|(_, _, key)| *key).collect();
+        let keys: Vec<StepKey> = self.ready_steps.iter().collect();
         self.ready_steps.clear();
         for key in keys {
             self.make_ready(key);
@@ -220,11 +219,10 @@
             now.since(job.known_since)
         );
         job.closed = Some((outcome, batch, now));
-        let (priority, due) = queue_rank(job);
         let steps = job.step_keys(key);
         job.steps = Vec::new();
         for step in steps {
-            self.ready_steps.remove(&(priority, due, step));
+            self.ready_steps.remove(step);
             self.advice_queue.cancel(step);
             self.reservations.release(step);
         }
@@ -249,9 +247,8 @@
     /// a start that stayed queued would be sent together with that of the new binding.
     pub(in crate::cell) fn discard_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
-        let (priority, due) = queue_rank(&job);
         for step in job.step_keys(key) {
-            self.ready_steps.remove(&(priority, due, step));
+            self.ready_steps.remove(step);
             self.advice_queue.cancel(step);
             self.reservations.release(step);
         }
@@ -419,12 +416,6 @@
     }
 }
 
-/// The sort key of a job among the jobs that wait, lower ones first: its priority, and when it
-/// should be completed.
-pub(in crate::cell) fn queue_rank(job: &Job) -> (u32, Millis) {
-    (job.priority(), job.known_since + job.queue.objective(&job.work))
-}
-
 /// A list entry for a worker that is only known from the store, without resources until it is
 /// listed.
 fn placeholder_listing(record: WorkerRecord, started_at: Option<Millis>) -> WorkerInfo {
--- a/src/cell/jobs/wait.rs
+++ b/src/cell/jobs/wait.rs
@@ -83,9 +83,9 @@
 
     /// The steps that wait for a worker, and why.
     pub fn waiting_steps(&self) -> impl Iterator<Item = (StepKey, WaitReason)> {
-        self.ready_steps.iter().filter_map(|(_, _, key)| {
-            let wait = self.jobs.get(&key.job)?.step(*key)?.wait?;
-            Some((*key, wait.reason))
+        self.ready_steps.iter().filter_map(|key| {
+            let wait = self.jobs.get(&key.job)?.step(key)?.wait?;
+            Some((key, wait.reason))
         })
     }
 
--- a/src/cell/mechanism.rs
+++ b/src/cell/mechanism.rs
@@ -27,10 +27,20 @@
     WorkspaceShares,
     /// An owner hands over the cell to a larger entry, or to any entry if it is overloaded.
     OwnershipTransfer,
+    /// The cell goes to an entry with enough processors, and an owner names its successor.
+    CapacityElection,
+    /// Jobs that cannot be on time any more come after those that can.
+    LatenessOrder,
+    /// Requests to the advice service are made only if their tickets can be used.
+    AdviceBudget,
+    /// Runs are stopped only if more is spared than is lost.
+    PreemptionAccount,
+    /// Scheduling passes look only at steps for which something has changed.
+    SelectivePass,
 }
 
 /// The name of each mechanism on the command line.
-const NAMES: [(Mechanism, &str); 10] = [
+const NAMES: [(Mechanism, &str); 15] = [
     (Mechanism::SidelineWorkers, "aside"),
     (Mechanism::RequestBusyWorkers, "ask-busy"),
     (Mechanism::SpeculativeCopies, "copies"),
@@ -41,13 +51,19 @@
     (Mechanism::ReserveRoom, "reserve"),
     (Mechanism::WorkspaceShares, "shares"),
     (Mechanism::OwnershipTransfer, "transfer"),
+    (Mechanism::CapacityElection, "capacity"),
+    (Mechanism::LatenessOrder, "lateness"),
+    (Mechanism::AdviceBudget, "advice-budget"),
+    (Mechanism::PreemptionAccount, "preempt-account"),
+    (Mechanism::SelectivePass, "selective"),
 ];
 
 /// The error for a name that is not the name of a mechanism.
 #[derive(Debug, Error, PartialEq)]
 #[error(
     "unknown mechanism {0:?}, expected one of: aside, ask-busy, copies, doubt, gather, home, \
-     preempt, reserve, shares, transfer"
+     preempt, reserve, shares, transfer, capacity, lateness, advice-budget, preempt-account, \
+     selective"
 )]
 pub struct MechanismError(String);
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -20,8 +20,9 @@
 use advice::queue::{AdviceQueue, AdviceRequest};
 use jobs::job::Job;
 use jobs::wait::WaitLogTimer;
-use mechanism::DisabledMechanisms;
+use mechanism::{DisabledMechanisms, Mechanism};
 use placing::fair_share::ShareLimits;
+use placing::rank::ReadySteps;
 use placing::reservation::Reservations;
 use placing::usage::WorkspaceUsages;
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
@@ -102,12 +103,14 @@
     epoch: u64,
     config: CellConfig,
     queues: HashMap<Name, Arc<Queue>>,
+    /// Whether the queues' priorities and objectives agree; see [`has_ranked_objectives`].
+    ranked_objectives: bool,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Name, Worker>,
     /// The durations of runs, by queue.
     run_times: HashMap<Name, RunTimes>,
     /// Steps with tasks that need a worker, the most urgent first.
-    ready_steps: BTreeSet<(u32, Millis, StepKey)>,
+    ready_steps: ReadySteps,
     /// Steps that are scheduled for later, by wall-clock time.
     start_timers: BTreeSet<(Millis, StepKey)>,
     /// The number of the last run that was assigned in this epoch, of whichever task. If each task
@@ -191,11 +194,12 @@
         let mut cell = Self {
             epoch,
             config,
+            ranked_objectives: false,
             queues,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             run_times: HashMap::new(),
-            ready_steps: BTreeSet::new(),
+            ready_steps: ReadySteps::default(),
             start_timers: BTreeSet::new(),
             last_run: epoch << RUN_NUMBER_BITS,
             forwarded: HashMap::new(),
@@ -230,6 +234,7 @@
             unsent_starts: VecDeque::new(),
             actions: Vec::new(),
         };
+        cell.update_ranked_objectives();
         cell.restore_snapshot(snapshot, now);
         cell
     }
@@ -332,10 +337,24 @@
             }
         }
         self.queues = queues;
+        self.update_ranked_objectives();
         self.rebuild_ready();
         self.needs_placement = true;
     }
 
+    /// Checks whether the policy has ranked objectives, and logs a change.
+    fn update_ranked_objectives(&mut self) {
+        let ranked = has_ranked_objectives(&self.queues);
+        if std::mem::replace(&mut self.ranked_objectives, ranked) != ranked {
+            log::info!("event=ranked-objectives epoch={} in_use={ranked}", self.epoch);
+        }
+    }
+
+    /// Whether a mechanism that depends on ranked objectives is in use.
+    pub fn uses_ranked(&self, mechanism: Mechanism) -> bool {
+        self.ranked_objectives && !self.config.disabled.contains(mechanism)
+    }
+
     /// Submits a job. Returns the batch that has to be stored before the job is accepted, or `None`
     /// if there is no such queue. Submitting the same key again refers to the same job.
     pub fn submit(
@@ -491,3 +510,18 @@
     /// Answers of the advice service since the takeover.
     pub answers: AnswerCounts,
 }
+
+/// The least number of queues with ranked objectives.
+const MIN_RANKED_QUEUES: usize = 3;
+
+/// Whether the lateness of waiting jobs can be compared: the queues that use the advice service all
+/// differ in priority, and the less urgent of two has the larger stretch. Then all jobs of one
+/// priority have the same stretch and target.
+fn has_ranked_objectives(queues: &HashMap<Name, Arc<Queue>>) -> bool {
+    let advised = queues.values().filter(|queue| queue.advice.is_some());
+    let mut ranked: Vec<(u32, u64)> =
+        advised.map(|queue| (queue.priority, queue.stretch)).collect();
+    ranked.sort_unstable();
+    let rises = |pair: &[(u32, u64)]| pair[0].0 < pair[1].0 && pair[0].1 < pair[1].1;
+    ranked.len() >= MIN_RANKED_QUEUES && ranked.windows(2).all(rises)
+}
--- a/src/cell/owner/forward.rs
+++ b/src/cell/owner/forward.rs
@@ -50,9 +50,9 @@
             *used += worker.used.cpu.min(worker.listed.capacity.cpu);
             *total += worker.listed.capacity.cpu;
         }
-        for (_, _, key) in &self.ready_steps {
+        for key in self.ready_steps.iter() {
             let Some(job) = self.jobs.get(&key.job) else { continue };
-            let (Some(spec), Some(step)) = (job.spec(key.step), job.step(*key)) else { continue };
+            let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { continue };
             if let Some((used, _)) = services.get_mut(&job.queue.service) {
                 *used += spec.charged_resources().cpu * step.waiting.len() as u64;
             }
--- a/src/cell/placing/gang.rs
+++ b/src/cell/placing/gang.rs
@@ -5,7 +5,6 @@
 //! is left to run. So resources are reserved for the gang while they become free.
 
 use crate::cell::Cell;
-use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::{Candidate, UnplacedTasks};
 use crate::cell::workers::worker::Worker;
@@ -42,7 +41,7 @@
     ) {
         let UnplacedTasks { step: key, spec, count: unplaced } = *unplaced_tasks;
         let Some(job) = self.jobs.get(&key.job) else { return };
-        let gang_rank = queue_rank(job);
+        let gang_rank = job.rank();
         let is_early = !job.has_waited(now, key, MIN_GANG_WAIT);
         let is_disabled = self.config.disabled.contains(Mechanism::GatherForGangs);
         if !spec.is_gang || is_disabled || is_early || self.reservations.has_gang(key) {
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -1,6 +1,7 @@
 //! Placement: decides which waiting task starts next, and on which worker.
 //!
 //! - `schedule` places the tasks of waiting steps in order of urgency and sends the start orders.
+//! - `rank` orders the waiting steps.
 //! - `candidate` selects a worker among those with enough free resources.
 //! - `preempt` stops less urgent tasks to free resources.
 //! - `reservation` stores reservations of resources; `gang` makes them for gangs.
@@ -13,6 +14,7 @@
 pub(super) mod fair_share;
 pub(super) mod gang;
 pub(super) mod preempt;
+pub mod rank;
 pub(super) mod relaxation;
 pub(super) mod reservation;
 pub(super) mod schedule;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -5,7 +5,6 @@
 //! each loses half a second of work and the time to restore its progress.
 
 use crate::cell::Cell;
-use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::{Candidate, UnplacedTasks};
 use crate::cell::workers::worker::Phase;
@@ -57,7 +56,7 @@
         if is_early || is_unstored || is_useless || self.is_overloaded {
             return;
         }
-        let (step_rank, queue) = (queue_rank(job), job.queue.name.clone());
+        let (step_rank, queue) = (job.rank(), job.queue.name.clone());
         let priority = job.priority();
         let mut plans: Vec<PreemptionPlan> = candidates
             .iter()
@@ -106,7 +105,7 @@
     ) {
         let UnplacedTasks { step: key, spec, count: unplaced } = *unplaced_tasks;
         let Some(job) = self.jobs.get(&key.job) else { return };
-        let step_rank = queue_rank(job);
+        let step_rank = job.rank();
         let is_disabled = self.config.disabled.contains(Mechanism::ReserveRoom);
         if is_disabled || self.reservations.has_exclusive(key) || self.reservations.has_shared(key)
         {
@@ -157,7 +156,7 @@
                 let spec = job.spec(task.step.step)?;
                 let can_stop = job.priority() > priority && spec.is_preemptible();
                 let victim = Victim { task: *task, run: *run_number, charge: run.charge };
-                can_stop.then_some((queue_rank(job), victim))
+                can_stop.then_some((job.rank(), victim))
             })
             .collect();
         found.sort_by(|(a, _), (b, _)| b.cmp(a));
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -3,15 +3,13 @@
 //! Without them a gang that needs whole workers could wait forever, while smaller tasks of less urgent jobs keep
 //! arriving and take all resources as they become free.
 
+use crate::cell::placing::rank::Rank;
 use crate::cell::placing::relaxation::Relaxation;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, StepKey};
 use std::collections::HashMap;
 
-/// The position of a job among the waiting ones: its priority, then its deadline. Lower ranks come first.
-pub type Rank = (u32, Millis);
-
 /// Resources reserved for a step on one worker.
 #[derive(Debug, Clone)]
 struct Reservation {
@@ -120,7 +118,7 @@
     ) -> Resources {
         let reservations = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
         let may_be_used = |reservation: &&Reservation| {
-            reservation.is_shared && can_stop && reservation.rank.0 < rank.0
+            reservation.is_shared && can_stop && reservation.rank.priority < rank.priority
         };
         let others = reservations
             .iter()
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -2,7 +2,6 @@
 
 use crate::cell::advice::request::MIN_TICKET_VALIDITY;
 use crate::cell::jobs::job::{Job, StepState};
-use crate::cell::jobs::lifecycle::queue_rank;
 use crate::cell::jobs::restart_policy::{is_held_back, needs_stable_worker};
 use crate::cell::jobs::wait_reason::WaitReason;
 use crate::cell::mechanism::Mechanism;
@@ -32,7 +31,7 @@
             return;
         }
         let mut allowed = self.allowed_open_starts();
-        let ready: Vec<StepKey> = self.ready_steps.iter().map(|(_, _, key)| *key).collect();
+        let ready: Vec<StepKey> = self.ready_steps.iter().collect();
         for key in ready {
             if self.awaits_answer_quietly(now, key) {
                 continue;
@@ -84,8 +83,7 @@
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
         if step.waiting.is_empty() {
             // All its tasks were found to be running or done since the step became ready.
-            let (priority, due) = queue_rank(job);
-            self.ready_steps.remove(&(priority, due, key));
+            self.ready_steps.remove(key);
             return self.set_wait_reason(now, key, None);
         }
         let advice = job.queue.advice;
@@ -127,10 +125,7 @@
         match advice {
             _ if still_waiting == 0 => {
                 self.reservations.release(key);
-                let step_rank = self.jobs.get(&key.job).map(queue_rank);
-                if let Some((priority, due)) = step_rank {
-                    self.ready_steps.remove(&(priority, due, key));
-                }
+                self.ready_steps.remove(key);
             }
             Some(advice) if unplaced > 0 => self.request_advice(now, key, &spec, advice, unplaced),
             _ => {}
@@ -197,7 +192,7 @@
         spec: &Step,
         workers: impl Iterator<Item = (&'a Name, &'a Worker)>,
     ) -> Vec<Candidate> {
-        let step_rank = queue_rank(job);
+        let step_rank = job.rank();
         let skips_excluded = !self.config.disabled.contains(Mechanism::SidelineWorkers);
         let is_quarantined =
             |worker: &Worker| worker.quarantined_job().is_some_and(|job| job != key.job);
