--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, StepKey};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// The duration from which a request is long, which would delay the shortest jobs beyond their
 /// objective.
@@ -106,6 +106,13 @@
     deadline: Millis,
 }
 
+impl QueuedStep {
+    /// The position in the queue; lower goes first.
+    fn order(&self) -> (Rank, Millis) {
+        (self.rank, self.queued_at)
+    }
+}
+
 impl IdleClient {
     /// Whether the entry may send a request of this duration.
     pub fn may_take(&self, cost: Millis) -> bool {
@@ -165,11 +172,23 @@
 
     /// Adds a step to the queue, in the order of its rank and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
-        let order = |step: &QueuedStep| (step.rank, step.queued_at);
-        let index = self.waiting.partition_point(|other| order(other) <= order(&queued));
+        let index = self.waiting.partition_point(|other| other.order() <= queued.order());
         self.waiting.insert(index, queued);
     }
 
+    /// Sorts the queue again after the ranks of these steps have changed.
+    pub fn update_ranks(&mut self, ranks: &HashMap<StepKey, Rank>) {
+        let mut has_changed = false;
+        for queued in &mut self.waiting {
+            if let Some(rank) = ranks.get(&queued.step) {
+                has_changed |= std::mem::replace(&mut queued.rank, *rank) != *rank;
+            }
+        }
+        if has_changed {
+            self.waiting.make_contiguous().sort_by_key(QueuedStep::order);
+        }
+    }
+
     /// Removes the request of a step from the queue. If it was sent already, its answer will not be
     /// used.
     pub fn cancel(&mut self, step: StepKey) {
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -271,8 +271,12 @@
 
     /// The position of the job among the waiting ones.
     pub fn rank(&self) -> Rank {
-        let due = self.known_since + self.queue.objective(&self.work);
-        Rank { priority: self.priority(), class: self.rank_class, due }
+        Rank { priority: self.priority(), class: self.rank_class, due: self.due() }
+    }
+
+    /// When the job should end to be on time.
+    pub fn due(&self) -> Millis {
+        self.known_since + self.queue.objective(&self.work)
     }
 
     /// Whether the job has not ended.
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -130,6 +130,7 @@
     /// they are due. Their tasks can be assigned to workers at once, and start once the job is in
     /// the store.
     pub(in crate::cell) fn open_job(&mut self, now: Millis, key: JobKey) {
+        self.watch_lateness(key);
         let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { return };
         let is_scheduled = job.work.first_due.0 > 0;
         let keys = job.step_keys(key);
@@ -334,6 +335,7 @@
             self.start_timers.pop_first();
             self.open_step(now, step);
         }
+        self.update_ranks(now);
         self.resend_stops();
         self.move_drained_tasks();
         self.center_speeds();
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -111,6 +111,8 @@
     run_times: HashMap<Name, RunTimes>,
     /// Steps with tasks that need a worker, the most urgent first.
     ready_steps: ReadySteps,
+    /// Jobs that have not started and can still be on time, by the latest time at which they have to start.
+    latest_starts: BTreeSet<(Millis, JobKey)>,
     /// Steps that are scheduled for later, by wall-clock time.
     start_timers: BTreeSet<(Millis, StepKey)>,
     /// The number of the last run that was assigned in this epoch, of whichever task. If each task
@@ -200,6 +202,7 @@
             workers: BTreeMap::new(),
             run_times: HashMap::new(),
             ready_steps: ReadySteps::default(),
+            latest_starts: BTreeSet::new(),
             start_timers: BTreeSet::new(),
             last_run: epoch << RUN_NUMBER_BITS,
             forwarded: HashMap::new(),
@@ -339,6 +342,7 @@
         self.queues = queues;
         self.update_ranked_objectives();
         self.rebuild_ready();
+        self.reset_ranks();
         self.needs_placement = true;
     }
 
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `schedule` places the tasks of waiting steps in order of urgency and sends the start orders.
 //! - `rank` orders the waiting steps.
+//! - `lateness` ranks jobs that cannot be on time any more behind the others.
 //! - `candidate` selects a worker among those with enough free resources.
 //! - `preempt` stops less urgent tasks to free resources.
 //! - `reservation` stores reservations of resources; `gang` makes them for gangs.
@@ -13,6 +14,7 @@
 pub(super) mod candidate;
 pub(super) mod fair_share;
 pub(super) mod gang;
+pub(super) mod lateness;
 pub(super) mod preempt;
 pub mod rank;
 pub(super) mod relaxation;
--- a/src/cell/placing/rank.rs
+++ b/src/cell/placing/rank.rs
@@ -41,6 +41,13 @@
         self.order.insert((rank, step));
     }
 
+    /// Moves a step to a new rank, if it is among the steps.
+    pub fn update_rank(&mut self, step: StepKey, rank: Rank) {
+        if self.ranks.contains_key(&step) {
+            self.insert(rank, step);
+        }
+    }
+
     /// Removes a step.
     pub fn remove(&mut self, step: StepKey) {
         if let Some(rank) = self.ranks.remove(&step) {
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -133,6 +133,17 @@
         others.fold(Resources::default(), |sum, reservation| sum.plus(&reservation.room))
     }
 
+    /// Changes the rank of a step's reservations.
+    pub fn update_rank(&mut self, step: StepKey, rank: Rank) {
+        if !self.has_exclusive(step) && !self.has_shared(step) && !self.has_gang(step) {
+            return;
+        }
+        let reservations = self.by_worker.values_mut().flatten();
+        for reservation in reservations.filter(|reservation| reservation.step == step) {
+            reservation.rank = rank;
+        }
+    }
+
     /// Removes all reservations of a step.
     pub fn release(&mut self, step: StepKey) {
         let shared = self.shared.remove(&step);
--- a/src/cell/workers/orders.rs
+++ b/src/cell/workers/orders.rs
@@ -76,15 +76,16 @@
             && known.phase == Phase::Starting
         {
             known.mark_started(now);
-            self.mark_job_started(task.step.job);
+            self.mark_job_started(now, task.step.job);
         }
     }
 
     /// Notes that a worker has started a task of a job.
-    pub(in crate::cell) fn mark_job_started(&mut self, key: JobKey) {
+    pub(in crate::cell) fn mark_job_started(&mut self, now: Millis, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(&key) {
             job.has_run = true;
         }
+        self.rank_started_job(now, key);
     }
 
     /// Handles the outcome of an order to stop a run.
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -174,6 +174,7 @@
             row.run,
             row.reason
         );
+        self.mark_job_started(now, task.step.job);
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
         };
@@ -266,7 +267,7 @@
             run.progressed_at = now;
         }
         if is_new {
-            self.mark_job_started(task.step.job);
+            self.mark_job_started(now, task.step.job);
         }
     }
 
@@ -327,6 +328,7 @@
                 self.stop_run(name, task, row.run);
             }
         }
+        self.rank_started_job(now, task.step.job);
     }
 
     /// Abandons runs that should have been in a report and were not.
