--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -24,6 +24,7 @@
 use placing::fair_share::ShareLimits;
 use placing::rank::ReadySteps;
 use placing::reservation::Reservations;
+use placing::stops::{StopCounts, Stops};
 use placing::usage::WorkspaceUsages;
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
@@ -130,6 +131,8 @@
     advice_logged_at: Millis,
     /// Room that is reserved for steps that are about to start.
     reservations: Reservations,
+    /// The runs that were stopped for other steps.
+    stops: Stops,
     /// The running tasks of each workspace and its limits.
     usages: WorkspaceUsages,
     /// How much each workspace may still submit within its share.
@@ -209,6 +212,7 @@
             answer_counts: AnswerCounts::default(),
             advice_logged_at: Millis(0),
             reservations: Reservations::default(),
+            stops: Stops::default(),
             usages: WorkspaceUsages::default(),
             shares: ShareLimits::default(),
             drained_domains: Arc::default(),
@@ -486,6 +490,7 @@
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
             answers: self.answer_counts,
+            stops: self.stops.counts,
         }
     }
 }
@@ -509,6 +514,8 @@
     pub expired_waits: u64,
     /// Answers of the advice service since the takeover.
     pub answers: AnswerCounts,
+    /// Runs that were stopped for more urgent steps since the takeover, and steps for which none was.
+    pub stops: StopCounts,
 }
 
 /// The least number of queues with ranked objectives.
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -3,13 +3,15 @@
 //! - `schedule` places the tasks of waiting steps in order of urgency and sends the start orders.
 //! - `rank` orders the waiting steps.
 //! - `candidate` selects a worker among those with enough free resources.
-//! - `preempt` stops less urgent tasks to free resources.
+//! - `preempt` stops less urgent tasks to free resources; `account` decides whether that is worth it, `victims` collects
+//!   the figures for it, and `stops` limits the stops.
 //! - `reservation` stores reservations of resources; `gang` makes them for gangs.
 //! - `stability` keeps tasks that may have crashed workers off recently started workers.
 //! - `relaxation` decides which placement restrictions a step that has waited for long may ignore.
 //! - `usage` limits the resources that a workspace has in use.
 //! - `fair_share` detects jobs submitted in excess of a workspace's share.
 
+pub(super) mod account;
 pub(super) mod candidate;
 pub(super) mod fair_share;
 pub(super) mod gang;
@@ -19,4 +21,6 @@
 pub(super) mod reservation;
 pub(super) mod schedule;
 pub(super) mod stability;
+pub mod stops;
 pub(super) mod usage;
+pub(super) mod victims;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -6,11 +6,13 @@
 
 use crate::cell::Cell;
 use crate::cell::mechanism::Mechanism;
+use crate::cell::placing::account::{Refusal, VictimAccount, total_cost};
 use crate::cell::placing::candidate::{Candidate, UnplacedTasks};
+use crate::cell::placing::victims::JobAccounts;
 use crate::cell::workers::worker::Phase;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{Resources, Step, TaskKey};
+use crate::workload::{Resources, Step, StepKey, TaskKey};
 
 /// How long a step waits, from when it became ready, before tasks are stopped for it. A stop takes up to 900 ms, and in
 /// most cases enough small tasks end by themselves before that.
@@ -21,10 +23,12 @@
 
 /// A run that can be stopped.
 #[derive(Debug, Clone)]
-struct Victim {
-    task: TaskKey,
-    run: u64,
-    charge: Resources,
+pub(in crate::cell) struct Victim {
+    pub task: TaskKey,
+    pub run: u64,
+    pub charge: Resources,
+    /// What its stop costs, where that is compared with the gain.
+    pub account: Option<VictimAccount>,
 }
 
 /// The runs to stop on one worker so that a number of tasks can start there.
@@ -35,6 +39,17 @@
     victims: Vec<Victim>,
 }
 
+impl PreemptionPlan {
+    /// What the stops of the plan cost for each task that can start, in core-milliseconds.
+    fn cost_per_task(&self) -> u64 {
+        total_cost(&self.accounts()) / u64::from(self.tasks.max(1))
+    }
+
+    fn accounts(&self) -> Vec<VictimAccount> {
+        self.victims.iter().filter_map(|victim| victim.account).collect()
+    }
+}
+
 impl Cell {
     /// Stops less urgent tasks so that unplaced tasks of a step can start on the candidates, and reserves the freed
     /// resources. For a gang, tasks are stopped only if that makes room for all of it. Without preemption, tasks that
@@ -56,7 +71,9 @@
         if is_early || is_unstored || is_useless || self.is_overloaded {
             return;
         }
-        let (step_rank, queue) = (job.rank(), job.queue.name.clone());
+        if self.uses_ranked(Mechanism::PreemptionAccount) {
+            return self.preempt_by_account(now, unplaced_tasks, candidates);
+        }
         let priority = job.priority();
         let mut plans: Vec<PreemptionPlan> = candidates
             .iter()
@@ -66,31 +83,112 @@
             .filter(|plan| plan.tasks > 0)
             .collect();
         plans.sort_by_key(|plan| plan.victims.len() * 100 / plan.tasks as usize);
-        let mut missing = unplaced;
-        let mut chosen = Vec::new();
-        for plan in plans {
-            if missing == 0 {
-                break;
-            }
-            let Some(candidate) = candidates.iter().find(|candidate| candidate.name == plan.worker)
-            else {
-                continue;
-            };
-            let trimmed = plan_preemption(candidate, spec, missing.min(plan.tasks), plan.victims);
-            missing -= trimmed.tasks;
-            chosen.push(trimmed);
-        }
+        let (chosen, missing) = choose_plans(plans, candidates, spec, unplaced);
         if spec.is_gang && missing > 0 {
             return;
         }
-        for PreemptionPlan { worker, tasks, victims } in chosen {
+        self.stop_victims(now, unplaced_tasks, chosen);
+    }
+
+    /// As [`Self::preempt_for`], but only if the gain exceeds the cost, and with the runs chosen by their cost.
+    fn preempt_by_account(
+        &mut self,
+        now: Millis,
+        unplaced_tasks: &UnplacedTasks,
+        candidates: &[Candidate],
+    ) {
+        let UnplacedTasks { step: key, spec, count: unplaced } = *unplaced_tasks;
+        // An evaluation collects the runs of all candidates, so that the conditions which need none come first.
+        if self.config.disabled.contains(Mechanism::Preemption) || self.stops.is_deferred(now, key)
+        {
+            return;
+        }
+        let Some(account) = self.step_account(now, key, spec) else { return };
+        if let Err(why) = account.check() {
+            return self.refuse_stops(now, key, why, (0, 0));
+        }
+        if !self.stops.allows(now, 1) {
+            return self.refuse_stops(now, key, Refusal::Limit, (0, 0));
+        }
+        let plans = self.plan_by_cost(now, unplaced_tasks, candidates);
+        let (mut chosen, missing) = choose_plans(plans, candidates, spec, unplaced);
+        if spec.is_gang && missing > 0 {
+            return self.stops.defer(now, key);
+        }
+        let of_tasks = |tasks: u32| account.for_tasks(spec, tasks);
+        if !spec.is_gang {
+            chosen.retain(|plan| of_tasks(plan.tasks).settle(&plan.accounts()).0.is_ok());
+        }
+        let tasks = chosen.iter().map(|plan| plan.tasks).sum();
+        let victims: Vec<VictimAccount> =
+            chosen.iter().flat_map(PreemptionPlan::accounts).collect();
+        let (outcome, gain, cost) = of_tasks(tasks).settle(&victims);
+        let stops = victims.iter().filter(|victim| !victim.ends_soon()).count();
+        match outcome {
+            Err(why) => self.refuse_stops(now, key, why, (gain, cost)),
+            Ok(()) if !self.stops.allows(now, stops) => {
+                self.refuse_stops(now, key, Refusal::Limit, (gain, cost));
+            }
+            Ok(()) => self.stop_victims(now, unplaced_tasks, chosen),
+        }
+    }
+
+    /// Plans to make room on each candidate, the plan that costs the least for each task first.
+    fn plan_by_cost(
+        &self,
+        now: Millis,
+        unplaced_tasks: &UnplacedTasks,
+        candidates: &[Candidate],
+    ) -> Vec<PreemptionPlan> {
+        let UnplacedTasks { step: key, spec, count } = *unplaced_tasks;
+        let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
+        let mut accounts = JobAccounts::default();
+        let plan = |candidate: &Candidate| {
+            let mut victims = self.victims(&candidate.name, job.priority());
+            for victim in &mut victims {
+                victim.account = self.victim_account(now, &candidate.name, victim, &mut accounts);
+            }
+            victims.retain(|victim| victim.account.is_some());
+            victims.sort_by_key(|victim| victim.account.map(|account| account.order()));
+            plan_preemption(candidate, spec, count, victims)
+        };
+        let mut plans: Vec<PreemptionPlan> =
+            candidates.iter().map(plan).filter(|plan| plan.tasks > 0).collect();
+        plans.sort_by_cached_key(PreemptionPlan::cost_per_task);
+        plans
+    }
+
+    /// Notes that no run is stopped for a step.
+    fn refuse_stops(&mut self, now: Millis, key: StepKey, why: Refusal, (gain, cost): (u64, u64)) {
+        if self.stops.refuse(now, key, why) {
+            let why = why.name();
+            log::info!("event=preemption-rejected step={key} why={why} gain={gain} cost={cost}");
+        }
+    }
+
+    /// Reserves the room of the plans for a step and stops their runs, except those that end soon by themselves.
+    fn stop_victims(
+        &mut self,
+        now: Millis,
+        unplaced_tasks: &UnplacedTasks,
+        plans: Vec<PreemptionPlan>,
+    ) {
+        let UnplacedTasks { step: key, spec, .. } = *unplaced_tasks;
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let (step_rank, queue) = (job.rank(), job.queue.name.clone());
+        for PreemptionPlan { worker, tasks, victims } in plans {
             let room =
                 (0..tasks).fold(Resources::default(), |sum, _| sum.plus(&spec.charged_resources()));
             self.reservations.reserve(&worker, key, step_rank, room, now + RESERVATION_TIME);
-            for Victim { task, run, .. } in victims {
+            for Victim { task, run, account, .. } in victims {
+                if account.is_some_and(|account| account.ends_soon()) {
+                    continue;
+                }
                 log::info!(
                     "event=preempted task={task} run={run} worker={worker} for={key} queue={queue}"
                 );
+                let saved = self.saved_run_time(&worker, task, run);
+                self.stops.record(now, task, saved);
                 self.stop_run(&worker, task, run);
             }
         }
@@ -155,7 +253,8 @@
                 let job = self.jobs.get(&task.step.job)?;
                 let spec = job.spec(task.step.step)?;
                 let can_stop = job.priority() > priority && spec.is_preemptible();
-                let victim = Victim { task: *task, run: *run_number, charge: run.charge };
+                let victim =
+                    Victim { task: *task, run: *run_number, charge: run.charge, account: None };
                 can_stop.then_some((job.rank(), victim))
             })
             .collect();
@@ -164,6 +263,30 @@
     }
 }
 
+/// Chooses plans in order until all unplaced tasks can start; returns them and the number of tasks that cannot.
+fn choose_plans(
+    plans: Vec<PreemptionPlan>,
+    candidates: &[Candidate],
+    spec: &Step,
+    unplaced: u32,
+) -> (Vec<PreemptionPlan>, u32) {
+    let mut missing = unplaced;
+    let mut chosen = Vec::new();
+    for plan in plans {
+        if missing == 0 {
+            break;
+        }
+        let Some(candidate) = candidates.iter().find(|candidate| candidate.name == plan.worker)
+        else {
+            continue;
+        };
+        let trimmed = plan_preemption(candidate, spec, missing.min(plan.tasks), plan.victims);
+        missing -= trimmed.tasks;
+        chosen.push(trimmed);
+    }
+    (chosen, missing)
+}
+
 /// Plans to stop the fewest victims, in order, that make room for up to `max` tasks on a worker.
 fn plan_preemption(
     candidate: &Candidate,
