--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -43,6 +43,8 @@
     advice_oldest: IntGauge,
     answers_used: IntGauge,
     answers_fruitless: IntGauge,
+    stops: IntGauge,
+    stops_rejected: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -138,6 +140,14 @@
                 "sprucerudder_advice_answers_fruitless",
                 "Answers after which none was, since the takeover",
             )?,
+            stops: gauge(
+                "sprucerudder_preemptions",
+                "Runs stopped for more urgent steps, since the takeover",
+            )?,
+            stops_rejected: gauge(
+                "sprucerudder_preemptions_rejected",
+                "Steps for which no run was stopped, by reason once each, since the takeover",
+            )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
                 "Whether the map of cells is loaded, without which an entry serves nobody",
@@ -203,6 +213,8 @@
         self.expired_waits.set(load.expired_waits as i64);
         self.answers_used.set(load.answers.used as i64);
         self.answers_fruitless.set(load.answers.fruitless as i64);
+        self.stops.set(load.stops.stops as i64);
+        self.stops_rejected.set(load.stops.rejected as i64);
     }
 
     /// Sets the gauges about the queue of requests to the advice service.
