--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -23,6 +23,10 @@
 /// wait.
 const MAX_RANKED_WAIT: Millis = Millis(1_000);
 
+/// One in this many entries is never spare, so that it can send the requests that become useful in the
+/// meantime.
+const SPARE_DIVISOR: usize = 4;
+
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
 /// times out on the service after twice the duration, and its message to the owner takes some
 /// milliseconds.
@@ -238,6 +242,13 @@
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
 
+    /// Whether enough entries are idle, and no request waits for one, that requests may be sent whose
+    /// tickets are not used at once.
+    pub fn has_spare_client(&self) -> bool {
+        let idle = self.clients.values().filter(|client| client.pending.is_none()).count();
+        self.waiting.is_empty() && idle > self.clients.len() / SPARE_DIVISOR
+    }
+
     /// The queued steps in the order in which requests are sent next.
     pub fn in_turn(&self, now: Millis) -> Vec<QueuedStep> {
         let mut steps: Vec<QueuedStep> = self.waiting.iter().cloned().collect();
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -1,5 +1,6 @@
 //! Requests to the advice service for steps that need workers, and the handling of its answers.
 
+use crate::cell::advice::budget::Asking;
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
 use crate::cell::jobs::job::{Job, Ticket};
 use crate::cell::mechanism::Mechanism;
@@ -15,15 +16,15 @@
 /// some tens of milliseconds if the owner is busy.
 pub(in crate::cell) const MIN_TICKET_VALIDITY: Millis = Millis(250);
 /// The largest number of workers in one request, by the platform's contract.
-const MAX_REQUEST_WORKERS: usize = 100;
+pub(super) const MAX_REQUEST_WORKERS: usize = 100;
 /// The number of workers to ask about for each one needed, as one in two is assumed to be cleared.
-const WORKERS_PER_CLEARANCE: usize = 2;
+pub(super) const WORKERS_PER_CLEARANCE: usize = 2;
 /// The shortest time between two requests for a step, so that steps that wait for room do not use
 /// up the capacity of the advice service.
 const REQUEST_INTERVAL: Millis = Millis(250);
 /// The smallest number of cleared workers to request new tickets for, because some of them fill up
 /// before the answer arrives.
-const MIN_RENEWED_WORKERS: usize = 4;
+pub(super) const MIN_RENEWED_WORKERS: usize = 4;
 /// The most steps without room that are looked at before a request is sent all the same. Each look
 /// goes through all workers.
 const MAX_FULL_STEPS: usize = 2;
@@ -61,6 +62,9 @@
         }
         let selected = self.select_workers(now, key, job, spec, remaining);
         if selected.is_empty() {
+            if self.uses_ranked(Mechanism::AdviceBudget) {
+                self.withhold_advice(now, key);
+            }
             return;
         }
         let cost = request_cost(advice, selected.len());
@@ -79,8 +83,11 @@
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
             step.clearances.queued_since.get_or_insert(now);
         }
+        let sends_without_room = self.uses_ranked(Mechanism::AdviceBudget);
         match (request, self.advice_queue.idle_client(now)) {
-            (Some(request), Some(client)) if request.has_room && client.may_take(cost) => {
+            (Some(request), Some(client))
+                if (request.has_room || sends_without_room) && client.may_take(cost) =>
+            {
                 self.send_request(now, &client, request, queued.queued_at);
             }
             _ => self.advice_queue.push(queued),
@@ -112,7 +119,12 @@
         let charge = spec.charged_resources();
         let has_room = selected.iter().any(|candidate| candidate.has_room(spec, &charge));
         let can_make_room = |candidate| self.fits_after_preemption(candidate, job.priority(), spec);
-        let has_room = has_room || selected.iter().any(can_make_room);
+        let is_reserved = |candidate: &Candidate| {
+            self.reservations.reserved_at(&candidate.name, key) != Resources::default()
+        };
+        let has_room = has_room
+            || selected.iter().any(can_make_room)
+            || self.uses_ranked(Mechanism::AdviceBudget) && selected.iter().any(is_reserved);
         let cost = request_cost(advice, selected.len());
         let workers = selected.into_iter().map(|candidate| candidate.name).collect();
         Some(AdviceRequest { step: key, workers, cost, has_room })
@@ -135,8 +147,12 @@
         let (Some(step), Some(advice)) = (job.step(key), job.queue.advice) else {
             return Vec::new();
         };
-        let charge = spec.charged_resources();
         let clearances = &step.clearances;
+        if self.uses_ranked(Mechanism::AdviceBudget) {
+            let asking = Asking { key, job, spec, advice, clearances, remaining };
+            return self.select_usable_workers(now, &asking);
+        }
+        let charge = spec.charged_resources();
         let includes_busy = !self.config.disabled.contains(Mechanism::RequestBusyWorkers);
         let open = self.open_candidates(now, key, job, spec).into_iter();
         let is_answered = |candidate: &Candidate| {
@@ -240,7 +256,7 @@
                 continue;
             }
             match self.build_request(now, queued.step) {
-                None => self.drop_request(queued.step),
+                None => self.drop_request(now, queued.step),
                 Some(request) if !client.may_take(request.cost) => {}
                 Some(request) if request.has_room => return Some((queued, request)),
                 Some(request) => {
@@ -275,9 +291,13 @@
     }
 
     /// Drops the request of a step that has no worker to ask about any more.
-    fn drop_request(&mut self, key: StepKey) {
-        log::info!("event=advice-request-dropped step={key} why=no-worker");
+    fn drop_request(&mut self, now: Millis, key: StepKey) {
         self.advice_queue.remove(key);
+        if self.uses_ranked(Mechanism::AdviceBudget) {
+            self.withhold_advice(now, key);
+            return self.clear_request(key);
+        }
+        log::info!("event=advice-request-dropped step={key} why=no-worker");
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             step.clearances.queued_since = None;
         }
@@ -307,7 +327,7 @@
         let tasks = self.allowed_tasks(key);
         self.advice_queue.start(now, client, &request, (&charge, tasks));
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
-            step.clearances.requested_at = now;
+            (step.clearances.requested_at, step.clearances.withheld_since) = (now, None);
         }
         self.actions.push(Action::RequestAdvice { entry, request });
     }
@@ -409,12 +429,12 @@
 }
 
 /// The time that the service takes to answer a request.
-fn request_cost(advice: AdviceConfig, workers: usize) -> Millis {
+pub(super) fn request_cost(advice: AdviceConfig, workers: usize) -> Millis {
     Millis(advice.base_latency.0 + advice.worker_micros * workers as u64 / 1_000)
 }
 
 /// The number of workers for which the per-worker time of a request is half of its base time.
-fn balanced_size(advice: AdviceConfig) -> usize {
+pub(super) fn balanced_size(advice: AdviceConfig) -> usize {
     match advice.worker_micros {
         0 => MAX_REQUEST_WORKERS,
         each => (advice.base_latency.0 * 1_000 / each / 2) as usize,
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -99,6 +99,9 @@
     /// Since when the step waits for an answer; `None` if it does not. A request that is lost and
     /// queued again does not change it.
     pub queued_since: Option<Millis>,
+    /// Since when the step waits without a request because its tickets could not be used; `None` if
+    /// a request was made since.
+    pub withheld_since: Option<Millis>,
     /// An answer has arrived since the step's tasks were last placed.
     pub answer_new: bool,
     /// No further request is made before this time.
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -73,6 +73,13 @@
         self.gangs.insert(step, until);
     }
 
+    /// The resources on a worker that no other step may use until a step starts there.
+    pub fn reserved_at(&self, worker: &Name, step: StepKey) -> Resources {
+        let reservations = self.by_worker.get(worker).into_iter().flatten();
+        let own = reservations.filter(|own| own.step == step && !own.is_shared);
+        own.fold(Resources::default(), |sum, reservation| sum.plus(&reservation.room))
+    }
+
     /// Whether resources on a worker are reserved for a gang of another step.
     pub fn has_gang_at(&self, worker: &Name, step: StepKey) -> bool {
         let mut reservations = self.by_worker.get(worker).into_iter().flatten();
