--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -93,6 +93,8 @@
     cpu: u32,
     /// The CPU, in millicores, of the largest entry according to the last heartbeat; 0 if unknown.
     largest_cpu: u32,
+    /// Whether the rules for entries with unequal CPU apply.
+    prefers_capacity: bool,
     leader: Option<Leader>,
     /// Whether the leader gave up the cell.
     released: bool,
@@ -108,6 +110,8 @@
     owner_absent: bool,
     /// When this entry last tried to claim the cell.
     last_claim: Option<Millis>,
+    /// The end of the log at which the last claim failed, because it had advanced.
+    rejected_at: Option<u64>,
     /// Since when the conditions for a claim have been met.
     claim_due: Option<Millis>,
     /// Until when this entry does not claim the cell.
@@ -125,6 +129,7 @@
             me,
             cpu,
             largest_cpu: 0,
+            prefers_capacity: true,
             leader: None,
             released: false,
             next_offset: 0,
@@ -133,6 +138,7 @@
             readable_since: now,
             owner_absent: false,
             last_claim: None,
+            rejected_at: None,
             claim_due: None,
             back_off_until: Millis(0),
             extra_delay: Millis(0),
@@ -140,6 +146,11 @@
         }
     }
 
+    /// Sets whether the rules for entries with unequal CPU apply, which is the default.
+    pub fn set_prefers_capacity(&mut self, prefers_capacity: bool) {
+        self.prefers_capacity = prefers_capacity;
+    }
+
     /// The owner according to the newest claim that was read.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
@@ -286,8 +297,11 @@
     /// Decides whether to claim the cell now. Returns the offset at which the log must end for the
     /// claim to be valid.
     pub fn try_claim(&mut self, now: Millis) -> Option<u64> {
-        let is_paused = self.last_claim.is_some_and(|at| now.since(at) < CLAIM_INTERVAL);
-        if is_paused || now < self.back_off_until || !self.is_log_fresh(now) || self.is_owner() {
+        if self.is_paused(now)
+            || now < self.back_off_until
+            || !self.is_log_fresh(now)
+            || self.is_owner()
+        {
             return None;
         }
         let silence = now.since(self.owner_heard);
@@ -305,10 +319,24 @@
         if now.since(since) < self.claim_delay() + self.extra_delay {
             return None;
         }
-        self.last_claim = Some(now);
+        (self.last_claim, self.rejected_at) = (Some(now), None);
         Some(self.next_offset)
     }
 
+    /// Records that a claim failed because the log ended at `end` instead. It is retried once the
+    /// log has been read up to there. If a large entry waited for the claim interval, a small one
+    /// would claim first.
+    pub fn record_mismatch(&mut self, end: u64) {
+        self.rejected_at = Some(end);
+    }
+
+    /// Whether the last claim is too recent for another one.
+    fn is_paused(&self, now: Millis) -> bool {
+        let is_retry =
+            self.prefers_capacity && self.rejected_at.is_some_and(|end| self.next_offset >= end);
+        !is_retry && self.last_claim.is_some_and(|at| now.since(at) < CLAIM_INTERVAL)
+    }
+
     /// Whether this entry delays its claims by more than half of the longest delay, because there are
     /// far larger entries.
     pub fn claims_late(&self) -> bool {
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -178,26 +178,48 @@
         }
     }
 
-    /// Claims the cell if the election allows it now.
+    /// Claims the cell if the election allows it now, and again while claims fail because the log
+    /// had advanced and the cell still needs an owner.
     async fn claim(&self) {
         if self.node.stopping.load(Ordering::Relaxed) || self.node.policy.borrow().version == 0 {
             return;
         }
         let delay = self.extra_claim_delay();
-        let end = {
-            let mut election = lock(&self.election);
-            election.set_extra_delay(delay);
-            election.try_claim(self.now())
-        };
-        let Some(end) = end else { return };
+        lock(&self.election).set_extra_delay(delay);
+        let cell = self.cell;
+        let mut claim = lock(&self.election).try_claim(self.now());
+        while let Some(end) = claim.take() {
+            if let Err(StoreError::EndMismatch(actual)) = self.claim_once(end).await {
+                claim = self.retry_claim(actual).await;
+                if let Some(end) = claim {
+                    log::info!("event=claim-retried cell={cell} end={end}");
+                }
+            }
+            self.claim_wake.notify_one();
+        }
+    }
+
+    /// Appends a claim, on the condition that the log ends at `end`.
+    async fn claim_once(&self, end: u64) -> Result<(), StoreError> {
         let (owner, addr) = (self.node.id.clone(), self.node.settings.advertised_addr.clone());
         let record = ElectionRecord::Claim { owner, addr };
         let cell = self.cell;
-        match self.append_claim(end, &record, APPEND_TIMEOUT).await {
+        let claimed = self.append_claim(end, &record, APPEND_TIMEOUT).await;
+        match &claimed {
             Ok(()) => log::info!("event=cell-claimed cell={cell} end={end}"),
             Err(err) => log::info!("event=claim-failed cell={cell} end={end} error={err:?}"),
         }
-        self.claim_wake.notify_one();
+        claimed
+    }
+
+    /// Reads the log up to `actual`, where a claim found its end. Returns the offset for the next
+    /// claim if the cell still needs an owner.
+    async fn retry_claim(&self, actual: u64) -> Option<u64> {
+        lock(&self.election).record_mismatch(actual);
+        if let Err(err) = self.read_claims(Millis(0), PROBE_TIMEOUT).await {
+            log::info!("event=claims-not-read cell={} error={err:?}", self.cell);
+        }
+        lock(&self.election).try_claim(self.now())
     }
 
     /// How much later than others this entry claims the cell, because of its home and of the cells
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,5 +1,6 @@
 //! What an entry knows about one cell, and how it sends requests to the cell's owner.
 
+use crate::cell::mechanism::Mechanism;
 use crate::cell::owner::balance::{Candidate, ServiceLoad};
 use crate::cell::owner::election::{Election, Leader};
 use crate::cell::owner::log_reports::LogReport;
@@ -77,7 +78,9 @@
 impl CellView {
     /// A view of a cell of which nothing is known yet.
     pub fn new(node: Arc<Node>, cell: u32, cell_count: u32, is_home: bool) -> Self {
-        let election = Election::new(node.id.clone(), node.settings.millicores, node.now());
+        let mut election = Election::new(node.id.clone(), node.settings.millicores, node.now());
+        let disabled = node.settings.disabled;
+        election.set_prefers_capacity(!disabled.contains(Mechanism::CapacityElection));
         Self {
             node,
             cell,
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -111,6 +111,29 @@
     assert!((800..900).contains(&claimed), "{claimed} ms after the log became readable");
 }
 
+/// On a deployment of unequal entries, the large ones claimed with an outdated end of the log, waited
+/// for the claim interval, and a small entry claimed the cell meanwhile.
+#[test]
+fn a_claim_that_found_a_later_end_of_the_log_waits_for_the_claim_interval() {
+    let mut election = follower("large", LARGE);
+    let claimed = first_claim(&mut election);
+    election.record_mismatch(4);
+    assert_eq!(election.try_claim(Millis(claimed + 5)), None, "the log was not read since");
+    election.skip_to(4);
+    assert_eq!(election.try_claim(Millis(claimed + 10)), Some(4));
+    assert_eq!(election.try_claim(Millis(claimed + 15)), None, "the second claim did not fail");
+}
+
+#[test]
+fn a_claim_is_retried_although_an_owner_was_found_in_the_log() {
+    let mut election = follower("large", LARGE);
+    let claimed = first_claim(&mut election);
+    election.record_mismatch(3);
+    let record = ElectionRecord::Claim { owner: entry("other"), addr: "1.2.3.4:6".into() };
+    election.apply(Millis(claimed + 5), 2, record);
+    assert_eq!(election.try_claim(Millis(claimed + 10)), None);
+}
+
 const TICK_INTERVAL: Millis = Millis(100);
 
 /// Runs ticks that come `late` milliseconds after they are due, for two seconds from `from` on;
