--- a/src/cell/owner/authority.rs
+++ b/src/cell/owner/authority.rs
@@ -13,6 +13,10 @@
 
 /// How long a peer's report about the log is valid, which is three ping intervals.
 const PEER_REPORT_TTL: Millis = Millis(500);
+/// How long a peer's report about the log is valid for the choice of the next owner while the owner
+/// is overloaded and reads pings late. A peer that has failed meanwhile delays the next claim by
+/// 400 ms.
+const LATE_PEER_REPORT_TTL: Millis = Millis(3_000);
 /// How long the store must have failed the owner before it asks its peers whether they can read the
 /// log. A call that the store rejected because of its rate limit is retried within this time.
 const PROBE_DELAY: Millis = Millis(150);
@@ -23,6 +27,15 @@
 /// A peer that has not been heard from for this long is assumed to have been removed.
 const PEER_EXPIRY: Millis = Millis(60_000);
 
+/// The CPU of an entry that is connected to the owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerCpu {
+    /// The entry.
+    pub name: Name,
+    /// The CPU that it has available, in millicores.
+    pub cpu: u32,
+}
+
 /// The state of another entry, as known to the owner.
 #[derive(Debug)]
 struct Peer {
@@ -141,12 +154,32 @@
     /// The most CPU, in millicores, that any peer has that can read the log and has been connected
     /// for at least [`MIN_CONNECTED_TIME`]; 0 if there is no such peer.
     pub fn largest_peer_cpu(&self, now: Millis) -> u32 {
-        let eligible = self.peers.values().filter(|peer| {
-            peer.log_readable
-                && now.since(peer.last_seen) < PEER_REPORT_TTL
+        self.largest_peer(now, false, None).map_or(0, |peer| peer.cpu)
+    }
+
+    /// The peer with the most CPU of those that can read the log and have been connected for at
+    /// least [`MIN_CONNECTED_TIME`]. Of several, `avoided` is chosen last. An owner that `is_late`
+    /// also counts peers that it has not heard from for a while.
+    pub fn largest_peer(
+        &self,
+        now: Millis,
+        is_late: bool,
+        avoided: Option<&Name>,
+    ) -> Option<PeerCpu> {
+        let report_ttl = if is_late { LATE_PEER_REPORT_TTL } else { PEER_REPORT_TTL };
+        let eligible = self.peers.iter().filter(|(_, peer)| {
+            peer.cpu > 0
+                && peer.log_readable
+                && now.since(peer.last_seen) < report_ttl
                 && now.since(peer.connected_since) >= MIN_CONNECTED_TIME
         });
-        eligible.map(|peer| peer.cpu).max().unwrap_or(0)
+        let largest = eligible.max_by_key(|(name, peer)| (peer.cpu, Some(*name) != avoided));
+        largest.map(|(name, peer)| PeerCpu { name: name.clone(), cpu: peer.cpu })
+    }
+
+    /// Whether the store failed the owner's last call.
+    pub fn is_store_failing(&self) -> bool {
+        self.failing_since.is_some()
     }
 
     /// Whether orders may be sent only because most entries cannot read the log.
--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -4,6 +4,7 @@
 //! log, so the claim fails if the owner is alive and sent a heartbeat. The offset of a claim
 //! determines its epoch.
 
+use crate::cell::owner::claim_record::Extension;
 use crate::clock::Millis;
 use crate::id::{EntryId, Name};
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,15 @@
 /// The shortest time between two handovers of a cell because of overload, which is several times as
 /// long as a VM may be slow by the platform's contract.
 const HANDOVER_INTERVAL: Millis = Millis(30_000);
+/// The shortest time between two handovers of a cell because of the owner's size. It is as long as
+/// an owner keeps a cell before it gives it up because of overload.
+const SIZE_HANDOVER_INTERVAL: Millis = Millis(6_000);
+/// How long other entries leave a cell to the successor that its last owner named. It covers two
+/// reads of the log and the time by which entries spread their claims.
+const SUCCESSOR_TIME: Millis = Millis(400);
+/// How long an owner does not know its peers after its claim: a takeover on a small entry of 0.8 s,
+/// and the time for which a peer must have been connected.
+const PEERS_UNKNOWN_TIME: Millis = Millis(2_500);
 /// The longest time by which an entry with little CPU delays a claim, so that larger entries claim
 /// first. It is longer than the interval at which these check the log. A small entry keeps up with
 /// a cell only under light load.
@@ -93,11 +103,19 @@
     cpu: u32,
     /// The CPU, in millicores, of the largest entry according to the last heartbeat; 0 if unknown.
     largest_cpu: u32,
+    /// That value at the time of the last claim.
+    inherited_cpu: u32,
     /// Whether the rules for entries with unequal CPU apply.
     prefers_capacity: bool,
     leader: Option<Leader>,
+    /// The CPU of the leader in millicores; 0 if unknown.
+    owner_cpu: u32,
+    /// When the leader became known.
+    leader_since: Millis,
     /// Whether the leader gave up the cell.
     released: bool,
+    /// The entry that the leader named as its successor, and until when others don't claim the cell.
+    successor: Option<(Name, Millis)>,
     /// The offset of the next record to read.
     next_offset: u64,
     /// When the last sign of the owner was read, or the time from which its silence counts.
@@ -120,6 +138,10 @@
     extra_delay: Millis,
     /// When an owner last gave up the cell because of overload.
     last_overload: Option<Millis>,
+    /// The owner that did so; `None` if unknown.
+    overloaded_owner: Option<Name>,
+    /// When an owner last gave up the cell and named a successor for a reason other than overload.
+    last_succession: Option<Millis>,
 }
 
 impl Election {
@@ -129,9 +151,13 @@
             me,
             cpu,
             largest_cpu: 0,
+            inherited_cpu: 0,
             prefers_capacity: true,
             leader: None,
+            owner_cpu: 0,
+            leader_since: now,
             released: false,
+            successor: None,
             next_offset: 0,
             owner_heard: now,
             last_read: None,
@@ -143,6 +169,8 @@
             back_off_until: Millis(0),
             extra_delay: Millis(0),
             last_overload: None,
+            overloaded_owner: None,
+            last_succession: None,
         }
     }
 
@@ -180,8 +208,19 @@
         self.next_offset = self.next_offset.max(first);
     }
 
-    /// Applies a record that was read from the log.
+    /// Applies a record without an extension that was read from the log.
     pub fn apply(&mut self, now: Millis, offset: u64, record: ElectionRecord) {
+        self.apply_extended(now, offset, record, Extension::default());
+    }
+
+    /// Applies a record that was read from the log.
+    pub fn apply_extended(
+        &mut self,
+        now: Millis,
+        offset: u64,
+        record: ElectionRecord,
+        extension: Extension,
+    ) {
         if offset < self.next_offset {
             return;
         }
@@ -190,23 +229,32 @@
             // A later owner may be known from elsewhere than the log.
             ElectionRecord::Claim { .. } if offset + 1 < self.epoch() => {}
             ElectionRecord::Claim { owner, addr } => {
-                self.set_leader(Leader { epoch: offset + 1, owner, addr });
+                self.set_leader(now, Leader { epoch: offset + 1, owner, addr });
+                self.set_owner_cpu(extension.cpu);
                 self.owner_heard = now;
             }
             ElectionRecord::Heartbeat { epoch, owner, addr, largest_cpu }
                 if self.epoch() <= epoch =>
             {
                 if self.epoch() < epoch {
-                    self.set_leader(Leader { epoch, owner, addr });
+                    self.set_leader(now, Leader { epoch, owner, addr });
                 }
-                self.largest_cpu = largest_cpu;
+                self.set_owner_cpu(extension.cpu);
+                self.set_largest_cpu(now, largest_cpu);
                 self.owner_heard = now;
                 self.owner_absent = false;
             }
-            ElectionRecord::Release { epoch } if self.epoch() == epoch => self.released = true,
+            ElectionRecord::Release { epoch } if self.epoch() == epoch => {
+                if extension.successor.is_some() {
+                    self.last_succession = Some(now);
+                }
+                self.release(now, extension.successor);
+            }
             ElectionRecord::Overloaded { epoch } if self.epoch() == epoch => {
-                self.released = true;
                 self.last_overload = Some(now);
+                self.overloaded_owner =
+                    self.leader.as_ref().map(|leader| leader.owner.name.clone());
+                self.release(now, extension.successor);
             }
             ElectionRecord::Heartbeat { .. }
             | ElectionRecord::Release { .. }
@@ -217,18 +265,45 @@
     /// Records an owner that is known from elsewhere than the log, unless a later one is known.
     pub fn learn_leader(&mut self, now: Millis, leader: Leader) {
         if leader.epoch > self.epoch() {
-            self.set_leader(leader);
+            self.set_leader(now, leader);
             self.owner_heard = self.owner_heard.max(now);
         }
     }
 
-    fn set_leader(&mut self, leader: Leader) {
+    fn set_leader(&mut self, now: Millis, leader: Leader) {
         self.leader = Some(leader);
-        self.released = false;
+        (self.leader_since, self.owner_cpu) = (now, 0);
+        self.inherited_cpu = self.largest_cpu;
+        (self.released, self.successor) = (false, None);
         self.owner_absent = false;
         self.claim_due = None;
     }
 
+    /// Records that the leader gave up the cell and named a successor, if any.
+    fn release(&mut self, now: Millis, successor: Option<Name>) {
+        self.released = true;
+        self.successor = successor.map(|name| (name, now + SUCCESSOR_TIME));
+    }
+
+    /// Records the CPU of the leader. If a smaller entry owns the cell, no entry that is as large as
+    /// this one can claim it, and this one need not leave it to others.
+    fn set_owner_cpu(&mut self, cpu: u32) {
+        self.owner_cpu = cpu;
+        if self.prefers_capacity && !self.is_owner() && (1..self.cpu).contains(&cpu) {
+            self.back_off_until = Millis(0);
+        }
+    }
+
+    /// Records the CPU of the largest entry that the owner knows. An owner that has just claimed the
+    /// cell does not know its peers yet. If small entries took its word for it, they would not leave
+    /// the next claim to large ones.
+    fn set_largest_cpu(&mut self, now: Millis, largest_cpu: u32) {
+        let is_incomplete =
+            self.prefers_capacity && now.since(self.leader_since) < PEERS_UNKNOWN_TIME;
+        let known = if is_incomplete { self.inherited_cpu } else { 0 };
+        self.largest_cpu = largest_cpu.max(known);
+    }
+
     fn epoch(&self) -> u64 {
         self.leader.as_ref().map_or(0, |leader| leader.epoch)
     }
@@ -276,6 +351,29 @@
         self.last_overload.is_none_or(|at| now.since(at) >= HANDOVER_INTERVAL)
     }
 
+    /// Whether an owner may hand over the cell to a far larger entry. If that was done recently, the
+    /// larger entry did not keep the cell.
+    pub fn may_hand_over_for_size(&self, now: Millis) -> bool {
+        self.last_succession.is_none_or(|at| now.since(at) >= SIZE_HANDOVER_INTERVAL)
+    }
+
+    /// The owner that last gave up the cell because of overload, if that was recently.
+    pub fn overloaded_owner(&self, now: Millis) -> Option<&Name> {
+        self.overloaded_owner.as_ref().filter(|_| !self.may_hand_over(now))
+    }
+
+    /// Whether nobody owns the cell and no successor was named that is about to claim it, in a
+    /// deployment where this entry knows one of another size.
+    pub fn is_ownerless(&self, now: Millis) -> bool {
+        let is_unequal = self.largest_cpu.max(self.owner_cpu) > self.cpu
+            || (1..self.cpu).contains(&self.owner_cpu);
+        self.prefers_capacity
+            && is_unequal
+            && self.is_log_fresh(now)
+            && self.needs_owner(now)
+            && !self.is_reserved(now)
+    }
+
     /// Sets an additional delay for claims, for an entry that has other work or for which other
     /// entries are closer.
     pub fn set_extra_delay(&mut self, extra_delay: Millis) {
@@ -304,25 +402,44 @@
         {
             return None;
         }
-        let silence = now.since(self.owner_heard);
-        let is_due = match &self.leader {
-            None => true,
-            Some(_) if self.is_vacant() => true,
-            Some(_) if self.owner_absent => silence >= ABSENT_OWNER_TIMEOUT,
-            Some(_) => silence >= OWNER_TIMEOUT,
-        };
-        if !is_due {
+        if !self.needs_owner(now) || self.is_reserved_for_other(now) {
             self.claim_due = None;
             return None;
         }
         let since = *self.claim_due.get_or_insert(now);
-        if now.since(since) < self.claim_delay() + self.extra_delay {
+        let delay = match self.is_reserved(now) {
+            true => Millis(0),
+            false => self.claim_delay() + self.extra_delay,
+        };
+        if now.since(since) < delay {
             return None;
         }
         (self.last_claim, self.rejected_at) = (Some(now), None);
         Some(self.next_offset)
     }
 
+    /// Whether the last owner has given up the cell or has not been heard for too long.
+    fn needs_owner(&self, now: Millis) -> bool {
+        let silence = now.since(self.owner_heard);
+        match &self.leader {
+            None => true,
+            Some(_) if self.is_vacant() => true,
+            Some(_) if self.owner_absent => silence >= ABSENT_OWNER_TIMEOUT,
+            Some(_) => silence >= OWNER_TIMEOUT,
+        }
+    }
+
+    /// Whether the cell is left to the successor that its last owner named.
+    fn is_reserved(&self, now: Millis) -> bool {
+        self.prefers_capacity && self.successor.as_ref().is_some_and(|(_, until)| now < *until)
+    }
+
+    /// Whether the cell is left to a successor that is another entry.
+    fn is_reserved_for_other(&self, now: Millis) -> bool {
+        let is_me = self.successor.as_ref().is_some_and(|(name, _)| *name == self.me.name);
+        self.is_reserved(now) && !is_me
+    }
+
     /// Records that a claim failed because the log ended at `end` instead. It is retried once the
     /// log has been read up to there. If a large entry waited for the claim interval, a small one
     /// would claim first.
--- a/src/cell/owner/lag.rs
+++ b/src/cell/owner/lag.rs
@@ -93,8 +93,13 @@
         if self.is_shedding { OVERLOADED_TIMEOUTS } else { DEFAULT_TIMEOUTS }
     }
 
+    /// Whether the owner is late with all that it does, which includes reading pings.
+    pub fn is_late(&self) -> bool {
+        self.average_ms >= HANDOVER_LATENESS_MS
+    }
+
     /// Whether another entry should own the cell.
     pub fn should_hand_over(&self, now: Millis) -> bool {
-        self.average_ms >= HANDOVER_LATENESS_MS && now.since(self.started) >= MIN_TENURE
+        self.is_late() && now.since(self.started) >= MIN_TENURE
     }
 }
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -1,6 +1,8 @@
 //! Ownership of cells, and the decisions of an owner that are not about single tasks.
 //!
 //! - `election` and `authority`: which entry owns a cell, and whether it may send orders.
+//! - `claim_record`: the encoding of the records of the election.
+//! - `hand_over`: whether an owner gives up its cell, and to which entry.
 //! - `log_reports`: whether an earlier owner may have started runs without a record.
 //! - `connections`: the open connections of the other entries.
 //! - `cell_map`: the cell of each worker and job.
@@ -19,9 +21,11 @@
 pub mod backoff;
 pub mod balance;
 pub mod cell_map;
+pub mod claim_record;
 pub mod connections;
 pub mod election;
 pub(super) mod forward;
+pub mod hand_over;
 pub mod lag;
 pub mod log_reports;
 pub mod map_writer;
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -2,9 +2,10 @@
 //! heartbeats as its owner.
 
 use crate::cell::owner::backoff::Backoff;
+use crate::cell::owner::claim_record::{self, Extension};
 use crate::cell::owner::election::{ElectionRecord, HEARTBEAT_INTERVAL, Leader};
 use crate::clock::Millis;
-use crate::id::hash;
+use crate::id::{Name, hash};
 use crate::node::view::CellView;
 use crate::node::{STORE_RETRY_DELAY, lock};
 use crate::platform::store::{Precondition, StoreError, encode_record};
@@ -98,8 +99,10 @@
             let mut election = lock(&self.election);
             election.caught_up(now);
             for (offset, bytes) in read.records {
-                match postcard::from_bytes::<ElectionRecord>(&bytes) {
-                    Ok(record) => election.apply(now, offset, record),
+                match claim_record::decode(&bytes) {
+                    Ok((record, extension)) => {
+                        election.apply_extended(now, offset, record, extension);
+                    }
                     Err(err) => {
                         log::warn!(
                             "event=claim-unreadable cell={} offset={offset} error={err:?}",
@@ -204,7 +207,7 @@
         let (owner, addr) = (self.node.id.clone(), self.node.settings.advertised_addr.clone());
         let record = ElectionRecord::Claim { owner, addr };
         let cell = self.cell;
-        let claimed = self.append_claim(end, &record, APPEND_TIMEOUT).await;
+        let claimed = self.append_claim(end, &record, None, APPEND_TIMEOUT).await;
         match &claimed {
             Ok(()) => log::info!("event=cell-claimed cell={cell} end={end}"),
             Err(err) => log::info!("event=claim-failed cell={cell} end={end} error={err:?}"),
@@ -232,14 +235,17 @@
         foreign + Millis(OWNED_CELL_DELAY.0 * owned as u64)
     }
 
-    /// Appends a record to the claims, on the condition that they end at `end`.
+    /// Appends a record to the claims, on the condition that they end at `end`. `successor`: the
+    /// entry that should claim the cell which the record gives up.
     async fn append_claim(
         &self,
         end: u64,
         record: &ElectionRecord,
+        successor: Option<Name>,
         timeout: Millis,
     ) -> Result<(), StoreError> {
-        let bytes = postcard::to_stdvec(record);
+        let extension = self.extension(successor);
+        let bytes = claim_record::encode(record, &extension);
         let bytes = bytes.map_err(|err| StoreError::Malformed(err.to_string()))?;
         let mut body = BytesMut::new();
         encode_record(&mut body, &bytes);
@@ -247,12 +253,18 @@
         let part = self.partition(&mut topic);
         let appended =
             self.node.store.append(part, Precondition::End(end), body.freeze(), timeout).await?;
-        lock(&self.election).apply(self.now(), appended.offset, record.clone());
+        let now = self.now();
+        lock(&self.election).apply_extended(now, appended.offset, record.clone(), extension);
         let leader = lock(&self.election).leader().cloned();
         self.set_leader(leader);
         Ok(())
     }
 
+    /// The extension of a record of this entry.
+    fn extension(&self, successor: Option<Name>) -> Extension {
+        Extension { cpu: self.node.settings.millicores, successor }
+    }
+
     /// Sends heartbeats for as long as this entry owns the cell in `epoch`.
     async fn send_heartbeats(self: Arc<Self>, epoch: u64) {
         let mut timeout = APPEND_TIMEOUT;
@@ -263,7 +275,7 @@
             let largest = self.local_owner_in(epoch).map_or(0, |owner| owner.largest_peer_cpu());
             let largest_cpu = largest.max(self.node.settings.millicores);
             let heartbeat = ElectionRecord::Heartbeat { epoch, owner, addr, largest_cpu };
-            match self.append_claim(end, &heartbeat, timeout).await {
+            match self.append_claim(end, &heartbeat, None, timeout).await {
                 Ok(()) => {
                     timeout = APPEND_TIMEOUT;
                     if let Some(owner) = self.local_owner_in(epoch) {
@@ -291,11 +303,16 @@
 
     /// Appends a record that gives up the cell, so that another entry claims it at once. The append
     /// is retried if it fails, for example because a heartbeat was appended first.
-    pub(super) async fn release(&self, record: ElectionRecord, epoch: u64) {
+    pub(super) async fn release(
+        &self,
+        record: ElectionRecord,
+        successor: Option<Name>,
+        epoch: u64,
+    ) {
         let deadline = self.now() + RELEASE_TIMEOUT;
         while self.is_leader(epoch) && self.now() < deadline {
             let end = lock(&self.election).next_offset();
-            match self.append_claim(end, &record, APPEND_TIMEOUT).await {
+            match self.append_claim(end, &record, successor.clone(), APPEND_TIMEOUT).await {
                 Ok(()) => {
                     return log::info!("event=cell-released cell={} epoch={epoch}", self.cell);
                 }
--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -2,6 +2,7 @@
 //! or if only this one cannot reach the store.
 
 use crate::cell::mechanism::Mechanism;
+use crate::cell::owner::hand_over::{self, HandOver, Reason};
 use crate::cell::owner::lag::CLAIM_BACKOFF;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -13,9 +14,6 @@
 /// Time between two checks of whether another entry should own the cell. A transfer delays starts
 /// by some 300 ms, so checking more often gains little.
 const CHECK_INTERVAL: Millis = Millis(1_000);
-/// The cell is transferred to an entry with at least this many times the processors of its owner.
-const MIN_SIZE_RATIO: u32 = 2;
-
 impl Owner {
     /// Notes that a call of this owner to the store failed. If it keeps failing, the other entries
     /// are asked whether they can read the log.
@@ -49,7 +47,21 @@
 
     /// The processors of the largest other entry that could own the cell, in thousandths of one.
     pub fn largest_peer_cpu(&self) -> u32 {
-        lock(&self.authority).largest_peer_cpu(self.node.now())
+        let is_late = self.uses_capacity() && lock(&self.lag).is_late();
+        let largest = lock(&self.authority).largest_peer(self.node.now(), is_late, None);
+        largest.map_or(0, |peer| peer.cpu)
+    }
+
+    /// Whether the rules for entries with unequal processors apply.
+    fn uses_capacity(&self) -> bool {
+        !self.node.settings.disabled.contains(Mechanism::CapacityElection)
+    }
+
+    /// The entry that should claim the cell when this one stops, if it has far more processors.
+    pub fn successor_at_stop(&self) -> Option<Name> {
+        let cpu = self.node.settings.millicores;
+        let successor = hand_over::successor_at_stop(self.node.now(), cpu, &lock(&self.authority));
+        successor.filter(|_| self.uses_capacity()).map(|peer| peer.name)
     }
 
     /// Transfers the cell once an entry with far more processors could own it, or once this one
@@ -58,29 +70,55 @@
         if self.node.settings.disabled.contains(Mechanism::OwnershipTransfer) {
             return std::future::pending().await;
         }
-        let cpu = self.node.settings.millicores;
         loop {
             tokio::time::sleep(CHECK_INTERVAL.duration()).await;
-            let now = self.node.now();
-            let largest = self.largest_peer_cpu();
-            let is_small = largest >= cpu.max(1) * MIN_SIZE_RATIO;
-            let may_hand_over = lock(&self.view.election).may_hand_over(now);
-            let is_overloaded =
-                largest > 0 && may_hand_over && lock(&self.lag).should_hand_over(now);
-            if !(is_small || is_overloaded) || !self.is_serving() {
-                continue;
-            }
-            log::info!(
-                "event=cell-transfer cell={} epoch={} cpu={cpu} largest={largest} late={is_overloaded}",
-                self.view.cell,
-                self.epoch
-            );
-            if is_overloaded {
-                lock(&self.view.election).back_off(now + CLAIM_BACKOFF);
+            let hand_over = self.decide_hand_over();
+            if let Some(hand_over) = hand_over {
+                self.hand_over(hand_over);
+                std::future::pending::<()>().await;
             }
-            let (view, owner) = (self.view.clone(), self.clone());
-            tokio::spawn(async move { view.transfer(&owner, is_overloaded).await });
-            std::future::pending::<()>().await;
         }
     }
+
+    /// Decides whether to transfer the cell now.
+    fn decide_hand_over(&self) -> Option<HandOver> {
+        let uses_capacity = self.uses_capacity();
+        let may_decide = match uses_capacity {
+            true => !self.has_ended() && self.has_authority(),
+            false => self.is_serving(),
+        };
+        if !may_decide {
+            return None;
+        }
+        let (now, cpu) = (self.node.now(), self.node.settings.millicores);
+        let election = lock(&self.view.election);
+        let (authority, lag) = (lock(&self.authority), lock(&self.lag));
+        match uses_capacity {
+            true => hand_over::decide(now, cpu, &election, &authority, &lag),
+            false => hand_over::decide_without_capacity(now, cpu, &election, &authority, &lag),
+        }
+    }
+
+    /// Gives up the cell.
+    fn hand_over(self: &Arc<Self>, hand_over: HandOver) {
+        let HandOver { reason, largest, successor } = hand_over;
+        let (cell, epoch, cpu) = (self.view.cell, self.epoch, self.node.settings.millicores);
+        let is_overloaded = reason == Reason::Overload;
+        log::info!(
+            "event=cell-transfer cell={cell} epoch={epoch} cpu={cpu} largest={} late={is_overloaded}",
+            largest.cpu
+        );
+        let (name, successor_cpu) =
+            successor.as_ref().map_or(("none", 0), |successor| (&*successor.name, successor.cpu));
+        log::info!(
+            "event=hand-over cell={cell} epoch={epoch} cpu={cpu} successor={name} \
+             successor_cpu={successor_cpu} why={reason}"
+        );
+        if is_overloaded {
+            lock(&self.view.election).back_off(self.node.now() + CLAIM_BACKOFF);
+        }
+        let (view, owner) = (self.view.clone(), self.clone());
+        let successor = successor.map(|successor| successor.name);
+        tokio::spawn(async move { view.transfer(&owner, reason, successor).await });
+    }
 }
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -2,7 +2,9 @@
 //! callers elsewhere, and finishes the open requests.
 
 use crate::cell::owner::election::ElectionRecord;
+use crate::cell::owner::hand_over::Reason;
 use crate::clock::Millis;
+use crate::id::Name;
 use crate::node::Node;
 use crate::node::owner::Owner;
 use crate::node::view::CellView;
@@ -24,15 +26,16 @@
 impl CellView {
     /// Gives up the cell so that another entry claims it, because this one stops or does not keep
     /// up. Writes the open records first, as far as that works within [`FLUSH_TIMEOUT`].
-    pub(super) async fn transfer(&self, owner: &Owner, is_overloaded: bool) {
+    /// `successor`: the entry that should claim the cell.
+    pub(super) async fn transfer(&self, owner: &Owner, reason: Reason, successor: Option<Name>) {
         owner.flush(FLUSH_TIMEOUT).await;
         owner.end();
         let epoch = owner.epoch();
-        let record = match is_overloaded {
-            true => ElectionRecord::Overloaded { epoch },
-            false => ElectionRecord::Release { epoch },
+        let record = match reason {
+            Reason::Overload => ElectionRecord::Overloaded { epoch },
+            Reason::Stop | Reason::Size => ElectionRecord::Release { epoch },
         };
-        self.release(record, epoch).await;
+        self.release(record, successor, epoch).await;
     }
 }
 
@@ -55,7 +58,10 @@
         log::info!("event=stopping entry={} owned={}", self.id, owned.len());
         let mut transfers = JoinSet::new();
         for (view, owner) in owned {
-            transfers.spawn(async move { view.transfer(&owner, false).await });
+            transfers.spawn(async move {
+                let successor = owner.successor_at_stop();
+                view.transfer(&owner, Reason::Stop, successor).await;
+            });
         }
         transfers.join_all().await;
         let grace = self.settings.stop_grace;
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,9 @@
 //! When an entry claims the cell.
 
 use sprucerudder::cell::owner::authority::Authority;
+use sprucerudder::cell::owner::claim_record::{self, Extension};
 use sprucerudder::cell::owner::election::{Election, ElectionRecord, Leader, OWNER_TIMEOUT};
+use sprucerudder::cell::owner::hand_over::{self, Reason};
 use sprucerudder::cell::owner::lag::TickLag;
 use sprucerudder::clock::Millis;
 use sprucerudder::id::EntryId;
@@ -114,7 +116,7 @@
 /// On a deployment of unequal entries, the large ones claimed with an outdated end of the log, waited
 /// for the claim interval, and a small entry claimed the cell meanwhile.
 #[test]
-fn a_claim_that_found_a_later_end_of_the_log_waits_for_the_claim_interval() {
+fn a_claim_that_found_a_later_end_of_the_log_is_retried_once_that_was_read() {
     let mut election = follower("large", LARGE);
     let claimed = first_claim(&mut election);
     election.record_mismatch(4);
@@ -125,7 +127,7 @@
 }
 
 #[test]
-fn a_claim_is_retried_although_an_owner_was_found_in_the_log() {
+fn a_claim_is_not_retried_if_an_owner_was_found_in_the_log() {
     let mut election = follower("large", LARGE);
     let claimed = first_claim(&mut election);
     election.record_mismatch(3);
@@ -134,6 +136,140 @@
     assert_eq!(election.try_claim(Millis(claimed + 10)), None);
 }
 
+/// A record by which the owner of epoch 1 gives up the cell to `successor`.
+fn give_up(election: &mut Election, at: u64, successor: &str) {
+    let extension = Extension { cpu: SMALL, successor: Some(successor.into()) };
+    election.apply_extended(Millis(at), 2, ElectionRecord::Release { epoch: 1 }, extension);
+}
+
+#[test]
+fn entries_leave_the_cell_to_the_named_successor_for_400_ms() {
+    let (mut successor, mut other) = (follower("next", LARGE), follower("other", LARGE));
+    give_up(&mut successor, 5, "next");
+    give_up(&mut other, 5, "next");
+    assert_eq!(first_claim(&mut successor), 10);
+    let claimed = first_claim(&mut other);
+    assert!((405..420).contains(&claimed), "{claimed} ms, although the successor had 400 ms");
+}
+
+#[test]
+fn without_the_rules_for_capacity_a_named_successor_has_no_precedence() {
+    let mut other = follower("other", LARGE);
+    other.set_prefers_capacity(false);
+    give_up(&mut other, 5, "next");
+    assert_eq!(first_claim(&mut other), 10);
+}
+
+fn claim_of(owner: &str, cpu: u32) -> (ElectionRecord, Extension) {
+    let record = ElectionRecord::Claim { owner: entry(owner), addr: "1.2.3.4:6".into() };
+    (record, Extension { cpu, successor: None })
+}
+
+/// After an overload, no large entry owned a cell again for 9 s, while small ones did not keep up.
+#[test]
+fn an_entry_stops_backing_off_once_a_smaller_one_owns_the_cell() {
+    for (cpu, claims_at) in [(SMALL, 60), (LARGE, 8_000)] {
+        let mut election = follower("slow", LARGE);
+        election.apply(Millis(5), 2, ElectionRecord::Release { epoch: 1 });
+        election.back_off(Millis(8_000));
+        let (record, extension) = claim_of("other", cpu);
+        election.apply_extended(Millis(10), 3, record, extension);
+        election.apply(Millis(50), 4, ElectionRecord::Release { epoch: 4 });
+        election.caught_up(Millis(60));
+        let claimed = (6..1_000).map(|index| index * 10).find(|at| {
+            election.caught_up(Millis(*at));
+            election.try_claim(Millis(*at)).is_some()
+        });
+        assert_eq!(claimed, Some(claims_at), "an owner of {cpu} millicores claimed");
+    }
+}
+
+/// An owner of 0.12 of a core reported itself as the largest entry before the others had connected.
+/// Small entries then claimed the cell as early as large ones, twice in a row.
+#[test]
+fn small_entries_do_not_trust_an_owner_that_does_not_know_its_peers_yet() {
+    let mut election = follower("small", SMALL);
+    let (record, extension) = claim_of("one", SMALL);
+    election.apply_extended(Millis(1_000), 2, record, extension.clone());
+    let heartbeat = || ElectionRecord::Heartbeat {
+        epoch: 3,
+        owner: entry("one"),
+        addr: "1.2.3.4:6".into(),
+        largest_cpu: SMALL,
+    };
+    election.apply_extended(Millis(1_400), 3, heartbeat(), extension.clone());
+    assert!(election.claims_late(), "the owner does not know its peers yet");
+    election.apply_extended(Millis(4_000), 4, heartbeat(), extension);
+    assert!(!election.claims_late(), "there is no larger entry any more");
+}
+
+#[test]
+fn callers_do_not_wait_while_nobody_owns_the_cell() {
+    let mut election = follower("small", SMALL);
+    assert!(!election.is_ownerless(Millis(100)), "it has an owner");
+    give_up(&mut election, 200, "next");
+    assert!(!election.is_ownerless(Millis(300)), "the successor is about to claim");
+    assert!(election.is_ownerless(Millis(700)), "the successor did not claim");
+    assert!(!election.is_ownerless(Millis(5_000)), "the log was not read for long");
+    let mut equal = Election::new(entry("one"), SMALL, Millis(0));
+    let (record, extension) = claim_of("other", SMALL);
+    equal.apply_extended(Millis(1), 0, record, extension);
+    equal.apply(Millis(2), 1, ElectionRecord::Release { epoch: 1 });
+    equal.caught_up(Millis(3));
+    assert!(!equal.is_ownerless(Millis(10)), "entries of one size keep callers waiting as before");
+}
+
+/// The authority of an owner with a large peer that was last heard at 7,000, and a last heartbeat
+/// at `heartbeat`.
+fn authority_with_peer(heartbeat: u64) -> Authority {
+    let mut authority = Authority::new(Millis(0));
+    authority.add_peer(Millis(100), &"large".into(), LARGE);
+    authority.update_peer(Millis(7_000), &"large".into(), true);
+    authority.confirm_heartbeat(Millis(heartbeat));
+    authority
+}
+
+#[test]
+fn an_overloaded_owner_hands_over_although_it_is_late_with_pings_and_heartbeats() {
+    let mut election = follower("owner", SMALL);
+    let mut lag = TickLag::new(Millis(0));
+    let now = Millis(tick_late(&mut lag, 6_000, 400).max(8_100));
+    let mut authority = authority_with_peer(now.0 - 1_100);
+    let hand_over = hand_over::decide(now, SMALL, &election, &authority, &lag).unwrap();
+    assert_eq!(hand_over.reason, Reason::Overload);
+    assert_eq!(hand_over.successor.unwrap().name, "large".into());
+    assert!(
+        hand_over::decide(now, LARGE + 1, &election, &authority, &lag).is_none(),
+        "it keeps the cell if all other entries are smaller"
+    );
+    let late = now + Millis(200);
+    assert!(hand_over::decide(late, SMALL, &election, &authority, &lag).is_none(), "no authority");
+    authority.record_store_failure(now);
+    assert!(
+        hand_over::decide(now, SMALL, &election, &authority, &lag).is_none(),
+        "nobody could claim the cell while the store fails"
+    );
+    authority.confirm_heartbeat(now);
+    give_up(&mut election, now.0 - 100, "large");
+    let lag = TickLag::new(Millis(0));
+    authority.update_peer(now, &"large".into(), true);
+    assert!(
+        hand_over::decide(now, SMALL, &election, &authority, &lag).is_none(),
+        "the cell was given to a larger entry a moment ago"
+    );
+}
+
+#[test]
+fn records_are_read_with_and_without_an_extension() {
+    let (record, extension) = claim_of("one", SMALL);
+    let bytes = claim_record::encode(&record, &extension).unwrap();
+    assert_eq!(claim_record::decode(&bytes).unwrap(), (record.clone(), extension));
+    let former = postcard::to_stdvec(&record).unwrap();
+    assert_eq!(claim_record::decode(&former).unwrap(), (record.clone(), Extension::default()));
+    // Versions up to 0.13.0 read a record in this way.
+    assert_eq!(postcard::from_bytes::<ElectionRecord>(&bytes).unwrap(), record);
+}
+
 const TICK_INTERVAL: Millis = Millis(100);
 
 /// Runs ticks that come `late` milliseconds after they are due, for two seconds from `from` on;
