--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -211,8 +211,15 @@
         });
     }
 
+    /// Whether nobody owns the cell, so that callers should retry later; see
+    /// [`Election::is_ownerless`].
+    fn is_ownerless(&self) -> bool {
+        lock(&self.election).is_ownerless(self.now())
+    }
+
     /// Sends a request to the owner of the cell, and again if the owner changes, until it is
-    /// answered or `deadline` has passed.
+    /// answered or `deadline` has passed. Fails at once while nobody owns the cell, unless an earlier
+    /// attempt may have been carried out.
     pub async fn request(
         self: &Arc<Self>,
         message: EntryMessage,
@@ -229,6 +236,10 @@
                 tokio::time::timeout(remaining.duration(), self.request_once(message.clone()))
                     .await;
             match result {
+                Ok(
+                    Ok(OwnerMessage::Refused(RefusalReason::NotOwner))
+                    | Err(ConnectionError::Unsent),
+                ) if error == RequestError::Unsent && self.is_ownerless() => return Err(error),
                 Ok(Ok(OwnerMessage::Refused(
                     RefusalReason::NotOwner | RefusalReason::UnknownQueue,
                 ))) => {}
