--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -114,6 +114,9 @@
     leader_since: Millis,
     /// Whether the leader gave up the cell.
     released: bool,
+    /// Whether records were lost unread since the leader became known, so that there may be a later
+    /// one.
+    may_be_outdated: bool,
     /// The entry that the leader named as its successor, and until when others don't claim the cell.
     successor: Option<(Name, Millis)>,
     /// The offset of the next record to read.
@@ -157,6 +160,7 @@
             owner_cpu: 0,
             leader_since: now,
             released: false,
+            may_be_outdated: false,
             successor: None,
             next_offset: 0,
             owner_heard: now,
@@ -186,7 +190,9 @@
 
     /// Whether this entry is the owner.
     pub fn is_owner(&self) -> bool {
-        self.leader.as_ref().is_some_and(|leader| leader.owner == self.me) && !self.released
+        self.leader.as_ref().is_some_and(|leader| leader.owner == self.me)
+            && !self.released
+            && !self.may_be_outdated
     }
 
     /// Whether the last owner has certainly stopped and no other entry has claimed the cell since.
@@ -203,11 +209,22 @@
         self.next_offset
     }
 
-    /// Continues at offset `first`, because earlier records have been removed from the log.
+    /// Continues at offset `first`, because earlier records cannot be read.
     pub fn skip_to(&mut self, first: u64) {
         self.next_offset = self.next_offset.max(first);
     }
 
+    /// Continues at offset `first`, because the store has lost earlier records. If some of them were
+    /// not read, another entry may own the cell. A heartbeat of this entry would be appended then
+    /// although it is not the owner any more, so it waits for those of another one.
+    pub fn skip_lost(&mut self, now: Millis, first: u64) {
+        if first > self.next_offset && self.is_owner() {
+            self.may_be_outdated = true;
+            self.owner_heard = now;
+        }
+        self.skip_to(first);
+    }
+
     /// Applies a record without an extension that was read from the log.
     pub fn apply(&mut self, now: Millis, offset: u64, record: ElectionRecord) {
         self.apply_extended(now, offset, record, Extension::default());
@@ -274,7 +291,7 @@
         self.leader = Some(leader);
         (self.leader_since, self.owner_cpu) = (now, 0);
         self.inherited_cpu = self.largest_cpu;
-        (self.released, self.successor) = (false, None);
+        (self.released, self.may_be_outdated, self.successor) = (false, false, None);
         self.owner_absent = false;
         self.claim_due = None;
     }
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -89,7 +89,8 @@
         let part = self.partition(&mut topic);
         let read = match self.node.store.read(part, from, wait, timeout).await {
             Err(StoreError::Gone(first)) => {
-                lock(&self.election).skip_to(first);
+                log::info!("event=claims-lost cell={} from={from} first={first}", self.cell);
+                lock(&self.election).skip_lost(self.now(), first);
                 return Ok(());
             }
             read => read?,
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -88,6 +88,8 @@
     log: Vec<(u64, ElectionRecord, Extension)>,
     entries: Vec<Entry>,
     store_down: u64,
+    /// The first offset that the store still has.
+    first: u64,
     prefers_capacity: bool,
 }
 
@@ -99,7 +101,7 @@
             entry.election.set_prefers_capacity(prefers_capacity);
         }
         let (log, now) = (Vec::new(), 0);
-        Self { now, log, entries, store_down: 0, prefers_capacity }
+        Self { now, log, entries, store_down: 0, first: 0, prefers_capacity }
     }
 
     fn reaches_store(&self, index: usize) -> bool {
@@ -163,6 +165,7 @@
             return;
         }
         let (now, entry) = (Millis(self.now), &mut self.entries[index]);
+        entry.election.skip_lost(now, self.first);
         entry.election.caught_up(now);
         for offset in entry.election.next_offset()..self.log.len() as u64 {
             let (_, record, extension) = self.log[offset as usize].clone();
@@ -268,7 +271,8 @@
         }
         let is_late = self.prefers_capacity && owner.lag.is_late();
         let entry = &mut self.entries[index];
-        if now >= owner.next_heartbeat && entry.pending.is_none() {
+        let may_write = entry.election.is_owner() && entry.pending.is_none();
+        if now >= owner.next_heartbeat && may_write {
             owner.next_heartbeat = now + heartbeat_period;
             let largest = owner.authority.largest_peer(Millis(now), is_late, None);
             let largest_cpu = largest.map_or(0, |peer| peer.cpu).max(entry.cpu);
@@ -396,11 +400,12 @@
             Some(owner) if rng.bool() => owner,
             _ => rng.usize(..cpus.len()),
         };
-        match rng.u8(..5) {
+        match rng.u8(..6) {
             0 => kill(&mut world, victim, until, prefers_capacity),
             1 => world.entries[victim].cut = until,
             2 => world.entries[victim].overloaded = until + 3_000,
             3 => world.store_down = until,
+            4 => world.first = world.log.len() as u64,
             // The store rejects a third of the entries at the most. Owners depend on that.
             _ if world.entries.iter().any(|entry| world.now < entry.rejected) => {}
             _ => (0..2).for_each(|index| world.entries[(victim + index) % 6].rejected = until),
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -136,6 +136,26 @@
     assert_eq!(election.try_claim(Millis(claimed + 10)), None);
 }
 
+/// An owner was cut off and replaced, and the store lost its history before the owner had read the
+/// claim of its successor. The owner's next heartbeat was appended, so that two owners could act.
+#[test]
+fn an_owner_that_may_have_missed_a_claim_is_not_the_owner() {
+    let mut election = Election::new(entry("owner"), LARGE, Millis(0));
+    let claim = |name| ElectionRecord::Claim { owner: entry(name), addr: "1.2.3.4:5".into() };
+    election.apply(Millis(1), 0, claim("owner"));
+    election.skip_lost(Millis(2), 1);
+    assert!(election.is_owner(), "it had read all that was lost");
+    election.skip_lost(Millis(5_000), 7);
+    assert!(!election.is_owner() && !election.is_vacant());
+    election.caught_up(Millis(5_100));
+    election.caught_up(Millis(5_900));
+    assert_eq!(election.try_claim(Millis(5_900)), None, "another owner may be alive");
+    election.caught_up(Millis(6_300));
+    assert_eq!(election.try_claim(Millis(6_300)), Some(7));
+    election.apply(Millis(6_310), 7, claim("owner"));
+    assert!(election.is_owner());
+}
+
 /// A record by which the owner of epoch 1 gives up the cell to `successor`.
 fn give_up(election: &mut Election, at: u64, successor: &str) {
     let extension = Extension { cpu: SMALL, successor: Some(successor.into()) };
