--- a/src/cell/owner/authority.rs
+++ b/src/cell/owner/authority.rs
@@ -44,6 +44,9 @@
     /// CPU available to the peer, in millicores; 0 if unknown.
     cpu: u32,
     connected_since: Millis,
+    /// Since when the peer has been known, with interruptions of less than
+    /// [`LATE_PEER_REPORT_TTL`].
+    known_since: Millis,
 }
 
 /// The state from which an owner derives whether it may still act as the owner.
@@ -138,15 +141,20 @@
 
     /// Adds a peer that connected to this owner and has `cpu` millicores available.
     pub fn add_peer(&mut self, now: Millis, entry: &Name, cpu: u32) {
-        self.peers.insert(
-            entry.clone(),
-            Peer { last_seen: now, log_readable: true, cpu, connected_since: now },
-        );
+        let known = self
+            .peers
+            .get(entry)
+            .filter(|known| known.cpu == cpu && now.since(known.last_seen) < LATE_PEER_REPORT_TTL);
+        let known_since = known.map_or(now, |known| known.known_since);
+        let (last_seen, connected_since) = (now, now);
+        let peer = Peer { last_seen, log_readable: true, cpu, connected_since, known_since };
+        self.peers.insert(entry.clone(), peer);
     }
 
     /// Records a peer's report whether it can read the log.
     pub fn update_peer(&mut self, now: Millis, entry: &Name, log_readable: bool) {
-        let peer = Peer { last_seen: now, log_readable, cpu: 0, connected_since: now };
+        let (last_seen, connected_since, known_since) = (now, now, now);
+        let peer = Peer { last_seen, log_readable, cpu: 0, connected_since, known_since };
         let known = self.peers.entry(entry.clone()).or_insert(peer);
         (known.last_seen, known.log_readable) = (now, log_readable);
     }
@@ -159,7 +167,8 @@
 
     /// The peer with the most CPU of those that can read the log and have been connected for at
     /// least [`MIN_CONNECTED_TIME`]. Of several, `avoided` is chosen last. An owner that `is_late`
-    /// also counts peers that it has not heard from for a while.
+    /// also counts peers that it has not heard from for a while, or that had to connect again
+    /// because it was late.
     pub fn largest_peer(
         &self,
         now: Millis,
@@ -167,11 +176,12 @@
         avoided: Option<&Name>,
     ) -> Option<PeerCpu> {
         let report_ttl = if is_late { LATE_PEER_REPORT_TTL } else { PEER_REPORT_TTL };
+        let since = |peer: &Peer| if is_late { peer.known_since } else { peer.connected_since };
         let eligible = self.peers.iter().filter(|(_, peer)| {
             peer.cpu > 0
                 && peer.log_readable
                 && now.since(peer.last_seen) < report_ttl
-                && now.since(peer.connected_since) >= MIN_CONNECTED_TIME
+                && now.since(since(peer)) >= MIN_CONNECTED_TIME
         });
         let largest = eligible.max_by_key(|(name, peer)| (peer.cpu, Some(*name) != avoided));
         largest.map(|(name, peer)| PeerCpu { name: name.clone(), cpu: peer.cpu })
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -77,3 +77,39 @@
     authority.confirm_heartbeat(Millis(1_230));
     assert!(!authority.is_isolated(Millis(1_240)), "a heartbeat is in the log after all");
 }
+
+/// An overloaded owner read pings late, and peers opened new connections because it did not answer.
+/// It found no entry that could own the cell, and kept it.
+#[test]
+fn an_owner_that_is_late_sees_peers_that_connected_again() {
+    let mut authority = Authority::new(Millis(0));
+    let large = "large".into();
+    for connected in [0, 1_000, 2_000] {
+        authority.add_peer(Millis(connected), &large, 500);
+    }
+    let cpu = |authority: &Authority, now, is_late| {
+        authority.largest_peer(Millis(now), is_late, None).map(|peer| peer.cpu)
+    };
+    assert_eq!(cpu(&authority, 2_900, false), None, "it has just connected");
+    assert_eq!(cpu(&authority, 2_900, true), Some(500));
+    assert_eq!(cpu(&authority, 5_100, true), None, "it has not been heard for 3 s");
+    authority.add_peer(Millis(6_000), &large, 500);
+    assert_eq!(cpu(&authority, 6_100, true), None, "it may have been replaced meanwhile");
+    authority.update_peer(Millis(7_600), &large, true);
+    assert_eq!(cpu(&authority, 7_600, true), Some(500));
+    authority.add_peer(Millis(8_000), &large, 100);
+    assert_eq!(cpu(&authority, 8_100, true), None, "its size has changed");
+}
+
+#[test]
+fn an_entry_that_was_overloaded_is_the_last_choice_among_the_largest() {
+    let mut authority = Authority::new(Millis(0));
+    for (entry, cpu) in [("a", 500), ("b", 500), ("c", 120)] {
+        authority.add_peer(Millis(0), &entry.into(), cpu);
+        authority.update_peer(Millis(2_000), &entry.into(), true);
+    }
+    for (avoided, chosen) in [("a", "b"), ("b", "a")] {
+        let largest = authority.largest_peer(Millis(2_000), false, Some(&avoided.into()));
+        assert_eq!(largest.unwrap().name, chosen.into());
+    }
+}
