--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -151,7 +151,7 @@
     }
 
     fn step(&mut self, index: usize) {
-        if self.now.is_multiple_of(self.entries[index].period(self.now, 30, 90)) {
+        if self.now % self.entries[index].period(self.now, 30, 90) == 0 {
             self.read(index);
         }
         self.deliver(index);
@@ -262,7 +262,7 @@
                 owner.last_tick = now;
                 owner.lag.record_tick(Millis(now), Millis(100));
             }
-            if now.is_multiple_of(ping_period) {
+            if now % ping_period == 0 {
                 self.read_pings(index, &mut owner);
             }
             if now >= owner.next_check && self.hand_over(index, &mut owner) {
