--- a/src/cell/owner/authority.rs
+++ b/src/cell/owner/authority.rs
@@ -13,6 +13,10 @@
 
 /// How long a peer's report about the log is valid, which is three ping intervals.
 const PEER_REPORT_TTL: Millis = Millis(500);
+/// How long a peer's report about the log is valid for the choice of the next owner while the owner
+/// is overloaded and reads pings late. A peer that has failed meanwhile delays the next claim by
+/// 400 ms.
+const LATE_PEER_REPORT_TTL: Millis = Millis(3_000);
 /// How long the store must have failed the owner before it asks its peers whether they can read the
 /// log. A call that the store rejected because of its rate limit is retried within this time.
 const PROBE_DELAY: Millis = Millis(150);
@@ -23,6 +27,15 @@
 /// A peer that has not been heard from for this long is assumed to have been removed.
 const PEER_EXPIRY: Millis = Millis(60_000);
 
+/// The CPU of an entry that is connected to the owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerCpu {
+    /// The entry.
+    pub name: Name,
+    /// The CPU that it has available, in millicores.
+    pub cpu: u32,
+}
+
 /// The state of another entry, as known to the owner.
 #[derive(Debug)]
 struct Peer {
@@ -31,6 +44,9 @@
     /// CPU available to the peer, in millicores; 0 if unknown.
     cpu: u32,
     connected_since: Millis,
+    /// Since when the peer has been known, with interruptions of less than
+    /// [`LATE_PEER_REPORT_TTL`].
+    known_since: Millis,
 }
 
 /// The state from which an owner derives whether it may still act as the owner.
@@ -125,15 +141,20 @@
 
     /// Adds a peer that connected to this owner and has `cpu` millicores available.
     pub fn add_peer(&mut self, now: Millis, entry: &Name, cpu: u32) {
-        self.peers.insert(
-            entry.clone(),
-            Peer { last_seen: now, log_readable: true, cpu, connected_since: now },
-        );
+        let known = self
+            .peers
+            .get(entry)
+            .filter(|known| known.cpu == cpu && now.since(known.last_seen) < LATE_PEER_REPORT_TTL);
+        let known_since = known.map_or(now, |known| known.known_since);
+        let (last_seen, connected_since) = (now, now);
+        let peer = Peer { last_seen, log_readable: true, cpu, connected_since, known_since };
+        self.peers.insert(entry.clone(), peer);
     }
 
     /// Records a peer's report whether it can read the log.
     pub fn update_peer(&mut self, now: Millis, entry: &Name, log_readable: bool) {
-        let peer = Peer { last_seen: now, log_readable, cpu: 0, connected_since: now };
+        let (last_seen, connected_since, known_since) = (now, now, now);
+        let peer = Peer { last_seen, log_readable, cpu: 0, connected_since, known_since };
         let known = self.peers.entry(entry.clone()).or_insert(peer);
         (known.last_seen, known.log_readable) = (now, log_readable);
     }
@@ -141,12 +162,34 @@
     /// The most CPU, in millicores, that any peer has that can read the log and has been connected
     /// for at least [`MIN_CONNECTED_TIME`]; 0 if there is no such peer.
     pub fn largest_peer_cpu(&self, now: Millis) -> u32 {
-        let eligible = self.peers.values().filter(|peer| {
-            peer.log_readable
-                && now.since(peer.last_seen) < PEER_REPORT_TTL
-                && now.since(peer.connected_since) >= MIN_CONNECTED_TIME
+        self.largest_peer(now, false, None).map_or(0, |peer| peer.cpu)
+    }
+
+    /// The peer with the most CPU of those that can read the log and have been connected for at
+    /// least [`MIN_CONNECTED_TIME`]. Of several, `avoided` is chosen last. An owner that `is_late`
+    /// also counts peers that it has not heard from for a while, or that had to connect again
+    /// because it was late.
+    pub fn largest_peer(
+        &self,
+        now: Millis,
+        is_late: bool,
+        avoided: Option<&Name>,
+    ) -> Option<PeerCpu> {
+        let report_ttl = if is_late { LATE_PEER_REPORT_TTL } else { PEER_REPORT_TTL };
+        let since = |peer: &Peer| if is_late { peer.known_since } else { peer.connected_since };
+        let eligible = self.peers.iter().filter(|(_, peer)| {
+            peer.cpu > 0
+                && peer.log_readable
+                && now.since(peer.last_seen) < report_ttl
+                && now.since(since(peer)) >= MIN_CONNECTED_TIME
         });
-        eligible.map(|peer| peer.cpu).max().unwrap_or(0)
+        let largest = eligible.max_by_key(|(name, peer)| (peer.cpu, Some(*name) != avoided));
+        largest.map(|(name, peer)| PeerCpu { name: name.clone(), cpu: peer.cpu })
+    }
+
+    /// Whether the store failed the owner's last call.
+    pub fn is_store_failing(&self) -> bool {
+        self.failing_since.is_some()
     }
 
     /// Whether orders may be sent only because most entries cannot read the log.
