--- a/tests/preempt.rs
+++ b/tests/preempt.rs
@@ -299,6 +299,7 @@
     let [none, earlier] = rules.map(replay_all);
     let account = replay_all(DisabledMechanisms::default());
     println!("none {none:?}\nearlier {earlier:?}\naccount {account:?}");
+    assert_eq!(none.stops, 0, "the replay stops nothing by itself");
     assert!(account.on_time >= none.on_time, "{account:?} without preemption {none:?}");
     assert!(account.on_time >= earlier.on_time, "{account:?} by the earlier rule {earlier:?}");
     assert!(account.stops * 10 < earlier.stops * 7, "{account:?} by the earlier rule {earlier:?}");
--- a/tests/preemptload/mod.rs
+++ b/tests/preemptload/mod.rs
@@ -149,6 +149,8 @@
     /// In core-milliseconds.
     work: u64,
     unfinished: u32,
+    /// The tasks of a step start and end together.
+    is_gang: bool,
 }
 
 /// A run on a worker.
@@ -291,6 +293,7 @@
                 due: self.now + queue.objective(&work).0,
                 work: u64::from(tasks) * load.cpu * load.run_ms / 1_000,
                 unfinished: tasks,
+                is_gang: work.steps[0].is_gang,
             };
             self.jobs.insert(key, job);
             assert!(self.cell.submit(Millis(self.now), key, load.name, Arc::new(work)).is_some());
@@ -382,9 +385,9 @@
 
     fn start(&mut self, name: &Name, start: &StartOrder) {
         let task = start.task;
-        let load = self.jobs[&task.step.job].load;
+        let Job { load, is_gang, .. } = self.jobs[&task.step.job];
         let spread = |rng: &mut Rng| load.run_ms * rng.u64(850..1_150) / 1_000;
-        let run_ms = match load.gangs > 0.5 {
+        let run_ms = match is_gang {
             true => *self.gang_times.entry(task.step).or_insert_with(|| spread(&mut self.rng)),
             false => spread(&mut self.rng),
         };
