--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -25,6 +25,7 @@
 use placing::rank::ReadySteps;
 use placing::reservation::Reservations;
 use placing::usage::WorkspaceUsages;
+use placing::wakeups::{PassCounts, Wakeups};
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -169,6 +170,8 @@
     next_stable: Option<Millis>,
     /// Whether something changed that may allow another task to be placed.
     needs_placement: bool,
+    /// Which waiting steps have to be evaluated in a pass.
+    wakeups: Wakeups,
     /// Set while earlier owners may have started runs that are not recorded. Inherited tasks are
     /// held back until the state of all workers is known.
     unrecorded_starts: Option<WaitLogTimer>,
@@ -228,6 +231,7 @@
             list_stale: false,
             next_stable: None,
             needs_placement: true,
+            wakeups: Wakeups::default(),
             unrecorded_starts: unrecorded_starts
                 .then(|| WaitLogTimer::new(now, HOLDBACK_LOG_DELAY)),
             bound_starts: 0,
@@ -279,7 +283,10 @@
     /// otherwise the owner would consider workers lost that had answered, and restart tasks that
     /// were done there.
     pub fn set_overloaded(&mut self, is_overloaded: bool) {
-        self.is_overloaded = is_overloaded;
+        if std::mem::replace(&mut self.is_overloaded, is_overloaded) != is_overloaded {
+            // An overloaded owner stops no runs.
+            self.wakeups.wake_all();
+        }
     }
 
     /// Handles a pause of seconds in which the owner's process did not run. Its state of the
@@ -339,6 +346,7 @@
         self.queues = queues;
         self.update_ranked_objectives();
         self.rebuild_ready();
+        self.wakeups.wake_all();
         self.needs_placement = true;
     }
 
@@ -486,6 +494,7 @@
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
             answers: self.answer_counts,
+            passes: self.wakeups.counts,
         }
     }
 }
@@ -509,6 +518,8 @@
     pub expired_waits: u64,
     /// Answers of the advice service since the takeover.
     pub answers: AnswerCounts,
+    /// Scheduling passes and evaluations of steps since the takeover.
+    pub passes: PassCounts,
 }
 
 /// The least number of queues with ranked objectives.
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -9,6 +9,7 @@
 //! - `relaxation` decides which placement restrictions a step that has waited for long may ignore.
 //! - `usage` limits the resources that a workspace has in use.
 //! - `fair_share` detects jobs submitted in excess of a workspace's share.
+//! - `wakeups` decides which waiting steps a pass has to evaluate.
 
 pub(super) mod candidate;
 pub(super) mod fair_share;
@@ -20,3 +21,4 @@
 pub(super) mod schedule;
 pub(super) mod stability;
 pub(super) mod usage;
+pub mod wakeups;
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -31,6 +31,10 @@
     shared: HashMap<StepKey, Millis>,
     /// Gangs for which resources are reserved before they are all free, and when the reservations expire.
     gangs: HashMap<StepKey, Millis>,
+    /// Workers with reservations that ended, until [`Self::take_freed`].
+    freed: Vec<Name>,
+    /// Whether a reservation for a gang ended since [`Self::take_gang_release`].
+    has_gang_release: bool,
 }
 
 impl Reservations {
@@ -137,6 +141,7 @@
     pub fn release(&mut self, step: StepKey) {
         let shared = self.shared.remove(&step);
         let gang = self.gangs.remove(&step);
+        self.has_gang_release |= gang.is_some();
         if self.exclusive.remove(&step).or(shared).or(gang).is_some() {
             self.retain(|reservation| reservation.step != step);
         }
@@ -148,7 +153,9 @@
         let before = count(self);
         self.exclusive.retain(|_, until| now < *until);
         self.shared.retain(|_, until| now < *until);
+        let gangs = self.gangs.len();
         self.gangs.retain(|_, until| now < *until);
+        self.has_gang_release |= self.gangs.len() < gangs;
         let has_expired = count(self) < before;
         if has_expired {
             self.retain(|reservation| now < reservation.until);
@@ -156,10 +163,31 @@
         has_expired
     }
 
+    /// When the reservations of a step end.
+    pub fn expiries(&self, step: StepKey) -> impl Iterator<Item = Millis> {
+        let kinds = [&self.exclusive, &self.shared, &self.gangs];
+        kinds.into_iter().filter_map(move |kind| kind.get(&step).copied())
+    }
+
+    /// The workers with reservations that ended since the last call.
+    pub fn take_freed(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.freed)
+    }
+
+    /// Whether a reservation for a gang ended since the last call.
+    pub fn take_gang_release(&mut self) -> bool {
+        std::mem::take(&mut self.has_gang_release)
+    }
+
     /// Keeps only the reservations for which `is_kept` holds.
     fn retain(&mut self, is_kept: impl Fn(&Reservation) -> bool) {
-        self.by_worker.retain(|_, reservations| {
+        let freed = &mut self.freed;
+        self.by_worker.retain(|worker, reservations| {
+            let before = reservations.len();
             reservations.retain(&is_kept);
+            if reservations.len() < before {
+                freed.push(worker.clone());
+            }
             !reservations.is_empty()
         });
     }
