--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -26,6 +26,7 @@
 use placing::reservation::Reservations;
 use placing::stops::{StopCounts, Stops};
 use placing::usage::WorkspaceUsages;
+use placing::wakeups::{PassCounts, Wakeups};
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -174,6 +175,8 @@
     next_stable: Option<Millis>,
     /// Whether something changed that may allow another task to be placed.
     needs_placement: bool,
+    /// Which waiting steps have to be evaluated in a pass.
+    wakeups: Wakeups,
     /// Set while earlier owners may have started runs that are not recorded. Inherited tasks are
     /// held back until the state of all workers is known.
     unrecorded_starts: Option<WaitLogTimer>,
@@ -235,6 +238,7 @@
             list_stale: false,
             next_stable: None,
             needs_placement: true,
+            wakeups: Wakeups::default(),
             unrecorded_starts: unrecorded_starts
                 .then(|| WaitLogTimer::new(now, HOLDBACK_LOG_DELAY)),
             bound_starts: 0,
@@ -286,7 +290,10 @@
     /// otherwise the owner would consider workers lost that had answered, and restart tasks that
     /// were done there.
     pub fn set_overloaded(&mut self, is_overloaded: bool) {
-        self.is_overloaded = is_overloaded;
+        if std::mem::replace(&mut self.is_overloaded, is_overloaded) != is_overloaded {
+            // An overloaded owner stops no runs.
+            self.wakeups.wake_all();
+        }
     }
 
     /// Handles a pause of seconds in which the owner's process did not run. Its state of the
@@ -347,6 +354,7 @@
         self.update_ranked_objectives();
         self.rebuild_ready();
         self.reset_ranks();
+        self.wakeups.wake_all();
         self.needs_placement = true;
     }
 
@@ -495,6 +503,7 @@
             expired_waits: self.expired_waits,
             answers: self.answer_counts,
             stops: self.stops.counts,
+            passes: self.wakeups.counts,
         }
     }
 }
@@ -520,6 +529,8 @@
     pub answers: AnswerCounts,
     /// Runs that were stopped for more urgent steps since the takeover, and steps for which none was.
     pub stops: StopCounts,
+    /// Scheduling passes and evaluations of steps since the takeover.
+    pub passes: PassCounts,
 }
 
 /// The least number of queues with ranked objectives.
