--- a/src/cell/owner/hand_over.rs
+++ b/src/cell/owner/hand_over.rs
@@ -65,10 +65,12 @@
     let is_larger = largest.cpu >= cpu.max(1) * MIN_SIZE_RATIO;
     let is_overloaded =
         largest.cpu >= cpu && lag.should_hand_over(now) && election.may_hand_over(now);
-    let reason = match (is_overloaded, is_larger) {
-        (true, _) => Reason::Overload,
-        (false, true) if election.may_hand_over_for_size(now) => Reason::Size,
-        (false, _) => return None,
+    // A small owner's overload does not mean that a larger entry would be overloaded, and must not
+    // keep that one from handing over.
+    let reason = match is_larger && election.may_hand_over_for_size(now) {
+        true => Reason::Size,
+        false if is_overloaded => Reason::Overload,
+        false => return None,
     };
     let successor = is_larger.then(|| largest.clone());
     Some(HandOver { reason, largest, successor })
