--- a/tests/lateness.rs
+++ b/tests/lateness.rs
@@ -323,6 +323,21 @@
     assert_eq!(cluster.asked, [1, 3, 2]);
 }
 
+#[test]
+fn a_late_job_keeps_no_room_from_others() {
+    // A job waits for the whole worker, of which another one uses half, and has the room reserved. Once it is late, a
+    // small job gets the other half at once. With the earlier rank, it would wait until the reservation expires at 3.1 s.
+    let mut cluster = Cluster::new(1, ranked(), "");
+    cluster.submit(1, "mid", (1, 4), 8_000);
+    cluster.run_until(100);
+    cluster.submit(2, "mid", (1, 8), 1_000);
+    cluster.run_until(2_500);
+    cluster.submit(3, "mid", (1, 4), 1_000);
+    cluster.run_until(4_000);
+    let start = cluster.first_starts.get(&JobKey(3)).copied();
+    assert!(start.is_some_and(|start| start < 2_700), "{start:?}");
+}
+
 #[test]
 fn no_late_job_starves_behind_late_jobs_with_less_work() {
     // Four jobs of 1 s arrive every 4 s, the last of which is late when it can start. It goes before a late job of 3 s,
