--- a/tests/lateness.rs
+++ b/tests/lateness.rs
@@ -351,7 +351,7 @@
         cluster.run_until(no * 4_000 - 300);
         for each in 0..4 {
             // Jobs with the same due time would keep reserved room from each other.
-            cluster.submit(no * 10 + each, "mid", (1, 8), 950 + each * 5);
+            cluster.submit(no * 10 + each, "mid", (1, 8), 990 + each * 5);
         }
     }
     let start = cluster.first_starts.get(&JobKey(2)).copied();
