--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -150,6 +150,12 @@
         self.expected.of(worker)
     }
 
+    /// What requests for steps of this or a more urgent priority take of a worker that is known to be
+    /// cleared for them.
+    pub fn claimed_use(&self, worker: &Name, priority: u32) -> Resources {
+        self.expected.claimed(worker, priority)
+    }
+
     /// The state of the queue.
     pub fn load(&self, now: Millis) -> AdviceLoad {
         let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
@@ -270,12 +276,14 @@
     }
 
     /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
+    /// `claim` is the priority of the step if all of the workers are known to be cleared for it.
     pub fn start(
         &mut self,
         now: Millis,
         client: &IdleClient,
         request: &AdviceRequest,
         (charge, tasks): (&Resources, usize),
+        claim: Option<u32>,
     ) {
         let Some(client) = self.clients.get_mut(&client.entry) else { return };
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
@@ -285,6 +293,10 @@
             true => ExpectedUse::new(&request.workers, charge, tasks),
             false => ExpectedUse::default(),
         };
+        let expected = match claim {
+            Some(priority) => expected.claimed_by(priority),
+            None => expected,
+        };
         if !is_long {
             self.short_load.record(now, request.cost);
         }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -18,13 +18,13 @@
 /// The largest number of workers in one request, by the platform's contract.
 pub(super) const MAX_REQUEST_WORKERS: usize = 100;
 /// The number of workers to ask about for each one needed, as one in two is assumed to be cleared.
-pub(super) const WORKERS_PER_CLEARANCE: usize = 2;
+const WORKERS_PER_CLEARANCE: usize = 2;
 /// The shortest time between two requests for a step, so that steps that wait for room do not use
 /// up the capacity of the advice service.
 const REQUEST_INTERVAL: Millis = Millis(250);
 /// The smallest number of cleared workers to request new tickets for, because some of them fill up
 /// before the answer arrives.
-pub(super) const MIN_RENEWED_WORKERS: usize = 4;
+const MIN_RENEWED_WORKERS: usize = 4;
 /// The most steps without room that are looked at before a request is sent all the same. Each look
 /// goes through all workers.
 const MAX_FULL_STEPS: usize = 2;
@@ -149,7 +149,8 @@
         };
         let clearances = &step.clearances;
         if self.uses_ranked(Mechanism::AdviceBudget) {
-            let asking = Asking { key, job, spec, advice, clearances, remaining };
+            let share = self.cleared_shares.get(&job.queue.name).copied().unwrap_or_default();
+            let asking = Asking { key, job, spec, advice, clearances, remaining, share };
             return self.select_usable_workers(now, &asking);
         }
         let charge = spec.charged_resources();
@@ -325,7 +326,14 @@
         let spec = job.and_then(|job| job.spec(key.step));
         let charge = spec.map(Step::charged_resources).unwrap_or_default();
         let tasks = self.allowed_tasks(key);
-        self.advice_queue.start(now, client, &request, (&charge, tasks));
+        let is_known = |job: &&Job| {
+            let step = job.step(key);
+            step.is_some_and(|step| {
+                request.workers.iter().all(|name| step.clearances.cleared.contains_key(name))
+            })
+        };
+        let claim = job.filter(is_known).map(Job::priority);
+        self.advice_queue.start(now, client, &request, (&charge, tasks), claim);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             (step.clearances.requested_at, step.clearances.withheld_since) = (now, None);
         }
@@ -356,6 +364,7 @@
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
         let default = job.queue.advice.map(|advice| advice.ticket_validity).unwrap_or_default();
         let expires_at = now + (cleared.valid_for.unwrap_or(default) - age.answer);
+        let queue = job.queue.name.clone();
         let Some(step) = job.step_mut(key) else { return };
         // Workers that restarted since the request was sent are left out, because the answer may
         // be about their previous process.
@@ -374,6 +383,11 @@
         clearances.retry_at = now + REQUEST_INTERVAL;
         let allowed: BTreeSet<Name> =
             cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
+        // Renewals name only workers that are known to be cleared, which tells nothing about others.
+        let is_new = |name: &&Name| !clearances.cleared.contains_key(*name);
+        let new_names: BTreeSet<&Name> = named.iter().filter(is_new).collect();
+        let newly_cleared = allowed.iter().filter(|name| new_names.contains(name)).count();
+        self.cleared_shares.entry(queue).or_default().record(new_names.len(), newly_cleared);
         let denied = named.iter().filter(|name| !allowed.contains(*name) && is_same(name));
         clearances.denied.extend(denied.cloned());
         for (name, text) in cleared.tickets.into_iter().filter(|(name, _)| is_same(name)) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,6 +16,7 @@
 use crate::id::Name;
 use crate::order::{Incarnation, StartOrder, WorkerInfo};
 use crate::workload::{JobDefinition, JobKey, Queue, StepKey, TaskKey};
+use advice::cleared_share::ClearedShare;
 use advice::load::AnswerCounts;
 use advice::queue::{AdviceQueue, AdviceRequest};
 use jobs::job::Job;
@@ -126,6 +127,8 @@
     advice_queue: AdviceQueue,
     /// Answers of the advice service by whether they led to starts, since the takeover.
     answer_counts: AnswerCounts,
+    /// The share of workers that the advice service clears, by queue.
+    cleared_shares: HashMap<Name, ClearedShare>,
     /// When the state of the queue of requests was last logged.
     advice_logged_at: Millis,
     /// Room that is reserved for steps that are about to start.
@@ -207,6 +210,7 @@
             closed_jobs: VecDeque::new(),
             advice_queue: AdviceQueue::default(),
             answer_counts: AnswerCounts::default(),
+            cleared_shares: HashMap::new(),
             advice_logged_at: Millis(0),
             reservations: Reservations::default(),
             usages: WorkspaceUsages::default(),
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -620,3 +620,24 @@
     assert_eq!(sent.len(), 1, "asked about once all four are free");
     assert_eq!((sent[0].step, sent[0].workers.len()), (gang, 4));
 }
+
+#[test]
+fn requests_name_more_workers_where_fewer_are_cleared() {
+    // One worker in two was assumed to be cleared, so that steps of a queue of which the service
+    // clears one in four asked twice.
+    let mut cluster = Cluster::ranked(40, 1);
+    let mut sizes = Vec::new();
+    for key in 1..=12 {
+        cluster.submit(key, "long", 2);
+        let (sent, _) = cluster.advance(300);
+        let Sent { entry, step, workers } = &sent[0];
+        sizes.push(workers.len());
+        let cleared = workers.iter().take(workers.len() / 4);
+        let tickets = cleared.map(|name| (name.clone(), "ticket".into())).collect();
+        let answer = Some(ClearedWorkers { tickets, valid_for: None });
+        cluster.cell.handle_advice(Millis(cluster.now), entry, *step, workers, answer);
+        cluster.cell.cancel(Millis(cluster.now), step.job);
+    }
+    assert_eq!(sizes[0], 4, "two for each task at first");
+    assert!((6..=8).contains(&sizes[11]), "{sizes:?}: close to four for each task");
+}
