--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -4,7 +4,7 @@
 //! be used, `cleared_share` learns how many of them are cleared, `queue` assigns requests to entries,
 //! `expected_use` spreads them over the workers, `short_load` keeps entries free for short ones,
 //! `late_answer` decides on answers that an entry held back, and `load` tells how busy the entries
-//! are.
+//! are, and `service_time` what the service's time was spent on.
 
 mod budget;
 pub mod cleared_share;
@@ -13,4 +13,5 @@
 pub mod load;
 pub mod queue;
 pub(super) mod request;
+pub mod service_time;
 pub mod short_load;
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::advice::budget::Asking;
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
+use crate::cell::advice::service_time::{AdviceOutcome, OpenAnswer};
 use crate::cell::jobs::job::{Job, Ticket};
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::Candidate;
@@ -323,6 +324,7 @@
         );
         let key = request.step;
         let job = self.jobs.get(&key.job);
+        let queue = job.map(|job| job.queue.name.clone());
         let spec = job.and_then(|job| job.spec(key.step));
         let charge = spec.map(Step::charged_resources).unwrap_or_default();
         let tasks = self.allowed_tasks(key);
@@ -335,7 +337,12 @@
         let claim = job.filter(is_known).map(Job::priority);
         self.advice_queue.start(now, client, &request, (&charge, tasks), claim);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
-            (step.clearances.requested_at, step.clearances.withheld_since) = (now, None);
+            let clearances = &mut step.clearances;
+            (clearances.requested_at, clearances.withheld_since) = (now, None);
+            clearances.request_cost = request.cost;
+            if let (Some(queue), Some(answer)) = (queue, clearances.open_answer.take()) {
+                self.service_times.add(&queue, AdviceOutcome::NoRoom, answer.cost);
+            }
         }
         self.actions.push(Action::RequestAdvice { entry, request });
     }
@@ -377,12 +384,19 @@
             named.len(),
             cleared.tickets.len()
         );
+        let allowed: BTreeSet<Name> =
+            cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
         let clearances = &mut step.clearances;
         (clearances.request_pending, clearances.answer_new) = (false, true);
         clearances.queued_since = None;
+        match allowed.is_empty() {
+            true => self.service_times.add(&queue, AdviceOutcome::Denied, clearances.request_cost),
+            false => {
+                let cost = clearances.request_cost;
+                clearances.open_answer = Some(OpenAnswer { cost, expires_at });
+            }
+        }
         clearances.retry_at = now + REQUEST_INTERVAL;
-        let allowed: BTreeSet<Name> =
-            cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
         // Renewals name only workers that are known to be cleared, which tells nothing about others.
         let is_new = |name: &&Name| !clearances.cleared.contains_key(*name);
         let new_names: BTreeSet<&Name> = named.iter().filter(is_new).collect();
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -19,6 +19,7 @@
 use advice::cleared_share::ClearedShare;
 use advice::load::AnswerCounts;
 use advice::queue::{AdviceQueue, AdviceRequest};
+use advice::service_time::ServiceTimes;
 use jobs::job::Job;
 use jobs::wait::WaitLogTimer;
 use mechanism::{DisabledMechanisms, Mechanism};
@@ -127,6 +128,8 @@
     advice_queue: AdviceQueue,
     /// Answers of the advice service by whether they led to starts, since the takeover.
     answer_counts: AnswerCounts,
+    /// The time of the advice service by queue and outcome, since the takeover.
+    service_times: ServiceTimes,
     /// The share of workers that the advice service clears, by queue.
     cleared_shares: HashMap<Name, ClearedShare>,
     /// When the state of the queue of requests was last logged.
@@ -210,6 +213,7 @@
             closed_jobs: VecDeque::new(),
             advice_queue: AdviceQueue::default(),
             answer_counts: AnswerCounts::default(),
+            service_times: ServiceTimes::default(),
             cleared_shares: HashMap::new(),
             advice_logged_at: Millis(0),
             reservations: Reservations::default(),
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -38,7 +38,7 @@
             }
             let before = self.bound_starts;
             self.place_step(now, key);
-            self.count_answer(key, self.bound_starts - before);
+            self.count_answer(now, key, self.bound_starts - before);
             allowed = allowed.saturating_sub((self.bound_starts - before) as usize);
             if allowed == 0 {
                 // The next pass goes on once these starts have been answered.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -2,10 +2,11 @@
 
 use crate::cell::CellStats;
 use crate::cell::advice::load::AdviceLoad;
+use crate::cell::advice::service_time::ServiceTimes;
 use crate::clock::Millis;
 use crate::order::OrderOutcome;
 use crate::registry;
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const BUCKETS_SECONDS: [f64; 11] =
@@ -43,6 +44,7 @@
     advice_oldest: IntGauge,
     answers_used: IntGauge,
     answers_fruitless: IntGauge,
+    service_time: IntGaugeVec,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -138,6 +140,11 @@
                 "sprucerudder_advice_answers_fruitless",
                 "Answers after which none was, since the takeover",
             )?,
+            service_time: registry.gauge_vec(
+                "sprucerudder_advice_service_ms",
+                "Time of the advice service, in milliseconds since the takeover",
+                &["queue", "outcome"],
+            )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
                 "Whether the map of cells is loaded, without which an entry serves nobody",
@@ -213,6 +220,14 @@
         self.advice_oldest.set(load.oldest.0 as i64);
     }
 
+    /// Sets the gauges about the time of the advice service.
+    pub fn set_service_times(&self, times: &ServiceTimes) {
+        for (queue, outcome, time) in times.iter() {
+            let labels = [&**queue, outcome.name()];
+            self.service_time.with_label_values(&labels).set(time.0 as i64);
+        }
+    }
+
     /// Sets the number of other entries that are connected to the owner of a cell.
     pub fn set_connected_entries(&self, count: usize) {
         self.connected_entries.set(count as i64);
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -641,3 +641,23 @@
     assert_eq!(sizes[0], 4, "two for each task at first");
     assert!((6..=8).contains(&sizes[11]), "{sizes:?}: close to four for each task");
 }
+
+#[test]
+fn the_time_of_the_service_is_counted_by_what_it_led_to() {
+    // Counts of answers did not tell how much of the service's time was lost, and to which queue.
+    let mut cluster = Cluster::ranked(4, 2);
+    let mut starts = cluster.fill_with(&[(1, 4)]);
+    cluster.submit(2, "low", 1);
+    let (first, _) = cluster.advance(1);
+    cluster.clear_all(&first[0]);
+    cluster.run_for(2_800, &starts);
+    let sent = cluster.end_job(1, &mut starts);
+    let Sent { entry, step, workers } = &sent[0];
+    let denied = Some(ClearedWorkers { tickets: Vec::new(), valid_for: None });
+    cluster.cell.handle_advice(Millis(cluster.now), entry, *step, workers, denied);
+    let times = cluster.cell.service_times().iter();
+    let times: Vec<_> = times.map(|(name, outcome, ms)| (&**name, outcome.name(), ms.0)).collect();
+    // Requests that name four workers, two and one.
+    let expected = [("long", "started", 700), ("low", "expired", 500), ("low", "denied", 400)];
+    assert_eq!(times, expected);
+}
