--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -54,6 +54,7 @@
                 self.note_released();
                 self.record_evaluation(now, key, version);
             }
+            self.count_answer(now, key, self.bound_starts - before);
             allowed = allowed.saturating_sub((self.bound_starts - before) as usize);
             if allowed == 0 {
                 // The next pass goes on once these starts have been answered.
