--- a/src/cell/placing/account.rs
+++ b/src/cell/placing/account.rs
@@ -132,6 +132,11 @@
         self.remaining <= STOP_TIME
     }
 
+    /// Whether the task would be stopped a second time within seconds.
+    pub fn is_stopped_again(&self) -> bool {
+        self.was_stopped && !self.ends_soon()
+    }
+
     /// The cost of stopping the run, without that for its job; 0 if it ends soon and is not stopped.
     pub fn own_cost(&self) -> u64 {
         if self.ends_soon() {
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -40,9 +40,12 @@
 }
 
 impl PreemptionPlan {
-    /// What the stops of the plan cost for each task that can start, in core-milliseconds.
-    fn cost_per_task(&self) -> u64 {
-        total_cost(&self.accounts()) / u64::from(self.tasks.max(1))
+    /// The order in which plans are chosen by cost: those that stop no task again first, then by what the stops cost
+    /// for each task that can start, in core-milliseconds.
+    fn cost_order(&self) -> (bool, u64) {
+        let accounts = self.accounts();
+        let stops_again = accounts.iter().any(VictimAccount::is_stopped_again);
+        (stops_again, total_cost(&accounts) / u64::from(self.tasks.max(1)))
     }
 
     fn accounts(&self) -> Vec<VictimAccount> {
@@ -154,7 +157,7 @@
         };
         let mut plans: Vec<PreemptionPlan> =
             candidates.iter().map(plan).filter(|plan| plan.tasks > 0).collect();
-        plans.sort_by_cached_key(PreemptionPlan::cost_per_task);
+        plans.sort_by_cached_key(PreemptionPlan::cost_order);
         plans
     }
 
