--- a/benches/passes.rs
+++ b/benches/passes.rs
@@ -33,8 +33,9 @@
     }
 }
 
-fn measure(name: &str, without: &str) {
+fn measure(name: &str, without: &str, has_prompt_advice: bool) {
     let mut world = World::new(WORKERS, ENTRIES, without);
+    world.has_prompt_advice = has_prompt_advice;
     let mut submitted = 0;
     for _ in 0..PASSES.0 {
         refill(&mut world, &mut submitted);
@@ -60,6 +61,10 @@
 }
 
 fn main() {
-    measure("without", "selective");
-    measure("with", "");
+    println!("most steps wait for advice:");
+    measure("without", "selective", false);
+    measure("with", "", false);
+    println!("most steps wait for capacity:");
+    measure("without", "selective", true);
+    measure("with", "", true);
 }
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -163,10 +163,9 @@
         has_expired
     }
 
-    /// When the reservations of a step end.
-    pub fn expiries(&self, step: StepKey) -> impl Iterator<Item = Millis> {
-        let kinds = [&self.exclusive, &self.shared, &self.gangs];
-        kinds.into_iter().filter_map(move |kind| kind.get(&step).copied())
+    /// Whether a step has exclusive reservations, shared ones, and ones for a gang.
+    pub fn kinds(&self, step: StepKey) -> [bool; 3] {
+        [self.has_exclusive(step), self.has_shared(step), self.has_gang(step)]
     }
 
     /// The workers with reservations that ended since the last call.
--- a/src/cell/placing/wakeups.rs
+++ b/src/cell/placing/wakeups.rs
@@ -75,6 +75,8 @@
     answered: (usize, usize),
     priority: (u32, bool),
     is_stored: bool,
+    /// Whether it has reservations: exclusive, shared, and for a gang. They end at a tick and not when they expire.
+    reserved: [bool; 3],
 }
 
 /// The last evaluation of a step.
@@ -213,12 +215,13 @@
         if access != offer.access {
             (offer.access, offer.access_changed) = (access, version);
         }
-        let numbers = || worker.runs.values();
-        let is_running =
-            |run: &&crate::cell::workers::worker::Run| matches!(run.phase, Phase::Running(_));
-        let all = numbers().fold(0, |sum: u64, run| sum.wrapping_add(run.run));
-        let running =
-            numbers().filter(is_running).fold(0, |sum: u64, run| sum.wrapping_add(run.run));
+        let (mut all, mut running) = (0_u64, 0_u64);
+        for run in worker.runs.values() {
+            all = all.wrapping_add(run.run);
+            if matches!(run.phase, Phase::Running(_)) {
+                running = running.wrapping_add(run.run);
+            }
+        }
         if (all, running) != offer.runs || worker.free() != offer.free {
             offer.stoppable = self.stoppable(worker);
             (offer.runs, offer.free, offer.room_changed) = ((all, running), worker.free(), version);
@@ -264,7 +267,7 @@
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return true };
         if now >= last.next
             || step.clearances.answer_new
-            || self.step_mark(job, spec, step) != last.mark
+            || self.step_mark(key, job, spec, step) != last.mark
         {
             return true;
         }
@@ -323,7 +326,7 @@
     }
 
     /// The present state of a step.
-    fn step_mark(&self, job: &Job, spec: &Step, step: &StepState) -> StepMark {
+    fn step_mark(&self, key: StepKey, job: &Job, spec: &Step, step: &StepState) -> StepMark {
         let clearances = &step.clearances;
         StepMark {
             waiting: step.waiting.len(),
@@ -333,6 +336,7 @@
             answered: (clearances.cleared.len(), clearances.denied.len()),
             priority: (job.priority(), job.rank_class == Default::default()),
             is_stored: job.batch <= self.stored_batch,
+            reserved: self.reservations.kinds(key),
         }
     }
 
@@ -351,22 +355,21 @@
         let usable_at = now + MIN_TICKET_VALIDITY;
         let evaluation = Evaluation {
             version,
-            mark: self.step_mark(job, spec, step),
+            mark: self.step_mark(key, job, spec, step),
             awaits_answer: awaits_advice && !clearances.has_any_ticket(usable_at),
-            next: self.next_evaluation(now, key, step),
+            next: self.next_evaluation(now, step),
         };
         self.wakeups.evaluated.insert(key, evaluation);
     }
 
     /// When a step is evaluated again in any case: at the next time on which an evaluation depends.
-    fn next_evaluation(&self, now: Millis, key: StepKey, step: &StepState) -> Millis {
+    fn next_evaluation(&self, now: Millis, step: &StepState) -> Millis {
         let clearances = &step.clearances;
         let tickets = clearances.cleared.values().map(|ticket| ticket.expires_at);
         let expiries = tickets.map(|at| at - MIN_TICKET_VALIDITY);
         let since = [step.ready_since, step.idle_since, step.longest_idle()];
         let waits = since.into_iter().flatten().flat_map(|since| WAITS.map(|wait| since + wait));
         let times = expiries.chain(waits).chain([clearances.retry_at]);
-        let times = times.chain(self.reservations.expiries(key));
         let limit = now + MAX_SKIP_TIME;
         times.filter(|at| *at > now).fold(limit, Millis::min)
     }
--- a/tests/passworld/mod.rs
+++ b/tests/passworld/mod.rs
@@ -71,6 +71,8 @@
     workers: BTreeMap<Name, Process>,
     /// Answers of the advice service by the time of their arrival.
     answers: BTreeMap<(u64, Name), (StepKey, Vec<Name>)>,
+    /// Whether the advice service answers at once, so that steps wait for capacity and not for advice.
+    pub has_prompt_advice: bool,
     /// The time that scheduling passes took.
     pub pass_time: Duration,
 }
@@ -141,8 +143,14 @@
         };
         let workers: BTreeMap<Name, Process> =
             (0..workers).map(|index| (listed(index).id, process(index))).collect();
-        let mut world =
-            Self { cell, now: 1, workers, answers: BTreeMap::new(), pass_time: Duration::ZERO };
+        let mut world = Self {
+            cell,
+            now: 1,
+            workers,
+            answers: BTreeMap::new(),
+            has_prompt_advice: false,
+            pass_time: Duration::ZERO,
+        };
         for entry in 0..entries {
             world.cell.add_entry(format!("e{entry:02}").into(), true);
         }
@@ -253,7 +261,8 @@
                     self.stop(&worker, task, run);
                 }
                 Action::RequestAdvice { entry, request } => {
-                    let at = self.now + request.cost.0;
+                    let takes = if self.has_prompt_advice { 1 } else { request.cost.0 };
+                    let at = self.now + takes;
                     self.answers.insert((at, entry), (request.step, request.workers));
                 }
                 _ => {}
