--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -230,9 +230,12 @@
         let mut first = None;
         let mut full: Vec<FullStep> = Vec::new();
         for queued in self.advice_queue.in_turn(now) {
+            if full.len() >= MAX_FULL_STEPS {
+                break;
+            }
             // The workspace may be allowed to start more by the time the next request is sent.
             let is_held = !client.may_take(queued.cost) || self.allowed_tasks(queued.step) == 0;
-            if is_held || full.len() >= MAX_FULL_STEPS {
+            if is_held {
                 continue;
             }
             let shape = self.full_step(&queued);
