--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -43,6 +43,8 @@
     advice_oldest: IntGauge,
     answers_used: IntGauge,
     answers_fruitless: IntGauge,
+    passes: IntGauge,
+    evaluations: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -138,6 +140,11 @@
                 "sprucerudder_advice_answers_fruitless",
                 "Answers after which none was, since the takeover",
             )?,
+            passes: gauge("sprucerudder_passes", "Scheduling passes, since the takeover")?,
+            evaluations: gauge(
+                "sprucerudder_step_evaluations",
+                "Evaluations of waiting steps in scheduling passes, since the takeover",
+            )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
                 "Whether the map of cells is loaded, without which an entry serves nobody",
@@ -203,6 +210,8 @@
         self.expired_waits.set(load.expired_waits as i64);
         self.answers_used.set(load.answers.used as i64);
         self.answers_fruitless.set(load.answers.fruitless as i64);
+        self.passes.set(load.passes.passes as i64);
+        self.evaluations.set(load.passes.evaluations as i64);
     }
 
     /// Sets the gauges about the queue of requests to the advice service.
