--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -31,6 +31,8 @@
     shared: HashMap<StepKey, Millis>,
     /// Gangs for which resources are reserved before they are all free, and when the reservations expire.
     gangs: HashMap<StepKey, Millis>,
+    /// Workers with new reservations, until [`Self::take_taken`].
+    taken: Vec<Name>,
     /// Workers with reservations that ended, until [`Self::take_freed`].
     freed: Vec<Name>,
     /// Whether a reservation for a gang ended since [`Self::take_gang_release`].
@@ -105,6 +107,7 @@
 
     fn insert(&mut self, worker: &Name, reservation: Reservation) {
         self.by_worker.entry(worker.clone()).or_default().push(reservation);
+        self.taken.push(worker.clone());
     }
 
     /// Whether a step has exclusive reservations.
@@ -181,10 +184,9 @@
         has_expired
     }
 
-    /// When the reservations of a step end.
-    pub fn expiries(&self, step: StepKey) -> impl Iterator<Item = Millis> {
-        let kinds = [&self.exclusive, &self.shared, &self.gangs];
-        kinds.into_iter().filter_map(move |kind| kind.get(&step).copied())
+    /// Whether a step has exclusive reservations, shared ones, and ones for a gang.
+    pub fn kinds(&self, step: StepKey) -> [bool; 3] {
+        [self.has_exclusive(step), self.has_shared(step), self.has_gang(step)]
     }
 
     /// The workers with reservations that ended since the last call.
@@ -192,6 +194,11 @@
         std::mem::take(&mut self.freed)
     }
 
+    /// The workers with reservations that were made since the last call.
+    pub fn take_taken(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.taken)
+    }
+
     /// Whether a reservation for a gang ended since the last call.
     pub fn take_gang_release(&mut self) -> bool {
         std::mem::take(&mut self.has_gang_release)
--- a/src/cell/placing/wakeups.rs
+++ b/src/cell/placing/wakeups.rs
@@ -51,9 +51,16 @@
     access_changed: u64,
     /// The version at which capacity, reservations or runs that can be stopped changed.
     room_changed: u64,
+    /// The version at which capacity was taken or reserved.
+    taken: u64,
 }
 
 impl Offer {
+    /// The version of the last change.
+    fn last_change(&self) -> u64 {
+        self.room_changed.max(self.access_changed).max(self.taken)
+    }
+
     /// Whether a task fits, or would fit without the less urgent runs that can be stopped. What is reserved for other
     /// steps is not subtracted.
     fn fits(&self, charge: &Resources, priority: u32) -> bool {
@@ -75,6 +82,8 @@
     answered: (usize, usize),
     priority: (u32, bool),
     is_stored: bool,
+    /// Whether it has reservations: exclusive, shared, and for a gang. They end at a tick and not when they expire.
+    reserved: [bool; 3],
 }
 
 /// The last evaluation of a step.
@@ -136,6 +145,16 @@
         }
     }
 
+    /// Notes that capacity of a worker was taken or reserved.
+    fn note_taken(&mut self, worker: &Name) {
+        self.version += 1;
+        let Some(position) = self.positions.get(worker).copied() else { return };
+        if let Some(offer) = self.offers.get_mut(position) {
+            offer.taken = self.version;
+            self.changed.push((self.version, position));
+        }
+    }
+
     /// Notes that a task was placed on a worker.
     pub fn record_start(&mut self, worker: &Name, run: u64, charge: &Resources) {
         let position = self.positions.get(worker).copied();
@@ -143,6 +162,7 @@
             offer.free = offer.free.saturating_sub(charge);
             offer.runs.0 = offer.runs.0.wrapping_add(run);
         }
+        self.note_taken(worker);
     }
 }
 
@@ -186,9 +206,7 @@
         let idle = usage.into_iter().filter(|(_, (used, total))| used * 2 < *total);
         wakeups.idle_services = idle.map(|(service, _)| service.clone()).collect();
         let offers = &wakeups.offers;
-        wakeups.changed = (0..offers.len())
-            .map(|at| (offers[at].room_changed.max(offers[at].access_changed), at))
-            .collect();
+        wakeups.changed = (0..offers.len()).map(|at| (offers[at].last_change(), at)).collect();
         wakeups.changed.sort_unstable();
         self.wakeups = wakeups;
         self.note_released();
@@ -213,12 +231,13 @@
         if access != offer.access {
             (offer.access, offer.access_changed) = (access, version);
         }
-        let numbers = || worker.runs.values();
-        let is_running =
-            |run: &&crate::cell::workers::worker::Run| matches!(run.phase, Phase::Running(_));
-        let all = numbers().fold(0, |sum: u64, run| sum.wrapping_add(run.run));
-        let running =
-            numbers().filter(is_running).fold(0, |sum: u64, run| sum.wrapping_add(run.run));
+        let (mut all, mut running) = (0_u64, 0_u64);
+        for run in worker.runs.values() {
+            all = all.wrapping_add(run.run);
+            if matches!(run.phase, Phase::Running(_)) {
+                running = running.wrapping_add(run.run);
+            }
+        }
         if (all, running) != offer.runs || worker.free() != offer.free {
             offer.stoppable = self.stoppable(worker);
             (offer.runs, offer.free, offer.room_changed) = ((all, running), worker.free(), version);
@@ -250,6 +269,9 @@
             self.wakeups.version += 1;
             self.wakeups.gang_released = self.wakeups.version;
         }
+        for worker in self.reservations.take_taken() {
+            self.wakeups.note_taken(&worker);
+        }
         for worker in self.reservations.take_freed() {
             if let Some(position) = self.wakeups.positions.get(&worker).copied() {
                 self.wakeups.note_room(position);
@@ -264,11 +286,11 @@
         let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return true };
         if now >= last.next
             || step.clearances.answer_new
-            || self.step_mark(job, spec, step) != last.mark
+            || self.step_mark(key, job, spec, step) != last.mark
         {
             return true;
         }
-        if last.awaits_answer {
+        if last.awaits_answer || last.mark.allowed == 0 {
             return false;
         }
         let may_relax = || {
@@ -276,7 +298,7 @@
             idle && self.wakeups.idle_services.contains(&job.queue.service)
         };
         let is_gang_free = spec.is_gang && self.wakeups.gang_released > last.version;
-        if is_gang_free || may_relax() || self.has_new_offer(now, job, spec, step, last.version) {
+        if is_gang_free || may_relax() || self.has_new_offer(now, job, spec, step, last) {
             return true;
         }
         let version = self.wakeups.version;
@@ -293,8 +315,11 @@
         job: &Job,
         spec: &Step,
         step: &StepState,
-        version: u64,
+        last: &Evaluation,
     ) -> bool {
+        let version = last.version;
+        // A step without reservations makes some once a worker that it may use has no room any more.
+        let may_reserve = last.mark.reserved == [false; 3];
         let (charge, priority) = (spec.charged_resources(), job.priority());
         let clearances = &step.clearances;
         let may_ask = !clearances.request_pending && now >= clearances.retry_at;
@@ -302,6 +327,12 @@
         recent.take_while(|(changed, _)| *changed > version).any(|(_, position)| {
             let Some(offer) = self.wakeups.offers.get(*position) else { return false };
             let is_opened = offer.access_changed > version;
+            if may_reserve && clearances.cleared.contains_key(&offer.worker) {
+                return true;
+            }
+            if offer.room_changed.max(offer.access_changed) <= version {
+                return false;
+            }
             if !is_opened && !offer.fits(&charge, priority) {
                 return false;
             }
@@ -323,7 +354,7 @@
     }
 
     /// The present state of a step.
-    fn step_mark(&self, job: &Job, spec: &Step, step: &StepState) -> StepMark {
+    fn step_mark(&self, key: StepKey, job: &Job, spec: &Step, step: &StepState) -> StepMark {
         let clearances = &step.clearances;
         StepMark {
             waiting: step.waiting.len(),
@@ -333,6 +364,7 @@
             answered: (clearances.cleared.len(), clearances.denied.len()),
             priority: (job.priority(), job.rank_class == Default::default()),
             is_stored: job.batch <= self.stored_batch,
+            reserved: self.reservations.kinds(key),
         }
     }
 
@@ -351,22 +383,21 @@
         let usable_at = now + MIN_TICKET_VALIDITY;
         let evaluation = Evaluation {
             version,
-            mark: self.step_mark(job, spec, step),
+            mark: self.step_mark(key, job, spec, step),
             awaits_answer: awaits_advice && !clearances.has_any_ticket(usable_at),
-            next: self.next_evaluation(now, key, step),
+            next: self.next_evaluation(now, step),
         };
         self.wakeups.evaluated.insert(key, evaluation);
     }
 
     /// When a step is evaluated again in any case: at the next time on which an evaluation depends.
-    fn next_evaluation(&self, now: Millis, key: StepKey, step: &StepState) -> Millis {
+    fn next_evaluation(&self, now: Millis, step: &StepState) -> Millis {
         let clearances = &step.clearances;
         let tickets = clearances.cleared.values().map(|ticket| ticket.expires_at);
         let expiries = tickets.map(|at| at - MIN_TICKET_VALIDITY);
         let since = [step.ready_since, step.idle_since, step.longest_idle()];
         let waits = since.into_iter().flatten().flat_map(|since| WAITS.map(|wait| since + wait));
         let times = expiries.chain(waits).chain([clearances.retry_at]);
-        let times = times.chain(self.reservations.expiries(key));
         let limit = now + MAX_SKIP_TIME;
         times.filter(|at| *at > now).fold(limit, Millis::min)
     }
@@ -396,6 +427,7 @@
             stoppable: Vec::new(),
             access_changed: 0,
             room_changed: 0,
+            taken: 0,
         }
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -50,6 +50,8 @@
     stops: IntGauge,
     stops_rejected: IntGauge,
     service_time: IntGaugeVec,
+    passes: IntGauge,
+    evaluations: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -168,6 +170,10 @@
                 "sprucerudder_advice_service_ms",
                 "Time of the advice service, in milliseconds since the takeover",
                 &["queue", "outcome"],
+            passes: gauge("sprucerudder_passes", "Scheduling passes, since the takeover")?,
+            evaluations: gauge(
+                "sprucerudder_step_evaluations",
+                "Evaluations of waiting steps in scheduling passes, since the takeover",
             )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
@@ -239,6 +245,8 @@
         self.answers_fruitless.set(load.answers.fruitless as i64);
         self.stops.set(load.stops.stops as i64);
         self.stops_rejected.set(load.stops.rejected as i64);
+        self.passes.set(load.passes.passes as i64);
+        self.evaluations.set(load.passes.evaluations as i64);
     }
 
     /// Sets the gauges about the queue of requests to the advice service.
