--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -50,12 +50,11 @@
             let (before, version) = (self.bound_starts, self.wakeup_version());
             self.wakeups.counts.evaluations += 1;
             self.place_step(now, key);
-            self.count_answer(key, self.bound_starts - before);
+            self.count_answer(now, key, self.bound_starts - before);
             if is_selective {
                 self.note_released();
                 self.record_evaluation(now, key, version);
             }
-            self.count_answer(now, key, self.bound_starts - before);
             allowed = allowed.saturating_sub((self.bound_starts - before) as usize);
             if allowed == 0 {
                 // The next pass goes on once these starts have been answered.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -166,10 +166,12 @@
             stops_rejected: gauge(
                 "sprucerudder_preemptions_rejected",
                 "Steps for which no run was stopped, by reason once each, since the takeover",
+            )?,
             service_time: registry.gauge_vec(
                 "sprucerudder_advice_service_ms",
                 "Time of the advice service, in milliseconds since the takeover",
                 &["queue", "outcome"],
+            )?,
             passes: gauge("sprucerudder_passes", "Scheduling passes, since the takeover")?,
             evaluations: gauge(
                 "sprucerudder_step_evaluations",
