--- a/src/cell/placing/account.rs
+++ b/src/cell/placing/account.rs
@@ -20,7 +20,7 @@
 /// of the batch steps were found to wait for more than 4.6 s for advice.
 const RESTART_WAIT: Millis = Millis(4_600);
 /// Cost of the stop and of the second start, in core-milliseconds. Together they take some 1 ms of an owner of half a
-/// core, which decides for 22,400 cores. The owner limits the throughput about a quarter of the time.
+/// core, which decides for 22,400 cores. It is assumed that the owner is the limit a quarter of the time.
 const RESTART_COST: u64 = 5_000;
 /// Cost of the second request to the advice service, in core-milliseconds. A request of 190 ms serves a step of 25
 /// tasks, so that each takes some 8 ms of one of 42 entries, or 0.2 ms of the cell's 22,400 cores.
