--- a/src/cell/advice/expected_use.rs
+++ b/src/cell/advice/expected_use.rs
@@ -10,9 +10,6 @@
 pub struct ExpectedUse {
     workers: Vec<Name>,
     each: Resources,
-    /// The priority of the step if the workers are known to be cleared, so that it takes capacity of
-    /// them for certain.
-    claim: Option<u32>,
 }
 
 impl ExpectedUse {
@@ -22,63 +19,36 @@
         let share = |amount: u64| amount * tasks as u64 / workers.len().max(1) as u64;
         let each =
             Resources { cpu: share(charge.cpu), mem: share(charge.mem), gpu: share(charge.gpu) };
-        Self { workers: workers.to_vec(), each, claim: None }
-    }
-
-    /// The same for workers that are known to be cleared for a step of this priority.
-    pub fn claimed_by(self, priority: u32) -> Self {
-        Self { claim: Some(priority), ..self }
+        Self { workers: workers.to_vec(), each }
     }
 }
 
 /// The sum of what all requests in progress are expected to take, by worker.
 #[derive(Debug, Default)]
-pub struct ExpectedUses {
-    sums: BTreeMap<Name, Resources>,
-    /// The part of requests that name workers known to be cleared, by priority.
-    claims: BTreeMap<(Name, u32), Resources>,
-}
+pub struct ExpectedUses(BTreeMap<Name, Resources>);
 
 impl ExpectedUses {
     /// Adds what a request is expected to take.
     pub fn add(&mut self, request: &ExpectedUse) {
         for name in &request.workers {
-            let sum = self.sums.entry(name.clone()).or_default();
+            let sum = self.0.entry(name.clone()).or_default();
             *sum = sum.plus(&request.each);
-            if let Some(priority) = request.claim {
-                let claim = self.claims.entry((name.clone(), priority)).or_default();
-                *claim = claim.plus(&request.each);
-            }
         }
     }
 
     /// Removes what was added for a request.
     pub fn remove(&mut self, request: &ExpectedUse) {
         for name in &request.workers {
-            subtract(&mut self.sums, name, &request.each);
-            if let Some(priority) = request.claim {
-                subtract(&mut self.claims, &(name.clone(), priority), &request.each);
+            let Some(sum) = self.0.get_mut(name) else { continue };
+            *sum = sum.saturating_sub(&request.each);
+            if *sum == Resources::default() {
+                self.0.remove(name);
             }
         }
     }
 
     /// What is expected to be taken of a worker.
     pub fn of(&self, name: &Name) -> Resources {
-        self.sums.get(name).copied().unwrap_or_default()
-    }
-
-    /// What steps of this or a more urgent priority take of a worker that is cleared for them.
-    pub fn claimed(&self, name: &Name, priority: u32) -> Resources {
-        let claims = self.claims.range((name.clone(), 0)..=(name.clone(), priority));
-        claims.fold(Resources::default(), |sum, (_, claim)| sum.plus(claim))
-    }
-}
-
-/// Subtracts from the sum under a key, and removes it once nothing is left.
-fn subtract<K: Ord>(sums: &mut BTreeMap<K, Resources>, key: &K, amount: &Resources) {
-    let Some(sum) = sums.get_mut(key) else { return };
-    *sum = sum.saturating_sub(amount);
-    if *sum == Resources::default() {
-        sums.remove(key);
+        self.0.get(name).copied().unwrap_or_default()
     }
 }
--- a/src/cell/advice/load.rs
+++ b/src/cell/advice/load.rs
@@ -2,7 +2,6 @@
 //! metrics and for a log line while requests wait.
 
 use crate::cell::Cell;
-use crate::cell::advice::service_time::{AdviceOutcome, OpenAnswer, ServiceTimes};
 use crate::clock::Millis;
 use crate::workload::StepKey;
 
@@ -59,29 +58,9 @@
         );
     }
 
-    /// The time of the advice service by queue and outcome, since the takeover.
-    pub fn service_times(&self) -> &ServiceTimes {
-        &self.service_times
-    }
-
-    /// Adds the time of a step's last answer to the sums if tasks were started, or its tickets have
-    /// expired.
-    fn settle_answer(&mut self, now: Millis, key: StepKey, starts: u64) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let queue = job.queue.name.clone();
-        let Some(step) = job.step_mut(key) else { return };
-        let open = step.clearances.open_answer;
-        let is_settled = |open: &OpenAnswer| starts > 0 || now >= open.expires_at;
-        let Some(answer) = open.filter(is_settled) else { return };
-        step.clearances.open_answer = None;
-        let outcome = if starts > 0 { AdviceOutcome::Started } else { AdviceOutcome::Expired };
-        self.service_times.add(&queue, outcome, answer.cost);
-    }
-
     /// Counts an answer by what the first look at its step after it has led to: `starts` of its
     /// tasks were decided.
-    pub(in crate::cell) fn count_answer(&mut self, now: Millis, key: StepKey, starts: u64) {
-        self.settle_answer(now, key, starts);
+    pub(in crate::cell) fn count_answer(&mut self, key: StepKey, starts: u64) {
         let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) else {
             return;
         };
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -23,10 +23,6 @@
 /// wait.
 const MAX_RANKED_WAIT: Millis = Millis(1_000);
 
-/// One in this many entries is never spare, so that it can send the requests that become useful in the
-/// meantime.
-const SPARE_DIVISOR: usize = 4;
-
 /// A request is repeated if no answer has arrived this long after twice its duration. An entry
 /// times out on the service after twice the duration, and its message to the owner takes some
 /// milliseconds.
@@ -157,12 +153,6 @@
         self.expected.of(worker)
     }
 
-    /// What requests for steps of this or a more urgent priority take of a worker that is known to be
-    /// cleared for them.
-    pub fn claimed_use(&self, worker: &Name, priority: u32) -> Resources {
-        self.expected.claimed(worker, priority)
-    }
-
     /// The state of the queue.
     pub fn load(&self, now: Millis) -> AdviceLoad {
         let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
@@ -267,13 +257,6 @@
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
 
-    /// Whether enough entries are idle, and no request waits for one, that requests may be sent whose
-    /// tickets are not used at once.
-    pub fn has_spare_client(&self) -> bool {
-        let idle = self.clients.values().filter(|client| client.pending.is_none()).count();
-        self.waiting.is_empty() && idle > self.clients.len() / SPARE_DIVISOR
-    }
-
     /// The queued steps in the order in which requests are sent next.
     pub fn in_turn(&self, now: Millis) -> Vec<QueuedStep> {
         let mut steps: Vec<QueuedStep> = self.waiting.iter().cloned().collect();
@@ -295,14 +278,12 @@
     }
 
     /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
-    /// `claim` is the priority of the step if all of the workers are known to be cleared for it.
     pub fn start(
         &mut self,
         now: Millis,
         client: &IdleClient,
         request: &AdviceRequest,
         (charge, tasks): (&Resources, usize),
-        claim: Option<u32>,
     ) {
         let Some(client) = self.clients.get_mut(&client.entry) else { return };
         let deadline = now + request.cost + request.cost + ANSWER_GRACE;
@@ -312,10 +293,6 @@
             true => ExpectedUse::new(&request.workers, charge, tasks),
             false => ExpectedUse::default(),
         };
-        let expected = match claim {
-            Some(priority) => expected.claimed_by(priority),
-            None => expected,
-        };
         if !is_long {
             self.short_load.record(now, request.cost);
         }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -1,8 +1,6 @@
 //! Requests to the advice service for steps that need workers, and the handling of its answers.
 
-use crate::cell::advice::budget::Asking;
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
-use crate::cell::advice::service_time::{AdviceOutcome, OpenAnswer};
 use crate::cell::jobs::job::{Job, Ticket};
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::Candidate;
@@ -17,7 +15,7 @@
 /// some tens of milliseconds if the owner is busy.
 pub(in crate::cell) const MIN_TICKET_VALIDITY: Millis = Millis(250);
 /// The largest number of workers in one request, by the platform's contract.
-pub(super) const MAX_REQUEST_WORKERS: usize = 100;
+const MAX_REQUEST_WORKERS: usize = 100;
 /// The number of workers to ask about for each one needed, as one in two is assumed to be cleared.
 const WORKERS_PER_CLEARANCE: usize = 2;
 /// The shortest time between two requests for a step, so that steps that wait for room do not use
@@ -63,9 +61,6 @@
         }
         let selected = self.select_workers(now, key, job, spec, remaining);
         if selected.is_empty() {
-            if self.uses_ranked(Mechanism::AdviceBudget) {
-                self.withhold_advice(now, key);
-            }
             return;
         }
         let cost = request_cost(advice, selected.len());
@@ -84,11 +79,8 @@
             (step.clearances.request_pending, step.clearances.requested_at) = (true, now);
             step.clearances.queued_since.get_or_insert(now);
         }
-        let sends_without_room = self.uses_ranked(Mechanism::AdviceBudget);
         match (request, self.advice_queue.idle_client(now)) {
-            (Some(request), Some(client))
-                if (request.has_room || sends_without_room) && client.may_take(cost) =>
-            {
+            (Some(request), Some(client)) if request.has_room && client.may_take(cost) => {
                 self.send_request(now, &client, request, queued.queued_at);
             }
             _ => self.advice_queue.push(queued),
@@ -120,12 +112,7 @@
         let charge = spec.charged_resources();
         let has_room = selected.iter().any(|candidate| candidate.has_room(spec, &charge));
         let can_make_room = |candidate| self.fits_after_preemption(candidate, job.priority(), spec);
-        let is_reserved = |candidate: &Candidate| {
-            self.reservations.reserved_at(&candidate.name, key) != Resources::default()
-        };
-        let has_room = has_room
-            || selected.iter().any(can_make_room)
-            || self.uses_ranked(Mechanism::AdviceBudget) && selected.iter().any(is_reserved);
+        let has_room = has_room || selected.iter().any(can_make_room);
         let cost = request_cost(advice, selected.len());
         let workers = selected.into_iter().map(|candidate| candidate.name).collect();
         Some(AdviceRequest { step: key, workers, cost, has_room })
@@ -148,13 +135,8 @@
         let (Some(step), Some(advice)) = (job.step(key), job.queue.advice) else {
             return Vec::new();
         };
-        let clearances = &step.clearances;
-        if self.uses_ranked(Mechanism::AdviceBudget) {
-            let share = self.cleared_shares.get(&job.queue.name).copied().unwrap_or_default();
-            let asking = Asking { key, job, spec, advice, clearances, remaining, share };
-            return self.select_usable_workers(now, &asking);
-        }
         let charge = spec.charged_resources();
+        let clearances = &step.clearances;
         let includes_busy = !self.config.disabled.contains(Mechanism::RequestBusyWorkers);
         let open = self.open_candidates(now, key, job, spec).into_iter();
         let is_answered = |candidate: &Candidate| {
@@ -261,7 +243,7 @@
                 continue;
             }
             match self.build_request(now, queued.step) {
-                None => self.drop_request(now, queued.step),
+                None => self.drop_request(queued.step),
                 Some(request) if !client.may_take(request.cost) => {}
                 Some(request) if request.has_room => return Some((queued, request)),
                 Some(request) => {
@@ -296,13 +278,9 @@
     }
 
     /// Drops the request of a step that has no worker to ask about any more.
-    fn drop_request(&mut self, now: Millis, key: StepKey) {
-        self.advice_queue.remove(key);
-        if self.uses_ranked(Mechanism::AdviceBudget) {
-            self.withhold_advice(now, key);
-            return self.clear_request(key);
-        }
+    fn drop_request(&mut self, key: StepKey) {
         log::info!("event=advice-request-dropped step={key} why=no-worker");
+        self.advice_queue.remove(key);
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
             step.clearances.queued_since = None;
         }
@@ -327,25 +305,12 @@
         );
         let key = request.step;
         let job = self.jobs.get(&key.job);
-        let queue = job.map(|job| job.queue.name.clone());
         let spec = job.and_then(|job| job.spec(key.step));
         let charge = spec.map(Step::charged_resources).unwrap_or_default();
         let tasks = self.allowed_tasks(key);
-        let is_known = |job: &&Job| {
-            let step = job.step(key);
-            step.is_some_and(|step| {
-                request.workers.iter().all(|name| step.clearances.cleared.contains_key(name))
-            })
-        };
-        let claim = job.filter(is_known).map(Job::priority);
-        self.advice_queue.start(now, client, &request, (&charge, tasks), claim);
+        self.advice_queue.start(now, client, &request, (&charge, tasks));
         if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
-            let clearances = &mut step.clearances;
-            (clearances.requested_at, clearances.withheld_since) = (now, None);
-            clearances.request_cost = request.cost;
-            if let (Some(queue), Some(answer)) = (queue, clearances.open_answer.take()) {
-                self.service_times.add(&queue, AdviceOutcome::NoRoom, answer.cost);
-            }
+            step.clearances.requested_at = now;
         }
         self.actions.push(Action::RequestAdvice { entry, request });
     }
@@ -374,7 +339,6 @@
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else { return };
         let default = job.queue.advice.map(|advice| advice.ticket_validity).unwrap_or_default();
         let expires_at = now + (cleared.valid_for.unwrap_or(default) - age.answer);
-        let queue = job.queue.name.clone();
         let Some(step) = job.step_mut(key) else { return };
         // Workers that restarted since the request was sent are left out, because the answer may
         // be about their previous process.
@@ -387,24 +351,12 @@
             named.len(),
             cleared.tickets.len()
         );
-        let allowed: BTreeSet<Name> =
-            cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
         let clearances = &mut step.clearances;
         (clearances.request_pending, clearances.answer_new) = (false, true);
         clearances.queued_since = None;
-        match allowed.is_empty() {
-            true => self.service_times.add(&queue, AdviceOutcome::Denied, clearances.request_cost),
-            false => {
-                let cost = clearances.request_cost;
-                clearances.open_answer = Some(OpenAnswer { cost, expires_at });
-            }
-        }
         clearances.retry_at = now + REQUEST_INTERVAL;
-        // Renewals name only workers that are known to be cleared, which tells nothing about others.
-        let is_new = |name: &&Name| !clearances.cleared.contains_key(*name);
-        let new_names: BTreeSet<&Name> = named.iter().filter(is_new).collect();
-        let newly_cleared = allowed.iter().filter(|name| new_names.contains(name)).count();
-        self.cleared_shares.entry(queue).or_default().record(new_names.len(), newly_cleared);
+        let allowed: BTreeSet<Name> =
+            cleared.tickets.iter().map(|(name, _)| name.clone()).collect();
         let denied = named.iter().filter(|name| !allowed.contains(*name) && is_same(name));
         clearances.denied.extend(denied.cloned());
         for (name, text) in cleared.tickets.into_iter().filter(|(name, _)| is_same(name)) {
@@ -460,12 +412,12 @@
 }
 
 /// The time that the service takes to answer a request.
-pub(super) fn request_cost(advice: AdviceConfig, workers: usize) -> Millis {
+fn request_cost(advice: AdviceConfig, workers: usize) -> Millis {
     Millis(advice.base_latency.0 + advice.worker_micros * workers as u64 / 1_000)
 }
 
 /// The number of workers for which the per-worker time of a request is half of its base time.
-pub(super) fn balanced_size(advice: AdviceConfig) -> usize {
+fn balanced_size(advice: AdviceConfig) -> usize {
     match advice.worker_micros {
         0 => MAX_REQUEST_WORKERS,
         each => (advice.base_latency.0 * 1_000 / each / 2) as usize,
--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -264,7 +264,6 @@
             }
             self.dirty_jobs.insert(task.step.job);
             self.recount_jobs.insert(task.step.job);
-            self.wakeups.wake(task.step);
             self.needs_placement = true;
         }
     }
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -1,6 +1,5 @@
 //! The owner's view of a job: its steps, its tasks and their state.
 
-use crate::cell::advice::service_time::OpenAnswer;
 use crate::cell::jobs::restart_policy::Crash;
 use crate::cell::jobs::wait::Wait;
 use crate::cell::placing::rank::{Rank, RankClass};
@@ -100,15 +99,8 @@
     /// Since when the step waits for an answer; `None` if it does not. A request that is lost and
     /// queued again does not change it.
     pub queued_since: Option<Millis>,
-    /// Since when the step waits without a request because its tickets could not be used; `None` if
-    /// a request was made since.
-    pub withheld_since: Option<Millis>,
     /// An answer has arrived since the step's tasks were last placed.
     pub answer_new: bool,
-    /// The time that the service takes for the request that was sent last.
-    pub request_cost: Millis,
-    /// The last answer, until it is known what it led to.
-    pub open_answer: Option<OpenAnswer>,
     /// No further request is made before this time.
     pub retry_at: Millis,
     /// Workers that may run the step. The clearance of a worker never changes; only its ticket
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -162,7 +162,6 @@
             return;
         }
         self.ready_steps.insert(job.rank(), key);
-        self.wakeups.wake(key);
         self.needs_placement = true;
     }
 
@@ -391,7 +390,6 @@
     /// Lets inherited tasks start, and stops gangs of which not all tasks run.
     fn release_inherited_tasks(&mut self) {
         self.unrecorded_starts = None;
-        self.wakeups.wake_all();
         self.needs_placement = true;
         let gangs: Vec<StepKey> = self
             .jobs
--- a/src/cell/mechanism.rs
+++ b/src/cell/mechanism.rs
@@ -31,16 +31,12 @@
     CapacityElection,
     /// Jobs that cannot be on time any more come after those that can.
     LatenessOrder,
-    /// Requests to the advice service are made only if their tickets can be used.
-    AdviceBudget,
     /// Runs are stopped only if more is spared than is lost.
     PreemptionAccount,
-    /// Scheduling passes look only at steps for which something has changed.
-    SelectivePass,
 }
 
 /// The name of each mechanism on the command line.
-const NAMES: [(Mechanism, &str); 15] = [
+const NAMES: [(Mechanism, &str); 13] = [
     (Mechanism::SidelineWorkers, "aside"),
     (Mechanism::RequestBusyWorkers, "ask-busy"),
     (Mechanism::SpeculativeCopies, "copies"),
@@ -53,17 +49,14 @@
     (Mechanism::OwnershipTransfer, "transfer"),
     (Mechanism::CapacityElection, "capacity"),
     (Mechanism::LatenessOrder, "lateness"),
-    (Mechanism::AdviceBudget, "advice-budget"),
     (Mechanism::PreemptionAccount, "preempt-account"),
-    (Mechanism::SelectivePass, "selective"),
 ];
 
 /// The error for a name that is not the name of a mechanism.
 #[derive(Debug, Error, PartialEq)]
 #[error(
     "unknown mechanism {0:?}, expected one of: aside, ask-busy, copies, doubt, gather, home, \
-     preempt, reserve, shares, transfer, capacity, lateness, advice-budget, preempt-account, \
-     selective"
+     preempt, reserve, shares, transfer, capacity, lateness, preempt-account"
 )]
 pub struct MechanismError(String);
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,10 +16,8 @@
 use crate::id::Name;
 use crate::order::{Incarnation, StartOrder, WorkerInfo};
 use crate::workload::{JobDefinition, JobKey, Queue, StepKey, TaskKey};
-use advice::cleared_share::ClearedShare;
 use advice::load::AnswerCounts;
 use advice::queue::{AdviceQueue, AdviceRequest};
-use advice::service_time::ServiceTimes;
 use jobs::job::Job;
 use jobs::wait::WaitLogTimer;
 use mechanism::{DisabledMechanisms, Mechanism};
@@ -28,7 +26,6 @@
 use placing::reservation::Reservations;
 use placing::stops::{StopCounts, Stops};
 use placing::usage::WorkspaceUsages;
-use placing::wakeups::{PassCounts, Wakeups};
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -134,10 +131,6 @@
     advice_queue: AdviceQueue,
     /// Answers of the advice service by whether they led to starts, since the takeover.
     answer_counts: AnswerCounts,
-    /// The time of the advice service by queue and outcome, since the takeover.
-    service_times: ServiceTimes,
-    /// The share of workers that the advice service clears, by queue.
-    cleared_shares: HashMap<Name, ClearedShare>,
     /// When the state of the queue of requests was last logged.
     advice_logged_at: Millis,
     /// Room that is reserved for steps that are about to start.
@@ -183,8 +176,6 @@
     next_stable: Option<Millis>,
     /// Whether something changed that may allow another task to be placed.
     needs_placement: bool,
-    /// Which waiting steps have to be evaluated in a pass.
-    wakeups: Wakeups,
     /// Set while earlier owners may have started runs that are not recorded. Inherited tasks are
     /// held back until the state of all workers is known.
     unrecorded_starts: Option<WaitLogTimer>,
@@ -225,8 +216,6 @@
             closed_jobs: VecDeque::new(),
             advice_queue: AdviceQueue::default(),
             answer_counts: AnswerCounts::default(),
-            service_times: ServiceTimes::default(),
-            cleared_shares: HashMap::new(),
             advice_logged_at: Millis(0),
             reservations: Reservations::default(),
             stops: Stops::default(),
@@ -249,7 +238,6 @@
             list_stale: false,
             next_stable: None,
             needs_placement: true,
-            wakeups: Wakeups::default(),
             unrecorded_starts: unrecorded_starts
                 .then(|| WaitLogTimer::new(now, HOLDBACK_LOG_DELAY)),
             bound_starts: 0,
@@ -301,10 +289,7 @@
     /// otherwise the owner would consider workers lost that had answered, and restart tasks that
     /// were done there.
     pub fn set_overloaded(&mut self, is_overloaded: bool) {
-        if std::mem::replace(&mut self.is_overloaded, is_overloaded) != is_overloaded {
-            // An overloaded owner stops no runs.
-            self.wakeups.wake_all();
-        }
+        self.is_overloaded = is_overloaded;
     }
 
     /// Handles a pause of seconds in which the owner's process did not run. Its state of the
@@ -365,7 +350,6 @@
         self.update_ranked_objectives();
         self.rebuild_ready();
         self.reset_ranks();
-        self.wakeups.wake_all();
         self.needs_placement = true;
     }
 
@@ -513,9 +497,8 @@
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
             answers: self.answer_counts,
-            stops: self.stops.counts,
-            passes: self.wakeups.counts,
             first_starts: self.first_starts,
+            stops: self.stops.counts,
         }
     }
 }
@@ -539,12 +522,10 @@
     pub expired_waits: u64,
     /// Answers of the advice service since the takeover.
     pub answers: AnswerCounts,
-    /// Runs that were stopped for more urgent steps since the takeover, and steps for which none was.
-    pub stops: StopCounts,
-    /// Scheduling passes and evaluations of steps since the takeover.
-    pub passes: PassCounts,
     /// Jobs by their class at their first start, since the takeover. Only counted where late jobs go last.
     pub first_starts: ClassCounts,
+    /// Runs that were stopped for more urgent steps since the takeover, and steps for which none was.
+    pub stops: StopCounts,
 }
 
 /// The least number of queues with ranked objectives.
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -11,7 +11,6 @@
 //! - `relaxation` decides which placement restrictions a step that has waited for long may ignore.
 //! - `usage` limits the resources that a workspace has in use.
 //! - `fair_share` detects jobs submitted in excess of a workspace's share.
-//! - `wakeups` decides which waiting steps a pass has to evaluate.
 
 pub(super) mod account;
 pub(super) mod candidate;
@@ -27,4 +26,3 @@
 pub mod stops;
 pub(super) mod usage;
 pub(super) mod victims;
-pub mod wakeups;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -236,19 +236,10 @@
         priority: u32,
         spec: &Step,
     ) -> bool {
-        self.after_preemption(candidate, priority).has_room(spec, &spec.charged_resources())
-    }
-
-    /// A worker as it is once all runs that can be stopped for a job with this priority have ended.
-    pub(in crate::cell) fn after_preemption(
-        &self,
-        candidate: &Candidate,
-        priority: u32,
-    ) -> Candidate {
         let victims = self.victims(&candidate.name, priority);
         let mut after_stops = candidate.clone();
         victims.iter().for_each(|victim| after_stops.release(&victim.charge));
-        after_stops
+        after_stops.has_room(spec, &spec.charged_resources())
     }
 
     /// Runs on a worker that can be stopped for a job with this priority, the least urgent first.
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -31,12 +31,6 @@
     shared: HashMap<StepKey, Millis>,
     /// Gangs for which resources are reserved before they are all free, and when the reservations expire.
     gangs: HashMap<StepKey, Millis>,
-    /// Workers with new reservations, until [`Self::take_taken`].
-    taken: Vec<Name>,
-    /// Workers with reservations that ended, until [`Self::take_freed`].
-    freed: Vec<Name>,
-    /// Whether a reservation for a gang ended since [`Self::take_gang_release`].
-    has_gang_release: bool,
 }
 
 impl Reservations {
@@ -79,13 +73,6 @@
         self.gangs.insert(step, until);
     }
 
-    /// The resources on a worker that no other step may use until a step starts there.
-    pub fn reserved_at(&self, worker: &Name, step: StepKey) -> Resources {
-        let reservations = self.by_worker.get(worker).into_iter().flatten();
-        let own = reservations.filter(|own| own.step == step && !own.is_shared);
-        own.fold(Resources::default(), |sum, reservation| sum.plus(&reservation.room))
-    }
-
     /// Whether resources on a worker are reserved for a gang of another step.
     pub fn has_gang_at(&self, worker: &Name, step: StepKey) -> bool {
         let mut reservations = self.by_worker.get(worker).into_iter().flatten();
@@ -107,7 +94,6 @@
 
     fn insert(&mut self, worker: &Name, reservation: Reservation) {
         self.by_worker.entry(worker.clone()).or_default().push(reservation);
-        self.taken.push(worker.clone());
     }
 
     /// Whether a step has exclusive reservations.
@@ -162,7 +148,6 @@
     pub fn release(&mut self, step: StepKey) {
         let shared = self.shared.remove(&step);
         let gang = self.gangs.remove(&step);
-        self.has_gang_release |= gang.is_some();
         if self.exclusive.remove(&step).or(shared).or(gang).is_some() {
             self.retain(|reservation| reservation.step != step);
         }
@@ -174,9 +159,7 @@
         let before = count(self);
         self.exclusive.retain(|_, until| now < *until);
         self.shared.retain(|_, until| now < *until);
-        let gangs = self.gangs.len();
         self.gangs.retain(|_, until| now < *until);
-        self.has_gang_release |= self.gangs.len() < gangs;
         let has_expired = count(self) < before;
         if has_expired {
             self.retain(|reservation| now < reservation.until);
@@ -184,35 +167,10 @@
         has_expired
     }
 
-    /// Whether a step has exclusive reservations, shared ones, and ones for a gang.
-    pub fn kinds(&self, step: StepKey) -> [bool; 3] {
-        [self.has_exclusive(step), self.has_shared(step), self.has_gang(step)]
-    }
-
-    /// The workers with reservations that ended since the last call.
-    pub fn take_freed(&mut self) -> Vec<Name> {
-        std::mem::take(&mut self.freed)
-    }
-
-    /// The workers with reservations that were made since the last call.
-    pub fn take_taken(&mut self) -> Vec<Name> {
-        std::mem::take(&mut self.taken)
-    }
-
-    /// Whether a reservation for a gang ended since the last call.
-    pub fn take_gang_release(&mut self) -> bool {
-        std::mem::take(&mut self.has_gang_release)
-    }
-
     /// Keeps only the reservations for which `is_kept` holds.
     fn retain(&mut self, is_kept: impl Fn(&Reservation) -> bool) {
-        let freed = &mut self.freed;
-        self.by_worker.retain(|worker, reservations| {
-            let before = reservations.len();
+        self.by_worker.retain(|_, reservations| {
             reservations.retain(&is_kept);
-            if reservations.len() < before {
-                freed.push(worker.clone());
-            }
             !reservations.is_empty()
         });
     }
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -32,29 +32,13 @@
         }
         let mut allowed = self.allowed_open_starts();
         let ready: Vec<StepKey> = self.ready_steps.iter().collect();
-        let is_selective = self.skips_unchanged();
-        self.wakeups.counts.passes += 1;
-        if is_selective {
-            self.note_worker_changes(now, &ready);
-        } else {
-            self.reservations.take_freed();
-            self.reservations.take_taken();
-        }
         for key in ready {
             if self.awaits_answer_quietly(now, key) {
                 continue;
             }
-            if is_selective && !self.has_to_evaluate(now, key) {
-                continue;
-            }
-            let (before, version) = (self.bound_starts, self.wakeup_version());
-            self.wakeups.counts.evaluations += 1;
+            let before = self.bound_starts;
             self.place_step(now, key);
-            self.count_answer(now, key, self.bound_starts - before);
-            if is_selective {
-                self.note_released();
-                self.record_evaluation(now, key, version);
-            }
+            self.count_answer(key, self.bound_starts - before);
             allowed = allowed.saturating_sub((self.bound_starts - before) as usize);
             if allowed == 0 {
                 // The next pass goes on once these starts have been answered.
@@ -361,7 +345,6 @@
         let run_times = self.run_times.get(&job.queue.name).filter(|_| !spec.long_running);
         run.late_after = run_times.and_then(|times| times.late_after(spec.estimate));
         worker.add_run(task, run);
-        self.wakeups.record_start(name, run_number, &spec.charged_resources());
         let age = now.since(job.known_since);
         job.was_placed = true;
         let spec_text = job.work.payload.clone();
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -99,7 +99,6 @@
     /// Replaces the workspaces by those of a new version of the policy.
     pub fn set_workspaces(&mut self, workspaces: Workspaces) {
         self.usages.workspaces = workspaces;
-        self.wakeups.wake_all();
         self.needs_placement = true;
     }
 
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -2,11 +2,10 @@
 
 use crate::cell::CellStats;
 use crate::cell::advice::load::AdviceLoad;
-use crate::cell::advice::service_time::ServiceTimes;
 use crate::clock::Millis;
 use crate::order::OrderOutcome;
 use crate::registry;
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const BUCKETS_SECONDS: [f64; 11] =
@@ -49,9 +48,6 @@
     answers_fruitless: IntGauge,
     stops: IntGauge,
     stops_rejected: IntGauge,
-    service_time: IntGaugeVec,
-    passes: IntGauge,
-    evaluations: IntGauge,
     /// Takeovers of a cell by this entry.
     pub takeovers: IntCounter,
     admission_limit: IntGauge,
@@ -167,16 +163,6 @@
                 "sprucerudder_preemptions_rejected",
                 "Steps for which no run was stopped, by reason once each, since the takeover",
             )?,
-            service_time: registry.gauge_vec(
-                "sprucerudder_advice_service_ms",
-                "Time of the advice service, in milliseconds since the takeover",
-                &["queue", "outcome"],
-            )?,
-            passes: gauge("sprucerudder_passes", "Scheduling passes, since the takeover")?,
-            evaluations: gauge(
-                "sprucerudder_step_evaluations",
-                "Evaluations of waiting steps in scheduling passes, since the takeover",
-            )?,
             has_map: gauge(
                 "sprucerudder_map_loaded",
                 "Whether the map of cells is loaded, without which an entry serves nobody",
@@ -247,8 +233,6 @@
         self.answers_fruitless.set(load.answers.fruitless as i64);
         self.stops.set(load.stops.stops as i64);
         self.stops_rejected.set(load.stops.rejected as i64);
-        self.passes.set(load.passes.passes as i64);
-        self.evaluations.set(load.passes.evaluations as i64);
     }
 
     /// Sets the gauges about the queue of requests to the advice service.
@@ -259,14 +243,6 @@
         self.advice_oldest.set(load.oldest.0 as i64);
     }
 
-    /// Sets the gauges about the time of the advice service.
-    pub fn set_service_times(&self, times: &ServiceTimes) {
-        for (queue, outcome, time) in times.iter() {
-            let labels = [&**queue, outcome.name()];
-            self.service_time.with_label_values(&labels).set(time.0 as i64);
-        }
-    }
-
     /// Sets the number of other entries that are connected to the owner of a cell.
     pub fn set_connected_entries(&self, count: usize) {
         self.connected_entries.set(count as i64);
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -234,7 +234,6 @@
                 cell.set_overloaded(is_shedding);
                 cell.tick(now, Millis::now());
                 *lock(&self.loads) = cell.service_loads();
-                self.node.metrics.set_service_times(cell.service_times());
                 (cell.stats(), cell.advice_load(now))
             };
             self.node.metrics.set_load(&load);
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -1,8 +1,8 @@
 //! Registration of Prometheus metrics and their output in the text format.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, Result, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
+    TextEncoder,
 };
 
 /// The metrics of one process.
@@ -40,16 +40,6 @@
         Ok(gauge)
     }
 
-    /// Registers a gauge with labels.
-    ///
-    /// # Errors
-    /// The name is already registered.
-    pub fn gauge_vec(&self, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec> {
-        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
-        self.0.register(Box::new(gauges.clone()))?;
-        Ok(gauges)
-    }
-
     /// Registers a histogram of times in seconds; `buckets` are the upper bounds of its buckets.
     ///
     /// # Errors
