--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -97,7 +97,11 @@
         let allowed = self.allowed_starts(job, spec, step.waiting.len());
         if allowed == 0 {
             self.reservations.release(key);
-            return self.set_wait_reason(now, key, Some(WaitReason::WorkspaceLimit));
+            let why = match self.unrecorded_starts {
+                Some(_) => WaitReason::Takeover,
+                None => WaitReason::WorkspaceLimit,
+            };
+            return self.set_wait_reason(now, key, Some(why));
         }
         let spec = spec.clone();
         let waiting: Vec<u32> = step.waiting.iter().copied().take(allowed).collect();
--- a/src/cell/placing/usage.rs
+++ b/src/cell/placing/usage.rs
@@ -102,10 +102,19 @@
         self.needs_placement = true;
     }
 
+    /// Whether runs of a workspace with a limit may not be counted, because an earlier owner may have started them
+    /// without a record. It stayed within the limit with them, so that they may take all that the known runs leave.
+    pub(in crate::cell) fn may_have_unknown_runs(&self, workspace: &Workspace) -> bool {
+        self.unrecorded_starts.is_some() && workspace.is_bounded()
+    }
+
     /// How many of `max` tasks of a step the job's workspace may start now. All tasks of a gang start together or none.
     pub(in crate::cell) fn allowed_starts(&self, job: &Job, spec: &Step, max: usize) -> usize {
         let workspace = job.workspace.as_ref().and_then(|name| self.usages.workspace(name));
         let Some(workspace) = workspace else { return max };
+        if self.may_have_unknown_runs(workspace) {
+            return 0;
+        }
         match self.usages.allowed_tasks(workspace, &spec.resources, max) {
             count if spec.is_gang && count < spec.count as usize => 0,
             count => count,
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -358,13 +358,24 @@
 
     /// Another entry takes over the cell.
     pub fn take_over(&mut self) {
+        self.take_over_if(false);
+    }
+
+    /// Replaces the owner after an outage of the store in which it started tasks without records.
+    pub fn take_over_after_outage(&mut self) {
+        self.store.retain(|key, _| !key.ends_with(".p"));
+        self.take_over_if(true);
+    }
+
+    fn take_over_if(&mut self, unrecorded_starts: bool) {
         self.epoch += 1;
         let mut snapshot = Snapshot::default();
         for (key, value) in &self.store {
             snapshot.apply(key, value).expect("a valid record");
         }
         let now = Millis(self.now);
-        self.cell = Cell::new(self.epoch, bounds(), queues(self.advice), snapshot, false, now);
+        self.cell =
+            Cell::new(self.epoch, bounds(), queues(self.advice), snapshot, unrecorded_starts, now);
         self.cell.set_workspaces(self.workspaces.clone());
         if self.advice.is_some() {
             self.cell.add_entry("entry".into(), true);
--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -118,6 +118,27 @@
     assert_eq!(cluster.state(job(2)), COMPLETED);
 }
 
+#[test]
+fn runs_started_without_a_record_count_after_a_takeover() {
+    // The store was unavailable, and the owner started tasks without records. Then their workers
+    // were partitioned together with it. The next owner did not know of these runs, and started
+    // tasks of another job of the workspace beyond its limit.
+    let mut cluster = cluster();
+    cluster.lasting_jobs.insert(job(1));
+    cluster.submit_for(job(1), step_of(4), "large");
+    cluster.run_for(100);
+    assert_eq!(cluster.running(), 4);
+    partition_workers_of(&mut cluster, job(1));
+    cluster.take_over_after_outage();
+    cluster.submit_for(job(2), step_of(8), "large");
+    run_within_limit(&mut cluster, 3_000, 4);
+    let waits: Vec<WaitReason> = cluster.cell.waiting_steps().map(|(_, why)| why).collect();
+    assert!(waits.iter().all(|why| *why == WaitReason::Takeover), "{waits:?}");
+    cluster.cell.cancel(Millis(cluster.now), job(1));
+    run_within_limit(&mut cluster, 10_000, 4);
+    assert_eq!(cluster.state(job(2)), COMPLETED);
+}
+
 #[test]
 fn runs_that_copies_replaced_count_after_a_takeover() {
     // The store names the last run of each task. Its first run went on behind a partition while a
