--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -310,11 +310,14 @@
         reply(StatusCode::OK, &json!({"clock_ms": self.clock_ms(state)}))
     }
 
-    fn start(self: &Arc<Self>, body: &Value) -> Reply {
+    fn start(self: &Arc<Self>, body: &Value, restarts: u64) -> Reply {
         let task = text_field(body, "task").to_string();
         let run = number_field(body, "run");
         let until = number_field(body, "until_ms");
         let mut state = self.state();
+        if state.restarts != restarts {
+            return None;
+        }
         let clock = self.clock_ms(&state);
         if until <= clock {
             return self.refuse(&state, "late");
@@ -337,7 +340,6 @@
         state.starts.push((task.clone(), run));
         let spec = text_field(body, "spec");
         self.record(&state, &task, run, RunEvent::Start(spec.to_string()));
-        let restarts = state.restarts;
         let reply = self.accept(&state);
         drop(state);
         if spec.starts_with(CRASH_PREFIX) {
@@ -473,12 +475,8 @@
     if delay_ms > 0 && call.path != "/hold" {
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-            // An order is dropped when the worker that received it has crashed.
-            if worker.state().restarts != restarts {
-                return log::debug!("event=delayed-order-dropped worker={id} path={}", call.path);
-            }
             // Its caller was not answered, so the result is only logged.
-            let reply = handle_order(&worker, &call.path, &body).await;
+            let reply = handle_order(&worker, &call.path, &body, restarts).await;
             log::debug!(
                 "event=delayed-order-executed worker={id} path={} reply={reply:?}",
                 call.path
@@ -486,20 +484,26 @@
         });
         return None;
     }
-    handle_order(&worker, &call.path, &body).await
+    handle_order(&worker, &call.path, &body, restarts).await
 }
 
-async fn handle_order(worker: &Arc<Worker>, path: &str, body: &Value) -> Reply {
+/// Carries out an order that was received after `restarts` crashes. It is dropped, without an answer,
+/// if the worker has crashed since.
+async fn handle_order(worker: &Arc<Worker>, path: &str, body: &Value, restarts: u64) -> Reply {
     let fence = number_field(body, "fence");
     {
         let mut state = worker.state();
+        if state.restarts != restarts {
+            log::debug!("event=order-dropped worker={} path={path}", worker.id(&state));
+            return None;
+        }
         if fence < state.fence {
             return worker.refuse(&state, "fence");
         }
         state.fence = fence;
     }
     match path {
-        "/run-start" => worker.start(body),
+        "/run-start" => worker.start(body, restarts),
         "/run-stop" => worker.stop(body),
         "/hold" => worker.hold_call(body).await,
         "/pace" => worker.accept(&worker.state()),
