--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -14,6 +14,7 @@
 /// Time between two checks of whether another entry should own the cell. A transfer delays starts
 /// by some 300 ms, so checking more often gains little.
 const CHECK_INTERVAL: Millis = Millis(1_000);
+
 impl Owner {
     /// Notes that a call of this owner to the store failed. If it keeps failing, the other entries
     /// are asked whether they can read the log.
