--- a/src/cell/owner/claim_record.rs
+++ b/src/cell/owner/claim_record.rs
@@ -1,7 +1,7 @@
 //! The encoding of the records of the election.
 //!
-//! A record is followed by an [`Extension`]. Versions up to 0.13.0 ignore the bytes behind a record,
-//! and write none.
+//! A record is followed by an [`Extension`]. Entries whose version has no extensions ignore the bytes
+//! behind a record, and write none.
 
 use crate::cell::owner::election::ElectionRecord;
 use crate::id::Name;
@@ -26,12 +26,19 @@
     Ok(bytes)
 }
 
-/// Decodes a record and its extension, which is empty if there is none or it is unreadable: a claim
-/// counts in any case.
+/// Decodes a record and its extension. The extension is empty if there is none, or if it is
+/// unreadable: a claim counts in any case, as its epoch fences the owners before it.
 ///
 /// # Errors
 /// See [`postcard::take_from_bytes`].
 pub fn decode(bytes: &[u8]) -> postcard::Result<(ElectionRecord, Extension)> {
     let (record, rest) = postcard::take_from_bytes(bytes)?;
-    Ok((record, postcard::from_bytes(rest).unwrap_or_default()))
+    if rest.is_empty() {
+        return Ok((record, Extension::default()));
+    }
+    let extension = postcard::from_bytes(rest).unwrap_or_else(|err| {
+        log::warn!("event=claim-extension-unreadable bytes={} error={err:?}", rest.len());
+        Extension::default()
+    });
+    Ok((record, extension))
 }
