--- a/src/cell/advice/load.rs
+++ b/src/cell/advice/load.rs
@@ -15,7 +15,7 @@
 pub struct AdviceLoad {
     /// The entries that can send requests.
     pub clients: usize,
-    /// Those of them that wait for an answer.
+    /// The entries that wait for an answer.
     pub busy: usize,
     /// The requests that wait for an entry.
     pub queued: usize,
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -244,7 +244,7 @@
     /// Discards a job that was not accepted. None of its starts was sent, so no run has to be
     /// stopped.
     ///
-    /// Its caller may submit it again under the same key, so nothing may be left that refers to it:
+    /// The caller may submit the job again under the same key, so nothing may be left that refers to it:
     /// a start that stayed queued would be sent together with that of the new binding.
     pub(in crate::cell) fn discard_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -103,7 +103,7 @@
     cpu: u32,
     /// The CPU, in millicores, of the largest entry according to the last heartbeat; 0 if unknown.
     largest_cpu: u32,
-    /// That value at the time of the last claim.
+    /// The value of `largest_cpu` at the time of the last claim.
     inherited_cpu: u32,
     /// Whether the rules for entries with unequal CPU apply.
     prefers_capacity: bool,
--- a/src/cell/owner/hand_over.rs
+++ b/src/cell/owner/hand_over.rs
@@ -45,8 +45,8 @@
 /// Decides whether an owner with `cpu` millicores gives up its cell by the rules for entries with
 /// unequal CPU.
 ///
-/// It does so while its heartbeats are late, but not without authority, and not while the store
-/// fails its calls: nobody could claim the cell then.
+/// An owner does so while its heartbeats are late, but not without authority, and not while the
+/// store fails its calls: nobody could claim the cell then.
 pub fn decide(
     now: Millis,
     cpu: u32,
--- a/src/cell/placing/account.rs
+++ b/src/cell/placing/account.rs
@@ -16,8 +16,8 @@
 const MAX_LATE_WAIT: Millis = Millis(15_000);
 /// Time that a stopped task takes to load its checkpoint when it starts again. Not reported by workers; assumed.
 const RESTORE_TIME: Millis = Millis(300);
-/// How long a stopped task waits for its second start. Its ticket, valid for 2.5 s, has mostly expired by then, and half
-/// of the batch steps were found to wait for more than 4.6 s for advice.
+/// How long a stopped task waits for its second start. Its ticket, valid for 2.5 s, has mostly expired by then, so that
+/// its step needs another answer of the advice service, for which half of such steps wait longer under overload.
 const RESTART_WAIT: Millis = Millis(4_600);
 /// Cost of the stop and of the second start, in core-milliseconds. Together they take some 1 ms of an owner of half a
 /// core, which decides for 22,400 cores. It is assumed that the owner is the limit a quarter of the time.
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -1,6 +1,6 @@
 //! Preemption: stops less urgent tasks so that more urgent ones can start.
 //!
-//! It is meant for large tasks that need whole workers, of which the advice service clears only a few, while small
+//! Preemption is meant for large tasks that need whole workers, of which the advice service clears only a few, while small
 //! tasks of a less urgent queue occupy a part of each worker. The small tasks aren't urgent and save their progress, so
 //! each loses half a second of work and the time to restore its progress.
 
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -86,7 +86,7 @@
 /// Another entry of the same failure domain.
 #[derive(Debug, Clone)]
 pub struct Peer {
-    /// Its name and incarnation.
+    /// The name and incarnation of the entry.
     pub id: EntryId,
     /// When its last heartbeat arrived.
     pub heard: Millis,
--- a/src/controller/list.rs
+++ b/src/controller/list.rs
@@ -21,15 +21,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Vm {
-    /// Its name, which is never reused for another VM.
+    /// The name of the VM, which is never reused for another one.
     pub name: Name,
-    /// Its role.
+    /// The role of the VM.
     pub role: Role,
     /// The IP address and port of its service.
     pub addr: Name,
-    /// Its failure domain.
+    /// The failure domain of the VM.
     pub domain: Name,
-    /// Its rack, which is also the name of its shard.
+    /// The rack of the VM, which is also the name of its shard.
     pub rack: Name,
     /// The resources of a worker.
     #[serde(default)]
--- a/src/controller/shard/owner.rs
+++ b/src/controller/shard/owner.rs
@@ -76,7 +76,7 @@
     /// The workers that may get new tasks.
     pub(super) schedulable: Vec<Name>,
     pub(super) reservation: Option<Reservation>,
-    /// This shard's shares of the limits of the cell; `None` if it is the only shard and has them
+    /// The shard's shares of the limits of the cell; `None` if it is the only shard and has them
     /// all.
     pub(super) limit_shares: Option<LimitShares>,
     /// Finished jobs with the time when they finished.
--- a/src/controller/shard_state.rs
+++ b/src/controller/shard_state.rs
@@ -34,7 +34,7 @@
 /// A task that has ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
-    /// Its outcome.
+    /// The outcome of the task.
     pub outcome: TaskOutcome,
 }
 
@@ -89,7 +89,7 @@
 /// An idempotency key that is in use.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Key {
-    /// Its holder: an entry for a request, or the id of a job.
+    /// The holder of the key: an entry for a request, or the id of a job.
     pub holder: Name,
     /// When it was taken.
     pub at: Millis,
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -194,11 +194,11 @@
 /// The decision on a request that asked for a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SlotDecision {
-    /// It has a slot and is sent to this runner.
+    /// The request has a slot and is sent to this runner.
     Go { id: u64, runner: Name },
-    /// It waits for a slot.
+    /// The request waits for a slot.
     Wait,
-    /// It is rejected; the caller should retry after `after`. `full` means that the queue is full.
+    /// The request is rejected; the caller should retry after `after`. `full` means that the queue is full.
     GiveUp { id: u64, after: Millis, full: bool },
 }
 
--- a/src/controller/table.rs
+++ b/src/controller/table.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Verdict {
-    /// It took effect as this revision.
+    /// The table took effect as this revision.
     Accepted(u64),
     /// Another publish came first.
     Lost {
--- a/src/node/owner/peers.rs
+++ b/src/node/owner/peers.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     frames: FrameSender,
-    /// This cell is the home of the entry.
+    /// The cell is the home of the entry.
     is_home: bool,
     /// Ends the task that serves the connection when it is dropped.
     _open: oneshot::Sender<Infallible>,
