--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -56,14 +56,14 @@
             match self.read_claims(wait, timeout).await {
                 Ok(()) => {
                     if !std::mem::replace(&mut reachable, true) {
-                        log::info!("event=log-readable cell={}", self.cell);
+                        log::info!("event=election-readable cell={}", self.cell);
                     }
                     backoff.record_success();
                     tokio::time::sleep(self.claims_pause().duration()).await;
                 }
                 Err(err) => {
                     if std::mem::replace(&mut reachable, false) {
-                        log::info!("event=log-unreadable cell={} error={err:?}", self.cell);
+                        log::info!("event=election-unreadable cell={} error={err:?}", self.cell);
                     }
                     let delay = backoff.next_delay(self.node.entry_count(), self.node.seed());
                     tokio::time::sleep(delay.duration()).await;
