--- a/src/cell/advice/late_answer.rs
+++ b/src/cell/advice/late_answer.rs
@@ -2,7 +2,8 @@
 //! held them back because its connection to the owner had ended, possibly to an earlier owner.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::{Job, Ticket};
+use crate::cell::advice::clearances::Ticket;
+use crate::cell::jobs::job::Job;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{AdviceAge, ClearedWorkers};
--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -1,10 +1,11 @@
 //! Requests to the platform's advice service, which decides on which workers a step may run.
 //!
-//! `request` creates requests and applies their answers, `queue` assigns them to entries,
+//! `clearances` keeps the answers of a step, `request` creates requests and applies their answers, `queue` assigns them to entries,
 //! `expected_use` spreads them over the workers, `short_load` keeps entries free for short ones,
 //! `late_answer` decides on answers that an entry held back, and `load` tells how busy the entries
 //! are.
 
+pub mod clearances;
 pub mod expected_use;
 mod late_answer;
 pub mod load;
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -1,7 +1,8 @@
 //! Requests to the advice service for steps that need workers, and the handling of its answers.
 
+use crate::cell::advice::clearances::Ticket;
 use crate::cell::advice::queue::{AdviceRequest, IdleClient, QueuedStep};
-use crate::cell::jobs::job::{Job, Ticket};
+use crate::cell::jobs::job::Job;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::Candidate;
 use crate::cell::{Action, Cell};
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -10,6 +10,7 @@
 pub mod owner;
 pub mod placing;
 pub mod records;
+pub mod stats;
 pub mod workers;
 
 use crate::clock::Millis;
@@ -20,11 +21,11 @@
 use advice::queue::{AdviceQueue, AdviceRequest};
 use jobs::job::Job;
 use jobs::wait::WaitLogTimer;
-use mechanism::{DisabledMechanisms, Mechanism};
+use mechanism::DisabledMechanisms;
 use placing::fair_share::ShareLimits;
 use placing::rank::{ClassCounts, ReadySteps};
 use placing::reservation::Reservations;
-use placing::stops::{StopCounts, Stops};
+use placing::stops::Stops;
 use placing::usage::WorkspaceUsages;
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
@@ -104,7 +105,7 @@
     epoch: u64,
     config: CellConfig,
     queues: HashMap<Name, Arc<Queue>>,
-    /// Whether the queues' priorities and objectives agree; see [`has_ranked_objectives`].
+    /// Whether the queues' priorities and objectives agree; see [`placing::objectives`].
     ranked_objectives: bool,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Name, Worker>,
@@ -353,19 +354,6 @@
         self.needs_placement = true;
     }
 
-    /// Checks whether the policy has ranked objectives, and logs a change.
-    fn update_ranked_objectives(&mut self) {
-        let ranked = has_ranked_objectives(&self.queues);
-        if std::mem::replace(&mut self.ranked_objectives, ranked) != ranked {
-            log::info!("event=ranked-objectives epoch={} in_use={ranked}", self.epoch);
-        }
-    }
-
-    /// Whether a mechanism that depends on ranked objectives is in use.
-    pub fn uses_ranked(&self, mechanism: Mechanism) -> bool {
-        self.ranked_objectives && !self.config.disabled.contains(mechanism)
-    }
-
     /// Submits a job. Returns the batch that has to be stored before the job is accepted, or `None`
     /// if there is no such queue. Submitting the same key again refers to the same job.
     pub fn submit(
@@ -482,63 +470,4 @@
             self.return_request(step, entry, "disconnected");
         }
     }
-
-    /// Statistics for logs and metrics.
-    pub fn stats(&self) -> CellStats {
-        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
-        let open = self.jobs.values().filter(|job| job.is_open()).count();
-        let reachable_workers = self.workers.values().filter(|worker| worker.is_reachable).count();
-        CellStats {
-            open_jobs: open,
-            runs,
-            ready_steps: self.ready_steps.len(),
-            workers: self.workers.len(),
-            reachable_workers,
-            crash_counts: self.crash_counts,
-            expired_waits: self.expired_waits,
-            answers: self.answer_counts,
-            first_starts: self.first_starts,
-            stops: self.stops.counts,
-        }
-    }
-}
-
-/// Statistics of a cell.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct CellStats {
-    /// The number of open jobs.
-    pub open_jobs: usize,
-    /// The number of runs that take room on workers.
-    pub runs: usize,
-    /// The number of steps with tasks that need a worker.
-    pub ready_steps: usize,
-    /// The number of workers in use.
-    pub workers: usize,
-    /// The number of workers that answered their last call.
-    pub reachable_workers: usize,
-    /// Counts of worker crashes since the takeover.
-    pub crash_counts: jobs::crash::CrashCounts,
-    /// The number of waits that timed out since the takeover.
-    pub expired_waits: u64,
-    /// Answers of the advice service since the takeover.
-    pub answers: AnswerCounts,
-    /// Jobs by their class at their first start, since the takeover. Only counted where late jobs go last.
-    pub first_starts: ClassCounts,
-    /// Runs that were stopped for more urgent steps since the takeover, and steps for which none was.
-    pub stops: StopCounts,
-}
-
-/// The least number of queues with ranked objectives.
-const MIN_RANKED_QUEUES: usize = 3;
-
-/// Whether the lateness of waiting jobs can be compared: the queues that use the advice service all
-/// differ in priority, and the less urgent of two has the larger stretch. Then all jobs of one
-/// priority have the same stretch and target.
-fn has_ranked_objectives(queues: &HashMap<Name, Arc<Queue>>) -> bool {
-    let advised = queues.values().filter(|queue| queue.advice.is_some());
-    let mut ranked: Vec<(u32, u64)> =
-        advised.map(|queue| (queue.priority, queue.stretch)).collect();
-    ranked.sort_unstable();
-    let rises = |pair: &[(u32, u64)]| pair[0].0 < pair[1].0 && pair[0].1 < pair[1].1;
-    ranked.len() >= MIN_RANKED_QUEUES && ranked.windows(2).all(rises)
 }
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -1,6 +1,7 @@
 //! Placement: decides which waiting task starts next, and on which worker.
 //!
 //! - `schedule` places the tasks of waiting steps in order of urgency and sends the start orders.
+//! - `objectives` tells whether the lateness of jobs can be compared.
 //! - `rank` orders the waiting steps.
 //! - `lateness` ranks jobs that cannot be on time any more behind the others.
 //! - `candidate` selects a worker among those with enough free resources.
@@ -17,6 +18,7 @@
 pub(super) mod fair_share;
 pub(super) mod gang;
 pub mod lateness;
+pub mod objectives;
 pub(super) mod preempt;
 pub mod rank;
 pub(super) mod relaxation;
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of an entry on the platform, in the Prometheus text format.
 
-use crate::cell::CellStats;
 use crate::cell::advice::load::AdviceLoad;
+use crate::cell::stats::CellStats;
 use crate::clock::Millis;
 use crate::order::OrderOutcome;
 use crate::registry;
