--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -10,6 +10,7 @@
 mod reservation;
 mod runtime;
 mod scheduling;
+mod worker_list;
 
 use crate::clock::Millis;
 use crate::controller::recover::{Next, Recovery};
--- a/src/node/advice_calls.rs
+++ b/src/node/advice_calls.rs
@@ -7,9 +7,10 @@
 use crate::cell::owner::backoff::Backoff;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::node::connection::OwnerConnection;
+
 use crate::node::frame::IDLE_TIMEOUT;
 use crate::node::msg::{EntryMessage, OwnerMessage};
+use crate::node::owner_connection::OwnerConnection;
 use crate::node::view::CellView;
 use crate::node::{Node, lock};
 use crate::order::{AdviceAge, ClearedWorkers};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod msg;
 mod owner;
+mod owner_connection;
 mod owners;
 mod pages;
 mod policy;
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -7,7 +7,8 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::advice_calls::AdviceCalls;
-use crate::node::connection::{ConnectionError, OwnerConnection};
+use crate::node::owner_connection::{ConnectionError, OwnerConnection};
+
 use crate::node::msg::{EntryMessage, OwnerMessage, RefusalReason};
 use crate::node::owner::Owner;
 use crate::node::{Node, lock};
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -2,6 +2,7 @@
 //! their published protocol, and faults that can be set at any time.
 
 pub mod advice;
+pub mod run_log;
 pub mod store;
 pub mod worker;
 
@@ -13,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use run_log::RunLog;
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -21,7 +23,7 @@
 use std::sync::Arc;
 use store::Store;
 use tokio::net::TcpListener;
-use worker::{RunLog, Worker};
+use worker::Worker;
 
 /// Largest request body that is read, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
