--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -340,10 +340,12 @@
         spec: &Step,
         checkpoint: &str,
     ) {
+        let workspace = self.jobs.get(&task.step.job).and_then(|job| job.workspace.clone());
+        let confirmed_guard = self.confirm_own_run(workspace.as_ref(), spec.resources);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
         let mut run = Run::new(run_number, spec, Phase::Starting);
-        run.known_since = now;
+        (run.known_since, run.confirmed_guard) = (now, confirmed_guard);
         run.usage_guard =
             job.workspace.as_ref().map(|owner| self.usages.acquire(owner, spec.resources));
         let run_times = self.run_times.get(&job.queue.name).filter(|_| !spec.long_running);
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -136,6 +136,7 @@
         for row in &report.running {
             self.update_run(now, name, row);
         }
+        self.confirm_inherited_runs(name, report);
         self.drop_vanished_runs(sent, name, report);
         self.duplicate_stragglers(now, name);
         self.throttle_fillers(now, name, report);
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -54,6 +54,8 @@
     pub charge: Resources,
     /// Counts the run towards the usage of its workspace until it is dropped.
     pub usage_guard: Option<UsageGuard>,
+    /// Counts the run towards those of its workspace that certainly exist, if others may be unknown.
+    pub confirmed_guard: Option<UsageGuard>,
     /// The phase of the run.
     pub phase: Phase,
     /// A stop was sent, and its outcome is not known yet.
@@ -96,6 +98,7 @@
             run,
             charge: spec.charged_resources(),
             usage_guard: None,
+            confirmed_guard: None,
             phase,
             stop_pending: false,
             is_sent: false,
--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -139,6 +139,29 @@
     assert_eq!(cluster.state(job(2)), COMPLETED);
 }
 
+#[test]
+fn room_of_reported_runs_is_used_again_while_others_may_be_unknown() {
+    // Workspaces with a limit started nothing for a lease after a takeover in doubt, although the
+    // runs that workers reported had left room. Two of four runs are behind a partition.
+    let mut cluster = cluster();
+    cluster.lasting_jobs.insert(job(1));
+    cluster.submit_for(job(1), Step { worker_limit: 1, ..step_of(4) }, "large");
+    cluster.run_for(100);
+    let hosts = cluster.hosts_of(job(1));
+    assert_eq!(hosts.len(), 4);
+    hosts.iter().take(2).for_each(|index| cluster.partition(*index, 4_000));
+    cluster.take_over_after_outage();
+    cluster.submit_for(job(2), step_of(8), "large");
+    run_within_limit(&mut cluster, 1_000, 4);
+    assert_eq!(cluster.start_count(job(2)), 0, "the reported runs go on");
+    cluster.cell.cancel(Millis(cluster.now), job(1));
+    run_within_limit(&mut cluster, 1_000, 4);
+    let starts = cluster.start_count(job(2));
+    assert!(starts >= 2, "{starts} tasks started where two runs have ended");
+    run_within_limit(&mut cluster, 10_000, 4);
+    assert_eq!(cluster.state(job(2)), COMPLETED);
+}
+
 #[test]
 fn runs_that_copies_replaced_count_after_a_takeover() {
     // The store names the last run of each task. Its first run went on behind a partition while a
