--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -183,6 +183,11 @@
         self.prefers_capacity = prefers_capacity;
     }
 
+    /// Whether the rules for entries with unequal CPU apply.
+    pub fn prefers_capacity(&self) -> bool {
+        self.prefers_capacity
+    }
+
     /// The owner according to the newest claim that was read.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
--- a/src/cell/owner/hand_over.rs
+++ b/src/cell/owner/hand_over.rs
@@ -42,10 +42,9 @@
     pub successor: Option<PeerCpu>,
 }
 
-/// Decides whether an owner with `cpu` millicores gives up its cell by the rules for entries with
-/// unequal CPU.
+/// Decides whether an owner with `cpu` millicores gives up its cell.
 ///
-/// An owner does so while its heartbeats are late, but not without authority, and not while the
+/// By the rules for entries with unequal CPU, an owner does so while its heartbeats are late, but not without authority, and not while the
 /// store fails its calls: nobody could claim the cell then.
 pub fn decide(
     now: Millis,
@@ -54,6 +53,14 @@
     authority: &Authority,
     lag: &TickLag,
 ) -> Option<HandOver> {
+    if !election.prefers_capacity() {
+        let largest = authority.largest_peer(now, false, None)?;
+        let is_larger = largest.cpu >= cpu.max(1) * MIN_SIZE_RATIO;
+        let is_overloaded = election.may_hand_over(now) && lag.should_hand_over(now);
+        let reason = if is_overloaded { Reason::Overload } else { Reason::Size };
+        let hands_over = is_larger || is_overloaded;
+        return hands_over.then_some(HandOver { reason, largest, successor: None });
+    }
     let may_write = authority.is_valid(now)
         && !authority.depends_on_peers(now)
         && !authority.is_store_failing();
@@ -76,21 +83,6 @@
     Some(HandOver { reason, largest, successor })
 }
 
-/// Decides whether an owner that serves callers gives up its cell without those rules.
-pub fn decide_without_capacity(
-    now: Millis,
-    cpu: u32,
-    election: &Election,
-    authority: &Authority,
-    lag: &TickLag,
-) -> Option<HandOver> {
-    let largest = authority.largest_peer(now, false, None)?;
-    let is_larger = largest.cpu >= cpu.max(1) * MIN_SIZE_RATIO;
-    let is_overloaded = election.may_hand_over(now) && lag.should_hand_over(now);
-    let reason = if is_overloaded { Reason::Overload } else { Reason::Size };
-    (is_larger || is_overloaded).then_some(HandOver { reason, largest, successor: None })
-}
-
 /// The entry that should claim the cell of an owner with `cpu` millicores that stops, if one has
 /// clearly more CPU.
 pub fn successor_at_stop(now: Millis, cpu: u32, authority: &Authority) -> Option<PeerCpu> {
--- a/src/node/owner/transfer.rs
+++ b/src/node/owner/transfer.rs
@@ -83,8 +83,7 @@
 
     /// Decides whether to transfer the cell now.
     fn decide_hand_over(&self) -> Option<HandOver> {
-        let uses_capacity = self.uses_capacity();
-        let may_decide = match uses_capacity {
+        let may_decide = match self.uses_capacity() {
             true => !self.has_ended() && self.has_authority(),
             false => self.is_serving(),
         };
@@ -94,10 +93,7 @@
         let (now, cpu) = (self.node.now(), self.node.settings.millicores);
         let election = lock(&self.view.election);
         let (authority, lag) = (lock(&self.authority), lock(&self.lag));
-        match uses_capacity {
-            true => hand_over::decide(now, cpu, &election, &authority, &lag),
-            false => hand_over::decide_without_capacity(now, cpu, &election, &authority, &lag),
-        }
+        hand_over::decide(now, cpu, &election, &authority, &lag)
     }
 
     /// Gives up the cell.
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -310,13 +310,9 @@
         owner.next_check = self.now + 1_000;
         let (election, authority) = (&entry.election, &owner.authority);
         let is_serving = authority.heartbeat_age(now) < HEARTBEAT_MAX_AGE;
-        let decided = match self.prefers_capacity {
+        let decided = match self.prefers_capacity || is_serving {
             true => hand_over::decide(now, entry.cpu, election, authority, &owner.lag),
-            false if !is_serving => None,
-            false => {
-                let (cpu, lag) = (entry.cpu, &owner.lag);
-                hand_over::decide_without_capacity(now, cpu, election, authority, lag)
-            }
+            false => None,
         };
         let Some(decided) = decided else { return false };
         let epoch = owner.epoch;
--- a/tests/lateness.rs
+++ b/tests/lateness.rs
@@ -1,6 +1,8 @@
 //! The order of jobs under overload, on a virtual clock: those that cannot be on time any more come
 //! after those that can.
 
+mod cells;
+
 use sprucerudder::cell::advice::queue::AdviceRequest;
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::placing::lateness::MAX_LATE_WAIT;
@@ -151,17 +153,11 @@
             self.cell.report_call(now, &name, true);
             self.cell.on_report(now, now, &name, &report);
         }
-        self.cell.tick(now, now);
-        self.cell.schedule(now);
-        while let Some(batch) = self.cell.take_batch(now) {
-            self.cell.mark_stored(now, batch.number);
-        }
+        cells::run_pass(&mut self.cell, now);
         self.act();
         self.answer();
         self.cell.schedule(now);
-        while let Some(batch) = self.cell.take_batch(now) {
-            self.cell.mark_stored(now, batch.number);
-        }
+        cells::store_batches(&mut self.cell, now);
         self.act();
     }
 
@@ -242,17 +238,8 @@
 }
 
 fn worker(index: usize) -> Worker {
-    let id: Name = format!("w{index}").into();
-    let listed = WorkerInfo {
-        id: id.clone(),
-        started_at: None,
-        service: "s".into(),
-        addr: id,
-        domain: "d".into(),
-        capacity: Resources { cpu: WORKER_CPU, mem: 1 << 20, gpu: 0 },
-        labels: Vec::new(),
-        leaves_in: None,
-    };
+    let listed =
+        cells::listed_worker(index, "d", Resources { cpu: WORKER_CPU, mem: 1 << 20, gpu: 0 });
     Worker { listed, runs: BTreeMap::new(), end_count: 0 }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -168,9 +168,16 @@
     async fn has_taken_over_once(&self, entry: u16) -> bool {
         let addr = self.site.metrics_addr(entry);
         let request = Request::get(uri(&addr, "/metrics").unwrap()).body(Full::default());
-        let answer = self.http.send(&addr, request.unwrap(), Millis(2_000)).await;
-        let text = answer.map(|answer| answer.body).unwrap_or_default();
-        let text = String::from_utf8_lossy(&text).into_owned();
+        let answer = match self.http.send(&addr, request.unwrap(), Millis(2_000)).await {
+            Ok(answer) => answer,
+            Err(err) => {
+                // An entry that is killed or has just started serves no metrics. The callers ask
+                // again or panic.
+                println!("no metrics of entry {entry}: {err:?}");
+                return false;
+            }
+        };
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
         text.lines().any(|line| line == "sprucerudder_takeovers_total 1")
     }
 
--- a/tests/preempt.rs
+++ b/tests/preempt.rs
@@ -1,12 +1,13 @@
 //! Preemption: large urgent tasks compete with small tasks of a less urgent queue that keep all
 //! workers partly occupied.
 
+mod cells;
 mod preemptload;
 
 use preemptload::{Outcome, replay};
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::records::journal::Snapshot;
-use sprucerudder::cell::{Action, Cell, CellConfig};
+use sprucerudder::cell::{Action, Cell};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{
@@ -58,12 +59,7 @@
 
 impl Cluster {
     fn new() -> Self {
-        let config = CellConfig {
-            lease: Millis(6_000),
-            max_lease: Millis(10_000),
-            job_retention: Millis(100_000),
-            disabled: DisabledMechanisms::default(),
-        };
+        let config = cells::config(DisabledMechanisms::default());
         let queues = HashMap::from([queue("large", 1), queue("small", 2)]);
         let mut cell = Cell::new(1, config, queues, Snapshot::default(), false, Millis(0));
         let workers: Vec<Worker> = (0..WORKERS).map(worker).collect();
@@ -121,11 +117,7 @@
             self.cell.report_call(now, &name, true);
             self.cell.on_report(now, now, &name, &report);
         }
-        self.cell.tick(now, now);
-        self.cell.schedule(now);
-        while let Some(batch) = self.cell.take_batch(now) {
-            self.cell.mark_stored(now, batch.number);
-        }
+        cells::run_pass(&mut self.cell, now);
         for action in self.cell.take_actions() {
             match action {
                 Action::Start { worker, start, .. } => self.start(&worker, &start),
@@ -156,17 +148,7 @@
 }
 
 fn worker(no: usize) -> Worker {
-    let id: Name = format!("w{no}").into();
-    let listed = WorkerInfo {
-        id: id.clone(),
-        started_at: None,
-        service: "s".into(),
-        addr: id,
-        domain: "d".into(),
-        capacity: Resources { cpu: 64_000, mem: 64_000, gpu: 8 },
-        labels: Vec::new(),
-        leaves_in: None,
-    };
+    let listed = cells::listed_worker(no, "d", Resources { cpu: 64_000, mem: 64_000, gpu: 8 });
     Worker { listed, runs: BTreeMap::new(), end_count: 0 }
 }
 
--- a/tests/preemptload/mod.rs
+++ b/tests/preemptload/mod.rs
@@ -1,10 +1,11 @@
 //! A replay of a load in which gangs compete with a less urgent batch queue, on a virtual clock: a fifth of a
 //! deployment with 350 workers, whose queues all use the advice service.
 
+use super::cells;
 use fastrand::Rng;
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::records::journal::Snapshot;
-use sprucerudder::cell::{Action, Cell, CellConfig};
+use sprucerudder::cell::{Action, Cell};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{
@@ -248,12 +249,7 @@
 
 impl Replay {
     fn new(seed: u64, disabled: DisabledMechanisms) -> Self {
-        let config = CellConfig {
-            lease: Millis(6_000),
-            max_lease: Millis(10_000),
-            job_retention: Millis(100_000),
-            disabled,
-        };
+        let config = cells::config(disabled);
         let queues = QUEUES.iter().map(QueueLoad::queue).collect();
         let mut cell = Cell::new(1, config, queues, Snapshot::default(), false, Millis(0));
         let workers: Vec<Worker> = (0..WORKERS).map(worker).collect();
@@ -314,11 +310,7 @@
             let answer = self.clear(step, &asked);
             self.cell.handle_advice(now, &client, step, &asked, Some(answer));
         }
-        self.cell.tick(now, now);
-        self.cell.schedule(now);
-        while let Some(batch) = self.cell.take_batch(now) {
-            self.cell.mark_stored(now, batch.number);
-        }
+        cells::run_pass(&mut self.cell, now);
         for action in self.cell.take_actions() {
             match action {
                 Action::Start { worker, start, .. } => self.start(&worker, &start),
@@ -444,16 +436,10 @@
 }
 
 fn worker(no: usize) -> Worker {
-    let id: Name = format!("w{no}").into();
-    let listed = WorkerInfo {
-        id: id.clone(),
-        started_at: None,
-        service: "s".into(),
-        addr: id,
-        domain: format!("d{}", no % 3).into(),
-        capacity: Resources { cpu: 64_000, mem: 128_000, gpu: 0 },
-        labels: Vec::new(),
-        leaves_in: None,
-    };
+    let listed = cells::listed_worker(
+        no,
+        &format!("d{}", no % 3),
+        Resources { cpu: 64_000, mem: 128_000, gpu: 0 },
+    );
     Worker { listed, runs: BTreeMap::new(), end_count: 0 }
 }
