--- a/review/standin.rs
+++ b/review/standin.rs
@@ -549,6 +549,8 @@
     events: Events,
     record: Arc<Record>,
     server: Mutex<Option<Arc<Server>>>,
+    /// The field by which it tells when it started (`born`, fleet/LATER.md); empty if it does not.
+    birth: String,
 }
 
 impl Runner {
@@ -593,10 +595,10 @@
 
     fn entry(&self, seq: u64) -> String {
         format!(
-            "{{\"service\":\"desk\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
+            "{{{}\"service\":\"desk\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
              \"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":{},\
              \"gpu\":0}},\"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"seq\":{seq}}}",
-            self.address, self.zone, self.cpu, self.cpu * 2, self.rack, self.clock()
+            self.birth, self.address, self.zone, self.cpu, self.cpu * 2, self.rack, self.clock()
         )
     }
 
@@ -719,7 +721,8 @@
         response(
             200,
             format!(
-                "{{\"clock_ms\":{},\"running\":[{}],\"ended\":[{}]}}",
+                "{{{}\"clock_ms\":{},\"running\":[{}],\"ended\":[{}]}}",
+                self.birth,
                 self.clock(),
                 running.join(","),
                 ended.join(",")
@@ -927,6 +930,8 @@
     folder: PathBuf,
     net: [u8; 2],
     cut: Cut,
+    /// The field by which runners tell when they started.
+    birth: String,
 }
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -947,6 +952,7 @@
             folder,
             net,
             cut: Cut::default(),
+            birth: String::new(),
         }
     }
 
@@ -988,6 +994,7 @@
             events: self.events.clone(),
             record: self.record.clone(),
             server: Mutex::default(),
+            birth: self.birth.clone(),
         });
         let (store, cut, zone) = (self.store.clone(), self.cut.clone(), zone.to_string());
         // The fence of a call tells which entry sent it.
@@ -1474,6 +1481,52 @@
     site.finish(folder, code)
 }
 
+/// The runner of a lasting task is lost for good and the owner is killed. Runners tell when they started.
+fn lasting_after_takeover(folder: &Path, trouble: bool) -> i32 {
+    let mut site = Site::new();
+    site.birth = "\"born\":1796000000000,".to_string();
+    site.publish_config();
+    let started = site.add_entries(&ZONES, false).and_then(|()| {
+        ZONES.iter().try_for_each(|zone| site.add_runner(zone, &format!("r-{zone}"), 16_000))
+    });
+    if started.is_err() || !site.start_entries() {
+        return site.finish(folder, NOT_RUN);
+    }
+    thread::sleep(Duration::from_secs(11));
+    let body = "{\"spec\":\"600000\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":400,\"long_running\":true}]}";
+    if !site.submit(0, JOB, body) {
+        return site.finish(folder, NOT_RUN);
+    }
+    thread::sleep(Duration::from_secs(4));
+    let used = site.runners.iter().position(|runner| !runner.running().is_empty());
+    let (Some(used), Some(owner)) = (used, site.owner()) else {
+        return site.finish(folder, NOT_RUN);
+    };
+    let lost_at = Instant::now();
+    if trouble {
+        let runner = site.runners[used].clone();
+        runner.crash(&site.store, Duration::from_secs(600));
+        let store = site.store.clone();
+        thread::spawn(move || {
+            thread::sleep(HEARTBEAT * 3);
+            store.put("keyed.servers", &format!("i-{}00", runner.name), b"");
+        });
+        site.record.say(format!("{}, the owner, is killed", site.entries[owner].name));
+        site.entries[owner].kill();
+        thread::sleep(Duration::from_millis(500));
+        site.entries[owner].start();
+    }
+    let runs = || site.runners.iter().any(|runner| !runner.running().is_empty());
+    while !runs() && lost_at.elapsed() < Duration::from_secs(20) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let gap = lost_at.elapsed();
+    site.record.say(format!("the lasting task runs {:.3} s after its loss", gap.as_secs_f64()));
+    // Over 3 s from 6 s after its last run on, in more than 7 s without a disruption.
+    let code = if gap > Duration::from_millis(9_000) { BROKEN } else { PASSED };
+    site.finish(folder, code)
+}
+
 impl Runner {
     fn running(&self) -> Vec<String> {
         let life = self.life.lock().unwrap();
@@ -1545,6 +1598,7 @@
         }
         "cancel-behind-cut" => cancel_behind_cut(&folder, trouble),
         "runner-crashes" => runner_crashes(&folder, trouble),
+        "lasting-after-takeover" => lasting_after_takeover(&folder, trouble),
         _ => NOT_RUN,
     };
     std::process::exit(code);
