Owner: limit the connections to workers, and close them with the ownership

Cause: a worker accepts max_conns connections (64). The configuration says so and the product did not read it. An owner opened up to seven connections to a worker and kept eight idle ones. A VM that loses power closes none of them.

Ruled out: waits at takeovers (the fault goes on through 24 s of calm), and exclusions of workers (they follow the failed calls).

Fix: an owner opens a sixteenth of max_conns at the most, at least two, and keeps two while idle. The connections belong to the ownership and are closed when it ends, or when the worker is removed. Metrics tell calls apart that were reset, not connected or not answered.

The stand-in resets connections over the cap, a relay of the soak can lose power with its caller, and the search simulates connections.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -281,6 +281,11 @@
         self.workers.get(worker).map(|worker| worker.listed.addr.clone())
     }
 
+    /// The service that a worker belongs to.
+    pub fn worker_service(&self, worker: &Name) -> Option<Name> {
+        self.workers.get(worker).map(|worker| worker.listed.service.clone())
+    }
+
     /// Whether there are changes that are not stored yet.
     pub fn has_unstored(&self) -> bool {
         !self.dirty_jobs.is_empty() || self.workers_dirty || self.stored_batch + 1 < self.open_batch
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -1,5 +1,6 @@
 //! The workers of a cell: which are listed, what they report, and the outcomes of orders to them.
 //!
+//! - `connection_limit`: how many connections an owner opens to a worker.
 //! - `worker`: the state of one worker and of the runs on it.
 //! - `roster`: the set of workers, and workers that become unreachable, leave or are gone.
 //! - `report`: handling of the reports of workers.
@@ -10,6 +11,7 @@
 //! - `shared_list`: the list of all workers, which one owner reads for the others.
 //! - `speed`: how fast each worker is compared with the others.
 
+pub mod connection_limit;
 pub(super) mod drain;
 pub(super) mod orders;
 pub(super) mod report;
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -4,8 +4,10 @@
 use crate::cell::stats::CellStats;
 use crate::clock::Millis;
 use crate::order::OrderOutcome;
+use crate::platform::connector::Counts;
 use crate::registry;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use std::sync::atomic::Ordering;
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const BUCKETS_SECONDS: [f64; 11] =
@@ -33,6 +35,11 @@
     workers: IntGauge,
     heard_workers: IntGauge,
     truncated_reports: IntGauge,
+    worker_connections: IntGauge,
+    worker_connections_opened: IntGauge,
+    worker_calls_unconnected: IntGauge,
+    worker_calls_broken: IntGauge,
+    worker_calls_timed_out: IntGauge,
     connected_entries: IntGauge,
     crashed_workers: IntGauge,
     abandoned_jobs: IntGauge,
@@ -104,6 +111,26 @@
                 "sprucerudder_reports_truncated",
                 "Workers whose last report may not have listed all ends",
             )?,
+            worker_connections: gauge(
+                "sprucerudder_worker_connections",
+                "Open connections to workers",
+            )?,
+            worker_connections_opened: gauge(
+                "sprucerudder_worker_connections_opened",
+                "Connections that were opened to workers, since the takeover",
+            )?,
+            worker_calls_unconnected: gauge(
+                "sprucerudder_worker_calls_unconnected",
+                "Calls to workers that could not be connected, since the takeover",
+            )?,
+            worker_calls_broken: gauge(
+                "sprucerudder_worker_calls_broken",
+                "Calls to workers whose connection ended before the response, since the takeover",
+            )?,
+            worker_calls_timed_out: gauge(
+                "sprucerudder_worker_calls_timed_out",
+                "Calls to workers without a response in time, since the takeover",
+            )?,
             connected_entries: gauge(
                 "sprucerudder_entries_connected",
                 "Other entries with an open connection to this owner",
@@ -220,6 +247,20 @@
         self.late_advice.observe(seconds(age));
     }
 
+    /// Shows the connections of an owner to its workers.
+    pub fn set_worker_calls(&self, counts: &Counts) {
+        let gauges = [
+            (&self.worker_connections, &counts.open),
+            (&self.worker_connections_opened, &counts.opened),
+            (&self.worker_calls_unconnected, &counts.unconnected),
+            (&self.worker_calls_broken, &counts.broken),
+            (&self.worker_calls_timed_out, &counts.timed_out),
+        ];
+        for (gauge, count) in gauges {
+            gauge.set(count.load(Ordering::Relaxed) as i64);
+        }
+    }
+
     /// Sets the gauges about a cell that this entry owns.
     pub fn set_load(&self, load: &CellStats) {
         self.open_jobs.set(load.open_jobs as i64);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -65,7 +65,6 @@
     id: EntryId,
     settings: Settings,
     clock: Clock,
-    http: HttpClient,
     store: StoreClient,
     adviser: Option<AdviceClient>,
     metrics: Metrics,
@@ -112,7 +111,7 @@
         let node = Arc::new(Self {
             history: Mutex::new(LogHistory::new(clock.now())),
             store: StoreClient::new(http.clone(), settings.store_addr.clone()),
-            adviser: settings.advice_addr.clone().map(|addr| AdviceClient::new(http.clone(), addr)),
+            adviser: settings.advice_addr.clone().map(|addr| AdviceClient::new(http, addr)),
             metrics: Metrics::new()?,
             policy: watch::channel(Arc::new(Policy::default())).0,
             policy_read_at: Mutex::default(),
@@ -121,7 +120,6 @@
             worker_list: watch::channel(None).0,
             stopping: AtomicBool::new(false),
             clock,
-            http,
             id,
             settings,
         });
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -24,12 +24,14 @@
 use crate::node::msg::{EntryMessage, OwnerMessage, RefusalReason};
 use crate::node::view::CellView;
 use crate::node::{Node, lock};
+use crate::platform::http::HttpClient;
 use crate::workload::{JobDefinition, JobKey};
 use peers::Peer;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
+use workers::OrderPermits;
 
 /// New jobs are refused once the last heartbeat in the log is older than this, because their
 /// records could not be stored in time. Heartbeats take up to 900 ms with a store that is 60 times
@@ -72,7 +74,10 @@
     /// The load of the cell by service, as of the last tick.
     loads: Mutex<Vec<ServiceLoad>>,
     /// Limits how many orders are in flight to each worker.
-    order_permits: Mutex<HashMap<Name, Arc<Semaphore>>>,
+    order_permits: Mutex<HashMap<Name, OrderPermits>>,
+    /// The connections to workers. They belong to the ownership, because a worker accepts a limited
+    /// number of them and the next owner needs its own.
+    worker_http: HttpClient,
 }
 
 impl CellView {
@@ -132,6 +137,7 @@
             report_wakes: Mutex::default(),
             loads: Mutex::default(),
             order_permits: Mutex::default(),
+            worker_http: HttpClient::default(),
             node: node.clone(),
             view: self.clone(),
         });
@@ -237,6 +243,7 @@
                 (cell.stats(), cell.advice_load(now))
             };
             self.node.metrics.set_load(&load);
+            self.node.metrics.set_worker_calls(self.worker_http.counts());
             self.node.metrics.set_advice_load(advice);
             self.node.metrics.set_connected_entries(self.connected_entries());
             self.schedule_wake.notify_one();
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -1,6 +1,7 @@
 //! Follows the list of workers, asks workers for reports and sends them orders.
 
 use crate::cell::Action;
+use crate::cell::workers::connection_limit::ConnectionLimit;
 use crate::cell::workers::shared_list::ListVersion;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -35,13 +36,17 @@
 /// capacity by now, or another entry may own the cell. Starts queue for 1.2 s at the most if the
 /// worker does not answer.
 const ORDER_MAX_AGE: Millis = Millis(2_000);
-/// The most orders in flight to one worker. An order takes some 2 ms, and each concurrent one needs
-/// another connection, which is expensive to open. With half as many, orders queue behind ones that
-/// get no answer.
-const MAX_WORKER_ORDERS: usize = 6;
+/// Limits how many orders are in flight to a worker.
+#[derive(Debug)]
+pub(super) struct OrderPermits {
+    limit: ConnectionLimit,
+    permits: Arc<Semaphore>,
+}
 
-fn new_order_permits() -> Arc<Semaphore> {
-    Arc::new(Semaphore::new(MAX_WORKER_ORDERS))
+impl OrderPermits {
+    fn new(limit: ConnectionLimit) -> Self {
+        Self { limit, permits: Arc::new(Semaphore::new(limit.orders())) }
+    }
 }
 
 /// The list of a cell's workers, as its owner knows it.
@@ -116,8 +121,7 @@
         let Some(client) = self.worker_client(&name) else { return };
         let decided_at = self.node.now();
         let Some(incarnation) = lock(&self.cell).worker_incarnation(&name) else { return };
-        let permits =
-            lock(&self.order_permits).entry(name.clone()).or_insert_with(new_order_permits).clone();
+        let permits = self.order_permits(&name, client.limit());
         // Acquiring fails only if the semaphore is closed, and it never is.
         let _permit = permits.acquire().await;
         let sent = self.node.now();
@@ -172,17 +176,41 @@
     }
 
     fn worker_client(&self, name: &Name) -> Option<WorkerClient> {
-        let addr = lock(&self.cell).worker_addr(name)?;
-        Some(WorkerClient::new(self.node.http.clone(), addr, name.clone(), self.epoch))
+        let (addr, service) = {
+            let cell = lock(&self.cell);
+            (cell.worker_addr(name)?, cell.worker_service(name)?)
+        };
+        let max = self.node.policy().worker_connections.get(&service).copied();
+        let (http, limit) = (self.worker_http.clone(), ConnectionLimit::new(max));
+        Some(WorkerClient::new(http, addr, name.clone(), self.epoch, limit))
+    }
+
+    /// The permits for orders to a worker. A new limit applies to orders from now on.
+    fn order_permits(&self, name: &Name, limit: ConnectionLimit) -> Arc<Semaphore> {
+        let mut permits = lock(&self.order_permits);
+        let known = permits.entry(name.clone()).or_insert_with(|| OrderPermits::new(limit));
+        if known.limit != limit {
+            *known = OrderPermits::new(limit);
+        }
+        known.permits.clone()
     }
 
-    /// Asks a worker for reports for as long as the cell knows the worker.
+    /// Asks a worker for reports for as long as the cell knows the worker. Then closes the
+    /// connections to it.
     pub(super) async fn watch_worker(self: Arc<Self>, listed: WorkerInfo) {
-        let name = listed.id;
+        let mut addr = listed.addr;
+        self.poll_reports(listed.id, &mut addr).await;
+        self.worker_http.close(&addr);
+    }
+
+    /// Asks a worker for reports for as long as the cell knows the worker. Sets `addr` to the
+    /// address that was called last.
+    async fn poll_reports(&self, name: Name, addr: &mut Name) {
         let report_wake = lock(&self.report_wakes).entry(name.clone()).or_default().clone();
         // The first report is not held back: it tells which tasks run and what the worker's clock
         // shows, and without the clock no lease can be given.
         let mut wait = Millis(0);
+        let mut ended = self.ended.subscribe();
         while !self.has_ended() {
             self.wait_for_ends(&name).await;
             let can_renew = self.has_authority();
@@ -190,6 +218,7 @@
             let Some(hold) = lock(&self.cell).report_call(sent, &name, can_renew) else { return };
             // A restarted worker may have another address.
             let Some(client) = self.worker_client(&name) else { return };
+            client.addr().clone_into(addr);
             let timeouts = lock(&self.lag).timeouts();
             let result = tokio::select! {
                 report = client.renew(hold.confirmed, hold.lease_end, wait, wait + timeouts.report) => report,
@@ -197,6 +226,8 @@
                     wait = Millis(0);
                     continue;
                 }
+                // Dropping the call closes its connection.
+                _ = ended.wait_for(|ended| *ended) => return,
             };
             let now = self.node.now();
             let retry_later = match &result {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -81,6 +81,9 @@
     /// Whether the workers refuse tasks that don't fit.
     #[serde(default)]
     admission_check: bool,
+    /// The number of connections that a worker accepts; 0 means any number.
+    #[serde(default)]
+    max_conns: u32,
 }
 
 #[derive(Debug, Deserialize, Default)]
@@ -160,6 +163,8 @@
     pub services: Vec<Name>,
     /// The services whose workers refuse tasks that don't fit.
     pub admission_checked: Vec<Name>,
+    /// The number of connections that a worker accepts, by service. Workers of other services accept any number.
+    pub worker_connections: HashMap<Name, u32>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
     /// The workspaces.
@@ -182,6 +187,9 @@
         for routes in policy.routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let limited = raw.services.iter().filter(|service| service.max_conns > 0);
+        policy.worker_connections =
+            limited.map(|service| (service.name.clone(), service.max_conns)).collect();
         policy.services = raw.services.iter().map(|service| service.name.clone()).collect();
         let admission_checked = raw.services.into_iter().filter(|service| service.admission_check);
         policy.admission_checked = admission_checked.map(|service| service.name).collect();
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,8 +1,10 @@
 //! The pooled HTTP client for calls to the platform, workers and runners. It reads whole bodies of limited size within
 //! a time limit.
 
+use crate::cell::workers::connection_limit::ConnectionLimit;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::platform::connector::{Connector, Counts};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
@@ -13,8 +15,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use thiserror::Error;
+use tokio::sync::Semaphore;
 
 /// The largest response body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -24,7 +28,7 @@
 pub const REQUEST_ID_HEADER: &str = "request-id";
 /// The header by which a runner reports that it is leaving.
 pub const UPSTREAM_STATE_HEADER: &str = "upstream-state";
-/// The maximum number of idle connections kept for each address.
+/// The maximum number of idle connections kept for an address without a limit of its own.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// The time limit for opening a connection: a hundred times the latency between failure domains, and as much again in
 /// case the first packet is lost.
@@ -87,46 +91,86 @@
 }
 
 /// The client for one address, with its idle connections.
-type Pool = Client<HttpConnector, Full<Bytes>>;
+type Pool = Client<Connector, Full<Bytes>>;
+
+/// The connections to one address.
+#[derive(Debug)]
+struct Connections {
+    pool: Arc<Pool>,
+    limit: Option<ConnectionLimit>,
+    permits: Option<Arc<Semaphore>>,
+}
+
+impl Connections {
+    fn new(limit: Option<ConnectionLimit>, counts: &Arc<Counts>) -> Self {
+        let permits = limit.map(|limit| Arc::new(Semaphore::new(limit.open)));
+        Self { pool: new_pool(limit, permits.clone(), counts), limit, permits }
+    }
+}
 
 /// An HTTP client with a pool of connections for each address.
 ///
 /// Existing connections may become dead without a reset while new ones work. So an exchange that times out, or can't
-/// open a connection, drops all idle connections to its address. Otherwise each of up to `MAX_IDLE_CONNECTIONS` dead
-/// ones would cost one more exchange its whole time limit.
+/// open a connection, drops all idle connections to its address. Otherwise each of several dead ones would cost one
+/// more exchange its whole time limit.
 #[derive(Debug, Clone, Default)]
 pub struct HttpClient {
-    pools: Arc<Mutex<HashMap<Name, Arc<Pool>>>>,
+    addresses: Arc<Mutex<HashMap<Name, Connections>>>,
+    counts: Arc<Counts>,
 }
 
-fn new_pool() -> Pool {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT.duration()));
+fn new_pool(
+    limit: Option<ConnectionLimit>,
+    permits: Option<Arc<Semaphore>>,
+    counts: &Arc<Counts>,
+) -> Arc<Pool> {
+    let mut http = HttpConnector::new();
+    http.set_nodelay(true);
+    http.set_connect_timeout(Some(CONNECT_TIMEOUT.duration()));
+    let max_idle = limit.map_or(MAX_IDLE_CONNECTIONS, |limit| limit.idle);
     let mut builder = Client::builder(TokioExecutor::new());
-    builder.pool_max_idle_per_host(MAX_IDLE_CONNECTIONS).retry_canceled_requests(false);
-    builder.build(connector)
+    builder.pool_max_idle_per_host(max_idle).retry_canceled_requests(false);
+    Arc::new(builder.build(Connector { http, permits, counts: counts.clone() }))
 }
 
 impl HttpClient {
-    fn pool(&self, addr: &str) -> Arc<Pool> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(pool) = pools.get(addr) {
-            return pool.clone();
+    fn addresses(&self) -> MutexGuard<'_, HashMap<Name, Connections>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The pool for an address. If the limit has changed, the idle connections are dropped.
+    fn pool(&self, addr: &str, limit: Option<ConnectionLimit>) -> Arc<Pool> {
+        let mut addresses = self.addresses();
+        match addresses.get(addr) {
+            Some(known) if known.limit == limit => known.pool.clone(),
+            _ => {
+                let connections = Connections::new(limit, &self.counts);
+                let pool = connections.pool.clone();
+                addresses.insert(addr.into(), connections);
+                pool
+            }
         }
-        let pool = Arc::new(new_pool());
-        pools.insert(addr.into(), pool.clone());
-        pool
     }
 
     /// Drops the idle connections to an address, unless its pool has been replaced since `pool` was taken.
     fn drop_pool(&self, addr: &str, pool: &Arc<Pool>) {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if pools.get(addr).is_some_and(|current| Arc::ptr_eq(current, pool)) {
-            pools.remove(addr);
+        if let Some(known) = self.addresses().get_mut(addr)
+            && Arc::ptr_eq(&known.pool, pool)
+        {
+            known.pool = new_pool(known.limit, known.permits.clone(), &self.counts);
         }
     }
 
+    /// Closes the connections to an address, each once no call uses it any more.
+    pub fn close(&self, addr: &str) {
+        self.addresses().remove(addr);
+    }
+
+    /// Counts of connections and calls.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// Sends one request and reads the whole response within the time limit.
     ///
     /// # Errors
@@ -137,13 +181,35 @@
         request: Request<Full<Bytes>>,
         timeout: Millis,
     ) -> Result<HttpResponse, HttpError> {
-        let pool = self.pool(addr);
+        self.send_limited(addr, None, request, timeout).await
+    }
+
+    /// As [`HttpClient::send`], with a limit on the number of connections to the address. A request that needs
+    /// another one waits, within its time limit, until one is free.
+    ///
+    /// # Errors
+    /// See [`HttpClient::send`].
+    pub async fn send_limited(
+        &self,
+        addr: &str,
+        limit: Option<ConnectionLimit>,
+        request: Request<Full<Bytes>>,
+        timeout: Millis,
+    ) -> Result<HttpResponse, HttpError> {
+        let pool = self.pool(addr, limit);
         let exchange = exchange(&pool, addr, request);
         let result = match tokio::time::timeout(timeout.duration(), exchange).await {
             Ok(result) => result,
             Err(_) => Err(HttpError::Timeout(addr.to_string())),
         };
-        if matches!(result, Err(HttpError::Timeout(_) | HttpError::Connect(_))) {
+        let failures = match &result {
+            Err(HttpError::Timeout(_)) => &self.counts.timed_out,
+            Err(HttpError::Connect(_)) => &self.counts.unconnected,
+            Err(HttpError::Broken(..)) => &self.counts.broken,
+            _ => return result,
+        };
+        failures.fetch_add(1, Ordering::Relaxed);
+        if !matches!(result, Err(HttpError::Broken(..))) {
             self.drop_pool(addr, &pool);
         }
         result
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod advice;
 pub mod api;
 pub mod config;
+pub mod connector;
 pub mod front;
 pub mod http;
 pub mod settings;
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -1,5 +1,6 @@
 //! Decodes the entries by which workers list themselves, and sends orders to workers.
 
+use crate::cell::workers::connection_limit::ConnectionLimit;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{
@@ -187,12 +188,24 @@
     addr: Name,
     id: Name,
     fence: u64,
+    limit: ConnectionLimit,
 }
 
 impl WorkerClient {
-    /// Creates a client that sends orders with the fencing token `fence` to the worker instance `id` at `addr`.
-    pub fn new(http: HttpClient, addr: Name, id: Name, fence: u64) -> Self {
-        Self { http, addr, id, fence }
+    /// Creates a client that sends orders with the fencing token `fence` to the worker instance `id` at `addr`, over
+    /// as many connections as `limit` allows.
+    pub fn new(http: HttpClient, addr: Name, id: Name, fence: u64, limit: ConnectionLimit) -> Self {
+        Self { http, addr, id, fence, limit }
+    }
+
+    /// The address of the worker.
+    pub fn addr(&self) -> &Name {
+        &self.addr
+    }
+
+    /// How many connections to the worker are used.
+    pub fn limit(&self) -> ConnectionLimit {
+        self.limit
     }
 
     /// Posts a JSON request to the worker instance.
@@ -213,7 +226,7 @@
             .header(INSTANCE_HEADER, &*self.id)
             .body(Full::from(Bytes::from(body)))
             .map_err(|err| malformed(&err))?;
-        self.http.send(&self.addr, request, timeout).await
+        self.http.send_limited(&self.addr, Some(self.limit), request, timeout).await
     }
 
     /// Sends an order and maps its result to an outcome.
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -21,6 +21,7 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use store::Store;
 use tokio::net::TcpListener;
 use worker::Worker;
@@ -113,14 +114,61 @@
     Call { path, query, instance, host, body }
 }
 
+/// Limits how many connections a service has open. Further ones are reset.
+#[derive(Debug)]
+pub(super) struct ConnectionCap {
+    max: AtomicUsize,
+    open: AtomicUsize,
+    /// The number of connections that were reset.
+    rejected: AtomicUsize,
+}
+
+impl ConnectionCap {
+    fn new(max: usize) -> Arc<Self> {
+        let (max, open) = (AtomicUsize::new(max), AtomicUsize::new(0));
+        Arc::new(Self { max, open, rejected: AtomicUsize::new(0) })
+    }
+
+    /// Counts a new connection until the returned guard is dropped; `None` if there are too many.
+    fn admit(self: &Arc<Self>) -> Option<OpenConnection> {
+        let connection = OpenConnection(self.clone());
+        let open = self.open.fetch_add(1, Ordering::Relaxed);
+        if open >= self.max.load(Ordering::Relaxed) {
+            self.rejected.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(connection)
+    }
+}
+
+/// A connection that counts as open until this is dropped.
+#[derive(Debug)]
+struct OpenConnection(Arc<ConnectionCap>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Serves requests on a listener until its task is dropped.
-pub(super) async fn serve<S, F, R>(listener: TcpListener, state: Arc<S>, handle: F)
-where
+pub(super) async fn serve<S, F, R>(
+    listener: TcpListener,
+    cap: Arc<ConnectionCap>,
+    state: Arc<S>,
+    handle: F,
+) where
     S: Send + Sync + 'static,
     F: Fn(Arc<S>, Call) -> R + Copy + Send + Sync + 'static,
     R: Future<Output = Reply> + Send + 'static,
 {
     while let Ok((stream, _)) = listener.accept().await {
+        let Some(connection) = cap.admit() else {
+            if let Err(err) = stream.set_zero_linger() {
+                log::debug!("event=connection-not-reset error={err:?}");
+            }
+            continue;
+        };
         let state = state.clone();
         let service = service_fn(move |request| {
             let state = state.clone();
@@ -134,6 +182,7 @@
         });
         let builder = hyper::server::conn::http1::Builder::new();
         tokio::spawn(async move {
+            let _connection = connection;
             if let Err(err) = builder.serve_connection(TokioIo::new(stream), service).await {
                 // A caller may close its connection at any time.
                 log::debug!("event=connection-ended error={err:?}");
@@ -153,6 +202,10 @@
     pub workers: Vec<Arc<Worker>>,
     /// Log of what the workers ran.
     pub run_log: Arc<RunLog>,
+    /// The number of connections that each worker accepts.
+    max_connections: u32,
+    /// The connections of each worker, by index.
+    caps: Vec<Arc<ConnectionCap>>,
     host: String,
     port: u16,
 }
@@ -162,6 +215,8 @@
 /// Offset of the first entry's ports from the first port of the site. Each entry has ten ports, of
 /// which it uses four: callers, readiness checks of the load balancer, other entries, metrics.
 pub const ENTRY_PORT_OFFSET: u16 = 2_000;
+/// Number of connections that a worker accepts in the initial policy.
+const MAX_CONNECTIONS: u32 = 64;
 /// Initial CPU capacity of a worker, in thousandths of a core.
 pub const WORKER_CPU: u64 = 8_000;
 
@@ -176,11 +231,20 @@
         let advice = Arc::new(Advice::default());
         store.put("keyed.op", "config", policy(&advice.queues()).to_string().as_bytes());
         let listener = TcpListener::bind((host, port)).await?;
-        tokio::spawn(serve(listener, store.clone(), store::handle));
+        let unlimited = ConnectionCap::new(usize::MAX);
+        tokio::spawn(serve(listener, unlimited.clone(), store.clone(), store::handle));
         let listener = TcpListener::bind((host, port + 1)).await?;
-        tokio::spawn(serve(listener, advice.clone(), advice::handle));
-        let (host, run_log) = (host.to_string(), Arc::default());
-        let mut site = Self { store, advice, workers: Vec::new(), run_log, host, port };
+        tokio::spawn(serve(listener, unlimited, advice.clone(), advice::handle));
+        let mut site = Self {
+            store,
+            advice,
+            workers: Vec::new(),
+            run_log: Arc::default(),
+            max_connections: MAX_CONNECTIONS,
+            caps: Vec::new(),
+            host: host.to_string(),
+            port,
+        };
         for _ in 0..workers {
             site.add_worker().await?;
         }
@@ -210,6 +274,29 @@
         self.store.put("keyed.op", "config", policy.to_string().as_bytes());
     }
 
+    /// Publishes a version of the policy by which each worker accepts at most `max` connections.
+    /// The workers close none that are open.
+    pub fn limit_connections(&mut self, version: u64, max: u32) {
+        self.max_connections = max;
+        for cap in &self.caps {
+            cap.max.store(max as usize, Ordering::Relaxed);
+        }
+        let mut policy = policy(&self.advice.queues());
+        policy["version"] = json!(version);
+        policy["services"][0]["max_conns"] = json!(max);
+        self.store.put("keyed.op", "config", policy.to_string().as_bytes());
+    }
+
+    /// The number of connections that all workers have open.
+    pub fn open_connections(&self) -> usize {
+        self.caps.iter().map(|cap| cap.open.load(Ordering::Relaxed)).sum()
+    }
+
+    /// The number of connections that workers have reset because they had too many.
+    pub fn rejected_connections(&self) -> usize {
+        self.caps.iter().map(|cap| cap.rejected.load(Ordering::Relaxed)).sum()
+    }
+
     /// Starts one more worker.
     ///
     /// # Errors
@@ -240,7 +327,9 @@
             self.run_log.clone(),
             self.advice.clone(),
         ));
-        tokio::spawn(serve(listener, worker.clone(), worker::handle));
+        let cap = ConnectionCap::new(self.max_connections as usize);
+        tokio::spawn(serve(listener, cap.clone(), worker.clone(), worker::handle));
+        self.caps.push(cap);
         tokio::spawn(worker.clone().publish_entries(self.store.clone(), SERVICE));
         self.workers.push(worker);
         Ok(())
@@ -334,7 +423,7 @@
     json!({
         "version": 1,
         "routes": routes,
-        "services": [{"name": SERVICE, "admission_check": false}],
+        "services": [{"name": SERVICE, "admission_check": false, "max_conns": MAX_CONNECTIONS}],
         "limits": {}
     })
 }
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -4,9 +4,10 @@
 mod cellworld;
 
 use cellworld::{
-    Disabled, search, search_crashing_tasks, search_lasting, search_limits, search_power_loss,
-    search_preemption, search_ranked, search_restarts, search_room_changes, search_store_outages,
-    search_suspensions, search_truncated_reports, search_withdrawals,
+    Disabled, search, search_crashing_tasks, search_lasting, search_limits,
+    search_owner_power_losses, search_power_loss, search_preemption, search_ranked,
+    search_restarts, search_room_changes, search_store_outages, search_suspensions,
+    search_takeovers_with_few_connections, search_truncated_reports, search_withdrawals,
 };
 
 /// A number from the environment. An invalid one is an error; it doesn't fall back to the default.
@@ -267,6 +268,32 @@
     });
 }
 
+#[test]
+fn invariants_hold_when_owners_lose_power_in_series() {
+    // Guards against workers that no owner can reach any more because they keep the connections of
+    // owners that lost power.
+    assert_holds(|seed| search_owner_power_losses(seed, Disabled::Nothing));
+}
+
+#[test]
+fn owners_without_connection_limits_violate_an_invariant() {
+    assert_breaks_in(Disabled::ConnectionLimit, |seed, disabled| {
+        search_owner_power_losses(seed, disabled).0
+    });
+}
+
+#[test]
+fn invariants_hold_when_owners_are_replaced_often_and_workers_accept_few_connections() {
+    assert_holds(|seed| search_takeovers_with_few_connections(seed, Disabled::Nothing));
+}
+
+#[test]
+fn owners_that_keep_connections_after_their_end_violate_an_invariant() {
+    assert_breaks_in(Disabled::ClosedConnections, |seed, disabled| {
+        search_takeovers_with_few_connections(seed, disabled).0
+    });
+}
+
 #[test]
 fn invariants_hold_when_withdrawn_jobs_are_submitted_again() {
     // Starts of a withdrawn job were sent together with those of the same job when it had been
--- a/tests/cellworld/faults.rs
+++ b/tests/cellworld/faults.rs
@@ -71,6 +71,7 @@
 
     pub(super) fn crash(&mut self, name: &Name, downtime: u64) {
         self.last_disruption = self.now + downtime;
+        self.connections.forget_worker(name);
         self.note_fault(self.now);
         self.record_lost_runs(name);
         let running: Vec<TaskKey> = self.workers[name].running.keys().copied().collect();
@@ -206,6 +207,8 @@
                 self.log_event(format!("owner {owner} dies"));
                 self.note_fault(self.now);
                 self.owners[owner].alive = false;
+                // Only the process ends, and the VM closes its connections.
+                self.connections.close(owner);
                 let at = self.now + 600 + self.pick(600);
                 self.schedule_at(at, Event::Elect);
             }
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod checks;
+mod connections;
 mod faults;
 mod lasting;
 mod limits;
@@ -18,6 +19,7 @@
 mod withdrawal;
 mod worker;
 
+use connections::Call;
 pub use search::*;
 
 use fastrand::Rng;
@@ -96,6 +98,10 @@
     UnrecordedStarts,
     /// Owners take reports that list the most ends for complete.
     TruncatedReports,
+    /// Owners do not know how many connections workers accept.
+    ConnectionLimit,
+    /// Owners that were replaced keep their connections.
+    ClosedConnections,
 }
 
 #[derive(Debug, Clone)]
@@ -271,6 +277,8 @@
     },
     /// Power is lost everywhere: the owner dies, and all workers crash.
     PowerLoss,
+    /// The current owner loses power.
+    OwnerPowerLoss,
     /// Owners learn of changed workspace limits.
     UpdateLimits,
     /// A failure domain is suspended.
@@ -413,6 +421,8 @@
     lasting: lasting::LastingJobs,
     /// State of the searches in which the store becomes unavailable.
     outage: outage::Outage,
+    /// State of the searches in which workers accept a limited number of connections.
+    connections: connections::WorkerConnections,
     /// State of the searches in which overdue appends make owners withdraw jobs.
     withdrawals: withdrawal::Withdrawals,
     pub violations: Vec<String>,
@@ -482,6 +492,7 @@
             last_disruption: 0,
             lasting: lasting::LastingJobs::default(),
             outage: outage::Outage::default(),
+            connections: connections::WorkerConnections::default(),
             withdrawals: withdrawal::Withdrawals::default(),
             violations: Vec::new(),
             trace: Vec::new(),
@@ -670,6 +681,10 @@
             }
             Event::OrderAnswered { owner, worker, start, task, run, life, outcome } => {
                 let now = Millis(self.now);
+                if outcome != OrderOutcome::Withheld {
+                    let was_answered = outcome != OrderOutcome::Unknown;
+                    self.disconnect(owner, &worker, Call::Order, was_answered);
+                }
                 let cell = &mut self.owners[owner].cell;
                 // As in the owner's event loop: it is not known which of the two incarnations
                 // answered.
@@ -687,6 +702,8 @@
             }
             Event::ReportAnswered { owner, worker, sent, result } => {
                 let now = Millis(self.now);
+                let was_answered = !matches!(result, Err(ReportError::NoReply(_)));
+                self.disconnect(owner, &worker, Call::Report, was_answered);
                 let cell = &mut self.owners[owner].cell;
                 let pause = match &result {
                     Ok(report) => {
@@ -747,6 +764,7 @@
             Event::CrashUnder { worker, task, run } => self.crash_under(&worker, task, run),
             Event::CrashWorker { worker } => self.crash_at_random(&worker),
             Event::PowerLoss => self.cut_power(),
+            Event::OwnerPowerLoss => self.cut_owner_power(),
             Event::UpdateLimits => self.publish_limits(),
             Event::SuspendDomain { domain, with_owner } => self.suspend_domain(domain, with_owner),
             Event::AbandonedCall { owner, worker, life, seen, until } => {
@@ -874,6 +892,9 @@
             return;
         }
         self.owners[owner].deposed = true;
+        if self.disabled != Disabled::ClosedConnections {
+            self.connections.close(owner);
+        }
     }
 
     /// Whether an owner may send orders and renew leases.
@@ -1021,6 +1042,7 @@
         | Event::RestoreRooms
         | Event::CrashWorker { .. }
         | Event::PowerLoss
+        | Event::OwnerPowerLoss
         | Event::UpdateLimits
         | Event::SuspendDomain { .. }
         | Event::StoreOutage { .. }
--- a/tests/cellworld/network.rs
+++ b/tests/cellworld/network.rs
@@ -14,6 +14,10 @@
             self.owners[owner].polled.remove(&worker);
             return;
         };
+        if !self.connect(owner, &worker, Call::Report) {
+            let result = Err(ReportError::NoReply("reset".to_string()));
+            return self.schedule_after(1, Event::ReportAnswered { owner, worker, sent, result });
+        }
         let lost = self.chance(5);
         let delay = 1 + self.pick(3);
         let event = Event::ReportCall {
@@ -172,11 +176,20 @@
             Action::Stop { task, run, .. } => (false, *task, *run),
             _ => return,
         };
+        let is_late = delivery == Delivery::ArrivesLate;
+        if !is_late && let Some(delay) = self.must_wait(owner, name) {
+            let (worker, life, action) = (name.clone(), life, action.clone());
+            let order = Event::Order { owner, worker, life, action, delivery };
+            return self.schedule_after(delay, order);
+        }
         let (to, worker) = (life.clone(), name.clone());
         let answered = |outcome| {
             let (worker, life) = (worker.clone(), to.clone());
             Event::OrderAnswered { owner, worker, start, task, run, life, outcome }
         };
+        if !is_late && !self.connect(owner, name, Call::Order) {
+            return self.schedule_after(1, answered(OrderOutcome::Unknown));
+        }
         if let Delivery::Delayed(delay) = delivery {
             let (action, worker) = (action.clone(), name.clone());
             // A delayed order arrives even if its sender has died, but not at a restarted worker.
@@ -190,7 +203,6 @@
             return self.schedule_after(CALL_TIMEOUT_MS, answered(OrderOutcome::Unknown));
         }
         let epoch = self.owners[owner].cell.epoch();
-        let is_late = delivery == Delivery::ArrivesLate;
         let outcome = match action {
             Action::Start { start, until, .. } => {
                 // The sender isn't blamed for a start that arrives late.
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -160,6 +160,31 @@
     (first_violation(&sim, seed), sim.outage.count)
 }
 
+/// As [`search`], with workers that accept few connections, and owners that lose power. Also returns
+/// the number of these.
+pub fn search_owner_power_losses(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, disabled);
+    sim.add_owner_power_losses(11, 32);
+    sim.run();
+    (first_violation(&sim, seed), sim.connections.power_losses)
+}
+
+/// As [`search_owner_power_losses`], with owners that are replaced and live on. Also returns the
+/// number of owners.
+pub fn search_takeovers_with_few_connections(
+    seed: u64,
+    disabled: Disabled,
+) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, disabled);
+    sim.add_owner_power_losses(0, 20);
+    for _ in 0..12 {
+        let at = sim.pick(FAULTS_END_MS);
+        sim.schedule_at(at, Event::Elect);
+    }
+    sim.run();
+    (first_violation(&sim, seed), sim.owners.len())
+}
+
 /// As [`search_store_outages`], with workers that list few ends at once, so that the ends that wait
 /// for the store exceed a report. Also returns the number of reports without all ends.
 pub fn search_truncated_reports(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -12,6 +12,7 @@
 use cell::Cell;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
+use nix::sys::signal::Signal;
 use proxy::Proxy;
 use serde_json::{Value, json};
 use sprucerudder::clock::Millis;
@@ -160,6 +161,48 @@
     assert!(took < Duration::from_secs(3), "{took:?}");
 }
 
+/// The number of connections that a worker accepts while owners lose power one after the other.
+const FEW_CONNECTIONS: u32 = 32;
+/// How often the owner loses power: each owner leaves the two connections that it keeps.
+const POWER_LOSSES: u64 = 10;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_that_lost_power_leave_connections_for_the_next_one() {
+    // Guards against workers that no owner can reach any more: a worker accepts a limited number of
+    // connections, and keeps those of VMs that lost power.
+    let mut callers = Callers::start(1, 2).await;
+    callers.cell.site.limit_connections(2, FEW_CONNECTIONS);
+    let mut owner = callers.owner().await;
+    for loss in 0..POWER_LOSSES {
+        // Starts at the same time need several connections.
+        let paths: Vec<String> =
+            (0..8).map(|no| format!("/plain/0000000000000{loss:02x}{no}")).collect();
+        futures_util::future::join_all(paths.iter().map(|path| callers.serve(owner, path))).await;
+        callers.cell.cut_entry_power(owner).await;
+        callers.cell.start_entry(owner);
+        owner = 1 - owner;
+        callers.await_ready(owner).await;
+    }
+    callers.serve(owner, "/plain/00000000000000ff").await;
+    assert_eq!(callers.cell.site.rejected_connections(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_was_replaced_closes_its_connections_to_workers() {
+    // Guards against workers whose connections are used up by entries that owned the cell before.
+    let callers = Callers::start(1, 2).await;
+    let first = callers.owner().await;
+    callers.serve(first, "/plain/00000000000000d1").await;
+    let of_one_owner = callers.cell.site.open_connections();
+    callers.cell.signal(first, Signal::SIGSTOP);
+    callers.serve(1 - first, "/plain/00000000000000d2").await;
+    callers.cell.signal(first, Signal::SIGCONT);
+    until("the former owner to close its connections", async || {
+        callers.cell.site.open_connections() <= of_one_owner
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn one_exchange_without_an_answer_ends_all_idle_connections_to_its_address() {
     let callers = Callers::start(1, 1).await;
--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -10,11 +10,14 @@
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// First port of a cell on its own loopback address.
 const BASE_PORT: u16 = 20_000;
 /// Offset of a proxy's port from the port that it forwards to.
 const PROXY_PORT_OFFSET: u16 = 5_000;
+/// Time in which the proxies notice that the connections of a killed process have ended.
+const POWER_LOSS_TIME: Duration = Duration::from_millis(50);
 /// Offset of the port for other entries within the ports of an entry.
 const PEER_PORT_OFFSET: u16 = 2;
 
@@ -117,6 +120,21 @@
         drop(self.entries[usize::from(index)].process.take());
     }
 
+    /// Kills the process of an entry as if its VM lost power: its connections to workers stay open
+    /// there for good.
+    pub async fn cut_entry_power(&mut self, index: u16) {
+        self.set_power_losses(true);
+        self.kill_entry(index);
+        tokio::time::sleep(POWER_LOSS_TIME).await;
+        self.set_power_losses(false);
+    }
+
+    fn set_power_losses(&self, enabled: bool) {
+        for proxy in &self.worker_proxies {
+            proxy.update(|state| state.callers_lose_power = enabled);
+        }
+    }
+
     /// Whether the process of an entry has ended since the last call; from then on the entry counts
     /// as not running.
     pub fn has_ended(&mut self, index: u16) -> bool {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -31,6 +31,8 @@
 pub enum FaultAction {
     SignalEntry(u16, Signal),
     KillEntry(u16),
+    /// The VM of an entry loses power: its connections stay open at the workers.
+    CutEntryPower(u16),
     /// Starts an entry that is not running.
     StartEntry(u16),
     DisturbLink(Link, LinkFault),
@@ -76,7 +78,13 @@
                 actions.push((end, FaultAction::SignalEntry(entry, Signal::SIGCONT)));
             }
             1 => {
-                actions.push((start, FaultAction::KillEntry(entry)));
+                // Half of the times decide, because another random number would change the faults
+                // of all earlier seeds.
+                let loses_power = start % 2 == 0;
+                actions.push(match loses_power {
+                    true => (start, FaultAction::CutEntryPower(entry)),
+                    false => (start, FaultAction::KillEntry(entry)),
+                });
                 actions.push((end, FaultAction::StartEntry(entry)));
             }
             2 => {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -220,7 +220,7 @@
         while Instant::now() < until || actions.peek().is_some() {
             let due = |(at, _): &&(u64, FaultAction)| begun.elapsed().as_millis() as u64 >= *at;
             while let Some((_, action)) = actions.next_if(due) {
-                self.apply(action);
+                self.apply(action).await;
             }
             self.restart_stopped_entries();
             self.read_events();
@@ -238,10 +238,11 @@
         }
     }
 
-    fn apply(&mut self, action: &FaultAction) {
+    async fn apply(&mut self, action: &FaultAction) {
         match action {
             FaultAction::SignalEntry(no, signal) => self.cell.signal(*no, *signal),
             FaultAction::KillEntry(no) => self.cell.kill_entry(*no),
+            FaultAction::CutEntryPower(no) => self.cell.cut_entry_power(*no).await,
             FaultAction::StartEntry(no) if self.cell.is_running(*no) => {}
             FaultAction::StartEntry(no) => self.cell.start_entry(*no),
             FaultAction::RestoreLink(link) => self.proxy(*link).restore(),
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -20,6 +20,9 @@
     pub hold_replies: bool,
     /// Incremented to reset all open connections.
     pub reset_count: u32,
+    /// Callers that end their connections have lost power: the target learns nothing of it, and the
+    /// connections stay open for good.
+    pub callers_lose_power: bool,
     /// Incremented to stall all open connections for good, without a reset.
     pub stall_count: u32,
 }
@@ -80,12 +83,20 @@
     }
     let (from_caller, to_caller) = caller.into_split();
     let (from_target, to_target) = target_stream.into_split();
-    let requests = forward(from_caller, to_target, states.clone(), move |state| {
-        state.hold_requests || state.stall_count != stalls
-    });
-    let replies = forward(from_target, to_caller, states.clone(), move |state| {
-        state.hold_replies || state.stall_count != stalls
-    });
+    let (request_states, reply_states) = (states.clone(), states.clone());
+    let requests = async move {
+        let (mut from, mut to) = (from_caller, to_target);
+        let is_held = |state: &LinkState| state.hold_requests || state.stall_count != stalls;
+        forward(&mut from, &mut to, request_states.clone(), is_held).await;
+        if request_states.borrow().callers_lose_power {
+            std::future::pending::<()>().await;
+        }
+    };
+    let replies = async move {
+        let (mut from, mut to) = (from_target, to_caller);
+        let is_held = |state: &LinkState| state.hold_replies || state.stall_count != stalls;
+        forward(&mut from, &mut to, reply_states, is_held).await;
+    };
     let both = async {
         tokio::join!(requests, replies);
     };
@@ -96,8 +107,8 @@
 }
 
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut states: watch::Receiver<LinkState>,
     is_held: impl Fn(&LinkState) -> bool,
 ) {
