Advice: an answer whose age was rounded up settles its request

Cause: the entry that asks and the owner round times to whole milliseconds, so an answer may seem to be 1 ms older than its request. It was taken for one to an earlier request, ended the one in progress, and was not used. The step stayed marked as waiting for its answer. Evidence: advice-unused why=job-not-open 552 ms after the request, for a job that was submitted once and is open; then question=queued with nothing queued.

Ruled out: a long queue, lost entries, a withdrawn job.

Fix: ages within 2 ms count as exact, and an answer to an earlier request leaves the later one in progress, which its deadline ends at the latest.

--- a/src/cell/advice/late_answer.rs
+++ b/src/cell/advice/late_answer.rs
@@ -9,6 +9,10 @@
 use crate::order::{AdviceAge, ClearedWorkers};
 use crate::workload::StepKey;
 
+/// By how much the age of a request may exceed the time since the owner sent it: the owner and the
+/// entry round their times to whole milliseconds.
+const AGE_ROUNDING: Millis = Millis(2);
+
 impl Cell {
     /// Handles the answer that an entry got from the advice service; `None` if there was none. The
     /// answer may be to a request that this owner never made or has returned to the queue.
@@ -22,13 +26,15 @@
         age: AdviceAge,
     ) {
         let is_asked = self.advice_queue.client_of(key).is_some_and(|client| client == entry);
-        let is_wanted = self.advice_queue.complete(entry, key);
-        self.advice_queue.record_outcome(entry, answer.is_none().then_some(now));
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        // The answer to an earlier request may settle this one.
-        let sent_at = now - age.request;
+        let sent_at = now - age.request + AGE_ROUNDING;
         let is_to_request =
             is_asked && step.is_some_and(|step| sent_at >= step.clearances.requested_at);
+        // After the answer to an earlier request of the same entry, the later one goes on: a step
+        // whose request ended without an answer to it would never be asked about again.
+        let is_to_earlier = is_asked && !is_to_request && answer.is_some();
+        let is_wanted = is_to_earlier || self.advice_queue.complete(entry, key);
+        self.advice_queue.record_outcome(entry, answer.is_none().then_some(now));
         match answer {
             _ if !is_wanted => log::info!("event=advice-unused step={key} entry={entry}"),
             Some(cleared) if is_to_request => self.apply_advice(now, key, named, cleared, age),
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -218,4 +218,25 @@
     cluster.cell.handle_aged_advice(now, &entry, STEP, &["w0".into()], answer, age(150, 50));
     cluster.cell.schedule(now);
     assert_eq!(cluster.cell.bindings(job(1)), [], "asked before it was submitted again");
+    // Guards against a step that waits for ever: the old answer ended the request in progress, and
+    // the step still counted as one that waits for its answer.
+    cluster.run_for(5_000);
+    assert_eq!(cluster.start_count(job(1)), 1, "the request in progress got no answer");
+}
+
+#[test]
+fn an_answer_whose_age_was_rounded_up_settles_its_request() {
+    // Guards against a step that waits for ever: two entries round times to whole milliseconds, so
+    // an answer may seem to be older than its request. It was taken for one to an earlier request.
+    let mut cluster = Cluster::with_advice(1);
+    cluster.submit(job(1));
+    let requests = take_requests(&mut cluster);
+    let (entry, request) = requests.first().expect("a request");
+    cluster.now += 50;
+    let now = Millis(cluster.now);
+    let tickets = vec![(Name::from("w0"), "ticket".into())];
+    let answer = Some(ClearedWorkers { tickets, valid_for: None });
+    cluster.cell.handle_aged_advice(now, entry, STEP, &request.workers, answer, age(51, 0));
+    cluster.cell.schedule(now);
+    assert_eq!(cluster.cell.bindings(job(1)).len(), 1);
 }
