Owner: send no start whose run is not needed any more

Cause: a start waits until one of the owner's connections to the worker is free. Meanwhile the worker of an earlier run, whose lease had expired behind a partition, came back and listed the end of that run as done. The new run was stopped, and its start was sent all the same. With fewer connections starts wait longer. Evidence: in the trace the decision on the start is before the report with the end, and the start arrives after both.

Fix: right before a start is sent, the cell is asked whether its run still waits to be started. The simulated network does the same.

--- a/src/cell/workers/orders.rs
+++ b/src/cell/workers/orders.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Whether a start that waits to be sent is still needed: its run has not been stopped or
+    /// abandoned, for example because an earlier run of the task turned out to be done.
+    pub fn needs_start(&self, name: &Name, task: TaskKey, run: u64) -> bool {
+        let known = self.workers.get(name).and_then(|worker| worker.runs.get(&(task, run)));
+        known.is_some_and(|known| known.phase == Phase::Starting)
+    }
+
     /// Whether a run is or may be on a worker.
     fn knows_run(&self, name: &Name, task: TaskKey, run: u64) -> bool {
         self.workers.get(name).is_some_and(|worker| worker.runs.contains_key(&(task, run)))
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -133,8 +133,16 @@
         let has_restarted = || lock(&self.cell).has_restarted(&incarnation);
         // The failure domain of the worker may have been drained meanwhile.
         let is_drained = lock(&self.cell).is_drained(&name);
+        // An earlier run of the task may have turned out to be done.
+        let is_needed = match &action {
+            Action::Start { start, .. } => {
+                lock(&self.cell).needs_start(&name, start.task, start.run)
+            }
+            _ => true,
+        };
         let is_withheld = !has_authority
             || is_drained
+            || !is_needed
             || sent.since(decided_at) >= ORDER_MAX_AGE
             || has_restarted();
         if has_restarted() && !matches!(action, Action::Start { .. }) {
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -218,6 +218,17 @@
     assert!(matches!(cell.job_state(JobKey(1)), Some(JobState::Closed(_))));
 }
 
+#[test]
+fn a_start_is_not_needed_any_more_once_its_run_is_stopped() {
+    // Guards against a start that waits for a connection and is sent after its job was cancelled.
+    let mut cell = cell(&[list_entry("w1", "a")]);
+    let key = submit(&mut cell, 10, 1, "q", vec![step(1)]);
+    let (worker, start) = starts(&mut cell, 11).remove(0);
+    assert!(cell.needs_start(&worker, start.task, start.run));
+    cell.cancel(Millis(12), key);
+    assert!(!cell.needs_start(&worker, start.task, start.run));
+}
+
 #[test]
 fn a_silent_workers_lease_is_not_renewed_and_its_tasks_start_elsewhere_when_it_expires() {
     let mut cell = cell(&[list_entry("w1", "a"), list_entry("w2", "b")]);
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -287,6 +287,16 @@
     assert_holds(|seed| search_takeovers_with_few_connections(seed, Disabled::Nothing));
 }
 
+#[test]
+fn a_start_that_waits_for_a_connection_is_not_sent_once_its_task_is_done() {
+    // Guards against a task that runs again: a start waited for a connection, the worker of an
+    // earlier run came back and listed its end, and the start was sent all the same.
+    assert_holds_for(
+        |seed| search_takeovers_with_few_connections(seed, Disabled::Nothing),
+        150_000_320,
+    );
+}
+
 #[test]
 fn owners_that_keep_connections_after_their_end_violate_an_invariant() {
     assert_breaks_in(Disabled::ClosedConnections, |seed, disabled| {
--- a/tests/cellworld/network.rs
+++ b/tests/cellworld/network.rs
@@ -167,6 +167,13 @@
             {
                 return self.withhold_start(owner, action, self.now);
             }
+            // As in the owner's event loop, where starts wait for a connection.
+            Action::Start { start, .. }
+                if delivery != Delivery::ArrivesLate
+                    && !cell.needs_start(name, start.task, start.run) =>
+            {
+                return self.withhold_start(owner, action, self.now);
+            }
             _ if delivery == Delivery::ArrivesLate || !is_other => {}
             Action::Start { .. } => return self.withhold_start(owner, action, self.now),
             _ => return,
