Reports: keep track of listed ends beside their handling

A record without an entry in the counts has no further parts, which the code now says. No behaviour changes.

--- a/src/cell/records/parts.rs
+++ b/src/cell/records/parts.rs
@@ -100,7 +100,7 @@
             count += 1;
             append.push(part_key(key, count).into(), part);
         }
-        let stored = self.counts.get(key).copied().unwrap_or_default();
+        let stored = self.counts.get(key).map_or(0, |count| *count);
         for number in count + 1..=stored {
             append.push(part_key(key, number).into(), b"");
         }
--- a/src/cell/workers/connection_limit.rs
+++ b/src/cell/workers/connection_limit.rs
@@ -9,8 +9,8 @@
 /// One connection for reports and one for orders. A report is held back by the worker until a run
 /// ends, so orders cannot share its connection.
 const MIN_OPEN: usize = 2;
-/// One connection for reports and six for orders. An order takes some 2 ms, and each further
-/// connection is expensive to open.
+/// One connection for reports and six for orders. Opening a connection takes longer than an
+/// order.
 const MAX_OPEN: usize = 7;
 /// The number of connections that stay open while no call uses them: those for reports and orders.
 /// Further ones are opened for bursts of orders and closed after them.
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -410,6 +410,14 @@
     }
 }
 
+impl Worker {
+    /// Notes whether a report lists all ends. Returns whether that differs from the report before.
+    fn note_listed_ends(&mut self, report: &WorkerReport) -> bool {
+        self.ends_known = self.ends_known || !report.has_more_ends;
+        std::mem::replace(&mut self.has_more_ends, report.has_more_ends) != report.has_more_ends
+    }
+}
+
 /// The worker and number of the run that a task is assigned as, if it is not `run`.
 fn other_run(status: &TaskStatus, run: u64) -> Option<(Name, u64)> {
     match status {
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -373,12 +373,6 @@
         is_first_start_time
     }
 
-    /// Notes whether a report lists all ends. Returns whether that differs from the report before.
-    pub fn note_listed_ends(&mut self, report: &WorkerReport) -> bool {
-        self.ends_known = self.ends_known || !report.has_more_ends;
-        std::mem::replace(&mut self.has_more_ends, report.has_more_ends) != report.has_more_ends
-    }
-
     /// A report is missing. Returns whether more than [`MAX_MISSED_REPORTS`] are missing in a row.
     pub fn record_missing_report(&mut self) -> bool {
         self.missed_reports += 1;
