--- a/src/cell/advice/expected_use.rs
+++ b/src/cell/advice/expected_use.rs
@@ -13,7 +13,7 @@
 }
 
 impl ExpectedUse {
-    /// What `tasks` tasks take of the workers of a request. Which of these are cleared is not yet
+    /// The resources that `tasks` tasks take of the workers of a request. Which of these are cleared is not yet
     /// known, so each is expected to get the same share.
     pub fn new(workers: &[Name], charge: &Resources, tasks: usize) -> Self {
         let share = |amount: u64| amount * tasks as u64 / workers.len().max(1) as u64;
@@ -47,7 +47,7 @@
         }
     }
 
-    /// What is expected to be taken of a worker.
+    /// The resources that are expected to be taken of a worker.
     pub fn of(&self, name: &Name) -> Resources {
         self.0.get(name).copied().unwrap_or_default()
     }
--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -72,7 +72,7 @@
 pub struct AdviceQueue {
     waiting: VecDeque<QueuedStep>,
     clients: BTreeMap<Name, Client>,
-    /// What the requests in progress are expected to take of the workers.
+    /// The resources that the requests in progress are expected to take of the workers.
     expected: ExpectedUses,
     /// The load of short requests.
     short_load: ShortLoad,
@@ -96,7 +96,7 @@
 #[derive(Debug)]
 struct PendingRequest {
     step: StepKey,
-    /// What the step is expected to take once it is answered.
+    /// The resources that the step is expected to take once it is answered.
     expected: ExpectedUse,
     is_long: bool,
     /// The job of the step was closed or withdrawn. The entry is busy until the service answers,
@@ -148,7 +148,7 @@
         request.wanted_step()
     }
 
-    /// What the requests in progress are expected to take of a worker.
+    /// The resources that the requests in progress are expected to take of a worker.
     pub fn expected_use(&self, worker: &Name) -> Resources {
         self.expected.of(worker)
     }
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -29,7 +29,7 @@
 /// goes through all workers.
 const MAX_FULL_STEPS: usize = 2;
 
-/// What a step without room needs of a worker.
+/// The resources that a step without room needs of a worker.
 #[derive(Debug)]
 struct FullStep {
     queue: Name,
@@ -267,7 +267,7 @@
         }
     }
 
-    /// What a queued step needs of a worker.
+    /// The resources that a queued step needs of a worker.
     fn full_step(&self, queued: &QueuedStep) -> FullStep {
         let job = self.jobs.get(&queued.step.job);
         let spec = job.and_then(|job| job.spec(queued.step.step));
--- a/src/cell/owner/claim_record.rs
+++ b/src/cell/owner/claim_record.rs
@@ -7,7 +7,7 @@
 use crate::id::Name;
 use serde::{Deserialize, Serialize};
 
-/// What is known of a record in addition to its fields.
+/// Information about a record in addition to its fields.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Extension {
     /// The CPU of the owner that wrote the record, in millicores; 0 if unknown.
--- a/src/cell/owner/connections.rs
+++ b/src/cell/owner/connections.rs
@@ -27,7 +27,7 @@
     open: BTreeMap<ConnectionNumber, T>,
 }
 
-/// What adding a connection changed.
+/// The change made by adding a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Addition {
     /// No connection of the entry that was added before is newer, whether that is still open or not.
@@ -38,7 +38,7 @@
     pub open: usize,
 }
 
-/// What removing a connection changed.
+/// The change made by removing a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Removal {
     /// The connection was the one that was used for sending to the entry.
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -27,7 +27,7 @@
     pub task: TaskKey,
     pub run: u64,
     pub charge: Resources,
-    /// What its stop costs, where that is compared with the gain.
+    /// The cost of its stop, where that is compared with the gain.
     pub account: Option<VictimAccount>,
 }
 
--- a/src/cell/placing/stops.rs
+++ b/src/cell/placing/stops.rs
@@ -16,7 +16,7 @@
 /// How long a step for which no run was stopped is not evaluated again. Most runs end within 3 s, so that little changes
 /// in this time.
 const RETRY_INTERVAL: Millis = Millis(100);
-/// What is known of refused steps and stopped tasks is dropped after this time.
+/// The records of refused steps and stopped tasks are dropped after this time.
 const RETENTION: Millis = Millis(30_000);
 /// How often that is done. It goes through all entries.
 const PRUNE_INTERVAL: Millis = Millis(5_000);
--- a/src/cell/placing/victims.rs
+++ b/src/cell/placing/victims.rs
@@ -14,7 +14,7 @@
 /// that stands still is not taken for one that ends soon. Batch runs of 2.7 s that take a third longer are beyond that.
 const OVERDUE_DIVISOR: u64 = 4;
 
-/// What is the same for all runs of a step, kept during one evaluation.
+/// The values that are the same for all runs of a step, kept during one evaluation.
 #[derive(Debug, Clone, Copy)]
 struct StepFigures {
     /// The expected run time of a task on a usual worker.
--- a/src/node/advice_calls.rs
+++ b/src/node/advice_calls.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// What the service answered to a call.
+/// The answer of the service to a call.
 #[derive(Debug)]
 struct AdviceAnswer {
     call: AdviceCall,
--- a/src/node/owner/peers.rs
+++ b/src/node/owner/peers.rs
@@ -21,14 +21,14 @@
     _open: oneshot::Sender<Infallible>,
 }
 
-/// What an entry tells in its greeting.
+/// The content of the greeting of an entry.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::node) struct Greeting {
     /// The processors of the entry, in thousandths of one.
     pub cpu: u32,
     /// The cell is the home of the entry.
     pub is_home: bool,
-    /// What the entry knows about the time before this epoch.
+    /// The report of the entry about the time before this epoch.
     pub history: LogReport,
 }
 
@@ -102,7 +102,7 @@
         );
         match peers.used(entry) {
             None => lock(&self.cell).remove_entry(entry),
-            // What was sent on the removed connection is lost.
+            // Messages sent on the removed connection are lost.
             Some((_, peer)) if was_used => self.restart_advice_client(entry, peer.is_home),
             Some(_) => {}
         }
--- a/src/node/owner/store.rs
+++ b/src/node/owner/store.rs
@@ -34,7 +34,7 @@
 /// limits the rate of calls accepts the batch sooner.
 const WITHDRAW_AFTER: Millis = Millis(600);
 
-/// What a new owner reads from the store.
+/// The state that a new owner reads from the store.
 #[derive(Debug)]
 pub(super) struct Recovered {
     pub snapshot: Snapshot,
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -103,7 +103,7 @@
     pub kind: Name,
     /// The resources allocated to the task.
     pub size: Size,
-    /// The resources that the task uses, measured with a delay.
+    /// The resources that the task uses, as of a moment ago.
     pub usage: Size,
 }
 
