Observability: log workers with inherited runs that do not report, and count their lasting tasks

Between takeover and run-lost nothing told that a task was assigned to a silent worker, nor how much of its lease an owner took to be left. worker-unheard does, worker-unreachable has left_ms and lasting, takeover has how long the process has read the log, job-closed its epoch; a gauge counts the lasting tasks concerned.

--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -215,9 +215,10 @@
         let batch = self.open_batch;
         let Some(job) = self.jobs.get_mut(&key).filter(|job| job.is_open()) else { return };
         log::info!(
-            "event=job-closed job={key} fate={outcome:?} queue={} age_ms={} batch={batch}",
+            "event=job-closed job={key} fate={outcome:?} queue={} age_ms={} batch={batch} epoch={}",
             job.queue.name,
-            now.since(job.known_since)
+            now.since(job.known_since),
+            self.epoch
         );
         job.closed = Some((outcome, batch, now));
         let steps = job.step_keys(key);
@@ -344,6 +345,7 @@
             self.expire_leases(now);
         }
         self.check_unknown_runs(now);
+        self.log_unheard_workers(now);
         self.expire_unconfirmed(now);
         self.fail_undecided_jobs(now);
         self.check_stability(now);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -37,7 +37,7 @@
 /// The number of low bits of a run number that count the runs of an epoch. The bits above hold the
 /// epoch, so that the run numbers of a new owner exceed all earlier ones without knowing them.
 const RUN_NUMBER_BITS: u32 = 32;
-/// How long inherited tasks are held back before the workers that delay them are logged.
+/// How long after a takeover the workers that have not reported are first logged.
 const HOLDBACK_LOG_DELAY: Millis = Millis(400);
 
 /// The settings of a cell.
@@ -180,6 +180,8 @@
     /// Set while earlier owners may have started runs that are not recorded. Inherited tasks are
     /// held back until the state of all workers is known.
     unrecorded_starts: Option<WaitLogTimer>,
+    /// When the workers that have not reported since the takeover are logged next.
+    unheard_timer: WaitLogTimer,
     /// The number of starts that were decided in this epoch.
     bound_starts: u64,
     /// Starts that wait until the batch with their assignment is stored, in order, with the worker.
@@ -241,6 +243,7 @@
             needs_placement: true,
             unrecorded_starts: unrecorded_starts
                 .then(|| WaitLogTimer::new(now, HOLDBACK_LOG_DELAY)),
+            unheard_timer: WaitLogTimer::new(now, HOLDBACK_LOG_DELAY),
             bound_starts: 0,
             unsent_starts: VecDeque::new(),
             actions: Vec::new(),
--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -350,6 +350,11 @@
         self.is_log_fresh(now) && now.since(self.readable_since) >= STEADY_LOG_TIME
     }
 
+    /// For how long the log has been readable without a gap.
+    pub fn readable_time(&self, now: Millis) -> Millis {
+        now.since(self.readable_since)
+    }
+
     /// Whether the log was read within [`OWNER_TIMEOUT`].
     pub fn is_log_fresh(&self, now: Millis) -> bool {
         self.last_read.is_some_and(|read| now.since(read) < OWNER_TIMEOUT)
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -5,6 +5,7 @@
 use crate::cell::jobs::crash::CrashCounts;
 use crate::cell::placing::rank::ClassCounts;
 use crate::cell::placing::stops::StopCounts;
+use crate::cell::workers::worker::Worker;
 
 /// Statistics of a cell.
 #[derive(Debug, Clone, Copy, Default)]
@@ -19,6 +20,8 @@
     pub workers: usize,
     /// The number of workers that answered their last call.
     pub reachable_workers: usize,
+    /// The number of lasting tasks whose runs are on workers that do not report to this owner.
+    pub unheard_lasting: usize,
     /// The number of workers whose last report may not have listed all ends.
     pub truncated_reports: usize,
     /// Counts of worker crashes since the takeover.
@@ -39,6 +42,8 @@
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let open = self.jobs.values().filter(|job| job.is_open()).count();
         let reachable_workers = self.workers.values().filter(|worker| worker.is_reachable).count();
+        let unheard = self.workers.values().filter(|worker| !worker.is_reachable);
+        let unheard_lasting = unheard.map(Worker::lasting_runs).sum();
         let truncated_reports = self.workers.values().filter(|worker| worker.has_more_ends).count();
         CellStats {
             open_jobs: open,
@@ -46,6 +51,7 @@
             ready_steps: self.ready_steps.len(),
             workers: self.workers.len(),
             reachable_workers,
+            unheard_lasting,
             truncated_reports,
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -10,6 +10,7 @@
 //! - `run_times`: statistics of how long tasks take compared with their estimates.
 //! - `shared_list`: the list of all workers, which one owner reads for the others.
 //! - `speed`: how fast each worker is compared with the others.
+//! - `unheard`: workers that do not report to the owner.
 
 pub mod connection_limit;
 pub(super) mod drain;
@@ -20,4 +21,5 @@
 pub mod run_times;
 pub mod shared_list;
 pub mod speed;
+pub(super) mod unheard;
 pub mod worker;
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -47,7 +47,12 @@
             && worker.is_reachable
         {
             worker.is_reachable = false;
-            log::info!("event=worker-unreachable worker={name} runs={}", worker.runs.len());
+            log::info!(
+                "event=worker-unreachable worker={name} runs={} lasting={} left_ms={}",
+                worker.runs.len(),
+                worker.lasting_runs(),
+                worker.lease_end - now
+            );
             let runs: Vec<(TaskKey, u64)> = worker.runs.keys().copied().collect();
             for (task, run) in runs {
                 if self.is_quarantined(task) {
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -302,6 +302,11 @@
         self.listed.rack()
     }
 
+    /// The number of runs of lasting tasks.
+    pub fn lasting_runs(&self) -> usize {
+        self.runs.values().filter(|run| run.is_lasting).count()
+    }
+
     /// Adds a run and charges its resources.
     pub fn add_run(&mut self, task: TaskKey, run: Run) {
         self.used = self.used.plus(&run.charge);
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -34,6 +34,7 @@
     waiting_steps: IntGauge,
     workers: IntGauge,
     heard_workers: IntGauge,
+    unheard_lasting: IntGauge,
     truncated_reports: IntGauge,
     worker_connections: IntGauge,
     worker_connections_opened: IntGauge,
@@ -107,6 +108,10 @@
                 "sprucerudder_workers_heard",
                 "Workers that answered their last call",
             )?,
+            unheard_lasting: gauge(
+                "sprucerudder_lasting_tasks_unheard",
+                "Lasting tasks whose runs are on workers that do not report",
+            )?,
             truncated_reports: gauge(
                 "sprucerudder_reports_truncated",
                 "Workers whose last report may not have listed all ends",
@@ -268,6 +273,7 @@
         self.waiting_steps.set(load.ready_steps as i64);
         self.workers.set(load.workers as i64);
         self.heard_workers.set(load.reachable_workers as i64);
+        self.unheard_lasting.set(load.unheard_lasting as i64);
         self.truncated_reports.set(load.truncated_reports as i64);
         self.crashed_workers.set(load.crash_counts.crashed as i64);
         self.abandoned_jobs.set(load.crash_counts.given_up as i64);
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -93,11 +93,12 @@
         let Recovered { snapshot, parts, listed } = recovered;
         let unrecorded_starts = !lock(&self.election).is_log_steady(self.now());
         log::info!(
-            "event=takeover cell={} epoch={epoch} jobs={} roster={} listed={} doubt={unrecorded_starts} took_ms={}",
+            "event=takeover cell={} epoch={epoch} jobs={} roster={} listed={} doubt={unrecorded_starts} log_ms={} took_ms={}",
             self.cell,
             snapshot.jobs.len(),
             snapshot.workers.len(),
             listed.len(),
+            lock(&self.election).readable_time(self.now()),
             self.now().since(started)
         );
         let node = &self.node;
