--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -6,8 +6,9 @@
 use cellworld::{
     Disabled, search, search_crashing_tasks, search_lasting, search_limits,
     search_owner_power_losses, search_power_loss, search_preemption, search_ranked,
-    search_restarts, search_room_changes, search_store_outages, search_suspensions,
-    search_takeovers_with_few_connections, search_truncated_reports, search_withdrawals,
+    search_restarts, search_rolling_restarts, search_room_changes, search_store_outages,
+    search_suspensions, search_takeovers_with_few_connections, search_truncated_reports,
+    search_withdrawals,
 };
 
 /// A number from the environment. An invalid one is an error; it doesn't fall back to the default.
@@ -235,6 +236,13 @@
     assert_holds(|seed| search_lasting(seed, false));
 }
 
+#[test]
+fn lasting_tasks_run_again_in_time_through_a_rolling_restart() {
+    // Guards against waits that begin anew with each owner: tasks on a worker that has left or is
+    // lost, and all tasks after a takeover by a process that has just started.
+    assert_holds(search_rolling_restarts);
+}
+
 #[test]
 fn invariants_hold_during_store_outages() {
     assert_holds(|seed| search_store_outages(seed, Disabled::Nothing));
--- a/tests/cellworld/checks.rs
+++ b/tests/cellworld/checks.rs
@@ -90,12 +90,11 @@
     pub(super) fn could_run(&self, step: StepKey) -> bool {
         let spec = &self.works[&step.job].steps[usize::from(step.step)];
         let charge = spec.charged_resources();
-        let alive = || self.workers.values().filter(|worker| worker.alive);
+        let alive = || self.workers.values().filter(|worker| worker.stays());
         let used = |worker: &SimWorker| -> Resources {
             worker.running.values().fold(Resources::default(), |sum, run| sum.plus(&run.charge))
         };
-        let runs =
-            alive().any(|worker| worker.running.keys().any(|task| task.step.job == step.job));
+        let runs = self.workers.values().any(|worker| worker.alive && worker.runs_job(step.job));
         let all: u64 = alive().map(|worker| worker.listed.capacity.cpu).sum();
         let taken: u64 = alive().map(|worker| used(worker).cpu).sum();
         let double = charge.plus(&charge);
--- a/tests/cellworld/faults.rs
+++ b/tests/cellworld/faults.rs
@@ -95,7 +95,7 @@
     }
 
     /// Records that a worker ends while its current tasks run on it.
-    fn record_lost_runs(&mut self, name: &Name) {
+    pub(super) fn record_lost_runs(&mut self, name: &Name) {
         let worker = &self.workers[name];
         for task in worker.running.keys() {
             self.crashed_under.entry(*task).or_default().insert(worker.life());
--- a/tests/cellworld/lasting.rs
+++ b/tests/cellworld/lasting.rs
@@ -320,7 +320,7 @@
         };
         self.workers.iter().any(|(name, worker)| {
             let has_room = worker.listed.capacity.saturating_sub(&used(worker)).can_fit(&double);
-            worker.alive && advice_clears(task.step, name) && has_room && takes(worker)
+            worker.stays() && advice_clears(task.step, name) && has_room && takes(worker)
         })
     }
 }
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -12,6 +12,7 @@
 mod network;
 mod outage;
 mod ranked;
+mod rolling;
 #[path = "../rows/mod.rs"]
 mod rows;
 mod search;
@@ -152,6 +153,16 @@
         self.clock_base + now * (1_000 - self.clock_drift) / 1_000
     }
 
+    /// Whether a task of a job runs on it.
+    fn runs_job(&self, job: JobKey) -> bool {
+        self.running.keys().any(|task| task.step.job == job)
+    }
+
+    /// Whether it is alive and has not announced that it leaves.
+    fn stays(&self) -> bool {
+        self.alive && self.listed.leaves_in.is_none()
+    }
+
     /// Extends the lease: it never becomes shorter, and is limited to the longest one that the
     /// contract allows.
     fn renew(&mut self, now: u64, until: u64) {
@@ -308,6 +319,24 @@
     ReplaceWorker {
         worker: Name,
     },
+    /// The current owner is stopped in good order.
+    StopOwner,
+    /// An owner that stops gives up the cell.
+    ReleaseCell {
+        owner: usize,
+    },
+    /// A worker announces that it leaves.
+    AnnounceLeaving {
+        worker: Name,
+    },
+    /// A worker leaves.
+    Leave {
+        worker: Name,
+    },
+    /// A new worker is added.
+    Arrive {
+        worker: Name,
+    },
     /// The store becomes unavailable for `length` milliseconds.
     StoreOutage {
         length: u64,
@@ -419,6 +448,8 @@
     /// State of the searches in which every other job is long-running, the advice service is asked,
     /// and some workers fail all their runs.
     lasting: lasting::LastingJobs,
+    /// State of the searches with rolling restarts.
+    rolling: rolling::RollingRestart,
     /// State of the searches in which the store becomes unavailable.
     outage: outage::Outage,
     /// State of the searches in which workers accept a limited number of connections.
@@ -491,6 +522,7 @@
             waiting_since: BTreeMap::new(),
             last_disruption: 0,
             lasting: lasting::LastingJobs::default(),
+            rolling: rolling::RollingRestart::default(),
             outage: outage::Outage::default(),
             connections: connections::WorkerConnections::default(),
             withdrawals: withdrawal::Withdrawals::default(),
@@ -741,6 +773,11 @@
                 }
             }
             Event::ReplaceWorker { .. } => {}
+            Event::StopOwner => self.stop_owner(),
+            Event::ReleaseCell { owner } => self.release_cell(owner),
+            Event::AnnounceLeaving { worker } => self.announce_leaving(&worker),
+            Event::Leave { worker } => self.leave(&worker),
+            Event::Arrive { worker } => self.arrive(worker),
             Event::StoreOutage { length } => self.start_outage(length),
             Event::Appended { owner, batch } => {
                 self.owners[owner].writing = false;
@@ -800,7 +837,10 @@
             let delay = left + self.pick(800);
             return self.schedule_after(delay, Event::Elect);
         }
-        self.note_fault(self.now);
+        // A takeover after a planned stop is no fault.
+        if !std::mem::take(&mut self.rolling.is_released) {
+            self.note_fault(self.now);
+        }
         self.epoch += 1;
         let epoch = self.epoch;
         let mut snapshot = Snapshot::default();
@@ -1024,6 +1064,7 @@
         | Event::ReportAnswered { owner, .. }
         | Event::Appended { owner, .. }
         | Event::ReadList { owner }
+        | Event::ReleaseCell { owner }
         | Event::ConnectPeers { owner, .. }
         | Event::AdviceAnswered { owner, .. }
         | Event::Reconnect { owner, .. }
@@ -1046,6 +1087,10 @@
         | Event::UpdateLimits
         | Event::SuspendDomain { .. }
         | Event::StoreOutage { .. }
+        | Event::StopOwner
+        | Event::AnnounceLeaving { .. }
+        | Event::Leave { .. }
+        | Event::Arrive { .. }
         | Event::ReplaceWorker { .. }
         | Event::AbandonedCall { .. }
         | Event::Elect => None,
--- /dev/null
+++ b/tests/cellworld/rolling.rs
@@ -0,0 +1,100 @@
+//! A rolling restart: owners are stopped in good order one after the other, and most of their
+//! successors are processes that have just started. Meanwhile workers leave in good order or are
+//! lost.
+
+use super::*;
+
+/// How long the restarts go on, in milliseconds.
+const RESTARTS_MS: u64 = 16_000;
+/// How long before its end a worker announces that it leaves.
+const NOTICE_MS: u64 = 2_000;
+/// The longest time that an owner which stops waits for its records to be stored.
+const FLUSH_MS: u64 = 150;
+
+/// State of the searches with rolling restarts.
+#[derive(Debug, Default)]
+pub struct RollingRestart {
+    /// The last owner gave up the cell.
+    pub is_released: bool,
+    /// The number of owners that were stopped.
+    pub stops: usize,
+}
+
+impl Simulation {
+    /// Schedules the stops of owners, the loss of a worker, and workers that leave, from `start` on.
+    pub(super) fn add_rolling_restart(&mut self, start: u64) {
+        self.outage.has_fresh_owners = true;
+        let names: Vec<Name> = self.workers.keys().cloned().collect();
+        let lost = names[self.pick(names.len() as u64) as usize].clone();
+        let lost_at = start + self.pick(3_000) - 1_500;
+        self.schedule_at(lost_at, Event::ReplaceWorker { worker: lost });
+        let mut at = start;
+        while at < start + RESTARTS_MS {
+            self.schedule_at(at, Event::StopOwner);
+            at += 900 + self.pick(4_500);
+        }
+        let mut at = start + self.pick(1_000);
+        for worker in names {
+            self.schedule_at(at, Event::AnnounceLeaving { worker });
+            at += 1_000 + self.pick(3_000);
+        }
+    }
+
+    /// The current owner begins to stop.
+    pub(super) fn stop_owner(&mut self) {
+        let Some(owner) = self.owners.len().checked_sub(1) else { return };
+        if !self.owners[owner].alive || self.owners[owner].deposed {
+            return;
+        }
+        self.log_event(format!("owner {owner} begins to stop"));
+        self.rolling.stops += 1;
+        let delay = self.pick(FLUSH_MS);
+        self.schedule_after(delay, Event::ReleaseCell { owner });
+    }
+
+    /// An owner that stops gives up the cell.
+    pub(super) fn release_cell(&mut self, owner: usize) {
+        if self.owners[owner].deposed || owner + 1 != self.owners.len() {
+            return;
+        }
+        self.log_event(format!("owner {owner} gives up the cell"));
+        self.owners[owner].deposed = true;
+        self.connections.close(owner);
+        self.rolling.is_released = true;
+        let delay = 60 + self.pick(350);
+        self.schedule_after(delay, Event::Elect);
+    }
+
+    /// A worker announces that it leaves.
+    pub(super) fn announce_leaving(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name).filter(|worker| worker.alive) else { return };
+        worker.listed.leaves_in = Some(Millis(NOTICE_MS));
+        self.log_event(format!("{name} will leave"));
+        self.publish_list();
+        self.schedule_after(NOTICE_MS, Event::Leave { worker: name.clone() });
+    }
+
+    /// A worker leaves. Another one takes its place a while later.
+    pub(super) fn leave(&mut self, name: &Name) {
+        if !self.workers[name].alive {
+            return;
+        }
+        self.log_event(format!("{name} leaves"));
+        self.record_lost_runs(name);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.alive = false;
+            worker.running.clear();
+            worker.down_until = u64::MAX;
+        }
+        self.publish_list();
+        let delay = 1_000 + self.pick(2_000);
+        self.schedule_after(delay, Event::Arrive { worker: format!("{name}.n").into() });
+    }
+
+    /// A worker is added.
+    pub(super) fn arrive(&mut self, name: Name) {
+        let domain = self.pick(2);
+        self.add_worker(name, domain);
+        self.publish_list();
+    }
+}
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -147,6 +147,18 @@
     (first_violation(&sim, seed), sim.lasting.lost_runs)
 }
 
+/// As [`search_lasting`], with owners that are stopped one after the other once the random faults have
+/// ended, beside workers that leave. Also returns how often a long-running task lost its run.
+pub fn search_rolling_restarts(seed: u64) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, Disabled::Nothing);
+    sim.add_lasting_jobs(seed % 2 == 0);
+    sim.lasting.checks_replaced = true;
+    let start = FAULTS_END_MS + 2_000 + sim.pick(2_000);
+    sim.add_rolling_restart(start);
+    sim.run();
+    (first_violation(&sim, seed), sim.lasting.lost_runs.min(sim.rolling.stops))
+}
+
 /// As [`search`], with one or two outages of the store at random times. Also returns the number of
 /// outages.
 pub fn search_store_outages(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
