Takeover: later owners know when leases expire and whether starts are recorded

Cause: two things that an owner knows died with it, so each wait began anew with the next one. When the lease of a worker that does not report expires: each owner counted a whole one, 6.3 or 10.5 s, from its own takeover. Whether starts were sent without a record: a process that has just started cannot know it from reading the log, and waited for all workers, those that had left included.

Change, one for both: an owner leaves what it knows where it lasts. (1) The record that gives up the cell says whether all starts are recorded and when the last lease expires; it sends no start and renews no lease from then on. (2) A record in the store names the workers that do not report, with the end of their leases, and those that may have a longer lease than usual. The lease of a worker on the first list is not renewed, and no start sent to it, before a record without it is stored. Times are on the owner's clock; its heartbeats carry that clock, so that a reader converts them, however many owners came between. Records of owners of older versions, or lost ones, make the next owner wait as before.

--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -25,12 +25,13 @@
         self.stored_workspaces = snapshot.workspaces.keys().copied().collect();
         for record in snapshot.workers {
             let started_at = start_times.get(&record.id).copied();
-            // A worker that may have restarted with the same id may have been given a lease end by
-            // the clock of its previous incarnation, which it shortens to the longest lease. Its
-            // task may then run on behind a network partition after the usual lease has expired.
-            let lease =
-                if started_at.is_some() { self.config.max_lease } else { self.config.lease };
-            let lease_end = now + Millis(lease.0 * 1_050 / 1_000);
+            let may_have_restarted = started_at.is_some();
+            let lease_end = self.inherited_lease_end(
+                now,
+                &snapshot.lease_bounds,
+                &record.id,
+                may_have_restarted,
+            );
             let mut worker = Worker::new(placeholder_listing(record, started_at), 0, lease_end);
             worker.is_listed = false;
             self.actions.push(Action::Watch(worker.listed.clone()));
@@ -345,6 +346,7 @@
             self.expire_leases(now);
         }
         self.check_unknown_runs(now);
+        self.update_leases(now);
         self.log_unheard_workers(now);
         self.expire_unconfirmed(now);
         self.fail_undecided_jobs(now);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -31,7 +31,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use workers::leases::RecordedLeases;
 use workers::run_times::RunTimes;
+
 use workers::worker::Worker;
 
 /// The number of low bits of a run number that count the runs of an epoch. The bits above hold the
@@ -97,6 +99,9 @@
     pub confirmed: u64,
     /// When the worker's lease ends on its clock; `None` until that clock is known.
     pub lease_end: Option<u64>,
+    /// The lease is not renewed because a record in the store still says that the worker does not
+    /// report.
+    pub is_recorded: bool,
 }
 
 /// The state of a cell at its owner.
@@ -180,6 +185,12 @@
     /// Set while earlier owners may have started runs that are not recorded. Inherited tasks are
     /// held back until the state of all workers is known.
     unrecorded_starts: Option<WaitLogTimer>,
+    /// The state was left to the next owner.
+    has_left: bool,
+    /// The batch with the last run that was sent or adopted without a record.
+    last_unrecorded: u64,
+    /// The workers that the record of leases names.
+    leases: RecordedLeases,
     /// When the workers that have not reported since the takeover are logged next.
     unheard_timer: WaitLogTimer,
     /// The number of starts that were decided in this epoch.
@@ -243,6 +254,9 @@
             needs_placement: true,
             unrecorded_starts: unrecorded_starts
                 .then(|| WaitLogTimer::new(now, HOLDBACK_LOG_DELAY)),
+            has_left: false,
+            last_unrecorded: 0,
+            leases: RecordedLeases::restore(&snapshot.leases),
             unheard_timer: WaitLogTimer::new(now, HOLDBACK_LOG_DELAY),
             bound_starts: 0,
             unsent_starts: VecDeque::new(),
@@ -258,6 +272,17 @@
         self.epoch
     }
 
+    /// Whether all runs that this owner and those before it may have started are recorded in the
+    /// store, so that the next owner need not wait for workers to report them.
+    fn has_complete_records(&self) -> bool {
+        self.unrecorded_starts.is_none() && self.last_unrecorded <= self.stored_batch
+    }
+
+    /// When this owner took over the cell.
+    fn taken_over_at(&self) -> Millis {
+        self.unheard_timer.since
+    }
+
     /// The number of starts that were decided in this epoch.
     pub fn bound_starts(&self) -> u64 {
         self.bound_starts
@@ -291,7 +316,10 @@
 
     /// Whether there are changes that are not stored yet.
     pub fn has_unstored(&self) -> bool {
-        !self.dirty_jobs.is_empty() || self.workers_dirty || self.stored_batch + 1 < self.open_batch
+        !self.dirty_jobs.is_empty()
+            || self.workers_dirty
+            || self.leases.is_due()
+            || self.stored_batch + 1 < self.open_batch
     }
 
     /// Sets whether the owner is overloaded. A missing answer then says nothing about the worker:
--- a/src/cell/owner/claim_record.rs
+++ b/src/cell/owner/claim_record.rs
@@ -1,9 +1,10 @@
 //! The encoding of the records of the election.
 //!
-//! A record is followed by an [`Extension`]. Entries whose version has no extensions ignore the bytes
-//! behind a record, and write none.
+//! A record is followed by an [`Extension`], and that by an [`OwnerState`]. Entries of older versions
+//! ignore the bytes behind what they know, and write none.
 
 use crate::cell::owner::election::ElectionRecord;
+use crate::clock::Millis;
 use crate::id::Name;
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,30 @@
     pub cpu: u32,
     /// The entry that should claim the cell which the record gives up.
     pub successor: Option<Name>,
+    /// The state of the owner that wrote the record; `None` if its version does not tell.
+    #[serde(skip)]
+    pub owner_state: Option<OwnerState>,
+}
+
+/// What an owner tells later owners in its records.
+///
+/// An owner that writes it also keeps the record of leases.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerState {
+    /// The time on the owner's clock when it sent the record. Not in claims, after which a process
+    /// may take a while to find that it is the owner.
+    pub clock: Option<Millis>,
+    /// The state in which the owner left the cell, in records that give it up.
+    pub left: Option<FinalState>,
+}
+
+/// The state in which an owner leaves the cell. It sends no start and renews no lease afterwards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalState {
+    /// All starts are recorded in the store.
+    pub has_complete_records: bool,
+    /// When the last lease expires, on the owner's clock.
+    pub last_lease_end: Millis,
 }
 
 /// Encodes a record and its extension.
@@ -23,6 +48,9 @@
 pub fn encode(record: &ElectionRecord, extension: &Extension) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(record)?;
     bytes.extend(postcard::to_stdvec(extension)?);
+    if let Some(state) = extension.owner_state {
+        bytes.extend(postcard::to_stdvec(&state)?);
+    }
     Ok(bytes)
 }
 
@@ -36,9 +64,15 @@
     if rest.is_empty() {
         return Ok((record, Extension::default()));
     }
-    let extension = postcard::from_bytes(rest).unwrap_or_else(|err| {
+    let extension = decode_extension(rest).unwrap_or_else(|err| {
         log::warn!("event=claim-extension-unreadable bytes={} error={err:?}", rest.len());
         Extension::default()
     });
     Ok((record, extension))
 }
+
+fn decode_extension(bytes: &[u8]) -> postcard::Result<Extension> {
+    let (extension, rest): (Extension, &[u8]) = postcard::take_from_bytes(bytes)?;
+    let owner_state = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+    Ok(Extension { owner_state, ..extension })
+}
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -206,7 +206,9 @@
                 && ((skips_excluded && worker.is_excluded(now)) || is_quarantined(worker))
         };
         let open = workers
-            .filter(|(_, worker)| worker.accepts_tasks(self.stored_batch) && !is_avoided(worker));
+            .filter(|(_, worker)| worker.accepts_tasks(self.stored_batch) && !is_avoided(worker))
+            // No start can be sent before the lease may be renewed.
+            .filter(|(name, _)| self.leases.may_renew(name));
         let suitable = open.filter(|(_, worker)| is_suitable(worker, &job.queue.service, spec));
         let is_tight = is_tight(job);
         let to_candidate = |(name, worker): (&Name, &Worker)| {
@@ -385,6 +387,9 @@
 
     /// Sends the queued starts of accepted jobs for which `may_send` holds. The others stay queued in order.
     fn send_starts_if(&mut self, now: Millis, may_send: impl Fn(&Self, u64, TaskKey) -> bool) {
+        if self.has_left {
+            return;
+        }
         let lease = self.config.lease;
         let unsent = std::mem::take(&mut self.unsent_starts);
         let is_ready = |(batch, _, start): &(u64, Name, StartOrder)| {
@@ -392,7 +397,7 @@
         };
         let (ready, remaining): (VecDeque<_>, VecDeque<_>) = unsent.into_iter().partition(is_ready);
         self.unsent_starts = remaining;
-        for (_, name, start) in ready {
+        for (batch, name, start) in ready {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
             let run = worker.runs.get(&(start.task, start.run));
             if run.is_none_or(|run| run.phase != Phase::Starting) {
@@ -408,6 +413,11 @@
                 self.abandon_run(&name, start.task, start.run);
                 continue;
             }
+            if !self.leases.may_renew(&name) {
+                log::info!("event=start-given-up task={} worker={name} why=unheard", start.task);
+                self.abandon_run(&name, start.task, start.run);
+                continue;
+            }
             let Some(until) = worker.renew_lease(now, lease) else {
                 log::info!(
                     "event=start-given-up task={} worker={name} why=clock-unknown",
@@ -419,6 +429,9 @@
             if let Some(run) = worker.runs.get_mut(&(start.task, start.run)) {
                 run.is_sent = true;
             }
+            if batch > self.stored_batch {
+                self.last_unrecorded = self.last_unrecorded.max(batch);
+            }
             self.actions.push(Action::Start { worker: name, start, until });
         }
     }
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -18,7 +18,7 @@
     /// Returns the next batch to write to the store, if there are any changes. A batch is never
     /// empty, because the store does not count an append without records.
     pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
-        if self.dirty_jobs.is_empty() && !self.workers_dirty {
+        if self.dirty_jobs.is_empty() && !self.workers_dirty && !self.leases.is_due() {
             return None;
         }
         let mut records = Vec::new();
@@ -26,6 +26,9 @@
             records.push(journal::put_workers(&self.worker_records()));
             records.push(journal::put_worker_starts(&self.worker_starts()));
         }
+        if self.leases.is_due() {
+            records.push(journal::put_leases(&self.write_leases(now)));
+        }
         let is_new = |job: &Job| job.batch == self.open_batch && job.is_open();
         let (new, known): (Vec<JobKey>, Vec<JobKey>) = std::mem::take(&mut self.dirty_jobs)
             .into_iter()
@@ -163,6 +166,7 @@
         for worker in self.workers.values_mut() {
             worker.mark_stored(batch);
         }
+        self.leases.mark_stored(batch);
         self.unstored_jobs.retain(|(number, _)| *number > batch);
         self.send_starts(now, batch);
         self.needs_placement = true;
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -14,6 +14,8 @@
 /// The key of the record with the start times of the workers in use. It is separate from
 /// [`WORKERS_KEY`], whose encoding is shared with versions that identify workers by their ids only.
 const WORKER_STARTS_KEY: &str = "roster.born";
+/// The key of the record of leases. Owners of versions without this record ignore it.
+const LEASES_KEY: &str = "roster.leases";
 /// The suffix of a job's key under which its progress is stored.
 const PROGRESS_SUFFIX: &str = ".p";
 /// The suffix of a job's key under which the crashes of its tasks' workers are stored. They are
@@ -136,6 +138,27 @@
     pub addr: Name,
 }
 
+/// What an owner records of the leases of workers. The times are on its clock.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The epoch of the owner.
+    pub epoch: u64,
+    /// When the leases of workers that do not report expire. These are not renewed while the worker
+    /// is on this list.
+    pub unheard: BTreeMap<Name, Millis>,
+    /// Until when other workers may have a lease that is longer than usual.
+    pub long: BTreeMap<Name, Millis>,
+}
+
+/// What a new owner knows of the leases that earlier owners granted. The times are on its clock.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LeaseBounds {
+    /// The record of leases, if all owners that may have granted a lease keep it.
+    pub record: Option<LeaseRecord>,
+    /// When the last lease expires, if the last owner told.
+    pub last_end: Option<Millis>,
+}
+
 /// Records that are appended to the store together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Batch {
@@ -162,12 +185,16 @@
     pub workers: Vec<WorkerRecord>,
     /// The start times of those workers that reported one.
     pub worker_starts: BTreeMap<Name, Millis>,
+    /// The record of leases.
+    pub leases: LeaseRecord,
+    /// What the new owner may conclude from that record and from the log. Not part of the records.
+    pub lease_bounds: LeaseBounds,
 }
 
 /// Splits a key into the job that it belongs to and the suffix that tells the kind of record.
 /// Returns `None` for a record of the cell itself or an unknown key.
 pub fn parse_key(key: &str) -> Option<(JobKey, &str)> {
-    if matches!(key, WORKERS_KEY | WORKER_STARTS_KEY) {
+    if matches!(key, WORKERS_KEY | WORKER_STARTS_KEY | LEASES_KEY) {
         return None;
     }
     let (text, suffix) = key.split_at(key.find('.').unwrap_or(key.len()));
@@ -237,6 +264,11 @@
     (WORKER_STARTS_KEY.to_string(), encode(starts))
 }
 
+/// Creates the record of leases.
+pub fn put_leases(record: &LeaseRecord) -> (String, Vec<u8>) {
+    (LEASES_KEY.to_string(), encode(record))
+}
+
 fn encode<T: Serialize + ?Sized>(value: &T) -> Vec<u8> {
     // Encoding into memory fails only for types that these records do not contain.
     postcard::to_stdvec(value).unwrap_or_else(|err| {
@@ -245,6 +277,20 @@
     })
 }
 
+impl LeaseRecord {
+    /// Converts the times to another clock.
+    pub fn map_times(&self, convert: impl Fn(Millis) -> Millis) -> Self {
+        let convert_all = |times: &BTreeMap<Name, Millis>| {
+            times.iter().map(|(name, time)| (name.clone(), convert(*time))).collect()
+        };
+        Self {
+            epoch: self.epoch,
+            unheard: convert_all(&self.unheard),
+            long: convert_all(&self.long),
+        }
+    }
+}
+
 impl Snapshot {
     /// Applies one record, which replaces an earlier one with the same key.
     ///
@@ -260,6 +306,14 @@
                 if value.is_empty() { BTreeMap::new() } else { postcard::from_bytes(value)? };
             return Ok(());
         }
+        if key == LEASES_KEY {
+            self.leases = if value.is_empty() {
+                LeaseRecord::default()
+            } else {
+                postcard::from_bytes(value)?
+            };
+            return Ok(());
+        }
         let Some((job, suffix)) = parse_key(key) else { return Ok(()) };
         match suffix {
             "" => apply_to(&mut self.jobs, job, value),
--- a/src/cell/workers/mod.rs
+++ b/src/cell/workers/mod.rs
@@ -1,6 +1,7 @@
 //! The workers of a cell: which are listed, what they report, and the outcomes of orders to them.
 //!
 //! - `connection_limit`: how many connections an owner opens to a worker.
+//! - `leases`: the record of leases, from which later owners know when runs have ended.
 //! - `worker`: the state of one worker and of the runs on it.
 //! - `roster`: the set of workers, and workers that become unreachable, leave or are gone.
 //! - `report`: handling of the reports of workers.
@@ -10,10 +11,10 @@
 //! - `run_times`: statistics of how long tasks take compared with their estimates.
 //! - `shared_list`: the list of all workers, which one owner reads for the others.
 //! - `speed`: how fast each worker is compared with the others.
-//! - `unheard`: workers that do not report to the owner.
 
 pub mod connection_limit;
 pub(super) mod drain;
+pub(super) mod leases;
 pub(super) mod orders;
 pub(super) mod report;
 pub(super) mod restart;
@@ -21,5 +22,4 @@
 pub mod run_times;
 pub mod shared_list;
 pub mod speed;
-pub(super) mod unheard;
 pub mod worker;
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -32,14 +32,18 @@
     /// not renewed, because its tasks are started elsewhere once it has expired.
     pub fn report_call(&mut self, now: Millis, name: &Name, renew: bool) -> Option<ReportCall> {
         let lease = self.config.lease;
+        let is_recorded = !self.leases.may_renew(name);
         let worker = self.workers.get_mut(name)?;
-        let lease_end =
-            if renew && worker.is_reachable { worker.renew_lease(now, lease) } else { None };
+        let may_renew = renew && worker.is_reachable && !is_recorded && !self.has_left;
+        let lease_end = match may_renew {
+            true => worker.renew_lease(now, lease),
+            false => None,
+        };
         // The worker may have restarted. An incarnation that is told the last end of the previous
         // one would drop ends that were never received. A lease end by the clock of the previous
         // one does no harm: the worker shortens it to the longest lease.
         let confirmed = if worker.may_have_restarted() { 0 } else { worker.confirmed_end() };
-        Some(ReportCall { confirmed, lease_end })
+        Some(ReportCall { confirmed, lease_end, is_recorded })
     }
 
     /// The batch that must be in the store before all ends received from a worker can be confirmed
@@ -107,6 +111,7 @@
         // If an earlier owner did not know when the worker started, the start time has to be stored
         // for the next one.
         self.workers_dirty |= worker.record_report(now, sent, report);
+        self.leases.record_report(name);
         self.resolve_by_report(name);
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.has_reported = true;
@@ -326,6 +331,7 @@
                 if let Some(state) = step.tasks.get_mut(task.index as usize) {
                     state.checkpoint = row.checkpoint.clone();
                 }
+                self.last_unrecorded = self.open_batch;
                 log::info!("event=run-adopted task={task} run={} worker={name}", row.run);
                 // The older run ended before this one started, or may be a copy of the task.
                 if let Some((at, run)) = older {
--- a/src/cell/workers/restart.rs
+++ b/src/cell/workers/restart.rs
@@ -70,6 +70,8 @@
         self.crash_counts.restarted += 1;
         self.ended_incarnations.insert(ended, now);
         (self.workers_dirty, self.needs_placement) = (true, true);
+        // The next owner has to know of the longer lease before a task is started here.
+        self.leases.request_write();
         for ((task, run), outcome) in all {
             match outcome {
                 RunAfterRestart::Kept => {}
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -152,7 +152,7 @@
     pub is_listed: bool,
     /// No task is started on the worker, because its failure domain is drained.
     pub is_drained: bool,
-    /// The batch that records it as a worker in use.
+    /// The batch that records it as a worker in use; 0 if an earlier owner recorded it.
     pub roster_batch: u64,
     /// The worker has reported in this epoch, and answered since the owner last considered it
     /// unreachable.
@@ -381,9 +381,19 @@
     /// A report is missing. Returns whether more than [`MAX_MISSED_REPORTS`] are missing in a row.
     pub fn record_missing_report(&mut self) -> bool {
         self.missed_reports += 1;
+        self.is_silent()
+    }
+
+    /// Whether as many reports are missing in a row as make a worker unreachable.
+    pub fn is_silent(&self) -> bool {
         self.missed_reports > MAX_MISSED_REPORTS
     }
 
+    /// Whether the worker was in use under an earlier owner, and has not restarted since.
+    pub fn is_inherited(&self) -> bool {
+        self.roster_batch == 0
+    }
+
     /// When the current incarnation becomes stable if it stays up.
     pub fn stable_from(&self) -> Option<Millis> {
         self.first_report.map(|first| first + STABLE_AFTER)
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -2,7 +2,7 @@
 //! heartbeats as its owner.
 
 use crate::cell::owner::backoff::Backoff;
-use crate::cell::owner::claim_record::{self, Extension};
+use crate::cell::owner::claim_record::{self, Extension, FinalState, OwnerState};
 use crate::cell::owner::election::{ElectionRecord, HEARTBEAT_INTERVAL, Leader};
 use crate::clock::Millis;
 use crate::id::{Name, hash};
@@ -208,7 +208,8 @@
         let (owner, addr) = (self.node.id.clone(), self.node.settings.advertised_addr.clone());
         let record = ElectionRecord::Claim { owner, addr };
         let cell = self.cell;
-        let claimed = self.append_claim(end, &record, None, APPEND_TIMEOUT).await;
+        let extension = self.extension(OwnerState::default());
+        let claimed = self.append_claim(end, &record, extension, APPEND_TIMEOUT).await;
         match &claimed {
             Ok(()) => log::info!("event=cell-claimed cell={cell} end={end}"),
             Err(err) => log::info!("event=claim-failed cell={cell} end={end} error={err:?}"),
@@ -236,16 +237,14 @@
         foreign + Millis(OWNED_CELL_DELAY.0 * owned as u64)
     }
 
-    /// Appends a record to the claims, on the condition that they end at `end`. `successor`: the
-    /// entry that should claim the cell which the record gives up.
+    /// Appends a record to the claims, on the condition that they end at `end`.
     async fn append_claim(
         &self,
         end: u64,
         record: &ElectionRecord,
-        successor: Option<Name>,
+        extension: Extension,
         timeout: Millis,
     ) -> Result<(), StoreError> {
-        let extension = self.extension(successor);
         let bytes = claim_record::encode(record, &extension);
         let bytes = bytes.map_err(|err| StoreError::Malformed(err.to_string()))?;
         let mut body = BytesMut::new();
@@ -262,8 +261,9 @@
     }
 
     /// The extension of a record of this entry.
-    fn extension(&self, successor: Option<Name>) -> Extension {
-        Extension { cpu: self.node.settings.millicores, successor }
+    fn extension(&self, state: OwnerState) -> Extension {
+        let cpu = self.node.settings.millicores;
+        Extension { cpu, successor: None, owner_state: Some(state) }
     }
 
     /// Sends heartbeats for as long as this entry owns the cell in `epoch`.
@@ -276,7 +276,8 @@
             let largest = self.local_owner_in(epoch).map_or(0, |owner| owner.largest_peer_cpu());
             let largest_cpu = largest.max(self.node.settings.millicores);
             let heartbeat = ElectionRecord::Heartbeat { epoch, owner, addr, largest_cpu };
-            match self.append_claim(end, &heartbeat, None, timeout).await {
+            let extension = self.extension(OwnerState { clock: Some(sent), left: None });
+            match self.append_claim(end, &heartbeat, extension, timeout).await {
                 Ok(()) => {
                     timeout = APPEND_TIMEOUT;
                     if let Some(owner) = self.local_owner_in(epoch) {
@@ -303,19 +304,27 @@
     }
 
     /// Appends a record that gives up the cell, so that another entry claims it at once. The append
-    /// is retried if it fails, for example because a heartbeat was appended first.
+    /// is retried if it fails, for example because a heartbeat was appended first. `successor`: the
+    /// entry that should claim the cell.
     pub(super) async fn release(
         &self,
         record: ElectionRecord,
         successor: Option<Name>,
+        left: FinalState,
         epoch: u64,
     ) {
         let deadline = self.now() + RELEASE_TIMEOUT;
         while self.is_leader(epoch) && self.now() < deadline {
             let end = lock(&self.election).next_offset();
-            match self.append_claim(end, &record, successor.clone(), APPEND_TIMEOUT).await {
+            let state = OwnerState { clock: Some(self.now()), left: Some(left) };
+            let extension = Extension { successor: successor.clone(), ..self.extension(state) };
+            match self.append_claim(end, &record, extension, APPEND_TIMEOUT).await {
                 Ok(()) => {
-                    return log::info!("event=cell-released cell={} epoch={epoch}", self.cell);
+                    return log::info!(
+                        "event=cell-released cell={} epoch={epoch} complete={}",
+                        self.cell,
+                        left.has_complete_records
+                    );
                 }
                 Err(err) => {
                     log::debug!("event=release-failed epoch={epoch} error={err:?}");
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -14,10 +14,12 @@
 use crate::cell::owner::admission::Admission;
 use crate::cell::owner::authority::Authority;
 use crate::cell::owner::balance::ServiceLoad;
+use crate::cell::owner::claim_record::FinalState;
 use crate::cell::owner::connections::{ConnectionNumber, Connections};
 use crate::cell::owner::election::OWNER_TIMEOUT;
 use crate::cell::owner::lag::TickLag;
 use crate::cell::owner::log_reports::LogReports;
+use crate::cell::records::journal::{LeaseBounds, Snapshot};
 use crate::cell::records::parts::RecordParts;
 use crate::cell::{Cell, CellConfig};
 use crate::clock::Millis;
@@ -90,13 +92,14 @@
             self.ended_epoch.fetch_max(epoch, Ordering::Relaxed);
             return;
         };
-        let Recovered { snapshot, parts, listed } = recovered;
-        let unrecorded_starts = !lock(&self.election).is_log_steady(self.now());
+        let Recovered { mut snapshot, parts, listed } = recovered;
+        let unrecorded_starts = self.apply_inheritance(&mut snapshot);
         log::info!(
-            "event=takeover cell={} epoch={epoch} jobs={} roster={} listed={} doubt={unrecorded_starts} log_ms={} took_ms={}",
+            "event=takeover cell={} epoch={epoch} jobs={} roster={} unheard={} listed={} doubt={unrecorded_starts} log_ms={} took_ms={}",
             self.cell,
             snapshot.jobs.len(),
             snapshot.workers.len(),
+            snapshot.leases.unheard.len(),
             listed.len(),
             lock(&self.election).readable_time(self.now()),
             self.now().since(started)
@@ -159,6 +162,23 @@
     }
 }
 
+impl CellView {
+    /// Adds what this entry knows about earlier owners to their records. Returns whether one of them
+    /// may have sent starts that are not recorded.
+    fn apply_inheritance(&self, snapshot: &mut Snapshot) -> bool {
+        let election = lock(&self.election);
+        let (inherited, epoch) = (election.inherited(), snapshot.leases.epoch);
+        let is_convertible =
+            election.keeps_leases_since(epoch) && election.to_own_clock(epoch, Millis(0)).is_some();
+        let convert = |time| election.to_own_clock(epoch, time).unwrap_or(Millis(u64::MAX));
+        snapshot.lease_bounds = LeaseBounds {
+            record: is_convertible.then(|| snapshot.leases.map_times(convert)),
+            last_end: inherited.last_lease_end,
+        };
+        !inherited.has_complete_records && !election.is_log_steady(self.now())
+    }
+}
+
 impl Owner {
     /// The owner's epoch.
     pub fn epoch(&self) -> u64 {
@@ -461,6 +481,12 @@
         }
     }
 
+    /// Sends no start and renews no lease from now on. Returns the state that is left to the next
+    /// owner.
+    pub fn leave(&self) -> FinalState {
+        lock(&self.cell).leave()
+    }
+
     /// Waits until all records are written, for `timeout` at the most.
     pub async fn flush(&self, timeout: Millis) {
         let deadline = self.node.now() + timeout;
--- a/src/node/owner/workers.rs
+++ b/src/node/owner/workers.rs
@@ -242,7 +242,7 @@
                 Ok(report) => {
                     lock(&self.cell).on_report(now, sent, &name, report);
                     wait = if hold.lease_end.is_some() { REPORT_WAIT } else { Millis(0) };
-                    hold.lease_end.is_none() && !can_renew
+                    hold.lease_end.is_none() && (!can_renew || hold.is_recorded)
                 }
                 Err(err) => {
                     wait = Millis(0);
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -30,12 +30,13 @@
     pub(super) async fn transfer(&self, owner: &Owner, reason: Reason, successor: Option<Name>) {
         owner.flush(FLUSH_TIMEOUT).await;
         owner.end();
+        let left = owner.leave();
         let epoch = owner.epoch();
         let record = match reason {
             Reason::Overload => ElectionRecord::Overloaded { epoch },
             Reason::Stop | Reason::Size => ElectionRecord::Release { epoch },
         };
-        self.release(record, successor, epoch).await;
+        self.release(record, successor, left, epoch).await;
     }
 }
 
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -68,7 +68,8 @@
     }
 
     fn append(&mut self, now: u64, record: ElectionRecord, successor: Option<&str>) {
-        let extension = Extension { cpu: self.cpu, successor: successor.map(Into::into) };
+        let successor = successor.map(Into::into);
+        let extension = Extension { cpu: self.cpu, successor, owner_state: None };
         let end = self.election.next_offset();
         self.pending = Some((now + APPEND_TIME, end, record, extension));
     }
--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -6,9 +6,9 @@
 use cellworld::{
     Disabled, search, search_crashing_tasks, search_lasting, search_limits,
     search_owner_power_losses, search_power_loss, search_preemption, search_ranked,
-    search_restarts, search_rolling_restarts, search_room_changes, search_store_outages,
-    search_suspensions, search_takeovers_with_few_connections, search_truncated_reports,
-    search_withdrawals,
+    search_restarts, search_restarts_with, search_rolling_restarts, search_room_changes,
+    search_stops_after_outages, search_store_outages, search_suspensions,
+    search_takeovers_with_few_connections, search_truncated_reports, search_withdrawals,
 };
 
 /// A number from the environment. An invalid one is an error; it doesn't fall back to the default.
@@ -240,7 +240,38 @@
 fn lasting_tasks_run_again_in_time_through_a_rolling_restart() {
     // Guards against waits that begin anew with each owner: tasks on a worker that has left or is
     // lost, and all tasks after a takeover by a process that has just started.
-    assert_holds(search_rolling_restarts);
+    assert_holds(|seed| search_rolling_restarts(seed, Disabled::Nothing));
+}
+
+#[test]
+fn owners_that_take_unheard_leases_for_over_violate_an_invariant() {
+    assert_breaks_in(Disabled::UnheardLeases, |seed, disabled| {
+        search_rolling_restarts(seed, disabled).0
+    });
+}
+
+#[test]
+fn owners_that_rely_on_outdated_records_of_unheard_workers_violate_an_invariant() {
+    // Guards against a renewal of a lease before the record of its end is removed.
+    assert_breaks_in(Disabled::UnheardRemovals, search);
+}
+
+#[test]
+fn owners_that_do_not_learn_of_long_leases_violate_an_invariant() {
+    assert_breaks_in(Disabled::LongLeases, |seed, disabled| search_restarts_with(seed, disabled).0);
+}
+
+#[test]
+fn invariants_hold_when_owners_stop_after_store_outages() {
+    assert_holds(|seed| search_stops_after_outages(seed, Disabled::Nothing));
+}
+
+#[test]
+fn owners_that_always_leave_complete_records_violate_an_invariant() {
+    // Guards against a takeover that trusts the records although the store was away just before it.
+    assert_breaks_in(Disabled::CompleteRecords, |seed, disabled| {
+        search_stops_after_outages(seed, disabled).0
+    });
 }
 
 #[test]
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -97,6 +97,14 @@
     WorkspaceRecords,
     /// Owners assume that no start was sent without a record.
     UnrecordedStarts,
+    /// Owners that stop say that their records are complete, whether or not they are.
+    CompleteRecords,
+    /// The store keeps workers in the record of unheard ones after they have reported.
+    UnheardRemovals,
+    /// Owners take it that the leases of workers that are recorded as unheard are over.
+    UnheardLeases,
+    /// Owners do not learn which workers may have longer leases than usual.
+    LongLeases,
     /// Owners take reports that list the most ends for complete.
     TruncatedReports,
     /// Owners do not know how many connections workers accept.
@@ -856,7 +864,10 @@
             disabled: DisabledMechanisms::default(),
         };
         let queues = self.queues();
-        let doubt = self.doubts_records();
+        let is_fresh = self.has_fresh_owner();
+        let left = self.rolling.left.take();
+        self.convert_lease_ends(&mut snapshot, is_fresh, left);
+        let doubt = self.doubts_records(is_fresh, left);
         if doubt {
             let owner = self.owners.len();
             for (delay, tenths) in [(self.pick(300), 8), (500 + self.pick(1_500), 10)] {
@@ -1009,6 +1020,8 @@
         let is_refused = self.has_limits && self.chance(15);
         let batch = if is_refused { self.withdraw_jobs(owner, batch) } else { batch.clone() };
         for (key, value) in &batch.records {
+            let kept = self.keep_unheard(key, value);
+            let value = kept.as_ref().unwrap_or(value);
             match value.is_empty() {
                 true => drop(self.store.remove(key)),
                 false => drop(self.store.insert(key.clone(), value.clone())),
--- a/tests/cellworld/outage.rs
+++ b/tests/cellworld/outage.rs
@@ -2,6 +2,7 @@
 //! they cannot read the log either.
 
 use super::*;
+use sprucerudder::cell::owner::claim_record::FinalState;
 use sprucerudder::cell::owner::log_reports::{LogReport, LogReports};
 
 /// The number of entries other than the owner.
@@ -50,11 +51,16 @@
         is_newest && is_away && self.now - self.owners[owner].confirmed_at >= LOG_SILENCE_MS
     }
 
+    /// Whether the process of the next owner has just started.
+    pub(super) fn has_fresh_owner(&mut self) -> bool {
+        self.outage.has_fresh_owners && self.pick(2) == 0
+    }
+
     /// Whether the next owner has to assume that starts were sent without a record, by what its own
-    /// process has seen.
-    pub(super) fn doubts_records(&mut self) -> bool {
-        let is_new = self.outage.has_fresh_owners && self.pick(2) == 0;
-        let doubt = is_new || !self.outage.is_steady(self.now);
+    /// process has seen and by what the last owner `left`.
+    pub(super) fn doubts_records(&self, is_fresh: bool, left: Option<FinalState>) -> bool {
+        let has_complete_records = left.is_some_and(|left| left.has_complete_records);
+        let doubt = !has_complete_records && (is_fresh || !self.outage.is_steady(self.now));
         doubt && self.disabled != Disabled::UnrecordedStarts
     }
 
--- a/tests/cellworld/rolling.rs
+++ b/tests/cellworld/rolling.rs
@@ -3,6 +3,8 @@
 //! lost.
 
 use super::*;
+use sprucerudder::cell::owner::claim_record::FinalState;
+use sprucerudder::cell::records::journal::{self, LeaseBounds};
 
 /// How long the restarts go on, in milliseconds.
 const RESTARTS_MS: u64 = 16_000;
@@ -11,11 +13,17 @@
 /// The longest time that an owner which stops waits for its records to be stored.
 const FLUSH_MS: u64 = 150;
 
+/// How long before its takeover the process of an owner started, in milliseconds, if it has just
+/// started.
+const MAX_READ_DELAY_MS: u64 = 300;
+
 /// State of the searches with rolling restarts.
 #[derive(Debug, Default)]
 pub struct RollingRestart {
     /// The last owner gave up the cell.
     pub is_released: bool,
+    /// The state in which the last owner gave up the cell.
+    pub left: Option<FinalState>,
     /// The number of owners that were stopped.
     pub stops: usize,
 }
@@ -60,11 +68,61 @@
         self.log_event(format!("owner {owner} gives up the cell"));
         self.owners[owner].deposed = true;
         self.connections.close(owner);
+        let left = self.owners[owner].cell.leave();
+        let has_complete_records =
+            left.has_complete_records || self.disabled == Disabled::CompleteRecords;
         self.rolling.is_released = true;
+        self.rolling.left = Some(FinalState { has_complete_records, ..left });
         let delay = 60 + self.pick(350);
         self.schedule_after(delay, Event::Elect);
     }
 
+    /// Converts the times that earlier owners recorded to the clock of a new one. A process that has
+    /// just started has read the newest record of each owner up to `MAX_READ_DELAY_MS` ago, and may
+    /// take it for as new as that.
+    pub(super) fn convert_lease_ends(
+        &mut self,
+        snapshot: &mut Snapshot,
+        is_fresh: bool,
+        left: Option<FinalState>,
+    ) {
+        let read_delay = if is_fresh { MAX_READ_DELAY_MS } else { 20 };
+        let read_delay = self.pick(read_delay);
+        let writer = self.owners.iter().find(|owner| owner.cell.epoch() == snapshot.leases.epoch);
+        let heartbeat = writer.map_or(self.now, |owner| owner.confirmed_at);
+        let late = match is_fresh {
+            true => (self.now - heartbeat).saturating_sub(read_delay),
+            false => read_delay,
+        };
+        let is_over = self.disabled == Disabled::UnheardLeases;
+        let mut record = snapshot.leases.map_times(|end| end + Millis(late));
+        if is_over {
+            record.unheard.values_mut().for_each(|end| *end = Millis(0));
+        }
+        if self.disabled == Disabled::LongLeases {
+            record.long.clear();
+        }
+        let last_end = left.map(|left| left.last_lease_end + Millis(read_delay));
+        snapshot.lease_bounds = LeaseBounds { record: Some(record), last_end };
+    }
+
+    /// If removals from the record of leases are disabled, returns a new record of leases with the
+    /// workers that the stored one names as unheard.
+    pub(super) fn keep_unheard(&self, key: &str, value: &[u8]) -> Option<Vec<u8>> {
+        if self.disabled != Disabled::UnheardRemovals {
+            return None;
+        }
+        let (mut stored, mut new) = (Snapshot::default(), Snapshot::default());
+        stored.apply(key, self.store.get(key)?).unwrap();
+        new.apply(key, value).unwrap();
+        let mut record = new.leases;
+        for (name, end) in stored.leases.unheard {
+            record.unheard.entry(name).or_insert(end);
+        }
+        let (leases_key, value) = journal::put_leases(&record);
+        (leases_key == key).then_some(value)
+    }
+
     /// A worker announces that it leaves.
     pub(super) fn announce_leaving(&mut self, name: &Name) {
         let Some(worker) = self.workers.get_mut(name).filter(|worker| worker.alive) else { return };
--- a/tests/cellworld/search.rs
+++ b/tests/cellworld/search.rs
@@ -69,7 +69,13 @@
 /// crash by themselves, and come back with another start time and other capacity. Also returns the
 /// number of restarts with the same id.
 pub fn search_restarts(seed: u64) -> (Option<String>, usize) {
+    search_restarts_with(seed, Disabled::Nothing)
+}
+
+/// As [`search_restarts`], with a mechanism that is disabled.
+pub fn search_restarts_with(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
     let mut sim = crashing_world(seed);
+    sim.disabled = disabled;
     sim.keeps_ids = true;
     let names: Vec<Name> = sim.workers.keys().cloned().collect();
     for worker in sim.workers.values_mut() {
@@ -149,8 +155,8 @@
 
 /// As [`search_lasting`], with owners that are stopped one after the other once the random faults have
 /// ended, beside workers that leave. Also returns how often a long-running task lost its run.
-pub fn search_rolling_restarts(seed: u64) -> (Option<String>, usize) {
-    let mut sim = Simulation::new(seed, Disabled::Nothing);
+pub fn search_rolling_restarts(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, disabled);
     sim.add_lasting_jobs(seed % 2 == 0);
     sim.lasting.checks_replaced = true;
     let start = FAULTS_END_MS + 2_000 + sim.pick(2_000);
@@ -159,6 +165,23 @@
     (first_violation(&sim, seed), sim.lasting.lost_runs.min(sim.rolling.stops))
 }
 
+/// As [`search_store_outages`], with owners that are stopped in good order at random times, mostly soon
+/// after an outage. Also returns the number of stops.
+pub fn search_stops_after_outages(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
+    let mut sim = Simulation::new(seed, disabled);
+    sim.outage.has_fresh_owners = true;
+    for _ in 0..1 + sim.pick(2) {
+        let (at, length) = (sim.pick(FAULTS_END_MS), 1_000 + sim.pick(4_000));
+        sim.schedule_at(at, Event::StoreOutage { length });
+        for _ in 0..1 + sim.pick(3) {
+            let stop_at = at + length + sim.pick(1_500);
+            sim.schedule_at(stop_at, Event::StopOwner);
+        }
+    }
+    sim.run();
+    (first_violation(&sim, seed), sim.rolling.stops.min(sim.outage.count))
+}
+
 /// As [`search`], with one or two outages of the store at random times. Also returns the number of
 /// outages.
 pub fn search_store_outages(seed: u64, disabled: Disabled) -> (Option<String>, usize) {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -158,7 +158,8 @@
 
 /// A record by which the owner of epoch 1 gives up the cell to `successor`.
 fn give_up(election: &mut Election, at: u64, successor: &str) {
-    let extension = Extension { cpu: SMALL, successor: Some(successor.into()) };
+    let extension =
+        Extension { cpu: SMALL, successor: Some(successor.into()), ..Extension::default() };
     election.apply_extended(Millis(at), 2, ElectionRecord::Release { epoch: 1 }, extension);
 }
 
@@ -182,7 +183,7 @@
 
 fn claim_of(owner: &str, cpu: u32) -> (ElectionRecord, Extension) {
     let record = ElectionRecord::Claim { owner: entry(owner), addr: "1.2.3.4:6".into() };
-    (record, Extension { cpu, successor: None })
+    (record, Extension { cpu, ..Extension::default() })
 }
 
 /// After an overload, no large entry owned a cell again for 9 s, while small ones did not keep up.
