Cell: record runs that a new owner adopts

A run without a record that a worker reported was adopted, but its job was not written again. The next owner, if it did not hear the worker, would have started the task a second time. The test failed before.

--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -331,6 +331,8 @@
                 if let Some(state) = step.tasks.get_mut(task.index as usize) {
                     state.checkpoint = row.checkpoint.clone();
                 }
+                // The next owner has to know of the run, too.
+                self.dirty_jobs.insert(task.step.job);
                 self.last_unrecorded = self.open_batch;
                 log::info!("event=run-adopted task={task} run={} worker={name}", row.run);
                 // The older run ended before this one started, or may be a copy of the task.
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -1,20 +1,26 @@
 //! What a new owner relies on of the owners before it: whether their starts are recorded, and when
 //! the leases that they granted expire.
 
+mod rows;
+
+use rows::running as running_row;
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::owner::claim_record::{self, Extension, FinalState, OwnerState};
 use sprucerudder::cell::owner::election::{Election, ElectionRecord};
-use sprucerudder::cell::records::journal::{LeaseBounds, LeaseRecord, Snapshot};
+use sprucerudder::cell::records::journal::{self, JobRecord, LeaseBounds, LeaseRecord, Snapshot};
 use sprucerudder::cell::{Cell, CellConfig};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::{EntryId, Name};
 use sprucerudder::order::{ReportError, WorkerInfo, WorkerReport};
-use sprucerudder::workload::{Queue, Resources};
+use sprucerudder::workload::{JobDefinition, JobKey, Queue, Resources, Step, StepKey, TaskKey};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 const LEASE: Millis = Millis(6_000);
 const MAX_LEASE: Millis = Millis(10_000);
+const TASK: TaskKey =
+    TaskKey { step: StepKey { job: JobKey(1), repetition: 0, step: 0 }, index: 0 };
+
 fn worker(id: &str) -> WorkerInfo {
     WorkerInfo {
         id: id.into(),
@@ -118,6 +124,38 @@
     ElectionRecord::Heartbeat { epoch, owner, addr, largest_cpu: 500 }
 }
 
+#[test]
+fn an_adopted_run_is_recorded_for_the_next_owner() {
+    // Guards against a task that runs twice after two takeovers: the first owner found a run without
+    // a record, and the second one did not hear the worker.
+    let work = JobDefinition {
+        payload: "t".into(),
+        steps: vec![Step { count: 1, ..Step::default() }],
+        repetitions: 1,
+        first_due: Millis(0),
+        interval: Millis(0),
+    };
+    let record = JobRecord::Open { queue: (*queue()).clone(), work: Arc::new(work) };
+    let mut snapshot = Snapshot::default();
+    let (key, value) = journal::put_job(TASK.step.job, &record);
+    snapshot.apply(&key, &value).unwrap();
+    let mut store = Snapshot::default();
+    let mut next = cell(2, snapshot, true, 0);
+    write_batches(&mut next, 1, &mut store);
+    next.report_call(Millis(2), &"w1".into(), true);
+    let running = vec![running_row(TASK, 7)];
+    let report = WorkerReport {
+        started_at: Some(Millis(7)),
+        clock: 1_000,
+        running,
+        ..WorkerReport::default()
+    };
+    next.on_report(Millis(3), Millis(2), &"w1".into(), &report);
+    write_batches(&mut next, 4, &mut store);
+    let assignment = store.progress[&TASK.step.job].steps[0].tasks[0].assignment.clone();
+    assert_eq!(assignment, Some((7, Name::from("w1"))));
+}
+
 #[test]
 fn the_lease_of_an_unheard_worker_does_not_begin_anew_with_each_owner() {
     // Guards against tasks that wait for a whole lease from each takeover on.
