Advice: request it before the lease of an unheard worker expires

A lasting task waited for the lease of its lost worker, and only then for the advice service. The request is sent 1.5 s before; the lease is not renewed any more after a missed report, so it ends sooner.

--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! `clearances` keeps the answers of a step, `request` creates requests and applies their answers, `queue` assigns them to entries,
 //! `expected_use` spreads them over the workers, `short_load` keeps entries free for short ones,
-//! `late_answer` decides on answers that an entry held back, and `load` tells how busy the entries
+//! `ahead` creates requests for tasks that are about to need a worker, `late_answer` decides on answers that an entry held back, and `load` tells how busy the entries
 //! are.
 
+mod ahead;
 pub mod clearances;
 pub mod expected_use;
 mod late_answer;
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -357,6 +357,7 @@
             self.needs_placement = true;
         }
         self.expire_requests(now);
+        self.request_advice_ahead(now);
         self.log_advice_load(now);
     }
 
--- a/src/cell/workers/leases.rs
+++ b/src/cell/workers/leases.rs
@@ -52,6 +52,11 @@
         !self.unheard.contains(worker) && !self.removed.contains_key(worker)
     }
 
+    /// Whether the newest record names a worker as unheard.
+    pub fn is_unheard(&self, worker: &Name) -> bool {
+        self.unheard.contains(worker)
+    }
+
     /// Whether the record has to be written.
     pub fn is_due(&self) -> bool {
         self.is_due
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -34,7 +34,9 @@
         let lease = self.config.lease;
         let is_recorded = !self.leases.may_renew(name);
         let worker = self.workers.get_mut(name)?;
-        let may_renew = renew && worker.is_reachable && !is_recorded && !self.has_left;
+        // A worker that may be lost keeps its lease, which its tasks would have to wait for.
+        let is_answering = worker.is_reachable && !worker.has_missed_report();
+        let may_renew = renew && is_answering && !is_recorded && !self.has_left;
         let lease_end = match may_renew {
             true => worker.renew_lease(now, lease),
             false => None,
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -384,6 +384,11 @@
         self.is_silent()
     }
 
+    /// Whether the last report is missing.
+    pub fn has_missed_report(&self) -> bool {
+        self.missed_reports > 0
+    }
+
     /// Whether as many reports are missing in a row as make a worker unreachable.
     pub fn is_silent(&self) -> bool {
         self.missed_reports > MAX_MISSED_REPORTS
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -8,11 +8,13 @@
 use sprucerudder::cell::owner::claim_record::{self, Extension, FinalState, OwnerState};
 use sprucerudder::cell::owner::election::{Election, ElectionRecord};
 use sprucerudder::cell::records::journal::{self, JobRecord, LeaseBounds, LeaseRecord, Snapshot};
-use sprucerudder::cell::{Cell, CellConfig};
+use sprucerudder::cell::{Action, Cell, CellConfig};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::{EntryId, Name};
 use sprucerudder::order::{ReportError, WorkerInfo, WorkerReport};
-use sprucerudder::workload::{JobDefinition, JobKey, Queue, Resources, Step, StepKey, TaskKey};
+use sprucerudder::workload::{
+    AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey, TaskKey,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -287,3 +289,67 @@
     assert!(bytes.starts_with(&old_bytes));
     assert_eq!(claim_record::decode(&old_bytes).unwrap(), (record, old));
 }
+
+#[test]
+fn a_lease_is_not_renewed_after_a_missed_report() {
+    // Guards against a later start elsewhere: the worker is probably lost, and its tasks wait for the
+    // end of its lease.
+    let mut store = Snapshot::default();
+    let mut owner = cell(1, Snapshot::default(), false, 0);
+    write_batches(&mut owner, 1, &mut store);
+    report(&mut owner, "w1", 10);
+    assert!(report(&mut owner, "w1", 1_000).is_some());
+    let missing = ReportError::NoReply("lost".into());
+    owner.on_missing_report(Millis(1_500), &"w1".into(), &missing);
+    assert_eq!(report(&mut owner, "w1", 1_600), None);
+    assert!(report(&mut owner, "w1", 1_700).is_some());
+}
+
+#[test]
+fn advice_is_requested_before_the_lease_of_a_lost_worker_expires() {
+    // Guards against lasting tasks that wait for the lease and for the advice service one after the
+    // other.
+    let advice = AdviceConfig {
+        base_latency: Millis(560),
+        worker_micros: 8_000,
+        ticket_validity: Millis(2_000),
+    };
+    let queue = Queue { advice: Some(advice), ..(*queue()).clone() };
+    let step = Step { count: 1, long_running: true, ..Step::default() };
+    let work = JobDefinition {
+        payload: "t".into(),
+        steps: vec![step],
+        repetitions: 1,
+        first_due: Millis(0),
+        interval: Millis(0),
+    };
+    let (mut store, mut owner) = (Snapshot::default(), cell(1, Snapshot::default(), false, 0));
+    owner.set_queues(HashMap::from([("q".into(), Arc::new(queue))]));
+    owner.add_entry("e".into(), true);
+    assert!(owner.submit(Millis(1), JobKey(1), "q", Arc::new(work)).is_some());
+    write_batches(&mut owner, 1, &mut store);
+    for now in [10, 1_000, 1_800] {
+        report(&mut owner, "w2", now);
+    }
+    owner.report_call(Millis(10), &"w1".into(), true);
+    let running = vec![running_row(TASK, 7)];
+    let report = WorkerReport {
+        started_at: Some(Millis(7)),
+        clock: 1_000,
+        running,
+        ..WorkerReport::default()
+    };
+    owner.on_report(Millis(11), Millis(10), &"w1".into(), &report);
+    owner.report_call(Millis(1_000), &"w1".into(), true);
+    miss_reports(&mut owner, "w1", 2_000);
+    owner.take_actions();
+    let mut asks = |now: u64| {
+        owner.tick(Millis(now), Millis(0));
+        write_batches(&mut owner, now, &mut store);
+        owner.schedule(Millis(now));
+        owner.take_actions().iter().any(|action| matches!(action, Action::RequestAdvice { .. }))
+    };
+    assert!(!asks(2_100) && !asks(6_000));
+    // The lease was last renewed at 2.0 s, and expires at 8.2 s.
+    assert!(asks(7_000));
+}
