--- a/src/cell/advice/mod.rs
+++ b/src/cell/advice/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! `clearances` keeps the answers of a step, `request` creates requests and applies their answers, `queue` assigns them to entries,
 //! `expected_use` spreads them over the workers, `short_load` keeps entries free for short ones,
-//! `ahead` creates requests for tasks that are about to need a worker, `late_answer` decides on answers that an entry held back, and `load` tells how busy the entries
-//! are.
+//! `ahead` creates requests for tasks that are about to need a worker, `late_answer` decides on
+//! answers that an entry held back, and `load` tells how busy the entries are.
 
 mod ahead;
 pub mod clearances;
--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -251,10 +251,10 @@
         self.next_offset = self.next_offset.max(first);
     }
 
-    /// Continues at offset `first`, because the store has lost earlier records. What these said of
-    /// their owners is unknown. If some of them were
-    /// not read, another entry may own the cell. A heartbeat of this entry would be appended then
-    /// although it is not the owner any more, so it waits for those of another one.
+    /// Continues at offset `first`, because the store has lost earlier records, and with them what
+    /// owners told later ones. If some of them were not read, another entry may own the cell. A
+    /// heartbeat of this entry would be appended then although it is not the owner any more, so it
+    /// waits for those of another one.
     pub fn skip_lost(&mut self, now: Millis, first: u64) {
         if first > self.next_offset && self.is_owner() {
             self.may_be_outdated = true;
--- a/src/cell/workers/leases.rs
+++ b/src/cell/workers/leases.rs
@@ -52,7 +52,7 @@
         !self.unheard.contains(worker) && !self.removed.contains_key(worker)
     }
 
-    /// Whether the newest record names a worker as unheard.
+    /// Whether the newest record names a worker as unheard, stored or not.
     pub fn is_unheard(&self, worker: &Name) -> bool {
         self.unheard.contains(worker)
     }
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -34,7 +34,7 @@
         let lease = self.config.lease;
         let is_recorded = !self.leases.may_renew(name);
         let worker = self.workers.get_mut(name)?;
-        // A worker that may be lost keeps its lease, which its tasks would have to wait for.
+        // If the worker is lost, its tasks wait until its lease expires.
         let is_answering = worker.is_reachable && !worker.has_missed_report();
         let may_renew = renew && is_answering && !is_recorded && !self.has_left;
         let lease_end = match may_renew {
