Smaller files: runs, given-up starts, the records of the election, what owners told later ones

No change of what is decided, but for two values: an owner without workers leaves no end of leases in place of 0, and a lease record whose times cannot be converted is not used, where a far time stood for each. takeover logs leases_known. Comments name what they speak of; tests of takeovers share a job and a report.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -17,7 +17,8 @@
     Crash, Evidence, QUARANTINE_CRASHES, RestartPolicy, restart_policy,
 };
 use crate::cell::records::journal::JobOutcome;
-use crate::cell::workers::worker::{Run, Worker};
+use crate::cell::workers::run::Run;
+use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::Incarnation;
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -4,7 +4,8 @@
 use crate::cell::jobs::job::{Job, TaskStatus};
 use crate::cell::records::journal::{JobOutcome, JobRecord, Progress, Snapshot, WorkerRecord};
 use crate::cell::workers::roster::ENDED_INCARNATION_RETENTION;
-use crate::cell::workers::worker::{Phase, Run, Worker};
+use crate::cell::workers::run::{Phase, Run};
+use crate::cell::workers::worker::Worker;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -272,12 +272,6 @@
         self.epoch
     }
 
-    /// Whether all runs that this owner and those before it may have started are recorded in the
-    /// store, so that the next owner need not wait for workers to report them.
-    fn has_complete_records(&self) -> bool {
-        self.unrecorded_starts.is_none() && self.last_unrecorded <= self.stored_batch
-    }
-
     /// When this owner took over the cell.
     fn taken_over_at(&self) -> Millis {
         self.unheard_timer.since
@@ -329,48 +323,6 @@
         self.is_overloaded = is_overloaded;
     }
 
-    /// Handles a pause of seconds in which the owner's process did not run. Its state of the
-    /// workers is outdated, as their room may have shrunk and their runs may have ended. No run is
-    /// started before the list of workers is read again, and then only on workers that have
-    /// reported since. Starts that wait for the store are given up.
-    pub fn resume_after_pause(&mut self, now: Millis) {
-        log::info!(
-            "event=worker-state-outdated epoch={} workers={}",
-            self.epoch,
-            self.workers.len()
-        );
-        self.list_stale = true;
-        for (name, worker) in &mut self.workers {
-            worker.mark_unanswered(now);
-            self.actions.push(Action::PollNow(name.clone()));
-        }
-        self.give_up_starts("pause");
-        for (_, name, start) in std::mem::take(&mut self.unsent_starts) {
-            self.abandon_run(&name, start.task, start.run);
-        }
-    }
-
-    /// Gives up starts that were decided but not sent, because another entry may own the cell by
-    /// now. A worker that has restarted since does not know a higher fencing token, and would run a
-    /// task that already runs elsewhere.
-    pub fn give_up_starts(&mut self, reason: &str) {
-        self.give_up_starts_if(reason, |_, _| true);
-    }
-
-    /// Gives up the starts on workers for which `is_wanted` holds, as [`Self::give_up_starts`] does.
-    fn give_up_starts_if(&mut self, reason: &str, is_wanted: impl Fn(&Self, &Name) -> bool) {
-        for action in std::mem::take(&mut self.actions) {
-            match action {
-                Action::Start { worker, start, .. } if is_wanted(self, &worker) => {
-                    let (task, run) = (start.task, start.run);
-                    log::info!("event=start-given-up task={task} worker={worker} why={reason}");
-                    self.abandon_run(&worker, task, run);
-                }
-                action => self.actions.push(action),
-            }
-        }
-    }
-
     /// Returns the actions that were collected since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/src/cell/owner/claim_record.rs
+++ b/src/cell/owner/claim_record.rs
@@ -22,23 +22,24 @@
 
 /// What an owner tells later owners in its records.
 ///
-/// An owner that writes it also keeps the record of leases.
+/// An owner that writes this state also keeps the record of leases.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerState {
-    /// The time on the owner's clock when it sent the record. Not in claims, after which a process
-    /// may take a while to find that it is the owner.
+    /// The time on the owner's clock when the record was sent. Claims do not tell the time, because
+    /// the claimant may find only later that it is the owner.
     pub clock: Option<Millis>,
     /// The state in which the owner left the cell, in records that give it up.
     pub left: Option<FinalState>,
 }
 
-/// The state in which an owner leaves the cell. It sends no start and renews no lease afterwards.
+/// The state in which an owner leaves the cell. The owner sends no start and renews no lease
+/// afterwards.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinalState {
     /// All starts are recorded in the store.
     pub has_complete_records: bool,
-    /// When the last lease expires, on the owner's clock.
-    pub last_lease_end: Millis,
+    /// When the last lease expires, on the owner's clock; `None` if the cell has no workers.
+    pub last_lease_end: Option<Millis>,
 }
 
 /// Encodes a record and its extension.
--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -5,10 +5,10 @@
 //! determines its epoch.
 
 use crate::cell::owner::claim_record::Extension;
+use crate::cell::owner::history::OwnerHistory;
+pub use crate::cell::owner::leader::{ElectionRecord, Leader};
 use crate::clock::Millis;
 use crate::id::{EntryId, Name};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 /// The time between two heartbeats of an owner. Every entry reads each of them; with seven entries
 /// that makes 20 calls a second of the 2,600 that the store accepts.
@@ -39,82 +39,11 @@
 /// How long an owner does not know its peers after its claim: a takeover on a small entry of 0.8 s,
 /// and the time for which a peer must have been connected.
 const PEERS_UNKNOWN_TIME: Millis = Millis(2_500);
-/// For how many owners the relation of their clocks to the own one is kept. The record of leases is
-/// seldom older than the last owner or two.
-const MAX_OWNER_CLOCKS: usize = 16;
 /// The longest time by which an entry with little CPU delays a claim, so that larger entries claim
 /// first. It is longer than the interval at which these check the log. A small entry keeps up with
 /// a cell only under light load.
 const MAX_CLAIM_DELAY: Millis = Millis(320);
 
-/// A record in the log topic of the election.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ElectionRecord {
-    /// An entry claims the ownership of the cell.
-    Claim {
-        /// The new owner.
-        owner: EntryId,
-        /// Where other entries reach it.
-        addr: Name,
-    },
-    /// The owner is alive.
-    Heartbeat {
-        /// The epoch of the owner.
-        epoch: u64,
-        /// The owner.
-        owner: EntryId,
-        /// Where other entries reach it.
-        addr: Name,
-        /// The CPU, in millicores, of the largest entry among the owner and its connected peers.
-        largest_cpu: u32,
-    },
-    /// The owner shuts down as planned, and any entry may claim the cell at once.
-    Release {
-        /// The epoch of the owner.
-        epoch: u64,
-    },
-    /// The owner is overloaded and gives up the cell, and any entry may claim it at once.
-    Overloaded {
-        /// The epoch of the owner.
-        epoch: u64,
-    },
-}
-
-/// The owner according to the newest claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Leader {
-    /// The offset of its claim plus one.
-    pub epoch: u64,
-    /// The entry that is the owner.
-    pub owner: EntryId,
-    /// Where other entries reach it.
-    pub addr: Name,
-}
-
-impl Leader {
-    /// Whether this leader replaces the one that is known. Tasks that read the claims at the same
-    /// time may publish what they found in any order.
-    pub fn replaces(&self, known: Option<&Self>) -> bool {
-        known.is_none_or(|known| known.epoch < self.epoch)
-    }
-}
-
-/// What an owner that gave up the cell in good order left to the next one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Inheritance {
-    /// All its starts, and those of the owners before it, are recorded in the store.
-    pub has_complete_records: bool,
-    /// When the last lease expires, on this entry's clock; `None` if unknown.
-    pub last_lease_end: Option<Millis>,
-}
-
-/// The time on the clock of an owner when it sent a record, and when that was read here.
-#[derive(Debug, Clone, Copy)]
-struct OwnerClock {
-    time: Millis,
-    read_at: Millis,
-}
-
 /// The state of the election as known to one entry.
 #[derive(Debug)]
 pub struct Election {
@@ -137,14 +66,8 @@
     /// Whether records were lost unread since the leader became known, so that there may be a later
     /// one.
     may_be_outdated: bool,
-    /// The state in which the leader left the cell, by the log.
-    left: Inheritance,
-    /// The value of `left` when this entry last claimed the cell.
-    inherited: Inheritance,
-    /// For recent epochs, the time on the owner's clock by its newest record, and when that was read.
-    owner_clocks: BTreeMap<u64, OwnerClock>,
-    /// The epoch from which on all owners whose records were read keep the record of leases.
-    keeps_leases_since: Option<u64>,
+    /// What the owners before told in the log.
+    history: OwnerHistory,
     /// The entry that the leader named as its successor, and until when others don't claim the cell.
     successor: Option<(Name, Millis)>,
     /// The offset of the next record to read.
@@ -189,10 +112,7 @@
             leader_since: now,
             released: false,
             may_be_outdated: false,
-            left: Inheritance::default(),
-            inherited: Inheritance::default(),
-            owner_clocks: BTreeMap::new(),
-            keeps_leases_since: None,
+            history: OwnerHistory::default(),
             successor: None,
             next_offset: 0,
             owner_heard: now,
@@ -261,7 +181,7 @@
             self.owner_heard = now;
         }
         if first > self.next_offset {
-            (self.left, self.keeps_leases_since) = (Inheritance::default(), None);
+            self.history.record_loss();
         }
         self.skip_to(first);
     }
@@ -287,10 +207,8 @@
             // A later owner may be known from elsewhere than the log.
             ElectionRecord::Claim { .. } if offset + 1 < self.epoch() => {}
             ElectionRecord::Claim { owner, addr } => {
-                if owner == self.me {
-                    self.inherited = self.left;
-                }
-                self.note_owner_state(now, offset + 1, &extension);
+                let is_own = owner == self.me;
+                self.history.record_claim(offset + 1, extension.owner_state, is_own);
                 self.set_leader(now, Leader { epoch: offset + 1, owner, addr });
                 self.set_owner_cpu(extension.cpu);
                 self.owner_heard = now;
@@ -301,7 +219,7 @@
                 if self.epoch() < epoch {
                     self.set_leader(now, Leader { epoch, owner, addr });
                 }
-                self.note_owner_state(now, epoch, &extension);
+                self.history.record_state(now, epoch, extension.owner_state);
                 self.set_owner_cpu(extension.cpu);
                 self.set_largest_cpu(now, largest_cpu);
                 self.owner_heard = now;
@@ -339,49 +257,19 @@
         self.inherited_cpu = self.largest_cpu;
         (self.released, self.may_be_outdated, self.successor) = (false, false, None);
         self.owner_absent = false;
-        self.left = Inheritance::default();
+        self.history.forget_release();
         self.claim_due = None;
     }
 
-    /// Notes what a record of the owner of `epoch` tells later owners.
-    fn note_owner_state(&mut self, now: Millis, epoch: u64, extension: &Extension) {
-        let since = self.keeps_leases_since.unwrap_or(epoch);
-        self.keeps_leases_since = extension.owner_state.map(|_| since);
-        let Some(time) = extension.owner_state.and_then(|state| state.clock) else { return };
-        self.owner_clocks.insert(epoch, OwnerClock { time, read_at: now });
-        while self.owner_clocks.len() > MAX_OWNER_CLOCKS {
-            self.owner_clocks.pop_first();
-        }
-    }
-
-    /// Converts a time on the clock of the owner of `epoch` to this entry's clock. The result may be
-    /// too late, by as long as it took to read the newest record of that owner. `None` if none was
-    /// read.
-    pub fn to_own_clock(&self, epoch: u64, time: Millis) -> Option<Millis> {
-        let known = self.owner_clocks.get(&epoch)?;
-        Some(known.read_at + time.since(known.time) - known.time.since(time))
-    }
-
-    /// What the owner before this entry left, if it gave up the cell in good order.
-    pub fn inherited(&self) -> Inheritance {
-        self.inherited
-    }
-
-    /// Whether all owners since `epoch` keep the record of leases.
-    pub fn keeps_leases_since(&self, epoch: u64) -> bool {
-        self.keeps_leases_since.is_some_and(|since| since <= epoch)
+    /// What the owners before told in the log.
+    pub fn history(&self) -> &OwnerHistory {
+        &self.history
     }
 
     /// Records that the leader gave up the cell and named a successor, if any.
     fn release(&mut self, now: Millis, extension: Extension) {
         self.released = true;
-        let epoch = self.epoch();
-        self.note_owner_state(now, epoch, &extension);
-        let left = extension.owner_state.and_then(|state| state.left);
-        self.left = Inheritance {
-            has_complete_records: left.is_some_and(|left| left.has_complete_records),
-            last_lease_end: left.and_then(|left| self.to_own_clock(epoch, left.last_lease_end)),
-        };
+        self.history.record_release(now, self.epoch(), extension.owner_state);
         self.successor = extension.successor.map(|name| (name, now + SUCCESSOR_TIME));
     }
 
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -3,12 +3,14 @@
 //! - `election` and `authority`: which entry owns a cell, and whether it may send orders.
 //! - `claim_record`: the encoding of the records of the election.
 //! - `hand_over`: whether an owner gives up its cell, and to which entry.
+//! - `history`: what owners told later ones in the log.
 //! - `log_reports`: whether an earlier owner may have started runs without a record.
 //! - `connections`: the open connections of the other entries.
 //! - `cell_map`: the cell of each worker and job.
 //! - `map_writer`: which entry counts the workers and writes that map.
 //! - `backoff`: the delay before a failed call to the store is repeated.
 //! - `balance` and `forward`: forwarding of jobs from a full cell to another one.
+//! - `leader`: the records of the election, and the owner that they name.
 //! - `lag`: detection of an overloaded owner.
 //! - `admission`: the rate of jobs that an overloaded owner accepts.
 //! - `pass_pacing`: the time between two scheduling passes.
@@ -26,7 +28,9 @@
 pub mod election;
 pub(super) mod forward;
 pub mod hand_over;
+pub mod history;
 pub mod lag;
+pub mod leader;
 pub mod log_reports;
 pub mod map_writer;
 pub mod pass_pacing;
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -5,6 +5,7 @@
 //! - `rank` orders the waiting steps.
 //! - `lateness` ranks jobs that cannot be on time any more behind the others.
 //! - `candidate` selects a worker among those with enough free resources.
+//! - `given_up` gives up starts that were decided and not sent.
 //! - `preempt` stops less urgent tasks to free resources; `account` decides whether that is worth it, `victims` collects
 //!   the figures for it, and `stops` limits the stops.
 //! - `reservation` stores reservations of resources; `gang` makes them for gangs.
@@ -17,6 +18,7 @@
 pub(super) mod candidate;
 pub(super) mod fair_share;
 pub(super) mod gang;
+mod given_up;
 pub mod lateness;
 pub mod objectives;
 pub(super) mod preempt;
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -9,7 +9,7 @@
 use crate::cell::placing::account::{Refusal, VictimAccount, total_cost};
 use crate::cell::placing::candidate::{Candidate, UnplacedTasks};
 use crate::cell::placing::victims::JobAccounts;
-use crate::cell::workers::worker::Phase;
+use crate::cell::workers::run::Phase;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{Resources, Step, StepKey, TaskKey};
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -9,8 +9,9 @@
     Candidate, UnplacedTasks, count_step_runs, is_suitable, pick_gang_workers, pick_worker,
 };
 use crate::cell::placing::relaxation::Relaxation;
+use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::speed::is_tight;
-use crate::cell::workers::worker::{Phase, Run, Worker};
+use crate::cell::workers::worker::Worker;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -278,16 +278,16 @@
 }
 
 impl LeaseRecord {
-    /// Converts the times to another clock.
-    pub fn map_times(&self, convert: impl Fn(Millis) -> Millis) -> Self {
-        let convert_all = |times: &BTreeMap<Name, Millis>| {
-            times.iter().map(|(name, time)| (name.clone(), convert(*time))).collect()
+    /// Converts the times to another clock. `None` if one of them cannot be converted.
+    pub fn map_times(&self, convert: impl Fn(Millis) -> Option<Millis>) -> Option<Self> {
+        let convert_all = |times: &BTreeMap<Name, Millis>| -> Option<BTreeMap<Name, Millis>> {
+            times.iter().map(|(name, time)| Some((name.clone(), convert(*time)?))).collect()
         };
-        Self {
+        Some(Self {
             epoch: self.epoch,
-            unheard: convert_all(&self.unheard),
-            long: convert_all(&self.long),
-        }
+            unheard: convert_all(&self.unheard)?,
+            long: convert_all(&self.long)?,
+        })
     }
 }
 
--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -8,7 +8,7 @@
 use crate::cell::Cell;
 use crate::cell::jobs::job::{Job, TaskStatus};
 use crate::cell::records::journal::{self, UnassignedRun};
-use crate::cell::workers::worker::{Phase, Run};
+use crate::cell::workers::run::{Phase, Run};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobKey, Step, StepKey, TaskKey};
--- a/src/cell/workers/drain.rs
+++ b/src/cell/workers/drain.rs
@@ -7,7 +7,8 @@
 use crate::cell::Cell;
 use crate::cell::jobs::job::StepState;
 use crate::cell::placing::candidate::is_suitable;
-use crate::cell::workers::worker::{Phase, Run, Worker};
+use crate::cell::workers::run::{Phase, Run};
+use crate::cell::workers::worker::Worker;
 use crate::id::Name;
 use crate::workload::{StepKey, TaskKey};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/cell/workers/leases.rs
+++ b/src/cell/workers/leases.rs
@@ -40,7 +40,7 @@
 }
 
 impl RecordedLeases {
-    /// The state of a new owner that has read a record. It writes its own one at once, on its clock.
+    /// The state of a new owner that has read a record. The owner writes a record of its own at once.
     pub fn restore(record: &LeaseRecord) -> Self {
         let unheard = record.unheard.keys().cloned().collect();
         Self { unheard, removed: BTreeMap::new(), is_due: true }
@@ -119,10 +119,16 @@
         let lease_ends = self.workers.values().map(|worker| worker.lease_end);
         FinalState {
             has_complete_records: self.has_complete_records(),
-            last_lease_end: lease_ends.max().unwrap_or_default(),
+            last_lease_end: lease_ends.max(),
         }
     }
 
+    /// Whether all runs that this owner and those before it may have started are recorded in the
+    /// store, so that the next owner need not wait for workers to report them.
+    fn has_complete_records(&self) -> bool {
+        self.unrecorded_starts.is_none() && self.last_unrecorded <= self.stored_batch
+    }
+
     /// When the lease of a worker expires that earlier owners granted.
     ///
     /// A worker that restarted with the same id may have been given a lease end by the clock of its
--- a/src/cell/workers/orders.rs
+++ b/src/cell/workers/orders.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::mechanism::Mechanism;
 use crate::cell::workers::roster::RemovalReason;
-use crate::cell::workers::worker::Phase;
+use crate::cell::workers::run::Phase;
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -4,7 +4,8 @@
 use crate::cell::jobs::job::TaskStatus;
 use crate::cell::records::journal::JobOutcome;
 use crate::cell::workers::roster::RemovalReason;
-use crate::cell::workers::worker::{Phase, Run, Worker};
+use crate::cell::workers::run::{Phase, Run};
+use crate::cell::workers::worker::Worker;
 use crate::cell::{Action, Cell, ReportCall};
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/workers/restart.rs
+++ b/src/cell/workers/restart.rs
@@ -6,7 +6,7 @@
 //! workers may belong to either incarnation.
 
 use crate::cell::jobs::crash::CrashResolution;
-use crate::cell::workers::worker::{Phase, Run};
+use crate::cell::workers::run::{Phase, Run};
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -95,10 +95,11 @@
         let Recovered { mut snapshot, parts, listed } = recovered;
         let unrecorded_starts = self.apply_inheritance(&mut snapshot);
         log::info!(
-            "event=takeover cell={} epoch={epoch} jobs={} roster={} unheard={} listed={} doubt={unrecorded_starts} log_ms={} took_ms={}",
+            "event=takeover cell={} epoch={epoch} jobs={} roster={} leases_known={} unheard={} listed={} doubt={unrecorded_starts} log_ms={} took_ms={}",
             self.cell,
             snapshot.jobs.len(),
             snapshot.workers.len(),
+            snapshot.lease_bounds.record.is_some(),
             snapshot.leases.unheard.len(),
             listed.len(),
             lock(&self.election).readable_time(self.now()),
@@ -167,14 +168,14 @@
     /// may have sent starts that are not recorded.
     fn apply_inheritance(&self, snapshot: &mut Snapshot) -> bool {
         let election = lock(&self.election);
-        let (inherited, epoch) = (election.inherited(), snapshot.leases.epoch);
-        let is_convertible =
-            election.keeps_leases_since(epoch) && election.to_own_clock(epoch, Millis(0)).is_some();
-        let convert = |time| election.to_own_clock(epoch, time).unwrap_or(Millis(u64::MAX));
-        snapshot.lease_bounds = LeaseBounds {
-            record: is_convertible.then(|| snapshot.leases.map_times(convert)),
-            last_end: inherited.last_lease_end,
+        let (history, epoch) = (election.history(), snapshot.leases.epoch);
+        let inherited = history.inherited();
+        let convert = |time| history.to_own_clock(epoch, time);
+        let record = match history.keeps_leases_since(epoch) {
+            true => snapshot.leases.map_times(convert),
+            false => None,
         };
+        snapshot.lease_bounds = LeaseBounds { record, last_end: inherited.last_lease_end };
         !inherited.has_complete_records && !election.is_log_steady(self.now())
     }
 }
--- a/tests/cellworld/rolling.rs
+++ b/tests/cellworld/rolling.rs
@@ -95,14 +95,16 @@
             false => read_delay,
         };
         let is_over = self.disabled == Disabled::UnheardLeases;
-        let mut record = snapshot.leases.map_times(|end| end + Millis(late));
+        let later = |end| Some(end + Millis(late));
+        let mut record = snapshot.leases.map_times(later).expect("each time can be converted");
         if is_over {
             record.unheard.values_mut().for_each(|end| *end = Millis(0));
         }
         if self.disabled == Disabled::LongLeases {
             record.long.clear();
         }
-        let last_end = left.map(|left| left.last_lease_end + Millis(read_delay));
+        let last_end = left.and_then(|left| left.last_lease_end);
+        let last_end = last_end.map(|end| end + Millis(read_delay));
         snapshot.lease_bounds = LeaseBounds { record: Some(record), last_end };
     }
 
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -80,6 +80,20 @@
     lease_end
 }
 
+/// A report that names a run of [`TASK`].
+fn report_of_run() -> WorkerReport {
+    let running = vec![running_row(TASK, 7)];
+    WorkerReport { started_at: Some(Millis(7)), clock: 1_000, running, ..WorkerReport::default() }
+}
+
+/// A job with one task.
+fn work(long_running: bool) -> Arc<JobDefinition> {
+    let step = Step { count: 1, long_running, ..Step::default() };
+    let (first_due, interval) = (Millis(0), Millis(0));
+    let (payload, steps) = ("t".into(), vec![step]);
+    Arc::new(JobDefinition { payload, steps, repetitions: 1, first_due, interval })
+}
+
 fn miss_reports(cell: &mut Cell, worker: &str, now: u64) {
     for _ in 0..2 {
         cell.report_call(Millis(now), &worker.into(), true);
@@ -130,14 +144,7 @@
 fn an_adopted_run_is_recorded_for_the_next_owner() {
     // Guards against a task that runs twice after two takeovers: the first owner found a run without
     // a record, and the second one did not hear the worker.
-    let work = JobDefinition {
-        payload: "t".into(),
-        steps: vec![Step { count: 1, ..Step::default() }],
-        repetitions: 1,
-        first_due: Millis(0),
-        interval: Millis(0),
-    };
-    let record = JobRecord::Open { queue: (*queue()).clone(), work: Arc::new(work) };
+    let record = JobRecord::Open { queue: (*queue()).clone(), work: work(false) };
     let mut snapshot = Snapshot::default();
     let (key, value) = journal::put_job(TASK.step.job, &record);
     snapshot.apply(&key, &value).unwrap();
@@ -145,14 +152,7 @@
     let mut next = cell(2, snapshot, true, 0);
     write_batches(&mut next, 1, &mut store);
     next.report_call(Millis(2), &"w1".into(), true);
-    let running = vec![running_row(TASK, 7)];
-    let report = WorkerReport {
-        started_at: Some(Millis(7)),
-        clock: 1_000,
-        running,
-        ..WorkerReport::default()
-    };
-    next.on_report(Millis(3), Millis(2), &"w1".into(), &report);
+    next.on_report(Millis(3), Millis(2), &"w1".into(), &report_of_run());
     write_batches(&mut next, 4, &mut store);
     let assignment = store.progress[&TASK.step.job].steps[0].tasks[0].assignment.clone();
     assert_eq!(assignment, Some((7, Name::from("w1"))));
@@ -222,37 +222,37 @@
     assert!(report(&mut first, "w1", 1_000).is_some());
     let left = first.leave();
     assert!(left.has_complete_records);
-    assert!(left.last_lease_end >= Millis(1_000) + LEASE);
+    assert!(left.last_lease_end >= Some(Millis(1_000) + LEASE));
     assert_eq!(report(&mut first, "w1", 1_500), None);
 }
 
 #[test]
 fn the_next_owner_learns_in_which_state_the_last_one_left() {
     // The clock of the last owner shows 50,000 where that of the next one shows 1,000.
-    let left = FinalState { has_complete_records: true, last_lease_end: Millis(55_000) };
+    let left = FinalState { has_complete_records: true, last_lease_end: Some(Millis(55_000)) };
     let mut next = Election::new(entry("next"), 500, Millis(0));
     next.apply_extended(Millis(1), 0, claim("last"), extension(None));
     next.apply_extended(Millis(2), 1, heartbeat("last", 1), extension(Some(49_000)));
     let (record, state) = leave(1, 50_000, left);
     next.apply_extended(Millis(1_000), 2, record, state);
     next.apply_extended(Millis(1_100), 3, claim("next"), extension(None));
-    assert!(next.inherited().has_complete_records);
-    assert_eq!(next.inherited().last_lease_end, Some(Millis(6_000)));
-    assert_eq!(next.to_own_clock(1, Millis(50_500)), Some(Millis(1_500)));
-    assert!(next.keeps_leases_since(1));
+    assert!(next.history().inherited().has_complete_records);
+    assert_eq!(next.history().inherited().last_lease_end, Some(Millis(6_000)));
+    assert_eq!(next.history().to_own_clock(1, Millis(50_500)), Some(Millis(1_500)));
+    assert!(next.history().keeps_leases_since(1));
 }
 
 #[test]
 fn a_takeover_after_another_claim_inherits_nothing() {
     // An owner that claimed the cell in between may have sent starts.
-    let left = FinalState { has_complete_records: true, last_lease_end: Millis(55_000) };
+    let left = FinalState { has_complete_records: true, last_lease_end: Some(Millis(55_000)) };
     let mut next = Election::new(entry("next"), 500, Millis(0));
     next.apply_extended(Millis(1), 0, claim("last"), extension(None));
     let (record, state) = leave(1, 50_000, left);
     next.apply_extended(Millis(1_000), 1, record, state);
     next.apply_extended(Millis(1_050), 2, claim("other"), extension(None));
     next.apply_extended(Millis(3_000), 3, claim("next"), extension(None));
-    assert_eq!(next.inherited(), Default::default());
+    assert_eq!(next.history().inherited(), Default::default());
 }
 
 #[test]
@@ -263,9 +263,9 @@
     next.apply_extended(Millis(2), 1, claim("old"), Extension::default());
     next.apply_extended(Millis(3), 2, ElectionRecord::Release { epoch: 2 }, Extension::default());
     next.apply_extended(Millis(4), 3, claim("next"), extension(None));
-    assert_eq!(next.inherited(), Default::default());
-    assert!(!next.keeps_leases_since(1));
-    assert!(next.keeps_leases_since(4));
+    assert_eq!(next.history().inherited(), Default::default());
+    assert!(!next.history().keeps_leases_since(1));
+    assert!(next.history().keeps_leases_since(4));
 }
 
 #[test]
@@ -274,13 +274,13 @@
     next.apply_extended(Millis(1), 0, claim("first"), extension(None));
     next.skip_lost(Millis(2), 10);
     next.apply_extended(Millis(3), 10, heartbeat("last", 8), extension(Some(5)));
-    assert!(!next.keeps_leases_since(7));
-    assert!(next.keeps_leases_since(8));
+    assert!(!next.history().keeps_leases_since(7));
+    assert!(next.history().keeps_leases_since(8));
 }
 
 #[test]
 fn the_state_of_an_owner_is_read_back_and_skipped_by_older_versions() {
-    let left = FinalState { has_complete_records: true, last_lease_end: Millis(9) };
+    let left = FinalState { has_complete_records: true, last_lease_end: Some(Millis(9)) };
     let (record, state) = leave(3, 5, left);
     let bytes = claim_record::encode(&record, &state).unwrap();
     assert_eq!(claim_record::decode(&bytes).unwrap(), (record.clone(), state.clone()));
@@ -315,31 +315,16 @@
         ticket_validity: Millis(2_000),
     };
     let queue = Queue { advice: Some(advice), ..(*queue()).clone() };
-    let step = Step { count: 1, long_running: true, ..Step::default() };
-    let work = JobDefinition {
-        payload: "t".into(),
-        steps: vec![step],
-        repetitions: 1,
-        first_due: Millis(0),
-        interval: Millis(0),
-    };
     let (mut store, mut owner) = (Snapshot::default(), cell(1, Snapshot::default(), false, 0));
     owner.set_queues(HashMap::from([("q".into(), Arc::new(queue))]));
     owner.add_entry("e".into(), true);
-    assert!(owner.submit(Millis(1), JobKey(1), "q", Arc::new(work)).is_some());
+    assert!(owner.submit(Millis(1), JobKey(1), "q", work(true)).is_some());
     write_batches(&mut owner, 1, &mut store);
     for now in [10, 1_000, 1_800] {
         report(&mut owner, "w2", now);
     }
     owner.report_call(Millis(10), &"w1".into(), true);
-    let running = vec![running_row(TASK, 7)];
-    let report = WorkerReport {
-        started_at: Some(Millis(7)),
-        clock: 1_000,
-        running,
-        ..WorkerReport::default()
-    };
-    owner.on_report(Millis(11), Millis(10), &"w1".into(), &report);
+    owner.on_report(Millis(11), Millis(10), &"w1".into(), &report_of_run());
     owner.report_call(Millis(1_000), &"w1".into(), true);
     miss_reports(&mut owner, "w1", 2_000);
     owner.take_actions();
