--- /dev/null
+++ b/review/world/scenarios.rs
@@ -0,0 +1,276 @@
+//! The scenarios, one for each case that has a script.
+
+use crate::entries::{Entry, Place, ZONES, free_port, wait_ready};
+use crate::http::{call, relay};
+use crate::json::Json;
+use crate::runner::{Event, Events, Runner};
+use crate::store::Store;
+use crate::{Verdict, World};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const SERVICE: &str = "press-desk";
+const HOST: &str = "press.example";
+const PREFIX: &str = "/jobs/";
+/// The number of the first entry's address and of the first runner's.
+const FIRST_ENTRY: u8 = 11;
+const FIRST_RUNNER: u8 = 101;
+/// How long entries may take until they are ready.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// How long callers wait for an answer.
+const CALL_TIMEOUT_MS: u64 = 3_000;
+
+pub fn run(world: &Arc<World>, scenario: &str) -> Verdict {
+    match scenario {
+        "zone" => zone(world),
+        "crashes" => crashes(world),
+        other => Verdict::NotRun(format!("there is no scenario {other}")),
+    }
+}
+
+/// A running deployment.
+struct Deployment {
+    world: Arc<World>,
+    folder: PathBuf,
+    store: Arc<Store>,
+    events: Arc<Events>,
+    runners: Vec<Arc<Runner>>,
+    entries: Vec<Entry>,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.entries.clear();
+        match std::env::var("KEEP_LOGS") {
+            Ok(_) => println!("logs: {}", self.folder.display()),
+            Err(_) => drop(std::fs::remove_dir_all(&self.folder)),
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts the store, runners in the given zones and entries in the given zones. Entries of a
+    /// zone other than the first one start 0.25 s later.
+    fn start(world: &Arc<World>, entry_zones: &[u8], runner_zones: &[u8], cpu: u64) -> Self {
+        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("no temporary folder");
+        let (store, events) = (Store::new(world), Arc::new(Events::default()));
+        store.put("keyed.op", "config", config().as_bytes());
+        let (mut runners, port) = (Vec::new(), free_port());
+        for (index, zone) in runner_zones.iter().enumerate() {
+            let host = FIRST_RUNNER + index as u8;
+            world.set_zone(host, *zone);
+            let (name, addr) = (format!("i-{host}"), format!("127.0.0.{host}:{port}"));
+            let place = (*zone, ZONES[usize::from(*zone) - 1], SERVICE);
+            runners.push(Runner::start(world, &store, &events, (&name, &addr, cpu), place));
+            add_relays(world, host, *zone, port);
+        }
+        let mut places = Vec::new();
+        for (index, zone) in entry_zones.iter().enumerate() {
+            let host = FIRST_ENTRY + index as u8;
+            world.set_zone(host, *zone);
+            places.push(Place { host, zone: *zone, store: store.listen(index, *zone) });
+        }
+        for place in &places {
+            let port = place.peer_addr().rsplit(':').next().and_then(|port| port.parse().ok());
+            add_relays(world, place.host, place.zone, port.unwrap_or_default());
+        }
+        let mut entries = Vec::new();
+        for place in &places {
+            if place.zone != places[0].zone && entries.len() == count(entry_zones, places[0].zone) {
+                thread::sleep(Duration::from_millis(250));
+            }
+            entries.push(Entry::start(world, &folder, place, &places));
+        }
+        Self { world: world.clone(), folder, store, events, runners, entries }
+    }
+
+    /// The zone of the entry that acts as the owner.
+    fn owner_zone(&self) -> Option<u8> {
+        Some(self.entries.get(self.store.owner()?)?.place().zone)
+    }
+
+    /// Stops and starts the owner as planned until it is in a zone. Returns whether it is.
+    fn move_owner_to(&mut self, zone: u8) -> bool {
+        for _ in 0..6 {
+            match self.store.owner() {
+                Some(owner) if self.owner_zone() != Some(zone) => {
+                    self.entries[owner].stop_and_start(&self.world);
+                    if !wait_ready(&self.world, &self.entries, START_LIMIT) {
+                        return false;
+                    }
+                }
+                owner => return owner.is_some(),
+            }
+        }
+        false
+    }
+
+    /// Submits a job at an entry until it gets an answer other than silence, 502 or 504. Returns the
+    /// last status.
+    fn submit(&self, entry: usize, id: &str, body: &str) -> u16 {
+        for attempt in 0..4 {
+            let place = self.entries[(entry + attempt) % self.entries.len()].place();
+            let status = self.call(place, "POST", id, body).map_or(0, |(status, _)| status);
+            if !matches!(status, 0 | 502 | 504) {
+                return status;
+            }
+        }
+        0
+    }
+
+    fn call(&self, place: &Place, method: &str, id: &str, body: &str) -> Option<(u16, Vec<u8>)> {
+        let path = format!("{PREFIX}{id}");
+        let answer = call(&place.front(), method, &path, HOST, body, CALL_TIMEOUT_MS);
+        let shown = answer.as_ref().map_or("no answer".to_string(), |(status, body)| {
+            format!("{status} {}", String::from_utf8_lossy(body))
+        });
+        self.world.note(&format!("{method} {path} {body} at {}: {shown}", place.name()));
+        answer
+    }
+
+    /// The state of a job as an entry shows it.
+    fn state(&self, entry: usize, id: &str) -> Option<String> {
+        let (status, body) = self.call(self.entries[entry].place(), "GET", id, "")?;
+        (status == 200).then(|| Json::parse(&body).get("state").text().to_string())
+    }
+}
+
+fn count(zones: &[u8], zone: u8) -> usize {
+    zones.iter().filter(|known| **known == zone).count()
+}
+
+/// Lets the other zones reach a host through relays.
+fn add_relays(world: &Arc<World>, host: u8, zone: u8, port: u16) {
+    for other in (1..=ZONES.len() as u8).filter(|other| *other != zone) {
+        let listen = format!("{}:{port}", World::relayed(host, other));
+        relay(world, &listen, other, &format!("127.0.0.{host}:{port}"), zone);
+    }
+}
+
+/// The operator's configuration: one queue, without an advice service.
+fn config() -> String {
+    format!(
+        r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","path_prefix":"{PREFIX}","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":1200,"priority":0,"service":"{SERVICE}","max_attempts":3,"extension":2.2}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"admission_check":false,"headroom":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+fn sleep_until(world: &World, at: u64) {
+    thread::sleep(Duration::from_millis(at.saturating_sub(world.now())));
+}
+
+/// The runs of each task that were at work at the same time on runners that were up.
+fn overlaps(events: &[Event]) -> Vec<String> {
+    let mut at_work: BTreeMap<&str, Vec<(&str, u64, u64)>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for event in events {
+        let runs = at_work.entry(&event.task).or_default();
+        match event.end {
+            None => {
+                for (runner, run, since) in runs.iter() {
+                    found.push(format!(
+                        "{} run {} starts on {} at {} while run {run} is at work on {runner} since {since}",
+                        event.task, event.run, event.runner, event.at
+                    ));
+                }
+                runs.push((&event.runner, event.run, event.at));
+            }
+            Some(_) => runs.retain(|(runner, run, _)| (*runner, *run) != (&event.runner, event.run)),
+        }
+    }
+    found
+}
+
+/// A zone with three of five entries, the owner among them, is cut off for 6 s while scheduled jobs
+/// come due.
+fn zone(world: &Arc<World>) -> Verdict {
+    let mut deployment = Deployment::start(world, &[1, 1, 1, 2, 3], &[1, 1, 2, 2, 3, 3], 16_000);
+    if !wait_ready(world, &deployment.entries, START_LIMIT) {
+        return Verdict::NotRun("the entries did not become ready".to_string());
+    }
+    if !deployment.move_owner_to(1) {
+        return Verdict::NotRun("the owner is not in the zone that is to be cut off".to_string());
+    }
+    // The log has to be steady, as in any system that has run for a while.
+    let begin = world.now() + 12_000;
+    let epoch_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64);
+    let first_due = epoch_ms + 9_000;
+    for job in 0..4 {
+        let id = format!("5c0e7a21d94b36f{job}");
+        let body = format!(
+            r#"{{"spec":"2500","steps":[{{"count":2,"cpu":1000,"mem_mb":256,"estimate_ms":2500}}],"repeat_count":10,"start_at_ms":{},"interval_ms":1500}}"#,
+            first_due + 300 * job as u64
+        );
+        let status = deployment.submit(job, &id, &body);
+        if status != 200 {
+            return Verdict::NotRun(format!("a job was not accepted: {status}"));
+        }
+    }
+    sleep_until(world, begin);
+    if deployment.owner_zone() != Some(1) {
+        return Verdict::NotRun("the owner has left the zone that is to be cut off".to_string());
+    }
+    if world.has_trouble() {
+        world.set_cut(1);
+    }
+    sleep_until(world, begin + 6_000);
+    if world.has_trouble() {
+        world.set_cut(0);
+    }
+    sleep_until(world, begin + 24_000);
+    for job in 0..4 {
+        deployment.state(job, &format!("5c0e7a21d94b36f{job}"));
+    }
+    let found = overlaps(&deployment.events.all());
+    for line in &found {
+        world.note(&format!("TWICE: {line}"));
+    }
+    match found.first() {
+        Some(first) => Verdict::Broken(format!("TWICE, {} times: {first}", found.len())),
+        None => Verdict::Held,
+    }
+}
+
+/// The runner of a job of one task crashes each time some seconds after the task has started.
+fn crashes(world: &Arc<World>) -> Verdict {
+    const JOB: &str = "5c0e7a21d94b36f8";
+    let deployment = Deployment::start(world, &[1, 2, 3], &[1, 1, 1, 2, 2, 3, 3], 16_000);
+    if !wait_ready(world, &deployment.entries, START_LIMIT) {
+        return Verdict::NotRun("the entries did not become ready".to_string());
+    }
+    sleep_until(world, world.now() + 4_000);
+    let body = r#"{"spec":"9000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":9000}]}"#;
+    let status = deployment.submit(0, JOB, body);
+    if status != 200 {
+        return Verdict::NotRun(format!("the job was not accepted: {status}"));
+    }
+    let mut crashed = 0;
+    let until = world.now() + 80_000;
+    let mut state = String::new();
+    while world.now() < until && !matches!(state.as_str(), "completed" | "failed" | "cancelled") {
+        thread::sleep(Duration::from_millis(500));
+        let task = format!("{JOB}.0.0.0");
+        let runner = deployment.runners.iter().find(|runner| runner.running().contains(&task));
+        if let Some(runner) = runner.filter(|_| crashed < 4 && world.has_trouble()) {
+            thread::sleep(Duration::from_millis(4_000));
+            if runner.running().contains(&task) {
+                world.note(&format!("the job runs on {}", runner.name()));
+                runner.crash(4_500);
+                crashed += 1;
+            }
+        }
+        state = deployment.state(1, JOB).unwrap_or_default();
+    }
+    let ends = deployment.events.all();
+    let failed = ends.iter().filter(|event| event.end == Some("failed")).count();
+    match state.as_str() {
+        "completed" => Verdict::Held,
+        "failed" => Verdict::Broken(format!(
+            "LOST: the job is shown as failed after {crashed} crashes and {failed} ends `failed`"
+        )),
+        other => Verdict::NotRun(format!("the job ended in state {other:?}")),
+    }
+}
