--- a/review/world/entries.rs
+++ b/review/world/entries.rs
@@ -6,12 +6,19 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, OnceLock};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
 
 /// The names of the zones; zone N is at N - 1.
 pub const ZONES: [&str; 3] = ["nasr-hall", "maadi-hall", "giza-hall"];
+/// The memory that an entry may use, as in its settings.
+const MEMORY_MB: u64 = 260;
+const MEMORY_CHECK: Duration = Duration::from_millis(50);
+/// How long after its end a process is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// The ports of the entries, each of which has an address of its own.
 struct Ports {
     peer: u16,
@@ -48,7 +55,9 @@
     place: Place,
     settings: PathBuf,
     log: PathBuf,
-    child: Child,
+    child: Arc<Mutex<Child>>,
+    kills: Arc<AtomicUsize>,
+    stopped: Arc<AtomicBool>,
 }
 
 impl Place {
@@ -107,7 +116,7 @@
 [limits]
 cpu_share = 0.25
 cores = 1
-memory_mb = 260
+memory_mb = {MEMORY_MB}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -182,9 +191,10 @@
         let settings = folder.join(format!("{}.toml", place.name()));
         fs::write(&settings, place.settings(seeds)).expect("the settings cannot be written");
         let log = folder.join(format!("{}.log", place.name()));
-        let child = spawn(&settings, &log);
+        let child = Arc::new(Mutex::new(spawn(&settings, &log)));
         world.note(&format!("{} starts in zone {}", place.name(), place.zone));
-        Self { place: place.clone(), settings, log, child }
+        let (kills, stopped) = (Arc::default(), Arc::default());
+        Self { place: place.clone(), settings, log, child, kills, stopped }
     }
 
     pub fn place(&self) -> &Place {
@@ -192,12 +202,42 @@
     }
 
     /// Stops the entry as planned, by SIGTERM, and starts it again once it has ended.
-    pub fn stop_and_start(&mut self, world: &World) {
+    pub fn stop_and_start(&self, world: &World) {
         world.note(&format!("{} gets SIGTERM", self.place.name()));
-        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
-        let _ = self.child.wait();
+        let mut child = self.child.lock().unwrap();
+        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        let _ = child.wait();
         world.note(&format!("{} has ended and starts again", self.place.name()));
-        self.child = spawn(&self.settings, &self.log);
+        *child = spawn(&self.settings, &self.log);
+    }
+
+    /// Does what the platform does: kills the process whenever it has more memory than the settings
+    /// allow, and starts a process that has ended again after a short delay.
+    pub fn enforce_memory(&self, world: &Arc<World>) {
+        let (world, child, kills) = (world.clone(), self.child.clone(), self.kills.clone());
+        let (name, settings, log) = (self.place.name(), self.settings.clone(), self.log.clone());
+        let stopped = self.stopped.clone();
+        thread::spawn(move || {
+            while !stopped.load(Ordering::SeqCst) {
+                thread::sleep(MEMORY_CHECK);
+                let mut child = child.lock().unwrap();
+                let used = memory_kb(child.id());
+                if used <= MEMORY_MB * 1_024 || stopped.load(Ordering::SeqCst) {
+                    continue;
+                }
+                world.note(&format!("{name} has {} MB and is killed", used / 1_024));
+                kills.fetch_add(1, Ordering::SeqCst);
+                let _ = child.kill();
+                let _ = child.wait();
+                thread::sleep(RESTART_DELAY);
+                *child = spawn(&settings, &log);
+            }
+        });
+    }
+
+    /// How often the platform killed the process for its memory.
+    pub fn kills(&self) -> usize {
+        self.kills.load(Ordering::SeqCst)
     }
 
     /// Whether the entry takes callers.
@@ -209,11 +249,20 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.stopped.store(true, Ordering::SeqCst);
+        let mut child = self.child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
+/// The memory of a process, in kilobytes.
+fn memory_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 fn spawn(settings: &Path, log: &Path) -> Child {
     let words = command();
     let open = || fs::File::options().create(true).append(true).open(log).expect("no log");
--- a/review/world/http.rs
+++ b/review/world/http.rs
@@ -120,6 +120,47 @@
     }
 }
 
+/// A client's connection to an entry, which stays open.
+pub struct Connection {
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    /// Opens a connection. `None` if that fails.
+    pub fn open(addr: &str, timeout_ms: u64) -> Option<Self> {
+        let timeout = Duration::from_millis(timeout_ms);
+        let addr: SocketAddr = addr.parse().ok()?;
+        let stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
+        stream.set_read_timeout(Some(timeout)).ok()?;
+        Some(Self { reader: BufReader::new(stream) })
+    }
+
+    /// Sends one request. `None` if there was no whole answer in time.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        host: &str,
+        body: &str,
+        timeout_ms: u64,
+    ) -> Option<(u16, Vec<u8>)> {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {host}\r\ncontent-type: application/json\r\n\
+             x-sprucerudder-deadline-ms: {timeout_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        let mut line = String::new();
+        self.reader.read_line(&mut line).ok()?;
+        let status = line.split_whitespace().nth(1)?.parse().ok()?;
+        let headers = read_headers(&mut self.reader)?;
+        let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).ok()?;
+        Some((status, body))
+    }
+}
+
 /// Sends one request on a connection of its own. `None` if there was no whole answer in time.
 pub fn call(
     addr: &str,
@@ -129,25 +170,7 @@
     body: &str,
     timeout_ms: u64,
 ) -> Option<(u16, Vec<u8>)> {
-    let timeout = Duration::from_millis(timeout_ms);
-    let addr: SocketAddr = addr.parse().ok()?;
-    let mut stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
-    stream.set_read_timeout(Some(timeout)).ok()?;
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {host}\r\ncontent-type: application/json\r\n\
-         x-sprucerudder-deadline-ms: {timeout_ms}\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    reader.read_line(&mut line).ok()?;
-    let status = line.split_whitespace().nth(1)?.parse().ok()?;
-    let headers = read_headers(&mut reader)?;
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some((status, body))
+    Connection::open(addr, timeout_ms)?.call(method, path, host, body, timeout_ms)
 }
 
 /// Listens on `listen` in zone `from` and passes connections on to `target` in zone `to`, unless the
@@ -178,8 +201,8 @@
     let copies = (inbound.try_clone(), outbound.try_clone());
     let (Ok(inbound_copy), Ok(outbound_copy)) = copies else { return };
     let back = world.clone();
-    thread::spawn(move || pump(&back, outbound_copy, inbound_copy, from, to, count));
-    pump(world, inbound, outbound, from, to, count);
+    thread::spawn(move || pump(&back, outbound_copy, inbound_copy, (from, to), count));
+    pump(world, inbound, outbound, (from, to), count);
 }
 
 fn wait_for_end(world: &World, from: u8, to: u8) {
@@ -189,7 +212,13 @@
 }
 
 /// Copies bytes until either side closes, or a cut has come and ended.
-fn pump(world: &World, mut from: TcpStream, mut to: TcpStream, zone: u8, other: u8, count: usize) {
+fn pump(
+    world: &World,
+    mut from: TcpStream,
+    mut to: TcpStream,
+    (zone, other): (u8, u8),
+    count: usize,
+) {
     let mut buffer = [0; 65_536];
     loop {
         let read = from.read(&mut buffer);
@@ -205,7 +234,11 @@
                     break;
                 }
             }
-            Err(err) if matches!(err.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(err)
+                if matches!(
+                    err.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) => {}
             Err(_) => break,
         }
     }
--- a/review/world/main.rs
+++ b/review/world/main.rs
@@ -66,7 +66,8 @@
         self.cut_zone.store(usize::from(zone), Ordering::SeqCst);
         match zone {
             0 => self.note("the cut ends"),
-            zone => self.note(&format!("zone {zone} is cut off from the other zones and from the store")),
+            zone => self
+                .note(&format!("zone {zone} is cut off from the other zones and from the store")),
         }
     }
 
@@ -143,7 +144,8 @@
         eprintln!("usage: world SCENARIO FOLDER");
         std::process::exit(2);
     };
-    let record = File::create(format!("{folder}/record.txt")).expect("the record cannot be written");
+    let record =
+        File::create(format!("{folder}/record.txt")).expect("the record cannot be written");
     let world = Arc::new(World {
         started: Instant::now(),
         record: Mutex::new(record),
--- a/review/world/runner.rs
+++ b/review/world/runner.rs
@@ -150,10 +150,6 @@
         runner
     }
 
-    pub fn name(&self) -> &str {
-        &self.name
-    }
-
     /// The tasks that run here.
     pub fn running(&self) -> Vec<String> {
         self.state.lock().unwrap().running.keys().cloned().collect()
@@ -317,7 +313,8 @@
     fn hold(&self, body: &Json) -> Option<Response> {
         let mut state = self.state.lock().unwrap();
         let (clock, life) = (state.clock(), state.life);
-        state.lease_end = state.lease_end.max(body.get("until_ms").number().min(clock + MAX_LEASE_MS));
+        state.lease_end =
+            state.lease_end.max(body.get("until_ms").number().min(clock + MAX_LEASE_MS));
         let seen = body.get("last_seen").number();
         state.ended.retain(|(number, ..)| *number > seen);
         let wait = Duration::from_millis(body.get("wait_ms").number().min(2_000));
@@ -338,7 +335,9 @@
             .collect();
         let ended = state.ended.iter().take(MAX_LISTED_ENDS);
         let ended: Vec<String> = ended
-            .map(|(number, task, run, how)| format!("[{number},{},{run},\"{how}\",\"\"]", quote(task)))
+            .map(|(number, task, run, how)| {
+                format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+            })
             .collect();
         let (clock, running, ended) = (state.clock(), running.join(","), ended.join(","));
         let body = format!("{{\"clock_ms\":{clock},\"running\":[{running}],\"ended\":[{ended}]}}");
--- a/review/world/scenarios.rs
+++ b/review/world/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios, one for each case that has a script.
 
 use crate::entries::{Entry, Place, ZONES, free_port, wait_ready};
-use crate::http::{call, relay};
+use crate::http::{Connection, call, relay};
 use crate::json::Json;
 use crate::runner::{Event, Events, Runner};
 use crate::store::Store;
@@ -27,6 +27,8 @@
     match scenario {
         "zone" => zone(world),
         "crashes" => crashes(world),
+        "cron" => cron(world),
+        "cancel" => cancel(world),
         other => Verdict::NotRun(format!("there is no scenario {other}")),
     }
 }
@@ -132,6 +134,16 @@
         answer
     }
 
+    /// The jobs of which no entry shows a state, each asked for at every entry, for 30 s in all.
+    fn unanswered(&self, jobs: &[String]) -> Vec<String> {
+        let until = self.world.now() + 30_000;
+        let is_known = |id: &&String| {
+            let mut entries = 0..self.entries.len();
+            entries.any(|entry| self.world.now() < until && self.state(entry, id).is_some())
+        };
+        jobs.iter().filter(|id| !is_known(id)).cloned().collect()
+    }
+
     /// The state of a job as an entry shows it.
     fn state(&self, entry: usize, id: &str) -> Option<String> {
         let (status, body) = self.call(self.entries[entry].place(), "GET", id, "")?;
@@ -178,7 +190,9 @@
                 }
                 runs.push((&event.runner, event.run, event.at));
             }
-            Some(_) => runs.retain(|(runner, run, _)| (*runner, *run) != (&event.runner, event.run)),
+            Some(_) => {
+                runs.retain(|(runner, run, _)| (*runner, *run) != (&event.runner, event.run))
+            }
         }
     }
     found
@@ -196,7 +210,8 @@
     }
     // The log has to be steady, as in any system that has run for a while.
     let begin = world.now() + 12_000;
-    let epoch_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64);
+    let epoch_ms =
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64);
     let first_due = epoch_ms + 9_000;
     for job in 0..4 {
         let id = format!("5c0e7a21d94b36f{job}");
@@ -234,7 +249,8 @@
     }
 }
 
-/// The runner of a job of one task crashes each time some seconds after the task has started.
+/// The runner of a lasting task crashes four times, each time some seconds after the task has started
+/// there. One of seven runners is down at a time.
 fn crashes(world: &Arc<World>) -> Verdict {
     const JOB: &str = "5c0e7a21d94b36f8";
     let deployment = Deployment::start(world, &[1, 2, 3], &[1, 1, 1, 2, 2, 3, 3], 16_000);
@@ -242,35 +258,158 @@
         return Verdict::NotRun("the entries did not become ready".to_string());
     }
     sleep_until(world, world.now() + 4_000);
-    let body = r#"{"spec":"9000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":9000}]}"#;
+    let body = r#"{"spec":"600000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":500,"long_running":true}]}"#;
     let status = deployment.submit(0, JOB, body);
     if status != 200 {
         return Verdict::NotRun(format!("the job was not accepted: {status}"));
     }
+    let task = format!("{JOB}.0.0.0");
+    let runner_of =
+        |task: &String| deployment.runners.iter().find(|runner| runner.running().contains(task));
     let mut crashed = 0;
-    let until = world.now() + 80_000;
-    let mut state = String::new();
-    while world.now() < until && !matches!(state.as_str(), "completed" | "failed" | "cancelled") {
-        thread::sleep(Duration::from_millis(500));
-        let task = format!("{JOB}.0.0.0");
-        let runner = deployment.runners.iter().find(|runner| runner.running().contains(&task));
-        if let Some(runner) = runner.filter(|_| crashed < 4 && world.has_trouble()) {
-            thread::sleep(Duration::from_millis(4_000));
-            if runner.running().contains(&task) {
-                world.note(&format!("the job runs on {}", runner.name()));
-                runner.crash(4_500);
-                crashed += 1;
-            }
+    for _ in 0..4 {
+        let until = world.now() + 15_000;
+        while runner_of(&task).is_none() && world.now() < until {
+            thread::sleep(Duration::from_millis(100));
         }
-        state = deployment.state(1, JOB).unwrap_or_default();
+        thread::sleep(Duration::from_millis(5_000));
+        if let Some(runner) = runner_of(&task).filter(|_| world.has_trouble()) {
+            runner.crash(4_500);
+            crashed += 1;
+        }
+        deployment.state(1, JOB);
     }
+    thread::sleep(Duration::from_secs(15));
+    let states: Vec<Option<String>> = (0..3).map(|entry| deployment.state(entry, JOB)).collect();
     let ends = deployment.events.all();
     let failed = ends.iter().filter(|event| event.end == Some("failed")).count();
-    match state.as_str() {
-        "completed" => Verdict::Held,
-        "failed" => Verdict::Broken(format!(
-            "LOST: the job is shown as failed after {crashed} crashes and {failed} ends `failed`"
+    let is_running = runner_of(&task).is_some();
+    match states.iter().flatten().find(|state| *state == "failed") {
+        Some(_) => Verdict::Broken(format!(
+            "LOST: the job is shown as failed after {crashed} crashes and {failed} ends `failed`; it runs: {is_running}"
+        )),
+        None if is_running => Verdict::Held,
+        None => Verdict::NotRun(format!("the job does not run, and is shown as {states:?}")),
+    }
+}
+
+/// Eight jobs come that run once a minute for 60 days, and some small ones. Without the disruption
+/// the eight run for an hour.
+fn cron(world: &Arc<World>) -> Verdict {
+    const SMALL_JOB: &str =
+        r#"{"spec":"300","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":300}]}"#;
+    /// The time after the end of the traffic at which jobs are asked for.
+    const FINISH: Duration = Duration::from_secs(14);
+    let deployment = Deployment::start(world, &[1, 2, 3], &[1, 2, 3], 16_000);
+    if !wait_ready(world, &deployment.entries, START_LIMIT) {
+        return Verdict::NotRun("the entries did not become ready".to_string());
+    }
+    deployment.entries.iter().for_each(|entry| entry.enforce_memory(world));
+    let times = if world.has_trouble() { 60 * 24 * 60 } else { 60 };
+    let epoch_ms =
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64);
+    let mut accepted = Vec::new();
+    for number in 0..30 {
+        if number >= 5 && number < 13 {
+            let body = format!(
+                r#"{{"spec":"300","steps":[{{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":300}}],"repeat_count":{times},"start_at_ms":{},"interval_ms":60000}}"#,
+                epoch_ms + 10_000
+            );
+            let id = format!("5c0e7a21d94b36{number:02x}");
+            if deployment.submit(number, &id, &body) == 200 {
+                accepted.push(id);
+            }
+        }
+        let id = format!("7d0e7a21d94b36{number:02x}");
+        if deployment.submit(number, &id, SMALL_JOB) == 200 {
+            accepted.push(id);
+        }
+        thread::sleep(Duration::from_millis(700));
+    }
+    thread::sleep(FINISH);
+    let unanswered = deployment.unanswered(&accepted).len();
+    let events = deployment.events.all();
+    let has_begun = |id: &&String| events.iter().any(|event| event.task.starts_with(id.as_str()));
+    let idle = accepted.iter().filter(|id| !has_begun(id)).count();
+    let kills: Vec<usize> = deployment.entries.iter().map(Entry::kills).collect();
+    let often = kills.iter().filter(|kills| **kills >= 3).count();
+    let found = format!(
+        "of {} accepted jobs {idle} have not begun and {unanswered} are not answered for; processes went over \
+         their memory {kills:?} times",
+        accepted.len()
+    );
+    world.note(&found);
+    match idle + unanswered + often {
+        0 => Verdict::Held,
+        _ => Verdict::Broken(format!("LOST: {found}")),
+    }
+}
+
+/// The zone of the owner is cut off for 6 s. A client there, with an open connection to the entry of
+/// its zone, cancels a job that was accepted in another zone meanwhile.
+fn cancel(world: &Arc<World>) -> Verdict {
+    const FIRST_JOB: &str = "5c0e7a21d94b36f0";
+    const JOB: &str = "5c0e7a21d94b36f1";
+    const SMALL: &str =
+        r#"{"spec":"300","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":300}]}"#;
+    const LONG: &str = r#"{"spec":"5000","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":5000},{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":5000,"depends_on":[0]}]}"#;
+    /// As in the settings.
+    const CANCEL_MS: u64 = 3_000;
+    let deployment = Deployment::start(world, &[1, 2, 3], &[1, 1, 2, 2, 3, 3], 16_000);
+    if !wait_ready(world, &deployment.entries, START_LIMIT)
+        || deployment.submit(0, FIRST_JOB, SMALL) != 200
+    {
+        return Verdict::NotRun("the entries did not become ready".to_string());
+    }
+    thread::sleep(Duration::from_secs(4));
+    let Some(owner) = deployment.store.owner() else {
+        return Verdict::NotRun("there is no owner".to_string());
+    };
+    let (own, other) = (deployment.entries[owner].place(), (owner + 1) % deployment.entries.len());
+    world.note(&format!("the owner is {}", own.name()));
+    let Some(mut open) = Connection::open(&own.front(), CALL_TIMEOUT_MS) else {
+        return Verdict::NotRun("an entry takes no connection".to_string());
+    };
+    let mut call_on_open = |method: &str, id: &str| {
+        let answer = open.call(method, &format!("{PREFIX}{id}"), HOST, "", CALL_TIMEOUT_MS);
+        let status = answer.map_or(0, |(status, _)| status);
+        world.note(&format!("{method} {PREFIX}{id} on the open connection: {status}"));
+        status
+    };
+    if call_on_open("GET", FIRST_JOB) != 200 {
+        return Verdict::NotRun("the first job is not known".to_string());
+    }
+    let begin = world.now();
+    if world.has_trouble() {
+        world.set_cut(own.zone);
+    }
+    sleep_until(world, begin + 2_500);
+    if deployment.submit(other, JOB, LONG) != 200 {
+        return Verdict::NotRun("the job was not accepted in another zone".to_string());
+    }
+    sleep_until(world, begin + 3_000);
+    call_on_open("GET", JOB);
+    let status = call_on_open("DELETE", JOB);
+    let acknowledged = world.now();
+    sleep_until(world, begin + 6_000);
+    if world.has_trouble() {
+        world.set_cut(0);
+    }
+    sleep_until(world, begin + 20_000);
+    deployment.state(other, JOB);
+    let is_late = |event: &&Event| event.end.is_none() && event.at > acknowledged + CANCEL_MS;
+    let events = deployment.events.all();
+    let late: Vec<&Event> =
+        events.iter().filter(is_late).filter(|event| event.task.starts_with(JOB)).collect();
+    match (status, late.first()) {
+        (200 | 410, Some(first)) => Verdict::Broken(format!(
+            "UNASKED: the cancelling was acknowledged with {status} at {acknowledged}, and {} starts at {}",
+            first.task, first.at
         )),
-        other => Verdict::NotRun(format!("the job ended in state {other:?}")),
+        (200 | 410, None) => Verdict::Held,
+        (status, _) => {
+            world.note(&format!("the cancelling was not acknowledged: {status}"));
+            Verdict::Held
+        }
     }
 }
--- a/review/world/store.rs
+++ b/review/world/store.rs
@@ -169,7 +169,10 @@
         let items: Vec<String> = rest.iter().take(MAX_PAGE_ITEMS).map(item).collect();
         let (has_more, end) = (rest.len() > MAX_PAGE_ITEMS, topic.records.len());
         let items = items.join(",");
-        Response::json(200, format!("{{\"items\":[{items}],\"has_more\":{has_more},\"end\":{end}}}"))
+        Response::json(
+            200,
+            format!("{{\"items\":[{items}],\"has_more\":{has_more},\"end\":{end}}}"),
+        )
     }
 }
 
