--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Runs from any folder, after the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/world ] && [ -x target/release/sprucerudder ] || exit 2
-exec target/review-2/world crashes review/8
+exec target/review-2/world wide review/8
--- a/review/world/runner.rs
+++ b/review/world/runner.rs
@@ -172,7 +172,7 @@
     }
 
     fn id(&self, state: &State) -> String {
-        format!("{}-{}", self.name, state.life)
+        format!("{}{:02x}", self.name, state.life)
     }
 
     fn add_event(&self, state: &State, task: &str, run: u64, end: Option<&'static str>) {
--- a/review/world/store.rs
+++ b/review/world/store.rs
@@ -13,6 +13,9 @@
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 /// The most items in a page of newest records.
 const MAX_PAGE_ITEMS: usize = 500;
+/// The largest record and the largest call that the store takes, as in the settings.
+const RECORD_BYTES: usize = 262_144;
+const CALL_BYTES: usize = 2_097_152;
 /// How many of its last appends a producer gets the first answer to again.
 const REPEATABLE_APPENDS: usize = 5;
 
@@ -94,6 +97,11 @@
             return Response::json(412, format!("{{\"end\":{end}}}"));
         }
         let records = split_records(&self.world.globalize(&request.body, zone));
+        let is_large = |record: &Vec<u8>| record.len() > RECORD_BYTES;
+        if request.body.len() > CALL_BYTES || records.iter().any(is_large) {
+            self.world.note(&format!("the store refuses {} bytes to {name}", request.body.len()));
+            return Response::json(413, "{}".to_string());
+        }
         let new_end = end + records.len() as u64;
         let guard = (request.query_number("epoch"), request.query_number("seq"));
         if let (Some(epoch), Some(seq)) = guard {
