Election: a refused connection does not prove the end of an owner

Cause: an entry took a refused connection for the end of the owner's process and claimed the cell 550 ms after the last heartbeat. An owner behind a partition renews leases for 1,200 ms after it, so leases outlived what the new owner assumed.

Contact names what an attempt to connect shows. Only the answer of another process at the owner's address proves that the owner has ended.

--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -5,6 +5,7 @@
 //! determines its epoch.
 
 use crate::cell::owner::claim_record::Extension;
+use crate::cell::owner::contact::Contact;
 use crate::cell::owner::history::OwnerHistory;
 pub use crate::cell::owner::leader::{ElectionRecord, Leader};
 use crate::clock::Millis;
@@ -379,10 +380,12 @@
         (self.owner_heard, self.readable_since, self.last_read) = (now, now, Some(now));
     }
 
-    /// Records that the process of the owner of `epoch` is gone: connections to it are refused or
-    /// reach another process.
-    pub fn record_absence(&mut self, epoch: u64) {
-        self.owner_absent = self.owner_absent || self.epoch() == epoch;
+    /// Records an attempt to connect to the owner of `epoch`. Returns whether its process is known to
+    /// be gone.
+    pub fn record_contact(&mut self, epoch: u64, contact: Contact) -> bool {
+        let is_gone = contact.proves_end() && self.epoch() == epoch;
+        self.owner_absent = self.owner_absent || is_gone;
+        is_gone
     }
 
     /// Decides whether to claim the cell now. Returns the offset at which the log must end for the
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -6,6 +6,7 @@
 //! - `history`: what owners told later ones in the log.
 //! - `log_reports`: whether an earlier owner may have started runs without a record.
 //! - `connections`: the open connections of the other entries.
+//! - `contact`: what an attempt to connect to an owner shows.
 //! - `cell_map`: the cell of each worker and job.
 //! - `map_writer`: which entry counts the workers and writes that map.
 //! - `backoff`: the delay before a failed call to the store is repeated.
@@ -25,6 +26,7 @@
 pub mod cell_map;
 pub mod claim_record;
 pub mod connections;
+pub mod contact;
 pub mod election;
 pub(super) mod forward;
 pub mod hand_over;
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -2,6 +2,7 @@
 //! owner.
 
 use crate::cell::owner::connections::ConnectionNumber;
+use crate::cell::owner::contact::Contact;
 use crate::cell::owner::election::Leader;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -64,14 +65,10 @@
     async fn connect_to(self: &Arc<Self>, leader: &Leader) {
         let connecting = TcpStream::connect(&*leader.addr);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT.duration(), connecting).await {
-            Err(_) => return,
+            Err(_) => return self.record_contact(leader, Contact::Silent),
             Ok(Err(err)) => {
                 log::debug!("event=owner-unreachable owner={} error={err:?}", leader.owner);
-                if err.kind() == io::ErrorKind::ConnectionRefused {
-                    lock(&self.election).record_absence(leader.epoch);
-                    self.claim_wake.notify_one();
-                }
-                return;
+                return self.record_contact(leader, Contact::Refused);
             }
             Ok(Ok(stream)) => stream,
         };
@@ -84,6 +81,14 @@
         }
     }
 
+    /// Notes what an attempt to connect to an owner showed.
+    fn record_contact(&self, leader: &Leader, contact: Contact) {
+        if lock(&self.election).record_contact(leader.epoch, contact) {
+            log::info!("event=owner-gone owner={} epoch={}", leader.owner, leader.epoch);
+            self.claim_wake.notify_one();
+        }
+    }
+
     /// Sends the greeting, then reads, writes and pings until the connection ends.
     async fn run_connection(
         self: &Arc<Self>,
@@ -142,8 +147,7 @@
                     self.connection.send_replace(Some(connection.clone()));
                 }
                 Frame { id: 0, body: OwnerMessage::Refused(_) } => {
-                    lock(&self.election).record_absence(leader.epoch);
-                    self.claim_wake.notify_one();
+                    self.record_contact(leader, Contact::OtherProcess);
                     tokio::time::sleep(RETRY_DELAY.duration()).await;
                     return Ok(());
                 }
