Jobs: state for open repetitions only, and a limit on the memory of jobs

Cause: the state of all repetitions was built at submission and at each takeover (some 490 bytes each), and nothing bounded the sum over jobs.

Repetitions have state from when they are due until they have ended; the finished ones are ranges in a record of their own. An owner charges jobs for their definition and at least one open repetition, refuses a job that does not fit into half of its memory with 503, the reason and Retry-After, and opens jobs that it reads beyond that as others end.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -1,6 +1,7 @@
 //! The owner's view of a job: its steps, its tasks and their state.
 
 use crate::cell::advice::clearances::Clearances;
+use crate::cell::jobs::repetition_set::RepetitionSet;
 use crate::cell::jobs::restart_policy::Crash;
 use crate::cell::jobs::wait::Wait;
 use crate::cell::placing::rank::{Rank, RankClass};
@@ -10,12 +11,15 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobDefinition, JobKey, Queue, Step, StepKey, TaskKey};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Added to the priority value of jobs beyond their workspace's share. It is larger than the
 /// priority value of any queue, so these jobs come after all others.
 const OVER_SHARE_PENALTY: u32 = 1 << 16;
+/// Jobs with at most this many repetitions list the finished ones in their progress.
+const MAX_LISTED_REPETITIONS: u32 = 256;
+const BITS_PER_BYTE: usize = 8;
 
 /// The status of a task.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -132,20 +136,23 @@
     pub has_progress: bool,
     /// The store has a record of crashes of workers that ran its tasks.
     pub has_crashes: bool,
-    /// The steps: all of the first repetition, then all of the second.
-    pub steps: Vec<StepState>,
+    /// The store has a record of the finished repetitions.
+    pub has_finished: bool,
+    /// The steps of the repetitions that are open.
+    pub open: BTreeMap<u32, Vec<StepState>>,
+    /// The repetitions of which all tasks have succeeded.
+    pub finished: RepetitionSet,
+    /// Whether `finished` has changed since it was last recorded.
+    pub finished_changed: bool,
+    /// The memory that the job is charged for, in bytes; 0 if none is set aside for it.
+    pub charged_bytes: u64,
+    /// No earlier repetition is left to be opened.
+    pub next_repetition: u32,
 }
 
 impl Job {
     /// Creates a job of which no task has run.
     pub fn new(queue: Arc<Queue>, work: Arc<JobDefinition>, now: Millis, batch: u64) -> Self {
-        let new_step = |step: &Step| StepState {
-            tasks: vec![Task::default(); step.count as usize],
-            unfinished: step.count,
-            waiting: (0..step.count).collect(),
-            ..StepState::default()
-        };
-        let steps = (0..work.repetitions).flat_map(|_| work.steps.iter().map(new_step)).collect();
         Self {
             queue,
             work,
@@ -161,7 +168,12 @@
             closed: None,
             has_progress: false,
             has_crashes: false,
-            steps,
+            has_finished: false,
+            open: BTreeMap::new(),
+            finished: RepetitionSet::default(),
+            finished_changed: false,
+            charged_bytes: 0,
+            next_repetition: 0,
         }
     }
 
@@ -184,9 +196,43 @@
         }
     }
 
-    /// The position in `steps` of a step in a repetition.
-    fn step_position(&self, repetition: u32, step: u16) -> usize {
-        repetition as usize * self.work.steps.len() + usize::from(step)
+    /// Creates the state of a repetition. Returns `false` if it is open or finished already.
+    pub fn open_repetition(&mut self, repetition: u32) -> bool {
+        if self.open.contains_key(&repetition) || self.finished.contains(repetition) {
+            return false;
+        }
+        let steps = self.work.steps.iter().map(StepState::new).collect();
+        self.open.insert(repetition, steps);
+        true
+    }
+
+    /// Drops the state of a repetition if all its tasks have succeeded. Returns whether that is so.
+    pub fn finish_repetition(&mut self, repetition: u32) -> bool {
+        let steps = self.open.get(&repetition);
+        let is_finished = steps.is_some_and(|steps| steps.iter().all(|step| step.unfinished == 0));
+        if is_finished {
+            self.open.remove(&repetition);
+            self.finished.insert(repetition);
+            self.finished_changed = true;
+        }
+        is_finished
+    }
+
+    /// The first repetition that is neither open nor finished.
+    pub fn next_unopened(&mut self) -> Option<u32> {
+        while self.open.contains_key(&self.next_repetition)
+            || self.finished.contains(self.next_repetition)
+        {
+            self.next_repetition += 1;
+        }
+        (self.next_repetition < self.work.repetitions).then_some(self.next_repetition)
+    }
+
+    /// The steps of open repetitions with the indexes of repetition and step.
+    fn open_steps(&self) -> impl Iterator<Item = ((u32, u16), &StepState)> {
+        self.open.iter().flat_map(|(repetition, steps)| {
+            steps.iter().enumerate().map(|(index, step)| ((*repetition, index as u16), step))
+        })
     }
 
     /// The specification of a step.
@@ -196,13 +242,12 @@
 
     /// Returns the state of a step.
     pub fn step(&self, key: StepKey) -> Option<&StepState> {
-        self.steps.get(self.step_position(key.repetition, key.step))
+        self.open.get(&key.repetition)?.get(usize::from(key.step))
     }
 
     /// Returns the mutable state of a step.
     pub fn step_mut(&mut self, key: StepKey) -> Option<&mut StepState> {
-        let at = self.step_position(key.repetition, key.step);
-        self.steps.get_mut(at)
+        self.open.get_mut(&key.repetition)?.get_mut(usize::from(key.step))
     }
 
     /// The priority of the job: 0 comes first. Jobs beyond their workspace's share come after all
@@ -240,9 +285,7 @@
     pub fn dependencies_done(&self, key: StepKey) -> bool {
         let Some(spec) = self.spec(key.step) else { return false };
         spec.dependencies.iter().all(|dependency| {
-            self.steps
-                .get(self.step_position(key.repetition, *dependency))
-                .is_some_and(|step| step.unfinished == 0)
+            self.step(StepKey { step: *dependency, ..key }).is_some_and(|step| step.unfinished == 0)
         })
     }
 
@@ -256,24 +299,22 @@
     /// Marks long-running tasks without a worker as idle since the start of this owner's clock,
     /// because they may have waited for long under an earlier owner.
     pub fn mark_idle_at_takeover(&mut self) {
-        let steps = self.steps.iter_mut().zip(self.work.steps.iter().cycle());
-        for (step, _) in steps.filter(|(_, spec)| spec.long_running) {
-            step.mark_idle(Millis(0));
+        for steps in self.open.values_mut() {
+            let steps = steps.iter_mut().zip(&self.work.steps);
+            for (step, _) in steps.filter(|(_, spec)| spec.long_running) {
+                step.mark_idle(Millis(0));
+            }
         }
     }
 
     /// Whether all tasks have succeeded.
     pub fn is_done(&self) -> bool {
-        self.steps.iter().all(|step| step.unfinished == 0)
+        self.finished.len() >= self.work.repetitions
     }
 
-    /// The keys of every step in every repetition.
+    /// The keys of every step in every open repetition.
     pub fn step_keys(&self, job: JobKey) -> Vec<StepKey> {
-        let steps = self.work.steps.len() as u16;
-        let repetitions = 0..self.work.repetitions;
-        repetitions
-            .flat_map(|repetition| (0..steps).map(move |step| StepKey { job, repetition, step }))
-            .collect()
+        self.open_steps().map(|((repetition, step), _)| StepKey { job, repetition, step }).collect()
     }
 
     /// The runs that are assigned to workers, with the workers.
@@ -300,21 +341,30 @@
 
     /// The stored record of the job's progress, from which another owner can continue.
     pub fn progress(&self) -> Progress {
-        let step_count = self.work.steps.len().max(1);
-        let records = self.steps.iter().enumerate().filter_map(|(index, step)| {
-            let record =
-                step.progress_record(((index / step_count) as u32, (index % step_count) as u16));
+        let open = self.open_steps().filter_map(|(step_index, step)| {
+            let record = step.progress_record(step_index);
             (!record.done.is_empty() || !record.tasks.is_empty()).then_some(record)
         });
-        Progress { steps: records.collect() }
+        Progress { steps: self.finished_steps().chain(open).collect() }
+    }
+
+    /// The progress of finished repetitions, for versions that do not read the record of these. Jobs
+    /// with many repetitions have none.
+    fn finished_steps(&self) -> impl Iterator<Item = StepProgress> {
+        let is_listed = (2..=MAX_LISTED_REPETITIONS).contains(&self.work.repetitions);
+        let finished = self.finished.iter().take_while(move |_| is_listed);
+        finished.flat_map(|repetition| {
+            self.work.steps.iter().enumerate().map(move |(index, step)| StepProgress {
+                step_index: (repetition, index as u16),
+                done: vec![u8::MAX; (step.count as usize).div_ceil(BITS_PER_BYTE)],
+                tasks: Vec::new(),
+            })
+        })
     }
 
     /// The stored records of worker crashes, for each task that has any.
     pub fn crash_records(&self) -> Vec<TaskCrashes> {
-        let step_count = self.work.steps.len().max(1);
-        let steps = self.steps.iter().enumerate();
-        let records = steps.flat_map(|(index, step)| {
-            let step_index = ((index / step_count) as u32, (index % step_count) as u16);
+        let records = self.open_steps().flat_map(|(step_index, step)| {
             let tasks = step.tasks.iter().enumerate();
             let with_crashes = tasks.filter(|(_, task)| !task.crashes.is_empty());
             with_crashes.map(move |(index, task)| TaskCrashes {
@@ -326,11 +376,18 @@
         records.collect()
     }
 
+    /// The state of a step that an earlier owner recorded. Opens its repetition.
+    fn restored_step(&mut self, (repetition, step): (u32, u16)) -> Option<&mut StepState> {
+        if repetition < self.work.repetitions {
+            self.open_repetition(repetition);
+        }
+        self.open.get_mut(&repetition)?.get_mut(usize::from(step))
+    }
+
     /// Restores the crashes that an earlier owner counted.
     pub fn restore_crashes(&mut self, records: &[TaskCrashes]) {
         for record in records {
-            let at = self.step_position(record.step_index.0, record.step_index.1);
-            let step = self.steps.get_mut(at);
+            let step = self.restored_step(record.step_index);
             let task = step.and_then(|step| step.tasks.get_mut(record.index as usize));
             if let Some(task) = task {
                 task.crashes.clone_from(&record.crashes);
@@ -342,10 +399,10 @@
     /// Restores the progress that an earlier owner recorded.
     pub fn restore_progress(&mut self, progress: &Progress) {
         for record in &progress.steps {
-            let at = self.step_position(record.step_index.0, record.step_index.1);
-            if let Some(step) = self.steps.get_mut(at) {
+            if let Some(step) = self.restored_step(record.step_index) {
                 step.restore(record);
             }
+            self.finish_repetition(record.step_index.0);
         }
         // Progress is recorded once a task was assigned to a worker, and the record stays even when
         // nothing is left to record.
@@ -360,6 +417,16 @@
 }
 
 impl StepState {
+    /// Creates the state of a step of which no task has run.
+    fn new(step: &Step) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.count as usize],
+            unfinished: step.count,
+            waiting: (0..step.count).collect(),
+            ..Self::default()
+        }
+    }
+
     /// Marks the waiting tasks as idle since `since`. Those that are already marked keep their
     /// earlier time.
     pub fn mark_idle(&mut self, since: Millis) {
@@ -379,7 +446,6 @@
 
     /// The stored record of the step's progress; `step_index` is the repetition and the step.
     fn progress_record(&self, step_index: (u32, u16)) -> StepProgress {
-        const BITS_PER_BYTE: usize = 8;
         let mut record = StepProgress { step_index, ..StepProgress::default() };
         if self.unfinished < self.tasks.len() as u32 {
             record.done = vec![0; self.tasks.len().div_ceil(BITS_PER_BYTE)];
@@ -410,7 +476,6 @@
 
     /// Restores the progress that an earlier owner recorded.
     fn restore(&mut self, record: &StepProgress) {
-        const BITS_PER_BYTE: usize = 8;
         for index in 0..self.tasks.len() {
             let byte = record.done.get(index / BITS_PER_BYTE).copied().unwrap_or(0);
             if byte & (1 << (index % BITS_PER_BYTE)) != 0 {
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -11,6 +11,7 @@
 use crate::id::Name;
 use crate::order::WorkerInfo;
 use crate::workload::{JobKey, Queue, Resources, StepKey, TaskKey};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// The interval between calls of [`Cell::tick`], which sends unanswered stops again and expires
@@ -53,6 +54,10 @@
                     let queue = self.queues.get(&queue.name).cloned().unwrap_or(Arc::new(queue));
                     let mut job = Job::new(queue, work, now, 0);
                     (job.is_inherited, job.workspace) = (true, workspace);
+                    if let Some(finished) = snapshot.finished.get(&key) {
+                        job.finished.clone_from(finished);
+                        job.has_finished = true;
+                    }
                     if let Some(progress) = snapshot.progress.get(&key) {
                         job.restore_progress(progress);
                     }
@@ -66,8 +71,11 @@
                             self.unconfirmed_crashes.add(now, task, &record.crashes);
                         }
                     }
-                    let done = job.is_done();
+                    let (done, was_placed) = (job.is_done(), job.was_placed);
                     self.jobs.insert(key, job);
+                    if was_placed {
+                        self.charge_job(key);
+                    }
                     if let Some(progress) = snapshot.progress.get(&key) {
                         self.restore_runs(now, key, progress);
                     }
@@ -82,6 +90,20 @@
                 }
             }
         }
+        self.log_held_jobs();
+    }
+
+    /// Logs the jobs that are not opened before there is memory for them.
+    fn log_held_jobs(&self) {
+        let is_held = |key: &&JobKey| self.jobs.get(key).is_some_and(|job| job.charged_bytes == 0);
+        let held = self.held_jobs.iter().filter(is_held).count();
+        if held > 0 {
+            log::warn!(
+                "event=jobs-held why=memory jobs={held} used={} epoch={}",
+                self.memory.used(),
+                self.epoch
+            );
+        }
     }
 
     /// Restores the runs that an earlier owner assigned to workers. They are kept until the worker
@@ -130,22 +152,18 @@
 
     /// Opens a new or restored job: steps without dependencies are opened, or scheduled for when
     /// they are due. Their tasks can be assigned to workers at once, and start once the job is in
-    /// the store.
+    /// the store. A job for which there is no memory is opened later.
     pub(in crate::cell) fn open_job(&mut self, now: Millis, key: JobKey) {
+        if !self.reserve_memory(key) {
+            self.held_jobs.insert(key);
+            return;
+        }
         self.watch_lateness(key);
-        let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { return };
-        let is_scheduled = job.work.first_due.0 > 0;
-        let keys = job.step_keys(key);
-        let unblocked: Vec<StepKey> =
-            keys.into_iter().filter(|step| job.dependencies_done(*step)).collect();
-        let due: Vec<Millis> =
-            unblocked.iter().map(|step| job.work.due_at(step.repetition)).collect();
-        for (step, due) in unblocked.into_iter().zip(due) {
-            match is_scheduled {
-                true => drop(self.start_timers.insert((due, step))),
-                false => self.open_step(now, step),
-            }
+        let open = self.jobs.get(&key).map(|job| job.open.keys().copied().collect::<Vec<_>>());
+        for repetition in open.into_iter().flatten() {
+            self.open_unblocked(now, key, repetition);
         }
+        self.open_due(now, key, Millis(0));
     }
 
     /// Opens a step whose dependencies are done and whose scheduled time has come.
@@ -201,6 +219,7 @@
 
     /// Opens the steps that depended on a step, or closes the job if all its steps are done.
     fn finish_step(&mut self, now: Millis, key: StepKey) {
+        self.finish_repetition(key);
         let Some(job) = self.jobs.get(&key.job) else { return };
         if job.is_done() {
             return self.close_job(now, key.job, JobOutcome::Completed);
@@ -224,7 +243,8 @@
         );
         job.closed = Some((outcome, batch, now));
         let steps = job.step_keys(key);
-        job.steps = Vec::new();
+        job.open = BTreeMap::new();
+        self.charge_job(key);
         for step in steps {
             self.ready_steps.remove(step);
             self.advice_queue.cancel(step);
@@ -251,12 +271,14 @@
     /// a start that stayed queued would be sent together with that of the new binding.
     pub(in crate::cell) fn discard_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
+        self.memory.replace(job.charged_bytes, 0);
+        self.held_jobs.remove(&key);
         for step in job.step_keys(key) {
             self.ready_steps.remove(step);
             self.advice_queue.cancel(step);
             self.reservations.release(step);
         }
-        self.start_timers.retain(|(_, step)| step.job != key);
+        self.start_timers.retain(|(_, job)| *job != key);
         self.unsent_starts.retain(|(_, _, start)| start.task.step.job != key);
         self.stored_unassigned.remove(&key);
         for worker in self.workers.values_mut() {
@@ -332,12 +354,7 @@
     /// Does what depends on time: opens scheduled steps, expires leases and unconfirmed crashes,
     /// forgets old jobs. `wall` is the time of day.
     pub fn tick(&mut self, now: Millis, wall: Millis) {
-        while let Some((due, step)) = self.start_timers.first().copied()
-            && due <= wall
-        {
-            self.start_timers.pop_first();
-            self.open_step(now, step);
-        }
+        self.open_due_repetitions(now, wall);
         self.update_ranks(now);
         self.resend_stops();
         self.move_drained_tasks();
--- a/src/cell/jobs/mod.rs
+++ b/src/cell/jobs/mod.rs
@@ -1,6 +1,9 @@
 //! Jobs from acceptance to completion, and why their steps wait.
 //!
 //! - `job`: the state of one job, its steps and its tasks.
+//! - `repetitions`: opening the repetitions of jobs as they come due.
+//! - `repetition_set`: a set of repetitions.
+//! - `memory`: the memory that jobs take, and its limit.
 //! - `lifecycle`: state changes of jobs and of their runs.
 //! - `crash`: worker crashes, counted for each task that ran on the worker.
 //! - `restart_policy`: how a task may be started again after such crashes.
@@ -10,6 +13,9 @@
 pub mod crash;
 pub mod job;
 pub mod lifecycle;
+pub mod memory;
+pub mod repetition_set;
+pub mod repetitions;
 pub mod restart_policy;
 pub mod wait;
 pub mod wait_reason;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,10 +16,11 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{Incarnation, StartOrder, WorkerInfo};
-use crate::workload::{JobDefinition, JobKey, Queue, StepKey, TaskKey};
+use crate::workload::{JobDefinition, JobKey, Queue, TaskKey};
 use advice::load::AnswerCounts;
 use advice::queue::{AdviceQueue, AdviceRequest};
 use jobs::job::Job;
+use jobs::memory::MemoryBudget;
 use jobs::wait::WaitLogTimer;
 use mechanism::DisabledMechanisms;
 use placing::fair_share::ShareLimits;
@@ -54,6 +55,8 @@
     pub job_retention: Millis,
     /// Mechanisms that are disabled.
     pub disabled: DisabledMechanisms,
+    /// The memory that the process may use, in bytes; `None` if it is not limited.
+    pub memory: Option<u64>,
 }
 
 /// An action that the owner has to carry out.
@@ -122,8 +125,12 @@
     rank_changes: BTreeSet<(Millis, JobKey)>,
     /// Jobs by their class at their first start, since the takeover.
     first_starts: ClassCounts,
-    /// Steps that are scheduled for later, by wall-clock time.
-    start_timers: BTreeSet<(Millis, StepKey)>,
+    /// Jobs with repetitions that come due later, by the wall-clock time of the next one.
+    start_timers: BTreeSet<(Millis, JobKey)>,
+    /// Jobs with repetitions that are due and have to wait, or without memory set aside for them.
+    held_jobs: BTreeSet<JobKey>,
+    /// The memory that jobs take and may take.
+    memory: MemoryBudget,
     /// The number of the last run that was assigned in this epoch, of whichever task. If each task
     /// counted for itself, a job that is withdrawn and submitted again would get the numbers of its
     /// withdrawn runs, and answers to these would be taken for answers to the new ones.
@@ -224,6 +231,8 @@
             rank_changes: BTreeSet::new(),
             first_starts: ClassCounts::default(),
             start_timers: BTreeSet::new(),
+            held_jobs: BTreeSet::new(),
+            memory: MemoryBudget::new(config.memory),
             last_run: epoch << RUN_NUMBER_BITS,
             forwarded: HashMap::new(),
             unstored_jobs: VecDeque::new(),
@@ -376,6 +385,7 @@
         let is_over_share = workspace.as_ref().is_some_and(|name| self.exceeds_share(now, name));
         let job = Job { workspace, is_over_share, ..Job::new(queue, work, now, self.open_batch) };
         self.jobs.insert(key, job);
+        self.charge_job(key);
         // The first steps look for workers while the job's record is written, and start once that
         // is stored. With a slow store, a short job has no time to wait for a second write.
         self.open_job(now, key);
--- a/src/cell/owner/retry.rs
+++ b/src/cell/owner/retry.rs
@@ -16,6 +16,9 @@
 /// The longest wait in seconds. Retries that span 9 s outlast the outages that the platform's
 /// contract allows; with longer waits, a caller would wait needlessly after a short outage.
 const MAX_RETRY_SECONDS: u64 = 3;
+/// The wait in seconds of a job for which there is no memory. Memory becomes free when large jobs
+/// end, which takes longer than an outage.
+pub const MEMORY_RETRY_SECONDS: u64 = 30;
 
 /// The number of seconds after which the caller of a refused job should retry, such that its
 /// retries cover the time in which the job can still meet its objective. Jobs with slack get one
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -89,6 +89,9 @@
             return;
         };
         let is_closed = job.closed.is_some();
+        if is_closed && std::mem::take(&mut job.has_finished) {
+            records.push(journal::delete_finished(key));
+        }
         if let Some(workspace) = job.workspace.as_ref().filter(|_| job.batch == self.open_batch) {
             // The workspace is written before the job, because a job that is read without its
             // workspace would run without the limits of the workspace.
@@ -107,6 +110,12 @@
                 }
             }
             false if job.was_placed => {
+                // Repetitions are recorded as finished before their progress is dropped, because the
+                // records may reach the store in two appends.
+                if std::mem::take(&mut job.finished_changed) && job.work.repetitions > 1 {
+                    job.has_finished = true;
+                    records.push(journal::put_finished(key, &job.finished));
+                }
                 let progress = job.progress();
                 // Progress that has become empty is written too. If an assignment stayed in the
                 // store, the next owners would take the run for lost each time the worker
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -1,5 +1,6 @@
 //! The records that an owner keeps in the platform's store, and their encoding.
 
+use crate::cell::jobs::repetition_set::RepetitionSet;
 use crate::cell::jobs::restart_policy::Crash;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -23,6 +24,9 @@
 /// skip unknown keys.
 const CRASHES_SUFFIX: &str = ".c";
 
+/// The suffix of a job's key under which its finished repetitions are stored. Versions that do not
+/// know this record find the finished repetitions of jobs with few of them in the progress.
+const FINISHED_SUFFIX: &str = ".d";
 /// The suffix of a job's key under which its unassigned runs are stored. They are separate from the
 /// progress, which a closed job does not have.
 const UNASSIGNED_RUNS_SUFFIX: &str = ".r";
@@ -175,6 +179,8 @@
     pub jobs: BTreeMap<JobKey, JobRecord>,
     /// The progress of open jobs.
     pub progress: BTreeMap<JobKey, Progress>,
+    /// The finished repetitions of open jobs.
+    pub finished: BTreeMap<JobKey, RepetitionSet>,
     /// The worker crashes during tasks of open jobs.
     pub crashes: BTreeMap<JobKey, Vec<TaskCrashes>>,
     /// The unassigned runs of jobs with a workspace.
@@ -218,6 +224,16 @@
     (format!("{key}{PROGRESS_SUFFIX}"), encode(progress))
 }
 
+/// Creates the record of a job's finished repetitions.
+pub fn put_finished(key: JobKey, finished: &RepetitionSet) -> (String, Vec<u8>) {
+    (format!("{key}{FINISHED_SUFFIX}"), encode(finished))
+}
+
+/// Creates the record that deletes a job's finished repetitions.
+pub fn delete_finished(key: JobKey) -> (String, Vec<u8>) {
+    (format!("{key}{FINISHED_SUFFIX}"), Vec::new())
+}
+
 /// Creates the record of the worker crashes during a job's tasks.
 pub fn put_crashes(key: JobKey, crashes: &[TaskCrashes]) -> (String, Vec<u8>) {
     (format!("{key}{CRASHES_SUFFIX}"), encode(crashes))
@@ -318,6 +334,7 @@
         match suffix {
             "" => apply_to(&mut self.jobs, job, value),
             PROGRESS_SUFFIX => apply_to(&mut self.progress, job, value),
+            FINISHED_SUFFIX => apply_to(&mut self.finished, job, value),
             CRASHES_SUFFIX => apply_to(&mut self.crashes, job, value),
             UNASSIGNED_RUNS_SUFFIX => apply_to(&mut self.unassigned_runs, job, value),
             WORKSPACE_SUFFIX => apply_to(&mut self.workspaces, job, value),
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -194,6 +194,7 @@
             row.reason
         );
         self.mark_job_started(now, task.step.job);
+        self.open_reported(now, task.step);
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
         };
@@ -305,6 +306,7 @@
     /// Takes over a run that an earlier owner started, or stops it if its task needs no run.
     fn adopt_run(&mut self, now: Millis, name: &Name, row: &RunningTask) {
         let task = row.task;
+        self.open_reported(now, task.step);
         let job = self.jobs.get_mut(&task.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
         let owner = job.as_ref().and_then(|job| job.workspace.as_ref());
--- a/src/node/job_call.rs
+++ b/src/node/job_call.rs
@@ -62,6 +62,9 @@
         let reply = match &answer {
             Ok(OwnerMessage::Accepted) => return Reply::Accepted,
             Ok(OwnerMessage::Refused(RefusalReason::OtherWorkspace)) => Reply::OtherWorkspace,
+            Ok(OwnerMessage::Refused(RefusalReason::Memory)) => {
+                Reply::NoMemory { after: retry::MEMORY_RETRY_SECONDS }
+            }
             Ok(OwnerMessage::Refused(_)) | Err(RequestError::Unsent) => {
                 Reply::Busy { after: retry_s }
             }
--- a/src/node/msg.rs
+++ b/src/node/msg.rs
@@ -114,6 +114,8 @@
     NoWorker,
     /// The job belongs to another workspace.
     OtherWorkspace,
+    /// The owner has no memory for the job while other jobs are open.
+    Memory,
 }
 
 /// A message with the id that pairs a request with its answer.
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -109,8 +109,8 @@
         let node = &self.node;
         let (lease, job_retention, disabled) =
             (node.lease(), node.settings.job_retention, node.settings.disabled);
-        let bounds =
-            CellConfig { lease, max_lease: node.settings.max_lease, job_retention, disabled };
+        let (max_lease, memory) = (node.settings.max_lease, node.settings.memory);
+        let bounds = CellConfig { lease, max_lease, job_retention, disabled, memory };
         let policy = node.policy();
         let mut cell = Cell::new(
             epoch,
@@ -444,6 +444,15 @@
                 log::info!("event=job-refused job={job} why=overload epoch={}", self.epoch);
                 return OwnerMessage::Refused(RefusalReason::Overload);
             }
+            if !cell.knows_job(job) && !cell.has_memory_for(&work) {
+                log::info!(
+                    "event=job-refused job={job} why=memory used={} tasks={} epoch={}",
+                    cell.memory().used(),
+                    work.repetition_tasks(),
+                    self.epoch
+                );
+                return OwnerMessage::Refused(RefusalReason::Memory);
+            }
             match cell.job_batch(job) {
                 Some(batch) => Some(batch),
                 None => cell.submit_for_workspace(self.node.now(), job, queue, work, workspace),
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -71,6 +71,12 @@
         /// The time after which to retry, in seconds.
         after: u64,
     },
+    /// The job was not accepted and never will run, because there is no memory for it while other jobs
+    /// are open; the caller may retry it.
+    NoMemory {
+        /// The time after which to retry, in seconds.
+        after: u64,
+    },
     /// The request may have been carried out; the caller should retry it with the same key.
     Unconfirmed,
 }
@@ -95,6 +101,10 @@
             Self::Busy { .. } => {
                 (StatusCode::SERVICE_UNAVAILABLE, error_body("not taken: come back"))
             }
+            Self::NoMemory { .. } => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                error_body("not taken: too many tasks are open, retry once other jobs have ended"),
+            ),
             Self::Unconfirmed => (StatusCode::GATEWAY_TIMEOUT, error_body("in doubt: ask again")),
         };
         let is_empty = body.is_empty();
@@ -105,7 +115,7 @@
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
         match self {
-            Self::Busy { after } => {
+            Self::Busy { after } | Self::NoMemory { after } => {
                 headers.insert(RETRY_AFTER, HeaderValue::from(*after));
             }
             Self::InvalidKey => {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -31,6 +31,9 @@
     /// The share of a core that each thread may use; an entry has one thread per core.
     #[serde(default = "whole")]
     cpu_share: f64,
+    /// The memory that the process may use, in megabytes; 0 if it is not limited.
+    #[serde(default)]
+    memory_mb: u64,
 }
 
 fn one() -> usize {
@@ -119,6 +122,8 @@
     pub cores: usize,
     /// The CPU time that the entry may use, in thousandths of a core.
     pub millicores: u32,
+    /// The memory that the entry may use, in bytes; `None` if it is not limited.
+    pub memory: Option<u64>,
     /// The longest lease that workers accept.
     pub max_lease: Millis,
     /// How long the state of a finished job can be queried.
@@ -179,6 +184,7 @@
             cores: raw.limits.cores.max(1),
             millicores: (raw.limits.cpu_share.max(0.0) * raw.limits.cores.max(1) as f64 * 1_000.0)
                 as u32,
+            memory: (raw.limits.memory_mb > 0).then_some(raw.limits.memory_mb << 20),
             max_lease: Millis(raw.bounds.hold_max_ms),
             job_retention: seconds(raw.bounds.status_s),
             policy_bound: Millis(raw.bounds.config_ms),
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -9,8 +9,7 @@
 
 /// Maximum size of a job's payload, in bytes; set by the platform's contract.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
-/// Maximum number of tasks of one job over all steps and repetitions. Limits the memory that one
-/// caller can make an owner use (about 100 bytes for each task).
+/// Maximum number of tasks of one job over all steps and repetitions.
 pub const MAX_TASKS: u64 = 100_000;
 /// Length of a job key, in hexadecimal digits.
 const JOB_KEY_DIGITS: usize = 16;
@@ -241,13 +240,17 @@
                 return Err(JobDefinitionError::DependencyOrder(number, *later));
             }
         }
-        let task_count: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        match task_count.saturating_mul(u64::from(self.repetitions)) {
+        match self.repetition_tasks().saturating_mul(u64::from(self.repetitions)) {
             total if total > MAX_TASKS => Err(JobDefinitionError::TooManyTasks(total)),
             _ => Ok(()),
         }
     }
 
+    /// The number of tasks of one repetition.
+    pub fn repetition_tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Wall-clock time at which a repetition is due.
     pub fn due_at(&self, repetition: u32) -> Millis {
         Millis(
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -80,6 +80,7 @@
             max_lease: Millis(10_000),
             job_retention: Millis(100_000),
             disabled: DisabledMechanisms::default(),
+            memory: None,
         };
         let queues = HashMap::from([
             queue("long", 2, LONG),
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -71,6 +71,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0)), ("low".into(), queue("low", 2))]);
     let mut cell = Cell::new(1, bounds, queues, Snapshot::default(), false, Millis(0));
@@ -375,6 +376,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let mut snapshot = Snapshot::default();
     let mut records = Vec::new();
@@ -457,6 +459,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     // The earlier owner started it during a store outage: there is no record of that.
@@ -572,6 +575,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     let mut new = Cell::new(2, bounds, queues, snapshot, false, Millis(100));
@@ -1032,6 +1036,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     let mut next = Cell::new(2, bounds, queues, snapshot, false, Millis(0));
@@ -1165,6 +1170,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     let mut next = Cell::new(2, bounds, queues, snapshot, true, Millis(1_000));
@@ -1242,6 +1248,7 @@
         max_lease: LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue("q", 0))]);
     let mut cell = Cell::new(2, bounds, queues, snapshot, false, Millis(0));
--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -15,6 +15,7 @@
         max_lease: Millis(10_000),
         job_retention: Millis(100_000),
         disabled,
+        memory: None,
     }
 }
 
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -868,6 +868,7 @@
             max_lease: Millis(MAX_LEASE_MS),
             job_retention: Millis(1_000_000),
             disabled: DisabledMechanisms::default(),
+            memory: None,
         };
         let queues = self.queues();
         let is_fresh = self.has_fresh_owner();
--- a/tests/crashworld/mod.rs
+++ b/tests/crashworld/mod.rs
@@ -476,6 +476,7 @@
         max_lease: LEASE,
         job_retention: Millis(600_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let low = Queue { name: "low".into(), priority: 2, ..(*queue()).clone() };
     let queues = HashMap::from([("q".into(), queue()), ("low".into(), Arc::new(low))]);
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -45,6 +45,7 @@
         max_lease: Millis(10_000),
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queue = Queue {
         name: "q".into(),
--- a/tests/lateness.rs
+++ b/tests/lateness.rs
@@ -98,6 +98,7 @@
             max_lease: Millis(10_000),
             job_retention: Millis(1_000_000),
             disabled,
+            memory: None,
         };
         let mut cell = Cell::new(1, config, queues, Snapshot::default(), false, Millis(0));
         let workers: Vec<Worker> = (0..workers).map(worker).collect();
--- a/tests/lifeworld/mod.rs
+++ b/tests/lifeworld/mod.rs
@@ -120,6 +120,7 @@
         max_lease: Millis(10_000),
         job_retention: Millis(1_000_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     }
 }
 
--- a/tests/speed.rs
+++ b/tests/speed.rs
@@ -71,6 +71,7 @@
             max_lease: Millis(10_000),
             job_retention: Millis(100_000),
             disabled: DisabledMechanisms::default(),
+            memory: None,
         };
         let queues =
             HashMap::from([queue("urgent", 0, 1_500, 250), queue("slack", 2, 4_000, 3_000)]);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -54,6 +54,7 @@
         max_lease: MAX_LEASE,
         job_retention: Millis(100_000),
         disabled: DisabledMechanisms::default(),
+        memory: None,
     };
     let queues = HashMap::from([("q".into(), queue())]);
     let mut cell = Cell::new(epoch, config, queues, snapshot, unrecorded_starts, Millis(now));
