Records: jobs with many tasks are recorded in pieces

Cause: the progress of a job is one record, whose parts have to be in one append. That of 100,000 tasks is larger than the store accepts in a call, and the owner repeated the append for as long as it owned the cell.

Jobs with more than 10,000 tasks in a repetition are recorded in pieces of 2,048 tasks, which are written when they have changed, in any append. At most 2,000 starts are open at a time, so that they are sent before they are too old, and more urgent jobs do not wait behind them.

--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -165,7 +165,7 @@
         };
         let is_unrelated = length >= CRASH_FREE_RUN && is_long_running(job, task);
         let step = job.step_mut(task.step);
-        let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
+        let Some(state) = step.and_then(|step| step.task_mut(task.index)) else {
             return;
         };
         let known = state.crashes.iter().position(|known| known.worker == crash.worker);
@@ -246,7 +246,7 @@
         for task in tasks {
             let job = self.jobs.get_mut(&task.step.job);
             let step = job.and_then(|job| job.step_mut(task.step));
-            let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
+            let Some(state) = step.and_then(|step| step.task_mut(task.index)) else {
                 continue;
             };
             let confirmed = state.crashes.iter().filter(|crash| crash.is_confirmed).count();
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -8,6 +8,7 @@
 use crate::cell::records::journal::{
     JobOutcome, JobRecord, Progress, StepProgress, TaskCrashes, TaskProgress,
 };
+use crate::cell::records::pieces::{PieceKey, PieceProgress};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobDefinition, JobKey, Queue, Step, StepKey, TaskKey};
@@ -20,6 +21,11 @@
 /// Jobs with at most this many repetitions list the finished ones in their progress.
 const MAX_LISTED_REPETITIONS: u32 = 256;
 const BITS_PER_BYTE: usize = 8;
+/// Jobs with more tasks than this in a repetition are recorded in pieces.
+const MAX_WHOLE_TASKS: u64 = 10_000;
+/// The number of tasks of a piece. The record of a piece is some 50 KB long at the most, as long as
+/// checkpoints have short names.
+pub const PIECE_TASKS: u32 = 2_048;
 
 /// The status of a task.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -102,6 +108,19 @@
     pub wait: Option<Wait>,
     /// Since when tasks of the step wait and none has been assigned to a worker.
     pub idle_since: Option<Millis>,
+    /// The step belongs to a job that is recorded in pieces.
+    pub has_pieces: bool,
+    /// The pieces with changes that have to be recorded.
+    pub changed: BTreeSet<u32>,
+}
+
+/// Which records of a piece are in the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoredPiece {
+    /// The record of the progress.
+    pub progress: bool,
+    /// The record of crashes.
+    pub crashes: bool,
 }
 
 /// The state of one job.
@@ -144,6 +163,10 @@
     pub finished: RepetitionSet,
     /// Whether `finished` has changed since it was last recorded.
     pub finished_changed: bool,
+    /// The store has the record that shows that tasks of a job with pieces were assigned.
+    pub is_marked: bool,
+    /// The pieces that have records in the store.
+    pub stored_pieces: BTreeMap<PieceKey, StoredPiece>,
     /// The memory that the job is charged for, in bytes; 0 if none is set aside for it.
     pub charged_bytes: u64,
     /// No earlier repetition is left to be opened.
@@ -172,6 +195,8 @@
             open: BTreeMap::new(),
             finished: RepetitionSet::default(),
             finished_changed: false,
+            is_marked: false,
+            stored_pieces: BTreeMap::new(),
             charged_bytes: 0,
             next_repetition: 0,
         }
@@ -201,11 +226,18 @@
         if self.open.contains_key(&repetition) || self.finished.contains(repetition) {
             return false;
         }
-        let steps = self.work.steps.iter().map(StepState::new).collect();
+        let has_pieces = self.has_pieces();
+        let new_step = |step| StepState { has_pieces, ..StepState::new(step) };
+        let steps = self.work.steps.iter().map(new_step).collect();
         self.open.insert(repetition, steps);
         true
     }
 
+    /// Whether the job is recorded in pieces.
+    pub fn has_pieces(&self) -> bool {
+        self.work.repetition_tasks() > MAX_WHOLE_TASKS
+    }
+
     /// Drops the state of a repetition if all its tasks have succeeded. Returns whether that is so.
     pub fn finish_repetition(&mut self, repetition: u32) -> bool {
         let steps = self.open.get(&repetition);
@@ -340,7 +372,12 @@
     }
 
     /// The stored record of the job's progress, from which another owner can continue.
+    ///
+    /// That of a job with pieces is empty, and only shows that a task was assigned.
     pub fn progress(&self) -> Progress {
+        if self.has_pieces() {
+            return Progress::default();
+        }
         let open = self.open_steps().filter_map(|(step_index, step)| {
             let record = step.progress_record(step_index);
             (!record.done.is_empty() || !record.tasks.is_empty()).then_some(record)
@@ -363,7 +400,12 @@
     }
 
     /// The stored records of worker crashes, for each task that has any.
+    ///
+    /// Those of a job with pieces are in the records of these.
     pub fn crash_records(&self) -> Vec<TaskCrashes> {
+        if self.has_pieces() {
+            return Vec::new();
+        }
         let records = self.open_steps().flat_map(|(step_index, step)| {
             let tasks = step.tasks.iter().enumerate();
             let with_crashes = tasks.filter(|(_, task)| !task.crashes.is_empty());
@@ -388,7 +430,7 @@
     pub fn restore_crashes(&mut self, records: &[TaskCrashes]) {
         for record in records {
             let step = self.restored_step(record.step_index);
-            let task = step.and_then(|step| step.tasks.get_mut(record.index as usize));
+            let task = step.and_then(|step| step.task_mut(record.index));
             if let Some(task) = task {
                 task.crashes.clone_from(&record.crashes);
             }
@@ -448,32 +490,45 @@
     fn progress_record(&self, step_index: (u32, u16)) -> StepProgress {
         let mut record = StepProgress { step_index, ..StepProgress::default() };
         if self.unfinished < self.tasks.len() as u32 {
-            record.done = vec![0; self.tasks.len().div_ceil(BITS_PER_BYTE)];
-        }
-        for (index, task) in self.tasks.iter().enumerate() {
-            let assignment = match &task.status {
-                TaskStatus::Done => {
-                    if let Some(byte) = record.done.get_mut(index / BITS_PER_BYTE) {
-                        *byte |= 1 << (index % BITS_PER_BYTE);
-                    }
-                    continue;
-                }
-                TaskStatus::Placed { worker, run } => Some((*run, worker.clone())),
-                TaskStatus::Waiting => None,
-            };
-            if assignment.is_some() || !task.failed_runs.is_empty() || !task.checkpoint.is_empty() {
-                let (failed, checkpoint) = (task.failed_runs.clone(), task.checkpoint.clone());
-                record.tasks.push(TaskProgress {
-                    index: index as u32,
-                    failed,
-                    checkpoint,
-                    assignment,
-                });
-            }
+            record.done = done_bitmap(&self.tasks);
         }
+        record.tasks = task_records(0, &self.tasks);
         record
     }
 
+    /// The tasks of a piece, with the index of the first one.
+    fn piece_tasks(&self, number: u32) -> (u32, &[Task]) {
+        let first = number * PIECE_TASKS;
+        let end = self.tasks.len().min((first + PIECE_TASKS) as usize);
+        (first, self.tasks.get(first as usize..end).unwrap_or_default())
+    }
+
+    /// The stored record of the progress of a piece.
+    pub fn piece_progress(&self, number: u32) -> PieceProgress {
+        let (first, tasks) = self.piece_tasks(number);
+        PieceProgress { first, done: done_bitmap(tasks), tasks: task_records(first, tasks) }
+    }
+
+    /// The stored record of the crashes of workers that ran tasks of a piece.
+    pub fn piece_crashes(&self, key: PieceKey) -> Vec<TaskCrashes> {
+        let (first, tasks) = self.piece_tasks(key.number);
+        let with_crashes = tasks.iter().enumerate().filter(|(_, task)| !task.crashes.is_empty());
+        let record = |(index, task): (usize, &Task)| TaskCrashes {
+            step_index: (key.repetition, key.step),
+            index: first + index as u32,
+            crashes: task.crashes.clone(),
+        };
+        with_crashes.map(record).collect()
+    }
+
+    /// The state of a task that is about to change.
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        if self.has_pieces {
+            self.changed.insert(index / PIECE_TASKS);
+        }
+        self.tasks.get_mut(index as usize)
+    }
+
     /// Restores the progress that an earlier owner recorded.
     fn restore(&mut self, record: &StepProgress) {
         for index in 0..self.tasks.len() {
@@ -483,7 +538,7 @@
             }
         }
         for known in &record.tasks {
-            if let Some(task) = self.tasks.get_mut(known.index as usize) {
+            if let Some(task) = self.task_mut(known.index) {
                 task.failed_runs = known.failed.clone();
                 task.checkpoint = known.checkpoint.clone();
             }
@@ -492,7 +547,7 @@
 
     /// Marks a task as done. Returns `false` if it was done already.
     pub fn finish(&mut self, index: u32) -> bool {
-        let Some(task) = self.tasks.get_mut(index as usize) else { return false };
+        let Some(task) = self.task_mut(index) else { return false };
         if task.status == TaskStatus::Done {
             return false;
         }
@@ -504,7 +559,7 @@
 
     /// Marks a task as waiting for a worker again.
     pub fn requeue(&mut self, index: u32) {
-        if let Some(task) = self.tasks.get_mut(index as usize) {
+        if let Some(task) = self.task_mut(index) {
             task.status = TaskStatus::Waiting;
             self.waiting.insert(index);
         }
@@ -512,10 +567,42 @@
 
     /// Marks a task as assigned to a worker.
     pub fn place(&mut self, index: u32, worker: Name, run: u64) {
-        if let Some(task) = self.tasks.get_mut(index as usize) {
+        if let Some(task) = self.task_mut(index) {
             task.status = TaskStatus::Placed { worker, run };
             task.idle_since = None;
             self.waiting.remove(&index);
         }
     }
 }
+
+/// A bitmap of the tasks that are done, starting from the lowest bit of each byte.
+fn done_bitmap(tasks: &[Task]) -> Vec<u8> {
+    let mut done = vec![0; tasks.len().div_ceil(BITS_PER_BYTE)];
+    for (index, _) in tasks.iter().enumerate().filter(|(_, task)| task.status == TaskStatus::Done) {
+        if let Some(byte) = done.get_mut(index / BITS_PER_BYTE) {
+            *byte |= 1 << (index % BITS_PER_BYTE);
+        }
+    }
+    done
+}
+
+/// The records of those tasks that are not done and have something to record. `first` is the index
+/// of the first task.
+fn task_records(first: u32, tasks: &[Task]) -> Vec<TaskProgress> {
+    let record = |(index, task): (usize, &Task)| {
+        let assignment = match &task.status {
+            TaskStatus::Done => return None,
+            TaskStatus::Placed { worker, run } => Some((*run, worker.clone())),
+            TaskStatus::Waiting => None,
+        };
+        let is_known =
+            assignment.is_some() || !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
+        is_known.then(|| TaskProgress {
+            index: first + index as u32,
+            failed: task.failed_runs.clone(),
+            checkpoint: task.checkpoint.clone(),
+            assignment,
+        })
+    };
+    tasks.iter().enumerate().filter_map(record).collect()
+}
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -1,8 +1,9 @@
 //! State changes of jobs and of their runs: restored, opened, stopped, abandoned, closed,
 //! forgotten.
 
-use crate::cell::jobs::job::{Job, TaskStatus};
+use crate::cell::jobs::job::{Job, StoredPiece, TaskStatus};
 use crate::cell::records::journal::{JobOutcome, JobRecord, Progress, Snapshot, WorkerRecord};
+use crate::cell::records::pieces::PieceKey;
 use crate::cell::workers::roster::ENDED_INCARNATION_RETENTION;
 use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::worker::Worker;
@@ -22,7 +23,8 @@
 
 impl Cell {
     /// Restores the state that earlier owners wrote to the store.
-    pub(in crate::cell) fn restore_snapshot(&mut self, snapshot: Snapshot, now: Millis) {
+    pub(in crate::cell) fn restore_snapshot(&mut self, mut snapshot: Snapshot, now: Millis) {
+        let stored_pieces = snapshot.join_pieces();
         let start_times = snapshot.worker_starts;
         self.stored_workspaces = snapshot.workspaces.keys().copied().collect();
         for record in snapshot.workers {
@@ -46,7 +48,16 @@
                 JobRecord::Forwarded { cell } => drop(self.forwarded.insert(key, (cell, 0))),
                 JobRecord::Closed { queue, outcome } => {
                     let job = Job::ended(self.queue_or_placeholder(queue), outcome, now);
-                    self.jobs.insert(key, Job { workspace, ..job });
+                    let mut job = Job { workspace, ..job };
+                    // Some records of an open job may have been deleted in a later append.
+                    job.has_progress = snapshot.progress.contains_key(&key);
+                    job.has_crashes = snapshot.crashes.contains_key(&key);
+                    job.has_finished = snapshot.finished.contains_key(&key);
+                    job.stored_pieces = pieces_of(key, &stored_pieces);
+                    if job.has_records() {
+                        self.dirty_jobs.insert(key);
+                    }
+                    self.jobs.insert(key, job);
                     self.closed_jobs.push_back(key);
                     self.restore_unassigned(now, key, unassigned);
                 }
@@ -54,6 +65,7 @@
                     let queue = self.queues.get(&queue.name).cloned().unwrap_or(Arc::new(queue));
                     let mut job = Job::new(queue, work, now, 0);
                     (job.is_inherited, job.workspace) = (true, workspace);
+                    job.stored_pieces = pieces_of(key, &stored_pieces);
                     if let Some(finished) = snapshot.finished.get(&key) {
                         job.finished.clone_from(finished);
                         job.has_finished = true;
@@ -442,6 +454,15 @@
     }
 }
 
+/// The pieces of a job among those of all jobs.
+fn pieces_of(
+    key: JobKey,
+    stored: &BTreeMap<(JobKey, PieceKey), StoredPiece>,
+) -> BTreeMap<PieceKey, StoredPiece> {
+    let of_job = stored.range((key, PieceKey::FIRST)..=(key, PieceKey::LAST));
+    of_job.map(|((_, piece), stored)| (*piece, *stored)).collect()
+}
+
 /// A list entry for a worker that is only known from the store, without resources until it is
 /// listed.
 fn placeholder_listing(record: WorkerRecord, started_at: Option<Millis>) -> WorkerInfo {
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -22,6 +22,9 @@
 /// The most starts that an overloaded owner has open: decided, and not answered by the worker. At
 /// half a millisecond of a small processor for each, an urgent start waits for some 30 ms.
 const MAX_OPEN_STARTS: usize = 64;
+/// The most starts that may be open at a time otherwise. Starts that cannot be sent within two
+/// seconds are given up, and more urgent steps would wait behind those of a large one.
+const MAX_CALM_OPEN_STARTS: usize = 2_000;
 
 impl Cell {
     /// Places as many waiting tasks as fit, the most urgent first. Does nothing unless the cell's state has changed
@@ -31,7 +34,12 @@
         if self.list_stale || !std::mem::take(&mut self.needs_placement) {
             return;
         }
-        let mut allowed = self.allowed_open_starts();
+        let open = self.open_starts();
+        let mut allowed = match self.is_overloaded {
+            true => MAX_OPEN_STARTS.saturating_sub(open),
+            false => MAX_CALM_OPEN_STARTS.saturating_sub(open),
+        };
+        self.allowed_until = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
         let ready: Vec<StepKey> = self.ready_steps.iter().collect();
         for key in ready {
             if self.awaits_answer_quietly(now, key) {
@@ -50,15 +58,11 @@
         self.assign_requests(now);
     }
 
-    /// The number of starts that may be decided now. An overloaded owner has a limited number of
-    /// them open, so that the most urgent ones do not wait behind those of a long backlog.
-    fn allowed_open_starts(&self) -> usize {
-        if !self.is_overloaded {
-            return usize::MAX;
-        }
+    /// The number of starts that have not been answered. They are limited, so that the most urgent
+    /// ones do not wait behind those of a long backlog.
+    fn open_starts(&self) -> usize {
         let runs = self.workers.values().flat_map(|worker| worker.runs.values());
-        let open = runs.filter(|run| run.phase == Phase::Starting).count();
-        MAX_OPEN_STARTS.saturating_sub(open)
+        runs.filter(|run| run.phase == Phase::Starting).count()
     }
 
     /// Whether a step waits for an answer of the advice service, has no worker to use until then,
@@ -105,7 +109,12 @@
             return self.set_wait_reason(now, key, Some(why));
         }
         let spec = spec.clone();
-        let waiting: Vec<u32> = step.waiting.iter().copied().take(allowed).collect();
+        // The members of a gang start together.
+        let in_pass = match spec.is_gang {
+            true => allowed,
+            false => allowed.min(self.allowed_until.saturating_sub(self.bound_starts) as usize),
+        };
+        let waiting: Vec<u32> = step.waiting.iter().copied().take(in_pass).collect();
         let mut candidates = match advice {
             Some(_) => self.ticketed_candidates(now, key, job, step, &spec),
             None => self.open_candidates(now, key, job, &spec),
@@ -118,6 +127,10 @@
         }
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let still_waiting = step.map_or(0, |step| step.waiting.len());
+        if !spec.is_gang && still_waiting > 0 && self.bound_starts >= self.allowed_until {
+            // The others are placed once these starts have been answered.
+            return self.set_wait_reason(now, key, None);
+        }
         // Tasks that the workspace may not start yet need no reservation, and no tickets that would expire by then.
         let unplaced =
             self.jobs.get(&key.job).map_or(0, |job| self.allowed_starts(job, &spec, still_waiting));
@@ -361,7 +374,7 @@
         step.place(task.index, name.clone(), run_number);
         step.idle_since = None;
         let ticket = step.clearances.cleared.get(name).map(|ticket| ticket.text.clone());
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = step.tasks.get(task.index as usize) else { return };
         let checkpoint = match checkpoint {
             "" if !spec.is_gang => state.checkpoint.clone(),
             checkpoint => checkpoint.into(),
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -2,8 +2,9 @@
 //! stored.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::Job;
+use crate::cell::jobs::job::{Job, StoredPiece};
 use crate::cell::records::journal::{self, Batch, JobRecord, WorkerRecord};
+use crate::cell::records::pieces::PieceRecords;
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
@@ -102,35 +103,17 @@
             records.push(journal::put_job(key, &job.record()));
         }
         match is_closed {
-            true if job.has_progress => {
-                job.has_progress = false;
-                records.push(journal::delete_progress(key));
+            true => {
+                if std::mem::take(&mut job.has_progress) {
+                    records.push(journal::delete_progress(key));
+                }
                 if std::mem::take(&mut job.has_crashes) {
                     records.push(journal::delete_crashes(key));
                 }
+                write_pieces(key, job, records);
             }
-            false if job.was_placed => {
-                // Repetitions are recorded as finished before their progress is dropped, because the
-                // records may reach the store in two appends.
-                if std::mem::take(&mut job.finished_changed) && job.work.repetitions > 1 {
-                    job.has_finished = true;
-                    records.push(journal::put_finished(key, &job.finished));
-                }
-                let progress = job.progress();
-                // Progress that has become empty is written too. If an assignment stayed in the
-                // store, the next owners would take the run for lost each time the worker
-                // restarted.
-                if !progress.steps.is_empty() || job.has_progress {
-                    job.has_progress = true;
-                    records.push(journal::put_progress(key, &progress));
-                }
-                let crashes = job.crash_records();
-                if !crashes.is_empty() || job.has_crashes {
-                    job.has_crashes = true;
-                    records.push(journal::put_crashes(key, &crashes));
-                }
-            }
-            _ => {}
+            false if job.was_placed => write_progress(key, job, records),
+            false => {}
         }
         self.write_unassigned(key, records);
     }
@@ -199,3 +182,48 @@
         self.workers.values().map(record).collect()
     }
 }
+
+/// Appends the records of the progress of a job and of crashes of its tasks' workers.
+fn write_progress(key: JobKey, job: &mut Job, records: &mut Vec<(String, Vec<u8>)>) {
+    // Repetitions are recorded as finished before their progress is dropped, because the records
+    // may reach the store in two appends.
+    if std::mem::take(&mut job.finished_changed) && job.work.repetitions > 1 {
+        job.has_finished = true;
+        records.push(journal::put_finished(key, &job.finished));
+    }
+    // For the same reason the pieces come before the record that an earlier version may have
+    // written for the whole job.
+    write_pieces(key, job, records);
+    if job.has_pieces() && std::mem::replace(&mut job.is_marked, true) {
+        return;
+    }
+    let progress = job.progress();
+    // Progress that has become empty is written too. If an assignment stayed in the store, the
+    // next owners would take the run for lost each time the worker restarted.
+    if !progress.steps.is_empty() || job.has_progress || job.has_pieces() {
+        job.has_progress = true;
+        records.push(journal::put_progress(key, &progress));
+    }
+    let crashes = job.crash_records();
+    if !crashes.is_empty() || job.has_crashes {
+        job.has_crashes = true;
+        records.push(journal::put_crashes(key, &crashes));
+    }
+}
+
+/// Appends the records of the pieces of a job that have changed, and deletes those without content.
+fn write_pieces(key: JobKey, job: &mut Job, records: &mut Vec<(String, Vec<u8>)>) {
+    for PieceRecords { key: piece, progress, crashes } in job.take_changed_pieces() {
+        let stored = job.stored_pieces.remove(&piece).unwrap_or_default();
+        let kept = StoredPiece { progress: progress.is_some(), crashes: crashes.is_some() };
+        if kept.progress || stored.progress {
+            records.push(journal::put_progress_piece(key, piece, progress.as_ref()));
+        }
+        if kept.crashes || stored.crashes {
+            records.push(journal::put_crash_piece(key, piece, crashes.as_ref()));
+        }
+        if kept != StoredPiece::default() {
+            job.stored_pieces.insert(piece, kept);
+        }
+    }
+}
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -1,7 +1,9 @@
 //! The records that an owner keeps in the platform's store, and their encoding.
 
+use crate::cell::jobs::job::StoredPiece;
 use crate::cell::jobs::repetition_set::RepetitionSet;
 use crate::cell::jobs::restart_policy::Crash;
+use crate::cell::records::pieces::{PieceKey, PieceProgress};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobDefinition, JobKey, Queue, Resources};
@@ -183,6 +185,12 @@
     pub finished: BTreeMap<JobKey, RepetitionSet>,
     /// The worker crashes during tasks of open jobs.
     pub crashes: BTreeMap<JobKey, Vec<TaskCrashes>>,
+    /// The progress of open jobs that are recorded in pieces.
+    pub progress_pieces: BTreeMap<(JobKey, PieceKey), PieceProgress>,
+    /// The worker crashes during tasks of these jobs.
+    pub crash_pieces: BTreeMap<(JobKey, PieceKey), Vec<TaskCrashes>>,
+    /// The unassigned runs of these jobs.
+    pub unassigned_pieces: BTreeMap<(JobKey, PieceKey), Vec<UnassignedRun>>,
     /// The unassigned runs of jobs with a workspace.
     pub unassigned_runs: BTreeMap<JobKey, Vec<UnassignedRun>>,
     /// The workspaces of those jobs that have one.
@@ -224,6 +232,33 @@
     (format!("{key}{PROGRESS_SUFFIX}"), encode(progress))
 }
 
+/// Creates the record of the progress of a piece, or deletes it.
+pub fn put_progress_piece(
+    key: JobKey,
+    piece: PieceKey,
+    progress: Option<&PieceProgress>,
+) -> (String, Vec<u8>) {
+    (format!("{key}{PROGRESS_SUFFIX}.{piece}"), progress.map_or_else(Vec::new, encode))
+}
+
+/// Creates the record of the worker crashes during the tasks of a piece, or deletes it.
+pub fn put_crash_piece(
+    key: JobKey,
+    piece: PieceKey,
+    crashes: Option<&Vec<TaskCrashes>>,
+) -> (String, Vec<u8>) {
+    (format!("{key}{CRASHES_SUFFIX}.{piece}"), crashes.map_or_else(Vec::new, encode))
+}
+
+/// Creates the record of the unassigned runs of a piece, or deletes it.
+pub fn put_unassigned_piece(
+    key: JobKey,
+    piece: PieceKey,
+    runs: Option<&Vec<UnassignedRun>>,
+) -> (String, Vec<u8>) {
+    (format!("{key}{UNASSIGNED_RUNS_SUFFIX}.{piece}"), runs.map_or_else(Vec::new, encode))
+}
+
 /// Creates the record of a job's finished repetitions.
 pub fn put_finished(key: JobKey, finished: &RepetitionSet) -> (String, Vec<u8>) {
     (format!("{key}{FINISHED_SUFFIX}"), encode(finished))
@@ -338,23 +373,57 @@
             CRASHES_SUFFIX => apply_to(&mut self.crashes, job, value),
             UNASSIGNED_RUNS_SUFFIX => apply_to(&mut self.unassigned_runs, job, value),
             WORKSPACE_SUFFIX => apply_to(&mut self.workspaces, job, value),
-            _ => {
+            _ => self.apply_piece(key, job, suffix, value),
+        }
+    }
+
+    /// Applies the record of a piece.
+    fn apply_piece(
+        &mut self,
+        key: &str,
+        job: JobKey,
+        suffix: &str,
+        value: &[u8],
+    ) -> Result<(), postcard::Error> {
+        let piece = |kind: &str| suffix.strip_prefix(kind)?.strip_prefix('.')?.parse().ok();
+        match (piece(PROGRESS_SUFFIX), piece(CRASHES_SUFFIX), piece(UNASSIGNED_RUNS_SUFFIX)) {
+            (Some(piece), ..) => apply_to(&mut self.progress_pieces, (job, piece), value),
+            (_, Some(piece), _) => apply_to(&mut self.crash_pieces, (job, piece), value),
+            (.., Some(piece)) => apply_to(&mut self.unassigned_pieces, (job, piece), value),
+            (None, None, None) => {
                 log::warn!("event=record-unknown key={key}");
                 Ok(())
             }
         }
     }
+
+    /// Adds the pieces to the records of their jobs. Returns which of them are in the store.
+    pub fn join_pieces(&mut self) -> BTreeMap<(JobKey, PieceKey), StoredPiece> {
+        let mut stored: BTreeMap<(JobKey, PieceKey), StoredPiece> = BTreeMap::new();
+        for ((job, piece), progress) in std::mem::take(&mut self.progress_pieces) {
+            self.progress.entry(job).or_default().steps.push(progress.to_step(piece));
+            stored.entry((job, piece)).or_default().progress = true;
+        }
+        for ((job, piece), crashes) in std::mem::take(&mut self.crash_pieces) {
+            self.crashes.entry(job).or_default().extend(crashes);
+            stored.entry((job, piece)).or_default().crashes = true;
+        }
+        for ((job, _), runs) in std::mem::take(&mut self.unassigned_pieces) {
+            self.unassigned_runs.entry(job).or_default().extend(runs);
+        }
+        stored
+    }
 }
 
-/// Sets the value of a job, or removes it if the record is empty.
-fn apply_to<T: DeserializeOwned>(
-    values: &mut BTreeMap<JobKey, T>,
-    job: JobKey,
+/// Sets the value of a job or a piece, or removes it if the record is empty.
+fn apply_to<K: Ord, T: DeserializeOwned>(
+    values: &mut BTreeMap<K, T>,
+    key: K,
     value: &[u8],
 ) -> Result<(), postcard::Error> {
     match value.is_empty() {
-        true => drop(values.remove(&job)),
-        false => drop(values.insert(job, postcard::from_bytes(value)?)),
+        true => drop(values.remove(&key)),
+        false => drop(values.insert(key, postcard::from_bytes(value)?)),
     }
     Ok(())
 }
--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -6,12 +6,14 @@
 //! of the workspace until it has heard the workers.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::{Job, TaskStatus};
+use crate::cell::jobs::job::{Job, PIECE_TASKS, TaskStatus};
 use crate::cell::records::journal::{self, UnassignedRun};
+use crate::cell::records::pieces::{PieceKey, split_unassigned};
 use crate::cell::workers::run::{Phase, Run};
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::workload::{JobKey, Step, StepKey, TaskKey};
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Cell {
     /// Notes that runs of a job may become unassigned. They are stored if the job has a workspace,
@@ -31,9 +33,7 @@
     ) {
         let Some(stored) = self.stored_unassigned.remove(&key) else { return };
         let runs = self.unassigned_runs(key);
-        if !stored.is_empty() || !runs.is_empty() {
-            records.push(journal::put_unassigned_runs(key, &runs));
-        }
+        write_runs(key, &stored, &runs, records);
         if !runs.is_empty() {
             self.stored_unassigned.insert(key, runs);
         }
@@ -98,6 +98,30 @@
     }
 }
 
+/// Appends the record of the unassigned runs of a job, or the records of the pieces that have
+/// changed if there are many runs.
+fn write_runs(
+    key: JobKey,
+    stored: &[UnassignedRun],
+    runs: &[UnassignedRun],
+    records: &mut Vec<(String, Vec<u8>)>,
+) {
+    let is_whole = |runs: &[UnassignedRun]| runs.len() <= PIECE_TASKS as usize;
+    let pieces = |runs: &[UnassignedRun]| match is_whole(runs) {
+        true => BTreeMap::new(),
+        false => split_unassigned(runs),
+    };
+    let (before, after) = (pieces(stored), pieces(runs));
+    let keys: BTreeSet<PieceKey> = before.keys().chain(after.keys()).copied().collect();
+    for piece in keys.into_iter().filter(|piece| before.get(piece) != after.get(piece)) {
+        records.push(journal::put_unassigned_piece(key, piece, after.get(&piece)));
+    }
+    let whole = if is_whole(runs) { runs } else { &[] };
+    if !(stored.is_empty() && runs.is_empty()) && (is_whole(stored) || is_whole(runs)) {
+        records.push(journal::put_unassigned_runs(key, whole));
+    }
+}
+
 /// Whether a task is assigned to a worker as a run.
 fn is_assigned(job: &Job, task: TaskKey, name: &Name, run: u64) -> bool {
     let state = job.step(task.step).and_then(|step| step.tasks.get(task.index as usize));
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -204,7 +204,7 @@
         (job.was_placed, job.has_run) = (true, true);
         let max_attempts = job.queue.max_attempts;
         let Some(step) = job.step_mut(task.step) else { return };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = step.task_mut(task.index) else { return };
         if state.status == TaskStatus::Done || state.failed_runs.contains(&row.run) {
             return;
         }
@@ -295,7 +295,7 @@
     fn save_checkpoint(&mut self, task: TaskKey, row: &RunningTask) -> bool {
         let job = self.jobs.get_mut(&task.step.job);
         let step = job.and_then(|job| job.step_mut(task.step));
-        let state = step.and_then(|step| step.tasks.get_mut(task.index as usize));
+        let state = step.and_then(|step| step.task_mut(task.index));
         let Some(state) = state.filter(|state| state.checkpoint != row.checkpoint) else {
             return false;
         };
@@ -333,7 +333,7 @@
         match wanted {
             Some(step) => {
                 step.place(task.index, name.clone(), row.run);
-                if let Some(state) = step.tasks.get_mut(task.index as usize) {
+                if let Some(state) = step.task_mut(task.index) {
                     state.checkpoint = row.checkpoint.clone();
                 }
                 // The next owner has to know of the run, too.
--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(dead_code, reason = "no test uses all of these helpers")]
 
+#[path = "../rows/mod.rs"]
+mod rows;
+pub mod series;
+
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::{Cell, CellConfig};
 use sprucerudder::clock::Millis;
--- a/tests/repetitions.rs
+++ b/tests/repetitions.rs
@@ -2,20 +2,16 @@
 
 mod cells;
 
-use cells::{config, listed_worker};
+use cells::series::{World, at_once, queue, repeating};
 use proptest::prelude::*;
 use sprucerudder::cell::jobs::repetition_set::RepetitionSet;
-use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::records::journal::{
-    JobOutcome, JobRecord, Progress, Snapshot, StepProgress, put_job, put_progress,
+    JobRecord, Progress, StepProgress, put_job, put_progress,
 };
-use sprucerudder::cell::{Action, Cell, CellConfig, JobState};
 use sprucerudder::clock::Millis;
-use sprucerudder::id::Name;
-use sprucerudder::order::{EndReason, EndedTask, OrderOutcome, WorkerInfo, WorkerReport};
-use sprucerudder::workload::{JobDefinition, JobKey, Queue, Resources, Step, TaskKey};
+use sprucerudder::workload::{JobDefinition, JobKey};
 use std::alloc::{GlobalAlloc, Layout, System};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Counts the bytes that each thread has allocated and not freed.
@@ -45,146 +41,6 @@
 
 const MEGABYTE: u64 = 1 << 20;
 
-fn queue() -> Arc<Queue> {
-    Arc::new(Queue {
-        name: "q".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1_500,
-        target: Millis(250),
-        advice: None,
-    })
-}
-
-/// A job of one step, whose first repetition is due at 1,000.
-fn repeating(count: u32, repetitions: u32, interval: u64) -> Arc<JobDefinition> {
-    let resources = Resources { cpu: 10, mem: 1, gpu: 0 };
-    let step = Step { count, resources, estimate: Millis(300), ..Step::default() };
-    let (first_due, interval) = (Millis(1_000), Millis(interval));
-    let payload = "text".into();
-    Arc::new(JobDefinition { payload, steps: vec![step], repetitions, first_due, interval })
-}
-
-fn at_once(count: u32) -> Arc<JobDefinition> {
-    Arc::new(JobDefinition { first_due: Millis(0), ..(*repeating(count, 1, 0)).clone() })
-}
-
-fn workers() -> Vec<WorkerInfo> {
-    let room = Resources { cpu: 16_000, mem: 32_000, gpu: 0 };
-    (0..2).map(|index| listed_worker(index, "a", room)).collect()
-}
-
-/// A series of owners over one store, with workers that are done with each run at the next report.
-struct World {
-    cell: Cell,
-    memory: Option<u64>,
-    epoch: u64,
-    now: u64,
-    store: BTreeMap<String, Vec<u8>>,
-    running: BTreeMap<Name, Vec<(TaskKey, u64)>>,
-    ends: BTreeMap<Name, Vec<EndedTask>>,
-    end_count: u64,
-    /// When each task was started.
-    starts: Vec<(u64, TaskKey)>,
-}
-
-impl World {
-    fn new(memory: Option<u64>) -> Self {
-        let mut world = Self {
-            cell: new_cell(1, memory, Snapshot::default(), 0),
-            memory,
-            epoch: 1,
-            now: 0,
-            store: BTreeMap::new(),
-            running: BTreeMap::new(),
-            ends: BTreeMap::new(),
-            end_count: 0,
-            starts: Vec::new(),
-        };
-        world.run(1);
-        world
-    }
-
-    fn submit(&mut self, key: u64, work: &Arc<JobDefinition>) {
-        assert!(self.cell.submit(Millis(self.now), JobKey(key), "q", work.clone()).is_some());
-    }
-
-    /// Another owner takes over with what the store has.
-    fn take_over(&mut self) {
-        let mut snapshot = Snapshot::default();
-        for (key, value) in &self.store {
-            snapshot.apply(key, value).expect("a record");
-        }
-        self.epoch += 1;
-        self.cell = new_cell(self.epoch, self.memory, snapshot, self.now);
-    }
-
-    /// Runs passes of 100 ms.
-    fn run(&mut self, passes: u64) {
-        for _ in 0..passes {
-            self.now += 100;
-            let now = Millis(self.now);
-            self.cell.tick(now, now);
-            self.cell.schedule(now);
-            while let Some(batch) = self.cell.take_batch(now) {
-                for (key, value) in batch.records {
-                    match value.is_empty() {
-                        true => drop(self.store.remove(&key)),
-                        false => drop(self.store.insert(key, value)),
-                    }
-                }
-                self.cell.mark_stored(now, batch.number);
-            }
-            for action in self.cell.take_actions() {
-                if let Action::Start { worker, start, .. } = action {
-                    self.starts.push((self.now, start.task));
-                    let outcome = OrderOutcome::Done(None);
-                    self.cell.on_start_outcome(now, &worker, start.task, start.run, outcome);
-                    self.running.entry(worker).or_default().push((start.task, start.run));
-                }
-            }
-            for worker in workers() {
-                self.report(&worker.id);
-            }
-        }
-    }
-
-    /// A worker lists the ends of its runs until they are confirmed.
-    fn report(&mut self, worker: &Name) {
-        let now = Millis(self.now + 50);
-        let Some(call) = self.cell.report_call(now, worker, true) else { return };
-        let ends = self.ends.entry(worker.clone()).or_default();
-        ends.retain(|row| row.seq > call.confirmed);
-        for (task, run) in self.running.remove(worker).unwrap_or_default() {
-            self.end_count += 1;
-            let (seq, reason, checkpoint) = (self.end_count, EndReason::Done, "".into());
-            ends.push(EndedTask { seq, task, run, reason, checkpoint });
-        }
-        let report =
-            WorkerReport { clock: self.now, ended: ends.clone(), ..WorkerReport::default() };
-        self.cell.on_report(Millis(self.now + 60), now, worker, &report);
-    }
-
-    fn is_completed(&self, key: u64) -> bool {
-        self.cell.job_state(JobKey(key)) == Some(JobState::Closed(JobOutcome::Completed))
-    }
-
-    /// The times at which each repetition of a job started, in order.
-    fn repetitions(&self, key: u64) -> Vec<(u32, u64)> {
-        let of_job = self.starts.iter().filter(|(_, task)| task.step.job == JobKey(key));
-        of_job.map(|(at, task)| (task.step.repetition, *at)).collect()
-    }
-}
-
-fn new_cell(epoch: u64, memory: Option<u64>, snapshot: Snapshot, now: u64) -> Cell {
-    let bounds = CellConfig { memory, ..config(DisabledMechanisms::default()) };
-    let queues = HashMap::from([("q".into(), queue())]);
-    let mut cell = Cell::new(epoch, bounds, queues, snapshot, false, Millis(now));
-    cell.set_workers(Millis(now), workers());
-    cell
-}
-
 /// Each repetition took the memory of its tasks from the submission of the job on: eight jobs that run
 /// once a minute for 60 days took 330 MB, and each owner was killed for its memory.
 #[test]
