Jobs: a run of a gang counts once, however many members fail

Callers saw jobs that were shown as failed although their gangs had attempts left, after several members of one run had ended failed together.

Cause: the failed runs of a gang were added up over its members, which share the number of their run.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -469,6 +469,13 @@
         }
     }
 
+    /// The number of failed runs of a gang. Its members share the numbers of their runs, and several of
+    /// them may fail in one run.
+    pub fn failed_gang_runs(&self) -> usize {
+        let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
+        runs.collect::<BTreeSet<&u64>>().len()
+    }
+
     /// Marks the waiting tasks as idle since `since`. Those that are already marked keep their
     /// earlier time.
     pub fn mark_idle(&mut self, since: Millis) {
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -234,7 +234,7 @@
                     state.failed_runs.push(row.run);
                 }
                 let failed = match is_gang {
-                    true => step.tasks.iter().map(|task| task.failed_runs.len()).sum(),
+                    true => step.failed_gang_runs(),
                     false => state.failed_runs.len(),
                 };
                 log::info!(
--- a/tests/cellworld/mod.rs
+++ b/tests/cellworld/mod.rs
@@ -450,6 +450,8 @@
     /// The failures of each task, in order: the worker's incarnation, the number of the end, and
     /// whether it was confirmed.
     failures: BTreeMap<TaskKey, Vec<(Name, u64, bool)>>,
+    /// The failed runs of each gang.
+    failed_gang_runs: BTreeMap<StepKey, BTreeSet<u64>>,
     /// Starts with the number of failures before them. One is a violation if as many of these
     /// failures as the queue allows are ever confirmed.
     excess_starts: Vec<(TaskKey, usize)>,
@@ -530,6 +532,7 @@
             max_listed_ends: MAX_LISTED_ENDS,
             truncated_reports: 0,
             failures: BTreeMap::new(),
+            failed_gang_runs: BTreeMap::new(),
             excess_starts: Vec::new(),
             replaced_count: 0,
             waiting_since: BTreeMap::new(),
