Workers, jobs: bound the numbers that other programs send

An entry of another writer in the list of workers with a capacity of 2^64 - 1 was accepted, and the sum over its failure domain overflowed: it was wrong in a release build and ended the process with overflow checks. The numbers of a caller's step could do the same.

Entries that offer, and steps that ask for, more than 2^32 of a resource are refused; estimates count as 30 days at the most; sums and products stop at the largest number.

Evidence: the tests in tests/records.rs and tests/cell.rs fail without the change (attempt to add with overflow). Deep nesting, numbers that do not fit and ports out of range were refused before, too; tests/node.rs shows it with real processes and a running cell.

--- a/src/cell/owner/forward.rs
+++ b/src/cell/owner/forward.rs
@@ -37,7 +37,7 @@
     /// The total CPU of the workers of a service, in millicores.
     pub fn service_cpu(&self, service: &str) -> u64 {
         let of_service = self.workers.values().filter(|worker| *worker.listed.service == *service);
-        of_service.map(|worker| worker.listed.capacity.cpu).sum()
+        of_service.map(|worker| worker.listed.capacity.cpu).fold(0, u64::saturating_add)
     }
 
     /// The load on the workers of each service: the CPU in use, plus the CPU that waiting tasks
@@ -54,7 +54,8 @@
             let Some(job) = self.jobs.get(&key.job) else { continue };
             let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { continue };
             if let Some((used, _)) = services.get_mut(&job.queue.service) {
-                *used += spec.charged_resources().cpu * step.waiting.len() as u64;
+                let wanted = spec.charged_resources().cpu.saturating_mul(step.waiting.len() as u64);
+                *used = used.saturating_add(wanted);
             }
         }
         let load = |(service, (used, total)): (&Name, (u64, u64))| ServiceLoad {
--- a/src/cell/placing/account.rs
+++ b/src/cell/placing/account.rs
@@ -143,7 +143,7 @@
             return 0;
         }
         let repeated = self.unsaved + RESTORE_TIME;
-        self.cpu * repeated.0 / MILLICORES + RESTART_COST + REQUEST_COST
+        self.cpu.saturating_mul(repeated.0) / MILLICORES + RESTART_COST + REQUEST_COST
     }
 
     /// Whether the job would have been on time, and is late if this run is stopped.
@@ -163,16 +163,16 @@
 
 /// The work of tasks of a step that run for this time, in core-milliseconds.
 pub(in crate::cell) fn work_of(spec: &Step, run_time: Millis, tasks: u32) -> u64 {
-    u64::from(tasks) * spec.resources.cpu * run_time.0 / MILLICORES
+    u64::from(tasks).saturating_mul(spec.resources.cpu).saturating_mul(run_time.0) / MILLICORES
 }
 
 /// The cost of making room on all of these runs, in core-milliseconds. A job that becomes late counts once.
 pub(in crate::cell) fn total_cost(victims: &[VictimAccount]) -> u64 {
-    let own: u64 = victims.iter().map(VictimAccount::own_cost).sum();
+    let own = victims.iter().map(VictimAccount::own_cost).fold(0, u64::saturating_add);
     let late = victims.iter().filter(|victim| victim.makes_late());
     let late_jobs: BTreeMap<JobKey, u64> =
         late.map(|victim| (victim.job, victim.job_work)).collect();
-    own + late_jobs.values().sum::<u64>()
+    late_jobs.values().copied().fold(own, u64::saturating_add)
 }
 
 #[cfg(test)]
--- a/src/cell/placing/gang.rs
+++ b/src/cell/placing/gang.rs
@@ -87,11 +87,12 @@
     fn is_enough_reserved(&self, service: &Name) -> bool {
         let of_service = |worker: &Worker| worker.listed.service == *service;
         let workers = self.workers.values().filter(|worker| of_service(worker));
-        let total: u64 = workers.map(|worker| worker.listed.capacity.cpu).sum();
+        let capacities = workers.map(|worker| worker.listed.capacity.cpu);
+        let total = capacities.fold(0, u64::saturating_add);
         let reserved = self
             .reservations
             .reserved_for_gangs(|name| self.workers.get(name).is_some_and(of_service));
-        reserved.cpu > 0 && reserved.cpu * RESERVED_DIVISOR >= total
+        reserved.cpu > 0 && reserved.cpu.saturating_mul(RESERVED_DIVISOR) >= total
     }
 
     /// Counts the gang's tasks that fit on a worker now and once other runs have ended.
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -258,7 +258,8 @@
         };
         let mut idle: BTreeMap<&Name, u64> = BTreeMap::new();
         for candidate in candidates {
-            *idle.entry(&candidate.domain).or_default() += candidate.free.cpu;
+            let sum = idle.entry(&candidate.domain).or_default();
+            *sum = sum.saturating_add(candidate.free.cpu);
         }
         job.home_domain =
             idle.into_iter().max_by_key(|(_, cpu)| *cpu).map(|(domain, _)| domain.clone());
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -241,7 +241,7 @@
         let (clock, read_at) = self.clock?;
         let expiry = now + Millis(length.0 * LEASE_FACTOR_PERMILLE / 1_000);
         self.lease_end = self.lease_end.max(expiry);
-        Some(clock + now.since(read_at).0 + length.0)
+        Some(clock.saturating_add(now.since(read_at).0 + length.0))
     }
 
     /// A message sent at `sent` was not answered: the worker gets no new tasks until it answers a
--- a/src/platform/submit.rs
+++ b/src/platform/submit.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{JobDefinition, Resources, Step};
+use crate::workload::{JobDefinition, MAX_ESTIMATE, Resources, Step};
 use serde::{Deserialize, Deserializer};
 
 /// Decodes a boolean, which some callers send as a number.
@@ -83,7 +83,7 @@
         Self {
             count: raw.count,
             resources: Resources { cpu: raw.cpu, mem: raw.mem_mb, gpu: raw.gpu },
-            estimate: Millis(raw.estimate_ms.max(0.0) as u64),
+            estimate: Millis(raw.estimate_ms.max(0.0) as u64).min(MAX_ESTIMATE),
             dependencies: raw.depends_on,
             is_gang: raw.gang,
             same_rack: raw.rack_local,
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -64,6 +64,9 @@
     /// The state is unknown.
     #[error("unknown worker state {0:?}")]
     State(Name),
+    /// The worker offers more than any worker has.
+    #[error("impossible worker capacity {0:?}")]
+    Capacity(Resources),
     /// The address is invalid.
     #[error("invalid worker address {0:?}")]
     Address(Name),
@@ -90,13 +93,17 @@
     }
     let remaining = Millis(raw.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
     let RawCapacity { cpu, mem_mb, gpu } = raw.capacity;
+    let capacity = Resources { cpu, mem: mem_mb, gpu };
+    if !Resources::UNKNOWN.can_fit(&capacity) {
+        return Err(WorkerEntryError::Capacity(capacity));
+    }
     Ok(WorkerInfo {
         id,
         started_at: raw.born,
         service: raw.service,
         addr: raw.address,
         domain: raw.zone,
-        capacity: Resources { cpu, mem: mem_mb, gpu },
+        capacity,
         labels: raw.labels,
         leaves_in: is_draining.then_some(remaining),
     })
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -11,6 +11,8 @@
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// Maximum number of tasks of one job over all steps and repetitions.
 pub const MAX_TASKS: u64 = 100_000;
+/// The longest run time that a caller's estimate counts as.
+pub const MAX_ESTIMATE: Millis = Millis(30 * 24 * 3_600_000);
 /// Length of a job key, in hexadecimal digits.
 const JOB_KEY_DIGITS: usize = 16;
 
@@ -125,9 +127,13 @@
         }
     }
 
-    /// Adds `other`.
+    /// Adds `other`, stopping at the largest number in each dimension.
     pub fn plus(&self, other: &Self) -> Self {
-        Self { cpu: self.cpu + other.cpu, mem: self.mem + other.mem, gpu: self.gpu + other.gpu }
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem: self.mem.saturating_add(other.mem),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
     }
 }
 
@@ -210,6 +216,9 @@
     /// A step has no tasks.
     #[error("step {0} has no tasks")]
     EmptyStep(usize),
+    /// A step asks for more than any worker has.
+    #[error("step {0} asks for more of a resource than any worker has")]
+    TooLarge(usize),
     /// A step depends on itself or on a later step.
     #[error("step {0} depends on step {1}, which is not before it")]
     DependencyOrder(usize, u16),
@@ -234,6 +243,9 @@
             if step.count == 0 {
                 return Err(JobDefinitionError::EmptyStep(number));
             }
+            if !Resources::UNKNOWN.can_fit(&step.resources) {
+                return Err(JobDefinitionError::TooLarge(number));
+            }
             if let Some(later) =
                 step.dependencies.iter().find(|other| usize::from(**other) >= number)
             {
@@ -277,7 +289,7 @@
                 .iter()
                 .filter_map(|number| finish_times.get(usize::from(*number)))
                 .max();
-            finish_times.push(ready_at.copied().unwrap_or(0) + step.estimate.0);
+            finish_times.push(ready_at.copied().unwrap_or(0).saturating_add(step.estimate.0));
         }
         Millis(finish_times.into_iter().max().unwrap_or(0))
     }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -17,7 +17,7 @@
     WorkerInfo, WorkerReport,
 };
 use sprucerudder::workload::{
-    AdviceConfig, JobDefinition, JobKey, Queue, Resources, Step, StepKey, TaskKey,
+    AdviceConfig, JobDefinition, JobKey, MAX_ESTIMATE, Queue, Resources, Step, StepKey, TaskKey,
 };
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -342,6 +342,33 @@
     assert!(whole.iter().all(|(_, start)| start.run == whole[0].1.run));
 }
 
+/// Sums and products of numbers that callers and workers sent overflowed.
+#[test]
+fn extreme_numbers_of_callers_and_workers_do_not_overflow() {
+    let room = Resources::UNKNOWN;
+    let workers: Vec<WorkerInfo> =
+        ["w1", "w2", "w3"].map(|id| WorkerInfo { capacity: room, ..list_entry(id, "a") }).to_vec();
+    let mut cell = cell(&workers);
+    let wide = Step { resources: room, estimate: MAX_ESTIMATE, ..step(4) };
+    let next = Step { dependencies: vec![0], ..wide.clone() };
+    let gang = Step { is_gang: true, ..wide.clone() };
+    for (key, steps) in [(1, vec![wide, next]), (2, vec![gang]), (3, vec![step(2)])] {
+        submit(&mut cell, 10, key, "q", steps);
+    }
+    let started = starts(&mut cell, 11);
+    assert!(!started.is_empty());
+    confirm_starts(&mut cell, 12, &started);
+    let report = WorkerReport { clock: u64::MAX, ..WorkerReport::default() };
+    for worker in &workers {
+        cell.report_call(Millis(20), &worker.id, true);
+        cell.on_report(Millis(21), Millis(20), &worker.id, &report);
+        cell.report_call(Millis(1_000), &worker.id, true);
+    }
+    cell.tick(Millis(1_000), Millis(1_000));
+    cell.schedule(Millis(1_000));
+    assert!(!cell.service_loads().is_empty());
+}
+
 /// All members that have been started end `failed`, each in a report of its worker.
 fn fail_gang(cell: &mut Cell, now: u64, first_seq: u64, gang: &[(Name, StartOrder)]) {
     let workers: BTreeSet<&Name> = gang.iter().map(|(worker, _)| worker).collect();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -411,6 +411,35 @@
     cluster.await_state(1, path, "completed").await;
 }
 
+/// Another writer left odd entries in the list of workers, and the processes that read it ended or did
+/// not follow it any more.
+#[tokio::test]
+async fn odd_entries_in_the_list_of_workers_stop_nobody() {
+    let cluster = Cluster::start(2, 2).await;
+    let listed = cluster.site.store.newest("keyed.servers");
+    let (_, entry) = listed.iter().next().expect("a worker");
+    let entry = String::from_utf8(entry.to_vec()).expect("text");
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let mut large: serde_json::Value = serde_json::from_str(&entry).expect("JSON");
+    large["capacity"]["cpu"] = json!(u64::MAX);
+    let odd = [
+        format!("{{\"labels\":{nested},{}", &entry[1..]),
+        format!("{{\"other\":{nested},{}", &entry[1..]),
+        large.to_string(),
+        entry.replacen("\"slots\":", "\"slots\":18446744073709551616,\"other\":", 1),
+        entry.replacen("127.", "127.0.0.1:99999/127.", 1),
+        nested,
+    ];
+    for (index, text) in odd.iter().enumerate() {
+        cluster.site.store.put("keyed.servers", &format!("odd-{index}"), text.as_bytes());
+    }
+    cluster.site.store.put("keyed.servers", "odd-bytes", b"\xff\xfe\x00");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let path = "/plain/00000000000000e1";
+    cluster.submit(0, path, &one_step("100", 4)).await;
+    cluster.await_state(1, path, "completed").await;
+}
+
 /// More ends than a worker lists at once.
 const MANY_ENDS: u32 = 700;
 
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -14,6 +14,7 @@
 use sprucerudder::platform::store::{decode_keyed, parse_page};
 use sprucerudder::platform::submit;
 use sprucerudder::platform::worker::parse_worker_entry;
+use sprucerudder::workload::{JobDefinitionError, MAX_ESTIMATE};
 use std::collections::BTreeMap;
 
 fn worker_entry() -> Value {
@@ -104,6 +105,54 @@
     }
 }
 
+/// An entry of another writer offered 2^64 - 1 thousandths of a core. The sum over a failure domain
+/// overflowed: it was wrong, or ended the process in a build with overflow checks.
+#[test]
+fn an_entry_with_more_resources_than_any_worker_has_is_rejected() {
+    for field in ["cpu", "mem_mb", "gpu"] {
+        for amount in [u64::MAX, 1 << 63, (1 << 32) + 1] {
+            let mut invalid = worker_entry();
+            invalid["capacity"][field] = json!(amount);
+            assert!(!is_valid(&invalid), "{field} {amount}");
+        }
+    }
+    let mut large = worker_entry();
+    large["capacity"]["cpu"] = json!(1_u64 << 32);
+    assert!(is_valid(&large));
+}
+
+/// Numbers that do not fit, and nesting that would exhaust the stack of a recursive decoder.
+#[test]
+fn an_entry_with_odd_values_is_rejected_or_read_without_them() {
+    let text = worker_entry().to_string();
+    let numbers = ["1e400", "18446744073709551616", "-1", "1.5"];
+    for number in numbers {
+        let odd = text.replacen("\"slots\":", &format!("\"slots\":{number},\"other\":"), 1);
+        assert!(parse_worker_entry("i-1".into(), odd.as_bytes()).is_err(), "{odd}");
+    }
+    let nested = format!("{}{}", "[".repeat(200_000), "]".repeat(200_000));
+    for field in ["labels", "capacity", "zone", "born", "remaining_ms", "unknown"] {
+        let odd = format!("{{\"{field}\":{nested},{}", &text[1..]);
+        let parsed = parse_worker_entry("i-1".into(), odd.as_bytes());
+        assert!(parsed.is_err() || field == "unknown", "{field}");
+    }
+}
+
+/// A caller's numbers overflowed in sums and products of the owner.
+#[test]
+fn jobs_with_impossible_numbers_are_rejected_or_bounded() {
+    let parse = |step: Value| submit::parse(json!({ "steps": [step] }).to_string().as_bytes());
+    let job = parse(json!({ "count": 1, "cpu": 10, "estimate_ms": 1e300 })).expect("a job");
+    assert_eq!(job.steps[0].estimate, MAX_ESTIMATE);
+    assert_eq!(job.validate(), Ok(()));
+    for field in ["cpu", "mem_mb", "gpu"] {
+        let mut step = json!({ "count": 1, "cpu": 10 });
+        step[field] = json!(u64::MAX);
+        let job = parse(step).expect("a job");
+        assert_eq!(job.validate(), Err(JobDefinitionError::TooLarge(0)), "{field}");
+    }
+}
+
 #[test]
 fn malformed_entry_bytes_are_rejected() {
     for bytes in [&b""[..], b"{", b"null", b"[]", b"7", b"\xff\xfe{}", b"{\"service\":\"\xff\"}"] {
