--- a/tests/node.rs
+++ b/tests/node.rs
@@ -316,6 +316,29 @@
     assert!(starts.values().all(|count| *count == 1), "{starts:?}");
 }
 
+/// An owner behind a partition answered that a job of its successor does not exist, and a caller took
+/// that for the end of a job that ran on.
+#[tokio::test]
+async fn an_owner_that_may_have_been_replaced_does_not_answer_callers() {
+    let cluster = Cluster::start(2, 2).await;
+    let owner = cluster.owner().await;
+    let other = (0..2).find(|entry| *entry != owner).unwrap();
+    // The owner cannot rule out that the other entry can read the log and claims the cell.
+    signal(&cluster.entries[&other], Signal::SIGSTOP);
+    cluster.site.store.set(Faults { refuses: true, ..Faults::default() });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let path = "/plain/00000000000000cb";
+    for method in [Method::GET, Method::DELETE] {
+        let answer = cluster.call(owner, method.clone(), path, "").await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{method}");
+        assert!(answer.headers.contains_key("Retry-After"));
+    }
+    cluster.site.store.set(Faults::default());
+    signal(&cluster.entries[&other], Signal::SIGCONT);
+    cluster.submit(owner, path, &one_step("50", 2)).await;
+    cluster.await_state(other, path, "completed").await;
+}
+
 #[tokio::test]
 async fn a_planned_stop_of_the_owner_loses_no_request() {
     let mut cluster = Cluster::start(4, 3).await;
