--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -403,12 +403,13 @@
         (self.owner_heard, self.readable_since, self.last_read) = (now, now, Some(now));
     }
 
-    /// Records an attempt to connect to the owner of `epoch`. Returns whether its process is known to
-    /// be gone.
+    /// Records an attempt to connect to the owner of `epoch`. Returns whether it was the first to show
+    /// that the owner's process is gone.
     pub fn record_contact(&mut self, epoch: u64, contact: Contact) -> bool {
         let is_gone = contact.proves_end() && self.epoch() == epoch;
+        let is_first = is_gone && !self.owner_absent;
         self.owner_absent = self.owner_absent || is_gone;
-        is_gone
+        is_first
     }
 
     /// Decides whether to claim the cell now. Returns the offset at which the log must end for the
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -85,6 +85,8 @@
     fn record_contact(&self, leader: &Leader, contact: Contact) {
         if lock(&self.election).record_contact(leader.epoch, contact) {
             log::info!("event=owner-gone owner={} epoch={}", leader.owner, leader.epoch);
+        }
+        if contact.proves_end() {
             self.claim_wake.notify_one();
         }
     }
