--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -1,7 +1,8 @@
 //! State changes of jobs and of their runs: restored, opened, stopped, abandoned, closed,
 //! forgotten.
 
-use crate::cell::jobs::job::{Job, StoredPiece, TaskStatus};
+use crate::cell::jobs::job::{Job, StoredPiece};
+use crate::cell::jobs::step::TaskStatus;
 use crate::cell::records::journal::{JobOutcome, JobRecord, Progress, Snapshot, WorkerRecord};
 use crate::cell::records::pieces::PieceKey;
 use crate::cell::workers::roster::ENDED_INCARNATION_RETENTION;
--- a/src/cell/jobs/mod.rs
+++ b/src/cell/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs from acceptance to completion, and why their steps wait.
 //!
-//! - `job`: the state of one job, its steps and its tasks.
+//! - `job`: the state of one job.
+//! - `step`: the state of a step and of its tasks.
 //! - `repetitions`: opening the repetitions of jobs as they come due.
 //! - `repetition_set`: a set of repetitions.
 //! - `memory`: the memory that jobs take, and its limit.
@@ -17,5 +18,6 @@
 pub mod repetition_set;
 pub mod repetitions;
 pub mod restart_policy;
+pub mod step;
 pub mod wait;
 pub mod wait_reason;
--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -1,7 +1,7 @@
 //! Selection of workers for a task or a gang among those with enough free resources.
 
-use crate::cell::jobs::job::Task;
 use crate::cell::jobs::restart_policy::needs_stable_worker;
+use crate::cell::jobs::step::Task;
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -1,8 +1,9 @@
 //! The scheduling pass: places the tasks of waiting steps on workers, and sends the start orders.
 
 use crate::cell::advice::request::MIN_TICKET_VALIDITY;
-use crate::cell::jobs::job::{Job, StepState};
+use crate::cell::jobs::job::Job;
 use crate::cell::jobs::restart_policy::{is_held_back, needs_stable_worker};
+use crate::cell::jobs::step::StepState;
 use crate::cell::jobs::wait_reason::WaitReason;
 use crate::cell::mechanism::Mechanism;
 use crate::cell::placing::candidate::{
--- a/src/cell/placing/stability.rs
+++ b/src/cell/placing/stability.rs
@@ -4,8 +4,8 @@
 //! it. Such crashes are no evidence against the task, but would be counted against it and end its job.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::StepState;
 use crate::cell::jobs::restart_policy::needs_stable_worker;
+use crate::cell::jobs::step::StepState;
 use crate::cell::placing::candidate::Candidate;
 use crate::clock::Millis;
 use crate::workload::{Step, StepKey};
--- a/src/cell/records/pieces.rs
+++ b/src/cell/records/pieces.rs
@@ -5,7 +5,8 @@
 //! a piece is written when one of its tasks has changed. Pieces may reach the store in different
 //! appends, because the states of different tasks do not depend on each other.
 
-use crate::cell::jobs::job::{Job, PIECE_TASKS};
+use crate::cell::jobs::job::Job;
+use crate::cell::jobs::step::PIECE_TASKS;
 use crate::cell::records::journal::{StepProgress, TaskCrashes, TaskProgress, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -6,7 +6,8 @@
 //! of the workspace until it has heard the workers.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::{Job, PIECE_TASKS, TaskStatus};
+use crate::cell::jobs::job::Job;
+use crate::cell::jobs::step::{PIECE_TASKS, TaskStatus};
 use crate::cell::records::journal::{self, UnassignedRun};
 use crate::cell::records::pieces::{PieceKey, split_unassigned};
 use crate::cell::workers::run::{Phase, Run};
--- a/src/cell/workers/drain.rs
+++ b/src/cell/workers/drain.rs
@@ -5,7 +5,7 @@
 //! when the others of its step run and a worker elsewhere has room for it.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::StepState;
+use crate::cell::jobs::step::StepState;
 use crate::cell::placing::candidate::is_suitable;
 use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::worker::Worker;
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -1,7 +1,7 @@
 //! Reports of workers: runs that go on, runs that ended, and throttling of filler tasks beside
 //! tasks that serve requests.
 
-use crate::cell::jobs::job::TaskStatus;
+use crate::cell::jobs::step::TaskStatus;
 use crate::cell::records::journal::JobOutcome;
 use crate::cell::workers::roster::RemovalReason;
 use crate::cell::workers::run::{Phase, Run};
