Records: one function for records of pieces; say why a key of a piece is unreadable

The errors of parsing a piece's key were dropped. The log line of the skipped record now has the reason. A piece outside its step, which cannot be, is logged too. Comments name the thing that they speak of.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -71,7 +71,7 @@
     /// Whether `finished` has changed since it was last recorded.
     pub finished_changed: bool,
     /// The store has the record that shows that tasks of a job with pieces were assigned.
-    pub is_marked: bool,
+    pub has_placed_record: bool,
     /// The pieces that have records in the store.
     pub stored_pieces: BTreeMap<PieceKey, StoredPiece>,
     /// The memory that the job is charged for, in bytes; 0 if none is set aside for it.
@@ -102,7 +102,7 @@
             open: BTreeMap::new(),
             finished: RepetitionSet::default(),
             finished_changed: false,
-            is_marked: false,
+            has_placed_record: false,
             stored_pieces: BTreeMap::new(),
             charged_bytes: 0,
             next_repetition: 0,
@@ -280,7 +280,7 @@
 
     /// The stored record of the job's progress, from which another owner can continue.
     ///
-    /// That of a job with pieces is empty, and only shows that a task was assigned.
+    /// A job with pieces has an empty record, which only shows that a task was assigned.
     pub fn progress(&self) -> Progress {
         if self.has_pieces() {
             return Progress::default();
@@ -305,7 +305,7 @@
 
     /// The stored records of worker crashes, for each task that has any.
     ///
-    /// Those of a job with pieces are in the records of these.
+    /// A job with pieces has its crashes in the records of the pieces.
     pub fn crash_records(&self) -> Vec<TaskCrashes> {
         if self.has_pieces() {
             return Vec::new();
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -50,7 +50,7 @@
                 JobRecord::Closed { queue, outcome } => {
                     let job = Job::ended(self.queue_or_placeholder(queue), outcome, now);
                     let mut job = Job { workspace, ..job };
-                    // Some records of an open job may have been deleted in a later append.
+                    // An owner that ended between two appends may have left records of the open job.
                     job.has_progress = snapshot.progress.contains_key(&key);
                     job.has_crashes = snapshot.crashes.contains_key(&key);
                     job.has_finished = snapshot.finished.contains_key(&key);
--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -147,11 +147,18 @@
         record
     }
 
-    /// The tasks of a piece, with the index of the first one.
+    /// The index of the first task of a piece, and its tasks.
     fn piece_tasks(&self, number: u32) -> (u32, &[Task]) {
         let first = number * PIECE_TASKS;
         let end = self.tasks.len().min((first + PIECE_TASKS) as usize);
-        (first, self.tasks.get(first as usize..end).unwrap_or_default())
+        match self.tasks.get(first as usize..end) {
+            Some(tasks) => (first, tasks),
+            None => {
+                // Unreachable, as pieces are numbered by the indexes of changed tasks.
+                log::error!("event=piece-unknown number={number} tasks={}", self.tasks.len());
+                (first, &[])
+            }
+        }
     }
 
     /// The stored record of the progress of a piece.
--- a/src/cell/owner/authority.rs
+++ b/src/cell/owner/authority.rs
@@ -60,7 +60,7 @@
 /// The state from which an owner derives whether it may still act as the owner.
 #[derive(Debug)]
 pub struct Authority {
-    /// This entry.
+    /// The name of the owner.
     me: Name,
     /// When the newest heartbeat that reached the log was sent.
     last_heartbeat: Millis,
@@ -107,7 +107,7 @@
         }
     }
 
-    /// What the heartbeat that is sent at `now` tells of the entries that may claim the cell.
+    /// The claimants as the heartbeat that is sent at `now` names them.
     pub fn claimants(&self, now: Millis) -> ClaimantUpdate {
         let is_alone = self.peers.is_empty() && now.since(self.created_at) < FIRST_CLAIMANTS_DELAY;
         if self.named.is_none() && is_alone {
@@ -279,7 +279,7 @@
     fn excludes_claims(&self, now: Millis) -> bool {
         let is_unable =
             |peer: &Peer| !peer.log_readable && now.since(peer.last_seen) < PEER_REPORT_TTL;
-        // Those that the log names are the ones that counted at the last heartbeat.
+        // The log names the entries that counted at the last heartbeat.
         let counted_at = self.last_heartbeat;
         let expected = if now < self.expected_peers.1 { self.expected_peers.0 } else { 0 };
         self.named.is_some()
--- a/src/cell/owner/claimants.rs
+++ b/src/cell/owner/claimants.rs
@@ -52,27 +52,27 @@
     hash(&[entry.as_bytes()]) as u32
 }
 
-/// What a record of the election tells of the entries that may claim the cell.
+/// The claimants as a record of the election names them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimantUpdate {
-    /// Any entry may, because the owner does not know the others yet and relies on none.
+    /// Every entry may claim the cell: the owner does not know the others yet and relies on none.
     #[default]
     Any,
-    /// Those of an earlier record of the owner.
+    /// The claimants are those of an earlier record of the owner.
     Unchanged,
-    /// Only these.
+    /// The claimants are these entries.
     Only(Claimants),
 }
 
-/// What an entry knows of the entries that may claim the cell.
+/// The claimants of a cell as far as an entry knows them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum KnownClaimants {
-    /// Any entry may.
+    /// Every entry may claim the cell.
     #[default]
     Any,
     /// The record that names them was not read.
     Unread,
-    /// Only these.
+    /// The claimants are these entries.
     Only(Claimants),
 }
 
--- a/src/cell/owner/contact.rs
+++ b/src/cell/owner/contact.rs
@@ -1,9 +1,9 @@
-//! What an attempt to connect to the owner of a cell shows of its process.
+//! The evidence of an attempt to connect to the owner of a cell.
 
 /// The outcome of an attempt to connect to an owner that did not lead to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Contact {
-    /// Nobody answered in time.
+    /// The connection was not accepted in time.
     Silent,
     /// The connection was refused or reset.
     Refused,
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -3,7 +3,7 @@
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::{Job, StoredPiece};
-use crate::cell::records::journal::{self, Batch, JobRecord, WorkerRecord};
+use crate::cell::records::journal::{self, Batch, JobRecord, PieceKind, WorkerRecord};
 use crate::cell::records::pieces::PieceRecords;
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
@@ -194,7 +194,7 @@
     // For the same reason the pieces come before the record that an earlier version may have
     // written for the whole job.
     write_pieces(key, job, records);
-    if job.has_pieces() && std::mem::replace(&mut job.is_marked, true) {
+    if job.has_pieces() && std::mem::replace(&mut job.has_placed_record, true) {
         return;
     }
     let progress = job.progress();
@@ -214,13 +214,14 @@
 /// Appends the records of the pieces of a job that have changed, and deletes those without content.
 fn write_pieces(key: JobKey, job: &mut Job, records: &mut Vec<(String, Vec<u8>)>) {
     for PieceRecords { key: piece, progress, crashes } in job.take_changed_pieces() {
+        // A piece that was never written has no records in the store.
         let stored = job.stored_pieces.remove(&piece).unwrap_or_default();
         let kept = StoredPiece { progress: progress.is_some(), crashes: crashes.is_some() };
         if kept.progress || stored.progress {
-            records.push(journal::put_progress_piece(key, piece, progress.as_ref()));
+            records.push(journal::put_piece(key, PieceKind::Progress, piece, progress.as_ref()));
         }
         if kept.crashes || stored.crashes {
-            records.push(journal::put_crash_piece(key, piece, crashes.as_ref()));
+            records.push(journal::put_piece(key, PieceKind::Crashes, piece, crashes.as_ref()));
         }
         if kept != StoredPiece::default() {
             job.stored_pieces.insert(piece, kept);
--- a/src/cell/records/journal.rs
+++ b/src/cell/records/journal.rs
@@ -205,6 +205,38 @@
     pub lease_bounds: LeaseBounds,
 }
 
+/// The content of the record of a piece.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PieceKind {
+    /// The progress of the tasks.
+    Progress,
+    /// The crashes of workers that ran the tasks.
+    Crashes,
+    /// The unassigned runs.
+    UnassignedRuns,
+}
+
+impl PieceKind {
+    const ALL: [Self; 3] = [Self::Progress, Self::Crashes, Self::UnassignedRuns];
+
+    /// The suffix of a job's key, which is followed by a point and the key of the piece.
+    fn suffix(self) -> &'static str {
+        match self {
+            Self::Progress => PROGRESS_SUFFIX,
+            Self::Crashes => CRASHES_SUFFIX,
+            Self::UnassignedRuns => UNASSIGNED_RUNS_SUFFIX,
+        }
+    }
+
+    /// Splits the suffix of a record of a piece into its kind and the text of the piece's key.
+    fn split(suffix: &str) -> Option<(Self, &str)> {
+        Self::ALL.into_iter().find_map(|kind| {
+            let piece = suffix.strip_prefix(kind.suffix())?.strip_prefix('.')?;
+            Some((kind, piece))
+        })
+    }
+}
+
 /// Splits a key into the job that it belongs to and the suffix that tells the kind of record.
 /// Returns `None` for a record of the cell itself or an unknown key.
 pub fn parse_key(key: &str) -> Option<(JobKey, &str)> {
@@ -232,31 +264,15 @@
     (format!("{key}{PROGRESS_SUFFIX}"), encode(progress))
 }
 
-/// Creates the record of the progress of a piece, or deletes it.
-pub fn put_progress_piece(
-    key: JobKey,
-    piece: PieceKey,
-    progress: Option<&PieceProgress>,
-) -> (String, Vec<u8>) {
-    (format!("{key}{PROGRESS_SUFFIX}.{piece}"), progress.map_or_else(Vec::new, encode))
-}
-
-/// Creates the record of the worker crashes during the tasks of a piece, or deletes it.
-pub fn put_crash_piece(
-    key: JobKey,
-    piece: PieceKey,
-    crashes: Option<&Vec<TaskCrashes>>,
-) -> (String, Vec<u8>) {
-    (format!("{key}{CRASHES_SUFFIX}.{piece}"), crashes.map_or_else(Vec::new, encode))
-}
-
-/// Creates the record of the unassigned runs of a piece, or deletes it.
-pub fn put_unassigned_piece(
+/// Creates the record of a piece, or deletes it if there is no content.
+pub fn put_piece<T: Serialize>(
     key: JobKey,
+    kind: PieceKind,
     piece: PieceKey,
-    runs: Option<&Vec<UnassignedRun>>,
+    content: Option<&T>,
 ) -> (String, Vec<u8>) {
-    (format!("{key}{UNASSIGNED_RUNS_SUFFIX}.{piece}"), runs.map_or_else(Vec::new, encode))
+    let value = content.map_or_else(Vec::new, encode);
+    (format!("{key}{}.{piece}", kind.suffix()), value)
 }
 
 /// Creates the record of a job's finished repetitions.
@@ -385,15 +401,22 @@
         suffix: &str,
         value: &[u8],
     ) -> Result<(), postcard::Error> {
-        let piece = |kind: &str| suffix.strip_prefix(kind)?.strip_prefix('.')?.parse().ok();
-        match (piece(PROGRESS_SUFFIX), piece(CRASHES_SUFFIX), piece(UNASSIGNED_RUNS_SUFFIX)) {
-            (Some(piece), ..) => apply_to(&mut self.progress_pieces, (job, piece), value),
-            (_, Some(piece), _) => apply_to(&mut self.crash_pieces, (job, piece), value),
-            (.., Some(piece)) => apply_to(&mut self.unassigned_pieces, (job, piece), value),
-            (None, None, None) => {
-                log::warn!("event=record-unknown key={key}");
-                Ok(())
+        // A newer version may store other records, which are skipped.
+        let Some((kind, text)) = PieceKind::split(suffix) else {
+            log::warn!("event=record-unknown key={key}");
+            return Ok(());
+        };
+        let piece: PieceKey = match text.parse() {
+            Ok(piece) => piece,
+            Err(err) => {
+                log::warn!("event=record-unknown key={key} error={err}");
+                return Ok(());
             }
+        };
+        match kind {
+            PieceKind::Progress => apply_to(&mut self.progress_pieces, (job, piece), value),
+            PieceKind::Crashes => apply_to(&mut self.crash_pieces, (job, piece), value),
+            PieceKind::UnassignedRuns => apply_to(&mut self.unassigned_pieces, (job, piece), value),
         }
     }
 
--- a/src/cell/records/pieces.rs
+++ b/src/cell/records/pieces.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::num::ParseIntError;
 use std::str::FromStr;
+use thiserror::Error;
 
 /// Identifies a piece of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,8 +27,15 @@
 }
 
 /// A text is not the key of a piece.
-#[derive(Debug, PartialEq, Eq)]
-pub struct ParsePieceError;
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum ParsePieceError {
+    /// There are not three parts.
+    #[error("{0:?} does not have the three parts of the key of a piece")]
+    Parts(String),
+    /// A part is not a number, or one that is too large.
+    #[error("a part of the key of a piece is invalid: {0}")]
+    Number(#[from] ParseIntError),
+}
 
 impl fmt::Display for PieceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -38,14 +47,14 @@
     type Err = ParsePieceError;
 
     fn from_str(s: &str) -> Result<Self, ParsePieceError> {
-        let mut parts = s.split('.');
-        let mut next = || parts.next().ok_or(ParsePieceError);
-        let repetition = next()?.parse().map_err(|_| ParsePieceError)?;
-        let step = next()?.parse().map_err(|_| ParsePieceError)?;
-        let number = next()?.parse().map_err(|_| ParsePieceError)?;
-        match parts.next() {
-            None => Ok(Self { repetition, step, number }),
-            Some(_) => Err(ParsePieceError),
+        let parts: Vec<&str> = s.split('.').collect();
+        match parts.as_slice() {
+            [repetition, step, number] => Ok(Self {
+                repetition: repetition.parse()?,
+                step: step.parse()?,
+                number: number.parse()?,
+            }),
+            _ => Err(ParsePieceError::Parts(s.to_string())),
         }
     }
 }
--- a/src/cell/records/unassigned.rs
+++ b/src/cell/records/unassigned.rs
@@ -8,7 +8,7 @@
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
 use crate::cell::jobs::step::{PIECE_TASKS, TaskStatus};
-use crate::cell::records::journal::{self, UnassignedRun};
+use crate::cell::records::journal::{self, PieceKind, UnassignedRun};
 use crate::cell::records::pieces::{PieceKey, split_unassigned};
 use crate::cell::workers::run::{Phase, Run};
 use crate::clock::Millis;
@@ -115,7 +115,8 @@
     let (before, after) = (pieces(stored), pieces(runs));
     let keys: BTreeSet<PieceKey> = before.keys().chain(after.keys()).copied().collect();
     for piece in keys.into_iter().filter(|piece| before.get(piece) != after.get(piece)) {
-        records.push(journal::put_unassigned_piece(key, piece, after.get(&piece)));
+        let runs = after.get(&piece);
+        records.push(journal::put_piece(key, PieceKind::UnassignedRuns, piece, runs));
     }
     let whole = if is_whole(runs) { runs } else { &[] };
     if !(stored.is_empty() && runs.is_empty()) && (is_whole(stored) || is_whole(runs)) {
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -274,8 +274,8 @@
         Extension { cpu, successor: None, owner_state, claimants: ClaimantUpdate::Any }
     }
 
-    /// What a heartbeat of this entry tells of the entries that may claim the cell. During the
-    /// takeover these are the ones that the claim named.
+    /// The claimants as a heartbeat of this entry names them. During the takeover the ones that the
+    /// claim named stay.
     fn claimants(&self, epoch: u64, now: Millis) -> ClaimantUpdate {
         match self.local_owner_in(epoch) {
             Some(owner) => owner.claimants(now),
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -216,7 +216,7 @@
         self.end();
     }
 
-    /// What the heartbeat that is sent at `now` tells of the entries that may claim the cell.
+    /// The claimants as the heartbeat that is sent at `now` names them.
     pub fn claimants(&self, now: Millis) -> ClaimantUpdate {
         lock(&self.authority).claimants(now)
     }
--- a/src/node/owner/requests.rs
+++ b/src/node/owner/requests.rs
@@ -29,7 +29,7 @@
         if self.has_ended() || is_stale {
             return OwnerMessage::Refused(RefusalReason::NotOwner);
         }
-        // Another entry may own the cell, and know jobs that this one does not.
+        // A successor may own the cell by now, and know jobs that this owner does not.
         if message.is_from_caller() && !self.has_authority() {
             return OwnerMessage::Refused(RefusalReason::StoreUnavailable);
         }
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -263,3 +263,13 @@
     snapshot.apply(&key, b"").unwrap();
     assert!(snapshot.worker_starts.is_empty());
 }
+
+#[test]
+fn the_record_of_a_piece_with_an_unreadable_key_is_skipped() {
+    let mut snapshot = Snapshot::default();
+    let job = "00000000000000c1";
+    for suffix in [".p.0.0", ".p.0.0.1.2", ".p.0.x.1", ".c.0.70000.1", ".r.-1.0.0", ".q.0.0.0"] {
+        assert_eq!(snapshot.apply(&format!("{job}{suffix}"), b"\x01"), Ok(()), "{suffix}");
+    }
+    assert_eq!(snapshot, Snapshot::default());
+}
