Tests: one log for the two searches of elections, one queue for tests of owners

tests/partitions.rs repeated the log, the reads and the appends of tests/capacity.rs; both use tests/elections now. The queue of three tests is one. Election::next_claimants gives what a claim names, in place of three conversions of the same value.

The heartbeat at 58 s keeps what the assertion is about, that silent entries count for a minute; two assertions are added, just before the minute is over, and without the heartbeat.

--- a/src/cell/owner/election.rs
+++ b/src/cell/owner/election.rs
@@ -5,7 +5,7 @@
 //! determines its epoch.
 
 use crate::cell::owner::claim_record::Extension;
-use crate::cell::owner::claimants::{Claimants, KnownClaimants, MAX_RELIANCE};
+use crate::cell::owner::claimants::{ClaimantUpdate, Claimants, KnownClaimants, MAX_RELIANCE};
 use crate::cell::owner::contact::Contact;
 use crate::cell::owner::history::OwnerHistory;
 pub use crate::cell::owner::leader::{ElectionRecord, Leader};
@@ -279,10 +279,10 @@
         &self.history
     }
 
-    /// The entries that this one has to count as the next owner, as it tells in its claim; `None` if
-    /// they are unknown.
-    pub fn next_claimants(&self) -> Option<Claimants> {
-        self.claimants.inherit(&self.me.name)
+    /// The claimants as a claim of this entry names them.
+    pub fn next_claimants(&self) -> ClaimantUpdate {
+        let inherited = self.claimants.inherit(&self.me.name);
+        inherited.map_or(ClaimantUpdate::Any, ClaimantUpdate::Only)
     }
 
     /// The entries that this one has to count since its last claim; `None` if they are unknown.
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -212,7 +212,6 @@
         let record = ElectionRecord::Claim { owner, addr };
         let cell = self.cell;
         let claimants = lock(&self.election).next_claimants();
-        let claimants = claimants.map_or(ClaimantUpdate::Any, ClaimantUpdate::Only);
         let extension = Extension { claimants, ..self.extension(OwnerState::default()) };
         let claimed = self.append_claim(end, &record, extension, APPEND_TIMEOUT).await;
         match &claimed {
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -1,6 +1,9 @@
 //! A search over elections among entries of unequal CPU, on a virtual clock: several state machines
 //! of the election and of the owners' authority over one log.
 
+mod elections;
+
+use elections::{APPEND_TIME, Append, Log, take_arrived};
 use sprucerudder::cell::owner::authority::Authority;
 use sprucerudder::cell::owner::claim_record::Extension;
 use sprucerudder::cell::owner::claimants::ClaimantUpdate;
@@ -15,8 +18,6 @@
 const SMALL: u32 = 120;
 /// The virtual time between two steps of the simulation.
 const STEP: u64 = 10;
-/// How long an append is on its way to the log.
-const APPEND_TIME: u64 = 20;
 /// An owner whose last heartbeat is older accepts no jobs.
 const HEARTBEAT_MAX_AGE: Millis = Millis(1_000);
 /// How long after the last fault a large enough entry must own the cell, by docs/design/hard-load.md.
@@ -40,8 +41,7 @@
     owner: Option<Ownership>,
     last_epoch: u64,
     next_check: u64,
-    /// An append that is on its way: when it arrives, the end that it requires, and the record.
-    pending: Option<(u64, u64, ElectionRecord, Extension)>,
+    pending: Option<Append>,
     /// Until when each fault lasts.
     dead: u64,
     cut: u64,
@@ -82,7 +82,7 @@
         let successor = successor.map(Into::into);
         let extension = Extension { cpu: self.cpu, successor, claimants, ..Extension::default() };
         let end = self.election.next_offset();
-        self.pending = Some((now + APPEND_TIME, end, record, extension));
+        self.pending = Some(Append { sent: now, end, record, extension });
     }
 
     /// The period of what this entry does, which is longer while it is overloaded. The load is more
@@ -97,11 +97,9 @@
 /// A deployment with one cell.
 struct World {
     now: u64,
-    log: Vec<(u64, ElectionRecord, Extension)>,
+    log: Log,
     entries: Vec<Entry>,
     store_down: u64,
-    /// The first offset that the store still has.
-    first: u64,
     prefers_capacity: bool,
 }
 
@@ -112,8 +110,7 @@
         for entry in &mut entries {
             entry.election.set_prefers_capacity(prefers_capacity);
         }
-        let (log, now) = (Vec::new(), 0);
-        Self { now, log, entries, store_down: 0, first: 0, prefers_capacity }
+        Self { now: 0, log: Log::default(), entries, store_down: 0, prefers_capacity }
     }
 
     fn reaches_store(&self, index: usize) -> bool {
@@ -157,7 +154,7 @@
                     self.step(index);
                 }
             }
-            let log = &self.log;
+            let log = &self.log.records;
             assert!(self.acting() <= 1, "two owners at {}: {:?}", self.now, log.last_chunk::<4>());
         }
     }
@@ -176,39 +173,26 @@
         if !self.reaches_store(index) {
             return;
         }
-        let (now, entry) = (Millis(self.now), &mut self.entries[index]);
-        entry.election.skip_lost(now, self.first);
-        entry.election.caught_up(now);
-        for offset in entry.election.next_offset()..self.log.len() as u64 {
-            let (_, record, extension) = self.log[offset as usize].clone();
-            entry.election.apply_extended(now, offset, record, extension);
-        }
+        self.log.read_into(&mut self.entries[index].election, self.now);
     }
 
     /// Appends what has arrived at the log, if the log still ends where the append requires it.
     fn deliver(&mut self, index: usize) {
-        let is_due = self.entries[index].pending.as_ref().is_some_and(|one| self.now >= one.0);
-        let Some((_, end, record, extension)) = self.entries[index].pending.take_if(|_| is_due)
-        else {
-            return;
-        };
+        let Some(append) = take_arrived(&mut self.entries[index].pending, self.now) else { return };
         if !self.reaches_store(index) {
             if let Some(owner) = &mut self.entries[index].owner {
                 owner.authority.record_store_failure(Millis(self.now));
             }
             return;
         }
-        let actual = self.log.len() as u64;
-        let is_claim = matches!(record, ElectionRecord::Claim { .. });
-        if end == actual {
-            self.log.push((self.now, record.clone(), extension.clone()));
-            let (now, entry) = (Millis(self.now), &mut self.entries[index]);
-            let claimants = extension.claimants.clone();
-            entry.election.apply_extended(now, end, record, extension);
+        let (now, actual) = (Millis(self.now), self.log.end());
+        let entry = &mut self.entries[index];
+        if self.log.accept(&append, &mut entry.election, self.now) {
             if let Some(owner) = &mut entry.owner {
+                let claimants = append.extension.claimants;
                 owner.authority.confirm_claimants(now - Millis(APPEND_TIME), claimants);
             }
-        } else if is_claim {
+        } else if append.is_claim() {
             self.entries[index].election.record_mismatch(actual);
             self.read(index);
             self.entries[index].next_check = self.now;
@@ -216,9 +200,9 @@
             owner.next_heartbeat = self.now + 20;
         } else {
             // The record that gives up the cell.
-            let successor = extension.successor;
+            let successor = append.extension.successor;
             self.read(index);
-            self.entries[index].append(self.now, record, successor.as_deref());
+            self.entries[index].append(self.now, append.record, successor.as_deref());
         }
     }
 
@@ -261,8 +245,7 @@
         entry.next_check = now + 150 + 10 * index as u64;
         if entry.election.try_claim(Millis(now)).is_some() {
             let owner = entry.id.clone();
-            let named = entry.election.next_claimants();
-            let claimants = named.map_or(ClaimantUpdate::Any, ClaimantUpdate::Only);
+            let claimants = entry.election.next_claimants();
             let record = ElectionRecord::Claim { owner, addr: "1.2.3.4:5".into() };
             entry.append_naming(now, record, None, claimants);
         }
@@ -359,7 +342,7 @@
     fn overload_count(&self) -> usize {
         let is_overload =
             |record: &ElectionRecord| matches!(record, ElectionRecord::Overloaded { .. });
-        self.log.iter().filter(|(_, record, _)| is_overload(record)).count()
+        self.log.records.iter().filter(|(record, _)| is_overload(record)).count()
     }
 }
 
@@ -375,12 +358,11 @@
     while world.serving().is_none() {
         world.run_until(world.now + STEP);
         for (index, entry) in world.entries.iter().enumerate() {
-            let is_claiming =
-                matches!(entry.pending, Some((_, _, ElectionRecord::Claim { .. }, _)));
+            let is_claiming = entry.pending.as_ref().is_some_and(Append::is_claim);
             if is_claiming && entry.cpu == LARGE && disturbed.insert(index) {
                 // An append that was delayed. It is of an earlier epoch and changes nothing.
                 let late = ElectionRecord::Release { epoch: epoch - 1 };
-                world.log.push((world.now, late, Extension::default()));
+                world.log.records.push((late, Extension::default()));
             }
         }
     }
@@ -417,7 +399,7 @@
             1 => world.entries[victim].cut = until,
             2 => world.entries[victim].overloaded = until + 3_000,
             3 => world.store_down = until,
-            4 => world.first = world.log.len() as u64,
+            4 => world.log.lose_records(),
             // The store rejects a third of the entries at the most. Owners depend on that.
             _ if world.entries.iter().any(|entry| world.now < entry.rejected) => {}
             _ => (0..2).for_each(|index| world.entries[(victim + index) % 6].rejected = until),
--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -3,14 +3,15 @@
 #![allow(dead_code, reason = "no test uses all of these helpers")]
 
 #[path = "../rows/mod.rs"]
-mod rows;
+pub mod rows;
 pub mod series;
 
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::{Cell, CellConfig};
 use sprucerudder::clock::Millis;
 use sprucerudder::order::WorkerInfo;
-use sprucerudder::workload::Resources;
+use sprucerudder::workload::{Queue, Resources};
+use std::sync::Arc;
 
 /// The settings of a cell in which these mechanisms are disabled.
 pub fn config(disabled: DisabledMechanisms) -> CellConfig {
@@ -23,6 +24,19 @@
     }
 }
 
+/// A queue whose tasks may start twice.
+pub fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "q".into(),
+        service: "s".into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1_500,
+        target: Millis(250),
+        advice: None,
+    })
+}
+
 /// A worker in the list.
 pub fn listed_worker(index: usize, domain: &str, capacity: Resources) -> WorkerInfo {
     let id = format!("w{index}");
--- a/tests/cells/series.rs
+++ b/tests/cells/series.rs
@@ -1,29 +1,16 @@
 //! A series of owners over one store, with workers that run what they are told.
 
-use super::{config, listed_worker, rows};
+use super::{config, listed_worker, queue, rows};
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::records::journal::{JobOutcome, Snapshot};
 use sprucerudder::cell::{Action, Cell, CellConfig, JobState};
 use sprucerudder::clock::Millis;
 use sprucerudder::id::Name;
 use sprucerudder::order::{EndReason, EndedTask, OrderOutcome, WorkerInfo, WorkerReport};
-use sprucerudder::workload::{JobDefinition, JobKey, Queue, Resources, Step, TaskKey};
+use sprucerudder::workload::{JobDefinition, JobKey, Resources, Step, TaskKey};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-/// A queue.
-pub fn queue() -> Arc<Queue> {
-    Arc::new(Queue {
-        name: "q".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1_500,
-        target: Millis(250),
-        advice: None,
-    })
-}
-
 /// A job of one step, whose first repetition is due at 1,000.
 pub fn repeating(count: u32, repetitions: u32, interval: u64) -> Arc<JobDefinition> {
     let resources = Resources { cpu: 10, mem: 1, gpu: 0 };
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -3,6 +3,9 @@
 //! Starts are decided, wait for the store, queue for a worker and are sent by different tasks of the
 //! owner. A drained domain that only placement knows would still get what was decided before.
 
+mod cells;
+
+use cells::queue;
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::records::journal::Snapshot;
 use sprucerudder::cell::{Action, Cell, CellConfig};
@@ -10,7 +13,7 @@
 use sprucerudder::id::Name;
 use sprucerudder::order::{OrderOutcome, StartOrder, WorkerInfo, WorkerReport};
 use sprucerudder::platform::config::drained_domain;
-use sprucerudder::workload::{JobDefinition, JobKey, Queue, Resources, Step, TaskKey};
+use sprucerudder::workload::{JobDefinition, JobKey, Resources, Step, TaskKey};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -47,16 +50,7 @@
         disabled: DisabledMechanisms::default(),
         memory: None,
     };
-    let queue = Queue {
-        name: "q".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1_500,
-        target: Millis(250),
-        advice: None,
-    };
-    let queues = HashMap::from([("q".into(), Arc::new(queue))]);
+    let queues = HashMap::from([("q".into(), queue())]);
     Cell::new(epoch, config, queues, snapshot, false, Millis(0))
 }
 
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -5,10 +5,12 @@
 //! Guards against two owners at once: no earlier owner may act once another entry has claimed the
 //! cell, because leases that it renews then outlive what the new owner assumes.
 
+mod elections;
+
+use elections::{Append, Log, take_arrived};
 use fastrand::Rng;
 use sprucerudder::cell::owner::authority::Authority;
 use sprucerudder::cell::owner::claim_record::Extension;
-use sprucerudder::cell::owner::claimants::ClaimantUpdate;
 use sprucerudder::cell::owner::contact::Contact;
 use sprucerudder::cell::owner::election::{Election, ElectionRecord};
 use sprucerudder::clock::Millis;
@@ -17,8 +19,6 @@
 
 /// The virtual time between two steps of the simulation.
 const STEP: u64 = 10;
-/// How long an append is on its way to the log.
-const APPEND_TIME: u64 = 20;
 const HEARTBEAT_INTERVAL: u64 = 400;
 const PING_INTERVAL: u64 = 150;
 /// A connection on which nothing is received for this long is closed.
@@ -51,8 +51,7 @@
     next_claim: u64,
     next_ping: u64,
     next_attempt: u64,
-    /// An append that is on its way: when it arrives, when it was sent, the end that it requires.
-    pending: Option<(u64, u64, u64, ElectionRecord, Extension)>,
+    pending: Option<Append>,
     /// When the newest record of this entry that reached the log was sent.
     heartbeat_sent: u64,
     dead_until: u64,
@@ -91,7 +90,7 @@
 struct World {
     rng: Rng,
     now: u64,
-    log: Vec<(ElectionRecord, Extension)>,
+    log: Log,
     entries: Vec<Entry>,
     partitions: Vec<Partition>,
     /// When the store serves nobody.
@@ -101,8 +100,6 @@
     newcomers: Vec<(u64, u64)>,
     /// When the store loses all records.
     losses: Vec<u64>,
-    /// The first offset that the store still has.
-    first: u64,
     trace: Vec<String>,
     takeovers: usize,
 }
@@ -118,14 +115,13 @@
         Self {
             rng: Rng::with_seed(seed),
             now: 0,
-            log: Vec::new(),
+            log: Log::default(),
             entries,
             partitions: Vec::new(),
             outages: Vec::new(),
             kills: Vec::new(),
             newcomers: Vec::new(),
             losses: Vec::new(),
-            first: 0,
             trace: Vec::new(),
             takeovers: 0,
         }
@@ -177,7 +173,7 @@
             self.start_newcomers();
             if self.losses.contains(&self.now) {
                 self.note("the store loses its records".to_string());
-                self.first = self.log.len() as u64;
+                self.log.lose_records();
             }
             for index in 0..self.entries.len() {
                 if self.now >= self.entries[index].dead_until {
@@ -206,7 +202,8 @@
         let is_claim = |(record, _): &(ElectionRecord, Extension)| {
             matches!(record, ElectionRecord::Claim { .. })
         };
-        let newest = self.log.iter().rposition(is_claim).map_or(0, |offset| offset as u64 + 1);
+        let newest =
+            self.log.records.iter().rposition(is_claim).map_or(0, |offset| offset as u64 + 1);
         (0..self.entries.len()).find_map(|index| {
             let epoch = self.entries[index].owner.as_ref()?.epoch;
             let is_violated = epoch < newest && self.acts(index);
@@ -249,47 +246,34 @@
         if !self.reaches_store(index) {
             return;
         }
-        let (now, entry) = (Millis(self.now), &mut self.entries[index]);
-        entry.election.skip_lost(now, self.first);
-        entry.election.caught_up(now);
-        for offset in entry.election.next_offset()..self.log.len() as u64 {
-            let (record, extension) = self.log[offset as usize].clone();
-            entry.election.apply_extended(now, offset, record, extension);
-        }
+        self.log.read_into(&mut self.entries[index].election, self.now);
     }
 
     fn append(&mut self, index: usize, record: ElectionRecord, extension: Extension) {
         let entry = &mut self.entries[index];
         let end = entry.election.next_offset();
-        entry.pending = Some((self.now + APPEND_TIME, self.now, end, record, extension));
+        entry.pending = Some(Append { sent: self.now, end, record, extension });
     }
 
-    /// Appends what has arrived at the log, if the log still ends where the append requires it.
+    /// Appends what has arrived at the log.
     fn deliver(&mut self, index: usize) {
-        let is_due = self.entries[index].pending.as_ref().is_some_and(|one| self.now >= one.0);
-        let Some((_, sent, end, record, extension)) =
-            self.entries[index].pending.take_if(|_| is_due)
-        else {
-            return;
-        };
+        let Some(append) = take_arrived(&mut self.entries[index].pending, self.now) else { return };
         if !self.reaches_store(index) {
             return self.record_store_failure(index);
         }
-        if end != self.log.len() as u64 {
+        let entry = &mut self.entries[index];
+        if !self.log.accept(&append, &mut entry.election, self.now) {
             return self.read(index);
         }
-        if matches!(record, ElectionRecord::Claim { .. }) {
+        entry.heartbeat_sent = append.sent;
+        let is_claim = append.is_claim();
+        if let Some(owner) = &mut entry.owner {
+            owner.authority.confirm_claimants(Millis(append.sent), append.extension.claimants);
+        }
+        if is_claim {
             self.note(format!("{} claims the cell", self.entries[index].id.name));
             self.takeovers += 1;
         }
-        self.log.push((record.clone(), extension.clone()));
-        let (now, entry) = (Millis(self.now), &mut self.entries[index]);
-        entry.heartbeat_sent = sent;
-        let claimants = extension.claimants.clone();
-        entry.election.apply_extended(now, end, record, extension);
-        if let Some(owner) = &mut entry.owner {
-            owner.authority.confirm_claimants(Millis(sent), claimants);
-        }
     }
 
     /// A call of an owner to the store has failed. If that goes on, it asks its peers whether they can
@@ -349,8 +333,7 @@
         if entry.election.try_claim(Millis(now)).is_some() {
             let owner = entry.id.clone();
             let record = ElectionRecord::Claim { owner, addr: entry.id.name.clone() };
-            let named = entry.election.next_claimants();
-            let claimants = named.map_or(ClaimantUpdate::Any, ClaimantUpdate::Only);
+            let claimants = entry.election.next_claimants();
             self.append(index, record, Extension { claimants, ..Extension::default() });
         }
     }
--- a/tests/repetitions.rs
+++ b/tests/repetitions.rs
@@ -2,7 +2,8 @@
 
 mod cells;
 
-use cells::series::{World, at_once, queue, repeating};
+use cells::queue;
+use cells::series::{World, at_once, repeating};
 use proptest::prelude::*;
 use sprucerudder::cell::jobs::repetition_set::RepetitionSet;
 use sprucerudder::cell::records::journal::{
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -1,9 +1,10 @@
 //! What a new owner relies on of the owners before it: whether their starts are recorded, and when
 //! the leases that they granted expire.
 
-mod rows;
+mod cells;
 
-use rows::running as running_row;
+use cells::queue;
+use cells::rows::running as running_row;
 use sprucerudder::cell::mechanism::DisabledMechanisms;
 use sprucerudder::cell::owner::claim_record::{self, Extension, FinalState, OwnerState};
 use sprucerudder::cell::owner::election::{Election, ElectionRecord};
@@ -36,18 +37,6 @@
     }
 }
 
-fn queue() -> Arc<Queue> {
-    Arc::new(Queue {
-        name: "q".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1_500,
-        target: Millis(250),
-        advice: None,
-    })
-}
-
 fn cell(epoch: u64, snapshot: Snapshot, unrecorded_starts: bool, now: u64) -> Cell {
     let config = CellConfig {
         lease: LEASE,
--- a/tests/witness.rs
+++ b/tests/witness.rs
@@ -85,10 +85,13 @@
         authority.update_peer(Millis(5_000), &name, false);
     }
     assert!(!authority.is_valid(Millis(5_100)));
-    // The others are considered removed after a minute.
-    authority.confirm_heartbeat(Millis(58_000));
+    // The others are considered removed after a minute. Without a heartbeat for that time the owner
+    // does not act in any case.
     for index in 0..3 {
         authority.update_peer(Millis(60_000), &format!("e{index}").into(), false);
     }
+    assert!(!authority.is_valid(Millis(60_100)));
+    authority.confirm_heartbeat(Millis(58_000));
+    assert!(!authority.is_valid(Millis(59_900)), "the others still count");
     assert!(authority.is_valid(Millis(60_100)));
 }
