--- a/src/cell/jobs/repetitions.rs
+++ b/src/cell/jobs/repetitions.rs
@@ -109,8 +109,7 @@
         }
     }
 
-    /// Drops the state of a repetition whose tasks have all succeeded, and opens the next ones that
-    /// are due.
+    /// Drops the state of the repetition of a step if all its tasks have succeeded.
     pub(in crate::cell) fn finish_repetition(&mut self, step: StepKey) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         if job.finish_repetition(step.repetition) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -202,8 +202,8 @@
     unheard_timer: WaitLogTimer,
     /// The number of starts that were decided in this epoch.
     bound_starts: u64,
-    /// The number of starts up to which the present pass may decide.
-    allowed_until: u64,
+    /// The value of `bound_starts` at which a step with more waiting tasks is left for the next pass.
+    step_end: u64,
     /// Starts that wait until the batch with their assignment is stored, in order, with the worker.
     unsent_starts: VecDeque<(u64, Name, StartOrder)>,
     actions: Vec<Action>,
@@ -270,7 +270,7 @@
             leases: RecordedLeases::restore(&snapshot.leases),
             unheard_timer: WaitLogTimer::new(now, HOLDBACK_LOG_DELAY),
             bound_starts: 0,
-            allowed_until: 0,
+            step_end: 0,
             unsent_starts: VecDeque::new(),
             actions: Vec::new(),
         };
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -36,11 +36,9 @@
             return;
         }
         let open = self.open_starts();
-        let mut allowed = match self.is_overloaded {
-            true => MAX_OPEN_STARTS.saturating_sub(open),
-            false => MAX_CALM_OPEN_STARTS.saturating_sub(open),
-        };
-        self.allowed_until = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
+        let limit = if self.is_overloaded { MAX_OPEN_STARTS } else { MAX_CALM_OPEN_STARTS };
+        let pass_end = self.bound_starts + limit.saturating_sub(open) as u64;
+        self.step_end = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
         let ready: Vec<StepKey> = self.ready_steps.iter().collect();
         for key in ready {
             if self.awaits_answer_quietly(now, key) {
@@ -49,8 +47,7 @@
             let before = self.bound_starts;
             self.place_step(now, key);
             self.count_answer(key, self.bound_starts - before);
-            allowed = allowed.saturating_sub((self.bound_starts - before) as usize);
-            if allowed == 0 {
+            if self.bound_starts >= pass_end {
                 // The next pass goes on once these starts have been answered.
                 self.needs_placement = true;
                 break;
@@ -113,7 +110,7 @@
         // The members of a gang start together.
         let in_pass = match spec.is_gang {
             true => allowed,
-            false => allowed.min(self.allowed_until.saturating_sub(self.bound_starts) as usize),
+            false => allowed.min(self.step_end.saturating_sub(self.bound_starts) as usize),
         };
         let waiting: Vec<u32> = step.waiting.iter().copied().take(in_pass).collect();
         let mut candidates = match advice {
@@ -128,7 +125,7 @@
         }
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let still_waiting = step.map_or(0, |step| step.waiting.len());
-        if !spec.is_gang && still_waiting > 0 && self.bound_starts >= self.allowed_until {
+        if !spec.is_gang && still_waiting > 0 && self.bound_starts >= self.step_end {
             // The others are placed once these starts have been answered.
             return self.set_wait_reason(now, key, None);
         }
