Clients: limit the connections to an entry

Callers saw: with 500 unfinished headers open, an entry of 400 descriptors had none left for other callers, the store and workers, and was not served for as long as they stayed.

Cause: every connection was accepted, and a header that does not end is waited for as long as an idle connection. The listeners for readiness and metrics did the same.

Change: callers have at most half of the sockets that max_fds leaves beside the platform's 200 for files, and at most as many connections as fit into an eighth of memory_mb at 24 KB each; readiness and metrics have a sixteenth of the sockets each, 64 at most. When there are no more, the connection that the entry has waited for the longest is closed, first those without any request; one with a request is answered. src/clients decides, src/node/clients.rs has the handles. Without memory_mb and max_fds nothing is limited.

--- /dev/null
+++ b/src/clients/limits.rs
@@ -0,0 +1,59 @@
+//! The shares of a process's memory and descriptors that its clients may use together.
+
+/// The part of the process's memory for connections.
+const CONNECTION_SHARE: u64 = 8;
+/// The memory of a connection whose header and body are small, in bytes: the buffer for reading, the
+/// start of a body, the state of a request, and what has arrived and is not read.
+const CONNECTION_BYTES: u64 = 24 * 1_024;
+/// Descriptors that the platform reserves for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// The part of the sockets for callers. The others are for the store, workers and other entries.
+const CALLER_SHARE: usize = 2;
+/// The part of the sockets for each listener of the platform: readiness checks and metrics.
+const PLATFORM_SHARE: usize = 16;
+/// The most connections of each listener of the platform, which a few clients use.
+const MAX_PLATFORM_CONNECTIONS: usize = 64;
+/// Which clients a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerKind {
+    /// Callers that submit jobs or ask for them.
+    Callers,
+    /// The platform, which checks readiness or reads metrics.
+    Platform,
+}
+
+/// The limits on the clients of one process.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLimits {
+    /// The memory of the process, in bytes; `None` if it is not limited.
+    memory: Option<u64>,
+    /// The sockets that the process may have open; `None` if they are not limited.
+    sockets: Option<usize>,
+}
+
+impl ClientLimits {
+    /// Creates the limits of a process with this memory in bytes and these descriptors.
+    pub fn new(memory: Option<u64>, descriptors: Option<usize>) -> Self {
+        let sockets = descriptors.map(|count| count.saturating_sub(FILE_DESCRIPTORS));
+        Self { memory, sockets }
+    }
+
+    /// The most connections to a listener, at least one.
+    pub fn connections(&self, kind: ListenerKind) -> usize {
+        let fitting =
+            self.memory.map_or(u64::MAX, |bytes| bytes / CONNECTION_SHARE / CONNECTION_BYTES);
+        let fitting = usize::try_from(fitting).unwrap_or(usize::MAX);
+        let sockets = self.sockets.unwrap_or(usize::MAX);
+        let limit = match kind {
+            ListenerKind::Callers => fitting.min(sockets / CALLER_SHARE),
+            ListenerKind::Platform if self.is_unlimited() => usize::MAX,
+            ListenerKind::Platform => MAX_PLATFORM_CONNECTIONS.min(sockets / PLATFORM_SHARE),
+        };
+        limit.max(1)
+    }
+
+    /// Whether neither memory nor descriptors are limited.
+    pub fn is_unlimited(&self) -> bool {
+        self.memory.is_none() && self.sockets.is_none()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cell;
 pub mod check;
+pub mod clients;
 pub mod clock;
 pub mod cmd;
 pub mod controller;
--- a/src/node/http_server.rs
+++ b/src/node/http_server.rs
@@ -4,6 +4,7 @@
 use crate::cell::owner::retry::MIN_RETRY_SECONDS;
 use crate::clock::Millis;
 use crate::node::Node;
+use crate::node::clients::{Client, Clients};
 use crate::node::job_call::{JobCall, pending};
 use crate::platform::config::{Policy, Route};
 use crate::platform::front::{Reply, api_key, deadline, host};
@@ -25,17 +26,20 @@
 const ANSWER_MARGIN: Millis = Millis(40);
 /// The time to answer a caller that names no deadline.
 const DEFAULT_TIMEOUT: Millis = Millis(3_000);
+/// The time to answer a client that has to give way to others, until its connection is closed.
+const EVICTION_TIME: Millis = Millis(50);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Millis = Millis(20);
 
 /// Accepts connections until `stop` is set or closes, and answers their requests with `handler`.
+/// Accepts no further one while there are too many, unless a client gives way.
 pub(super) async fn serve<F, R>(
     listener: TcpListener,
-    node: Arc<Node>,
+    clients: Arc<Clients>,
     mut stop: watch::Receiver<bool>,
     handler: F,
 ) where
-    F: Fn(Arc<Node>, Request<Incoming>) -> R + Copy + Send + 'static,
+    F: Fn(Arc<Client>, Request<Incoming>) -> R + Copy + Send + 'static,
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     loop {
@@ -45,7 +49,11 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, node.clone(), stop.clone(), handler));
+                let client = tokio::select! {
+                    client = clients.connect() => client,
+                    () = wait_for_stop(&mut stop) => return,
+                };
+                tokio::spawn(serve_connection(stream, client, stop.clone(), handler));
             }
             Err(err) => {
                 log::warn!("event=accept-failed at=front error={err:?}");
@@ -62,23 +70,28 @@
     }
 }
 
-/// Serves one connection. Once `stop` is set, answers the request in progress and closes.
+/// Serves one connection. Once `stop` is set or the client has to give way, answers the request in
+/// progress and closes.
 async fn serve_connection<F, R>(
     stream: TcpStream,
-    node: Arc<Node>,
+    client: Arc<Client>,
     mut stop: watch::Receiver<bool>,
     handler: F,
 ) where
-    F: Fn(Arc<Node>, Request<Incoming>) -> R + Copy + Send + 'static,
+    F: Fn(Arc<Client>, Request<Incoming>) -> R + Copy + Send + 'static,
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("event=nodelay-not-set error={err:?}");
     }
-    let limits = node.policy().limits;
+    let limits = client.node().policy().limits;
+    let served = client.clone();
     let service = service_fn(move |request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(handler(node, request).await) }
+        let client = served.clone();
+        async move {
+            let _request = client.open_request();
+            Ok::<_, Infallible>(handler(client.clone(), request).await)
+        }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
@@ -93,6 +106,16 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = client.evicted() => {
+            if !client.has_request() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            match tokio::time::timeout(EVICTION_TIME.duration(), connection).await {
+                Ok(ended) => ended,
+                Err(_) => return,
+            }
+        }
     };
     if let Err(err) = result {
         log::debug!("event=connection-failed error={err:?}");
@@ -101,11 +124,12 @@
 
 /// Answers the request of a caller.
 pub(super) async fn handle_job_call(
-    node: Arc<Node>,
+    client: Arc<Client>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let node = client.node();
     let started = node.now();
-    let (call, reply) = route_call(&node, request, started).await;
+    let (call, reply) = route_call(&client, request, started).await;
     let mut response = reply.response();
     if matches!(reply, Reply::Busy { .. }) && !node.is_ready() {
         // During a network partition the balancer sends new connections to other entries, but open
@@ -120,10 +144,11 @@
 /// Authorizes a request and passes it to the cell of its job. Also returns the kind of the call for
 /// the metrics.
 async fn route_call(
-    node: &Arc<Node>,
+    client: &Client,
     request: Request<Incoming>,
     started: Millis,
 ) -> (&'static str, Reply) {
+    let node = client.node();
     let policy = node.policy();
     if policy.version == 0 {
         return ("none", Reply::Busy { after: MIN_RETRY_SECONDS });
@@ -191,16 +216,22 @@
 }
 
 /// Tells the balancer whether this entry takes new callers.
-pub(super) async fn handle_ready(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
-    match node.is_ready() {
+pub(super) async fn handle_ready(
+    client: Arc<Client>,
+    _: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match client.node().is_ready() {
         true => Reply::Accepted.response(),
         false => Reply::Busy { after: MIN_RETRY_SECONDS }.response(),
     }
 }
 
 /// Serves the metrics.
-pub(super) async fn handle_metrics(node: Arc<Node>, _: Request<Incoming>) -> Response<Full<Bytes>> {
-    match node.metrics.render(crate::logs::dropped_lines()) {
+pub(super) async fn handle_metrics(
+    client: Arc<Client>,
+    _: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match client.node().metrics.render(crate::logs::dropped_lines()) {
         Ok(text) => Response::new(Full::from(text)),
         Err(err) => {
             log::warn!("event=metrics-failed error={err:?}");
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -22,6 +22,9 @@
     request_time: Histogram,
     orders: IntCounterVec,
     order_time: Histogram,
+    /// Connections that were closed for others, by what there was too little of.
+    pub evicted_clients: IntCounterVec,
+    client_connections: IntGauge,
     append_time: Histogram,
     advice_time: Histogram,
     /// The age at delivery of answers of the advice service that were held back.
@@ -86,6 +89,15 @@
                 &["order", "outcome"],
             )?,
             order_time: times("sprucerudder_order_seconds", "Time of orders to workers")?,
+            evicted_clients: counts(
+                "sprucerudder_clients_evicted_total",
+                "Connections of clients that were closed for others",
+                &["why"],
+            )?,
+            client_connections: gauge(
+                "sprucerudder_client_connections",
+                "Open connections of callers",
+            )?,
             append_time: times("sprucerudder_append_seconds", "Time of appends to the store")?,
             advice_time: times("sprucerudder_advice_seconds", "Time of questions for advice")?,
             late_advice: times(
@@ -223,6 +235,11 @@
         self.request_time.observe(seconds(took));
     }
 
+    /// Shows the connections of callers.
+    pub fn set_clients(&self, connections: usize) {
+        self.client_connections.set(connections as i64);
+    }
+
     /// Counts an order to a worker, by its outcome.
     pub fn observe_order(&self, is_start: bool, outcome: &OrderOutcome, took: Millis) {
         let outcome = match outcome {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod advice_calls;
 mod cells;
 mod claims;
+mod clients;
 mod connection;
 mod frame;
 mod http_server;
@@ -20,6 +21,7 @@
 
 use crate::cell::owner::log_reports::LogHistory;
 use crate::cell::workers::shared_list::SharedList;
+use crate::clients::limits::ListenerKind;
 use crate::clock::{Clock, Millis};
 use crate::id::{EntryId, Name, hash};
 use crate::order::ClearedWorkers;
@@ -30,6 +32,7 @@
 use crate::platform::store::StoreClient;
 use crate::workload::StepKey;
 use cells::Cells;
+use clients::Clients;
 use metrics::Metrics;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -89,7 +92,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn listen(addr: &Name) -> Result<TcpListener, NodeError> {
+fn listen(addr: &Name) -> Result<TcpListener, NodeError> {
     let fail = |err| NodeError::Listen(addr.clone(), err);
     let parsed: SocketAddr = addr.parse().map_err(|err| fail(std::io::Error::other(err)))?;
     let socket = tokio::net::TcpSocket::new_v4().map_err(fail)?;
@@ -128,10 +131,10 @@
 
     /// Starts the listeners and tasks, then runs until the planned stop is done.
     async fn serve(self: Arc<Self>, stop: watch::Receiver<bool>) -> Result<(), NodeError> {
-        let front = listen(&self.settings.front_addr).await?;
-        let ready = listen(&self.settings.ready_addr).await?;
-        let peer = listen(&self.settings.peer_addr).await?;
-        let metrics = listen(&self.settings.metrics_addr).await?;
+        let front = listen(&self.settings.front_addr)?;
+        let ready = listen(&self.settings.ready_addr)?;
+        let peer = listen(&self.settings.peer_addr)?;
+        let metrics = listen(&self.settings.metrics_addr)?;
         log::info!(
             "event=entry-started entry={} domain={} front={} store={}",
             self.id,
@@ -141,14 +144,12 @@
         );
         let (close, closed) = watch::channel(false);
         let (stay_open, open) = watch::channel(false);
-        tokio::spawn(http_server::serve(front, self.clone(), closed, http_server::handle_job_call));
-        tokio::spawn(http_server::serve(
-            ready,
-            self.clone(),
-            open.clone(),
-            http_server::handle_ready,
-        ));
-        tokio::spawn(http_server::serve(metrics, self.clone(), open, http_server::handle_metrics));
+        let callers = Clients::new(self.clone(), ListenerKind::Callers);
+        tokio::spawn(http_server::serve(front, callers, closed, http_server::handle_job_call));
+        let checkers = Clients::new(self.clone(), ListenerKind::Platform);
+        tokio::spawn(http_server::serve(ready, checkers, open.clone(), http_server::handle_ready));
+        let monitors = Clients::new(self.clone(), ListenerKind::Platform);
+        tokio::spawn(http_server::serve(metrics, monitors, open, http_server::handle_metrics));
         tokio::spawn(self.clone().serve_peers(peer));
         tokio::spawn(self.clone().follow_policy());
         tokio::spawn(self.clone().discover_cells());
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -3,6 +3,7 @@
 use crate::cell::mechanism::DisabledMechanisms;
 use crate::cell::owner::cell_map::MIN_CELL_WORKERS;
 use crate::cell::records::parts::SizeLimits;
+use crate::clients::limits::ClientLimits;
 use crate::clock::Millis;
 use crate::id::Name;
 use serde::Deserialize;
@@ -34,6 +35,9 @@
     /// The memory that the process may use, in megabytes; 0 if it is not limited.
     #[serde(default)]
     memory_mb: u64,
+    /// The descriptors that the process may have open; 0 if they are not limited.
+    #[serde(default)]
+    max_fds: usize,
 }
 
 fn one() -> usize {
@@ -124,6 +128,8 @@
     pub millicores: u32,
     /// The memory that the entry may use, in bytes; `None` if it is not limited.
     pub memory: Option<u64>,
+    /// The descriptors that the entry may have open; `None` if they are not limited.
+    pub descriptors: Option<usize>,
     /// The longest lease that workers accept.
     pub max_lease: Millis,
     /// How long the state of a finished job can be queried.
@@ -185,10 +191,16 @@
             millicores: (raw.limits.cpu_share.max(0.0) * raw.limits.cores.max(1) as f64 * 1_000.0)
                 as u32,
             memory: (raw.limits.memory_mb > 0).then_some(raw.limits.memory_mb << 20),
+            descriptors: (raw.limits.max_fds > 0).then_some(raw.limits.max_fds),
             max_lease: Millis(raw.bounds.hold_max_ms),
             job_retention: seconds(raw.bounds.status_s),
             policy_bound: Millis(raw.bounds.config_ms),
             stop_grace: seconds(raw.bounds.grace_s),
         })
     }
+
+    /// The limits on what clients may use together.
+    pub fn client_limits(&self) -> ClientLimits {
+        ClientLimits::new(self.memory, self.descriptors)
+    }
 }
