Clients: one limit on the memory of all unfinished requests

Callers saw: a process was killed for its memory. 1,500 bodies one byte short of their end were enough, or 30 chunked ones in chunks of one byte; the caller of a body that did not come in time was told that its job is malformed.

Cause: each body was limited, their sum was not, and a body was kept in the frames that it came in: a chunk of one byte kept the buffer that it was read into. Large headers, answers that are not read and bytes that had not been read were not counted either.

Change: what clients hold beyond 24 KB for each connection comes out of a common sixteenth of memory_mb: bodies beyond 4 KB, copied into one buffer and counted by its capacity as they arrive; headers beyond 4 KB; answers that cannot be written. When it is used up, a client that the entry waits for gives way, such as a body of which less than 8 KB arrive in 250 ms; if there is none, the new request is refused. One request alone always has room. Reads are of 4 KB, so that the HTTP library does not enlarge its buffers, and the receive buffers of the listeners are of 8 KB. A body that is refused or late is answered 503 with Retry-After: its job was not sent to an owner. The rest of a refused body is read for 200 ms at most, so that the caller sees the answer. A deadline in a header counts as 60 s at most.

--- a/src/clients/limits.rs
+++ b/src/clients/limits.rs
@@ -1,10 +1,17 @@
 //! The shares of a process's memory and descriptors that its clients may use together.
 
+/// The part of the process's memory for what clients hold beyond [`CONNECTION_BYTES`] each.
+const REQUEST_SHARE: u64 = 16;
 /// The part of the process's memory for connections.
 const CONNECTION_SHARE: u64 = 8;
 /// The memory of a connection whose header and body are small, in bytes: the buffer for reading, the
 /// start of a body, the state of a request, and what has arrived and is not read.
 const CONNECTION_BYTES: u64 = 24 * 1_024;
+/// The memory that a connection takes for a large header or an answer that is not read, as a
+/// multiple of the largest header.
+const HEADERS_PER_BUFFER: u64 = 2;
+/// The smallest buffer of the HTTP library for reading, in bytes.
+pub const MIN_READ_BUFFER: usize = 8_192;
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// The part of the sockets for callers. The others are for the store, workers and other entries.
@@ -13,6 +20,11 @@
 const PLATFORM_SHARE: usize = 16;
 /// The most connections of each listener of the platform, which a few clients use.
 const MAX_PLATFORM_CONNECTIONS: usize = 64;
+/// The part of a header, of a body or of a job that does not count toward the common budget, in bytes.
+pub const FREE_BYTES: usize = 4_096;
+/// The receive buffer of a connection, in bytes.
+pub const RECEIVE_BUFFER: u32 = 8_192;
+
 /// Which clients a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerKind {
@@ -38,6 +50,18 @@
         Self { memory, sockets }
     }
 
+    /// The common budget: the memory for what all clients hold beyond [`CONNECTION_BYTES`] each, in
+    /// bytes.
+    pub fn request_bytes(&self) -> u64 {
+        self.memory.map_or(u64::MAX, |memory| memory / REQUEST_SHARE)
+    }
+
+    /// The memory that a connection takes for a large header or an answer that is not read, in bytes.
+    /// `header_bytes`: the largest header.
+    pub fn buffer_bytes(header_bytes: usize) -> u64 {
+        HEADERS_PER_BUFFER * header_bytes.max(MIN_READ_BUFFER) as u64
+    }
+
     /// The most connections to a listener, at least one.
     pub fn connections(&self, kind: ListenerKind) -> usize {
         let fitting =
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -1,6 +1,6 @@
 //! The clients that are connected to a listener, each with a handle that belongs to its connection.
 
-use crate::clients::limits::{ClientLimits, ListenerKind};
+use crate::clients::limits::{ClientLimits, FREE_BYTES, ListenerKind};
 use crate::clients::table::{ClientId, ClientTable, Room};
 use crate::clock::Millis;
 use crate::node::{Node, lock};
@@ -10,6 +10,8 @@
 
 /// Time between two attempts to find room, if no client leaves before.
 const RETRY_DELAY: Millis = Millis(20);
+/// How long a request waits for memory until it is refused.
+const MEMORY_TIMEOUT: Millis = Millis(200);
 
 /// The clients that are connected to a listener.
 #[derive(Debug)]
@@ -59,7 +61,7 @@
             match room {
                 Room::Granted(id) => return Arc::new(self.client(id)),
                 Room::Evict(id) => self.evict(id, "connections"),
-                Room::Later => {}
+                Room::Later | Room::None => {}
             }
             self.wait_for_room().await;
         }
@@ -91,7 +93,7 @@
     fn update_metrics(&self) {
         if self.kind == ListenerKind::Callers {
             let table = lock(&self.table);
-            self.node.metrics.set_clients(table.len());
+            self.node.metrics.set_clients(table.len(), table.held());
         }
     }
 }
@@ -108,6 +110,66 @@
         OpenRequest(self)
     }
 
+    /// Notes that bytes have arrived on the connection. Returns whether it may stay open.
+    pub fn receive_any(&self, bytes: usize) -> bool {
+        let header = lock(&self.clients.table).receive_header(self.id, bytes);
+        header <= FREE_BYTES || self.reserve_buffer()
+    }
+
+    /// Counts the buffers of the connection toward the common budget, because a header is large or
+    /// an answer is not read. Returns whether there is enough.
+    pub fn reserve_buffer(&self) -> bool {
+        let clients = &self.clients;
+        let (now, max) = (clients.node.now(), clients.limits.request_bytes());
+        let bytes = ClientLimits::buffer_bytes(clients.node.policy().limits.header_bytes);
+        let room = lock(&clients.table).buffer(now, self.id, bytes, max);
+        match room {
+            Room::Granted(()) => true,
+            Room::Evict(id) => {
+                clients.evict(id, "memory");
+                true
+            }
+            Room::Later | Room::None => {
+                log::debug!("event=connection-closed why=memory client={:?}", self.id);
+                false
+            }
+        }
+    }
+
+    /// Notes that bytes of a body have arrived. The first call, with no bytes, begins the body.
+    pub fn receive(&self, bytes: usize) {
+        lock(&self.clients.table).receive(self.clients.node.now(), self.id, bytes);
+    }
+
+    /// Notes that a body is complete.
+    pub fn end_body(&self) {
+        lock(&self.clients.table).begin_answer(self.id);
+    }
+
+    /// Lets the client's request hold `bytes` more memory. Waits a short time for others to make
+    /// room. Returns whether there is enough.
+    pub async fn reserve(&self, bytes: u64) -> bool {
+        let clients = &self.clients;
+        let (started, max) = (clients.node.now(), clients.limits.request_bytes());
+        while clients.node.now().since(started) < MEMORY_TIMEOUT {
+            let room = lock(&clients.table).reserve(clients.node.now(), self.id, bytes, max);
+            match room {
+                Room::Granted(()) => return true,
+                Room::Evict(id) => clients.evict(id, "memory"),
+                Room::Later => {}
+                Room::None => return false,
+            }
+            clients.wait_for_room().await;
+        }
+        false
+    }
+
+    /// Takes back the memory that the client's request holds.
+    pub fn release(&self) {
+        lock(&self.clients.table).release(self.id);
+        self.clients.room_made.notify_waiters();
+    }
+
     /// Whether the client has sent at least the header of a request that is not answered.
     pub fn has_request(&self) -> bool {
         lock(&self.clients.table).has_request(self.id)
--- a/src/node/http_server.rs
+++ b/src/node/http_server.rs
@@ -2,10 +2,12 @@
 
 use crate::cell::owner::access::{Access, authorize, is_policy_fresh};
 use crate::cell::owner::retry::MIN_RETRY_SECONDS;
+use crate::clients::limits::MIN_READ_BUFFER;
 use crate::clock::Millis;
 use crate::node::Node;
 use crate::node::clients::{Client, Clients};
 use crate::node::job_call::{JobCall, pending};
+use crate::node::stream::ClientStream;
 use crate::platform::config::{Policy, Route};
 use crate::platform::front::{Reply, api_key, deadline, host};
 use crate::workload::JobKey;
@@ -26,6 +28,8 @@
 const ANSWER_MARGIN: Millis = Millis(40);
 /// The time to answer a caller that names no deadline.
 const DEFAULT_TIMEOUT: Millis = Millis(3_000);
+/// The longest time in which a caller is answered, whatever it names.
+const MAX_TIMEOUT: Millis = Millis(60_000);
 /// The time to answer a client that has to give way to others, until its connection is closed.
 const EVICTION_TIME: Millis = Millis(50);
 /// Delay after a failure to accept a connection.
@@ -93,11 +97,12 @@
             Ok::<_, Infallible>(handler(client.clone(), request).await)
         }
     });
+    let stream = ClientStream::new(stream, client.clone());
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout.max(limits.idle_timeout).duration())
-        .max_buf_size(limits.header_bytes.max(8_192));
+        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
@@ -183,7 +188,7 @@
     let Some(cells) = node.cells() else {
         return ("none", Reply::Busy { after: MIN_RETRY_SECONDS });
     };
-    let requested = deadline(&request).unwrap_or(DEFAULT_TIMEOUT);
+    let requested = deadline(&request).unwrap_or(DEFAULT_TIMEOUT).min(MAX_TIMEOUT);
     let wait = if route.timeout.0 > 0 { requested.min(route.timeout) } else { requested };
     let deadline = started + (wait - ANSWER_MARGIN);
     let rest = path.get(route.prefix.len()..).unwrap_or_default();
@@ -194,7 +199,8 @@
                 let Some(view) = cells.of_job(job, workspace.as_ref()) else {
                     return ("none", Reply::NoQueue);
                 };
-                let call = JobCall { view, policy: &policy, route, job, workspace, deadline };
+                let call =
+                    JobCall { client, view, policy: &policy, route, job, workspace, deadline };
                 call.reply(request).await
             }
             Err(err) => ("none", Reply::Malformed(err.to_string())),
--- a/src/node/job_call.rs
+++ b/src/node/job_call.rs
@@ -6,14 +6,15 @@
 use crate::cell::records::journal::JobOutcome;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::node::body::{self, BodyError};
 use crate::node::cells::Cells;
+use crate::node::clients::Client;
 use crate::node::msg::{EntryMessage, OwnerMessage, RefusalReason};
 use crate::node::view::{CellView, RequestError};
 use crate::platform::config::{Policy, Route};
 use crate::platform::front::Reply;
 use crate::platform::submit;
 use crate::workload::{JobDefinition, JobKey};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 
 /// A caller's request about one job.
 pub(super) struct JobCall<'a> {
+    pub client: &'a Client,
     /// The home cell of the job.
     pub view: &'a Arc<CellView>,
     pub policy: &'a Policy,
@@ -45,7 +47,7 @@
     async fn submit(&self, request: Request<Incoming>) -> Reply {
         let work = match self.read_job(request).await {
             Ok(work) => work,
-            Err(err) => return Reply::Malformed(err),
+            Err(reply) => return reply,
         };
         let started = self.view.now();
         let JobCall { view, policy, route, job, deadline, .. } = *self;
@@ -84,19 +86,27 @@
     /// Reads a job from the body of a request.
     ///
     /// # Errors
-    /// The text says what is wrong with the job.
-    async fn read_job(&self, request: Request<Incoming>) -> Result<JobDefinition, String> {
-        let body = Limited::new(request.into_body(), self.policy.limits.body_bytes).collect();
-        let remaining = self.deadline - self.view.now();
-        let body = match tokio::time::timeout(remaining.duration(), body).await {
-            Ok(body) => body.map_err(|err| err.to_string())?.to_bytes(),
-            Err(_) => return Err("the body did not come in time".to_string()),
-        };
-        let work = submit::parse(&body).map_err(|err| err.to_string())?;
-        work.validate().map_err(|err| err.to_string())?;
+    /// The reply says what is wrong with the job, or that the caller may retry it.
+    async fn read_job(&self, request: Request<Incoming>) -> Result<JobDefinition, Reply> {
+        let (max, remaining) = (self.policy.limits.body_bytes, self.deadline - self.view.now());
+        let body = body::read(self.client, request.into_body(), max, remaining).await;
+        let body = body.map_err(|err| self.body_refused(&err))?;
+        let work = submit::parse(&body).map_err(|err| Reply::Malformed(err.to_string()))?;
+        work.validate().map_err(|err| Reply::Malformed(err.to_string()))?;
         Ok(work)
     }
 
+    /// The reply to a caller whose body was not read whole, so that its job will not run.
+    fn body_refused(&self, err: &BodyError) -> Reply {
+        log::info!("event=body-refused job={} why={err:?}", self.job);
+        match err {
+            BodyError::TooLarge(_) | BodyError::Broken(_) => Reply::Malformed(err.to_string()),
+            BodyError::Late | BodyError::NoMemory | BodyError::Slow => {
+                Reply::Busy { after: retry::MIN_RETRY_SECONDS }
+            }
+        }
+    }
+
     /// Sends a message to the home cell of the job, then to the cell that the job was forwarded to,
     /// if any.
     async fn request(&self, message: EntryMessage) -> Result<OwnerMessage, RequestError> {
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -25,6 +25,7 @@
     /// Connections that were closed for others, by what there was too little of.
     pub evicted_clients: IntCounterVec,
     client_connections: IntGauge,
+    request_bytes: IntGauge,
     append_time: Histogram,
     advice_time: Histogram,
     /// The age at delivery of answers of the advice service that were held back.
@@ -98,6 +99,10 @@
                 "sprucerudder_client_connections",
                 "Open connections of callers",
             )?,
+            request_bytes: gauge(
+                "sprucerudder_request_bytes",
+                "Memory that callers' requests hold beyond that of their connections",
+            )?,
             append_time: times("sprucerudder_append_seconds", "Time of appends to the store")?,
             advice_time: times("sprucerudder_advice_seconds", "Time of questions for advice")?,
             late_advice: times(
@@ -235,9 +240,10 @@
         self.request_time.observe(seconds(took));
     }
 
-    /// Shows the connections of callers.
-    pub fn set_clients(&self, connections: usize) {
+    /// Shows the connections of callers and the memory of their requests in bytes.
+    pub fn set_clients(&self, connections: usize, bytes: u64) {
         self.client_connections.set(connections as i64);
+        self.request_bytes.set(bytes as i64);
     }
 
     /// Counts an order to a worker, by its outcome.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! decisions that are made in [`crate::cell`].
 
 mod advice_calls;
+mod body;
 mod cells;
 mod claims;
 mod clients;
@@ -17,11 +18,12 @@
 mod pages;
 mod policy;
 mod stop;
+mod stream;
 mod view;
 
 use crate::cell::owner::log_reports::LogHistory;
 use crate::cell::workers::shared_list::SharedList;
-use crate::clients::limits::ListenerKind;
+use crate::clients::limits::{ListenerKind, RECEIVE_BUFFER};
 use crate::clock::{Clock, Millis};
 use crate::id::{EntryId, Name, hash};
 use crate::order::ClearedWorkers;
@@ -92,11 +94,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn listen(addr: &Name) -> Result<TcpListener, NodeError> {
+/// Listens on an address. `receive_buffer`: the receive buffer of each connection in bytes, if it is
+/// limited.
+fn listen(addr: &Name, receive_buffer: Option<u32>) -> Result<TcpListener, NodeError> {
     let fail = |err| NodeError::Listen(addr.clone(), err);
     let parsed: SocketAddr = addr.parse().map_err(|err| fail(std::io::Error::other(err)))?;
     let socket = tokio::net::TcpSocket::new_v4().map_err(fail)?;
     socket.set_reuseaddr(true).map_err(fail)?;
+    if let Some(bytes) = receive_buffer {
+        socket.set_recv_buffer_size(bytes).map_err(fail)?;
+    }
     socket.bind(parsed).map_err(fail)?;
     // The backlog holds a burst of callers while this process gets no processor time.
     socket.listen(512).map_err(fail)
@@ -131,10 +138,12 @@
 
     /// Starts the listeners and tasks, then runs until the planned stop is done.
     async fn serve(self: Arc<Self>, stop: watch::Receiver<bool>) -> Result<(), NodeError> {
-        let front = listen(&self.settings.front_addr)?;
-        let ready = listen(&self.settings.ready_addr)?;
-        let peer = listen(&self.settings.peer_addr)?;
-        let metrics = listen(&self.settings.metrics_addr)?;
+        // Bytes that have arrived and are not read count as memory.
+        let buffer = self.settings.memory.map(|_| RECEIVE_BUFFER);
+        let front = listen(&self.settings.front_addr, buffer)?;
+        let ready = listen(&self.settings.ready_addr, buffer)?;
+        let peer = listen(&self.settings.peer_addr, None)?;
+        let metrics = listen(&self.settings.metrics_addr, buffer)?;
         log::info!(
             "event=entry-started entry={} domain={} front={} store={}",
             self.id,
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -418,3 +418,18 @@
     };
     assert!(status.success(), "{status}");
 }
+
+/// A caller whose body did not arrive in time was told that its job is malformed, and gave it up. The
+/// answer has to say that the job was not taken, and when to come back.
+#[tokio::test]
+async fn an_unfinished_body_is_refused_with_a_time_to_come_back() {
+    let _serial = SERIAL.lock().await;
+    let cluster = Cluster::start(1, MANY_FDS).await;
+    let mut stream = TcpStream::connect(cluster.site.front_addr(0)).await.unwrap();
+    stream.write_all(&short_body(0)).await.unwrap();
+    let mut answer = String::new();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_to_string(&mut answer)).await;
+    read.expect("an answer").unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.to_ascii_lowercase().contains("\r\nretry-after: "), "{answer}");
+}
