Jobs: charge names and dependencies, and jobs that have ended

Callers saw: an owner was killed for its memory while its estimate said that a small part of half of memory_mb was taken.

Cause: a job was charged 250 bytes for each step, but the names of a label, a rack and an image may be as long as the body, and so may dependencies. A job that had ended was charged nothing, and kept its definition for status_s.

Change: a definition is charged for its names and dependencies. An ended job keeps its definition for 2 s, while its runs are stopped, and is charged for it; then 500 bytes, until it is forgotten, for how it ended. Nothing that is decided about an ended job needs more: after a takeover owners never had more.

--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -111,14 +111,7 @@
 
     /// Creates a job that ended under an earlier owner. Only how it ended is known.
     pub fn ended(queue: Arc<Queue>, outcome: JobOutcome, now: Millis) -> Self {
-        let work = JobDefinition {
-            payload: "".into(),
-            steps: Vec::new(),
-            repetitions: 0,
-            first_due: Millis(0),
-            interval: Millis(0),
-        };
-        let job = Self::new(queue, Arc::new(work), now, 0);
+        let job = Self::new(queue, Arc::new(JobDefinition::empty()), now, 0);
         Self {
             closed: Some((outcome, 0, now)),
             was_placed: true,
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -12,7 +12,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::WorkerInfo;
-use crate::workload::{JobKey, Queue, Resources, StepKey, TaskKey};
+use crate::workload::{JobDefinition, JobKey, Queue, Resources, StepKey, TaskKey};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -21,6 +21,8 @@
 pub const TICK_INTERVAL: Millis = Millis(100);
 /// How much longer than promised a closed job can be asked for.
 const RETENTION_MARGIN: Millis = Millis(10_000);
+/// How long a closed job keeps its definition, while its runs are stopped.
+const DEFINITION_RETENTION: Millis = Millis(2_000);
 
 impl Cell {
     /// Restores the state that earlier owners wrote to the store.
@@ -59,6 +61,7 @@
                         self.dirty_jobs.insert(key);
                     }
                     self.jobs.insert(key, job);
+                    self.charge_job(key);
                     self.closed_jobs.push_back(key);
                     self.restore_unassigned(now, key, unassigned);
                 }
@@ -265,6 +268,7 @@
         }
         self.dirty_jobs.insert(key);
         self.closed_jobs.push_back(key);
+        self.defined_jobs.push_back(key);
         self.track_unassigned(key);
         // A task may have other runs than the one that it is assigned as, such as one that it has a
         // copy of.
@@ -383,6 +387,7 @@
         self.fail_undecided_jobs(now);
         self.check_stability(now);
         self.ended_incarnations.retain(|_, since| now.since(*since) < ENDED_INCARNATION_RETENTION);
+        self.drop_definitions(now);
         self.forget_closed_jobs(now);
         if self.reservations.expire(now) {
             self.needs_placement = true;
@@ -439,6 +444,22 @@
         }
     }
 
+    /// Drops the definitions of jobs that have been closed for [`DEFINITION_RETENTION`]. Only how a
+    /// job ended is kept until it is forgotten.
+    fn drop_definitions(&mut self, now: Millis) {
+        while let Some(key) = self.defined_jobs.front().copied() {
+            let at = self.jobs.get(&key).and_then(|job| job.closed).map(|(_, _, at)| at);
+            if at.is_some_and(|at| now.since(at) < DEFINITION_RETENTION) {
+                break;
+            }
+            self.defined_jobs.pop_front();
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.work = Arc::new(JobDefinition::empty());
+            }
+            self.charge_job(key);
+        }
+    }
+
     /// Forgets closed jobs that were kept for long enough.
     fn forget_closed_jobs(&mut self, now: Millis) {
         let retention = self.config.job_retention + RETENTION_MARGIN;
@@ -448,7 +469,9 @@
                 break;
             }
             self.closed_jobs.pop_front();
-            let workspace = self.jobs.remove(&key).and_then(|job| job.workspace);
+            let job = self.jobs.remove(&key);
+            self.memory.replace(job.as_ref().map_or(0, |job| job.charged_bytes), 0);
+            let workspace = job.and_then(|job| job.workspace);
             self.dirty_jobs.insert(key);
             self.actions.push(Action::JobForgotten(key, workspace));
         }
--- a/src/cell/jobs/memory.rs
+++ b/src/cell/jobs/memory.rs
@@ -1,18 +1,21 @@
 //! Estimates of the memory that jobs take, and the limit within which an owner accepts them.
 //!
 //! A job takes memory for its definition and for the tasks of the repetitions that are open. At
-//! least one repetition counts from its submission on, so that an accepted job can always run.
+//! least one repetition counts from its submission on, so that an accepted job can always run. A job
+//! that has ended takes memory until it is forgotten.
 
-use crate::workload::JobDefinition;
+use crate::workload::{JobDefinition, Step};
 
 /// The memory for a task with its run and the order to start it, in bytes.
 const TASK_BYTES: u64 = 700;
 /// The memory for a step of an open repetition beside its tasks, in bytes.
 const STEP_BYTES: u64 = 500;
-/// The memory for a step in the definition of a job, in bytes.
+/// The memory for a step in the definition of a job beside its names and dependencies, in bytes.
 const STEP_DEFINITION_BYTES: u64 = 250;
 /// The memory for a job beside its definition, in bytes.
 const JOB_BYTES: u64 = 1_000;
+/// The memory for a job that has ended and of which only the end is kept, in bytes.
+pub const CLOSED_JOB_BYTES: u64 = 500;
 /// The part of the process's memory that jobs may take, in percent. The rest is for records and
 /// messages that are being written, workers and connections.
 const JOB_SHARE_PERCENT: u64 = 50;
@@ -49,7 +52,16 @@
 
 /// The memory for the definition of a job, in bytes.
 pub fn definition_bytes(work: &JobDefinition) -> u64 {
-    JOB_BYTES + work.payload.len() as u64 + work.steps.len() as u64 * STEP_DEFINITION_BYTES
+    let steps = work.steps.iter().map(step_definition_bytes);
+    JOB_BYTES + work.payload.len() as u64 + steps.sum::<u64>()
+}
+
+/// The memory for a step in the definition of a job, in bytes. Callers choose the names and the
+/// dependencies of a step, which may be as long as a request.
+fn step_definition_bytes(step: &Step) -> u64 {
+    let names = [&step.required_label, &step.data_rack, &step.image];
+    let name_bytes: usize = names.iter().map(|name| name.len()).sum();
+    STEP_DEFINITION_BYTES + (name_bytes + size_of_val(&*step.dependencies)) as u64
 }
 
 /// The memory for one open repetition of a job, in bytes.
--- a/src/cell/jobs/repetitions.rs
+++ b/src/cell/jobs/repetitions.rs
@@ -37,11 +37,11 @@
     pub(in crate::cell) fn charge_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let open = job.open.len().max(1) as u64;
+        let definition = memory::definition_bytes(&job.work);
         let bytes = match job.is_open() {
-            true => {
-                memory::definition_bytes(&job.work) + open * memory::repetition_bytes(&job.work)
-            }
-            false => 0,
+            true => definition + open * memory::repetition_bytes(&job.work),
+            false if job.work.steps.is_empty() => memory::CLOSED_JOB_BYTES,
+            false => definition,
         };
         let before = std::mem::replace(&mut job.charged_bytes, bytes);
         self.memory.replace(before, bytes);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -141,6 +141,8 @@
     unstored_jobs: VecDeque<(u64, JobKey)>,
     /// Closed jobs in the order in which they ended.
     closed_jobs: VecDeque<JobKey>,
+    /// Those of them that still have their definitions.
+    defined_jobs: VecDeque<JobKey>,
     advice_queue: AdviceQueue,
     /// Answers of the advice service by whether they led to starts, since the takeover.
     answer_counts: AnswerCounts,
@@ -239,6 +241,7 @@
             forwarded: HashMap::new(),
             unstored_jobs: VecDeque::new(),
             closed_jobs: VecDeque::new(),
+            defined_jobs: VecDeque::new(),
             advice_queue: AdviceQueue::default(),
             answer_counts: AnswerCounts::default(),
             advice_logged_at: Millis(0),
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -228,6 +228,17 @@
 }
 
 impl JobDefinition {
+    /// The definition of a job of which only the end is known.
+    pub fn empty() -> Self {
+        Self {
+            payload: "".into(),
+            steps: Vec::new(),
+            repetitions: 0,
+            first_due: Millis(0),
+            interval: Millis(0),
+        }
+    }
+
     /// Checks the rules that don't depend on the available workers.
     ///
     /// # Errors
--- a/tests/repetitions.rs
+++ b/tests/repetitions.rs
@@ -162,6 +162,35 @@
     assert!(bytes < LIMIT as i64, "{bytes} bytes for {accepted} jobs");
 }
 
+/// The names in a job may be as long as a request, and were not charged: jobs of 250 KB each were
+/// accepted until the owner was killed for its memory. Those that had ended kept them, too.
+#[test]
+fn jobs_are_charged_for_their_names_until_they_have_ended() {
+    const LIMIT: u64 = 16 * MEGABYTE;
+    const NAME_BYTES: u64 = 250_000;
+    let mut world = World::new(Some(LIMIT));
+    let mut step = at_once(1).steps[0].clone();
+    step.image = "x".repeat(NAME_BYTES as usize).into();
+    let job = JobDefinition { steps: vec![step], ..repeating(1, 2, 60_000).as_ref().clone() };
+    let accepted = (0..100).take_while(|key| {
+        let work = Arc::new(JobDefinition { first_due: Millis(1 << 40), ..job.clone() });
+        let has_memory = world.cell.has_memory_for(&work);
+        if has_memory {
+            world.submit(*key, &work);
+        }
+        has_memory
+    });
+    let accepted = accepted.count() as u64;
+    assert!((1..=LIMIT / NAME_BYTES).contains(&accepted), "{accepted}");
+    for key in 0..accepted {
+        world.cell.cancel(Millis(world.now), JobKey(key));
+    }
+    world.run(40);
+    assert!(world.cell.has_memory_for(&job));
+    let used = world.cell.memory().used();
+    assert!(used < accepted * NAME_BYTES / 100, "{used} bytes for jobs that have ended");
+}
+
 #[test]
 fn an_owner_that_reads_more_jobs_than_it_has_memory_for_opens_them_in_turn() {
     let mut world = World::new(None);
