Callers: count decoded jobs, and stop decoding at a step without tasks

Steps without tasks, for which a job is refused, were all decoded first: 87,000 of them in the largest body.

Steps are decoded one by one, up to the first without tasks.

--- a/src/node/job_call.rs
+++ b/src/node/job_call.rs
@@ -2,8 +2,10 @@
 //! jobs that wait.
 
 use crate::cell::JobState;
+use crate::cell::jobs::memory::definition_bytes;
 use crate::cell::owner::retry::{self, retry_after};
 use crate::cell::records::journal::JobOutcome;
+use crate::clients::limits::FREE_BYTES;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::body::{self, BodyError};
@@ -93,7 +95,14 @@
         let body = body.map_err(|err| self.body_refused(&err))?;
         let work = submit::parse(&body).map_err(|err| Reply::Malformed(err.to_string()))?;
         work.validate().map_err(|err| Reply::Malformed(err.to_string()))?;
-        Ok(work)
+        drop(body);
+        self.client.release();
+        // The decoded job may take many times the memory of its text.
+        let beyond_free = definition_bytes(&work).saturating_sub(FREE_BYTES as u64);
+        match self.client.reserve(beyond_free).await {
+            true => Ok(work),
+            false => Err(self.body_refused(&BodyError::NoMemory)),
+        }
     }
 
     /// The reply to a caller whose body was not read whole, so that its job will not run.
--- a/src/platform/submit.rs
+++ b/src/platform/submit.rs
@@ -2,8 +2,10 @@
 
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::workload::{JobDefinition, MAX_ESTIMATE, Resources, Step};
+use crate::workload::{JobDefinition, JobDefinitionError, MAX_ESTIMATE, Resources, Step};
+use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
+use std::fmt;
 
 /// Decodes a boolean, which some callers send as a number.
 fn flag<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
@@ -64,12 +66,38 @@
     may_miss: u32,
 }
 
+/// Decodes the steps of a job, one at a time. Ends with the first one that has no tasks: such steps
+/// take a hundred times the memory of their text.
+fn steps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Step>, D::Error> {
+    struct StepsVisitor;
+    impl<'de> Visitor<'de> for StepsVisitor {
+        type Value = Vec<Step>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            formatter.write_str("a list of steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Step>, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = seq.next_element::<RawStep>()? {
+                if step.count == 0 {
+                    return Err(A::Error::custom(JobDefinitionError::EmptyStep(steps.len())));
+                }
+                steps.push(Step::from(step));
+            }
+            steps.shrink_to_fit();
+            Ok(steps)
+        }
+    }
+    deserializer.deserialize_seq(StepsVisitor)
+}
+
 #[derive(Debug, Deserialize)]
 struct RawJob {
     #[serde(default)]
     spec: Name,
-    #[serde(default)]
-    steps: Vec<RawStep>,
+    #[serde(default, deserialize_with = "steps")]
+    steps: Vec<Step>,
     #[serde(default)]
     repeat_count: u32,
     #[serde(default)]
@@ -109,7 +137,7 @@
     let raw: RawJob = serde_json::from_slice(body)?;
     Ok(JobDefinition {
         payload: raw.spec,
-        steps: raw.steps.into_iter().map(Step::from).collect(),
+        steps: raw.steps,
         repetitions: raw.repeat_count.max(1),
         first_due: Millis(raw.start_at_ms),
         interval: Millis(raw.interval_ms),
--- a/tests/repetitions.rs
+++ b/tests/repetitions.rs
@@ -10,6 +10,7 @@
     JobRecord, Progress, StepProgress, put_job, put_progress,
 };
 use sprucerudder::clock::Millis;
+use sprucerudder::platform::submit;
 use sprucerudder::workload::{JobDefinition, JobKey};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::collections::BTreeSet;
@@ -20,12 +21,15 @@
 
 thread_local! {
     static BYTES: std::cell::Cell<i64> = const { std::cell::Cell::new(0) };
+    /// The most bytes at any time.
+    static PEAK: std::cell::Cell<i64> = const { std::cell::Cell::new(0) };
 }
 
 // SAFETY: every call goes on to the system's allocator unchanged; the counter allocates nothing.
 unsafe impl GlobalAlloc for Counting {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
         BYTES.set(BYTES.get() + layout.size() as i64);
+        PEAK.set(PEAK.get().max(BYTES.get()));
         // SAFETY: the caller's promise is passed on.
         unsafe { System.alloc(layout) }
     }
@@ -191,6 +195,19 @@
     assert!(used < accepted * NAME_BYTES / 100, "{used} bytes for jobs that have ended");
 }
 
+/// Steps without tasks were decoded before the job was refused for them: in a body of the largest
+/// size 87,000 of them, which took a hundred times the memory of the body.
+#[test]
+fn steps_without_tasks_end_the_decoding_of_a_job() {
+    let body = format!(r#"{{"steps":[{}{{}}]}}"#, "{},".repeat(87_000));
+    let before = BYTES.get();
+    PEAK.set(before);
+    let Err(error) = submit::parse(body.as_bytes()) else { panic!("the job was decoded") };
+    let peak = PEAK.get() - before;
+    assert!(error.to_string().contains("step 0 has no tasks"), "{error}");
+    assert!(peak < MEGABYTE as i64, "{peak} bytes");
+}
+
 #[test]
 fn an_owner_that_reads_more_jobs_than_it_has_memory_for_opens_them_in_turn() {
     let mut world = World::new(None);
