Entries: accept only small frames before the greeting

Callers saw: nothing yet; the port between entries is not open to clients.

Cause: the listener for other entries took frames of up to 1 MB from anybody, on any number of connections, for up to 0.7 s each.

Change: until its greeting has been read, a connection takes frames of up to 16 KB. The number of connections is still not limited: there may be thousands of entries.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -278,7 +278,8 @@
         let (read_half, write_half) = stream.into_split();
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
         let writer = write_frames(write_half, queue);
-        let reader = self.serve_entry(FrameReader::new(read_half, IDLE_TIMEOUT), sender, number);
+        let reader =
+            self.serve_entry(FrameReader::for_greeting(read_half, IDLE_TIMEOUT), sender, number);
         tokio::select! {
             result = writer => result,
             result = reader => result,
@@ -299,6 +300,7 @@
         else {
             return Ok(());
         };
+        frames.accept_requests();
         let cells = self.cells();
         let view = cells.as_ref().and_then(|cells| cells.get(cell));
         let owner = match view {
--- a/src/node/frame.rs
+++ b/src/node/frame.rs
@@ -15,6 +15,9 @@
 /// A connection on which nothing was received for this long is closed: three pings may be late.
 pub(super) const IDLE_TIMEOUT: Millis = Millis(700);
 
+/// The largest greeting in bytes, many times that of an entry with a long name.
+const MAX_GREETING_BYTES: usize = 16 * 1024;
+
 /// Queue of encoded frames that wait to be written to a connection.
 pub(super) type FrameSender = mpsc::Sender<Bytes>;
 
@@ -59,11 +62,23 @@
 }
 
 impl FrameReader {
+    /// A reader on a connection of which the other end is not known yet: only greetings fit.
+    pub fn for_greeting(read_half: OwnedReadHalf, idle_timeout: Millis) -> Self {
+        let mut frames = Self::new(read_half, idle_timeout);
+        frames.reader.decoder_mut().set_max_frame_length(MAX_GREETING_BYTES);
+        frames
+    }
+
     /// A reader that ends once nothing was received for `idle_timeout`.
     pub fn new(read_half: OwnedReadHalf, idle_timeout: Millis) -> Self {
         Self { reader: FramedRead::new(read_half, codec()), idle_timeout }
     }
 
+    /// Accepts frames of up to [`MAX_FRAME_BYTES`] from now on.
+    pub fn accept_requests(&mut self) {
+        self.reader.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+    }
+
     /// Sets another idle timeout.
     pub fn set_idle_timeout(&mut self, idle_timeout: Millis) {
         self.idle_timeout = idle_timeout;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -433,3 +433,16 @@
     assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
     assert!(answer.to_ascii_lowercase().contains("\r\nretry-after: "), "{answer}");
 }
+
+/// The address for other entries took a megabyte from anybody, before the greeting told who it was.
+#[tokio::test]
+async fn frames_of_unknown_peers_that_stop_short_of_their_end() {
+    const FRAME_BYTES: usize = 1_000_000;
+    let _serial = SERIAL.lock().await;
+    let cluster = Cluster::start(1, MANY_FDS).await;
+    let front: SocketAddrV4 = cluster.site.front_addr(0).parse().unwrap();
+    let peer = SocketAddrV4::new(*front.ip(), front.port() + 2);
+    let mut frame = (FRAME_BYTES as u32).to_be_bytes().to_vec();
+    frame.extend(std::iter::repeat_n(0, FRAME_BYTES - 1));
+    play(cluster, &[peer.to_string()], 300, true, |_| frame.clone()).await;
+}
