Owner: limit the undecided jobs of all entries together

Callers saw: nothing yet, by reading: each entry limits the requests of its own callers, but an owner gets the jobs of all of them at once.

Cause: an owner decodes each job and hands it to a task of its own, and counts it toward the memory of jobs only there. Until then nothing bounds the sum.

Change: jobs of other entries that are not decided hold up to a sixteenth of memory_mb. Beyond that a job is refused as under overload, which its caller is told as 503 with Retry-After. One job alone always has room.

--- a/src/clients/limits.rs
+++ b/src/clients/limits.rs
@@ -4,6 +4,8 @@
 const REQUEST_SHARE: u64 = 16;
 /// The part of the process's memory for connections.
 const CONNECTION_SHARE: u64 = 8;
+/// The part of the process's memory for jobs that other entries have sent and that are not decided.
+const SUBMISSION_SHARE: u64 = 16;
 /// The memory of a connection whose header and body are small, in bytes: the buffer for reading, the
 /// start of a body, the state of a request, and what has arrived and is not read.
 const CONNECTION_BYTES: u64 = 24 * 1_024;
@@ -56,6 +58,12 @@
         self.memory.map_or(u64::MAX, |memory| memory / REQUEST_SHARE)
     }
 
+    /// The memory for jobs that other entries have sent to an owner and that are not decided, in
+    /// bytes.
+    pub fn submission_bytes(&self) -> u64 {
+        self.memory.map_or(u64::MAX, |memory| memory / SUBMISSION_SHARE)
+    }
+
     /// The memory that a connection takes for a large header or an answer that is not read, in bytes.
     /// `header_bytes`: the largest header.
     pub fn buffer_bytes(header_bytes: usize) -> u64 {
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -351,8 +351,14 @@
                 }
                 EntryMessage::LogProbed { readable } => owner.handle_log_probe(entry, readable),
                 body => {
+                    let Some(held) = owner.hold_submission(&body) else {
+                        let refused = OwnerMessage::Refused(RefusalReason::Overload);
+                        sender.try_send(encode(id, refused)?).map_err(io::Error::other)?;
+                        continue;
+                    };
                     let (owner, entry, sender) = (owner.clone(), entry.clone(), sender.clone());
                     tokio::spawn(async move {
+                        let _held = held;
                         let message = owner.handle_request(&entry, body).await;
                         let sent = encode(id, message).map(|frame| sender.try_send(frame));
                         if !matches!(sent, Ok(Ok(()))) {
--- a/src/node/owner/mod.rs
+++ b/src/node/owner/mod.rs
@@ -62,6 +62,8 @@
     witnesses: Mutex<LogReports>,
     lag: Mutex<TickLag>,
     admission: Mutex<Admission>,
+    /// The memory of the jobs that other entries have sent and that are not decided, in bytes.
+    submitted_bytes: AtomicU64,
     /// The number of process pauses that the cell was told about.
     known_pauses: AtomicU64,
     /// Whether no heartbeat has been confirmed since the last pause.
@@ -141,6 +143,7 @@
             witnesses: Mutex::default(),
             lag: Mutex::new(TickLag::new(self.now())),
             admission: Mutex::new(Admission::new(self.now())),
+            submitted_bytes: AtomicU64::new(0),
             known_pauses: AtomicU64::new(node.clock.pause_count()),
             is_unconfirmed: AtomicBool::new(false),
             store_up: AtomicBool::new(true),
--- a/src/node/owner/requests.rs
+++ b/src/node/owner/requests.rs
@@ -1,5 +1,6 @@
 //! Answers the requests of entries, most of them on behalf of callers.
 
+use crate::cell::jobs::memory::definition_bytes;
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::node::lock;
@@ -14,7 +15,38 @@
 /// slower than usual.
 const HEARTBEAT_MAX_AGE: Millis = Millis(1_000);
 
+/// Memory that a job of another entry takes until it is decided.
+#[derive(Debug)]
+pub(in crate::node) struct HeldSubmission {
+    owner: Arc<Owner>,
+    bytes: u64,
+}
+
+impl Drop for HeldSubmission {
+    fn drop(&mut self) {
+        self.owner.submitted_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 impl Owner {
+    /// Counts the job in a message of an entry, if any, toward the memory of those that are not
+    /// decided. Returns `None` if there is no room for it beside others: all entries together may
+    /// send more than this one can hold.
+    pub fn hold_submission(self: &Arc<Self>, message: &EntryMessage) -> Option<HeldSubmission> {
+        let bytes = match message {
+            EntryMessage::Submit { work, .. } => definition_bytes(work),
+            _ => 0,
+        };
+        let before = self.submitted_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let held = HeldSubmission { owner: self.clone(), bytes };
+        let limit = self.node.settings.client_limits().submission_bytes();
+        let has_room = bytes == 0 || before == 0 || before + bytes <= limit;
+        if !has_room {
+            log::info!("event=job-refused why=undecided-jobs held={before} epoch={}", self.epoch);
+        }
+        has_room.then_some(held)
+    }
+
     /// Answers a message of an entry.
     pub async fn handle_request(
         self: &Arc<Self>,
