Clients: answer a request that becomes complete while it gives way

Callers saw: nothing yet, by reading: a request whose last bytes came just after its client had been told to give way was cut off after 50 ms, and until then no other client gave way.

Change: such a request is answered, and its client does not count as leaving. The gauge of request memory is updated when it grows.

--- a/src/clients/table.rs
+++ b/src/clients/table.rs
@@ -231,10 +231,16 @@
         matches!(phase, Some(Phase::Receiving(..) | Phase::Answering))
     }
 
-    /// Notes that a request of a client is complete.
+    /// Whether a whole request has arrived from a client, and there is no answer yet.
+    pub fn is_complete(&self, id: ClientId) -> bool {
+        self.clients.get(&id).is_some_and(|client| client.phase == Phase::Answering)
+    }
+
+    /// Notes that a request of a client is complete. It is answered, also if the client was told to
+    /// give way meanwhile.
     pub fn begin_answer(&mut self, id: ClientId) {
         if let Some(client) = self.clients.get_mut(&id) {
-            (client.phase, client.header) = (Phase::Answering, 0);
+            (client.phase, client.header, client.is_leaving) = (Phase::Answering, 0, false);
         }
     }
 
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -154,7 +154,10 @@
         while clients.node.now().since(started) < MEMORY_TIMEOUT {
             let room = lock(&clients.table).reserve(clients.node.now(), self.id, bytes, max);
             match room {
-                Room::Granted(()) => return true,
+                Room::Granted(()) => {
+                    clients.update_metrics();
+                    return true;
+                }
                 Room::Evict(id) => clients.evict(id, "memory"),
                 Room::Later => {}
                 Room::None => return false,
@@ -175,6 +178,11 @@
         lock(&self.clients.table).has_request(self.id)
     }
 
+    /// Whether the client has sent a whole request that is not answered.
+    pub fn is_complete(&self) -> bool {
+        lock(&self.clients.table).is_complete(self.id)
+    }
+
     /// Waits until the client has to give way to others.
     pub async fn evicted(&self) {
         if self.evicted.clone().wait_for(|evicted| *evicted).await.is_err() {
--- a/src/node/http_server.rs
+++ b/src/node/http_server.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -112,14 +113,8 @@
             connection.await
         }
         () = client.evicted() => {
-            if !client.has_request() {
-                return;
-            }
             connection.as_mut().graceful_shutdown();
-            match tokio::time::timeout(EVICTION_TIME.duration(), connection).await {
-                Ok(ended) => ended,
-                Err(_) => return,
-            }
+            close_evicted(connection.as_mut(), &client).await
         }
     };
     if let Err(err) = result {
@@ -127,6 +122,24 @@
     }
 }
 
+/// Waits until the connection of a client that gives way has ended, as long as it has a request. One
+/// that is complete is answered; of the others, the client is told that they are refused.
+async fn close_evicted<C>(mut connection: Pin<&mut C>, client: &Client) -> hyper::Result<()>
+where
+    C: Future<Output = hyper::Result<()>>,
+{
+    if !client.has_request() {
+        return Ok(());
+    }
+    loop {
+        match tokio::time::timeout(EVICTION_TIME.duration(), connection.as_mut()).await {
+            Ok(ended) => return ended,
+            Err(_) if client.is_complete() => {}
+            Err(_) => return Ok(()),
+        }
+    }
+}
+
 /// Answers the request of a caller.
 pub(super) async fn handle_job_call(
     client: Arc<Client>,
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -39,6 +39,18 @@
     assert_eq!(table.admit(WINDOW + WINDOW, MAX_CONNECTIONS), Room::Later, "all are complete");
 }
 
+/// A request that became complete while its client was told to give way was cut off; and while it
+/// was answered, no other client gave way.
+#[test]
+fn a_request_that_becomes_complete_is_answered_and_holds_up_no_others() {
+    let (mut table, start) = (ClientTable::default(), Millis(0));
+    let [completed, silent, ..] = [(); 4].map(|()| admitted(&mut table, start));
+    assert_eq!(table.admit(WINDOW, MAX_CONNECTIONS), Room::Evict(completed));
+    table.begin_answer(completed);
+    assert!(table.is_complete(completed));
+    assert_eq!(table.admit(WINDOW, MAX_CONNECTIONS), Room::Evict(silent));
+}
+
 /// A body that stops just short of its end has received more than any other, and must not keep its
 /// memory from one that arrives.
 #[test]
