--- a/src/clients/table.rs
+++ b/src/clients/table.rs
@@ -89,8 +89,8 @@
     Evict(ClientId),
     /// There may be soon: a client is giving way, or none has been waited for long enough.
     Later,
-    /// There is none.
-    None,
+    /// There is none, and no client gives way.
+    Exhausted,
 }
 
 /// The connections to one listener.
@@ -168,7 +168,7 @@
 
     fn room_for(&mut self, now: Millis, id: ClientId, bytes: u64, max: u64) -> Room<()> {
         let Some(client) = self.clients.get(&id).filter(|client| !client.is_leaving) else {
-            return Room::None;
+            return Room::Exhausted;
         };
         // The largest request is served if it is alone, however little memory there is.
         let is_alone = self.held == client.held();
@@ -180,7 +180,7 @@
         }
         match self.evict(now, |other, client| other != id && client.held() > 0) {
             Some(victim) => Room::Evict(victim),
-            None => Room::None,
+            None => Room::Exhausted,
         }
     }
 
@@ -206,7 +206,7 @@
 
     /// Notes that bytes have arrived on a connection. Returns how many there are of a header that is
     /// not complete.
-    pub fn receive_header(&mut self, id: ClientId, bytes: usize) -> usize {
+    pub fn record_header(&mut self, id: ClientId, bytes: usize) -> usize {
         match self.clients.get_mut(&id) {
             Some(Client { phase: Phase::Waiting(_), header, .. }) => {
                 *header += bytes;
@@ -217,7 +217,7 @@
     }
 
     /// Notes that bytes of a body have arrived. The first call, with no bytes, begins the body.
-    pub fn receive(&mut self, now: Millis, id: ClientId, bytes: usize) {
+    pub fn record_body(&mut self, now: Millis, id: ClientId, bytes: usize) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         match &mut client.phase {
             Phase::Receiving(arrival) => arrival.add(now, bytes),
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -48,7 +48,7 @@
     if body.size_hint().lower() > max as u64 {
         return Err(BodyError::TooLarge(max));
     }
-    client.receive(0);
+    client.record_body(0);
     let result = tokio::select! {
         result = collect(client, &mut body, max) => result,
         () = tokio::time::sleep(timeout.duration()) => Err(BodyError::Late),
@@ -71,7 +71,7 @@
     let mut buffer = Vec::with_capacity(FREE_BYTES);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        client.receive(data.remaining());
+        client.record_body(data.remaining());
         let length = buffer.len() + data.remaining();
         if length > max {
             return Err(BodyError::TooLarge(max));
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -34,7 +34,7 @@
     evicted: watch::Receiver<bool>,
 }
 
-/// A request of a client that has not been answered.
+/// A request of a client, until it is answered and this is dropped.
 #[derive(Debug)]
 pub(super) struct OpenRequest<'a>(&'a Client);
 
@@ -61,7 +61,7 @@
             match room {
                 Room::Granted(id) => return Arc::new(self.client(id)),
                 Room::Evict(id) => self.evict(id, "connections"),
-                Room::Later | Room::None => {}
+                Room::Later | Room::Exhausted => {}
             }
             self.wait_for_room().await;
         }
@@ -111,8 +111,8 @@
     }
 
     /// Notes that bytes have arrived on the connection. Returns whether it may stay open.
-    pub fn receive_any(&self, bytes: usize) -> bool {
-        let header = lock(&self.clients.table).receive_header(self.id, bytes);
+    pub fn record_read(&self, bytes: usize) -> bool {
+        let header = lock(&self.clients.table).record_header(self.id, bytes);
         header <= FREE_BYTES || self.reserve_buffer()
     }
 
@@ -129,7 +129,7 @@
                 clients.evict(id, "memory");
                 true
             }
-            Room::Later | Room::None => {
+            Room::Later | Room::Exhausted => {
                 log::debug!("event=connection-closed why=memory client={:?}", self.id);
                 false
             }
@@ -137,8 +137,8 @@
     }
 
     /// Notes that bytes of a body have arrived. The first call, with no bytes, begins the body.
-    pub fn receive(&self, bytes: usize) {
-        lock(&self.clients.table).receive(self.clients.node.now(), self.id, bytes);
+    pub fn record_body(&self, bytes: usize) {
+        lock(&self.clients.table).record_body(self.clients.node.now(), self.id, bytes);
     }
 
     /// Notes that a body is complete.
@@ -160,7 +160,7 @@
                 }
                 Room::Evict(id) => clients.evict(id, "memory"),
                 Room::Later => {}
-                Room::None => return false,
+                Room::Exhausted => return false,
             }
             clients.wait_for_room().await;
         }
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -22,6 +22,7 @@
 }
 
 impl ClientStream {
+    /// Wraps the connection of `client`.
     pub fn new(stream: TcpStream, client: Arc<Client>) -> Self {
         Self { stream, client }
     }
@@ -49,7 +50,7 @@
         let mut piece = ReadBuf::uninit(&mut piece[..READ_BYTES.min(buffer.remaining())]);
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
         buffer.put_slice(piece.filled());
-        match self.client.receive_any(piece.filled().len()) {
+        match self.client.record_read(piece.filled().len()) {
             true => Poll::Ready(Ok(())),
             false => Poll::Ready(Err(no_memory())),
         }
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -27,7 +27,7 @@
     table.begin_answer(idle);
     table.end_answer(start, idle);
     table.begin_answer(answering);
-    table.receive(start, slow, 0);
+    table.record_body(start, slow, 0);
     assert_eq!(table.admit(start, MAX_CONNECTIONS), Room::Later, "none was waited for");
     for expected in [silent, slow, idle] {
         assert_eq!(table.admit(WINDOW, MAX_CONNECTIONS), Room::Evict(expected));
@@ -58,16 +58,16 @@
     let (mut table, start) = (ClientTable::default(), Millis(0));
     let [stopped, arriving, new] = [(); 3].map(|()| admitted(&mut table, start));
     for id in [stopped, arriving] {
-        table.receive(start, id, 0);
-        table.receive(start, id, 100_000);
+        table.record_body(start, id, 0);
+        table.record_body(start, id, 100_000);
         assert_eq!(table.reserve(start, id, MAX_BYTES / 2, MAX_BYTES), Room::Granted(()));
     }
-    table.receive(start, new, 0);
-    assert_eq!(table.reserve(start, new, 1, MAX_BYTES), Room::None, "both arrive");
+    table.record_body(start, new, 0);
+    assert_eq!(table.reserve(start, new, 1, MAX_BYTES), Room::Exhausted, "both arrive");
     let later = start + WINDOW + WINDOW;
-    table.receive(later, arriving, 100_000);
+    table.record_body(later, arriving, 100_000);
     assert_eq!(table.reserve(later, new, 1, MAX_BYTES), Room::Evict(stopped));
-    assert_eq!(table.reserve(later, stopped, 1, MAX_BYTES), Room::None, "it is leaving");
+    assert_eq!(table.reserve(later, stopped, 1, MAX_BYTES), Room::Exhausted, "it is leaving");
     table.remove(stopped);
     assert_eq!(table.reserve(later, new, 1, MAX_BYTES), Room::Granted(()));
 }
@@ -103,7 +103,7 @@
                     }
                     _ => {}
                 },
-                (1, Some(id)) => table.receive(now, id, number as usize),
+                (1, Some(id)) => table.record_body(now, id, number as usize),
                 (2, Some(id)) => table.begin_answer(id),
                 (3, Some(id)) => {
                     table.end_answer(now, id);
