--- a/src/cell/jobs/mod.rs
+++ b/src/cell/jobs/mod.rs
@@ -6,6 +6,7 @@
 //! - `repetition_set`: a set of repetitions.
 //! - `memory`: the memory that jobs take, and its limit.
 //! - `lifecycle`: state changes of jobs and of their runs.
+//! - `restore`: jobs that earlier owners wrote to the store.
 //! - `crash`: worker crashes, counted for each task that ran on the worker.
 //! - `restart_policy`: how a task may be started again after such crashes.
 //! - `wait`: why a step waits, with the log lines about it.
@@ -18,6 +19,7 @@
 pub mod repetition_set;
 pub mod repetitions;
 pub mod restart_policy;
+mod restore;
 pub mod step;
 pub mod wait;
 pub mod wait_reason;
