Tests: the longest idle connection goes first; reasons for changed checks

The order among idle connections was no longer checked: the test added here checks it for four, so it is stricter.

--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -1,4 +1,4 @@
-//! Which clients give way when an entry runs out of connections or of memory for requests.
+//! Which clients are evicted when an entry runs out of connections or of memory for requests.
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -39,8 +39,28 @@
     assert_eq!(table.admit(WINDOW + WINDOW, MAX_CONNECTIONS), Room::Later, "all are complete");
 }
 
-/// A request that became complete while its client was told to give way was cut off; and while it
-/// was answered, no other client gave way.
+/// If any idle connection could go, a caller between two of its requests would be closed, while one
+/// that is gone for good stays.
+#[test]
+fn the_connection_that_has_been_idle_for_the_longest_goes_first() {
+    let (mut table, start) = (ClientTable::default(), Millis(0));
+    let clients = [(); MAX_CONNECTIONS].map(|()| admitted(&mut table, start));
+    let order = [2, 0, 3, 1].map(|index| clients[index]);
+    for (turn, id) in order.into_iter().enumerate() {
+        table.begin_answer(id);
+        table.end_answer(Millis(turn as u64), id);
+    }
+    let later = WINDOW + WINDOW;
+    for expected in order {
+        assert_eq!(table.admit(later, MAX_CONNECTIONS), Room::Evict(expected));
+        table.remove(expected);
+        let next = admitted(&mut table, later);
+        table.begin_answer(next);
+    }
+}
+
+/// A request that became complete while its client was being evicted was cut off; and while it was
+/// answered, no other client was evicted.
 #[test]
 fn a_request_that_becomes_complete_is_answered_and_holds_up_no_others() {
     let (mut table, start) = (ClientTable::default(), Millis(0));
@@ -54,7 +74,7 @@
 /// A body that stops just short of its end has received more than any other, and must not keep its
 /// memory from one that arrives.
 #[test]
-fn a_body_that_has_stopped_gives_way_to_one_that_arrives() {
+fn a_body_that_has_stopped_is_evicted_for_one_that_arrives() {
     let (mut table, start) = (ClientTable::default(), Millis(0));
     let [stopped, arriving, new] = [(); 3].map(|()| admitted(&mut table, start));
     for id in [stopped, arriving] {
