--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -141,7 +141,7 @@
     unstored_jobs: VecDeque<(u64, JobKey)>,
     /// Closed jobs in the order in which they ended.
     closed_jobs: VecDeque<JobKey>,
-    /// Those of them that still have their definitions.
+    /// Closed jobs that still have their definitions, in the order in which they ended.
     defined_jobs: VecDeque<JobKey>,
     advice_queue: AdviceQueue,
     /// Answers of the advice service by whether they led to starts, since the takeover.
--- a/src/clients/limits.rs
+++ b/src/clients/limits.rs
@@ -27,7 +27,7 @@
 /// The receive buffer of a connection, in bytes.
 pub const RECEIVE_BUFFER: u32 = 8_192;
 
-/// Which clients a listener serves.
+/// The kind of clients that a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerKind {
     /// Callers that submit jobs or ask for them.
--- a/src/clients/table.rs
+++ b/src/clients/table.rs
@@ -1,6 +1,6 @@
-//! The open connections of clients: what they hold, and which of them gives way.
+//! The open connections of clients: what they hold, and which of them is evicted.
 //!
-//! A connection gives way to others if the entry waits for it: one on which no request has come
+//! A connection may be evicted if the entry waits for it: one on which no request has come
 //! yet goes first, then one whose body hardly arrives, then one that is idle after a request.
 //! Within each group it is the one that has been waited for the longest. A complete request is
 //! always answered.
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(u64);
 
-/// What a connection is waiting for.
+/// The state of a connection: whose turn it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// The client has to send the header of a request, or to read an answer.
@@ -43,7 +43,7 @@
     buffered: u64,
     /// The bytes that its request holds of the common budget, until it is answered.
     requested: u64,
-    /// It was told to give way.
+    /// The client was told that it is evicted.
     is_leaving: bool,
 }
 
@@ -83,13 +83,13 @@
 /// Whether there is room for another connection or for more bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room<T> {
-    /// There is, and it has been taken.
+    /// The room was there, and has been taken.
     Granted(T),
-    /// There will be once this client, which must be told, has given way.
+    /// This client has to be told that it is evicted; its room is free once it has left.
     Evict(ClientId),
-    /// There may be soon: a client is giving way, or none has been waited for long enough.
+    /// Room may be free soon: a client is leaving, or none has been waited for long enough.
     Later,
-    /// There is none, and no client gives way.
+    /// No room is free, and no client can be evicted.
     Exhausted,
 }
 
@@ -98,7 +98,7 @@
 pub struct ClientTable {
     clients: BTreeMap<ClientId, Client>,
     last_id: u64,
-    /// What all clients hold of the common budget, in bytes.
+    /// The memory that all clients hold of the common budget, in bytes.
     held: u64,
 }
 
@@ -113,7 +113,7 @@
         self.clients.is_empty()
     }
 
-    /// What all clients hold of the common budget, in bytes.
+    /// The memory that all clients hold of the common budget, in bytes.
     pub fn held(&self) -> u64 {
         self.held
     }
@@ -136,7 +136,7 @@
     }
 
     /// Lets the request of a client hold `bytes` more if all clients then hold at most `max`, or if
-    /// no other one holds any. Otherwise another one gives way, if the entry waits for any.
+    /// no other one holds any. Otherwise another one is evicted, if the entry waits for any.
     pub fn reserve(&mut self, now: Millis, id: ClientId, bytes: u64, max: u64) -> Room<()> {
         let room = self.room_for(now, id, bytes, max);
         if room == Room::Granted(()) {
@@ -236,8 +236,8 @@
         self.clients.get(&id).is_some_and(|client| client.phase == Phase::Answering)
     }
 
-    /// Notes that a request of a client is complete. It is answered, also if the client was told to
-    /// give way meanwhile.
+    /// Notes that a request of a client is complete. A client that was to be evicted stays until it is
+    /// answered.
     pub fn begin_answer(&mut self, id: ClientId) {
         if let Some(client) = self.clients.get_mut(&id) {
             (client.phase, client.header, client.is_leaving) = (Phase::Answering, 0, false);
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -17,19 +17,19 @@
 /// Why a body was not read whole.
 #[derive(Debug, Error)]
 pub(super) enum BodyError {
-    /// It is larger than the policy allows.
+    /// The body is larger than the policy allows.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
     /// The connection broke, or its content is not a valid body.
     #[error("the body cannot be read: {0}")]
     Broken(#[from] hyper::Error),
-    /// It was not complete in time.
+    /// The body was not complete in time.
     #[error("the body did not come in time")]
     Late,
-    /// There is no memory for it beside other requests.
+    /// Other requests hold the memory for the body.
     #[error("no memory for the body")]
     NoMemory,
-    /// It arrived so slowly that it had to give way to other requests.
+    /// The body arrived so slowly that its client was evicted.
     #[error("the body arrives too slowly")]
     Slow,
 }
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -20,7 +20,7 @@
     kind: ListenerKind,
     limits: ClientLimits,
     table: Mutex<ClientTable>,
-    /// Tells a client to give way.
+    /// Tells a client that it is evicted.
     evictions: Mutex<HashMap<ClientId, watch::Sender<bool>>>,
     /// Wakes those that wait for room.
     room_made: Notify,
@@ -52,8 +52,8 @@
         })
     }
 
-    /// Adds a client. Waits until there is room for its connection, which another client makes that
-    /// the entry waits for.
+    /// Adds a client. Waits until there is room for its connection, which the eviction of another
+    /// client may make.
     pub async fn connect(self: &Arc<Self>) -> Arc<Client> {
         loop {
             let max = self.limits.connections(self.kind);
@@ -74,7 +74,7 @@
         Client { clients: self.clone(), id, evicted }
     }
 
-    /// Tells a client to give way.
+    /// Tells a client that it is evicted.
     fn evict(&self, id: ClientId, why: &'static str) {
         self.node.metrics.evicted_clients.with_label_values(&[why]).inc();
         if let Some(evict) = lock(&self.evictions).get(&id) {
@@ -183,7 +183,7 @@
         lock(&self.clients.table).is_complete(self.id)
     }
 
-    /// Waits until the client has to give way to others.
+    /// Waits until the client is evicted.
     pub async fn evicted(&self) {
         if self.evicted.clone().wait_for(|evicted| *evicted).await.is_err() {
             // The sender is dropped only with the client.
--- a/src/node/http_server.rs
+++ b/src/node/http_server.rs
@@ -31,13 +31,13 @@
 const DEFAULT_TIMEOUT: Millis = Millis(3_000);
 /// The longest time in which a caller is answered, whatever it names.
 const MAX_TIMEOUT: Millis = Millis(60_000);
-/// The time to answer a client that has to give way to others, until its connection is closed.
+/// The time to answer a client that is evicted, until its connection is closed.
 const EVICTION_TIME: Millis = Millis(50);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Millis = Millis(20);
 
 /// Accepts connections until `stop` is set or closes, and answers their requests with `handler`.
-/// Accepts no further one while there are too many, unless a client gives way.
+/// Accepts no further one while there are too many, unless a client is evicted.
 pub(super) async fn serve<F, R>(
     listener: TcpListener,
     clients: Arc<Clients>,
@@ -75,7 +75,7 @@
     }
 }
 
-/// Serves one connection. Once `stop` is set or the client has to give way, answers the request in
+/// Serves one connection. Once `stop` is set or the client is evicted, answers the request in
 /// progress and closes.
 async fn serve_connection<F, R>(
     stream: TcpStream,
@@ -122,7 +122,7 @@
     }
 }
 
-/// Waits until the connection of a client that gives way has ended, as long as it has a request. One
+/// Waits until the connection of an evicted client has ended, as long as it has a request. One
 /// that is complete is answered; of the others, the client is told that they are refused.
 async fn close_evicted<C>(mut connection: Pin<&mut C>, client: &Client) -> hyper::Result<()>
 where
