--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,7 +7,7 @@
 export ENTRY_IDS
 # Also if the script itself is ended, no entry stays behind.
 trap 'xargs -r kill -KILL <"$ENTRY_IDS" 2>/dev/null; rm -f "$ENTRY_IDS"' EXIT
-target/review-3/standin-3 lasting review/10 &
+target/review-3/standin-3 many-steps review/10 &
 driver=$!
 trap 'kill "$driver"; exit 2' TERM INT
 wait "$driver"
--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -482,6 +482,90 @@
     }
 }
 
+// ---------------------------------------------------------------- gangs
+
+/// How long the members of a gang wait for the others.
+const GANG_MS: u64 = 3_000;
+
+/// One run of a gang.
+struct GangRun {
+    size: usize,
+    /// Members present: the runner, its life and the task.
+    members: Vec<(Arc<Runner>, u64, String)>,
+    /// A member has ended, or the others waited too long: no member works any more.
+    is_over: bool,
+}
+
+/// The runs of gangs, by step and run.
+type GangRuns = Mutex<BTreeMap<(String, u64), GangRun>>;
+
+/// Adds a member to its run. The gang works from the moment when all members are present.
+fn join_gang(runs: &Arc<GangRuns>, runner: &Arc<Runner>, life: u64, task: &str, run: u64, spec: &str) {
+    let mut parts = spec.split(':').skip(1).map(|part| part.parse::<u64>().unwrap_or(1));
+    let (size, time) = (parts.next().unwrap_or(1) as usize, parts.next().unwrap_or(1));
+    let key = (step_of(task), run);
+    let record = runner.record.clone();
+    let mut known = lock(runs);
+    let gang = known.entry(key.clone()).or_insert_with(|| {
+        record.add(format!("gang {} run {run}: the first member starts on {}", key.0, runner.id()));
+        let (runs, key) = (runs.clone(), key.clone());
+        thread::spawn(move || {
+            thread::sleep(ms(GANG_MS));
+            end_gang(&runs, &key, "alone", |gang| gang.members.len() < gang.size);
+        });
+        GangRun { size, members: Vec::new(), is_over: false }
+    });
+    gang.members.push((runner.clone(), life, task.to_string()));
+    if gang.is_over {
+        drop(known);
+        let runs = runs.clone();
+        thread::spawn(move || end_members(&runs, &key, "broken"));
+    } else if gang.members.len() == gang.size {
+        record.add(format!("gang {} run {run}: all {size} members are present", key.0));
+        let runs = runs.clone();
+        thread::spawn(move || {
+            thread::sleep(ms(time));
+            end_gang(&runs, &key, "done", |_| true);
+        });
+    }
+}
+
+/// The step of a task.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.').map_or("", |(step, _)| step).to_string()
+}
+
+/// Ends a run of a gang if it is not over and `condition` holds.
+fn end_gang(
+    runs: &GangRuns,
+    key: &(String, u64),
+    how: &'static str,
+    condition: impl Fn(&GangRun) -> bool,
+) {
+    match lock(runs).get_mut(key) {
+        Some(gang) if !gang.is_over && condition(gang) => gang.is_over = true,
+        _ => return,
+    }
+    end_members(runs, key, how);
+}
+
+/// Ends the members of a run that is over.
+fn end_members(runs: &GangRuns, key: &(String, u64), how: &'static str) {
+    let members = match lock(runs).get_mut(key) {
+        Some(gang) => std::mem::take(&mut gang.members),
+        None => return,
+    };
+    let mut count = 0;
+    for (runner, life, task) in &members {
+        if runner.lives.load(Ordering::SeqCst) == *life {
+            count += usize::from(runner.end(&mut lock(&runner.life), task, key.1, how));
+        }
+    }
+    if let Some((runner, ..)) = members.first() {
+        runner.record.add(format!("gang {} run {}: {count} members end {how}", key.0, key.1));
+    }
+}
+
 // ---------------------------------------------------------------- runners
 
 /// The state of one life of a runner.
@@ -511,6 +595,7 @@
     open: Arc<Mutex<Vec<TcpStream>>>,
     /// The number of runs that have begun.
     starts: AtomicU64,
+    gangs: Arc<GangRuns>,
 }
 
 /// The interval at which a runner writes its entry.
@@ -526,7 +611,14 @@
         life.born.map_or(0, |born| born.elapsed().as_millis() as u64 + 1_000)
     }
 
-    fn start(record: &Arc<Record>, store: &Arc<Store>, name: String, addr: SocketAddr, zone: &'static str) -> std::io::Result<Arc<Self>> {
+    fn start(
+        record: &Arc<Record>,
+        store: &Arc<Store>,
+        gangs: &Arc<GangRuns>,
+        name: String,
+        addr: SocketAddr,
+        zone: &'static str,
+    ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
         let runner = Arc::new(Self {
@@ -540,6 +632,7 @@
             is_down: AtomicBool::new(false),
             open: Arc::default(),
             starts: AtomicU64::new(0),
+            gangs: gangs.clone(),
         });
         let served = runner.clone();
         serve(listener, runner.open.clone(), move |call| served.handle(call));
@@ -600,9 +693,10 @@
         }
     }
 
-    fn end(&self, life: &mut Life, task: &str, run: u64, how: &'static str) {
+    /// Ends a run if it is there. Returns whether it was.
+    fn end(&self, life: &mut Life, task: &str, run: u64, how: &'static str) -> bool {
         if life.running.get(task) != Some(&run) {
-            return;
+            return false;
         }
         life.running.remove(task);
         life.last_end += 1;
@@ -610,8 +704,26 @@
         life.ended.push((number, task.to_string(), run, how));
         let barred = life.barred.entry(task.to_string()).or_default();
         *barred = (*barred).max(run);
-        self.record.add(format!("runner {} end   {task} run {run} {how}", self.id()));
+        let key = (step_of(task), run);
+        let is_gang = lock(&self.gangs).contains_key(&key);
+        match is_gang {
+            // The members of a gang are recorded together.
+            true if !matches!(how, "done" | "alone" | "broken") => self.break_gang(key),
+            true => {}
+            false => self.record.add(format!("runner {} end   {task} run {run} {how}", self.id())),
+        }
         self.changed.notify_all();
+        true
+    }
+
+    /// A member has ended before its gang was done: the others end as well.
+    fn break_gang(&self, key: (String, u64)) {
+        let is_new = lock(&self.gangs).get(&key).is_some_and(|gang| !gang.is_over);
+        if is_new {
+            self.record.add(format!("gang {} run {}: a member was lost on {}", key.0, key.1, self.id()));
+            let gangs = self.gangs.clone();
+            thread::spawn(move || end_gang(&gangs, &key, "broken", |_| true));
+        }
     }
 
     /// The process ends without a statement, and with it all that runs; another one starts at the
@@ -620,11 +732,18 @@
         let lost = {
             let mut life = lock(&self.life);
             self.is_down.store(true, Ordering::SeqCst);
-            let lost: Vec<String> = life.running.keys().cloned().collect();
+            let lost = std::mem::take(&mut life.running);
             *life = Life::default();
             lost
         };
-        self.record.add(format!("runner {} CRASH, with it {}", self.id(), lost.join(" ")));
+        let text = match lost.len() {
+            0..20 => lost.keys().cloned().collect::<Vec<_>>().join(" "),
+            count => format!("{count} tasks"),
+        };
+        self.record.add(format!("runner {} CRASH, with it {text}", self.id()));
+        for (task, run) in &lost {
+            self.break_gang((step_of(task), *run));
+        }
         for stream in lock(&self.open).drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -672,9 +791,14 @@
                     return refuse("old");
                 }
                 self.starts.fetch_add(1, Ordering::SeqCst);
-                self.record.add(format!("runner {} start {task} run {run} fence {fence}", self.id()));
                 life.running.insert(task.clone(), run);
-                if let Ok(time) = body.text("spec").parse::<u64>() {
+                let spec = body.text("spec");
+                if spec.starts_with("gang:") {
+                    join_gang(&self.gangs, self, lives, &task, run, &spec);
+                    return done;
+                }
+                self.record.add(format!("runner {} start {task} run {run} fence {fence}", self.id()));
+                if let Ok(time) = spec.parse::<u64>() {
                     let runner = self.clone();
                     thread::spawn(move || {
                         thread::sleep(ms(time));
@@ -824,11 +948,12 @@
             work,
             net,
         };
+        let gangs: Arc<GangRuns> = Arc::default();
         for number in 0..runners {
             let ip = format!("{}.2.{}", world.net, number + 1);
             let addr = format!("{ip}:0").parse().map_err(|err| format!("{err}"))?;
             let name = format!("{number}");
-            let runner = Runner::start(&record, &store, name, addr, ZONES[number % 3]);
+            let runner = Runner::start(&record, &store, &gangs, name, addr, ZONES[number % 3]);
             world.runners.push(runner.map_err(error("runner"))?);
         }
         for number in 0..entries {
@@ -988,15 +1113,55 @@
     /// No runner has what a step asks for. With this many steps the body stays below the limit of
     /// the configuration, 262,144 bytes.
     const STEPS: usize = 13_000;
+    let world = World::start(folder, 3, 6)?;
+    accepted_work(&world, &[], |world| {
+        if trouble {
+            let steps = vec![r#"{"count":1,"gpu":1}"#; STEPS].join(",");
+            let body = format!(r#"{{"spec":"x","steps":[{steps}]}}"#);
+            world.client(0, "POST", "/ingest/00000000000000aa", &body, ms(3_000));
+        }
+    })
+}
+
+/// A runner crashes under a gang of many tasks.
+fn wide_gang(folder: &Path, trouble: bool) -> Result<bool, String> {
+    /// They take under a quarter of the cores of the service, and less of its memory.
+    const MEMBERS: usize = 24_000;
+    const WORK_MS: u64 = 12_000;
+    let world = World::start(folder, 3, 7)?;
+    let gang = format!(
+        r#"{{"spec":"gang:{MEMBERS}:{WORK_MS}","steps":[{{"count":{MEMBERS},"cpu":1,"mem_mb":1,"estimate_ms":{WORK_MS},"gang":true}}]}}"#
+    );
+    accepted_work(&world, &[("/ingest/0000000000009a96", &gang)], |world| {
+        let count = |runner: &Arc<Runner>| lock(&runner.life).running.len();
+        let widest = world.runners.iter().max_by_key(|runner| count(runner));
+        if let (Some(runner), true) = (widest, trouble) {
+            runner.crash(ms(1_500));
+        }
+    })
+}
+
+/// Submits a job that lasts, some short ones and `others`, calls `disturb`, and goes on with short
+/// ones. Returns whether what lasts kept running, and whether all accepted jobs are known.
+fn accepted_work(
+    world: &World,
+    others: &[(&str, &str)],
+    disturb: impl FnOnce(&World),
+) -> Result<bool, String> {
     /// A task that lasts may be without a run for this long: 6 s after its last run, and 3 s.
     const MAX_GAP: Duration = Duration::from_millis(9_000);
-    let world = World::start(folder, 3, 6)?;
     let feed = r#"{"spec":"feed","steps":[{"count":4,"cpu":3400,"mem_mb":6200,"estimate_ms":400,"long_running":true}]}"#;
     if !world.client_until("POST", "/ingest/00000000feedfeed", feed, 5, is_success) {
         return Err("the job that lasts was not accepted".to_string());
     }
     let preview = r#"{"spec":"300","steps":[{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":300}]}"#;
     let mut accepted = Vec::new();
+    for (path, body) in others {
+        if !world.client_until("POST", path, body, 5, is_success) {
+            return Err("a job was not accepted".to_string());
+        }
+        accepted.push((*path).to_string());
+    }
     let submit = |number: u64, accepted: &mut Vec<String>| {
         let path = format!("/preview/{:016x}", 0x1000 + number);
         if is_success(&world.client((number % 3) as usize, "POST", &path, preview, ms(3_000))) {
@@ -1007,14 +1172,10 @@
         submit(number, &mut accepted);
         thread::sleep(ms(300));
     }
-    if accepted.len() < 10 {
+    if accepted.len() < 10 + others.len() {
         return Err("the first jobs were not accepted".to_string());
     }
-    if trouble {
-        let steps = vec![r#"{"count":1,"gpu":1}"#; STEPS].join(",");
-        let body = format!(r#"{{"spec":"x","steps":[{steps}]}}"#);
-        world.client(0, "POST", "/ingest/00000000000000aa", &body, ms(3_000));
-    }
+    disturb(world);
     let begin = Instant::now();
     let tasks: Vec<String> = (0..4).map(|index| format!("00000000feedfeed.0.0.{index}")).collect();
     let mut seen = vec![begin; tasks.len()];
@@ -1075,6 +1236,7 @@
     let folder = Path::new(folder);
     let result = match scenario.as_str() {
         "lasting" => lasting(folder, trouble),
+        "wide-gang" => wide_gang(folder, trouble),
         "many-steps" => many_steps(folder, trouble),
         other => Err(format!("no scenario {other}")),
     };
