--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -9,6 +9,7 @@
 use crate::cell::placing::rank::Rank;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Resources, StepKey};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -173,11 +174,13 @@
     /// Adds a step to the queue, in the order of its rank and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
         let index = self.waiting.partition_point(|other| other.order() <= queued.order());
+        visits::add(index.min(self.waiting.len() - index));
         self.waiting.insert(index, queued);
     }
 
     /// Sorts the queue again after the ranks of these steps have changed.
     pub fn update_ranks(&mut self, ranks: &HashMap<StepKey, Rank>) {
+        visits::add(self.waiting.len());
         let mut has_changed = false;
         for queued in &mut self.waiting {
             if let Some(rank) = ranks.get(&queued.step) {
@@ -192,6 +195,7 @@
     /// Removes the request of a step from the queue. If it was sent already, its answer will not be
     /// used.
     pub fn cancel(&mut self, step: StepKey) {
+        visits::add(self.waiting.len());
         self.waiting.retain(|queued| queued.step != step);
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
@@ -259,6 +263,7 @@
 
     /// The queued steps in the order in which requests are sent next.
     pub fn in_turn(&self, now: Millis) -> Vec<QueuedStep> {
+        visits::add(self.waiting.len());
         let mut steps: Vec<QueuedStep> = self.waiting.iter().cloned().collect();
         if !self.is_oldest_turn {
             return steps;
@@ -274,6 +279,7 @@
 
     /// Removes a step from the queue.
     pub fn remove(&mut self, step: StepKey) {
+        visits::add(self.waiting.len());
         self.waiting.retain(|queued| queued.step != step);
     }
 
--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -22,6 +22,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::Incarnation;
+use crate::visits;
 use crate::workload::{JobKey, TaskKey};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -373,6 +374,7 @@
 /// earlier one are left out: they were counted when that one ended, and would be counted again with
 /// each restart.
 fn sent_runs(worker: &Worker) -> Vec<SentRun> {
+    visits::add(worker.runs.len());
     let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_stale;
     let sent = || worker.runs.iter().filter(counts);
     let jobs: BTreeSet<JobKey> = sent().map(|((task, _), _)| task.step.job).collect();
@@ -398,6 +400,7 @@
 fn find_task(key: JobKey, job: &Job, policy: RestartPolicy) -> Option<(TaskKey, usize)> {
     job.step_keys(key).into_iter().find_map(|step_key| {
         let mut tasks = job.step(step_key)?.tasks.iter().enumerate();
+        visits::add(tasks.len());
         let (index, task) = tasks.find(|(_, task)| restart_policy(&task.crashes) == policy)?;
         Some((TaskKey { step: step_key, index: index as u32 }, task.crashes.len()))
     })
@@ -406,6 +409,11 @@
 impl Worker {
     /// The job to which the worker is dedicated, as long as runs of that job are on it.
     pub(in crate::cell) fn quarantined_job(&self) -> Option<JobKey> {
-        self.quarantined_for.filter(|job| self.runs.keys().any(|(task, _)| task.step.job == *job))
+        self.quarantined_for.filter(|job| {
+            self.runs.keys().any(|(task, _)| {
+                visits::add(1);
+                task.step.job == *job
+            })
+        })
     }
 }
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -9,6 +9,7 @@
 use crate::cell::records::pieces::PieceKey;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{JobDefinition, JobKey, Queue, Step, StepKey, TaskKey};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -141,7 +142,11 @@
     /// Drops the state of a repetition if all its tasks have succeeded. Returns whether that is so.
     pub fn finish_repetition(&mut self, repetition: u32) -> bool {
         let steps = self.open.get(&repetition);
-        let is_finished = steps.is_some_and(|steps| steps.iter().all(|step| step.unfinished == 0));
+        let is_done = |step: &StepState| {
+            visits::add(1);
+            step.unfinished == 0
+        };
+        let is_finished = steps.is_some_and(|steps| steps.iter().all(is_done));
         if is_finished {
             self.open.remove(&repetition);
             self.finished.insert(repetition);
@@ -217,12 +222,14 @@
     pub fn dependencies_done(&self, key: StepKey) -> bool {
         let Some(spec) = self.spec(key.step) else { return false };
         spec.dependencies.iter().all(|dependency| {
+            visits::add(1);
             self.step(StepKey { step: *dependency, ..key }).is_some_and(|step| step.unfinished == 0)
         })
     }
 
     /// The steps of the same repetition that depend on a step.
     pub fn dependents(&self, key: StepKey) -> Vec<StepKey> {
+        visits::add(self.work.steps.len());
         let steps = self.work.steps.iter().enumerate();
         let dependents = steps.filter(|(_, spec)| spec.dependencies.contains(&key.step));
         dependents.map(|(index, _)| StepKey { step: index as u16, ..key }).collect()
@@ -246,6 +253,7 @@
 
     /// The keys of every step in every open repetition.
     pub fn step_keys(&self, job: JobKey) -> Vec<StepKey> {
+        visits::add(self.open.len() * self.work.steps.len());
         self.open_steps().map(|((repetition, step), _)| StepKey { job, repetition, step }).collect()
     }
 
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -8,6 +8,7 @@
 use crate::cell::{Action, Cell};
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{JobDefinition, JobKey, StepKey, TaskKey};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -207,6 +208,7 @@
         if !spec.is_gang || step.waiting.is_empty() || step.unfinished == 0 {
             return;
         }
+        visits::add(step.tasks.len());
         let placed: Vec<(Name, TaskKey, u64)> = step
             .tasks
             .iter()
--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -7,6 +7,7 @@
 use crate::cell::records::pieces::{PieceKey, PieceProgress};
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::Step;
 use std::collections::BTreeSet;
 
@@ -116,6 +117,7 @@
     /// The number of failed runs of a gang. Its members share the numbers of their runs, and several of
     /// them may fail in one run.
     pub fn failed_gang_runs(&self) -> usize {
+        visits::add(self.tasks.len());
         let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
         runs.collect::<BTreeSet<&u64>>().len()
     }
@@ -123,6 +125,7 @@
     /// Marks the waiting tasks as idle since `since`. Those that are already marked keep their
     /// earlier time.
     pub fn mark_idle(&mut self, since: Millis) {
+        visits::add(self.waiting.len());
         for index in &self.waiting {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.idle_since.get_or_insert(since);
@@ -133,6 +136,7 @@
     /// Since when the longest waiting task has waited. Only known for tasks that run until their
     /// job is cancelled.
     pub fn longest_idle(&self) -> Option<Millis> {
+        visits::add(self.waiting.len());
         let waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
         waiting.filter_map(|task| task.idle_since).min()
     }
--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -5,6 +5,7 @@
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Resources, Step, StepKey, TaskKey};
 use std::collections::BTreeSet;
 
@@ -20,7 +21,9 @@
 pub(in crate::cell) fn count_step_runs(worker: &Worker, key: StepKey) -> u32 {
     let first = TaskKey { step: key, index: 0 };
     let last = TaskKey { step: key, index: u32::MAX };
-    worker.runs.range((first, 0)..=(last, u64::MAX)).count() as u32
+    let count = worker.runs.range((first, 0)..=(last, u64::MAX)).count();
+    visits::add(count);
+    count as u32
 }
 
 /// The tasks of a step for which no worker was found.
@@ -69,7 +72,10 @@
             total_runs: worker.runs.len(),
             is_healthy: worker.is_healthy(),
             is_stable: worker.is_stable(now),
-            serves_users: worker.runs.values().any(|run| run.tail_limit.0 > 0),
+            serves_users: worker.runs.values().any(|run| {
+                visits::add(1);
+                run.tail_limit.0 > 0
+            }),
             is_reserved: false,
             speed_order: 0,
         }
@@ -94,6 +100,7 @@
             candidate.free = candidate.free.saturating_sub(charge);
             candidate.step_runs += 1;
             count += 1;
+            visits::add(1);
         }
         count
     }
@@ -120,6 +127,7 @@
     home: Option<&Name>,
     task: &Task,
 ) -> Option<&'a mut Candidate> {
+    visits::add(candidates.len());
     let charge = spec.charged_resources();
     let score = |candidate: &Candidate| {
         let far = !spec.data_rack.is_empty() && candidate.rack.as_ref() != Some(&spec.data_rack);
@@ -180,6 +188,7 @@
     spec: &Step,
     is_eligible: impl Fn(&Candidate) -> bool,
 ) -> Option<Vec<Name>> {
+    visits::add(candidates.len() + spec.count as usize);
     let charge = spec.charged_resources();
     let mut candidates: Vec<Candidate> =
         candidates.iter().filter(|candidate| is_eligible(candidate)).cloned().collect();
--- a/src/cell/placing/gang.rs
+++ b/src/cell/placing/gang.rs
@@ -10,6 +10,7 @@
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Resources, Step, StepKey};
 
 /// How long a gang waits, from when it became ready, before resources are reserved for it. Most gangs find enough free
@@ -107,6 +108,7 @@
             let job = self.jobs.get(&task.job);
             job.and_then(|job| job.spec(task.step)).is_none_or(|spec| spec.long_running)
         };
+        visits::add(worker.runs.len());
         let ending = worker.runs.iter().filter(|((task, _), _)| !is_lasting(&task.step));
         let mut after_ends = candidate.clone();
         ending.for_each(|(_, run)| after_ends.release(&run.charge));
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -12,6 +12,7 @@
 use crate::cell::workers::run::Phase;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Resources, Step, StepKey, TaskKey};
 
 /// How long a step waits, from when it became ready, before tasks are stopped for it. A stop takes up to 900 ms, and in
@@ -251,6 +252,7 @@
         let mut found: Vec<_> = worker
             .runs
             .iter()
+            .inspect(|_| visits::add(1))
             .filter(|(_, run)| matches!(run.phase, Phase::Running(_)))
             .filter_map(|((task, run_number), run)| {
                 let job = self.jobs.get(&task.step.job)?;
--- a/src/cell/placing/reservation.rs
+++ b/src/cell/placing/reservation.rs
@@ -7,6 +7,7 @@
 use crate::cell::placing::relaxation::Relaxation;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Resources, StepKey};
 use std::collections::HashMap;
 
@@ -76,7 +77,10 @@
     /// Whether resources on a worker are reserved for a gang of another step.
     pub fn has_gang_at(&self, worker: &Name, step: StepKey) -> bool {
         let mut reservations = self.by_worker.get(worker).into_iter().flatten();
-        reservations.any(|other| other.step != step && self.has_gang(other.step))
+        reservations.any(|other| {
+            visits::add(1);
+            other.step != step && self.has_gang(other.step)
+        })
     }
 
     /// Whether resources are reserved for a gang before they are all free.
@@ -117,6 +121,7 @@
         relaxation: Relaxation,
     ) -> Resources {
         let reservations = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
+        visits::add(reservations.len());
         let may_be_used = |reservation: &&Reservation| {
             reservation.is_shared && can_stop && reservation.rank.priority < rank.priority
         };
@@ -138,7 +143,7 @@
         if !self.has_exclusive(step) && !self.has_shared(step) && !self.has_gang(step) {
             return;
         }
-        let reservations = self.by_worker.values_mut().flatten();
+        let reservations = self.by_worker.values_mut().flatten().inspect(|_| visits::add(1));
         for reservation in reservations.filter(|reservation| reservation.step == step) {
             reservation.rank = rank;
         }
@@ -170,6 +175,7 @@
     /// Keeps only the reservations for which `is_kept` holds.
     fn retain(&mut self, is_kept: impl Fn(&Reservation) -> bool) {
         self.by_worker.retain(|_, reservations| {
+            visits::add(reservations.len());
             reservations.retain(&is_kept);
             !reservations.is_empty()
         });
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -17,6 +17,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::StartOrder;
+use crate::visits;
 use crate::workload::{JobKey, Step, StepKey, TaskKey};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -45,6 +46,7 @@
                 continue;
             }
             let before = self.bound_starts;
+            visits::add(1);
             self.place_step(now, key);
             self.count_answer(key, self.bound_starts - before);
             if self.bound_starts >= pass_end {
@@ -60,6 +62,7 @@
     /// ones do not wait behind those of a long backlog.
     fn open_starts(&self) -> usize {
         let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+        let runs = runs.inspect(|_| visits::add(1));
         runs.filter(|run| run.phase == Phase::Starting).count()
     }
 
@@ -106,6 +109,7 @@
             };
             return self.set_wait_reason(now, key, Some(why));
         }
+        visits::add(spec.dependencies.len() + step.waiting.len());
         let spec = spec.clone();
         // The members of a gang start together.
         let in_pass = match spec.is_gang {
@@ -218,6 +222,7 @@
                 && ((skips_excluded && worker.is_excluded(now)) || is_quarantined(worker))
         };
         let open = workers
+            .inspect(|_| visits::add(1))
             .filter(|(_, worker)| worker.accepts_tasks(self.stored_batch) && !is_avoided(worker))
             // No start can be sent before the lease may be renewed.
             .filter(|(name, _)| self.leases.may_renew(name));
--- a/src/cell/placing/stability.rs
+++ b/src/cell/placing/stability.rs
@@ -8,6 +8,7 @@
 use crate::cell::jobs::step::StepState;
 use crate::cell::placing::candidate::Candidate;
 use crate::clock::Millis;
+use crate::visits;
 use crate::workload::{Step, StepKey};
 
 impl Cell {
@@ -45,6 +46,7 @@
 
 /// Whether any and whether all of a step's waiting tasks may only run on stable workers.
 fn needs_stable(step: &StepState) -> (bool, bool) {
+    visits::add(step.waiting.len());
     let tasks = || step.waiting.iter().filter_map(|index| step.tasks.get(*index as usize));
     let any_with = |needs: bool| tasks().any(|task| needs_stable_worker(&task.crashes) == needs);
     (any_with(true), any_with(true) && !any_with(false))
--- a/src/cell/placing/victims.rs
+++ b/src/cell/placing/victims.rs
@@ -7,6 +7,7 @@
 use crate::cell::placing::rank::RankClass;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{Step, StepKey, TaskKey};
 use std::collections::HashMap;
 
@@ -102,6 +103,7 @@
             let learned = run_times.and_then(|times| times.expected(spec.estimate));
             learned.unwrap_or(spec.estimate)
         };
+        visits::add(job.work.steps.len());
         let works = job.work.steps.iter().map(|spec| work_of(spec, expected(spec), spec.count));
         let slack_after = job.rank().due.0 as i64 - now.0 as i64;
         Some(StepFigures {
@@ -117,6 +119,7 @@
 fn path_after(job: &Job, step: u16, run_time: impl Fn(&Step) -> Millis) -> Millis {
     let mut ends: Vec<Option<u64>> = Vec::with_capacity(job.work.steps.len());
     for (index, spec) in job.work.steps.iter().enumerate() {
+        visits::add(1 + spec.dependencies.len());
         let chains = spec.dependencies.iter().filter_map(|at| *ends.get(usize::from(*at))?);
         let end = match chains.max() {
             _ if index == usize::from(step) => Some(0),
--- a/src/cell/workers/drain.rs
+++ b/src/cell/workers/drain.rs
@@ -10,6 +10,7 @@
 use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::worker::Worker;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::{StepKey, TaskKey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -95,6 +96,7 @@
         let is_working = |run: &Run| matches!(run.phase, Phase::Running(_));
         let working = |worker: &Worker| {
             let runs = worker.runs_of(key.job);
+            let runs = runs.inspect(|_| visits::add(1));
             runs.filter(|(task, run)| task.step == key && is_working(run)).count()
         };
         step.waiting.is_empty()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod standin;
 pub mod table;
 pub mod trace;
+pub mod visits;
 pub mod wire;
 pub mod workload;
 pub mod workspace;
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
@@ -271,6 +272,7 @@
 
     /// The number of tasks of one repetition.
     pub fn repetition_tasks(&self) -> u64 {
+        visits::add(self.steps.len());
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
@@ -287,6 +289,7 @@
             let cpu_millis = step.resources.cpu.saturating_mul(step.estimate.0) / 1_000;
             cpu_millis.saturating_mul(u64::from(step.count))
         };
+        visits::add(self.steps.len());
         let once = self.steps.iter().map(of_step).fold(0, u64::saturating_add);
         once.saturating_mul(u64::from(self.repetitions))
     }
@@ -295,6 +298,7 @@
     pub fn critical_path(&self) -> Millis {
         let mut finish_times: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
+            visits::add(1 + step.dependencies.len());
             let ready_at = step
                 .dependencies
                 .iter()
