--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::jobs::repetition_set::RepetitionSet;
 use crate::cell::jobs::step::{StepState, TaskStatus, finished_record};
+use crate::cell::jobs::summary::JobSummary;
 use crate::cell::placing::rank::{Rank, RankClass};
 use crate::cell::records::journal::{
     JobOutcome, JobRecord, Progress, StepProgress, TaskCrashes, TaskProgress,
@@ -38,6 +39,8 @@
     pub queue: Arc<Queue>,
     /// The definition that the caller submitted.
     pub work: Arc<JobDefinition>,
+    /// Figures of the definition.
+    pub summary: JobSummary,
     /// The workspace of its caller; `None` if any caller may ask for it.
     pub workspace: Option<Name>,
     /// The job's workspace had used up its share of submissions when the job was submitted.
@@ -86,6 +89,7 @@
     pub fn new(queue: Arc<Queue>, work: Arc<JobDefinition>, now: Millis, batch: u64) -> Self {
         Self {
             queue,
+            summary: JobSummary::new(&work),
             work,
             workspace: None,
             is_over_share: false,
@@ -136,7 +140,7 @@
 
     /// Whether the job is recorded in pieces.
     pub fn has_pieces(&self) -> bool {
-        self.work.repetition_tasks() > MAX_WHOLE_TASKS
+        self.summary.tasks > MAX_WHOLE_TASKS
     }
 
     /// Drops the state of a repetition if all its tasks have succeeded. Returns whether that is so.
@@ -202,7 +206,7 @@
     /// The position of the job among the waiting ones.
     pub fn rank(&self) -> Rank {
         let work = match self.rank_class {
-            RankClass::Late => self.work.core_millis(),
+            RankClass::Late => self.summary.core_millis,
             RankClass::OnTime | RankClass::Aged => 0,
         };
         Rank { priority: self.priority(), class: self.rank_class, work, due: self.due() }
@@ -210,7 +214,7 @@
 
     /// When the job should end to be on time.
     pub fn due(&self) -> Millis {
-        self.known_since + self.queue.objective(&self.work)
+        self.known_since + self.queue.objective_of(self.summary.critical_path)
     }
 
     /// Whether the job has not ended.
@@ -229,10 +233,15 @@
 
     /// The steps of the same repetition that depend on a step.
     pub fn dependents(&self, key: StepKey) -> Vec<StepKey> {
-        visits::add(self.work.steps.len());
-        let steps = self.work.steps.iter().enumerate();
-        let dependents = steps.filter(|(_, spec)| spec.dependencies.contains(&key.step));
-        dependents.map(|(index, _)| StepKey { step: index as u16, ..key }).collect()
+        let dependents = self.summary.dependents(key.step);
+        visits::add(dependents.len());
+        dependents.iter().map(|step| StepKey { step: *step, ..key }).collect()
+    }
+
+    /// Drops the definition of a job that has ended.
+    pub fn drop_definition(&mut self) {
+        self.work = Arc::new(JobDefinition::empty());
+        self.summary = JobSummary::new(&self.work);
     }
 
     /// Marks long-running tasks without a worker as idle since the start of this owner's clock,
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -9,9 +9,8 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::visits;
-use crate::workload::{JobDefinition, JobKey, StepKey, TaskKey};
+use crate::workload::{JobKey, StepKey, TaskKey};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// The interval between calls of [`Cell::tick`], which sends unanswered stops again and expires
 /// leases. It is a tenth of the longest time that a caller waits for an answer.
@@ -311,7 +310,7 @@
             }
             self.defined_jobs.pop_front();
             if let Some(job) = self.jobs.get_mut(&key) {
-                job.work = Arc::new(JobDefinition::empty());
+                job.drop_definition();
             }
             self.charge_job(key);
         }
--- a/src/cell/jobs/memory.rs
+++ b/src/cell/jobs/memory.rs
@@ -57,11 +57,12 @@
 }
 
 /// The memory for a step in the definition of a job, in bytes. Callers choose the names and the
-/// dependencies of a step, which may be as long as a request.
+/// dependencies of a step, which may be as long as a request. Each dependency is kept in both
+/// directions.
 fn step_definition_bytes(step: &Step) -> u64 {
     let names = [&step.required_label, &step.data_rack, &step.image];
     let name_bytes: usize = names.iter().map(|name| name.len()).sum();
-    STEP_DEFINITION_BYTES + (name_bytes + size_of_val(&*step.dependencies)) as u64
+    STEP_DEFINITION_BYTES + (name_bytes + 2 * size_of_val(&*step.dependencies)) as u64
 }
 
 /// The memory for one open repetition of a job, in bytes.
--- a/src/cell/jobs/mod.rs
+++ b/src/cell/jobs/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `job`: the state of one job.
 //! - `step`: the state of a step and of its tasks.
+//! - `summary`: figures of a whole job, computed once.
 //! - `repetitions`: opening the repetitions of jobs as they come due.
 //! - `repetition_set`: a set of repetitions.
 //! - `memory`: the memory that jobs take, and its limit.
@@ -21,5 +22,6 @@
 pub mod restart_policy;
 mod restore;
 pub mod step;
+pub mod summary;
 pub mod wait;
 pub mod wait_reason;
--- a/src/cell/jobs/repetitions.rs
+++ b/src/cell/jobs/repetitions.rs
@@ -72,7 +72,7 @@
     /// Whether a further repetition of a job may be opened.
     fn may_open(&self, key: JobKey) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
-        let tasks = (job.open.len() as u64 + 1) * job.work.repetition_tasks();
+        let tasks = (job.open.len() as u64 + 1) * job.summary.tasks;
         let is_first = job.open.is_empty();
         is_first
             || (tasks <= MAX_OPEN_TASKS
--- a/src/cell/placing/lateness.rs
+++ b/src/cell/placing/lateness.rs
@@ -77,7 +77,7 @@
     /// The latest time at which a job that has not started can start and be on time on a usual worker. Zero if it
     /// could not be on time from the beginning.
     fn latest_start(&self, job: &Job) -> Millis {
-        let estimate = job.work.critical_path();
+        let estimate = job.summary.critical_path;
         let learned =
             self.run_times.get(&job.queue.name).and_then(|times| times.expected(estimate));
         Millis(job.due().0.saturating_sub(learned.unwrap_or(estimate).0))
--- a/src/cell/workers/speed.rs
+++ b/src/cell/workers/speed.rs
@@ -86,8 +86,8 @@
 
 /// Whether a job has so little time to spare that it should run on fast workers.
 pub(in crate::cell) fn is_tight(job: &Job) -> bool {
-    let chain = job.work.critical_path();
-    let objective = job.queue.objective(&job.work);
+    let chain = job.summary.critical_path;
+    let objective = job.queue.objective_of(chain);
     chain.0 > 0 && objective.0 * 1_000 < chain.0 * TIGHT_BELOW_PERMILLE
 }
 
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -344,6 +344,11 @@
 impl Queue {
     /// Time within which a job must finish to be credited in full, from its own run time estimates.
     pub fn objective(&self, definition: &JobDefinition) -> Millis {
-        Millis(definition.critical_path().0.saturating_mul(self.stretch) / 1_000) + self.target
+        self.objective_of(definition.critical_path())
+    }
+
+    /// As [`Self::objective`], for a job with this critical path.
+    pub fn objective_of(&self, critical_path: Millis) -> Millis {
+        Millis(critical_path.0.saturating_mul(self.stretch) / 1_000) + self.target
     }
 }
