--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -409,11 +409,6 @@
 impl Worker {
     /// The job to which the worker is dedicated, as long as runs of that job are on it.
     pub(in crate::cell) fn quarantined_job(&self) -> Option<JobKey> {
-        self.quarantined_for.filter(|job| {
-            self.runs.keys().any(|(task, _)| {
-                visits::add(1);
-                task.step.job == *job
-            })
-        })
+        self.quarantined_for.filter(|job| self.runs_of(*job).next().is_some())
     }
 }
--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -72,10 +72,7 @@
             total_runs: worker.runs.len(),
             is_healthy: worker.is_healthy(),
             is_stable: worker.is_stable(now),
-            serves_users: worker.runs.values().any(|run| {
-                visits::add(1);
-                run.tail_limit.0 > 0
-            }),
+            serves_users: worker.serving_runs > 0,
             is_reserved: false,
             speed_order: 0,
         }
--- a/src/cell/workers/run.rs
+++ b/src/cell/workers/run.rs
@@ -100,6 +100,11 @@
         (self.started_at, self.progressed_at) = (now, now);
     }
 
+    /// Whether the run serves requests of users.
+    pub fn serves_users(&self) -> bool {
+        self.tail_limit.0 > 0
+    }
+
     /// Whether the run should have saved a checkpoint by now and has not.
     pub fn is_stalled(&self, now: Millis) -> bool {
         self.saves_progress && !self.is_filler && now.since(self.progressed_at) >= STALL_TIMEOUT
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -65,6 +65,8 @@
     pub runs: BTreeMap<(TaskKey, u64), Run>,
     /// The resources charged for `runs`.
     pub used: Resources,
+    /// The number of `runs` that serve requests of users.
+    pub serving_runs: usize,
     /// When the last order or report call was sent that was not answered, if no later one was.
     unanswered_at: Option<Millis>,
     /// Number of consecutive reports that are missing.
@@ -118,6 +120,7 @@
             first_report: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            serving_runs: 0,
             unanswered_at: None,
             missed_reports: 0,
             clock: None,
@@ -204,6 +207,7 @@
     /// Adds a run and charges its resources.
     pub fn add_run(&mut self, task: TaskKey, run: Run) {
         self.used = self.used.plus(&run.charge);
+        self.serving_runs += usize::from(run.serves_users());
         self.runs.insert((task, run.run), run);
     }
 
@@ -211,6 +215,7 @@
     pub fn remove_run(&mut self, task: TaskKey, run: u64) -> Option<Run> {
         let run = self.runs.remove(&(task, run))?;
         self.used = self.used.saturating_sub(&run.charge);
+        self.serving_runs -= usize::from(run.serves_users());
         Some(run)
     }
 
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -7,7 +7,6 @@
 
 use growth::{Site, check_growth, job, small};
 use sprucerudder::clock::Millis;
-
 use sprucerudder::workload::{JobKey, Resources, Step};
 
 const WORKERS: usize = 10;
@@ -29,3 +28,16 @@
         site
     });
 }
+
+/// Each look at a step walked all runs on all workers, for whether any of them serves users.
+#[test]
+fn jobs_beside_many_runs() {
+    check_growth(500, |size| {
+        let mut site = Site::new(WORKERS);
+        for key in 0..size as u64 {
+            site.submit(key, "usual", &job(vec![small()]));
+        }
+        site.run_until_started(size);
+        site
+    });
+}
