--- a/src/cell/advice/ahead.rs
+++ b/src/cell/advice/ahead.rs
@@ -20,13 +20,15 @@
     pub(in crate::cell) fn request_advice_ahead(&mut self, now: Millis) {
         for (key, count) in self.steps_to_move(now) {
             let Some(job) = self.jobs.get(&key.job).filter(|job| job.is_open()) else { continue };
-            let (Some(advice), Some(spec)) = (job.queue.advice, job.spec(key.step).cloned()) else {
+            let work = job.work.clone();
+            let spec = work.steps.get(usize::from(key.step));
+            let (Some(advice), Some(spec)) = (job.queue.advice, spec) else {
                 continue;
             };
             let has_ticket =
                 job.step(key).is_some_and(|step| step.clearances.has_any_ticket(now + LEAD_TIME));
             if !has_ticket {
-                self.request_advice(now, key, &spec, advice, count);
+                self.request_advice(now, key, spec, advice, count);
             }
         }
     }
--- a/src/cell/jobs/job.rs
+++ b/src/cell/jobs/job.rs
@@ -1,5 +1,6 @@
 //! The owner's view of a job: its steps, its tasks and their state.
 
+use crate::cell::jobs::repetition::Repetition;
 use crate::cell::jobs::repetition_set::RepetitionSet;
 use crate::cell::jobs::step::{StepState, TaskStatus, finished_record};
 use crate::cell::jobs::summary::JobSummary;
@@ -69,7 +70,7 @@
     /// The store has a record of the finished repetitions.
     pub has_finished: bool,
     /// The steps of the repetitions that are open.
-    pub open: BTreeMap<u32, Vec<StepState>>,
+    pub open: BTreeMap<u32, Repetition>,
     /// The repetitions of which all tasks have succeeded.
     pub finished: RepetitionSet,
     /// Whether `finished` has changed since it was last recorded.
@@ -131,10 +132,7 @@
         if self.open.contains_key(&repetition) || self.finished.contains(repetition) {
             return false;
         }
-        let has_pieces = self.has_pieces();
-        let new_step = |step| StepState { has_pieces, ..StepState::new(step) };
-        let steps = self.work.steps.iter().map(new_step).collect();
-        self.open.insert(repetition, steps);
+        self.open.insert(repetition, Repetition::new(&self.work, self.has_pieces()));
         true
     }
 
@@ -145,12 +143,7 @@
 
     /// Drops the state of a repetition if all its tasks have succeeded. Returns whether that is so.
     pub fn finish_repetition(&mut self, repetition: u32) -> bool {
-        let steps = self.open.get(&repetition);
-        let is_done = |step: &StepState| {
-            visits::add(1);
-            step.unfinished == 0
-        };
-        let is_finished = steps.is_some_and(|steps| steps.iter().all(is_done));
+        let is_finished = self.open.get_mut(&repetition).is_some_and(Repetition::is_done);
         if is_finished {
             self.open.remove(&repetition);
             self.finished.insert(repetition);
@@ -171,8 +164,8 @@
 
     /// The steps of open repetitions with the indexes of repetition and step.
     fn open_steps(&self) -> impl Iterator<Item = ((u32, u16), &StepState)> {
-        self.open.iter().flat_map(|(repetition, steps)| {
-            steps.iter().enumerate().map(|(index, step)| ((*repetition, index as u16), step))
+        self.open.iter().flat_map(|(number, repetition)| {
+            repetition.steps.iter().enumerate().map(|(index, step)| ((*number, index as u16), step))
         })
     }
 
@@ -183,12 +176,12 @@
 
     /// Returns the state of a step.
     pub fn step(&self, key: StepKey) -> Option<&StepState> {
-        self.open.get(&key.repetition)?.get(usize::from(key.step))
+        self.open.get(&key.repetition)?.steps.get(usize::from(key.step))
     }
 
     /// Returns the mutable state of a step.
     pub fn step_mut(&mut self, key: StepKey) -> Option<&mut StepState> {
-        self.open.get_mut(&key.repetition)?.get_mut(usize::from(key.step))
+        self.open.get_mut(&key.repetition)?.steps.get_mut(usize::from(key.step))
     }
 
     /// The priority of the job: 0 comes first. Jobs beyond their workspace's share come after all
@@ -223,12 +216,11 @@
     }
 
     /// Whether all steps that a step depends on are done.
-    pub fn dependencies_done(&self, key: StepKey) -> bool {
-        let Some(spec) = self.spec(key.step) else { return false };
-        spec.dependencies.iter().all(|dependency| {
-            visits::add(1);
-            self.step(StepKey { step: *dependency, ..key }).is_some_and(|step| step.unfinished == 0)
-        })
+    pub fn dependencies_done(&mut self, key: StepKey) -> bool {
+        let step = usize::from(key.step);
+        let Some(spec) = self.work.steps.get(step) else { return false };
+        let repetition = self.open.get_mut(&key.repetition);
+        repetition.is_some_and(|open| open.dependencies_done(step, &spec.dependencies))
     }
 
     /// The steps of the same repetition that depend on a step.
@@ -247,8 +239,8 @@
     /// Marks long-running tasks without a worker as idle since the start of this owner's clock,
     /// because they may have waited for long under an earlier owner.
     pub fn mark_idle_at_takeover(&mut self) {
-        for steps in self.open.values_mut() {
-            let steps = steps.iter_mut().zip(&self.work.steps);
+        for repetition in self.open.values_mut() {
+            let steps = repetition.steps.iter_mut().zip(&self.work.steps);
             for (step, _) in steps.filter(|(_, spec)| spec.long_running) {
                 step.mark_idle(Millis(0));
             }
@@ -337,7 +329,7 @@
         if repetition < self.work.repetitions {
             self.open_repetition(repetition);
         }
-        self.open.get_mut(&repetition)?.get_mut(usize::from(step))
+        self.open.get_mut(&repetition)?.steps.get_mut(usize::from(step))
     }
 
     /// Restores the crashes that an earlier owner counted.
--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -91,7 +91,7 @@
     /// Opens the steps that depended on a step, or closes the job if all its steps are done.
     fn finish_step(&mut self, now: Millis, key: StepKey) {
         self.finish_repetition(key);
-        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
         if job.is_done() {
             return self.close_job(now, key.job, JobOutcome::Completed);
         }
--- a/src/cell/jobs/mod.rs
+++ b/src/cell/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! - `job`: the state of one job.
 //! - `step`: the state of a step and of its tasks.
 //! - `summary`: figures of a whole job, computed once.
+//! - `repetition`: the steps of an open repetition.
 //! - `repetitions`: opening the repetitions of jobs as they come due.
 //! - `repetition_set`: a set of repetitions.
 //! - `memory`: the memory that jobs take, and its limit.
@@ -17,6 +18,7 @@
 pub mod job;
 pub mod lifecycle;
 pub mod memory;
+pub mod repetition;
 pub mod repetition_set;
 pub mod repetitions;
 pub mod restart_policy;
--- a/src/cell/jobs/repetitions.rs
+++ b/src/cell/jobs/repetitions.rs
@@ -91,7 +91,7 @@
 
     /// Opens the steps of a repetition whose dependencies are done.
     pub(in crate::cell) fn open_unblocked(&mut self, now: Millis, key: JobKey, repetition: u32) {
-        let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { return };
+        let Some(job) = self.jobs.get_mut(&key).filter(|job| job.is_open()) else { return };
         let steps =
             (0..job.work.steps.len() as u16).map(|step| StepKey { job: key, repetition, step });
         let unblocked: Vec<StepKey> = steps.filter(|step| job.dependencies_done(*step)).collect();
--- a/src/cell/jobs/restore.rs
+++ b/src/cell/jobs/restore.rs
@@ -115,11 +115,11 @@
     /// reports them or is removed, or its leases expire.
     fn restore_runs(&mut self, now: Millis, key: JobKey, progress: &Progress) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
-        let owner = job.workspace.clone();
+        let (owner, work) = (job.workspace.clone(), job.work.clone());
         for record in &progress.steps {
             let step_key =
                 StepKey { job: key, repetition: record.step_index.0, step: record.step_index.1 };
-            let Some(spec) = job.spec(step_key.step).cloned() else { continue };
+            let Some(spec) = work.steps.get(usize::from(step_key.step)) else { continue };
             let Some(step) = job.step_mut(step_key) else { continue };
             for task in &record.tasks {
                 let Some((number, name)) = &task.assignment else { continue };
@@ -129,7 +129,7 @@
                 }
                 step.place(task.index, name.clone(), *number);
                 // The run is considered over unless the first report of the worker names it.
-                let mut run = Run::new(*number, &spec, Phase::Running(Millis(0)));
+                let mut run = Run::new(*number, spec, Phase::Running(Millis(0)));
                 run.usage_guard =
                     owner.as_ref().map(|owner| self.usages.acquire(owner, spec.resources));
                 // The earlier owner may have sent the start.
--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -87,6 +87,8 @@
     pub tasks: Vec<Task>,
     /// Number of tasks that have not succeeded yet.
     pub unfinished: u32,
+    /// How many of the step's dependencies, from the first on, are known to be done.
+    pub done_dependencies: usize,
     /// Indices of the tasks that need a worker.
     pub waiting: BTreeSet<u32>,
     /// The answers of the advice service about workers for the step.
@@ -122,6 +124,11 @@
         runs.collect::<BTreeSet<&u64>>().len()
     }
 
+    /// Whether all tasks have succeeded.
+    pub fn is_done(&self) -> bool {
+        self.unfinished == 0
+    }
+
     /// Marks the waiting tasks as idle since `since`. Those that are already marked keep their
     /// earlier time.
     pub fn mark_idle(&mut self, since: Millis) {
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -86,7 +86,10 @@
         if job.is_inherited && self.unrecorded_starts.is_some() {
             return self.set_wait_reason(now, key, Some(WaitReason::Takeover));
         }
-        let (Some(spec), Some(step)) = (job.spec(key.step), job.step(key)) else { return };
+        // Shared, as a step may have thousands of dependencies, and the job changes below.
+        let work = job.work.clone();
+        let spec = work.steps.get(usize::from(key.step));
+        let (Some(spec), Some(step)) = (spec, job.step(key)) else { return };
         if step.waiting.is_empty() {
             // All its tasks were found to be running or done since the step became ready.
             self.ready_steps.remove(key);
@@ -109,23 +112,22 @@
             };
             return self.set_wait_reason(now, key, Some(why));
         }
-        visits::add(spec.dependencies.len() + step.waiting.len());
-        let spec = spec.clone();
         // The members of a gang start together.
         let in_pass = match spec.is_gang {
             true => allowed,
             false => allowed.min(self.step_end.saturating_sub(self.bound_starts) as usize),
         };
+        visits::add(step.waiting.len().min(in_pass));
         let waiting: Vec<u32> = step.waiting.iter().copied().take(in_pass).collect();
         let mut candidates = match advice {
-            Some(_) => self.ticketed_candidates(now, key, job, step, &spec),
-            None => self.open_candidates(now, key, job, &spec),
+            Some(_) => self.ticketed_candidates(now, key, job, step, spec),
+            None => self.open_candidates(now, key, job, spec),
         };
-        let waits_for_stable = self.retain_stable(key, &spec, &mut candidates);
+        let waits_for_stable = self.retain_stable(key, spec, &mut candidates);
         self.choose_home_domain(key, &candidates);
         match spec.is_gang {
-            true => self.place_gang(now, key, &spec, &candidates, waiting.len()),
-            false => self.place_tasks(now, key, &spec, &mut candidates, &waiting),
+            true => self.place_gang(now, key, spec, &candidates, waiting.len()),
+            false => self.place_tasks(now, key, spec, &mut candidates, &waiting),
         }
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let still_waiting = step.map_or(0, |step| step.waiting.len());
@@ -135,9 +137,9 @@
         }
         // Tasks that the workspace may not start yet need no reservation, and no tickets that would expire by then.
         let unplaced =
-            self.jobs.get(&key.job).map_or(0, |job| self.allowed_starts(job, &spec, still_waiting));
+            self.jobs.get(&key.job).map_or(0, |job| self.allowed_starts(job, spec, still_waiting));
         if unplaced > 0 {
-            let tasks = UnplacedTasks { step: key, spec: &spec, count: unplaced as u32 };
+            let tasks = UnplacedTasks { step: key, spec, count: unplaced as u32 };
             self.preempt_for(now, &tasks, &candidates);
             self.reserve_shared_for(now, &tasks);
             self.reserve_for_gang(now, &tasks);
@@ -147,7 +149,7 @@
                 self.reservations.release(key);
                 self.ready_steps.remove(key);
             }
-            Some(advice) if unplaced > 0 => self.request_advice(now, key, &spec, advice, unplaced),
+            Some(advice) if unplaced > 0 => self.request_advice(now, key, spec, advice, unplaced),
             _ => {}
         }
         let why = self.wait_reason(now, key, &candidates).map(|why| match why {
--- a/src/cell/records/pieces.rs
+++ b/src/cell/records/pieces.rs
@@ -119,8 +119,8 @@
     /// and belong to a repetition that is not open any more.
     pub fn take_changed_pieces(&mut self) -> Vec<PieceRecords> {
         let mut changed = Vec::new();
-        for (repetition, steps) in &mut self.open {
-            for (index, step) in steps.iter_mut().enumerate() {
+        for (repetition, state) in &mut self.open {
+            for (index, step) in state.steps.iter_mut().enumerate() {
                 for number in std::mem::take(&mut step.changed) {
                     let key = PieceKey { repetition: *repetition, step: index as u16, number };
                     let progress = step.piece_progress(number);
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -308,13 +308,14 @@
         let task = row.task;
         self.open_reported(now, task.step);
         let job = self.jobs.get_mut(&task.step.job);
-        let spec = job.as_ref().and_then(|job| job.spec(task.step.step)).cloned();
+        let work = job.as_ref().map(|job| job.work.clone());
+        let spec = work.as_ref().and_then(|work| work.steps.get(usize::from(task.step.step)));
         let owner = job.as_ref().and_then(|job| job.workspace.as_ref());
         // The resources of a run whose job was closed are not known. It may fill the worker, whose
         // resources may have been larger when it started.
         let unknown = Step { resources: Resources::UNKNOWN, ..Step::default() };
-        let spec = spec.unwrap_or(unknown);
-        let mut run = Run::new(row.run, &spec, Phase::Running(now));
+        let spec = spec.unwrap_or(&unknown);
+        let mut run = Run::new(row.run, spec, Phase::Running(now));
         run.usage_guard = owner.map(|owner| self.usages.acquire(owner, spec.resources));
         (run.has_started, run.is_sent, run.percent, run.known_since) =
             (true, true, row.pace_percent, now);
--- a/src/cell/workers/restart.rs
+++ b/src/cell/workers/restart.rs
@@ -106,7 +106,7 @@
     pub(in crate::cell) fn forget_clearances(&mut self, name: &Name) {
         for job in self.jobs.values_mut().filter(|job| job.is_open() && job.queue.advice.is_some())
         {
-            for step in job.open.values_mut().flatten() {
+            for step in job.open.values_mut().flat_map(|repetition| &mut repetition.steps) {
                 step.clearances.cleared.remove(name);
                 step.clearances.denied.remove(name);
             }
