--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -195,10 +195,19 @@
             step.requeue(task.index);
             self.dirty_jobs.insert(task.step.job);
             self.make_ready(task.step);
-            self.stop_incomplete_gang(task.step);
+            self.stop_rest_of_gang(task.step, run);
         }
     }
 
+    /// Stops the other runs of a gang of which one has ended. Where members end one after the other,
+    /// only the first end has the others stopped.
+    fn stop_rest_of_gang(&mut self, key: StepKey, run: u64) {
+        let step = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key));
+        let Some(step) = step.filter(|step| step.stopped_run != Some(run)) else { return };
+        step.stopped_run = Some(run);
+        self.stop_incomplete_gang(key);
+    }
+
     /// Stops the remaining runs of a gang in which a task has no run, because its tasks work only
     /// together.
     pub(in crate::cell) fn stop_incomplete_gang(&mut self, key: StepKey) {
--- a/src/cell/jobs/repetition.rs
+++ b/src/cell/jobs/repetition.rs
@@ -16,7 +16,7 @@
 impl Repetition {
     /// Creates the state of a repetition of which no task has run.
     pub(super) fn new(work: &JobDefinition, has_pieces: bool) -> Self {
-        let new_step = |step| StepState { has_pieces, ..StepState::new(step) };
+        let new_step = |step| StepState::new(step, has_pieces);
         Self { steps: work.steps.iter().map(new_step).collect(), first_unfinished: 0 }
     }
 
--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -87,6 +87,9 @@
     pub tasks: Vec<Task>,
     /// Number of tasks that have not succeeded yet.
     pub unfinished: u32,
+    /// For a gang, the run whose members were all stopped because one of them had ended, unless a
+    /// task was assigned to a worker since.
+    pub stopped_run: Option<u64>,
     /// How many of the step's dependencies, from the first on, are known to be done.
     pub done_dependencies: usize,
     /// Indices of the tasks that need a worker.
@@ -107,11 +110,12 @@
 
 impl StepState {
     /// Creates the state of a step of which no task has run.
-    pub(super) fn new(step: &Step) -> Self {
+    pub(super) fn new(step: &Step, has_pieces: bool) -> Self {
         Self {
             tasks: vec![Task::default(); step.count as usize],
             unfinished: step.count,
             waiting: (0..step.count).collect(),
+            has_pieces,
             ..Self::default()
         }
     }
@@ -240,6 +244,7 @@
             task.status = TaskStatus::Placed { worker, run };
             task.idle_since = None;
             self.waiting.remove(&index);
+            self.stopped_run = None;
         }
     }
 }
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -7,7 +7,7 @@
 
 use growth::{Site, check_growth, job, large, small};
 use sprucerudder::clock::Millis;
-use sprucerudder::order::EndReason;
+use sprucerudder::order::{EndReason, OrderOutcome};
 use sprucerudder::workload::{JobKey, Resources, Step};
 
 const WORKERS: usize = 10;
@@ -16,6 +16,10 @@
     vec![step.clone(); count]
 }
 
+fn gang(size: usize) -> Step {
+    Step { count: size as u32, is_gang: true, ..small() }
+}
+
 /// The critical path of a job was computed for each of its waiting steps, at its submission and in
 /// each pass.
 #[test]
@@ -121,3 +125,57 @@
         site
     });
 }
+
+/// A gang whose members run, and then all end in this way.
+fn gang_that_ends(size: usize, reason: EndReason) -> Site {
+    let mut site = Site::new(WORKERS);
+    site.submit(1, "usual", &job(vec![gang(size)]));
+    site.run_until_started(size);
+    site.end_all(reason);
+    site.passes(2);
+    site
+}
+
+/// The end of each member walked all members, to stop those that still ran.
+#[test]
+fn gangs_whose_members_lose_their_runs() {
+    for reason in [EndReason::GangBroken, EndReason::LeaseExpired, EndReason::Stopped] {
+        check_growth(500, |size| gang_that_ends(size, reason));
+    }
+}
+
+/// Each member whose start was not sent walked all members.
+#[test]
+fn gangs_whose_starts_are_not_sent() {
+    for outcome in [OrderOutcome::Withheld, OrderOutcome::Unsent, OrderOutcome::Unknown] {
+        check_growth(500, |size| {
+            let mut site = Site::new(WORKERS);
+            site.answers_starts = false;
+            site.submit(1, "usual", &job(vec![gang(size)]));
+            site.passes(2);
+            assert_eq!(site.unanswered.len(), size);
+            site.answer_starts(&outcome);
+            site.pass();
+            site
+        });
+    }
+}
+
+/// Each member on a lost worker walked all members, and all runs on the worker.
+#[test]
+fn gangs_on_a_worker_that_is_lost() {
+    check_growth(500, |size| {
+        let mut site = Site::new(2);
+        site.submit(1, "usual", &job(vec![gang(size)]));
+        site.run_until_started(size);
+        let now = Millis(site.now);
+        site.decide("lost", |cell| {
+            for worker in ["w0", "w1"] {
+                cell.mark_unreachable(now, &worker.into());
+            }
+        });
+        site.now += 20_000;
+        site.passes(2);
+        site
+    });
+}
