--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -90,6 +90,8 @@
     /// For a gang, the run whose members were all stopped because one of them had ended, unless a
     /// task was assigned to a worker since.
     pub stopped_run: Option<u64>,
+    /// For a gang, the runs of which a member failed. Members share the numbers of their runs.
+    failed_gang_runs: BTreeSet<u64>,
     /// How many of the step's dependencies, from the first on, are known to be done.
     pub done_dependencies: usize,
     /// Indices of the tasks that need a worker.
@@ -120,12 +122,17 @@
         }
     }
 
-    /// The number of failed runs of a gang. Its members share the numbers of their runs, and several of
-    /// them may fail in one run.
-    pub fn failed_gang_runs(&self) -> usize {
-        visits::add(self.tasks.len());
-        let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
-        runs.collect::<BTreeSet<&u64>>().len()
+    /// Records that a run of a task failed. Returns how often the task has failed, or the gang if it
+    /// belongs to one: several members may fail in one run, which counts once.
+    pub fn record_failure(&mut self, index: u32, run: u64, is_gang: bool) -> usize {
+        let Some(task) = self.task_mut(index) else { return 0 };
+        task.failed_runs.push(run);
+        let failed = task.failed_runs.len();
+        if !is_gang {
+            return failed;
+        }
+        self.failed_gang_runs.insert(run);
+        self.failed_gang_runs.len()
     }
 
     /// Whether all tasks have succeeded.
@@ -211,6 +218,7 @@
             }
         }
         for known in &record.tasks {
+            self.failed_gang_runs.extend(&known.failed);
             if let Some(task) = self.task_mut(known.index) {
                 task.failed_runs = known.failed.clone();
                 task.checkpoint = known.checkpoint.clone();
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -230,12 +230,9 @@
             }
             EndReason::Failed => {
                 state.failed_workers.push(name.clone());
-                if !is_long_running {
-                    state.failed_runs.push(row.run);
-                }
-                let failed = match is_gang {
-                    true => step.failed_gang_runs(),
-                    false => state.failed_runs.len(),
+                let failed = match is_long_running {
+                    true => 0,
+                    false => step.record_failure(task.index, row.run, is_gang),
                 };
                 log::info!(
                     "event=run-failed task={task} run={} worker={name} failed={failed}",
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -144,6 +144,13 @@
     }
 }
 
+/// The failure of each member walked all members, to count the failed runs of the gang.
+#[test]
+fn gangs_whose_members_fail() {
+    check_growth(500, |size| gang_that_ends(size, EndReason::Failed));
+    check_growth(500, |size| gang_that_ends(size, EndReason::Done));
+}
+
 /// Each member whose start was not sent walked all members.
 #[test]
 fn gangs_whose_starts_are_not_sent() {
