--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -106,7 +106,7 @@
         is_confirmed: bool,
     ) {
         let Some(worker) = self.workers.get(name) else { return };
-        let sent: Vec<SentRun> = sent_runs(worker);
+        let SentRuns(sent) = SentRuns::new(worker);
         if worker.listed.leaves_in.is_some() || sent.is_empty() {
             return;
         }
@@ -128,7 +128,8 @@
         }
     }
 
-    /// Counts a possible crash for a task on a worker that does not answer.
+    /// Counts a possible crash for a task on a worker that does not answer. `sent` are the runs that
+    /// were sent to it.
     ///
     /// Without this record the next owner could not tell the crash from a run whose end was not
     /// stored. Nor would it know of the run if a copy of the task was started meanwhile, because
@@ -137,12 +138,13 @@
         &mut self,
         now: Millis,
         name: &Name,
+        sent: &SentRuns,
         task: TaskKey,
     ) {
         let Some(worker) = self.workers.get(name).filter(|worker| !worker.is_reachable) else {
             return;
         };
-        let Some(run) = sent_runs(worker).into_iter().find(|run| run.task == task) else { return };
+        let Some(run) = sent.first_of(task) else { return };
         if worker.listed.leaves_in.is_some() {
             return;
         }
@@ -360,6 +362,7 @@
 }
 
 /// A run whose start was sent to a worker.
+#[derive(Debug)]
 struct SentRun {
     task: TaskKey,
     /// Since when the run is known to this owner.
@@ -370,25 +373,37 @@
     has_started: bool,
 }
 
-/// The runs that were sent to the current incarnation of a worker. Runs that were sent to an
-/// earlier one are left out: they were counted when that one ended, and would be counted again with
-/// each restart.
-fn sent_runs(worker: &Worker) -> Vec<SentRun> {
-    visits::add(worker.runs.len());
-    let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_stale;
-    let sent = || worker.runs.iter().filter(counts);
-    let jobs: BTreeSet<JobKey> = sent().map(|((task, _), _)| task.step.job).collect();
-    let evidence = |run: &Run| match worker.is_stable(run.known_since) {
-        true => Evidence::of_stable_worker(jobs.len() == 1, run.has_started),
-        false => Evidence::Doubtful,
-    };
-    let row = |((task, _), run): (&(TaskKey, u64), &Run)| SentRun {
-        task: *task,
-        since: run.known_since,
-        evidence: evidence(run),
-        has_started: run.has_started,
-    };
-    sent().map(row).collect()
+/// The runs that were sent to the current incarnation of a worker, in the order of their tasks. Runs
+/// that were sent to an earlier one are left out: they were counted when that one ended, and would be
+/// counted again with each restart.
+#[derive(Debug)]
+pub(in crate::cell) struct SentRuns(Vec<SentRun>);
+
+impl SentRuns {
+    /// Collects the runs. It looks at all runs on the worker, so that it is done once for all of them.
+    pub fn new(worker: &Worker) -> Self {
+        visits::add(worker.runs.len());
+        let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_stale;
+        let sent = || worker.runs.iter().filter(counts);
+        let jobs: BTreeSet<JobKey> = sent().map(|((task, _), _)| task.step.job).collect();
+        let evidence = |run: &Run| match worker.is_stable(run.known_since) {
+            true => Evidence::of_stable_worker(jobs.len() == 1, run.has_started),
+            false => Evidence::Doubtful,
+        };
+        let row = |((task, _), run): (&(TaskKey, u64), &Run)| SentRun {
+            task: *task,
+            since: run.known_since,
+            evidence: evidence(run),
+            has_started: run.has_started,
+        };
+        Self(sent().map(row).collect())
+    }
+
+    /// The first run of a task.
+    fn first_of(&self, task: TaskKey) -> Option<&SentRun> {
+        let index = self.0.partition_point(|run| run.task < task);
+        self.0.get(index).filter(|run| run.task == task)
+    }
 }
 
 /// Whether a task runs until its job is cancelled.
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -1,6 +1,7 @@
 //! Reports of workers: runs that go on, runs that ended, and throttling of filler tasks beside
 //! tasks that serve requests.
 
+use crate::cell::jobs::crash::SentRuns;
 use crate::cell::jobs::step::TaskStatus;
 use crate::cell::records::journal::JobOutcome;
 use crate::cell::workers::roster::RemovalReason;
@@ -164,9 +165,14 @@
     /// copies are allowed.
     fn duplicate_stragglers(&mut self, now: Millis, name: &Name) {
         let Some(worker) = self.workers.get_mut(name) else { return };
-        for (task, run) in worker.find_stragglers(now) {
+        let stragglers = worker.find_stragglers(now);
+        if stragglers.is_empty() {
+            return;
+        }
+        let sent = SentRuns::new(worker);
+        for (task, run) in stragglers {
             log::info!("event=straggler task={task} run={run} worker={name}");
-            self.allow_duplicate(now, name, task, run);
+            self.allow_duplicate(now, name, &sent, task, run);
         }
     }
 
--- a/src/cell/workers/roster.rs
+++ b/src/cell/workers/roster.rs
@@ -1,6 +1,6 @@
 //! The set of workers of a cell: workers that are listed, become unreachable, leave or are removed.
 
-use crate::cell::jobs::crash::CrashResolution;
+use crate::cell::jobs::crash::{CrashResolution, SentRuns};
 use crate::cell::mechanism::Mechanism;
 use crate::cell::workers::worker::Worker;
 use crate::cell::{Action, Cell};
@@ -54,11 +54,12 @@
                 worker.lease_end - now
             );
             let runs: Vec<(TaskKey, u64)> = worker.runs.keys().copied().collect();
+            let sent = SentRuns::new(worker);
             for (task, run) in runs {
                 if self.is_quarantined(task) {
-                    self.record_possible_crash(now, name, task);
+                    self.record_possible_crash(now, name, &sent, task);
                 }
-                self.allow_duplicate(now, name, task, run);
+                self.allow_duplicate(now, name, &sent, task, run);
             }
         }
     }
@@ -93,11 +94,12 @@
     }
 
     /// Lets a task be started on another worker as well, if copies of it are allowed to run at the
-    /// same time. The first run that is done counts.
+    /// same time. The first run that is done counts. `sent` are the runs that were sent to the worker.
     pub(in crate::cell) fn allow_duplicate(
         &mut self,
         now: Millis,
         name: &Name,
+        sent: &SentRuns,
         task: TaskKey,
         run: u64,
     ) {
@@ -109,7 +111,7 @@
         if spec.is_some_and(|spec| spec.allow_copies && !spec.is_gang)
             && !self.may_have_crashed_workers(task, run)
         {
-            self.record_possible_crash(now, name, task);
+            self.record_possible_crash(now, name, sent, task);
             self.track_unassigned(task.step.job);
             self.requeue_task(task, run);
         }
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -186,3 +186,22 @@
         site
     });
 }
+
+/// Each task that may have a copy walked all runs on its worker when that did not answer.
+#[test]
+fn tasks_with_copies_on_a_worker_that_is_lost() {
+    check_growth(500, |size| {
+        let mut site = Site::new(2);
+        let step = Step { count: size as u32, allow_copies: true, ..small() };
+        site.submit(1, "usual", &job(vec![step]));
+        site.run_until_started(size);
+        let now = Millis(site.now);
+        site.decide("lost", |cell| {
+            for worker in ["w0", "w1"] {
+                cell.mark_unreachable(now, &worker.into());
+            }
+        });
+        site.passes(2);
+        site
+    });
+}
