--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::visits;
-use crate::workload::{Resources, Step, StepKey, TaskKey};
+use crate::workload::{Resources, Step, StepKey};
 use std::collections::BTreeSet;
 
 /// Whether a worker belongs to the service, has the label that the step requires, and is large enough for one of its
@@ -19,9 +19,7 @@
 
 /// The number of runs of a step on a worker.
 pub(in crate::cell) fn count_step_runs(worker: &Worker, key: StepKey) -> u32 {
-    let first = TaskKey { step: key, index: 0 };
-    let last = TaskKey { step: key, index: u32::MAX };
-    let count = worker.runs.range((first, 0)..=(last, u64::MAX)).count();
+    let count = worker.runs_of_step(key).count();
     visits::add(count);
     count as u32
 }
--- a/src/cell/workers/drain.rs
+++ b/src/cell/workers/drain.rs
@@ -95,9 +95,8 @@
     fn all_tasks_run(&self, key: StepKey, step: &StepState) -> bool {
         let is_working = |run: &Run| matches!(run.phase, Phase::Running(_));
         let working = |worker: &Worker| {
-            let runs = worker.runs_of(key.job);
-            let runs = runs.inspect(|_| visits::add(1));
-            runs.filter(|(task, run)| task.step == key && is_working(run)).count()
+            let runs = worker.runs_of_step(key).inspect(|_| visits::add(1));
+            runs.filter(|(_, run)| is_working(run)).count()
         };
         step.waiting.is_empty()
             && self.workers.values().map(working).sum::<usize>() >= step.tasks.len()
--- a/src/cell/workers/worker.rs
+++ b/src/cell/workers/worker.rs
@@ -227,6 +227,13 @@
         of_job.map(|((task, _), run)| (task, run))
     }
 
+    /// The runs of a step.
+    pub fn runs_of_step(&self, step: StepKey) -> impl Iterator<Item = (&TaskKey, &Run)> {
+        let task = |index| TaskKey { step, index };
+        let of_step = self.runs.range((task(0), 0)..=(task(u32::MAX), u64::MAX));
+        of_step.map(|((task, _), run)| (task, run))
+    }
+
     /// Removes the runs of a job whose starts were not sent. A task may have several of them, if it
     /// was bound again while this worker did not answer.
     pub fn remove_unsent_runs(&mut self, job: JobKey) {
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -9,6 +9,8 @@
 use sprucerudder::clock::Millis;
 use sprucerudder::order::{EndReason, OrderOutcome};
 use sprucerudder::workload::{JobKey, Resources, Step};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
 const WORKERS: usize = 10;
 
@@ -205,3 +207,18 @@
         site
     });
 }
+
+/// Each step with a task in a drained failure domain walked all runs of its job, at each tick.
+#[test]
+fn steps_in_a_drained_failure_domain() {
+    check_growth(500, |size| {
+        let mut site = Site::new(WORKERS);
+        let lasting = Step { long_running: true, ..small() };
+        site.submit(1, "usual", &job(steps(size, &lasting)));
+        site.run_until_started(size);
+        let drained = Arc::new(BTreeSet::from(["first".into()]));
+        site.decide("drain", |cell| cell.set_drained_domains(drained));
+        site.passes(3);
+        site
+    });
+}
