--- a/src/cell/advice/queue.rs
+++ b/src/cell/advice/queue.rs
@@ -6,12 +6,12 @@
 use crate::cell::advice::expected_use::{ExpectedUse, ExpectedUses};
 use crate::cell::advice::load::AdviceLoad;
 use crate::cell::advice::short_load::ShortLoad;
+use crate::cell::advice::waiting::{Turns, WaitingSteps};
 use crate::cell::placing::rank::Rank;
 use crate::clock::Millis;
 use crate::id::Name;
-use crate::visits;
 use crate::workload::{Resources, StepKey};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 /// The duration from which a request is long, which would delay the shortest jobs beyond their
 /// objective.
@@ -71,7 +71,7 @@
 /// Steps that wait for a request to be sent, and the entries that can send them.
 #[derive(Debug, Default)]
 pub struct AdviceQueue {
-    waiting: VecDeque<QueuedStep>,
+    waiting: WaitingSteps,
     clients: BTreeMap<Name, Client>,
     /// The resources that the requests in progress are expected to take of the workers.
     expected: ExpectedUses,
@@ -107,13 +107,6 @@
     deadline: Millis,
 }
 
-impl QueuedStep {
-    /// The position in the queue; lower goes first.
-    fn order(&self) -> (Rank, Millis) {
-        (self.rank, self.queued_at)
-    }
-}
-
 impl IdleClient {
     /// Whether the entry may send a request of this duration.
     pub fn may_take(&self, cost: Millis) -> bool {
@@ -157,7 +150,7 @@
     /// The state of the queue.
     pub fn load(&self, now: Millis) -> AdviceLoad {
         let busy = self.clients.values().filter(|client| client.pending.is_some()).count();
-        let oldest = self.waiting.iter().map(|queued| now.since(queued.queued_at)).max();
+        let oldest = self.waiting.oldest().map(|queued_at| now.since(queued_at));
         AdviceLoad {
             clients: self.clients.len(),
             busy,
@@ -173,30 +166,20 @@
 
     /// Adds a step to the queue, in the order of its rank and of the time since which it waits.
     pub fn push(&mut self, queued: QueuedStep) {
-        let index = self.waiting.partition_point(|other| other.order() <= queued.order());
-        visits::add(index.min(self.waiting.len() - index));
-        self.waiting.insert(index, queued);
+        self.waiting.insert(queued);
     }
 
     /// Sorts the queue again after the ranks of these steps have changed.
     pub fn update_ranks(&mut self, ranks: &HashMap<StepKey, Rank>) {
-        visits::add(self.waiting.len());
-        let mut has_changed = false;
-        for queued in &mut self.waiting {
-            if let Some(rank) = ranks.get(&queued.step) {
-                has_changed |= std::mem::replace(&mut queued.rank, *rank) != *rank;
-            }
-        }
-        if has_changed {
-            self.waiting.make_contiguous().sort_by_key(QueuedStep::order);
+        for (step, rank) in ranks {
+            self.waiting.update_rank(*step, *rank);
         }
     }
 
     /// Removes the request of a step from the queue. If it was sent already, its answer will not be
     /// used.
     pub fn cancel(&mut self, step: StepKey) {
-        visits::add(self.waiting.len());
-        self.waiting.retain(|queued| queued.step != step);
+        self.waiting.remove(step);
         let pending = self.clients.values_mut().filter_map(|client| client.pending.as_mut());
         for request in pending.filter(|request| request.step == step) {
             request.is_cancelled = true;
@@ -261,26 +244,21 @@
         Some(IdleClient { entry: entry.clone(), allows_long })
     }
 
-    /// The queued steps in the order in which requests are sent next.
-    pub fn in_turn(&self, now: Millis) -> Vec<QueuedStep> {
-        visits::add(self.waiting.len());
-        let mut steps: Vec<QueuedStep> = self.waiting.iter().cloned().collect();
-        if !self.is_oldest_turn {
-            return steps;
-        }
-        let oldest = steps.iter().min_by_key(|queued| queued.queued_at).cloned();
-        if let Some(oldest) = oldest
-            && now.since(oldest.queued_at) >= MAX_RANKED_WAIT
-        {
-            steps.sort_by_key(|queued| queued.queued_at);
-        }
-        steps
+    /// The order in which the queued steps are looked at for the next request.
+    pub fn turns(&self, now: Millis) -> Turns {
+        let has_waited_long =
+            self.waiting.oldest().is_some_and(|oldest| now.since(oldest) >= MAX_RANKED_WAIT);
+        Turns::new(self.is_oldest_turn && has_waited_long)
+    }
+
+    /// The queued step whose turn is next.
+    pub fn next_in_turn(&self, turns: &mut Turns) -> Option<QueuedStep> {
+        self.waiting.next(turns).cloned()
     }
 
     /// Removes a step from the queue.
     pub fn remove(&mut self, step: StepKey) {
-        visits::add(self.waiting.len());
-        self.waiting.retain(|queued| queued.step != step);
+        self.waiting.remove(step);
     }
 
     /// Records that an entry sends a request for this many tasks, each of which takes `charge`.
--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -230,10 +230,10 @@
     ) -> Option<(QueuedStep, AdviceRequest)> {
         let mut first = None;
         let mut full: Vec<FullStep> = Vec::new();
-        for queued in self.advice_queue.in_turn(now) {
-            if full.len() >= MAX_FULL_STEPS {
-                break;
-            }
+        let mut turns = self.advice_queue.turns(now);
+        while full.len() < MAX_FULL_STEPS
+            && let Some(queued) = self.advice_queue.next_in_turn(&mut turns)
+        {
             // The workspace may be allowed to start more by the time the next request is sent.
             let is_held = !client.may_take(queued.cost) || self.allowed_tasks(queued.step) == 0;
             if is_held {
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -5,7 +5,7 @@
 mod cells;
 mod growth;
 
-use growth::{Site, check_growth, job, large, small};
+use growth::{Site, check_growth, first_step, job, large, small};
 use sprucerudder::clock::Millis;
 use sprucerudder::order::{EndReason, OrderOutcome};
 use sprucerudder::workload::{JobKey, Resources, Step};
@@ -222,3 +222,20 @@
         site
     });
 }
+
+/// The queue of requests to the advice service was walked for each step that was added or removed.
+#[test]
+fn steps_that_wait_for_advice() {
+    check_growth(500, |size| {
+        let mut site = Site::new(WORKERS);
+        site.cell.add_entry("e1".into(), true);
+        site.submit(1, "advised", &job(steps(size, &small())));
+        site.passes(3);
+        site.submit(2, "advised", &job(steps(size, &small())));
+        site.passes(3);
+        site.decide("cancel", |cell| cell.cancel(Millis(10_000), JobKey(1)));
+        site.passes(2);
+        assert!(site.cell.bindings(first_step(1).job).is_empty());
+        site
+    });
+}
