--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -28,6 +28,7 @@
 use placing::reservation::Reservations;
 use placing::stops::Stops;
 use placing::usage::WorkspaceUsages;
+use placing::victims::JobAccounts;
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -152,6 +153,8 @@
     reservations: Reservations,
     /// The runs that were stopped for other steps.
     stops: Stops,
+    /// Figures of jobs for decisions about stops, during one scheduling pass.
+    job_accounts: JobAccounts,
     /// The running tasks of each workspace and its limits.
     usages: WorkspaceUsages,
     /// How much each workspace may still submit within its share.
@@ -247,6 +250,7 @@
             advice_logged_at: Millis(0),
             reservations: Reservations::default(),
             stops: Stops::default(),
+            job_accounts: JobAccounts::default(),
             usages: WorkspaceUsages::default(),
             shares: ShareLimits::default(),
             drained_domains: Arc::default(),
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -100,6 +100,18 @@
         now: Millis,
         unplaced_tasks: &UnplacedTasks,
         candidates: &[Candidate],
+    ) {
+        let mut accounts = std::mem::take(&mut self.job_accounts);
+        self.preempt_with(now, unplaced_tasks, candidates, &mut accounts);
+        self.job_accounts = accounts;
+    }
+
+    fn preempt_with(
+        &mut self,
+        now: Millis,
+        unplaced_tasks: &UnplacedTasks,
+        candidates: &[Candidate],
+        accounts: &mut JobAccounts,
     ) {
         let UnplacedTasks { step: key, spec, count: unplaced } = *unplaced_tasks;
         // An evaluation collects the runs of all candidates, so that the conditions which need none come first.
@@ -107,14 +119,14 @@
         {
             return;
         }
-        let Some(account) = self.step_account(now, key, spec) else { return };
+        let Some(account) = self.step_account(now, key, spec, accounts) else { return };
         if let Err(why) = account.check() {
             return self.refuse_stops(now, key, why, (0, 0));
         }
         if !self.stops.allows(now, 1) {
             return self.refuse_stops(now, key, Refusal::Limit, (0, 0));
         }
-        let plans = self.plan_by_cost(now, unplaced_tasks, candidates);
+        let plans = self.plan_by_cost(now, unplaced_tasks, candidates, accounts);
         let (mut chosen, missing) = choose_plans(plans, candidates, spec, unplaced);
         if spec.is_gang && missing > 0 {
             return self.stops.defer(now, key);
@@ -143,14 +155,14 @@
         now: Millis,
         unplaced_tasks: &UnplacedTasks,
         candidates: &[Candidate],
+        accounts: &mut JobAccounts,
     ) -> Vec<PreemptionPlan> {
         let UnplacedTasks { step: key, spec, count } = *unplaced_tasks;
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
-        let mut accounts = JobAccounts::default();
         let plan = |candidate: &Candidate| {
             let mut victims = self.victims(&candidate.name, job.priority());
             for victim in &mut victims {
-                victim.account = self.victim_account(now, &candidate.name, victim, &mut accounts);
+                victim.account = self.victim_account(now, &candidate.name, victim, accounts);
             }
             victims.retain(|victim| victim.account.is_some());
             victims.sort_by_key(|victim| victim.account.map(|account| account.order()));
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -10,6 +10,7 @@
     Candidate, UnplacedTasks, count_step_runs, is_suitable, pick_gang_workers, pick_worker,
 };
 use crate::cell::placing::relaxation::Relaxation;
+use crate::cell::placing::victims::JobAccounts;
 use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::speed::is_tight;
 use crate::cell::workers::worker::Worker;
@@ -40,6 +41,8 @@
         let limit = if self.is_overloaded { MAX_OPEN_STARTS } else { MAX_CALM_OPEN_STARTS };
         let pass_end = self.bound_starts + limit.saturating_sub(open) as u64;
         self.step_end = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
+        // Expected run times change with each report.
+        self.job_accounts = JobAccounts::default();
         let ready: Vec<StepKey> = self.ready_steps.iter().collect();
         for key in ready {
             if self.awaits_answer_quietly(now, key) {
--- a/src/cell/placing/victims.rs
+++ b/src/cell/placing/victims.rs
@@ -8,14 +8,14 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::visits;
-use crate::workload::{Step, StepKey, TaskKey};
+use crate::workload::{JobKey, Step, StepKey, TaskKey};
 use std::collections::HashMap;
 
 /// A run that takes longer than expected is assumed to go on for at least its run time divided by this, so that one
 /// that stands still is not taken for one that ends soon. Batch runs of 2.7 s that take a third longer are beyond that.
 const OVERDUE_DIVISOR: u64 = 4;
 
-/// The values that are the same for all runs of a step, kept during one evaluation.
+/// What the decision needs of a step.
 #[derive(Debug, Clone, Copy)]
 struct StepFigures {
     /// The expected run time of a task on a usual worker.
@@ -28,9 +28,19 @@
     job_work: u64,
 }
 
-/// The figures of the steps that one evaluation has met.
+/// What the decision needs of a whole job, with the run times that are expected now.
+#[derive(Debug)]
+struct JobFigures {
+    /// The work of the job, in core-milliseconds.
+    work: u64,
+    /// For each step, the run time of the longest chain of steps that come after it.
+    paths_after: Vec<Millis>,
+}
+
+/// The figures of the jobs that a scheduling pass has met. They take a walk of all steps of a job, and
+/// are kept for the other steps and runs of the job.
 #[derive(Debug, Default)]
-pub(in crate::cell) struct JobAccounts(HashMap<StepKey, StepFigures>);
+pub(in crate::cell) struct JobAccounts(HashMap<JobKey, JobFigures>);
 
 impl Cell {
     /// The account of a step whose tasks wait.
@@ -39,9 +49,10 @@
         now: Millis,
         key: StepKey,
         spec: &Step,
+        accounts: &mut JobAccounts,
     ) -> Option<StepAccount> {
         let job = self.jobs.get(&key.job)?;
-        let figures = self.step_figures(now, key, job)?;
+        let figures = self.step_figures(now, key, job, accounts)?;
         let ready_since = job.step(key)?.ready_since?;
         Some(StepAccount {
             work: work_of(spec, figures.run_time, spec.count),
@@ -62,14 +73,7 @@
     ) -> Option<VictimAccount> {
         let Victim { task, run, charge, .. } = victim;
         let job = self.jobs.get(&task.step.job)?;
-        let figures = match accounts.0.get(&task.step) {
-            Some(figures) => *figures,
-            None => {
-                let figures = self.step_figures(now, task.step, job)?;
-                accounts.0.insert(task.step, figures);
-                figures
-            }
-        };
+        let figures = self.step_figures(now, task.step, job, accounts)?;
         let worker = self.workers.get(worker)?;
         let run = worker.runs.get(&(*task, *run))?;
         let since = |time: Millis| if time.0 == 0 { Millis(0) } else { now.since(time) };
@@ -97,35 +101,46 @@
         self.stops.saved(task) + saved_now
     }
 
-    fn step_figures(&self, now: Millis, key: StepKey, job: &Job) -> Option<StepFigures> {
+    fn step_figures(
+        &self,
+        now: Millis,
+        key: StepKey,
+        job: &Job,
+        accounts: &mut JobAccounts,
+    ) -> Option<StepFigures> {
         let run_times = self.run_times.get(&job.queue.name);
         let expected = |spec: &Step| {
             let learned = run_times.and_then(|times| times.expected(spec.estimate));
             learned.unwrap_or(spec.estimate)
         };
-        visits::add(job.work.steps.len());
-        let works = job.work.steps.iter().map(|spec| work_of(spec, expected(spec), spec.count));
+        let figures = accounts.0.entry(key.job).or_insert_with(|| JobFigures::new(job, expected));
         let slack_after = job.rank().due.0 as i64 - now.0 as i64;
+        let path_after = figures.paths_after.get(usize::from(key.step)).copied()?;
         Some(StepFigures {
             run_time: expected(job.spec(key.step)?),
-            slack_after: slack_after - path_after(job, key.step, expected).0 as i64,
+            slack_after: slack_after - path_after.0 as i64,
             has_waiting: !job.step(key)?.waiting.is_empty(),
-            job_work: works.sum(),
+            job_work: figures.work,
         })
     }
 }
 
-/// The run time of the longest chain of steps that come after a step.
-fn path_after(job: &Job, step: u16, run_time: impl Fn(&Step) -> Millis) -> Millis {
-    let mut ends: Vec<Option<u64>> = Vec::with_capacity(job.work.steps.len());
-    for (index, spec) in job.work.steps.iter().enumerate() {
-        visits::add(1 + spec.dependencies.len());
-        let chains = spec.dependencies.iter().filter_map(|at| *ends.get(usize::from(*at))?);
-        let end = match chains.max() {
-            _ if index == usize::from(step) => Some(0),
-            before => before.map(|before| before + run_time(spec).0),
-        };
-        ends.push(end);
+impl JobFigures {
+    fn new(job: &Job, run_time: impl Fn(&Step) -> Millis) -> Self {
+        let steps = &job.work.steps;
+        let works = steps.iter().map(|spec| work_of(spec, run_time(spec), spec.count));
+        let work = works.sum();
+        let mut paths_after = vec![Millis(0); steps.len()];
+        for (index, spec) in steps.iter().enumerate().rev() {
+            visits::add(1 + spec.dependencies.len());
+            let after = paths_after.get(index).copied().unwrap_or_default();
+            let path = after + run_time(spec);
+            for dependency in &spec.dependencies {
+                if let Some(known) = paths_after.get_mut(usize::from(*dependency)) {
+                    *known = path.max(*known);
+                }
+            }
+        }
+        Self { work, paths_after }
     }
-    Millis(ends.into_iter().flatten().max().unwrap_or(0))
 }
--- a/tests/growth/mod.rs
+++ b/tests/growth/mod.rs
@@ -70,7 +70,14 @@
         (Name::from(name), Arc::new(queue))
     };
     let plain = [queue("urgent", 0, None), queue("usual", 1, None), queue("spare", 2, None)];
-    plain.into_iter().chain([queue("advised", 1, Some(ADVICE))]).collect()
+    // Three queues with advice whose objectives grow with their priorities enable the comparison of
+    // what a stop costs and gains.
+    let advised = |name, priority: u32| {
+        let (name, queue) = queue(name, priority, Some(ADVICE));
+        (name, Arc::new(Queue { stretch: 1_500 * u64::from(priority), ..(*queue).clone() }))
+    };
+    let ranked = [advised("advised", 1), advised("advised-later", 2), advised("advised-last", 3)];
+    plain.into_iter().chain(ranked).collect()
 }
 
 impl Site {
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -223,6 +223,28 @@
     });
 }
 
+/// A job of many steps whose runs may be stopped for a more urgent job of some steps.
+fn steps_that_may_be_stopped(size: usize, urgent: usize) -> Site {
+    let mut site = Site::new(WORKERS);
+    let spare = Step { has_checkpoints: true, estimate: Millis(60_000), ..small() };
+    site.submit(1, "spare", &job(steps(size, &spare)));
+    site.run_until_started(size);
+    let step = Step { estimate: Millis(3_000), ..large() };
+    site.submit(2, "urgent", &job(steps(urgent, &step)));
+    for _ in 0..10 {
+        site.report_all();
+        site.pass();
+    }
+    site
+}
+
+/// What it costs to stop a run, and what it gains, was found by a walk of all steps of their jobs,
+/// for each step that runs.
+#[test]
+fn runs_that_may_be_stopped_for_a_few_steps() {
+    check_growth(500, |size| steps_that_may_be_stopped(size, WORKERS));
+}
+
 /// The queue of requests to the advice service was walked for each step that was added or removed.
 #[test]
 fn steps_that_wait_for_advice() {
