--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::id::Name;
 use crate::order::{AdviceAge, ClearedWorkers};
+use crate::visits;
 use crate::workload::{AdviceConfig, Resources, Step, StepKey};
 use std::collections::BTreeSet;
 
@@ -29,6 +30,9 @@
 /// goes through all workers.
 const MAX_FULL_STEPS: usize = 2;
 
+/// The elements that are visited at most before no further request is assigned in the same pass.
+const MAX_VISITS: u64 = 500_000;
+
 /// The resources that a step without room needs of a worker.
 #[derive(Debug)]
 struct FullStep {
@@ -210,9 +214,11 @@
         (room >= remaining).then_some(selected)
     }
 
-    /// Has idle entries send the requests of queued steps.
+    /// Has idle entries send the requests of queued steps. If that takes long, the next pass goes on.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
-        while let Some(client) = self.advice_queue.idle_client(now)
+        let begun = visits::count();
+        while visits::count() - begun < MAX_VISITS
+            && let Some(client) = self.advice_queue.idle_client(now)
             && let Some((queued, request)) = self.next_request(now, &client)
         {
             self.advice_queue.remove(queued.step);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -26,6 +26,7 @@
 use placing::fair_share::ShareLimits;
 use placing::rank::{ClassCounts, ReadySteps};
 use placing::reservation::Reservations;
+use placing::round::Round;
 use placing::stops::Stops;
 use placing::usage::WorkspaceUsages;
 use placing::victims::JobAccounts;
@@ -122,6 +123,8 @@
     run_times: HashMap<Name, RunTimes>,
     /// Steps with tasks that need a worker, the most urgent first.
     ready_steps: ReadySteps,
+    /// The round of scheduling passes that goes on.
+    round: Round,
     /// Jobs that have not started, by the time after which their class may change.
     rank_changes: BTreeSet<(Millis, JobKey)>,
     /// Jobs by their class at their first start, since the takeover.
@@ -235,6 +238,7 @@
             workers: BTreeMap::new(),
             run_times: HashMap::new(),
             ready_steps: ReadySteps::default(),
+            round: Round::default(),
             rank_changes: BTreeSet::new(),
             first_starts: ClassCounts::default(),
             start_timers: BTreeSet::new(),
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -1,6 +1,7 @@
 //! Placement: decides which waiting task starts next, and on which worker.
 //!
 //! - `schedule` places the tasks of waiting steps in order of urgency and sends the start orders.
+//! - `round` divides the look at all waiting steps into passes of a limited length.
 //! - `objectives` tells whether the lateness of jobs can be compared.
 //! - `rank` orders the waiting steps.
 //! - `lateness` ranks jobs that cannot be on time any more behind the others.
@@ -25,6 +26,7 @@
 pub mod rank;
 pub(super) mod relaxation;
 pub(super) mod reservation;
+pub(super) mod round;
 pub(super) mod schedule;
 pub(super) mod stability;
 pub mod stops;
--- a/src/cell/placing/rank.rs
+++ b/src/cell/placing/rank.rs
@@ -86,7 +86,12 @@
 
     /// The steps, the most urgent first.
     pub fn iter(&self) -> impl Iterator<Item = StepKey> {
-        self.order.iter().map(|(_, step)| *step)
+        self.ranked().map(|(_, step)| *step)
+    }
+
+    /// The steps with their ranks, the most urgent first.
+    pub fn ranked(&self) -> impl Iterator<Item = &(Rank, StepKey)> {
+        self.order.iter()
     }
 
     /// The number of steps.
--- /dev/null
+++ b/src/cell/placing/round.rs
@@ -0,0 +1,90 @@
+//! The rounds in which scheduling passes look at all waiting steps.
+//!
+//! A pass ends once it has visited a number of elements, because the owner sends no heartbeat
+//! meanwhile. A round then takes several passes. Each of them looks at the most urgent steps first,
+//! and then goes on where the one before ended, so that steps that find no worker keep neither more
+//! urgent nor less urgent ones from being looked at.
+
+use crate::cell::placing::rank::Rank;
+use crate::visits;
+use crate::workload::StepKey;
+
+/// The most elements that a pass visits, beside those of its last step. They take up to a tenth of a
+/// second of a whole core, and the timeout of an owner is more than a second.
+const PASS_VISITS: u64 = 1_000_000;
+/// The part of these that goes to the most urgent steps while a round goes on.
+const URGENT_VISITS: u64 = PASS_VISITS / 2;
+
+/// A waiting step in the order of urgency.
+pub type Entry = (Rank, StepKey);
+
+/// How far the present round has come.
+#[derive(Debug, Default)]
+pub struct Round {
+    /// The step after which the next pass goes on; `None` if no round goes on.
+    last: Option<Entry>,
+    /// Something has changed since the round began that may allow another task to be placed.
+    has_changed: bool,
+}
+
+/// One pass over the waiting steps.
+#[derive(Debug)]
+pub struct Pass {
+    /// The steps, the most urgent first.
+    ready: Vec<Entry>,
+    /// The index of the next step.
+    next: usize,
+    /// The index of the step at which the round goes on; 0 if the pass begins one.
+    resumed: usize,
+    /// The count of visits when the pass began.
+    begun: u64,
+}
+
+impl Round {
+    /// Whether a round goes on.
+    pub fn is_open(&self) -> bool {
+        self.last.is_some()
+    }
+
+    /// Begins a pass. `has_changed` tells whether something has changed since the last one.
+    pub fn begin_pass(&mut self, ready: Vec<Entry>, has_changed: bool) -> Pass {
+        let resumed = match &self.last {
+            Some(last) => ready.partition_point(|entry| entry <= last),
+            None => 0,
+        };
+        self.has_changed = self.is_open() && (self.has_changed || has_changed);
+        visits::add(ready.len());
+        Pass { ready, next: 0, resumed, begun: visits::count() }
+    }
+
+    /// Ends a pass. Returns whether another round has to follow.
+    pub fn end_pass(&mut self, pass: &Pass) -> bool {
+        let next = pass.next.max(pass.resumed);
+        if next < pass.ready.len() {
+            self.last = next.checked_sub(1).and_then(|last| pass.ready.get(last).copied());
+            return false;
+        }
+        self.last = None;
+        std::mem::take(&mut self.has_changed)
+    }
+}
+
+impl Pass {
+    /// The step to look at next; `None` if the pass ends.
+    pub fn next_step(&mut self) -> Option<StepKey> {
+        let visited = visits::count() - self.begun;
+        match visited {
+            PASS_VISITS.. => return None,
+            URGENT_VISITS.. if self.next < self.resumed => self.next = self.resumed,
+            _ => {}
+        }
+        let (_, step) = self.ready.get(self.next)?;
+        self.next += 1;
+        Some(*step)
+    }
+
+    /// The number of steps that this pass leaves to later ones.
+    pub fn left(&self) -> usize {
+        self.ready.len() - self.next.max(self.resumed).min(self.ready.len())
+    }
+}
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -31,10 +31,14 @@
 
 impl Cell {
     /// Places as many waiting tasks as fit, the most urgent first. Does nothing unless the cell's state has changed
-    /// since the last pass.
+    /// since the last pass, or that pass did not get to all steps.
     pub fn schedule(&mut self, now: Millis) {
         self.fail_exhausted_jobs(now);
-        if self.list_stale || !std::mem::take(&mut self.needs_placement) {
+        if self.list_stale {
+            return;
+        }
+        let has_changed = std::mem::take(&mut self.needs_placement);
+        if !has_changed && !self.round.is_open() {
             return;
         }
         let open = self.open_starts();
@@ -43,8 +47,9 @@
         self.step_end = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
         // Expected run times change with each report.
         self.job_accounts = JobAccounts::default();
-        let ready: Vec<StepKey> = self.ready_steps.iter().collect();
-        for key in ready {
+        let ready = self.ready_steps.ranked().copied().collect();
+        let mut pass = self.round.begin_pass(ready, has_changed);
+        while let Some(key) = pass.next_step() {
             if self.awaits_answer_quietly(now, key) {
                 continue;
             }
@@ -55,12 +60,22 @@
             if self.bound_starts >= pass_end {
                 // The next pass goes on once these starts have been answered.
                 self.needs_placement = true;
-                break;
+                return self.assign_requests(now);
             }
         }
+        let was_open = self.round.is_open();
+        self.needs_placement |= self.round.end_pass(&pass);
+        if self.round.is_open() && !was_open {
+            log::info!("event=pass-limited epoch={} left={}", self.epoch, pass.left());
+        }
         self.assign_requests(now);
     }
 
+    /// Whether the last scheduling pass left steps to the next one.
+    pub fn has_open_round(&self) -> bool {
+        self.round.is_open()
+    }
+
     /// The number of starts that have not been answered. They are limited, so that the most urgent
     /// ones do not wait behind those of a long backlog.
     fn open_starts(&self) -> usize {
--- a/src/node/owner/actions.rs
+++ b/src/node/owner/actions.rs
@@ -35,6 +35,9 @@
             pacing.record_pass(started, self.node.now());
             self.execute_actions();
             self.write_wake.notify_one();
+            if lock(&self.cell).has_open_round() {
+                self.schedule_wake.notify_one();
+            }
         }
     }
 
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -49,6 +49,21 @@
     });
 }
 
+/// All reservations on all workers were looked at for each step that waits, in one pass.
+#[test]
+fn steps_that_wait_for_room() {
+    check_growth(500, |size| {
+        let mut site = Site::new(WORKERS);
+        site.submit(1, "usual", &job(vec![Step { count: WORKERS as u32, ..large() }]));
+        site.run_until_started(WORKERS);
+        site.submit(2, "usual", &job(steps(size, &large())));
+        site.passes(30);
+        site.end_all(EndReason::Done);
+        site.passes(2);
+        site
+    });
+}
+
 /// Each end of a step walked all steps of the job, for whether all are done.
 #[test]
 fn steps_that_run() {
@@ -245,6 +260,12 @@
     check_growth(500, |size| steps_that_may_be_stopped(size, WORKERS));
 }
 
+/// All runs were looked at for each step that waits, in one pass.
+#[test]
+fn runs_that_may_be_stopped_for_many_steps() {
+    check_growth(500, |size| steps_that_may_be_stopped(size, size));
+}
+
 /// The queue of requests to the advice service was walked for each step that was added or removed.
 #[test]
 fn steps_that_wait_for_advice() {
@@ -261,3 +282,25 @@
         site
     });
 }
+
+/// A pass looked at all steps, however many they are. One that ends earlier, and always begins with
+/// the most urgent steps, would never get to the others.
+#[test]
+fn steps_that_wait_for_room_keep_no_others_from_starting() {
+    const BUSY: usize = 100;
+    const SIZE: usize = 3_000;
+    let mut site = Site::new(BUSY);
+    site.submit(1, "usual", &job(vec![Step { count: BUSY as u32, ..large() }]));
+    site.run_until_started(BUSY);
+    site.submit(2, "usual", &job(steps(SIZE, &large())));
+    site.passes(2);
+    // Takes only processor time that others leave idle.
+    let filler = Step { best_effort: true, ..small() };
+    site.submit(3, "urgent", &job(vec![filler.clone()]));
+    site.submit(4, "spare", &job(vec![filler]));
+    site.passes(2);
+    assert!(site.first_starts.contains_key(&JobKey(3)), "the more urgent job waits");
+    site.passes(25);
+    assert!(site.first_starts.contains_key(&JobKey(4)), "the less urgent job waits");
+    assert!(site.most["schedule"] < 1_200_000, "{:?}", site.most);
+}
