--- a/src/cell/jobs/wait.rs
+++ b/src/cell/jobs/wait.rs
@@ -2,10 +2,9 @@
 //! long.
 
 use crate::cell::Cell;
-use crate::cell::jobs::job::Job;
 use crate::cell::jobs::restart_policy;
 use crate::cell::jobs::wait_reason::WaitReason;
-use crate::cell::placing::candidate::{Candidate, is_suitable};
+use crate::cell::placing::candidate::Candidate;
 use crate::clock::Millis;
 use crate::workload::StepKey;
 
@@ -64,6 +63,8 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.step(key)?;
         let clearances = &step.clearances;
+        let has_suitable =
+            || job.spec(key.step).is_none_or(|spec| self.has_suitable_worker(job, spec));
         let is_held_back = |index: &u32| {
             let task = step.tasks.get(*index as usize);
             task.is_some_and(|task| restart_policy::is_held_back(&task.crashes))
@@ -73,7 +74,7 @@
             () if step.waiting.iter().all(is_held_back) => WaitReason::Crashes,
             () if !candidates.is_empty() => WaitReason::Room,
             () if clearances.request_pending => WaitReason::Advice,
-            () if !self.has_large_worker(job, key) => WaitReason::TooLarge,
+            () if !has_suitable() => WaitReason::TooLarge,
             () if job.queue.advice.is_none() => WaitReason::NoWorker,
             () if clearances.cleared.is_empty() => WaitReason::NoneCleared,
             () if clearances.has_any_ticket(now) => WaitReason::NoWorker,
@@ -89,12 +90,6 @@
         })
     }
 
-    /// Whether any worker would be large enough for a task of a step if nothing else ran on it.
-    fn has_large_worker(&self, job: &Job, key: StepKey) -> bool {
-        let Some(spec) = job.spec(key.step) else { return true };
-        self.workers.values().any(|worker| is_suitable(worker, &job.queue.service, spec))
-    }
-
     /// Sets why a step waits. If the reason changed, logs how long the step waited for the previous
     /// one.
     pub(in crate::cell) fn set_wait_reason(
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -28,6 +28,7 @@
 use placing::reservation::Reservations;
 use placing::round::Round;
 use placing::stops::Stops;
+use placing::unsuitable::UnsuitableRequests;
 use placing::usage::WorkspaceUsages;
 use placing::victims::JobAccounts;
 use records::journal::{JobOutcome, Snapshot, UnassignedRun};
@@ -158,6 +159,8 @@
     stops: Stops,
     /// Figures of jobs for decisions about stops, during one scheduling pass.
     job_accounts: JobAccounts,
+    /// What was found to suit no worker, during one scheduling pass.
+    unsuitable: UnsuitableRequests,
     /// The running tasks of each workspace and its limits.
     usages: WorkspaceUsages,
     /// How much each workspace may still submit within its share.
@@ -255,6 +258,7 @@
             reservations: Reservations::default(),
             stops: Stops::default(),
             job_accounts: JobAccounts::default(),
+            unsuitable: UnsuitableRequests::default(),
             usages: WorkspaceUsages::default(),
             shares: ShareLimits::default(),
             drained_domains: Arc::default(),
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -10,6 +10,7 @@
     Candidate, UnplacedTasks, count_step_runs, is_suitable, pick_gang_workers, pick_worker,
 };
 use crate::cell::placing::relaxation::Relaxation;
+use crate::cell::placing::unsuitable::UnsuitableRequests;
 use crate::cell::placing::victims::JobAccounts;
 use crate::cell::workers::run::{Phase, Run};
 use crate::cell::workers::speed::is_tight;
@@ -47,6 +48,7 @@
         self.step_end = self.bound_starts + MAX_CALM_OPEN_STARTS.saturating_sub(open) as u64;
         // Expected run times change with each report.
         self.job_accounts = JobAccounts::default();
+        self.unsuitable = UnsuitableRequests::default();
         let ready = self.ready_steps.ranked().copied().collect();
         let mut pass = self.round.begin_pass(ready, has_changed);
         while let Some(key) = pass.next_step() {
@@ -130,6 +132,11 @@
             };
             return self.set_wait_reason(now, key, Some(why));
         }
+        if !self.has_suitable_worker(job, spec) {
+            self.note_unsuitable(key.job, spec);
+            let why = self.wait_reason(now, key, &[]);
+            return self.set_wait_reason(now, key, why);
+        }
         // The members of a gang start together.
         let in_pass = match spec.is_gang {
             true => allowed,
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -97,7 +97,7 @@
 }
 
 /// Amounts of a worker's resources, offered by a worker or requested for a task.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
     /// CPU, in thousandths of a core.
     pub cpu: u64,
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -6,6 +6,7 @@
 mod growth;
 
 use growth::{Site, check_growth, first_step, job, large, small};
+use sprucerudder::cell::jobs::wait_reason::WaitReason;
 use sprucerudder::clock::Millis;
 use sprucerudder::order::{EndReason, OrderOutcome};
 use sprucerudder::workload::{JobKey, Resources, Step};
@@ -304,3 +305,20 @@
     assert!(site.first_starts.contains_key(&JobKey(4)), "the less urgent job waits");
     assert!(site.most["schedule"] < 1_200_000, "{:?}", site.most);
 }
+
+/// All workers were looked at for each step that none of them can ever run.
+#[test]
+fn steps_that_no_worker_can_run_are_found_at_once() {
+    let play = |workers| {
+        let mut site = Site::new(workers);
+        let never = Step { resources: Resources { cpu: 1, mem: 1, gpu: 1 }, ..small() };
+        site.submit(1, "usual", &job(steps(1_000, &never)));
+        site.submit(2, "advised", &job(steps(1_000, &never)));
+        site.passes(5);
+        assert_eq!(site.cell.waiting_steps().count(), 2_000);
+        assert!(site.cell.waiting_steps().all(|(_, why)| why == WaitReason::TooLarge));
+        site.most["schedule"]
+    };
+    let (few, many) = (play(10), play(100));
+    assert!(many < 2 * few, "{few} visits for 10 workers, {many} for 100");
+}
