--- a/src/cell/placing/round.rs
+++ b/src/cell/placing/round.rs
@@ -9,9 +9,9 @@
 use crate::visits;
 use crate::workload::StepKey;
 
-/// The most elements that a pass visits, beside those of its last step. They take up to a tenth of a
-/// second of a whole core, and the timeout of an owner is more than a second.
-const PASS_VISITS: u64 = 1_000_000;
+/// The most elements that a pass visits, beside those of its last step. They take up to 60 ms of a
+/// whole core, or 240 ms of a quarter of one, and an owner that is not heard for 1.2 s is replaced.
+const PASS_VISITS: u64 = 500_000;
 /// The part of these that goes to the most urgent steps while a round goes on.
 const URGENT_VISITS: u64 = PASS_VISITS / 2;
 
