--- a/src/cell/jobs/lifecycle.rs
+++ b/src/cell/jobs/lifecycle.rs
@@ -10,7 +10,7 @@
 use crate::id::Name;
 use crate::visits;
 use crate::workload::{JobKey, StepKey, TaskKey};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The interval between calls of [`Cell::tick`], which sends unanswered stops again and expires
 /// leases. It is a tenth of the longest time that a caller waits for an answer.
@@ -136,12 +136,26 @@
         }
     }
 
-    /// Discards a job that was not accepted. None of its starts was sent, so no run has to be
+    /// Discards jobs that were not accepted. None of their starts was sent, so no run has to be
     /// stopped.
     ///
-    /// The caller may submit the job again under the same key, so nothing may be left that refers to it:
-    /// a start that stayed queued would be sent together with that of the new binding.
-    pub(in crate::cell) fn discard_job(&mut self, key: JobKey) {
+    /// The callers may submit the jobs again under the same keys, so nothing may be left that refers to
+    /// them: a start that stayed queued would be sent together with that of the new binding.
+    pub(in crate::cell) fn discard_jobs(&mut self, keys: &BTreeSet<JobKey>) {
+        if !keys.iter().any(|key| self.jobs.contains_key(key)) {
+            return;
+        }
+        for key in keys {
+            self.discard_job(*key);
+        }
+        visits::add(self.start_timers.len() + self.unsent_starts.len());
+        self.start_timers.retain(|(_, key)| !keys.contains(key));
+        self.unsent_starts.retain(|(_, _, start)| !keys.contains(&start.task.step.job));
+        self.needs_placement = true;
+    }
+
+    /// Discards the state of a job, except what refers to it in the lists of all jobs.
+    fn discard_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
         self.memory.replace(job.charged_bytes, 0);
         self.held_jobs.remove(&key);
@@ -150,13 +164,10 @@
             self.advice_queue.cancel(step);
             self.reservations.release(step);
         }
-        self.start_timers.retain(|(_, job)| *job != key);
-        self.unsent_starts.retain(|(_, _, start)| start.task.step.job != key);
         self.stored_unassigned.remove(&key);
         for worker in self.workers.values_mut() {
             worker.remove_unsent_runs(key);
         }
-        self.needs_placement = true;
     }
 
     /// Stops a run. Its resources stay charged until the worker reports that it has ended.
--- a/src/cell/records/batch.rs
+++ b/src/cell/records/batch.rs
@@ -8,8 +8,9 @@
 use crate::cell::workers::worker::Worker;
 use crate::clock::Millis;
 use crate::id::Name;
+use crate::visits;
 use crate::workload::JobKey;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The size at which no more new jobs are added to a batch, so that an append takes no more than
 /// some tens of milliseconds at the platform's 20 MB/s per partition.
@@ -51,9 +52,7 @@
         }
         let number = self.open_batch;
         self.open_batch += 1;
-        for key in new {
-            self.defer_job(key);
-        }
+        self.defer_jobs(new.collect());
         if records.is_empty() {
             self.mark_stored(now, number);
             return None;
@@ -61,13 +60,19 @@
         Some(Batch { number, records })
     }
 
-    /// Moves a new job that did not fit into the last batch to the next one.
-    fn defer_job(&mut self, key: JobKey) {
-        if let Some(job) = self.jobs.get_mut(&key) {
-            job.batch = self.open_batch;
-            self.unstored_jobs.retain(|(_, other)| *other != key);
-            self.unstored_jobs.push_back((self.open_batch, key));
-            self.dirty_jobs.insert(key);
+    /// Moves new jobs that did not fit into the last batch to the next one.
+    fn defer_jobs(&mut self, keys: BTreeSet<JobKey>) {
+        if keys.is_empty() {
+            return;
+        }
+        visits::add(self.unstored_jobs.len());
+        self.unstored_jobs.retain(|(_, key)| !keys.contains(key));
+        for key in keys {
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.batch = self.open_batch;
+                self.unstored_jobs.push_back((self.open_batch, key));
+                self.dirty_jobs.insert(key);
+            }
         }
     }
 
@@ -136,7 +141,7 @@
             let is_new = self.jobs.get(key).is_some_and(Job::is_open);
             is_unsent(*batch) && (is_new || self.forwarded.contains_key(key))
         };
-        let withdrawn: Vec<JobKey> =
+        let withdrawn: BTreeSet<JobKey> =
             self.unstored_jobs.iter().filter(is_withdrawn).map(|(_, key)| *key).collect();
         self.unstored_jobs.retain(|(_, key)| !withdrawn.contains(key));
         for key in &withdrawn {
@@ -146,10 +151,10 @@
                 // above.
                 None => log::error!("event=withdrawn-unknown job={key}"),
             }
-            self.discard_job(*key);
             self.forwarded.remove(key);
         }
-        withdrawn
+        self.discard_jobs(&withdrawn);
+        withdrawn.into_iter().collect()
     }
 
     /// Records that all batches up to `batch` are stored.
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -9,7 +9,7 @@
 use sprucerudder::cell::jobs::wait_reason::WaitReason;
 use sprucerudder::clock::Millis;
 use sprucerudder::order::{EndReason, OrderOutcome};
-use sprucerudder::workload::{JobKey, Resources, Step};
+use sprucerudder::workload::{JobDefinition, JobKey, Resources, Step};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -322,3 +322,23 @@
     let (few, many) = (play(10), play(100));
     assert!(many < 2 * few, "{few} visits for 10 workers, {many} for 100");
 }
+
+/// The list of new jobs was walked for each job that did not fit into a batch, and that of the starts
+/// for each job that was withdrawn.
+#[test]
+fn new_jobs_that_are_not_stored() {
+    check_growth(500, |size| {
+        let mut site = Site::new(WORKERS);
+        let work =
+            JobDefinition { payload: "x".repeat(4_000).into(), ..(*job(vec![small()])).clone() };
+        let work = Arc::new(work);
+        (0..size as u64).for_each(|key| site.submit(key, "usual", &work));
+        let now = Millis(site.now);
+        site.decide("schedule", |cell| cell.schedule(now));
+        let batch = site.decide("batch", |cell| cell.take_batch(now)).expect("a batch");
+        site.decide("withdraw", |cell| cell.withdraw_batch(batch.number));
+        let withdrawn = site.decide("withdraw", |cell| cell.withdraw_after(batch.number));
+        assert!(!withdrawn.is_empty());
+        site
+    });
+}
