--- a/src/cell/jobs/summary.rs
+++ b/src/cell/jobs/summary.rs
@@ -45,13 +45,13 @@
 impl Dependents {
     fn new(work: &JobDefinition) -> Self {
         let pairs = || {
-            let steps = work.steps.iter().zip(0_u16..);
-            steps.flat_map(|(spec, step)| {
+            work.steps.iter().enumerate().flat_map(|(index, spec)| {
                 let mut dependencies = spec.dependencies.clone();
                 dependencies.sort_unstable();
                 dependencies.dedup();
                 visits::add(1 + dependencies.len());
-                dependencies.into_iter().map(move |dependency| (usize::from(dependency), step))
+                let pair = move |dependency| (usize::from(dependency), index as u16);
+                dependencies.into_iter().map(pair)
             })
         };
         let mut ends = vec![0_u32; work.steps.len()];
--- a/src/workload.rs
+++ b/src/workload.rs
@@ -12,6 +12,8 @@
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// Maximum number of tasks of one job over all steps and repetitions.
 pub const MAX_TASKS: u64 = 100_000;
+/// Maximum number of steps of one job, which are numbered with 16 bits.
+pub const MAX_STEPS: usize = u16::MAX as usize;
 /// The longest run time that a caller's estimate counts as.
 pub const MAX_ESTIMATE: Millis = Millis(30 * 24 * 3_600_000);
 /// Length of a job key, in hexadecimal digits.
@@ -214,6 +216,9 @@
     /// The payload is longer than [`MAX_PAYLOAD_BYTES`].
     #[error("the text for tasks has {0} bytes, and at most {MAX_PAYLOAD_BYTES} are taken")]
     PayloadTooLong(usize),
+    /// The job has more than [`MAX_STEPS`] steps.
+    #[error("the job has {0} steps, and at most {MAX_STEPS} are taken")]
+    TooManySteps(usize),
     /// A step has no tasks.
     #[error("step {0} has no tasks")]
     EmptyStep(usize),
@@ -251,6 +256,9 @@
         if self.steps.is_empty() {
             return Err(JobDefinitionError::NoSteps);
         }
+        if self.steps.len() > MAX_STEPS {
+            return Err(JobDefinitionError::TooManySteps(self.steps.len()));
+        }
         for (number, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Err(JobDefinitionError::EmptyStep(number));
