--- a/src/cell/placing/candidate.rs
+++ b/src/cell/placing/candidate.rs
@@ -122,7 +122,7 @@
     home: Option<&Name>,
     task: &Task,
 ) -> Option<&'a mut Candidate> {
-    visits::add(candidates.len());
+    visits::add(candidates.len() * (1 + task.failed_workers.len()));
     let charge = spec.charged_resources();
     let score = |candidate: &Candidate| {
         let far = !spec.data_rack.is_empty() && candidate.rack.as_ref() != Some(&spec.data_rack);
--- a/src/cell/workers/report.rs
+++ b/src/cell/workers/report.rs
@@ -235,7 +235,9 @@
                 self.finish_task(now, task);
             }
             EndReason::Failed => {
-                state.failed_workers.push(name.clone());
+                if !state.failed_workers.contains(name) {
+                    state.failed_workers.push(name.clone());
+                }
                 let failed = match is_long_running {
                     true => 0,
                     false => step.record_failure(task.index, row.run, is_gang),
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -342,3 +342,20 @@
         site
     });
 }
+
+/// The workers on which a task had failed were listed once for each failure. A task that runs until its
+/// job is cancelled may fail any number of times.
+#[test]
+fn a_lasting_task_that_keeps_failing() {
+    let play = |failures| {
+        let mut site = Site::new(WORKERS);
+        site.submit(1, "usual", &job(vec![Step { long_running: true, ..small() }]));
+        for _ in 0..failures {
+            site.run_until_started(1);
+            site.end_all(EndReason::Failed);
+        }
+        site.most["schedule"]
+    };
+    let (few, many) = (play(50), play(400));
+    assert!(many < 2 * few, "{few} visits after 50 failures, {many} after 400");
+}
