--- a/src/cell/placing/round.rs
+++ b/src/cell/placing/round.rs
@@ -25,6 +25,8 @@
     last: Option<Entry>,
     /// Something has changed since the round began that may allow another task to be placed.
     has_changed: bool,
+    /// The number of passes that left steps to the next one, since the takeover.
+    pub limited_passes: u64,
 }
 
 /// One pass over the waiting steps.
@@ -61,6 +63,7 @@
     pub fn end_pass(&mut self, pass: &Pass) -> bool {
         let next = pass.next.max(pass.resumed);
         if next < pass.ready.len() {
+            self.limited_passes += 1;
             self.last = next.checked_sub(1).and_then(|last| pass.ready.get(last).copied());
             return false;
         }
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -28,6 +28,8 @@
     pub crash_counts: CrashCounts,
     /// The number of waits that timed out since the takeover.
     pub expired_waits: u64,
+    /// The number of scheduling passes that left steps to the next one, since the takeover.
+    pub limited_passes: u64,
     /// Answers of the advice service since the takeover.
     pub answers: AnswerCounts,
     /// Jobs by their class at their first start, since the takeover. Only counted where late jobs go last.
@@ -55,6 +57,7 @@
             truncated_reports,
             crash_counts: self.crash_counts,
             expired_waits: self.expired_waits,
+            limited_passes: self.round.limited_passes,
             answers: self.answer_counts,
             first_starts: self.first_starts,
             stops: self.stops.counts,
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -50,6 +50,7 @@
     abandoned_jobs: IntGauge,
     restarted_workers: IntGauge,
     expired_waits: IntGauge,
+    limited_passes: IntGauge,
     started_on_time: IntGauge,
     started_late: IntGauge,
     started_aged: IntGauge,
@@ -173,6 +174,10 @@
                 "sprucerudder_waits_expired",
                 "Waits that a deadline ended and not the event, since the takeover",
             )?,
+            limited_passes: gauge(
+                "sprucerudder_passes_limited",
+                "Scheduling passes that left waiting steps to the next one, since the takeover",
+            )?,
             started_on_time: gauge(
                 "sprucerudder_jobs_started_on_time",
                 "Jobs that could be on time at their first start, since the takeover",
@@ -302,6 +307,7 @@
         self.abandoned_jobs.set(load.crash_counts.given_up as i64);
         self.restarted_workers.set(load.crash_counts.restarted as i64);
         self.expired_waits.set(load.expired_waits as i64);
+        self.limited_passes.set(load.limited_passes as i64);
         self.started_on_time.set(load.first_starts.on_time as i64);
         self.started_late.set(load.first_starts.late as i64);
         self.started_aged.set(load.first_starts.aged as i64);
