--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -29,9 +29,8 @@
 /// The most steps without room that are looked at before a request is sent all the same. Each look
 /// goes through all workers.
 const MAX_FULL_STEPS: usize = 2;
-
-/// The elements that are visited at most before no further request is assigned in the same pass.
-const MAX_VISITS: u64 = 500_000;
+/// The number of visits after which no further request is assigned in the same pass.
+const MAX_ASSIGN_VISITS: u64 = 500_000;
 
 /// The resources that a step without room needs of a worker.
 #[derive(Debug)]
@@ -217,7 +216,7 @@
     /// Has idle entries send the requests of queued steps. If that takes long, the next pass goes on.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
         let begun = visits::count();
-        while visits::count() - begun < MAX_VISITS
+        while visits::count() - begun < MAX_ASSIGN_VISITS
             && let Some(client) = self.advice_queue.idle_client(now)
             && let Some((queued, request)) = self.next_request(now, &client)
         {
--- a/src/cell/placing/preempt.rs
+++ b/src/cell/placing/preempt.rs
@@ -106,6 +106,7 @@
         self.job_accounts = accounts;
     }
 
+    /// As [`Self::preempt_by_account`], with the figures of jobs that the pass has met.
     fn preempt_with(
         &mut self,
         now: Millis,
--- a/src/cell/placing/round.rs
+++ b/src/cell/placing/round.rs
@@ -9,11 +9,13 @@
 use crate::visits;
 use crate::workload::StepKey;
 
-/// The most elements that a pass visits, beside those of its last step. They take up to 60 ms of a
-/// whole core, or 240 ms of a quarter of one, and an owner that is not heard for 1.2 s is replaced.
-const PASS_VISITS: u64 = 500_000;
-/// The part of these that goes to the most urgent steps while a round goes on.
-const URGENT_VISITS: u64 = PASS_VISITS / 2;
+/// The elements that a pass visits for the most urgent steps, beside those of its last step. Together
+/// with [`RESUMED_VISITS`] they take up to 60 ms of a whole core, or 240 ms of a quarter of one, and an
+/// owner that is not heard for 1.2 s is replaced.
+const URGENT_VISITS: u64 = 250_000;
+/// The elements that a pass visits for the steps at which the round goes on, however many the most
+/// urgent steps took.
+const RESUMED_VISITS: u64 = 250_000;
 
 /// A waiting step in the order of urgency.
 pub type Entry = (Rank, StepKey);
@@ -38,8 +40,10 @@
     next: usize,
     /// The index of the step at which the round goes on; 0 if the pass begins one.
     resumed: usize,
-    /// The count of visits when the pass began.
-    begun: u64,
+    /// Whether the pass is still at the steps before that one.
+    is_urgent: bool,
+    /// The count of visits at which the pass leaves these steps, or ends.
+    limit: u64,
 }
 
 impl Round {
@@ -56,7 +60,7 @@
         };
         self.has_changed = self.is_open() && (self.has_changed || has_changed);
         visits::add(ready.len());
-        Pass { ready, next: 0, resumed, begun: visits::count() }
+        Pass { ready, next: 0, resumed, is_urgent: true, limit: visits::count() + URGENT_VISITS }
     }
 
     /// Ends a pass. Returns whether another round has to follow.
@@ -75,11 +79,15 @@
 impl Pass {
     /// The step to look at next; `None` if the pass ends.
     pub fn next_step(&mut self) -> Option<StepKey> {
-        let visited = visits::count() - self.begun;
-        match visited {
-            PASS_VISITS.. => return None,
-            URGENT_VISITS.. if self.next < self.resumed => self.next = self.resumed,
-            _ => {}
+        let count = visits::count();
+        match () {
+            () if self.is_urgent && (self.next >= self.resumed || count >= self.limit) => {
+                self.is_urgent = false;
+                self.next = self.next.max(self.resumed);
+                self.limit = self.limit.max(count) + RESUMED_VISITS;
+            }
+            () if count >= self.limit && !self.is_urgent => return None,
+            () => {}
         }
         let (_, step) = self.ready.get(self.next)?;
         self.next += 1;
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -359,3 +359,16 @@
     let (few, many) = (play(50), play(400));
     assert!(many < 2 * few, "{few} visits after 50 failures, {many} after 400");
 }
+
+/// A wide gang took all visits of each pass, and no less urgent step was looked at.
+#[test]
+fn a_gang_that_waits_for_room_keeps_no_others_from_starting() {
+    let mut site = Site::new(WORKERS);
+    site.submit(1, "usual", &job(vec![Step { count: WORKERS as u32, ..large() }]));
+    site.run_until_started(WORKERS);
+    site.submit(2, "usual", &job(vec![gang(100_000)]));
+    let filler = Step { best_effort: true, ..small() };
+    (3..40).for_each(|key| site.submit(key, "spare", &job(vec![filler.clone()])));
+    site.passes(25);
+    assert_eq!(site.first_starts.len(), 1 + 37, "{:?}", site.most);
+}
