--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -14,7 +14,7 @@
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
 use crate::cell::jobs::restart_policy::{
-    Crash, Evidence, QUARANTINE_CRASHES, RestartPolicy, restart_policy,
+    Crash, Evidence, QUARANTINE_CRASHES, RESTART_CRASH_LIMIT, RestartPolicy, restart_policy,
 };
 use crate::cell::records::journal::JobOutcome;
 use crate::cell::workers::run::Run;
@@ -166,7 +166,8 @@
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| job.is_open()) else {
             return;
         };
-        let is_unrelated = length >= CRASH_FREE_RUN && is_long_running(job, task);
+        let is_lasting = is_long_running(job, task);
+        let is_unrelated = length >= CRASH_FREE_RUN && is_lasting;
         let step = job.step_mut(task.step);
         let Some(state) = step.and_then(|step| step.task_mut(task.index)) else {
             return;
@@ -177,6 +178,10 @@
             Some(_) => return,
             None => state.crashes.push(crash.clone()),
         }
+        if is_lasting && state.crashes.len() > RESTART_CRASH_LIMIT {
+            // More of them tell nothing more, and the task is started again without end.
+            state.crashes.remove(0);
+        }
         let Crash { worker, evidence, is_confirmed, .. } = crash;
         log::info!(
             "event=crash-counted task={task} worker={worker} crashes={} evidence={evidence:?} \
@@ -411,9 +416,11 @@
     job.spec(task.step.step).is_some_and(|spec| spec.long_running)
 }
 
-/// The first task of a job that may be started again by this policy, and how many crashes it has.
+/// The first task of a job that may be started again by this policy, and how many crashes it has. Tasks
+/// that run until their job is cancelled are never given up.
 fn find_task(key: JobKey, job: &Job, policy: RestartPolicy) -> Option<(TaskKey, usize)> {
     job.step_keys(key).into_iter().find_map(|step_key| {
+        job.spec(step_key.step).filter(|spec| !spec.long_running)?;
         let mut tasks = job.step(step_key)?.tasks.iter().enumerate();
         visits::add(tasks.len());
         let (index, task) = tasks.find(|(_, task)| restart_policy(&task.crashes) == policy)?;
--- a/src/cell/jobs/restart_policy.rs
+++ b/src/cell/jobs/restart_policy.rs
@@ -2,6 +2,7 @@
 
 use crate::id::Name;
 use crate::order::Incarnation;
+use crate::workload::Step;
 use serde::{Deserialize, Serialize};
 
 /// Number of crashes from which on a task is quarantined. After a single crash it is most likely
@@ -18,7 +19,7 @@
 const CRASH_LIMIT: usize = 4;
 /// Number of crashes from which on a task is not started any more, even if all of them are
 /// doubtful. The contract allows two starts after the third crash.
-const RESTART_CRASH_LIMIT: usize = 5;
+pub(in crate::cell) const RESTART_CRASH_LIMIT: usize = 5;
 /// Number of crashes that must not be [`Evidence::Doubtful`] before a task is given up with fewer
 /// than [`RESTART_CRASH_LIMIT`] crashes. Otherwise a task that met two takeovers, or two starts
 /// that reached no worker, would be given up for a single crash of a worker.
@@ -124,9 +125,11 @@
     }
 }
 
-/// Whether a task with these crashes is not started now.
-pub(in crate::cell) fn is_held_back(crashes: &[Crash]) -> bool {
-    matches!(restart_policy(crashes), RestartPolicy::Paused | RestartPolicy::Undecided)
+/// Whether a task of a step with these crashes is not started now. Tasks that run until their job is
+/// cancelled are started again however they end.
+pub(in crate::cell) fn is_held_back(spec: &Step, crashes: &[Crash]) -> bool {
+    !spec.long_running
+        && matches!(restart_policy(crashes), RestartPolicy::Paused | RestartPolicy::Undecided)
 }
 
 /// Whether a task with these crashes is placed only on workers that have been up for long enough.
--- a/src/cell/jobs/wait.rs
+++ b/src/cell/jobs/wait.rs
@@ -63,11 +63,11 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.step(key)?;
         let clearances = &step.clearances;
-        let has_suitable =
-            || job.spec(key.step).is_none_or(|spec| self.has_suitable_worker(job, spec));
+        let spec = job.spec(key.step)?;
+        let has_suitable = || self.has_suitable_worker(job, spec);
         let is_held_back = |index: &u32| {
             let task = step.tasks.get(*index as usize);
-            task.is_some_and(|task| restart_policy::is_held_back(&task.crashes))
+            task.is_some_and(|task| restart_policy::is_held_back(spec, &task.crashes))
         };
         Some(match () {
             () if step.waiting.is_empty() => return None,
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -310,7 +310,7 @@
             let Some(job) = self.jobs.get(&key.job) else { return };
             let Some(step) = job.step(key) else { return };
             let Some(state) = step.tasks.get(*index as usize) else { return };
-            if is_held_back(&state.crashes) {
+            if is_held_back(spec, &state.crashes) {
                 continue;
             }
             let home = job.home_domain.as_ref().filter(|_| !spec.long_running);
@@ -344,7 +344,7 @@
         }
         let home = self.jobs.get(&key.job).and_then(|job| job.home_domain.clone());
         let mut members = (0..spec.count).map(|index| TaskKey { step: key, index });
-        if members.clone().any(|task| is_held_back(self.task_crashes(task))) {
+        if members.clone().any(|task| is_held_back(spec, self.task_crashes(task))) {
             return;
         }
         let is_quarantined = members.any(|task| self.is_quarantined(task));
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -267,3 +267,38 @@
     assert_eq!(cluster.state(lasting), Some(JobState::Active));
     assert!(cluster.crashes <= 5 * 4, "{} workers crashed", cluster.crashes);
 }
+
+/// Workers crashed one after the other, and a job of tasks that run until it is cancelled was given up
+/// after the third crash under one of them. Such tasks are to be started again however they end.
+#[test]
+fn a_lasting_job_is_not_given_up_for_crashes_of_workers() {
+    const WORKERS: usize = 7;
+    let mut cluster = Cluster::new(WORKERS);
+    let lasting = job(1);
+    cluster.submit_long(lasting, vec![Step { long_running: true, ..step(8) }], 1_000_000);
+    for round in 0..40 {
+        cluster.run_for(3_000);
+        cluster.crash(round % WORKERS);
+        if round % 10 == 9 {
+            cluster.take_over();
+        }
+    }
+    assert_eq!(cluster.state(lasting), Some(JobState::Active));
+    cluster.run_for(15_000);
+    assert_eq!(cluster.running_of(lasting), 8);
+}
+
+/// The same for a task that crashes its workers itself: all that may be lost for it is one worker at a
+/// time.
+#[test]
+fn other_work_continues_beside_a_lasting_task_that_crashes_its_workers() {
+    let mut cluster = Cluster::new(8);
+    let (crashing, other) = (job(0xbad), job(1));
+    cluster.mark_crashing(crashing, 0);
+    cluster.submit_long(crashing, vec![Step { long_running: true, ..step(1) }], 1_000_000);
+    cluster.run_for(20_000);
+    cluster.submit_long(other, vec![step(12)], 3_000);
+    cluster.run_for(40_000);
+    assert_eq!(cluster.state(crashing), Some(JobState::Active));
+    assert_eq!(cluster.state(other), Some(JobState::Closed(JobOutcome::Completed)));
+}
