--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -73,9 +73,10 @@
         self.assign_requests(now);
     }
 
-    /// Whether the last scheduling pass left steps to the next one.
-    pub fn has_open_round(&self) -> bool {
-        self.round.is_open()
+    /// Whether the next scheduling pass is to follow without an event. After a pass that ended at its number of starts,
+    /// the answers to these are the events.
+    pub fn wants_pass(&self) -> bool {
+        self.round.is_open() && !self.needs_placement
     }
 
     /// The number of starts that have not been answered. They are limited, so that the most urgent
--- a/src/node/owner/actions.rs
+++ b/src/node/owner/actions.rs
@@ -35,7 +35,7 @@
             pacing.record_pass(started, self.node.now());
             self.execute_actions();
             self.write_wake.notify_one();
-            if lock(&self.cell).has_open_round() {
+            if lock(&self.cell).wants_pass() {
                 self.schedule_wake.notify_one();
             }
         }
--- a/tests/growth_of_work.rs
+++ b/tests/growth_of_work.rs
@@ -372,3 +372,23 @@
     site.passes(25);
     assert_eq!(site.first_starts.len(), 1 + 37, "{:?}", site.most);
 }
+
+/// While a round went on, a pass that could start nothing more was followed by the next one at once,
+/// until the starts were answered.
+#[test]
+fn a_pass_that_ends_at_its_number_of_starts_waits_for_their_answers() {
+    const BUSY: usize = 100;
+    let mut site = Site::new(BUSY);
+    site.submit(1, "usual", &job(vec![Step { count: BUSY as u32, ..large() }]));
+    site.run_until_started(BUSY);
+    site.submit(2, "usual", &job(steps(1_500, &large())));
+    site.pass();
+    let now = Millis(site.now);
+    site.decide("schedule", |cell| cell.schedule(now));
+    assert!(site.cell.wants_pass(), "no round goes on");
+    site.answers_starts = false;
+    let filler = Step { count: 5_000, best_effort: true, ..small() };
+    site.submit(3, "urgent", &job(vec![filler]));
+    site.decide("schedule", |cell| cell.schedule(now));
+    assert!(!site.cell.wants_pass());
+}
