--- a/src/cell/advice/request.rs
+++ b/src/cell/advice/request.rs
@@ -213,7 +213,7 @@
         (room >= remaining).then_some(selected)
     }
 
-    /// Has idle entries send the requests of queued steps. If that takes long, the next pass goes on.
+    /// Has idle entries send the requests of queued steps. The next pass goes on where this takes long.
     pub(in crate::cell) fn assign_requests(&mut self, now: Millis) {
         let begun = visits::count();
         while visits::count() - begun < MAX_ASSIGN_VISITS
--- a/src/cell/jobs/crash.rs
+++ b/src/cell/jobs/crash.rs
@@ -179,7 +179,7 @@
             None => state.crashes.push(crash.clone()),
         }
         if is_lasting && state.crashes.len() > RESTART_CRASH_LIMIT {
-            // More of them tell nothing more, and the task is started again without end.
+            // Further crashes add no evidence, and the task is started again without end.
             state.crashes.remove(0);
         }
         let Crash { worker, evidence, is_confirmed, .. } = crash;
@@ -379,13 +379,13 @@
 }
 
 /// The runs that were sent to the current incarnation of a worker, in the order of their tasks. Runs
-/// that were sent to an earlier one are left out: they were counted when that one ended, and would be
-/// counted again with each restart.
+/// that were sent to an earlier incarnation are left out: each was counted when that incarnation ended,
+/// and would be counted again with each restart.
 #[derive(Debug)]
 pub(in crate::cell) struct SentRuns(Vec<SentRun>);
 
 impl SentRuns {
-    /// Collects the runs. It looks at all runs on the worker, so that it is done once for all of them.
+    /// Collects the runs, which takes a walk of all runs on the worker.
     pub fn new(worker: &Worker) -> Self {
         visits::add(worker.runs.len());
         let counts = |(_, run): &(&(TaskKey, u64), &Run)| run.is_sent && !run.is_stale;
--- a/src/cell/jobs/repetition.rs
+++ b/src/cell/jobs/repetition.rs
@@ -34,8 +34,8 @@
         self.first_unfinished >= self.steps.len()
     }
 
-    /// Whether all dependencies of a step are done. Those that were found to be done are not looked
-    /// at again.
+    /// Whether all dependencies of a step are done. Dependencies that were found to be done are not
+    /// looked at again.
     pub(super) fn dependencies_done(&mut self, step: usize, dependencies: &[u16]) -> bool {
         let Some(mut done) = self.steps.get(step).map(|state| state.done_dependencies) else {
             return false;
--- a/src/cell/jobs/restore.rs
+++ b/src/cell/jobs/restore.rs
@@ -119,7 +119,11 @@
         for record in &progress.steps {
             let step_key =
                 StepKey { job: key, repetition: record.step_index.0, step: record.step_index.1 };
-            let Some(spec) = work.steps.get(usize::from(step_key.step)) else { continue };
+            let Some(spec) = work.steps.get(usize::from(step_key.step)) else {
+                // The record is of another definition, so that none of its runs can be restored.
+                log::error!("event=step-unknown step={step_key} steps={}", work.steps.len());
+                continue;
+            };
             let Some(step) = job.step_mut(step_key) else { continue };
             for task in &record.tasks {
                 let Some((number, name)) = &task.assignment else { continue };
--- a/src/cell/jobs/step.rs
+++ b/src/cell/jobs/step.rs
@@ -125,7 +125,11 @@
     /// Records that a run of a task failed. Returns how often the task has failed, or the gang if it
     /// belongs to one: several members may fail in one run, which counts once.
     pub fn record_failure(&mut self, index: u32, run: u64, is_gang: bool) -> usize {
-        let Some(task) = self.task_mut(index) else { return 0 };
+        let Some(task) = self.task_mut(index) else {
+            // Unreachable, as the caller has found the task.
+            log::error!("event=task-unknown index={index} run={run}");
+            return 0;
+        };
         task.failed_runs.push(run);
         let failed = task.failed_runs.len();
         if !is_gang {
--- a/src/cell/jobs/summary.rs
+++ b/src/cell/jobs/summary.rs
@@ -1,4 +1,4 @@
-//! What is computed once for each job from its definition, and needed for each of its steps.
+//! Figures that are computed once for each job from its definition, and needed for each of its steps.
 
 use crate::clock::Millis;
 use crate::visits;
@@ -69,7 +69,11 @@
         }
         let mut steps = vec![0; sum as usize];
         for (dependency, step) in pairs() {
-            let Some(end) = ends.get_mut(dependency) else { continue };
+            let Some(end) = ends.get_mut(dependency) else {
+                // Unreachable, as a job with such a dependency is refused.
+                log::error!("event=dependency-unknown step={step} dependency={dependency}");
+                continue;
+            };
             if let Some(entry) = steps.get_mut(*end as usize) {
                 *entry = step;
             }
@@ -81,7 +85,11 @@
     fn of(&self, step: usize) -> &[u16] {
         let end_of = |step: usize| self.ends.get(step).map(|end| *end as usize);
         let first = step.checked_sub(1).and_then(end_of).unwrap_or(0);
-        let end = end_of(step).unwrap_or(first);
-        self.steps.get(first..end).unwrap_or_default()
+        let range = end_of(step).and_then(|end| self.steps.get(first..end));
+        range.unwrap_or_else(|| {
+            // Unreachable, as callers name steps of the job.
+            log::error!("event=step-unknown step={step} steps={}", self.ends.len());
+            &[]
+        })
     }
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -159,7 +159,7 @@
     stops: Stops,
     /// Figures of jobs for decisions about stops, during one scheduling pass.
     job_accounts: JobAccounts,
-    /// What was found to suit no worker, during one scheduling pass.
+    /// Requests that were found to suit no worker, during one scheduling pass.
     unsuitable: UnsuitableRequests,
     /// The running tasks of each workspace and its limits.
     usages: WorkspaceUsages,
--- a/src/cell/placing/mod.rs
+++ b/src/cell/placing/mod.rs
@@ -12,7 +12,7 @@
 //! - `reservation` stores reservations of resources; `gang` makes them for gangs.
 //! - `stability` keeps tasks that may have crashed workers off recently started workers.
 //! - `relaxation` decides which placement restrictions a step that has waited for long may ignore.
-//! - `unsuitable` notes what no worker can run.
+//! - `unsuitable` notes requests that suit no worker.
 //! - `usage` limits the resources that a workspace has in use.
 //! - `fair_share` detects jobs submitted in excess of a workspace's share.
 
--- a/src/cell/placing/round.rs
+++ b/src/cell/placing/round.rs
@@ -1,7 +1,7 @@
 //! The rounds in which scheduling passes look at all waiting steps.
 //!
 //! A pass ends once it has visited a number of elements, because the owner sends no heartbeat
-//! meanwhile. A round then takes several passes. Each of them looks at the most urgent steps first,
+//! meanwhile. A round then takes several passes. Each pass looks at the most urgent steps first,
 //! and then goes on where the one before ended, so that steps that find no worker keep neither more
 //! urgent nor less urgent ones from being looked at.
 
@@ -9,8 +9,8 @@
 use crate::visits;
 use crate::workload::StepKey;
 
-/// The elements that a pass visits for the most urgent steps, beside those of its last step. Together
-/// with [`RESUMED_VISITS`] they take up to 60 ms of a whole core, or 240 ms of a quarter of one, and an
+/// The elements that a pass visits for the most urgent steps, beside those of its last step. With
+/// [`RESUMED_VISITS`] a pass takes up to 60 ms of a whole core, or 240 ms of a quarter of one, and an
 /// owner that is not heard for 1.2 s is replaced.
 const URGENT_VISITS: u64 = 250_000;
 /// The elements that a pass visits for the steps at which the round goes on, however many the most
@@ -25,7 +25,7 @@
 pub struct Round {
     /// The step after which the next pass goes on; `None` if no round goes on.
     last: Option<Entry>,
-    /// Something has changed since the round began that may allow another task to be placed.
+    /// The cell has changed since the round began, so that another task may be placed.
     has_changed: bool,
     /// The number of passes that left steps to the next one, since the takeover.
     pub limited_passes: u64,
--- a/src/cell/placing/schedule.rs
+++ b/src/cell/placing/schedule.rs
@@ -74,7 +74,7 @@
     }
 
     /// Whether the next scheduling pass is to follow without an event. After a pass that ended at its number of starts,
-    /// the answers to these are the events.
+    /// the answers to these starts are the events.
     pub fn wants_pass(&self) -> bool {
         self.round.is_open() && !self.needs_placement
     }
@@ -107,7 +107,7 @@
         if job.is_inherited && self.unrecorded_starts.is_some() {
             return self.set_wait_reason(now, key, Some(WaitReason::Takeover));
         }
-        // Shared, as a step may have thousands of dependencies, and the job changes below.
+        // The definition is shared, as a step may have thousands of dependencies, and the job changes below.
         let work = job.work.clone();
         let spec = work.steps.get(usize::from(key.step));
         let (Some(spec), Some(step)) = (spec, job.step(key)) else { return };
--- a/src/cell/placing/unsuitable.rs
+++ b/src/cell/placing/unsuitable.rs
@@ -1,7 +1,7 @@
 //! Tasks that no worker can run, even if nothing else ran on it.
 //!
-//! Whether any can is the same for all steps that ask for the same, and does not change during a
-//! scheduling pass. A job may have thousands of such steps.
+//! Steps with the same request have the same answer, which does not change during a scheduling pass. A
+//! job may have thousands of such steps.
 
 use crate::cell::Cell;
 use crate::cell::jobs::job::Job;
@@ -11,7 +11,7 @@
 use crate::workload::{JobKey, Resources, Step};
 use std::collections::HashSet;
 
-/// What a task asks of a worker.
+/// The service, the label and the resources that a task requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Request {
     service: Name,
--- a/src/cell/placing/victims.rs
+++ b/src/cell/placing/victims.rs
@@ -15,7 +15,7 @@
 /// that stands still is not taken for one that ends soon. Batch runs of 2.7 s that take a third longer are beyond that.
 const OVERDUE_DIVISOR: u64 = 4;
 
-/// What the decision needs of a step.
+/// Figures of a step.
 #[derive(Debug, Clone, Copy)]
 struct StepFigures {
     /// The expected run time of a task on a usual worker.
@@ -28,7 +28,7 @@
     job_work: u64,
 }
 
-/// What the decision needs of a whole job, with the run times that are expected now.
+/// Figures of a whole job, with the run times that are expected now.
 #[derive(Debug)]
 struct JobFigures {
     /// The work of the job, in core-milliseconds.
@@ -37,8 +37,8 @@
     paths_after: Vec<Millis>,
 }
 
-/// The figures of the jobs that a scheduling pass has met. They take a walk of all steps of a job, and
-/// are kept for the other steps and runs of the job.
+/// The figures of the jobs that a scheduling pass has met. A walk of all steps of a job yields them for
+/// all steps and runs of the job.
 #[derive(Debug, Default)]
 pub(in crate::cell) struct JobAccounts(HashMap<JobKey, JobFigures>);
 
@@ -133,8 +133,7 @@
         let mut paths_after = vec![Millis(0); steps.len()];
         for (index, spec) in steps.iter().enumerate().rev() {
             visits::add(1 + spec.dependencies.len());
-            let after = paths_after.get(index).copied().unwrap_or_default();
-            let path = after + run_time(spec);
+            let path = paths_after[index] + run_time(spec);
             for dependency in &spec.dependencies {
                 if let Some(known) = paths_after.get_mut(usize::from(*dependency)) {
                     *known = path.max(*known);
--- a/src/visits.rs
+++ b/src/visits.rs
@@ -1,8 +1,9 @@
 //! Counts the elements that the decisions of an owner visit: tasks, steps, runs, workers, queued
 //! requests.
 //!
-//! An owner makes each decision in one go, and sends no heartbeat meanwhile. Its time on a slow
-//! processor follows from the elements that it visits, which are the same on every machine. A
+//! An owner makes each decision in one go, and sends no heartbeat meanwhile. The time of a
+//! decision on a slow processor follows from the elements that it visits, which are the same on every
+//! machine. A
 //! scheduling pass ends at a number of them.
 
 use std::cell::Cell;
