--- a/tests/cell_search.rs
+++ b/tests/cell_search.rs
@@ -266,6 +266,13 @@
     assert_holds(|seed| search_stops_after_outages(seed, Disabled::Nothing));
 }
 
+/// Each of several owners in a row waits anew for workers to be stable, and a step waits beside room.
+#[test]
+fn a_step_starts_in_time_through_takeovers_after_a_store_outage() {
+    let (violation, _) = search_stops_after_outages(700_706, Disabled::Nothing);
+    assert_eq!(violation, None, "{}", violation.as_deref().unwrap_or_default());
+}
+
 #[test]
 fn owners_that_always_leave_complete_records_violate_an_invariant() {
     // Guards against a takeover that trusts the records although the store was away just before it.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -86,6 +86,12 @@
     run_seeds([10_086].into_iter(), 244).await;
 }
 
+/// Workers crash for other reasons under a task that is seen running once, and its job is given up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_on_a_kept_seed_of_crashes_beside_other_tasks() {
+    run_seeds([18_123].into_iter(), 246).await;
+}
+
 /// Runs seeds in parallel, each on a loopback address of its own; `first_host` is the number of the
 /// first address.
 async fn run_seeds(seeds: impl Iterator<Item = u64>, first_host: usize) {
